workspace: lay the skeleton, shared types, messages and HTTP

Cause: the parts are to be written side by side, so what they share has to stand first.

Change: a workspace of one crate per job; checked names, ids and the verdict (stair-types); the catalogue (stair-config); grants as data (stair-state); messages and frames (stair-wire); the platform's trait and objects (stair-platform); HTTP client and server with bounds (stair-http). The entry, the agent and the rest are empty crates.

Not measured: nothing runs yet.

--- /dev/null
+++ b/crates/dandelionstair/src/main.rs
@@ -0,0 +1,2 @@
+//! dandelionstair.
+fn main() {}
--- /dev/null
+++ b/crates/stair-http/src/client.rs
@@ -0,0 +1,264 @@
+//! A pool of HTTP/1.1 connections to one address.
+//!
+//! A connection goes back to the pool only when an answer's last byte was read. One on which a
+//! request timed out, failed or was given up is closed: its late answer must not reach the next
+//! request. An error says whether the request may have reached the other end.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Mutex,
+        PoisonError, //
+    },
+    time::Duration,
+};
+
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
+use http_body_util::{
+    BodyExt,
+    Full, //
+};
+use hyper::{
+    Request,
+    body::Incoming,
+    client::conn::http1::{
+        SendRequest,
+        handshake, //
+    },
+    http::response::Parts,
+};
+use hyper_util::rt::TokioIo;
+use stair_types::Verdict;
+use tokio::{
+    net::TcpStream,
+    time::timeout, //
+};
+
+/// Bounds of a client.
+#[derive(Debug, Clone, Copy)]
+pub struct Options {
+    /// Time to open a connection. A silent address is noticed by it.
+    pub connect_timeout: Duration,
+    /// Idle connections kept.
+    pub max_idle: usize,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            connect_timeout: Duration::from_secs(1),
+            max_idle: 32,
+        }
+    }
+}
+
+/// Why a request got no answer.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The request was never sent.
+    #[error("not sent: {0}")]
+    NotSent(Box<str>),
+    /// The request was sent, and the connection failed or fell silent.
+    #[error("no answer: {0}")]
+    Lost(Box<str>),
+    /// The answer has more bytes than the limit.
+    #[error("the answer exceeds {0} bytes")]
+    TooLarge(usize),
+}
+
+impl Error {
+    /// Tells whether the other end may have run the request.
+    pub fn verdict(&self) -> Verdict {
+        match self {
+            Self::NotSent(_) => Verdict::NotRun,
+            Self::Lost(_) | Self::TooLarge(_) => Verdict::MayHaveRun,
+        }
+    }
+}
+
+/// Connections to one address. Cloning shares the pool.
+#[derive(Clone)]
+pub struct Client {
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    addr: SocketAddr,
+    opts: Options,
+    idle: Mutex<Vec<Connection>>,
+}
+
+type Connection = SendRequest<Full<Bytes>>;
+
+impl Client {
+    /// Makes a client; it opens no connection yet.
+    pub fn new(addr: SocketAddr, opts: Options) -> Self {
+        Self {
+            inner: Arc::new(Inner {
+                addr,
+                opts,
+                idle: Mutex::new(Vec::new()),
+            }),
+        }
+    }
+
+    /// Returns the address.
+    pub fn addr(&self) -> SocketAddr {
+        self.inner.addr
+    }
+
+    /// Sends a request and waits at most `head_time` for the head of its answer.
+    ///
+    /// The request's URI is a path; the `Host` header is set here.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::NotSent`] when no byte of it was sent, [`Error::Lost`] afterwards.
+    pub async fn send(
+        &self,
+        mut req: Request<Full<Bytes>>,
+        head_time: Duration,
+    ) -> Result<Answer, Error> {
+        let host = self.inner.addr.to_string();
+        if let Ok(host) = host.parse() {
+            req.headers_mut().insert(hyper::header::HOST, host);
+        }
+        match timeout(head_time, self.send_on_any(req)).await {
+            Ok(result) => result,
+            // Whether the request left before the time was up is unknown.
+            Err(_) => Err(Error::Lost("no answer in time".into())),
+        }
+    }
+
+    async fn send_on_any(&self, mut req: Request<Full<Bytes>>) -> Result<Answer, Error> {
+        // A pooled connection may have been closed by the other end meanwhile. Hyper hands the
+        // request back in that case only when it was not sent, so the next try is safe.
+        while let Some(mut conn) = self.take_idle() {
+            match conn.try_send_request(req).await {
+                Ok(resp) => return Ok(self.answer(conn, resp)),
+                Err(mut e) => match e.take_message() {
+                    Some(unsent) => req = unsent,
+                    None => return Err(Error::Lost(e.into_error().to_string().into())),
+                },
+            }
+        }
+        let mut conn = self.connect().await?;
+        match conn.try_send_request(req).await {
+            Ok(resp) => Ok(self.answer(conn, resp)),
+            Err(mut e) => match e.take_message() {
+                Some(_) => Err(Error::NotSent(e.into_error().to_string().into())),
+                None => Err(Error::Lost(e.into_error().to_string().into())),
+            },
+        }
+    }
+
+    async fn connect(&self) -> Result<Connection, Error> {
+        let not_sent = |e: &dyn std::fmt::Display| Error::NotSent(e.to_string().into());
+        let connecting = TcpStream::connect(self.inner.addr);
+        let stream = match timeout(self.inner.opts.connect_timeout, connecting).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(e)) => return Err(not_sent(&e)),
+            Err(_) => return Err(not_sent(&"no connection in time")),
+        };
+        stream.set_nodelay(true).map_err(|e| not_sent(&e))?;
+        let (conn, driver) = handshake(TokioIo::new(stream))
+            .await
+            .map_err(|e| not_sent(&e))?;
+        tokio::spawn(driver);
+        Ok(conn)
+    }
+
+    fn take_idle(&self) -> Option<Connection> {
+        let mut idle = self
+            .inner
+            .idle
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        while let Some(conn) = idle.pop() {
+            if conn.is_ready() {
+                return Some(conn);
+            }
+        }
+        None
+    }
+
+    fn give_back(&self, conn: Connection) {
+        let mut idle = self
+            .inner
+            .idle
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if idle.len() < self.inner.opts.max_idle {
+            idle.push(conn);
+        }
+    }
+
+    fn answer(&self, conn: Connection, resp: hyper::Response<Incoming>) -> Answer {
+        let (head, body) = resp.into_parts();
+        Answer {
+            head,
+            body,
+            conn: Some(conn),
+            client: self.clone(),
+        }
+    }
+}
+
+/// An answer whose body is still to be read.
+pub struct Answer {
+    /// Status and headers.
+    pub head: Parts,
+    body: Incoming,
+    conn: Option<Connection>,
+    client: Client,
+}
+
+impl Answer {
+    /// Reads the next piece of the body, or `None` at its end, waiting at most `time` for it.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Lost`] when the body was cut or fell silent.
+    pub async fn chunk(&mut self, time: Duration) -> Result<Option<Bytes>, Error> {
+        loop {
+            let frame = match timeout(time, self.body.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(e))) => return Err(Error::Lost(e.to_string().into())),
+                Ok(None) => {
+                    self.finish();
+                    return Ok(None);
+                }
+                Err(_) => return Err(Error::Lost("the answer fell silent".into())),
+            };
+            if let Ok(data) = frame.into_data() {
+                return Ok(Some(data));
+            }
+        }
+    }
+
+    /// Reads the rest of the body, at most `limit` bytes, waiting at most `time` for each piece.
+    ///
+    /// # Errors
+    ///
+    /// As [`Answer::chunk`], and [`Error::TooLarge`].
+    pub async fn collect(mut self, limit: usize, time: Duration) -> Result<Bytes, Error> {
+        let mut all = BytesMut::new();
+        while let Some(data) = self.chunk(time).await? {
+            if all.len() + data.len() > limit {
+                return Err(Error::TooLarge(limit));
+            }
+            all.extend_from_slice(&data);
+        }
+        Ok(all.freeze())
+    }
+
+    fn finish(&mut self) {
+        if let Some(conn) = self.conn.take() {
+            self.client.give_back(conn);
+        }
+    }
+}
--- /dev/null
+++ b/crates/stair-platform/src/lib.rs
@@ -0,0 +1,29 @@
+//! The edge to the platform's object API.
+//!
+//! - [`types`]: kinds of objects, their values and the errors of a call.
+//! - [`store`]: the trait at the edge of a process, [`ObjectStore`].
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+pub mod store;
+pub mod types;
+
+pub use store::ObjectStore;
+pub use types::{
+    ChunkRef,
+    Claim,
+    ClaimShard,
+    Condition,
+    Error,
+    Event,
+    IncarnationRecord,
+    Kind,
+    Manifest,
+    Object,
+    Page,
+    Snapshot,
+    TargetKind,
+    Vm,
+    VmRole,
+    VmState, //
+};
--- /dev/null
+++ b/crates/stair-telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/stair-types/src/lib.rs
@@ -0,0 +1,39 @@
+//! Names, identifiers and verdicts that every part of dandelionstair shares.
+//!
+//! - [`names`]: checked names of models, adapters, targets, tiers and so on.
+//! - [`ids`]: numbers that order or identify things.
+//! - [`verdict`]: what is known about a request that failed.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+pub mod ids;
+pub mod names;
+pub mod verdict;
+
+pub use ids::{
+    ApplyId,
+    ConfigVersion,
+    FencingToken,
+    GrantId,
+    ModelKey,
+    RequestId,
+    ShardId,
+    TargetKey,
+    TierRank, //
+};
+pub use names::{
+    AdapterName,
+    CallerName,
+    DataCentre,
+    EntryName,
+    ModelName,
+    NameError,
+    ServiceName,
+    TargetName,
+    TierName, //
+};
+pub use verdict::{
+    Reason,
+    Refusal,
+    Verdict, //
+};
