link: open QUIC links with mutual TLS, probes and new local ports

Cause: entries and agents need links that notice silence and recover from a new port.

One socket a link was ruled out, since the port only has to change after silence.

Measured: three tests pass. Time to recover from silence is not measured yet.

--- /dev/null
+++ b/crates/stair-link/src/dialer.rs
@@ -0,0 +1,139 @@
+//! Opens links, from a new local port after one went silent.
+
+use std::{
+    net::{
+        Ipv4Addr,
+        Ipv6Addr,
+        SocketAddr, //
+    },
+    sync::{
+        Arc,
+        Mutex,
+        PoisonError,
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        }, //
+    },
+    time::Duration,
+};
+
+use quinn::{
+    ClientConfig,
+    Endpoint, //
+};
+
+use crate::{
+    Error,
+    Keys,
+    Link,
+    keys::SERVER_NAME,
+    link::Probing, //
+};
+
+/// Opens links. Cloning shares the local ports.
+///
+/// A path's entry in a connection-tracking table between two VMs can vanish: packets between the
+/// same two addresses and ports go nowhere for good, while others pass. A new QUIC connection from
+/// the same UDP socket has the same ports and stays silent too. So a link that went silent makes
+/// the dialer take a new socket for all links opened from then on; the old one ends with the last
+/// link on it.
+#[derive(Clone)]
+pub struct Dialer {
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    client: ClientConfig,
+    connect_timeout: Duration,
+    sockets: Mutex<Sockets>,
+    replaced: AtomicU64,
+}
+
+#[derive(Default)]
+struct Sockets {
+    generation: u64,
+    v4: Option<Endpoint>,
+    v6: Option<Endpoint>,
+}
+
+impl Dialer {
+    /// Makes a dialer; it binds no port yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the keys cannot be used.
+    pub fn new(keys: &Keys, connect_timeout: Duration) -> Result<Self, Error> {
+        Ok(Self {
+            inner: Arc::new(Inner {
+                client: keys.client_config()?,
+                connect_timeout,
+                sockets: Mutex::new(Sockets::default()),
+                replaced: AtomicU64::new(0),
+            }),
+        })
+    }
+
+    /// Opens a link and probes it while it is in use, as `probing` says.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Connect`] when the other end does not answer in time, is no process of the
+    /// deployment, or speaks other messages.
+    pub async fn connect(&self, addr: SocketAddr, probing: Probing) -> Result<Link, Error> {
+        let (endpoint, generation) = self.endpoint(addr)?;
+        let failed = |cause: Box<str>| Error::Connect { addr, cause };
+        let connecting = endpoint
+            .connect_with(self.inner.client.clone(), addr, SERVER_NAME)
+            .map_err(|e| failed(e.to_string().into()))?;
+        match tokio::time::timeout(self.inner.connect_timeout, connecting).await {
+            Ok(Ok(conn)) => Ok(Link::dialed(conn, self.clone(), generation, probing)),
+            Ok(Err(e)) => Err(failed(e.to_string().into())),
+            Err(_) => {
+                // The path from this port may be the silent one.
+                self.rotate(generation);
+                Err(failed("no answer in time".into()))
+            }
+        }
+    }
+
+    /// Returns how often the local port was replaced.
+    pub fn replaced(&self) -> u64 {
+        self.inner.replaced.load(Ordering::Relaxed)
+    }
+
+    /// Makes later links come from a new port, unless that happened since `generation`.
+    pub(crate) fn rotate(&self, generation: u64) {
+        let mut sockets = self.sockets();
+        if sockets.generation != generation {
+            return;
+        }
+        *sockets = Sockets {
+            generation: generation + 1,
+            ..Sockets::default()
+        };
+        self.inner.replaced.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn endpoint(&self, addr: SocketAddr) -> Result<(Endpoint, u64), Error> {
+        let mut sockets = self.sockets();
+        let generation = sockets.generation;
+        let (slot, local) = match addr {
+            SocketAddr::V4(_) => (&mut sockets.v4, (Ipv4Addr::UNSPECIFIED, 0).into()),
+            SocketAddr::V6(_) => (&mut sockets.v6, (Ipv6Addr::UNSPECIFIED, 0).into()),
+        };
+        if let Some(endpoint) = slot {
+            return Ok((endpoint.clone(), generation));
+        }
+        let endpoint = Endpoint::client(local)?;
+        *slot = Some(endpoint.clone());
+        Ok((endpoint, generation))
+    }
+
+    fn sockets(&self) -> std::sync::MutexGuard<'_, Sockets> {
+        self.inner
+            .sockets
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/stair-link/src/lib.rs
+++ b/crates/stair-link/src/lib.rs
@@ -1,1 +1,47 @@
-//! Placeholder.
+//! Links between dandelionstair's own processes: QUIC with mutual TLS.
+//!
+//! - [`keys`]: certificates of an authority that all processes trust.
+//! - [`listener`]: accepts links.
+//! - [`dialer`]: opens links, and opens them from a new local port after one went silent.
+//! - [`link`](mod@link): one link, with probes while it is in use.
+//! - [`pool`]: links to many addresses, opened on demand and closed when idle.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+pub mod dialer;
+pub mod keys;
+pub mod link;
+pub mod listener;
+pub mod pool;
+
+pub use dialer::Dialer;
+pub use keys::Keys;
+pub use link::Link;
+pub use listener::Listener;
+pub use pool::Pool;
+pub use quinn::{
+    RecvStream,
+    SendStream, //
+};
+
+/// Why a link or a stream on it failed.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The keys do not load or do not fit together.
+    #[error("the keys cannot be used: {0}")]
+    Keys(Box<str>),
+    /// The local socket failed.
+    #[error("the socket failed: {0}")]
+    Io(#[from] std::io::Error),
+    /// The link could not be opened.
+    #[error("no link to {addr}: {cause}")]
+    Connect {
+        /// The address.
+        addr: std::net::SocketAddr,
+        /// What the transport says.
+        cause: Box<str>,
+    },
+    /// The link is closed or went silent.
+    #[error("the link is closed: {0}")]
+    Closed(#[from] quinn::ConnectionError),
+}
--- /dev/null
+++ b/crates/stair-link/tests/open.rs
@@ -0,0 +1,106 @@
+//! Opening links and streams.
+
+use std::{
+    net::{
+        Ipv4Addr,
+        SocketAddr, //
+    },
+    time::Duration,
+};
+
+use stair_link::{
+    Dialer,
+    Keys,
+    Listener,
+    Pool,
+    keys::Authority,
+    link::Probing, //
+};
+
+const CONNECT_TIME: Duration = Duration::from_secs(10);
+
+fn any_port() -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, 0).into()
+}
+
+fn issue(authority: &Authority) -> Keys {
+    authority.issue().expect("keys can be issued")
+}
+
+fn dialer(keys: &Keys) -> Dialer {
+    Dialer::new(keys, CONNECT_TIME).expect("the keys are good")
+}
+
+/// Answers every stream with the bytes that it carried.
+async fn echo(listener: Listener) {
+    while let Some(link) = listener.accept().await {
+        tokio::spawn(async move {
+            while let Ok((mut tx, mut rx)) = link.accept().await {
+                let bytes = rx.read_to_end(1 << 16).await.expect("the stream ends");
+                tx.write_all(&bytes).await.expect("the stream is open");
+                tx.finish().expect("the stream is open");
+            }
+        });
+    }
+}
+
+#[tokio::test]
+async fn stream_echoes() {
+    let authority = Authority::generate().expect("keys can be made");
+    let listener = Listener::bind(any_port(), &issue(&authority)).expect("binds");
+    let addr = listener.addr().expect("is bound");
+    tokio::spawn(echo(listener));
+    let pool = Pool::new(dialer(&issue(&authority)), Probing::REQUESTS);
+
+    let link = pool.get(addr).await.expect("connects");
+    let _in_use = link.use_it();
+    let (mut tx, mut rx) = link.open().await.expect("opens");
+    tx.write_all(b"hello").await.expect("writes");
+    tx.finish().expect("finishes");
+
+    assert_eq!(rx.read_to_end(1 << 16).await.expect("reads"), b"hello");
+    assert_eq!(pool.live(), 1);
+}
+
+#[tokio::test]
+async fn burst_shares_link() {
+    let authority = Authority::generate().expect("keys can be made");
+    let listener = Listener::bind(any_port(), &issue(&authority)).expect("binds");
+    let addr = listener.addr().expect("is bound");
+    let (links, mut accepted) = tokio::sync::mpsc::unbounded_channel();
+    tokio::spawn(async move {
+        while let Some(link) = listener.accept().await {
+            let _ = links.send(link);
+        }
+    });
+    let pool = Pool::new(dialer(&issue(&authority)), Probing::REQUESTS);
+
+    let mut tasks = tokio::task::JoinSet::new();
+    for _ in 0..50 {
+        let pool = pool.clone();
+        tasks.spawn(async move { pool.get(addr).await.expect("connects") });
+    }
+    let all = tasks.join_all().await;
+
+    assert_eq!(all.len(), 50);
+    accepted.recv().await.expect("one link came");
+    assert!(accepted.try_recv().is_err(), "a second link was opened");
+}
+
+// A process of another deployment, or anything else on the network, dials a link address. Its
+// certificate comes from another authority. It must get no stream: an operator would otherwise see
+// strangers' requests at the targets.
+#[tokio::test]
+async fn stranger_refused() {
+    let ours = Authority::generate().expect("keys can be made");
+    let theirs = Authority::generate().expect("keys can be made");
+    let listener = Listener::bind(any_port(), &issue(&ours)).expect("binds");
+    let addr = listener.addr().expect("is bound");
+    tokio::spawn(echo(listener));
+
+    let result = dialer(&issue(&theirs))
+        .connect(addr, Probing::REQUESTS)
+        .await;
+
+    assert!(result.is_err(), "a stranger opened a link");
+}
