state: keep grants, the memory ledger and the run table by their own rules

Cause: three promises rest on these: no more replicas than decided, memory never overcommitted, a request that may not be repeated runs at most once.

Not measured: property tests follow.

--- a/crates/stair-state/src/grants.rs
+++ b/crates/stair-state/src/grants.rs
@@ -48,3 +48,97 @@
     let hash = xxhash_rust::xxh3::xxh3_64(model.as_str().as_bytes());
     ShardId((hash % u64::from(SHARDS)) as u16)
 }
+
+/// Why a grant was not made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum GrantError {
+    /// As many grants of the model exist, revoking ones included, as replicas were decided.
+    #[error("all {0} replicas are granted")]
+    NoneLeft(u16),
+    /// The target holds a grant of the model, perhaps one that is being revoked.
+    #[error("the target holds a grant of the model")]
+    Held,
+}
+
+impl GrantShard {
+    /// Grants a model to a target, if fewer than `replicas` grants of it exist.
+    ///
+    /// Grants that are being revoked count: their holder may still have the model loaded.
+    ///
+    /// # Errors
+    ///
+    /// See [`GrantError`]; the shard is unchanged.
+    pub fn grant(
+        &mut self,
+        model: &ModelName,
+        target: &TargetName,
+        replicas: u16,
+    ) -> Result<GrantId, GrantError> {
+        let of_model = self.of_model(model);
+        if of_model.iter().any(|g| g.target == *target) {
+            return Err(GrantError::Held);
+        }
+        if of_model.len() >= usize::from(replicas) {
+            return Err(GrantError::NoneLeft(replicas));
+        }
+        let id = self.next_id;
+        self.next_id = GrantId(id.0 + 1);
+        let at = self
+            .grants
+            .partition_point(|g| (&g.model, &g.target) < (model, target));
+        self.grants.insert(
+            at,
+            Grant {
+                id,
+                model: model.clone(),
+                target: target.clone(),
+                revoking: false,
+            },
+        );
+        Ok(id)
+    }
+
+    /// Begins to take a grant back. Returns whether that changed anything.
+    pub fn revoke(&mut self, id: GrantId) -> bool {
+        match self.grants.iter_mut().find(|g| g.id == id && !g.revoking) {
+            Some(grant) => {
+                grant.revoking = true;
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Removes a revoking grant whose holder has confirmed that its engine does not hold the
+    /// model. Returns whether that changed anything.
+    ///
+    /// A confirmation that was delayed until after the model was granted to the same target again
+    /// names the old id and changes nothing.
+    pub fn confirm(&mut self, id: GrantId) -> bool {
+        let before = self.grants.len();
+        self.grants.retain(|g| g.id != id || !g.revoking);
+        self.grants.len() != before
+    }
+
+    /// Removes all grants of a target whose VM the platform no longer has. Returns how many.
+    ///
+    /// Only the platform's word that the VM is gone will do: a VM that is merely silent may hold
+    /// the model still.
+    pub fn remove_target(&mut self, target: &TargetName) -> usize {
+        let before = self.grants.len();
+        self.grants.retain(|g| g.target != *target);
+        before - self.grants.len()
+    }
+
+    /// Returns the grants of a model, revoking ones included, in O(log n).
+    pub fn of_model(&self, model: &ModelName) -> &[Grant] {
+        let from = self.grants.partition_point(|g| g.model < *model);
+        let len = self.grants[from..].partition_point(|g| g.model == *model);
+        &self.grants[from..from + len]
+    }
+
+    /// Returns the grants of a target, revoking ones included, in O(n).
+    pub fn of_target(&self, target: &TargetName) -> impl Iterator<Item = &Grant> {
+        self.grants.iter().filter(move |g| g.target == *target)
+    }
+}
--- a/crates/stair-state/src/lib.rs
+++ b/crates/stair-state/src/lib.rs
@@ -1,12 +1,18 @@
 //! The state that has to be right whatever fails, as aggregates with their own rules and no I/O.
 //!
 //! - [`grants`]: the permission of a target to hold a model, and its two-step moves.
+//! - [`ledger`]: the accelerator memory of one engine and what is in it.
+//! - [`runs`]: which requests an agent has run, so that none runs twice.
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
 pub mod grants;
+pub mod ledger;
+pub mod runs;
 
 pub use grants::{
     Grant,
     GrantShard, //
 };
+pub use ledger::Ledger;
+pub use runs::RunTable;
