--- a/crates/stair-state/src/ledger.rs
+++ b/crates/stair-state/src/ledger.rs
@@ -123,8 +123,8 @@
 
     /// Returns the memory that is or may be taken, in MiB.
     pub fn taken_mib(&self) -> u32 {
-        let all = self.entries.iter().map(|e| u64::from(e.memory_mib)).sum();
-        u32::try_from::<u64>(all).unwrap_or(u32::MAX)
+        let all: u64 = self.entries.iter().map(|e| u64::from(e.memory_mib)).sum();
+        u32::try_from(all).unwrap_or(u32::MAX)
     }
 
     /// Returns the memory that is surely free, in MiB.
