entry: define the view that control publishes and traffic reads

Cause: control and traffic are written side by side and run on different threads.

Change: the view; rendezvous hashing as a shared function; a turn at the weight store is a stream of its own to one home entry, whose end gives the turn back. Ruled out: turns on the control links, since each agent's two entries differ and the rate is the fleet's.

--- a/crates/stair-entry/src/lib.rs
+++ b/crates/stair-entry/src/lib.rs
@@ -1,1 +1,13 @@
-//! Placeholder.
+//! The entry: takes callers' requests and brings them to the agents, and shares the control work
+//! with the other entries.
+//!
+//! - [`view`]: what control publishes and traffic reads.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+pub mod view;
+
+pub use view::{
+    TargetView,
+    View, //
+};
--- /dev/null
+++ b/crates/stair-entry/src/view.rs
@@ -0,0 +1,68 @@
+//! What control publishes and traffic reads.
+//!
+//! Control runs on one thread and traffic on others. Control replaces the whole view with each
+//! change; traffic reads the latest one at each request and never waits for control.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc, //
+};
+
+use serde::Serialize;
+use stair_config::Catalogue;
+use stair_types::{
+    ConfigVersion,
+    DataCentre,
+    FencingToken,
+    TargetKey,
+    TargetName, //
+};
+
+/// A consistent picture of the configuration, the grants and the targets.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct View {
+    /// The configuration in force. 0 while none is known: every request is refused then.
+    pub config: ConfigVersion,
+    /// False while all that is known comes from peers and the platform has not confirmed it.
+    pub confirmed: bool,
+    /// The declarations in force.
+    pub catalogue: Arc<Catalogue>,
+    /// The arena that [`TargetKey`] points into, of this view only. Sorted by name.
+    pub targets: Arc<Vec<TargetView>>,
+    /// For each model of the catalogue, the targets that hold a grant which is not being revoked.
+    pub holders: Vec<Vec<TargetKey>>,
+    /// For each service of the catalogue, its targets.
+    pub providers: Vec<Vec<TargetKey>>,
+}
+
+/// One target as an entry sees it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct TargetView {
+    /// The target.
+    pub name: TargetName,
+    /// Where its agent listens for links.
+    pub link: SocketAddr,
+    /// The agent's incarnation.
+    pub token: FencingToken,
+    /// The target's data centre.
+    pub data_centre: DataCentre,
+    /// The platform's list or the agent says that the VM is leaving: it gets no new work.
+    pub leaving: bool,
+}
+
+impl View {
+    /// Returns a target of this view.
+    pub fn target(&self, key: TargetKey) -> &TargetView {
+        &self.targets[key.0 as usize]
+    }
+
+    /// Returns the targets that may serve a model, by the model's index in the catalogue.
+    pub fn holders_of(&self, model: usize) -> &[TargetKey] {
+        self.holders.get(model).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the targets of a service, by the service's index in the catalogue.
+    pub fn providers_of(&self, service: usize) -> &[TargetKey] {
+        self.providers.get(service).map_or(&[], Vec::as_slice)
+    }
+}
--- a/crates/stair-types/src/lib.rs
+++ b/crates/stair-types/src/lib.rs
@@ -2,12 +2,14 @@
 //!
 //! - [`names`]: checked names of models, adapters, targets, tiers and so on.
 //! - [`ids`]: numbers that order or identify things.
+//! - [`rendezvous`]: who is responsible for a key.
 //! - [`verdict`]: what is known about a request that failed.
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
 pub mod ids;
 pub mod names;
+pub mod rendezvous;
 pub mod verdict;
 
 pub use ids::{
--- a/crates/stair-wire/src/control.rs
+++ b/crates/stair-wire/src/control.rs
@@ -34,6 +34,35 @@
     Agent(Hello),
     /// One entry asks another.
     Peer(PeerRequest),
+    /// An agent asks for a turn at the weight store.
+    Turn(TurnRequest),
+}
+
+/// An agent asks the weight store's home entry for a turn.
+///
+/// The home is the first entry by rendezvous hash of [`TURN_HOME`]. The entry answers
+/// [`TurnReply::Queued`] at once and [`TurnReply::Granted`] when the load may start. The agent
+/// keeps the stream open until the load has ended: the end of the stream, or of its link, gives
+/// the turn back. An agent that gets no `Queued` within a second loads without a turn: two homes,
+/// or none, for a while cost speed only.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TurnRequest {
+    /// The best tier that waits for the load.
+    pub rank: TierRank,
+    /// Time left until the earliest deadline that waits, in milliseconds.
+    pub time_left_ms: u32,
+}
+
+/// The key whose rendezvous hash names the home of the weight store's turns.
+pub const TURN_HOME: &str = "weight-store";
+
+/// From the home of the weight store's turns to an agent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TurnReply {
+    /// The request waits for its turn.
+    Queued,
+    /// The load may start.
+    Granted,
 }
 
 /// An agent introduces itself on a new control stream.
@@ -65,20 +94,6 @@
         /// The revoked grants that are given back.
         grants: Vec<(ShardId, GrantId)>,
     },
-    /// Asks for a turn at the weight store.
-    LoadTurn {
-        /// Names this turn on this link.
-        turn: u64,
-        /// The best tier that waits for the load.
-        rank: TierRank,
-        /// Time left until the earliest deadline that waits, in milliseconds.
-        time_left_ms: u32,
-    },
-    /// The load of a turn has ended.
-    LoadDone {
-        /// The turn.
-        turn: u64,
-    },
     /// The agent is leaving: offer it nothing more.
     Leaving,
 }
@@ -88,11 +103,6 @@
 pub enum EntryControl {
     /// What the agent may hold.
     Assignment(Assignment),
-    /// The load of a turn may start now.
-    Turn {
-        /// The turn.
-        turn: u64,
-    },
     /// The live entries of the agent's data centre and others, for its second link.
     Entries {
         /// Sorted by name.
