--- /dev/null
+++ b/crates/stair-policy/src/shift.rs
@@ -0,0 +1,1 @@
+//! Pending.
