policy: test the choice of a target

9 tests: least wait, cold start weighed against waiting, bounded affinity, spread on stale reports, trickle by weight.

--- /dev/null
+++ b/crates/stair-policy/tests/choose.rs
@@ -0,0 +1,146 @@
+//! The choice among the granted targets.
+
+use std::time::Duration;
+
+use rand::{
+    SeedableRng,
+    rngs::StdRng, //
+};
+use stair_policy::choose::{
+    Candidate,
+    Options,
+    order,
+    prefix_home, //
+};
+use stair_types::TargetKey;
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn loaded(key: u32, wait: u64) -> Candidate {
+    Candidate {
+        key: TargetKey(key),
+        loaded: true,
+        expected_wait: ms(wait),
+        report_age: ms(10),
+        in_flight: 0,
+        cold_start: ms(0),
+        prefix_affinity: false,
+        same_data_centre: true,
+        weight: 1.0,
+    }
+}
+
+fn stale(key: u32, wait: u64) -> Candidate {
+    Candidate {
+        report_age: ms(5_000),
+        ..loaded(key, wait)
+    }
+}
+
+fn keys(candidates: &[Candidate]) -> Vec<u32> {
+    let mut rng = StdRng::seed_from_u64(1);
+    let order = order(&Options::default(), candidates, &mut rng);
+    order.iter().map(|k| k.0).collect()
+}
+
+/// Counts how often each of the candidates is first.
+fn firsts(candidates: &[Candidate], times: u32) -> Vec<u32> {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut counts = vec![0; candidates.len()];
+    for _ in 0..times {
+        let first = order(&Options::default(), candidates, &mut rng)[0];
+        counts[first.0 as usize] += 1;
+    }
+    counts
+}
+
+#[test]
+fn least_wait() {
+    let all = [loaded(0, 300), loaded(1, 20), loaded(2, 100)];
+    assert_eq!(keys(&all), [1, 2, 0]);
+}
+
+#[test]
+fn nothing_granted() {
+    assert!(keys(&[]).is_empty());
+}
+
+#[test]
+fn own_work_counts() {
+    let busy = Candidate {
+        in_flight: 4,
+        ..loaded(0, 0)
+    };
+    assert_eq!(keys(&[busy, loaded(1, 100)]), [1, 0]);
+}
+
+// The model is loaded on a busy target and cold on an idle one. Waiting half a second beats a
+// cold start of twenty, and a queue of a minute does not.
+#[test]
+fn cold_weighed() {
+    let cold = Candidate {
+        loaded: false,
+        cold_start: ms(20_000),
+        ..loaded(0, 0)
+    };
+    assert_eq!(keys(&[cold, loaded(1, 500)]), [1, 0]);
+    assert_eq!(keys(&[cold, loaded(1, 60_000)]), [0, 1]);
+}
+
+#[test]
+fn affinity_bounded() {
+    let home = Candidate {
+        prefix_affinity: true,
+        ..loaded(0, 200)
+    };
+    assert_eq!(keys(&[home, loaded(1, 0)]), [0, 1]);
+    let overloaded = Candidate {
+        expected_wait: ms(400),
+        ..home
+    };
+    assert_eq!(keys(&[overloaded, loaded(1, 0)]), [1, 0]);
+}
+
+#[test]
+fn near_first() {
+    let far = Candidate {
+        same_data_centre: false,
+        ..loaded(0, 0)
+    };
+    assert_eq!(keys(&[far, loaded(1, 0)]), [1, 0]);
+}
+
+// All entries hold the same old report, in which one target looks idle. If each of them ran to
+// that one, its callers would wait while the others idled.
+#[test]
+fn stale_spreads() {
+    let all = [stale(0, 0), stale(1, 10), stale(2, 20), stale(3, 900)];
+    let counts = firsts(&all, 4_000);
+    assert!(counts[0] < 2_000, "{counts:?}");
+    assert!(counts[2] > 600, "{counts:?}");
+    assert!(counts[3] < 400, "{counts:?}");
+}
+
+// One target answers slowly. It keeps a trickle, so that its recovery is seen.
+#[test]
+fn weight_is_share() {
+    let slow = Candidate {
+        weight: 0.1,
+        ..loaded(0, 0)
+    };
+    let counts = firsts(&[slow, loaded(1, 5)], 4_000);
+    assert!((300..500).contains(&counts[0]), "{counts:?}");
+}
+
+#[test]
+fn home_is_stable() {
+    let fleet: Vec<_> = (0..10).map(|k| (TargetKey(k), u64::from(k) * 77)).collect();
+    for prefix in 0..100 {
+        let home = prefix_home(prefix, fleet.iter().copied()).unwrap();
+        let lost = fleet[(home.0 as usize + 1) % 10].0;
+        let rest = fleet.iter().copied().filter(|t| t.0 != lost);
+        assert_eq!(prefix_home(prefix, rest), Some(home));
+    }
+}
