--- /dev/null
+++ b/crates/stair-policy/tests/retry.rs
@@ -0,0 +1,80 @@
+//! The retry budget and the time told to the refused.
+
+use std::time::Duration;
+
+use stair_policy::{
+    backoff::{
+        MAX_RETRY_AFTER,
+        MIN_RETRY_AFTER,
+        retry_after, //
+    },
+    retry::{
+        Budget,
+        Options, //
+    },
+};
+
+/// Retries made when each of `requests` fails and each retry fails too.
+fn storm(requests: u32) -> u32 {
+    let mut budget = Budget::new(Options::default());
+    let mut retries = 0;
+    for _ in 0..requests {
+        budget.request();
+        while budget.try_retry() {
+            retries += 1;
+        }
+    }
+    retries
+}
+
+// Every target fails every request. Without a budget each failure would become new load.
+#[test]
+fn tenth_at_most() {
+    for requests in [100, 101, 999, 10_000] {
+        assert_eq!(storm(requests), requests / 10);
+    }
+}
+
+// The first request of a new entry meets a target that is gone, and moves on.
+#[test]
+fn advance_given() {
+    assert_eq!(storm(1), 10);
+}
+
+// An hour without failures saves up a bounded number of retries.
+#[test]
+fn savings_bounded() {
+    let mut budget = Budget::new(Options::default());
+    for _ in 0..100_000 {
+        budget.request();
+    }
+    assert_eq!(budget.left(), 50);
+}
+
+#[test]
+fn drain_respected() {
+    let drain = Duration::from_secs(4);
+    for id in 0..1_000 {
+        let told = retry_after(drain, id);
+        assert!(told >= drain && told < drain * 2, "{told:?}");
+        assert_eq!(told, retry_after(drain, id));
+    }
+}
+
+// A thousand are refused at once with the same expected drain. Were all told the same time, they
+// would come back together and most would be refused again.
+#[test]
+fn refused_spread() {
+    let mut tenths = [0; 10];
+    for id in 0..1_000 {
+        let told = retry_after(Duration::from_secs(10), id);
+        tenths[told.as_secs() as usize - 10] += 1;
+    }
+    assert!(tenths.iter().all(|n| (60..150).contains(n)), "{tenths:?}");
+}
+
+#[test]
+fn times_bounded() {
+    assert!(retry_after(Duration::ZERO, 1) >= MIN_RETRY_AFTER);
+    assert!(retry_after(Duration::MAX, 1) <= MAX_RETRY_AFTER);
+}
