--- a/crates/stair-policy/src/keep.rs
+++ b/crates/stair-policy/src/keep.rs
@@ -1,1 +1,197 @@
-//! Pending.
+//! Decides how long an idle model stays loaded.
+//!
+//! The load it is made for: hundreds of models and thousands of adapters of which few are busy,
+//! each with a rhythm of its own. The harms it prevents: accelerators held by models that nobody
+//! will ask for soon, and cold starts for callers of models that were unloaded a moment ago.
+//!
+//! Each deployment says what a second of cold start is worth in idle accelerator seconds. From
+//! that and from the idle times seen, the time kept is the one with the lowest expected cost. With
+//! few idle times seen it is the break-even time (ski rental), which never costs more than twice
+//! what knowing the future would.
+
+use std::time::Duration;
+
+use stair_types::ModelKey;
+
+/// How cold starts are weighed against idle time.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Options {
+    /// Idle accelerator seconds that one second of cold start is worth.
+    pub cold_start_weight: f64,
+    /// Kept at least so long: unloading and loading at once only costs the store's rate.
+    pub min_idle: Duration,
+    /// Kept at most so long. Idle times beyond it are not told apart.
+    pub max_idle: Duration,
+    /// Idle times to see before the histogram is trusted. With fewer, one odd gap would decide.
+    pub min_samples: u16,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            cold_start_weight: 1.0,
+            min_idle: Duration::from_secs(5),
+            max_idle: Duration::from_secs(600),
+            min_samples: 8,
+        }
+    }
+}
+
+/// Buckets of idle times; each is half as wide again as the one before, the last is open.
+const BUCKETS: usize = 20;
+
+/// Ratio of neighbouring bucket bounds.
+const GROWTH: f64 = 1.5;
+
+/// Upper bound of the first bucket, in seconds. The last bound is about 37 minutes.
+const FIRST_BOUND: f64 = 1.0;
+
+/// When a bucket reaches this count all are halved, so that old habits are forgotten.
+const MAX_COUNT: u8 = 64;
+
+/// The idle times of one model: 32 bytes.
+#[derive(Debug, Clone, Copy, Default)]
+struct Habit {
+    /// When it was last used or finished, in milliseconds since the process's start, plus one; 0 is never.
+    last_used_ms: u64,
+    counts: [u8; BUCKETS],
+}
+
+/// The idle times of all models of one process.
+#[derive(Debug, Clone)]
+pub struct Keep {
+    opts: Options,
+    /// By model key.
+    habits: Vec<Habit>,
+}
+
+impl Keep {
+    /// Makes a state that has seen nothing.
+    pub fn new(opts: Options) -> Self {
+        Self {
+            opts,
+            habits: Vec::new(),
+        }
+    }
+
+    /// Replaces the weights when a new configuration is in force; what was seen is kept.
+    pub fn set_options(&mut self, opts: Options) {
+        self.opts = opts;
+    }
+
+    /// Notes that a request for the model arrives, and learns the idle time before it.
+    ///
+    /// Idle times below `min_idle` are not learned: the model is kept for so long in any case, and
+    /// the many short ones of a burst would push out the few long ones that matter.
+    pub fn used(&mut self, model: ModelKey, now: Duration) {
+        let min_idle = self.opts.min_idle;
+        let habit = self.habit(model);
+        let last = habit.last_used().unwrap_or(now);
+        let idle = now.saturating_sub(last);
+        if idle > min_idle {
+            habit.add(idle);
+        }
+        habit.set_last_used(now);
+    }
+
+    /// Notes that a request for the model has ended: the idle time starts anew.
+    pub fn finished(&mut self, model: ModelKey, now: Duration) {
+        self.habit(model).set_last_used(now);
+    }
+
+    fn habit(&mut self, model: ModelKey) -> &mut Habit {
+        let at = model.0 as usize;
+        if at >= self.habits.len() {
+            self.habits.resize(at + 1, Habit::default());
+        }
+        &mut self.habits[at]
+    }
+
+    /// Returns until when the model is kept if it is not used before.
+    ///
+    /// `cold_start` is what loading it again is expected to take, by where its checkpoint is
+    /// cached now: a model in the host's memory is let go sooner than one that only the weight
+    /// store has.
+    pub fn idle_until(&self, model: ModelKey, now: Duration, cold_start: Duration) -> Duration {
+        let habit = self.habits.get(model.0 as usize);
+        let last_used = habit.and_then(Habit::last_used).unwrap_or(now);
+        let miss = cold_start.as_secs_f64() * self.opts.cold_start_weight.max(0.0);
+        let seen = habit.filter(|h| h.samples() >= u32::from(self.opts.min_samples));
+        let idle = match seen {
+            Some(h) => h.cheapest(miss, &self.opts),
+            None => miss,
+        };
+        let min = self.opts.min_idle.as_secs_f64();
+        let max = self.opts.max_idle.as_secs_f64().max(min);
+        last_used + Duration::from_secs_f64(idle.clamp(min, max))
+    }
+}
+
+impl Habit {
+    fn last_used(&self) -> Option<Duration> {
+        let ms = self.last_used_ms.checked_sub(1)?;
+        Some(Duration::from_millis(ms))
+    }
+
+    fn set_last_used(&mut self, now: Duration) {
+        let ms = u64::try_from(now.as_millis()).unwrap_or(u64::MAX - 1);
+        self.last_used_ms = ms + 1;
+    }
+
+    fn add(&mut self, idle: Duration) {
+        let at = bucket(idle.as_secs_f64());
+        self.counts[at] += 1;
+        if self.counts[at] >= MAX_COUNT {
+            for count in &mut self.counts {
+                *count /= 2;
+            }
+        }
+    }
+
+    fn samples(&self) -> u32 {
+        self.counts.iter().map(|c| u32::from(*c)).sum()
+    }
+
+    /// Returns the time kept, in seconds, with the lowest expected cost of one idle time.
+    ///
+    /// Keeping for `t` costs the idle time itself when the model is used before `t`, and `t` plus
+    /// the cold start when it is not.
+    fn cheapest(&self, miss: f64, opts: &Options) -> f64 {
+        let mut best = opts.min_idle.as_secs_f64();
+        let mut left = f64::from(self.samples());
+        let mut best_cost = left * (best + miss);
+        let mut hits_idle = 0.0;
+        for (at, count) in self.counts.iter().enumerate() {
+            let t = bound(at);
+            if t > opts.max_idle.as_secs_f64() {
+                break;
+            }
+            let count = f64::from(*count);
+            left -= count;
+            hits_idle += count * middle(at);
+            let cost = hits_idle + left * (t + miss);
+            if cost < best_cost {
+                best_cost = cost;
+                best = t;
+            }
+        }
+        best
+    }
+}
+
+fn bound(at: usize) -> f64 {
+    FIRST_BOUND * GROWTH.powi(i32::try_from(at).unwrap_or(i32::MAX))
+}
+
+fn middle(at: usize) -> f64 {
+    match at {
+        0 => FIRST_BOUND / 2.0,
+        _ => f64::midpoint(bound(at - 1), bound(at)),
+    }
+}
+
+fn bucket(idle: f64) -> usize {
+    (0..BUCKETS - 1)
+        .find(|at| idle <= bound(*at))
+        .unwrap_or(BUCKETS - 1)
+}
