--- /dev/null
+++ b/crates/stair-policy/tests/shift.rs
@@ -0,0 +1,117 @@
+//! Shares of slow and failing targets.
+
+use std::time::Duration;
+
+use stair_policy::shift::{
+    Options,
+    Outcome,
+    Shift, //
+};
+use stair_types::TargetKey;
+
+const TARGETS: u32 = 9;
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn shift() -> Shift {
+    Shift::new(Options::default())
+}
+
+/// Lets each target answer `rounds` times, at a latency given by its number.
+fn run<F>(s: &mut Shift, rounds: u32, latency: F)
+where
+    F: Fn(u32) -> u64,
+{
+    for _ in 0..rounds {
+        for t in 0..TARGETS {
+            s.observe(TargetKey(t), ms(latency(t)), Outcome::Answered);
+        }
+    }
+}
+
+fn weights(s: &Shift) -> Vec<f32> {
+    (0..TARGETS).map(|t| s.weight(TargetKey(t))).collect()
+}
+
+#[test]
+fn full_at_first() {
+    assert_eq!(weights(&shift()), [1.0; TARGETS as usize]);
+}
+
+// One target answers ten times slower than the others. Its callers would wait while others idle.
+#[test]
+fn slow_loses() {
+    let mut s = shift();
+    run(&mut s, 20, |_| 100);
+    run(&mut s, 40, |t| if t == 4 { 1_000 } else { 100 });
+    assert!(s.weight(TargetKey(4)) < 0.1, "{:?}", weights(&s));
+    assert!(s.weight(TargetKey(5)) > 0.99, "{:?}", weights(&s));
+}
+
+// The share goes step by step, so that the others are not hit by all of it at once.
+#[test]
+fn gradual_loss() {
+    let mut s = shift();
+    run(&mut s, 20, |_| 100);
+    let mut last = 1.0;
+    for _ in 0..60 {
+        run(&mut s, 1, |t| if t == 4 { 1_000 } else { 100 });
+        let weight = s.weight(TargetKey(4));
+        assert!(last - weight < 0.25 && weight >= 0.02, "{last} {weight}");
+        last = weight;
+    }
+}
+
+#[test]
+fn share_returns() {
+    let mut s = shift();
+    run(&mut s, 60, |t| if t == 4 { 1_000 } else { 100 });
+    run(&mut s, 60, |_| 100);
+    assert!(s.weight(TargetKey(4)) > 0.95, "{:?}", weights(&s));
+}
+
+// The whole fleet becomes ten times slower under load. Taking targets out would make it worse.
+#[test]
+fn all_slow() {
+    let mut s = shift();
+    run(&mut s, 20, |_| 100);
+    for _ in 0..50 {
+        run(&mut s, 1, |_| 1_000);
+        assert!(weights(&s).iter().all(|w| *w > 0.9), "{:?}", weights(&s));
+    }
+}
+
+#[test]
+fn failing_loses() {
+    let mut s = shift();
+    run(&mut s, 20, |_| 100);
+    for _ in 0..40 {
+        run(&mut s, 1, |_| 100);
+        s.observe(TargetKey(2), ms(1), Outcome::Failed);
+        s.observe(TargetKey(2), ms(1), Outcome::Failed);
+    }
+    assert!(s.weight(TargetKey(2)) < 0.3, "{:?}", weights(&s));
+    assert!(s.weight(TargetKey(3)) > 0.9, "{:?}", weights(&s));
+}
+
+// Everything fails, such as when the platform's network is down. No target is to blame.
+#[test]
+fn all_failing() {
+    let mut s = shift();
+    for _ in 0..50 {
+        for t in 0..TARGETS {
+            s.observe(TargetKey(t), ms(1), Outcome::Failed);
+        }
+    }
+    assert!(weights(&s).iter().all(|w| *w > 0.9), "{:?}", weights(&s));
+}
+
+#[test]
+fn forgotten_restarts() {
+    let mut s = shift();
+    run(&mut s, 60, |t| if t == 4 { 1_000 } else { 100 });
+    s.forget(TargetKey(4));
+    assert_eq!(s.weight(TargetKey(4)), 1.0);
+}
