platform: call the object API over HTTP

Ruled out: Invalid for an accepted write whose answer does not decode; it would read as "nothing was written", so it is Unknown. Reads that lose their answer are Unavailable, as nothing was written for certain. A 5xx other than 503 on a write is Unknown.

Change: HttpStore implements ObjectStore by the mapping in types.rs, each call within call_timeout (2 s; a watch has its wait on top), and counts its calls by kind.

Speed was not measured.

--- /dev/null
+++ b/crates/stair-platform/src/http.rs
@@ -0,0 +1,313 @@
+//! The platform's object API over HTTP.
+//!
+//! The mapping stands at [`crate::types`]. A write whose answer is lost, late or unreadable may
+//! have taken effect and is [`Error::Unknown`]; the same on a read is [`Error::Unavailable`].
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        },
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    Method, Request, StatusCode,
+    header::{
+        CONTENT_TYPE,
+        HeaderName,
+        IF_MATCH,
+        IF_NONE_MATCH, //
+    },
+};
+use serde::{
+    Deserialize,
+    Serialize,
+    de::DeserializeOwned, //
+};
+use serde_json::Value;
+use stair_http::client;
+use stair_types::Verdict;
+use tokio::time::timeout;
+
+use crate::{
+    store::ObjectStore,
+    types::{
+        Condition,
+        Error,
+        Kind,
+        Object,
+        Page, //
+    },
+};
+
+/// Bounds of the calls.
+#[derive(Debug, Clone, Copy)]
+pub struct Options {
+    /// Time for a whole call; a watch has its wait in addition.
+    pub call_timeout: Duration,
+    /// Bytes of an answer, that is, of a whole list.
+    pub max_answer_bytes: usize,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            call_timeout: Duration::from_secs(2),
+            max_answer_bytes: 256 << 20,
+        }
+    }
+}
+
+/// Calls made since the start, by kind, with those that failed among them. A conflict, a missing
+/// object and a watch position that is too old are answers, not failures.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct Calls {
+    /// Reads of one object.
+    pub get: u64,
+    /// Reads of a whole kind.
+    pub list: u64,
+    /// Writes.
+    pub put: u64,
+    /// Deletions.
+    pub delete: u64,
+    /// Watches.
+    pub watch: u64,
+    /// Calls that ended in `Unavailable`, `Unknown` or `Invalid`.
+    pub failed: u64,
+}
+
+#[derive(Default)]
+struct Counters {
+    get: AtomicU64,
+    list: AtomicU64,
+    put: AtomicU64,
+    delete: AtomicU64,
+    watch: AtomicU64,
+    failed: AtomicU64,
+}
+
+/// The platform at one address. Cloning shares connections and counts.
+#[derive(Clone)]
+pub struct HttpStore {
+    client: client::Client,
+    opts: Options,
+    counters: Arc<Counters>,
+}
+
+#[derive(Deserialize)]
+struct Written {
+    version: u64,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Effect {
+    Read,
+    Write,
+}
+
+struct Call {
+    req: Request<Full<Bytes>>,
+    effect: Effect,
+    time: Duration,
+}
+
+impl HttpStore {
+    /// Makes a store; it opens no connection yet.
+    pub fn new(addr: SocketAddr, opts: Options) -> Self {
+        let defaults = client::Options::default();
+        let client_opts = client::Options {
+            // Has to pass first, so that a call that was never sent is known as such.
+            connect_timeout: defaults.connect_timeout.min(opts.call_timeout / 2),
+            ..defaults
+        };
+        Self {
+            client: client::Client::new(addr, client_opts),
+            opts,
+            counters: Arc::default(),
+        }
+    }
+
+    /// Returns the calls made so far.
+    pub fn calls(&self) -> Calls {
+        let read = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        Calls {
+            get: read(&self.counters.get),
+            list: read(&self.counters.list),
+            put: read(&self.counters.put),
+            delete: read(&self.counters.delete),
+            watch: read(&self.counters.watch),
+            failed: read(&self.counters.failed),
+        }
+    }
+
+    async fn call<T>(&self, counter: &AtomicU64, call: Result<Call, Error>) -> Result<T, Error>
+    where
+        T: DeserializeOwned,
+    {
+        counter.fetch_add(1, Ordering::Relaxed);
+        let result = match call {
+            Ok(call) => self.answer(call).await,
+            Err(e) => Err(e),
+        };
+        if let Err(Error::Unavailable(_) | Error::Unknown(_) | Error::Invalid(_)) = result {
+            self.counters.failed.fetch_add(1, Ordering::Relaxed);
+        }
+        result
+    }
+
+    async fn answer<T>(&self, call: Call) -> Result<T, Error>
+    where
+        T: DeserializeOwned,
+    {
+        let exchange = self.exchange(call.req, call.time);
+        let (status, body) = match timeout(call.time, exchange).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(e)) if e.verdict() == Verdict::NotRun => {
+                return Err(Error::Unavailable(e.to_string().into()));
+            }
+            Ok(Err(e)) => return Err(lost(call.effect, &e.to_string())),
+            Err(_) => return Err(lost(call.effect, "no answer in time")),
+        };
+        if status != StatusCode::OK {
+            return Err(refused(call.effect, status));
+        }
+        serde_json::from_slice(&body).map_err(|e| match call.effect {
+            // The write was accepted, but its version is not known.
+            Effect::Write => Error::Unknown(e.to_string().into()),
+            Effect::Read => Error::Invalid(e.to_string().into()),
+        })
+    }
+
+    async fn exchange(
+        &self,
+        req: Request<Full<Bytes>>,
+        time: Duration,
+    ) -> Result<(StatusCode, Bytes), client::Error> {
+        let answer = self.client.send(req, time).await?;
+        let status = answer.head.status;
+        let body = answer.collect(self.opts.max_answer_bytes, time).await?;
+        Ok((status, body))
+    }
+
+    fn read(&self, path: String) -> Result<Call, Error> {
+        let req = Request::get(path).body(Full::default()).map_err(invalid)?;
+        Ok(Call {
+            req,
+            effect: Effect::Read,
+            time: self.opts.call_timeout,
+        })
+    }
+
+    fn write(
+        &self,
+        method: Method,
+        path: String,
+        condition: Condition,
+        body: Vec<u8>,
+    ) -> Result<Call, Error> {
+        let (header, text) = precondition(condition);
+        let req = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(header, text)
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::from(body))
+            .map_err(invalid)?;
+        Ok(Call {
+            req,
+            effect: Effect::Write,
+            time: self.opts.call_timeout,
+        })
+    }
+}
+
+impl ObjectStore for HttpStore {
+    async fn get(&self, kind: Kind, name: &str) -> Result<Object, Error> {
+        let call = path(kind, name).and_then(|path| self.read(path));
+        self.call(&self.counters.get, call).await
+    }
+
+    async fn list(&self, kind: Kind) -> Result<Page, Error> {
+        let call = self.read(format!("/objects/{}", kind.as_str()));
+        self.call(&self.counters.list, call).await
+    }
+
+    async fn put(
+        &self,
+        kind: Kind,
+        name: &str,
+        value: &Value,
+        condition: Condition,
+    ) -> Result<u64, Error> {
+        let body = serde_json::to_vec(value).map_err(invalid)?;
+        let call = path(kind, name).and_then(|path| self.write(Method::PUT, path, condition, body));
+        let written: Written = self.call(&self.counters.put, call).await?;
+        Ok(written.version)
+    }
+
+    async fn delete(&self, kind: Kind, name: &str, version: u64) -> Result<(), Error> {
+        let condition = Condition::Version(version);
+        let call = path(kind, name)
+            .and_then(|path| self.write(Method::DELETE, path, condition, Vec::new()));
+        let _: Value = self.call(&self.counters.delete, call).await?;
+        Ok(())
+    }
+
+    async fn watch(&self, kinds: &[Kind], since: u64, wait: Duration) -> Result<Page, Error> {
+        let kinds: Vec<&str> = kinds.iter().map(|kind| kind.as_str()).collect();
+        let kinds = kinds.join(",");
+        let wait_ms = wait.as_millis();
+        let path = format!("/watch?kinds={kinds}&since={since}&timeout_ms={wait_ms}");
+        let call = self.read(path).map(|call| Call {
+            time: wait + call.time,
+            ..call
+        });
+        self.call(&self.counters.watch, call).await
+    }
+}
+
+fn path(kind: Kind, name: &str) -> Result<String, Error> {
+    let plain = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'.' | b'_' | b'-');
+    if name.is_empty() || !name.bytes().all(plain) {
+        return Err(Error::Invalid(
+            format!("not an object's name: {name:?}").into(),
+        ));
+    }
+    Ok(format!("/objects/{}/{name}", kind.as_str()))
+}
+
+fn precondition(condition: Condition) -> (HeaderName, String) {
+    match condition {
+        Condition::Absent => (IF_NONE_MATCH, "*".to_owned()),
+        Condition::Version(version) => (IF_MATCH, version.to_string()),
+    }
+}
+
+fn invalid(e: impl std::fmt::Display) -> Error {
+    Error::Invalid(e.to_string().into())
+}
+
+fn lost(effect: Effect, text: &str) -> Error {
+    match effect {
+        Effect::Read => Error::Unavailable(text.into()),
+        Effect::Write => Error::Unknown(text.into()),
+    }
+}
+
+fn refused(effect: Effect, status: StatusCode) -> Error {
+    match status {
+        StatusCode::CONFLICT => Error::Conflict,
+        StatusCode::NOT_FOUND => Error::NotFound,
+        StatusCode::GONE => Error::Gone,
+        StatusCode::SERVICE_UNAVAILABLE => Error::Unavailable("it answered 503".into()),
+        status if status.is_server_error() => lost(effect, status.as_str()),
+        status => Error::Invalid(format!("it answered {status}").into()),
+    }
+}
--- a/crates/stair-platform/src/lib.rs
+++ b/crates/stair-platform/src/lib.rs
@@ -2,12 +2,15 @@
 //!
 //! - [`types`]: kinds of objects, their values and the errors of a call.
 //! - [`store`]: the trait at the edge of a process, [`ObjectStore`].
+//! - [`http`]: the store that speaks the platform's HTTP API, [`HttpStore`].
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
+pub mod http;
 pub mod store;
 pub mod types;
 
+pub use http::HttpStore;
 pub use store::ObjectStore;
 pub use types::{
     ChunkRef,
