--- /dev/null
+++ b/crates/stair-standin/src/server.rs
@@ -0,0 +1,194 @@
+//! A server that can be killed and started again on its address, and the answers of all stand-ins.
+
+use std::{
+    future::pending,
+    io,
+    net::SocketAddr,
+    sync::{
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use hyper::{
+    Request, Response, StatusCode,
+    body::Incoming,
+    header::{
+        CONTENT_TYPE,
+        HeaderValue, //
+    },
+};
+use serde::Serialize;
+use stair_http::{
+    Body,
+    body,
+    server, //
+};
+use tokio::{
+    net::{
+        TcpListener,
+        TcpSocket, //
+    },
+    sync::{
+        mpsc,
+        watch, //
+    },
+    task::JoinHandle,
+};
+
+const BACKLOG: u32 = 1024;
+const FLUSH_TIME: Duration = Duration::from_millis(20);
+const READ_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// A body larger than any that a test sends.
+pub(crate) const MAX_BODY_BYTES: usize = 16 << 20;
+
+type Spawn = Box<dyn Fn(TcpListener, watch::Receiver<bool>) -> JoinHandle<()> + Send>;
+
+/// A listener with its connections. Dropping it ends them.
+pub(crate) struct Server {
+    addr: SocketAddr,
+    inner: Mutex<Inner>,
+}
+
+struct Inner {
+    spawn: Spawn,
+    stop: watch::Sender<bool>,
+    task: Option<JoinHandle<()>>,
+    /// Keeps the port while the server is dead: bound and not listening, it refuses connections.
+    reserved: Option<TcpSocket>,
+}
+
+impl Server {
+    pub(crate) fn start<H, F>(addr: SocketAddr, handler: H) -> io::Result<Self>
+    where
+        H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+        F: Future<Output = Response<Body>> + Send + 'static,
+    {
+        let socket = bind(addr)?;
+        let addr = socket.local_addr()?;
+        let spawn: Spawn = Box::new(move |listener, stop| {
+            let opts = server::Options::default();
+            tokio::spawn(server::serve(listener, opts, stop, handler.clone()))
+        });
+        let server = Self {
+            addr,
+            inner: Mutex::new(Inner {
+                spawn,
+                stop: watch::channel(false).0,
+                task: None,
+                reserved: Some(socket),
+            }),
+        };
+        server.revive()?;
+        Ok(server)
+    }
+
+    pub(crate) fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Breaks all connections and refuses new ones.
+    pub(crate) async fn kill(&self) -> io::Result<()> {
+        let task = {
+            let mut inner = self.lock();
+            inner.stop.send_replace(true);
+            inner.task.take()
+        };
+        let Some(task) = task else {
+            return Ok(());
+        };
+        // Requests in work may never end by themselves, so their connections end with the task.
+        task.abort();
+        let _ = task.await;
+        let socket = bind(self.addr)?;
+        self.lock().reserved = Some(socket);
+        Ok(())
+    }
+
+    /// Listens again after a kill.
+    pub(crate) fn revive(&self) -> io::Result<()> {
+        let mut inner = self.lock();
+        let Some(socket) = inner.reserved.take() else {
+            return Ok(());
+        };
+        let listener = socket.listen(BACKLOG)?;
+        let (stop, stopped) = watch::channel(false);
+        inner.stop = stop;
+        let task = (inner.spawn)(listener, stopped);
+        inner.task = Some(task);
+        Ok(())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        let mut inner = self.lock();
+        inner.stop.send_replace(true);
+        if let Some(task) = inner.task.take() {
+            task.abort();
+        }
+    }
+}
+
+fn bind(addr: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = match addr {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    Ok(socket)
+}
+
+pub(crate) fn json(status: StatusCode, value: &impl Serialize) -> Response<Body> {
+    let text = serde_json::to_vec(value).unwrap_or_default();
+    let mut resp = Response::new(body::full(text));
+    *resp.status_mut() = status;
+    let kind = HeaderValue::from_static("application/json");
+    resp.headers_mut().insert(CONTENT_TYPE, kind);
+    resp
+}
+
+pub(crate) fn error(status: StatusCode, text: &str) -> Response<Body> {
+    json(status, &serde_json::json!({ "error": text }))
+}
+
+/// Sends these bytes of a body and then breaks the connection.
+pub(crate) fn cut(bytes: Bytes) -> Response<Body> {
+    let (tx, body) = body::channel(1);
+    if !bytes.is_empty() {
+        tokio::spawn(send_and_cut(tx, bytes));
+    }
+    Response::new(body)
+}
+
+/// Sends these bytes into a body and then breaks its connection.
+pub(crate) async fn send_and_cut(tx: mpsc::Sender<Option<Bytes>>, bytes: Bytes) {
+    let _ = tx.send(Some(bytes)).await;
+    // Hyper throws away what it has not flushed when the body fails. Once the place is free again
+    // it has taken the bytes, and flushes them when it finds nothing more.
+    let _ = tx.reserve().await;
+    tokio::time::sleep(FLUSH_TIME).await;
+}
+
+/// Keeps the connection open for as long as the other end does, and never answers.
+pub(crate) async fn silent() -> Response<Body> {
+    pending().await
+}
+
+pub(crate) async fn read(body: Incoming) -> Option<Bytes> {
+    body::read(body, MAX_BODY_BYTES, READ_TIMEOUT).await.ok()
+}
+
+pub(crate) fn header<'a>(req: &'a Request<Incoming>, name: &str) -> &'a str {
+    let value = req.headers().get(name);
+    value.and_then(|v| v.to_str().ok()).unwrap_or_default()
+}
