telemetry: log, count and answer the operator

Entry and agent need one way to log, to count and to show their state.

The cost of a metric or of a log line was not measured.

--- a/crates/stair-telemetry/src/lib.rs
+++ b/crates/stair-telemetry/src/lib.rs
@@ -1,1 +1,22 @@
-//! Placeholder.
+//! What a process tells its operator.
+//!
+//! - [`log`]: short sentences with a fixed prefix a part, by spdlog-rs to standard error.
+//! - [`metrics`]: counters, gauges and timers, by cadence to statsd.
+//! - [`operator`]: the operator's HTTP listener with state dump, status and planned stop.
+//!
+//! # Examples
+//!
+//! ```
+//! use stair_telemetry::{Part, info};
+//!
+//! info!(Part::Grants, "shard {} now has {} grants", 3, 12);
+//! ```
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+pub mod log;
+pub mod metrics;
+pub mod operator;
+
+pub use log::Part;
+pub use metrics::Metrics;
--- /dev/null
+++ b/crates/stair-telemetry/src/operator.rs
@@ -0,0 +1,139 @@
+//! The operator's HTTP listener, apart from the callers'.
+//!
+//! | call | answer |
+//! | --- | --- |
+//! | `GET /status` | a short JSON object: name, version in force, whether the process drains |
+//! | `GET /dump` | the whole state as JSON |
+//! | `POST /drain` | starts the planned stop; 202 at once |
+
+use std::time::Duration;
+
+use hyper::{
+    Method,
+    Request,
+    Response,
+    StatusCode,
+    body::Incoming,
+    header::{
+        CONTENT_TYPE,
+        HeaderValue, //
+    }, //
+};
+use serde_json::{
+    Value,
+    json, //
+};
+use stair_http::{
+    body::{
+        Body,
+        full, //
+    },
+    server,
+};
+use tokio::{
+    net::TcpListener,
+    sync::watch,
+    time::timeout, //
+};
+
+/// Operators and their tools are few; more connections than this are a mistake.
+const MAX_CONNECTIONS: usize = 32;
+
+/// Time for the process to tell its state. A process whose control thread hangs would otherwise
+/// leave the operator waiting without an answer, just when he asks what hangs.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// What the listener asks of its process.
+#[derive(Debug, Clone)]
+pub struct Routes<S, D, R> {
+    /// Returns the short status.
+    pub status: S,
+    /// Returns the whole state.
+    pub dump: D,
+    /// Starts the planned stop and returns without waiting for its end.
+    pub drain: R,
+}
+
+/// Serves the operator until `stop` turns true.
+pub async fn serve<S, SF, D, DF, R, RF>(
+    listener: TcpListener,
+    stop: watch::Receiver<bool>,
+    routes: Routes<S, D, R>,
+) where
+    S: Fn() -> SF + Clone + Send + Sync + 'static,
+    SF: Future<Output = Value> + Send + 'static,
+    D: Fn() -> DF + Clone + Send + Sync + 'static,
+    DF: Future<Output = Value> + Send + 'static,
+    R: Fn() -> RF + Clone + Send + Sync + 'static,
+    RF: Future<Output = ()> + Send + 'static,
+{
+    let opts = server::Options {
+        max_connections: MAX_CONNECTIONS,
+        ..server::Options::default()
+    };
+    let handler = move |req: Request<Incoming>| {
+        let routes = routes.clone();
+        async move { answer(&req, &routes).await }
+    };
+    server::serve(listener, opts, stop, handler).await;
+}
+
+async fn answer<S, SF, D, DF, R, RF>(
+    req: &Request<Incoming>,
+    routes: &Routes<S, D, R>,
+) -> Response<Body>
+where
+    S: Fn() -> SF,
+    SF: Future<Output = Value>,
+    D: Fn() -> DF,
+    DF: Future<Output = Value>,
+    R: Fn() -> RF,
+    RF: Future<Output = ()>,
+{
+    match (req.method(), req.uri().path()) {
+        (&Method::GET, "/status") => in_time((routes.status)()).await,
+        (&Method::GET, "/dump") => in_time((routes.dump)()).await,
+        (&Method::POST, "/drain") => match timeout(ANSWER_TIMEOUT, (routes.drain)()).await {
+            Ok(()) => json_response(StatusCode::ACCEPTED, &json!({ "draining": true })),
+            Err(_) => hangs(),
+        },
+        (_, "/status" | "/dump") => wrong_method("GET"),
+        (_, "/drain") => wrong_method("POST"),
+        _ => json_response(
+            StatusCode::NOT_FOUND,
+            &json!({ "error": "no such page; there are GET /status, GET /dump and POST /drain" }),
+        ),
+    }
+}
+
+async fn in_time<F>(state: F) -> Response<Body>
+where
+    F: Future<Output = Value>,
+{
+    match timeout(ANSWER_TIMEOUT, state).await {
+        Ok(value) => json_response(StatusCode::OK, &value),
+        Err(_) => hangs(),
+    }
+}
+
+fn hangs() -> Response<Body> {
+    let message = format!("the process did not tell its state within {ANSWER_TIMEOUT:?}");
+    json_response(
+        StatusCode::SERVICE_UNAVAILABLE,
+        &json!({ "error": message }),
+    )
+}
+
+fn wrong_method(allowed: &'static str) -> Response<Body> {
+    let message = format!("this page takes {allowed} only");
+    json_response(StatusCode::METHOD_NOT_ALLOWED, &json!({ "error": message }))
+}
+
+fn json_response(status: StatusCode, value: &Value) -> Response<Body> {
+    // The alternate form has line breaks: operators read it by curl.
+    let mut resp = Response::new(full(format!("{value:#}\n")));
+    *resp.status_mut() = status;
+    resp.headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    resp
+}
--- /dev/null
+++ b/crates/stair-telemetry/tests/operator_listener.rs
@@ -0,0 +1,123 @@
+//! The operator's listener over a real socket.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    Method,
+    Request,
+    StatusCode, //
+};
+use serde_json::{
+    Value,
+    json, //
+};
+use stair_http::{
+    Client,
+    client::Options, //
+};
+use stair_telemetry::operator::{
+    Routes,
+    serve, //
+};
+use tokio::{
+    net::TcpListener,
+    sync::watch,
+    task::JoinHandle, //
+};
+
+const LONG: Duration = Duration::from_secs(60);
+
+struct Listener {
+    client: Client,
+    drained: Arc<AtomicBool>,
+    stop: watch::Sender<bool>,
+    task: JoinHandle<()>,
+}
+
+async fn listener(dump_hangs: bool) -> Listener {
+    let socket = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = Client::new(socket.local_addr().unwrap(), Options::default());
+    let (stop, stopped) = watch::channel(false);
+    let drained = Arc::new(AtomicBool::new(false));
+    let flag = drained.clone();
+    let routes = Routes {
+        status: || async { json!({ "config": 7 }) },
+        dump: move || async move {
+            if dump_hangs {
+                std::future::pending::<()>().await;
+            }
+            json!({ "targets": ["a", "b"] })
+        },
+        drain: move || {
+            flag.store(true, Ordering::SeqCst);
+            async {}
+        },
+    };
+    let task = tokio::spawn(serve(socket, stopped, routes));
+    Listener {
+        client,
+        drained,
+        stop,
+        task,
+    }
+}
+
+async fn ask(client: &Client, method: Method, path: &str) -> (StatusCode, Value) {
+    let req = Request::builder()
+        .method(method)
+        .uri(path)
+        .body(Full::new(Bytes::new()))
+        .unwrap();
+    let answer = client.send(req, LONG).await.unwrap();
+    let status = answer.head.status;
+    let body = answer.collect(1 << 20, LONG).await.unwrap();
+    (status, serde_json::from_slice(&body).unwrap())
+}
+
+#[tokio::test]
+async fn pages_answer() {
+    let l = listener(false).await;
+    let status = ask(&l.client, Method::GET, "/status").await;
+    assert_eq!(status, (StatusCode::OK, json!({ "config": 7 })));
+    let dump = ask(&l.client, Method::GET, "/dump").await;
+    assert_eq!(dump, (StatusCode::OK, json!({ "targets": ["a", "b"] })));
+    assert!(!l.drained.load(Ordering::SeqCst));
+    let drain = ask(&l.client, Method::POST, "/drain").await;
+    assert_eq!(drain.0, StatusCode::ACCEPTED);
+    assert!(l.drained.load(Ordering::SeqCst));
+    l.stop.send(true).unwrap();
+    l.task.await.unwrap();
+}
+
+#[tokio::test]
+async fn wrong_calls() {
+    let l = listener(false).await;
+    let (status, _) = ask(&l.client, Method::GET, "/drain").await;
+    assert_eq!(status, StatusCode::METHOD_NOT_ALLOWED);
+    assert!(!l.drained.load(Ordering::SeqCst));
+    let (status, _) = ask(&l.client, Method::GET, "/else").await;
+    assert_eq!(status, StatusCode::NOT_FOUND);
+}
+
+// The control thread of a process hangs, and its operator asks for the state to see why. He gets
+// a plain answer that says so after a few seconds, in place of a connection that stays silent.
+#[tokio::test]
+async fn hung_process() {
+    let l = listener(true).await;
+    let (status, body) = ask(&l.client, Method::GET, "/dump").await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(body["error"].as_str().unwrap().contains("did not tell"));
+    let (status, _) = ask(&l.client, Method::GET, "/status").await;
+    assert_eq!(status, StatusCode::OK);
+}
