config: check declarations and settings, cut them into chunks

Decoding YAML straight into structs stops at the first wrong field, so an operator would mend one error a run. Files are decoded into a tree whose nodes know their lines, and checked field by field: every problem names file, line, field, what was found and what is allowed, all at once. Only text that is not YAML at all ends a file's check at its first fault.

A catalogue is cut into chunks of at most 900 kB by hash of the name, so that one changed model makes one new chunk; a diff tells what an apply would change.

Ruled out: derived Deserialize with Spanned fields, which cannot report several wrong or unknown fields of one file.

The chunk sizes at the planned size are only bounded by the test (under 100 kB), the rates in the comment are computed.

--- /dev/null
+++ b/crates/stair-config/src/chunks.rs
@@ -0,0 +1,225 @@
+//! A catalogue cut into values that the platform holds.
+//!
+//! The platform holds at most a megabyte in one value, and a catalogue of 430 models with 16,000
+//! adapters has about 1.2 MB (computed: 70 bytes an adapter, not measured). Items go to a chunk by
+//! a hash of their name, so that a change of one model makes one new chunk and leaves the others
+//! as they are. Chunks are named by their content, so that they are never changed and an apply
+//! that was given up on does no harm.
+//!
+//! At 13,000 changes a day every entry gets each changed chunk and the manifest. With 64 buckets
+//! for models a chunk has about 20 KB and the manifest up to 6 KB, together about 4 KB a second
+//! for each entry; fewer buckets make chunks larger, more make the manifest larger.
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use serde_json::Value;
+use sha2::{
+    Digest,
+    Sha256, //
+};
+
+use crate::types::{
+    Caller,
+    Catalogue,
+    Model,
+    Policy,
+    Service,
+    Tier, //
+};
+
+/// Buckets of models; see the module's text for the choice.
+const MODEL_BUCKETS: u8 = 64;
+
+/// Buckets of callers.
+const CALLER_BUCKETS: u8 = 16;
+
+/// Most bytes in one chunk; the platform allows a megabyte and counts its own framing.
+pub const MAX_CHUNK_BYTES: usize = 900_000;
+
+/// One value for the platform.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Chunk {
+    /// SHA-256 of the value's JSON text, lower-case hexadecimal; the object's name.
+    pub hash: Box<str>,
+    /// The value. Its keys are sorted, so its text does not depend on who wrote it.
+    pub value: Value,
+}
+
+/// Why a catalogue cannot be cut or joined.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// A chunk would exceed [`MAX_CHUNK_BYTES`].
+    #[error("a part of the catalogue has {0} bytes, more than {MAX_CHUNK_BYTES}")]
+    TooLarge(usize),
+    /// A chunk's content does not fit its name.
+    #[error("chunk {name} has content with the hash {found}")]
+    WrongHash {
+        /// The chunk's name.
+        name: Box<str>,
+        /// The hash of its content.
+        found: Box<str>,
+    },
+    /// A chunk's content does not decode.
+    #[error("chunk {name} does not decode: {cause}")]
+    Undecodable {
+        /// The chunk's name.
+        name: Box<str>,
+        /// The decoder's text.
+        cause: Box<str>,
+    },
+    /// The chunks together break the catalogue's rules.
+    #[error("the chunks together have {0} twice or not at all")]
+    Inconsistent(&'static str),
+}
+
+#[derive(Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct Part {
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    models: Vec<Model>,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    tiers: Vec<Tier>,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    callers: Vec<Caller>,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    services: Vec<Service>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    policy: Option<Policy>,
+}
+
+/// Cuts a catalogue into chunks. Equal catalogues give equal chunks in equal order.
+///
+/// # Errors
+///
+/// [`Error::TooLarge`].
+pub fn split(catalogue: &Catalogue) -> Result<Vec<Chunk>, Error> {
+    let shared = Part {
+        tiers: catalogue.tiers.clone(),
+        services: catalogue.services.clone(),
+        policy: Some(catalogue.policy.clone()),
+        ..Part::default()
+    };
+    let mut chunks = vec![chunk(&shared)?];
+    let models = buckets(&catalogue.models, MODEL_BUCKETS, |m| m.name.as_str());
+    for models in models {
+        let part = Part {
+            models,
+            ..Part::default()
+        };
+        chunks.push(chunk(&part)?);
+    }
+    let callers = buckets(&catalogue.callers, CALLER_BUCKETS, |c| c.name.as_str());
+    for callers in callers {
+        let part = Part {
+            callers,
+            ..Part::default()
+        };
+        chunks.push(chunk(&part)?);
+    }
+    Ok(chunks)
+}
+
+/// Joins chunks, given in any order, to the catalogue that they were cut from.
+///
+/// # Errors
+///
+/// Any [`Error`] but [`Error::TooLarge`].
+pub fn join<'c, I>(chunks: I) -> Result<Catalogue, Error>
+where
+    I: IntoIterator<Item = &'c Chunk>,
+{
+    let mut all = Catalogue::default();
+    let mut policy = None;
+    for chunk in chunks {
+        let part = part(chunk)?;
+        all.models.extend(part.models);
+        all.tiers.extend(part.tiers);
+        all.callers.extend(part.callers);
+        all.services.extend(part.services);
+        if let Some(found) = part.policy
+            && policy.replace(found).is_some()
+        {
+            return Err(Error::Inconsistent("the policy"));
+        }
+    }
+    all.policy = policy.ok_or(Error::Inconsistent("the policy"))?;
+    all.models.sort_by(|a, b| a.name.cmp(&b.name));
+    all.tiers.sort_by_key(|t| t.rank);
+    all.callers.sort_by(|a, b| a.key_sha256.cmp(&b.key_sha256));
+    all.services.sort_by(|a, b| a.name.cmp(&b.name));
+    rules(&all)?;
+    Ok(all)
+}
+
+fn rules(all: &Catalogue) -> Result<(), Error> {
+    if all.models.windows(2).any(|w| w[0].name == w[1].name) {
+        return Err(Error::Inconsistent("a model"));
+    }
+    if all.services.windows(2).any(|w| w[0].name == w[1].name) {
+        return Err(Error::Inconsistent("a service"));
+    }
+    let same_key = |w: &[Caller]| w[0].key_sha256 == w[1].key_sha256;
+    if all.callers.windows(2).any(same_key) {
+        return Err(Error::Inconsistent("a caller"));
+    }
+    let in_order = |(rank, tier): (usize, &Tier)| usize::from(tier.rank.0) == rank;
+    if !all.tiers.iter().enumerate().all(in_order) {
+        return Err(Error::Inconsistent("a tier"));
+    }
+    Ok(())
+}
+
+/// Returns SHA-256 in lower-case hexadecimal, as chunks and callers' keys are named by it.
+pub fn sha256_hex(bytes: &[u8]) -> Box<str> {
+    use std::fmt::Write;
+
+    let mut text = String::with_capacity(64);
+    for byte in Sha256::digest(bytes) {
+        // Writing to a string does not fail.
+        let _ = write!(text, "{byte:02x}");
+    }
+    text.into()
+}
+
+fn chunk(part: &Part) -> Result<Chunk, Error> {
+    // All keys are texts and all numbers finite, so that the encoding does not fail.
+    let value = serde_json::to_value(part).unwrap_or_default();
+    let text = value.to_string();
+    if text.len() > MAX_CHUNK_BYTES {
+        return Err(Error::TooLarge(text.len()));
+    }
+    Ok(Chunk {
+        hash: sha256_hex(text.as_bytes()),
+        value,
+    })
+}
+
+fn part(chunk: &Chunk) -> Result<Part, Error> {
+    let found = sha256_hex(chunk.value.to_string().as_bytes());
+    if found != chunk.hash {
+        return Err(Error::WrongHash {
+            name: chunk.hash.clone(),
+            found,
+        });
+    }
+    Part::deserialize(&chunk.value).map_err(|e| Error::Undecodable {
+        name: chunk.hash.clone(),
+        cause: e.to_string().into(),
+    })
+}
+
+fn buckets<T, F>(items: &[T], count: u8, name: F) -> Vec<Vec<T>>
+where
+    T: Clone,
+    F: Fn(&T) -> &str,
+{
+    let mut all = vec![Vec::new(); usize::from(count)];
+    for item in items {
+        let hash = Sha256::digest(name(item).as_bytes());
+        all[usize::from(hash[0] % count)].push(item.clone());
+    }
+    all.retain(|bucket| !bucket.is_empty());
+    all
+}
--- /dev/null
+++ b/crates/stair-config/src/declarations.rs
@@ -0,0 +1,130 @@
+//! An operator's declarations: a directory of YAML files that are checked and applied as a whole.
+//!
+//! Every file may have any of the top-level fields `models`, `tiers`, `callers`, `services` and
+//! `policy`; lists of several files are joined, and only one file may have `policy`.
+
+use std::{
+    io,
+    path::{
+        Path,
+        PathBuf, //
+    },
+};
+
+use crate::{
+    Catalogue, check,
+    fields::Fields,
+    problem::{
+        Place,
+        Problems, //
+    },
+    yaml::Document,
+};
+
+/// Files that are read but not yet checked.
+#[derive(Debug, Clone, Default)]
+pub struct Declarations {
+    documents: Vec<Document>,
+}
+
+impl Declarations {
+    /// Takes documents in their order.
+    pub fn new(documents: Vec<Document>) -> Self {
+        Self { documents }
+    }
+}
+
+impl TryFrom<Declarations> for Catalogue {
+    type Error = Problems;
+
+    fn try_from(declarations: Declarations) -> Result<Self, Problems> {
+        let mut problems = Problems::default();
+        let catalogue = checked(&declarations, &mut problems);
+        problems.unless_any(Some(catalogue))
+    }
+}
+
+/// Reads and checks a directory's `*.yaml` files, those of its directories as well, or one file.
+///
+/// # Errors
+///
+/// Everything that is wrong in any of the files.
+pub fn read(path: &Path) -> Result<Catalogue, Problems> {
+    let mut problems = Problems::default();
+    let files = match yaml_files(path) {
+        Ok(files) => files,
+        Err(e) => {
+            problems.add(whole(path), e, "a readable directory or file");
+            return Err(problems);
+        }
+    };
+    if files.is_empty() {
+        problems.add(whole(path), "no *.yaml file", "at least one");
+        return Err(problems);
+    }
+    let mut declarations = Declarations::default();
+    for file in files {
+        match Document::read(&file) {
+            Ok(document) => declarations.documents.push(document),
+            Err(e) => problems.append(e),
+        }
+    }
+    // A file that cannot be decoded hides what others refer to, so its absence would be reported
+    // as problems of theirs.
+    if !problems.is_empty() {
+        return Err(problems);
+    }
+    Catalogue::try_from(declarations)
+}
+
+fn whole(path: &Path) -> Place {
+    Place {
+        file: path.display().to_string().into(),
+        line: 0,
+        field: "".into(),
+    }
+}
+
+fn yaml_files(path: &Path) -> io::Result<Vec<PathBuf>> {
+    if path.is_file() {
+        return Ok(vec![path.to_owned()]);
+    }
+    let mut files = Vec::new();
+    for entry in std::fs::read_dir(path)? {
+        let path = entry?.path();
+        if path.is_dir() {
+            files.extend(yaml_files(&path)?);
+        } else if path.extension().is_some_and(|e| e == "yaml") {
+            files.push(path);
+        }
+    }
+    files.sort();
+    Ok(files)
+}
+
+fn checked(declarations: &Declarations, problems: &mut Problems) -> Catalogue {
+    let mut all = check::Declared::default();
+    let mut policy = None;
+    for document in &declarations.documents {
+        let Some(fields) = Fields::of_document(problems, document, &check::TOP_FIELDS) else {
+            continue;
+        };
+        all.models.extend(check::models(problems, &fields));
+        all.tiers.extend(check::tiers(problems, &fields));
+        all.callers.extend(check::callers(problems, &fields));
+        all.services.extend(check::services(problems, &fields));
+        if !fields.has("policy") {
+            continue;
+        }
+        let place = fields.place("policy");
+        if let Some(first) = &policy {
+            let Place { file, line, .. } = first;
+            let found = format!("a second policy; the first is at {file}:{line}");
+            problems.add(place, found, "one policy in all files");
+            continue;
+        }
+        policy = Some(place);
+        all.policy = check::policy(problems, &fields).unwrap_or_default();
+    }
+    check::together(problems, all)
+}
--- a/crates/stair-config/src/lib.rs
+++ b/crates/stair-config/src/lib.rs
@@ -1,12 +1,32 @@
 //! What operators declare, as checked types.
 //!
-//! - [`settings`]: one process's own settings.
+//! - [`settings`]: one process's own settings; [`read_settings`] reads and checks them.
 //! - [`types`]: the catalogue of models, adapters, tiers, callers, services and policy weights.
+//! - [`declarations`]: reads a directory of YAML files into a catalogue.
+//! - [`chunks`]: cuts a catalogue into values that the platform holds, and joins them again.
+//! - [`diff`]: what an apply would change.
+//! - [`problem`]: everything that is wrong with a file, with place and what is allowed.
+//! - [`yaml`]: YAML text as a tree whose nodes know their lines.
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
+mod check;
+pub mod chunks;
+pub mod declarations;
+pub mod diff;
+mod fields;
+pub mod problem;
+pub mod read_settings;
 pub mod settings;
 pub mod types;
+pub mod yaml;
+
+pub use declarations::Declarations;
+pub use problem::{
+    Place,
+    Problem,
+    Problems, //
+};
 
 pub use settings::{
     AgentLimits,
@@ -30,3 +50,4 @@
     Tier,
     WeightStore, //
 };
+pub use yaml::Document;
