entry: keep the platform's objects, propose grants and serve agents

Cause: entries have to share the control work with no store of their own and no lease.

Change: state whose versions only rise, a feed with one watch on all kinds that goes on after an outage and asks peers at a start without the platform, proposals as a pure function, the actor that publishes the view and sends agents what concerns them, turns at the weight store.

--- /dev/null
+++ b/crates/stair-entry/src/control/feed.rs
@@ -0,0 +1,332 @@
+//! Brings the platform's objects to control: lists and watches them, or asks peers while the
+//! platform is down.
+//!
+//! A waiting watch is one call, on all kinds at once, so that an idle entry costs the platform
+//! one call each [`WATCH_TIME`]. After an outage the watch goes on from its last position and
+//! nothing is listed again.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+use ractor::ActorRef;
+use stair_config::chunks::{
+    self,
+    Chunk, //
+};
+use stair_link::Pool;
+use stair_platform::{
+    Error,
+    Event,
+    Kind,
+    Manifest,
+    Object,
+    ObjectStore,
+    Page,
+    Snapshot, //
+};
+use stair_telemetry::{
+    Part,
+    info,
+    warn, //
+};
+use stair_wire::{
+    control::{
+        Opening,
+        PeerRequest, //
+    },
+    frame,
+};
+
+use tokio::sync::watch;
+
+use crate::{
+    control::{
+        actor::Msg,
+        state::{
+            Config,
+            Versioned, //
+        },
+    },
+    view::View,
+};
+
+/// The kinds that an entry watches.
+const KINDS: [Kind; 4] = [Kind::Manifest, Kind::Grants, Kind::Incarnation, Kind::Vm];
+
+/// How long a watch waits at the platform before it is asked again.
+const WATCH_TIME: Duration = Duration::from_secs(25);
+
+/// First and longest pause after a failed call. All entries lose the platform at the same moment;
+/// pauses that grow and differ keep them from coming back together.
+const FIRST_PAUSE: Duration = Duration::from_millis(200);
+const LONGEST_PAUSE: Duration = Duration::from_secs(5);
+
+/// Time for one peer to send its snapshot.
+const PEER_TIME: Duration = Duration::from_secs(2);
+
+/// Peers asked at start. One may itself be behind; three that all are is unlikely.
+const PEERS_ASKED: usize = 3;
+
+/// Entries that learn of a new manifest at the same moment spread their reads of its chunks over
+/// this time for each of them: at 410 entries that is 0.4 s, a thousand reads a second.
+const CHUNK_SPREAD_PER_ENTRY: Duration = Duration::from_millis(1);
+
+/// A complete list of one kind.
+#[derive(Debug, Clone)]
+pub struct Listed {
+    /// The kind.
+    pub kind: Kind,
+    /// All its objects.
+    pub page: Page,
+}
+
+/// Brings objects to control until the actor ends.
+pub struct Feed<S> {
+    store: S,
+    actor: ActorRef<Msg>,
+    /// The chunks of the configuration in force, kept so that a change reads only what changed.
+    chunks: Arc<Vec<Chunk>>,
+    /// The manifest that the chunks belong to.
+    manifest: u64,
+    /// A manifest whose chunks could not be read yet.
+    pending: Option<Object>,
+    /// Tells how many entries read at the same time.
+    view: watch::Receiver<Arc<View>>,
+}
+
+impl<S> Feed<S>
+where
+    S: ObjectStore,
+{
+    /// Makes a feed.
+    pub fn new(store: S, actor: ActorRef<Msg>, view: watch::Receiver<Arc<View>>) -> Self {
+        Self {
+            store,
+            actor,
+            chunks: Arc::default(),
+            manifest: 0,
+            pending: None,
+            view,
+        }
+    }
+
+    /// Runs for the life of the process.
+    pub async fn run(mut self, pool: Pool, peers: Vec<SocketAddr>) {
+        let mut peers = Some(peers);
+        let mut pause = Pause::new();
+        loop {
+            match self.list().await {
+                Ok(revision) => {
+                    pause = Pause::new();
+                    let _ = self.actor.send_message(Msg::Confirmed);
+                    self.watch(revision).await;
+                }
+                Err(e) => {
+                    warn!(Part::Platform, "The platform cannot be listed: {e}.");
+                    // Asked once only: what peers know later arrives here by the watch as well.
+                    if let Some(peers) = peers.take() {
+                        self.ask_peers(&pool, peers).await;
+                    }
+                    pause.wait().await;
+                }
+            }
+        }
+    }
+
+    /// Lists all kinds. The VMs come last: a holder of a grant that is missing in the later list
+    /// is gone, while the other way round it might just be new.
+    async fn list(&mut self) -> Result<u64, Error> {
+        let mut revision = u64::MAX;
+        for kind in KINDS {
+            let page = self.store.list(kind).await?;
+            revision = revision.min(page.revision);
+            if kind == Kind::Manifest {
+                self.note_manifests(&page);
+                self.load_pending().await?;
+            } else {
+                let _ = self
+                    .actor
+                    .send_message(Msg::Listed(Box::new(Listed { kind, page })));
+            }
+        }
+        Ok(revision)
+    }
+
+    /// Watches from a position until the platform no longer has it.
+    async fn watch(&mut self, mut since: u64) {
+        let mut pause = Pause::new();
+        loop {
+            let wait = match self.pending {
+                Some(_) => FIRST_PAUSE,
+                None => WATCH_TIME,
+            };
+            match self.store.watch(&KINDS, since, wait).await {
+                Ok(page) => {
+                    pause = Pause::new();
+                    since = page.revision.max(since);
+                    self.note_manifests(&page);
+                    if !page.events.is_empty() {
+                        let _ = self.actor.send_message(Msg::Changes(Box::new(page)));
+                    }
+                    if let Err(e) = self.load_pending().await {
+                        warn!(Part::Config, "A configuration cannot be read yet: {e}.");
+                    }
+                }
+                Err(Error::Gone) => return,
+                Err(e) => {
+                    warn!(Part::Platform, "The watch failed: {e}.");
+                    pause.wait().await;
+                }
+            }
+        }
+    }
+
+    fn note_manifests(&mut self, page: &Page) {
+        for event in &page.events {
+            if let Event::Put(object) = event
+                && object.kind == Kind::Manifest
+            {
+                self.pending = Some(object.clone());
+            }
+        }
+    }
+
+    async fn load_pending(&mut self) -> Result<(), Error> {
+        let Some(object) = self.pending.clone() else {
+            return Ok(());
+        };
+        if object.version <= self.manifest {
+            self.pending = None;
+            return Ok(());
+        }
+        let spread = CHUNK_SPREAD_PER_ENTRY * self.view.borrow().entries;
+        tokio::time::sleep(spread.mul_f64(rand::random())).await;
+        let manifest: Manifest = decode(&object)?;
+        let mut all = Vec::with_capacity(manifest.chunks.len());
+        for wanted in &manifest.chunks {
+            all.push(self.chunk(&wanted.hash).await?);
+        }
+        self.put_in_force(object.version, manifest, all)?;
+        self.pending = None;
+        Ok(())
+    }
+
+    async fn chunk(&self, hash: &str) -> Result<Chunk, Error> {
+        if let Some(held) = self.chunks.iter().find(|c| *c.hash == *hash) {
+            return Ok(held.clone());
+        }
+        let object = self.store.get(Kind::Chunk, hash).await?;
+        Ok(Chunk {
+            hash: object.name,
+            value: object.value,
+        })
+    }
+
+    fn put_in_force(
+        &mut self,
+        version: u64,
+        manifest: Manifest,
+        chunks: Vec<Chunk>,
+    ) -> Result<(), Error> {
+        let catalogue = chunks::join(&chunks).map_err(|e| Error::Invalid(e.to_string().into()))?;
+        self.chunks = Arc::new(chunks);
+        self.manifest = version;
+        info!(Part::Config, "Version {} is in force.", manifest.version);
+        let config = Config {
+            manifest: Versioned {
+                version,
+                value: Some(manifest),
+            },
+            chunks: self.chunks.clone(),
+            catalogue: Arc::new(catalogue),
+        };
+        let _ = self.actor.send_message(Msg::Config(Box::new(config)));
+        Ok(())
+    }
+
+    /// A process that starts while the platform is down would know nothing and refuse everything,
+    /// though its peers serve. It asks several and keeps the highest versions of what they know;
+    /// any of them may be behind.
+    async fn ask_peers(&mut self, pool: &Pool, peers: Vec<SocketAddr>) {
+        let mut answers = tokio::task::JoinSet::new();
+        for peer in peers.into_iter().take(PEERS_ASKED) {
+            let pool = pool.clone();
+            answers.spawn(async move { ask(&pool, peer).await });
+        }
+        while let Some(answer) = answers.join_next().await {
+            match answer {
+                Ok(Ok(snapshot)) => self.take_snapshot(snapshot),
+                Ok(Err(e)) => warn!(Part::Members, "A peer did not answer: {e}."),
+                Err(_) => {}
+            }
+        }
+    }
+
+    fn take_snapshot(&mut self, snapshot: Snapshot) {
+        let (config, others): (Vec<Object>, Vec<Object>) = snapshot
+            .objects
+            .into_iter()
+            .partition(|o| matches!(o.kind, Kind::Manifest | Kind::Chunk));
+        let manifest = config.iter().find(|o| o.kind == Kind::Manifest);
+        if let Some(object) = manifest.filter(|o| o.version > self.manifest) {
+            let chunks = config.iter().filter(|o| o.kind == Kind::Chunk);
+            let chunks = chunks.map(|o| Chunk {
+                hash: o.name.clone(),
+                value: o.value.clone(),
+            });
+            let taken =
+                decode(object).and_then(|m| self.put_in_force(object.version, m, chunks.collect()));
+            if let Err(e) = taken {
+                warn!(Part::Members, "A peer's configuration is unusable: {e}.");
+            }
+        }
+        let page = Page {
+            revision: snapshot.revision,
+            events: others.into_iter().map(Event::Put).collect(),
+        };
+        let _ = self.actor.send_message(Msg::Changes(Box::new(page)));
+    }
+}
+
+async fn ask(pool: &Pool, peer: SocketAddr) -> anyhow::Result<Snapshot> {
+    let asking = async {
+        let link = pool.get(peer).await?;
+        let _in_use = link.use_it();
+        let (mut tx, mut rx) = link.open().await?;
+        frame::write_message(&mut tx, &Opening::Peer(PeerRequest::Snapshot)).await?;
+        let body = frame::read_body(&mut rx).await?;
+        Ok(serde_json::from_slice(&body)?)
+    };
+    tokio::time::timeout(PEER_TIME, asking).await?
+}
+
+/// Reads an object's value.
+///
+/// # Errors
+///
+/// [`Error::Invalid`] when it does not decode.
+pub fn decode<T>(object: &Object) -> Result<T, Error>
+where
+    T: serde::de::DeserializeOwned,
+{
+    serde_json::from_value(object.value.clone()).map_err(|e| Error::Invalid(e.to_string().into()))
+}
+
+struct Pause {
+    next: Duration,
+}
+
+impl Pause {
+    fn new() -> Self {
+        Self { next: FIRST_PAUSE }
+    }
+
+    async fn wait(&mut self) {
+        let jitter: f64 = rand::random();
+        tokio::time::sleep(self.next.mul_f64(0.5 + jitter)).await;
+        self.next = (self.next * 2).min(LONGEST_PAUSE);
+    }
+}
--- /dev/null
+++ b/crates/stair-entry/src/control/links.rs
@@ -0,0 +1,169 @@
+//! Serves agents and other entries that open links.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        },
+    },
+    time::Duration,
+};
+
+use ractor::ActorRef;
+use stair_link::{
+    Link,
+    Listener,
+    RecvStream,
+    SendStream, //
+};
+use stair_telemetry::{
+    Part,
+    warn, //
+};
+use stair_wire::{
+    control::{
+        AgentControl,
+        EntryControl,
+        Hello,
+        Opening,
+        PeerRequest,
+        TurnReply,
+        TurnRequest, //
+    },
+    frame,
+};
+use tokio::sync::{
+    oneshot,
+    watch, //
+};
+
+use crate::control::{
+    actor::{
+        AgentUp,
+        Msg,
+        Outbox,
+        StreamId, //
+    },
+    turns::Desk,
+};
+
+/// A peer that opens a stream and sends nothing is cut after this time.
+const OPENING_TIME: Duration = Duration::from_secs(5);
+
+static NEXT_STREAM: AtomicU64 = AtomicU64::new(0);
+
+/// Accepts links until the listener is closed.
+pub async fn serve(listener: Listener, actor: ActorRef<Msg>, desk: Desk) {
+    while let Some(link) = listener.accept().await {
+        tokio::spawn(serve_link(link, actor.clone(), desk.clone()));
+    }
+}
+
+async fn serve_link(link: Link, actor: ActorRef<Msg>, desk: Desk) {
+    while let Ok((tx, rx)) = link.accept().await {
+        let actor = actor.clone();
+        let desk = desk.clone();
+        let peer = link.peer();
+        tokio::spawn(async move {
+            if let Err(e) = serve_stream(tx, rx, actor, desk).await {
+                warn!(Part::Links, "A stream of {peer} ended: {e}.");
+            }
+        });
+    }
+}
+
+async fn serve_stream(
+    tx: SendStream,
+    mut rx: RecvStream,
+    actor: ActorRef<Msg>,
+    desk: Desk,
+) -> anyhow::Result<()> {
+    let opening = frame::read_message(&mut rx);
+    match tokio::time::timeout(OPENING_TIME, opening).await?? {
+        Opening::Agent(hello) => serve_agent(tx, rx, actor, hello).await,
+        Opening::Peer(PeerRequest::Snapshot) => serve_snapshot(tx, actor).await,
+        Opening::Turn(req) => serve_turn(tx, rx, &desk, req).await,
+    }
+}
+
+async fn serve_agent(
+    tx: SendStream,
+    mut rx: RecvStream,
+    actor: ActorRef<Msg>,
+    hello: Hello,
+) -> anyhow::Result<()> {
+    let stream = StreamId(NEXT_STREAM.fetch_add(1, Ordering::Relaxed));
+    let (outbox, sent) = watch::channel(Outbox::default());
+    let up = AgentUp {
+        stream,
+        hello,
+        outbox,
+    };
+    actor.send_message(Msg::AgentUp(Box::new(up)))?;
+    let reading = async {
+        loop {
+            let said: AgentControl = frame::read_message(&mut rx).await?;
+            actor.send_message(Msg::AgentSaid(stream, said))?;
+        }
+    };
+    let result = tokio::select! {
+        result = reading => result,
+        result = send_outbox(tx, sent) => result,
+    };
+    actor.send_message(Msg::AgentDown(stream))?;
+    result
+}
+
+/// Sends the latest of what changed. An agent that reads slowly skips what has become old, so it
+/// never costs more memory than one assignment.
+async fn send_outbox(mut tx: SendStream, mut sent: watch::Receiver<Outbox>) -> anyhow::Result<()> {
+    let mut last = Outbox::default();
+    while sent.changed().await.is_ok() {
+        let next = sent.borrow_and_update().clone();
+        if !Arc::ptr_eq(&last.entries, &next.entries) {
+            let entries = next.entries.to_vec();
+            frame::write_message(&mut tx, &EntryControl::Entries { entries }).await?;
+        }
+        let assignment = next.assignment.as_ref();
+        let is_last = |a: &Arc<_>| last.assignment.as_ref().is_some_and(|l| Arc::ptr_eq(l, a));
+        if let Some(assignment) = assignment.filter(|a| !is_last(a)) {
+            let assignment = EntryControl::Assignment((**assignment).clone());
+            frame::write_message(&mut tx, &assignment).await?;
+        }
+        last = next;
+    }
+    Ok(())
+}
+
+async fn serve_snapshot(mut tx: SendStream, actor: ActorRef<Msg>) -> anyhow::Result<()> {
+    let (reply, snapshot) = oneshot::channel();
+    actor.send_message(Msg::Snapshot(reply))?;
+    let body = serde_json::to_vec(&snapshot.await?)?;
+    frame::write_body(&mut tx, &body).await?;
+    tx.finish()?;
+    // The stream is dropped only when the peer has it all.
+    let _ = tx.stopped().await;
+    Ok(())
+}
+
+async fn serve_turn(
+    mut tx: SendStream,
+    mut rx: RecvStream,
+    desk: &Desk,
+    req: TurnRequest,
+) -> anyhow::Result<()> {
+    let time_left = Duration::from_millis(u64::from(req.time_left_ms));
+    let mut turn = desk.ask(req.rank, time_left);
+    frame::write_message(&mut tx, &TurnReply::Queued).await?;
+    let mut ended = [0; 1];
+    tokio::select! {
+        () = turn.granted() => {}
+        _ = rx.read(&mut ended) => return Ok(()),
+    }
+    frame::write_message(&mut tx, &TurnReply::Granted).await?;
+    // The agent ends the stream when the load has ended, and its link when it dies.
+    let _ = rx.read(&mut ended).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/stair-entry/src/control/mod.rs
@@ -0,0 +1,26 @@
+//! The control half of an entry, on one thread of its own.
+//!
+//! - [`state`]: what is known of the platform's objects; versions in it only rise.
+//! - [`propose`]: which grants should change, as a pure function of the state.
+//! - [`assignment`]: what one agent may hold, derived from the state.
+//! - [`actor`]: the actor that owns the state and publishes the view.
+//! - [`feed`]: lists and watches the platform, or asks peers while it is down.
+//! - [`shards`]: conditional updates of the grants.
+//! - [`links`]: serves agents and other entries that open links.
+//! - [`turns`]: turns at the weight store.
+//! - [`thread`](mod@thread): runs all of these on one thread.
+
+pub mod actor;
+pub mod assignment;
+pub mod feed;
+pub mod links;
+pub mod propose;
+pub mod shards;
+pub mod state;
+pub mod thread;
+pub mod turns;
+
+pub use thread::{
+    Control,
+    Options, //
+};
--- /dev/null
+++ b/crates/stair-entry/src/control/propose.rs
@@ -0,0 +1,175 @@
+//! Which grants should change, as a pure function of the state.
+//!
+//! The load it is made for: VMs that come and go all day, changes of the declarations, and
+//! several entries that propose at once. The harm it prevents: more grants than were decided, and
+//! models without a target. It proposes from one state, and the conditional update throws the
+//! proposal away when the shard has changed since.
+
+use stair_platform::TargetKind;
+use stair_policy::place::{
+    self,
+    Change,
+    Fleet,
+    Held,
+    ModelInfo,
+    TargetInfo, //
+};
+use stair_state::{
+    Grant,
+    GrantShard, //
+};
+use stair_types::{
+    DataCentre,
+    ShardId,
+    TargetKey,
+    TargetName,
+    rendezvous, //
+};
+
+use crate::control::state::State;
+
+/// The fleet as placement sees it, made once for all shards of one round.
+#[derive(Debug)]
+pub struct Round {
+    fleet: Fleet,
+    /// The arena that the keys point into, sorted by name.
+    names: Vec<TargetName>,
+}
+
+impl Round {
+    /// Prepares a round: O(n log n) in the targets and O(g log n) in the grants.
+    pub fn new(state: &State) -> Self {
+        let mut data_centres: Vec<&DataCentre> = Vec::new();
+        let mut names = Vec::new();
+        let mut infos = Vec::new();
+        for agent in &state.incarnations {
+            let Some(record) = agent.object.value.as_ref() else {
+                continue;
+            };
+            let TargetKind::Engine { memory_mib } = record.kind else {
+                continue;
+            };
+            let data_centre = index_of(&mut data_centres, &record.data_centre);
+            infos.push(TargetInfo {
+                key: TargetKey(names.len() as u32),
+                name_hash: rendezvous::weight("target", agent.name.as_str()),
+                data_centre,
+                memory_mib,
+                granted_mib: 0,
+                live: state.is_live(&agent.name) && !state.says_leaving(&agent.name, record.token),
+            });
+            names.push(agent.name.clone());
+        }
+        let mut round = Self {
+            fleet: Fleet::new(infos),
+            names,
+        };
+        round.count_grants(state);
+        round
+    }
+
+    /// Returns the shard as it should be, or none when it is right already.
+    pub fn propose(&mut self, state: &State, shard: ShardId) -> Option<GrantShard> {
+        let held = &state.shards[usize::from(shard.0)];
+        let mut next = held.value.clone().unwrap_or_default();
+        remove_gone(state, &mut next);
+        self.revoke_undeclared(state, &mut next);
+        let catalogue = state.config.catalogue.clone();
+        let models = catalogue.models.iter();
+        for model in models.filter(|m| stair_state::grants::shard_of(&m.name) == shard) {
+            let grants: Vec<Held> = next
+                .of_model(&model.name)
+                .iter()
+                .map(|g| self.held(g))
+                .collect();
+            let info = ModelInfo {
+                name_hash: rendezvous::weight("model", model.name.as_str()),
+                memory_mib: model.memory_mib,
+                replicas: model.replicas,
+                grants: &grants,
+            };
+            for change in place::changes(&place::Options::default(), &self.fleet, &info) {
+                self.apply(&mut next, model, change);
+            }
+        }
+        let unchanged = held.value.as_ref() == Some(&next);
+        let empty = held.value.is_none() && next.grants.is_empty();
+        (!unchanged && !empty).then_some(next)
+    }
+
+    fn apply(&mut self, shard: &mut GrantShard, model: &stair_config::Model, change: Change) {
+        match change {
+            Change::Grant(key) => {
+                let target = &self.names[key.0 as usize];
+                if shard.grant(&model.name, target, model.replicas).is_ok() {
+                    self.fleet.add_grant(key, model.memory_mib);
+                }
+            }
+            Change::Revoke(key) => {
+                let grants = shard.of_model(&model.name);
+                let held = grants.iter().find(|g| self.held(g).target == key);
+                if let Some(id) = held.map(|g| g.id) {
+                    shard.revoke(id);
+                }
+            }
+        }
+    }
+
+    fn revoke_undeclared(&self, state: &State, shard: &mut GrantShard) {
+        let catalogue = &state.config.catalogue;
+        let undeclared: Vec<_> = shard
+            .grants
+            .iter()
+            .filter(|g| catalogue.model(g.model.as_str()).is_none())
+            .map(|g| g.id)
+            .collect();
+        for id in undeclared {
+            shard.revoke(id);
+        }
+    }
+
+    fn count_grants(&mut self, state: &State) {
+        let shards = state.shards.iter().filter_map(|s| s.value.as_ref());
+        for grant in shards.flat_map(|s| &s.grants) {
+            let memory = state.config.catalogue.model(grant.model.as_str());
+            if let Some(model) = memory {
+                let key = self.held(grant).target;
+                self.fleet.add_grant(key, model.memory_mib);
+            }
+        }
+    }
+
+    /// A grant of a target that is not in the arena gets a key that no target has: placement
+    /// counts the grant and finds its holder unfit.
+    fn held(&self, grant: &Grant) -> Held {
+        let at = self.names.binary_search(&grant.target);
+        Held {
+            target: TargetKey(at.map_or(u32::MAX, |i| i as u32)),
+            revoking: grant.revoking,
+        }
+    }
+}
+
+/// A grant of a VM that does not answer stays: the VM may be paused with the model loaded. Only
+/// when the platform has taken the VM away is its memory surely gone. Grants go to listed VMs
+/// only, so a holder that is not listed was listed before.
+fn remove_gone(state: &State, shard: &mut GrantShard) {
+    let mut gone: Vec<TargetName> = shard
+        .grants
+        .iter()
+        .filter(|g| !state.is_listed(&g.target))
+        .map(|g| g.target.clone())
+        .collect();
+    gone.dedup();
+    for target in gone {
+        shard.remove_target(&target);
+    }
+}
+
+fn index_of<'a>(all: &mut Vec<&'a DataCentre>, name: &'a DataCentre) -> u16 {
+    let at = all.iter().position(|d| *d == name).unwrap_or_else(|| {
+        all.push(name);
+        all.len() - 1
+    });
+    at as u16
+}
--- /dev/null
+++ b/crates/stair-entry/src/control/state.rs
@@ -0,0 +1,379 @@
+//! What an entry knows of the platform's objects.
+//!
+//! Every object carries the platform's revision of its last write, and an object is replaced only
+//! by a later one. Whatever order watches, lists, own writes and peers' snapshots arrive in, the
+//! state never goes back.
+
+use std::sync::Arc;
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use stair_config::{
+    Catalogue,
+    chunks::Chunk, //
+};
+use stair_platform::{
+    IncarnationRecord,
+    Manifest,
+    TargetKind,
+    Vm,
+    VmRole,
+    VmState, //
+};
+use stair_state::{
+    GrantShard,
+    grants::{
+        SHARDS,
+        shard_of, //
+    },
+};
+use stair_types::{
+    ConfigVersion,
+    EntryName,
+    FencingToken,
+    ModelName,
+    ShardId,
+    TargetKey,
+    TargetName,
+    rendezvous, //
+};
+use stair_wire::control::EntryAddress;
+
+use crate::view::{
+    TargetView,
+    View, //
+};
+
+/// A value with the platform's revision of its last write.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Versioned<T> {
+    /// The revision.
+    pub version: u64,
+    /// The value; none once it was deleted.
+    pub value: Option<T>,
+}
+
+impl<T> Default for Versioned<T> {
+    fn default() -> Self {
+        Self {
+            version: 0,
+            value: None,
+        }
+    }
+}
+
+impl<T> Versioned<T> {
+    /// Takes over a later value. Returns whether it was later.
+    pub fn raise(&mut self, version: u64, value: Option<T>) -> bool {
+        if version <= self.version {
+            return false;
+        }
+        self.version = version;
+        self.value = value;
+        true
+    }
+}
+
+/// A named object, in a vector sorted by name.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Named<N, T> {
+    /// The name.
+    pub name: N,
+    /// The object.
+    pub object: Versioned<T>,
+}
+
+/// A configuration with the objects that it was read from, for peers.
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+pub struct Config {
+    /// The manifest as the platform has it.
+    pub manifest: Versioned<Manifest>,
+    /// The chunks that the manifest names, for peers.
+    #[serde(skip)]
+    pub chunks: Arc<Vec<Chunk>>,
+    /// The declarations in force.
+    pub catalogue: Arc<Catalogue>,
+}
+
+/// Everything that control knows.
+#[derive(Debug, Clone, Serialize)]
+pub struct State {
+    /// The configuration in force.
+    pub config: Config,
+    /// Grants by shard number.
+    pub shards: Vec<Versioned<GrantShard>>,
+    /// Agents, sorted by target.
+    pub incarnations: Vec<Named<TargetName, IncarnationRecord>>,
+    /// The platform's list of VMs, sorted by name.
+    pub vms: Vec<Named<Box<str>, Vm>>,
+    /// Agents that said themselves that they are leaving, sorted by target.
+    pub leaving: Vec<LeavingAgent>,
+    /// Whether the platform itself has confirmed the state since this process started.
+    pub confirmed: bool,
+}
+
+/// An agent that said that it is leaving.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct LeavingAgent {
+    /// The agent's target.
+    pub target: TargetName,
+    /// The incarnation that leaves; a later one is not leaving.
+    pub token: FencingToken,
+}
+
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            config: Config::default(),
+            shards: vec![Versioned::default(); usize::from(SHARDS)],
+            incarnations: Vec::new(),
+            vms: Vec::new(),
+            leaving: Vec::new(),
+            confirmed: false,
+        }
+    }
+}
+
+impl State {
+    /// Takes over a configuration if it is later. Returns whether it was.
+    ///
+    /// The configuration's own version decides and not only the platform's revision, since a peer
+    /// may have answered with an old one.
+    pub fn raise_config(&mut self, config: Config) -> bool {
+        let later = config.manifest.version > self.config.manifest.version
+            && version_of(&config) > version_of(&self.config);
+        if later {
+            self.config = config;
+        }
+        later
+    }
+
+    /// Takes over a shard if it is later. Returns whether it was.
+    pub fn raise_shard(&mut self, shard: ShardId, version: u64, value: Option<GrantShard>) -> bool {
+        match self.shards.get_mut(usize::from(shard.0)) {
+            Some(held) => held.raise(version, value),
+            None => false,
+        }
+    }
+
+    /// Takes over an agent's record if it is later. Returns whether it was.
+    pub fn raise_incarnation(
+        &mut self,
+        name: TargetName,
+        version: u64,
+        value: Option<IncarnationRecord>,
+    ) -> bool {
+        raise(&mut self.incarnations, name, version, value)
+    }
+
+    /// Takes over a VM's line if it is later. Returns whether it was.
+    pub fn raise_vm(&mut self, name: Box<str>, version: u64, value: Option<Vm>) -> bool {
+        raise(&mut self.vms, name, version, value)
+    }
+
+    /// Notes that an agent said that it is leaving.
+    pub fn note_leaving(&mut self, target: TargetName, token: FencingToken) -> bool {
+        match self.leaving.binary_search_by(|l| l.target.cmp(&target)) {
+            Ok(i) if self.leaving[i].token >= token => false,
+            Ok(i) => {
+                self.leaving[i].token = token;
+                true
+            }
+            Err(at) => {
+                self.leaving.insert(at, LeavingAgent { target, token });
+                true
+            }
+        }
+    }
+
+    /// Returns a target's agent.
+    pub fn incarnation(&self, target: &TargetName) -> Option<&IncarnationRecord> {
+        find(&self.incarnations, target)
+    }
+
+    /// Tells whether a target's VM is in the platform's list and stays.
+    pub fn is_live(&self, target: &TargetName) -> bool {
+        self.target_vm(target)
+            .is_some_and(|vm| vm.state == VmState::Live)
+    }
+
+    /// Tells whether a target's VM is in the platform's list, leaving or not.
+    pub fn is_listed(&self, target: &TargetName) -> bool {
+        self.target_vm(target).is_some()
+    }
+
+    /// Tells whether a target's present agent said that it is leaving.
+    pub fn says_leaving(&self, target: &TargetName, token: FencingToken) -> bool {
+        let at = self.leaving.binary_search_by(|l| l.target.cmp(target));
+        at.is_ok_and(|i| self.leaving[i].token >= token)
+    }
+
+    /// Returns the grants of a model's shard.
+    pub fn shard(&self, model: &ModelName) -> Option<&GrantShard> {
+        let shard = shard_of(model);
+        self.shards[usize::from(shard.0)].value.as_ref()
+    }
+
+    /// Returns the entries that the platform lists as live, sorted by name.
+    pub fn entries(&self) -> Vec<EntryAddress> {
+        let mut entries: Vec<EntryAddress> = self
+            .vms
+            .iter()
+            .filter_map(|vm| vm.object.value.as_ref())
+            .filter(|vm| vm.state == VmState::Live)
+            .filter_map(entry_address)
+            .collect();
+        entries.sort_by(|a, b| a.name.cmp(&b.name));
+        entries
+    }
+
+    /// Returns how many live entries come before this one for the work of a key; the first one
+    /// normally does it.
+    ///
+    /// Two entries may both think that they are first for a while, when their lists of VMs differ.
+    /// Conditional updates make that harmless; the hash only keeps all entries from doing all
+    /// work.
+    pub fn rank(&self, me: &EntryName, key: &str) -> usize {
+        let mine = rendezvous::weight(key, me.as_str());
+        let entries = self.entries();
+        let others = entries.iter().filter(|e| e.name != *me);
+        others
+            .filter(|e| rendezvous::weight(key, e.name.as_str()) > mine)
+            .count()
+    }
+
+    /// Takes over a complete list of VMs: what it lacks is gone. `listed` is sorted.
+    pub fn forget_unlisted_vms(&mut self, listed: &[Box<str>], revision: u64) -> bool {
+        forget_unlisted(&mut self.vms, listed, revision)
+    }
+
+    /// Takes over a complete list of agents' records: what it lacks is gone. `listed` is sorted.
+    pub fn forget_unlisted_incarnations(&mut self, listed: &[TargetName], revision: u64) -> bool {
+        forget_unlisted(&mut self.incarnations, listed, revision)
+    }
+
+    /// Derives what traffic needs.
+    pub fn view(&self) -> View {
+        let targets = self.targets();
+        let key_of = |name: &TargetName| {
+            let at = targets.binary_search_by(|t| t.name.cmp(name));
+            at.ok().map(|i| TargetKey(i as u32))
+        };
+        let catalogue = &self.config.catalogue;
+        let holders = catalogue.models.iter().map(|m| {
+            let grants = self.shard(&m.name).map_or(&[][..], |s| s.of_model(&m.name));
+            let granted = grants.iter().filter(|g| !g.revoking);
+            granted.filter_map(|g| key_of(&g.target)).collect()
+        });
+        let providers = catalogue.services.iter().map(|s| {
+            let kind = TargetKind::Service {
+                service: s.name.clone(),
+            };
+            let agents = self.incarnations.iter().filter(|a| has_kind(a, &kind));
+            agents.filter_map(|a| key_of(&a.name)).collect()
+        });
+        View {
+            config: version_of(&self.config),
+            confirmed: self.confirmed,
+            entries: self.entries().len() as u32,
+            holders: holders.collect(),
+            providers: providers.collect(),
+            catalogue: catalogue.clone(),
+            targets: Arc::new(targets),
+        }
+    }
+
+    fn targets(&self) -> Vec<TargetView> {
+        let agents = self.incarnations.iter();
+        agents
+            .filter_map(|agent| {
+                let record = agent.object.value.as_ref()?;
+                let token = record.token;
+                let leaving =
+                    self.is_marked_leaving(&agent.name) || self.says_leaving(&agent.name, token);
+                Some(TargetView {
+                    name: agent.name.clone(),
+                    link: record.link,
+                    token,
+                    data_centre: record.data_centre.clone(),
+                    leaving,
+                })
+            })
+            .collect()
+    }
+
+    /// A VM that the list does not have yet is not leaving: its agent may have started before the
+    /// lagging list shows it.
+    fn is_marked_leaving(&self, target: &TargetName) -> bool {
+        self.target_vm(target)
+            .is_some_and(|vm| vm.state == VmState::Leaving)
+    }
+
+    /// A target's VM bears the target's name in the platform's list.
+    fn target_vm(&self, target: &TargetName) -> Option<&Vm> {
+        let at = self
+            .vms
+            .binary_search_by(|vm| (*vm.name).cmp(target.as_str()));
+        let vm = at.ok().and_then(|i| self.vms[i].object.value.as_ref())?;
+        matches!(vm.role, VmRole::Target { .. }).then_some(vm)
+    }
+}
+
+/// Returns the version of a configuration, 0 when there is none.
+pub fn version_of(config: &Config) -> ConfigVersion {
+    let manifest = config.manifest.value.as_ref();
+    manifest.map_or(ConfigVersion(0), |m| m.version)
+}
+
+fn entry_address(vm: &Vm) -> Option<EntryAddress> {
+    match &vm.role {
+        VmRole::Entry { name, link } => Some(EntryAddress {
+            name: name.clone(),
+            data_centre: vm.data_centre.clone(),
+            link: *link,
+        }),
+        VmRole::Target { .. } => None,
+    }
+}
+
+fn has_kind(agent: &Named<TargetName, IncarnationRecord>, kind: &TargetKind) -> bool {
+    let record = agent.object.value.as_ref();
+    record.is_some_and(|r| r.kind == *kind)
+}
+
+fn find<'a, N, T>(all: &'a [Named<N, T>], name: &N) -> Option<&'a T>
+where
+    N: Ord,
+{
+    let at = all.binary_search_by(|n| n.name.cmp(name));
+    at.ok().and_then(|i| all[i].object.value.as_ref())
+}
+
+fn raise<N, T>(all: &mut Vec<Named<N, T>>, name: N, version: u64, value: Option<T>) -> bool
+where
+    N: Ord,
+{
+    match all.binary_search_by(|n| n.name.cmp(&name)) {
+        Ok(i) => all[i].object.raise(version, value),
+        Err(at) => {
+            let object = Versioned { version, value };
+            all.insert(at, Named { name, object });
+            true
+        }
+    }
+}
+
+fn forget_unlisted<N, T>(all: &mut [Named<N, T>], listed: &[N], revision: u64) -> bool
+where
+    N: Ord,
+{
+    let mut changed = false;
+    for held in all.iter_mut().filter(|n| n.object.value.is_some()) {
+        if listed.binary_search(&held.name).is_err() {
+            changed |= held.object.raise(revision, None);
+        }
+    }
+    changed
+}
--- a/crates/stair-entry/src/lib.rs
+++ b/crates/stair-entry/src/lib.rs
@@ -1,10 +1,12 @@
 //! The entry: takes callers' requests and brings them to the agents, and shares the control work
 //! with the other entries.
 //!
+//! - [`control`]: what this entry knows, and the control work that it shares with others.
 //! - [`view`]: what control publishes and traffic reads.
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
+pub mod control;
 pub mod view;
 
 pub use view::{
--- a/crates/stair-entry/src/view.rs
+++ b/crates/stair-entry/src/view.rs
@@ -25,6 +25,8 @@
     pub config: ConfigVersion,
     /// False while all that is known comes from peers and the platform has not confirmed it.
     pub confirmed: bool,
+    /// Entries that the platform lists as live.
+    pub entries: u32,
     /// The declarations in force.
     pub catalogue: Arc<Catalogue>,
     /// The arena that [`TargetKey`] points into, of this view only. Sorted by name.
--- a/crates/stair-policy/src/load_order.rs
+++ b/crates/stair-policy/src/load_order.rs
@@ -77,6 +77,11 @@
         }
     }
 
+    /// Changes what the weight store allows. Turns that are held or asked for stay.
+    pub fn set_options(&mut self, opts: Options) {
+        self.opts = opts;
+    }
+
     /// Asks for a turn, or raises what is known of one asked for before.
     ///
     /// `rank` and `deadline` are those of the most urgent request that waits for the load. A key
