policy: foresee arrivals when a queue admits

In saturation the lowest tier was admitted and then told no at its deadline: only what waited was looked at, not what arrives ahead of it. A safety margin alone was tried first and refused long work that could have started at once.

--- /dev/null
+++ b/crates/stair-policy/src/queue/forecast.rs
@@ -0,0 +1,119 @@
+//! How long an item would wait, from what waits now and what has arrived lately.
+
+use std::time::Duration;
+
+use stair_types::Reason;
+
+use super::{
+    Estimate,
+    Item,
+    Outcome,
+    Queue,
+    tier::Lane, //
+};
+
+/// A tier is taken to have at least this part of the engine: arrivals change, and an estimate of
+/// no share at all would refuse it even when nothing waits.
+const MIN_SHARE: f64 = 0.02;
+
+/// Longest wait estimated: a day.
+const MAX_WAIT_SECS: f64 = 86_400.0;
+
+/// What is left of the engine to a tier, in slots.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Share {
+    /// When it gets what higher tiers leave.
+    by_rank: f64,
+    /// When it gets its floor share only.
+    floor: f64,
+}
+
+impl<K> Queue<K>
+where
+    K: Copy + Eq,
+{
+    /// Returns how late the item, or one of its tier behind it, would be; zero when none is.
+    pub(super) fn late_by(
+        &self,
+        now: Duration,
+        at: usize,
+        item: &Item<K>,
+        est: &Estimate,
+    ) -> Duration {
+        let lane = &self.lanes[at];
+        let index = lane.index_of(item.deadline);
+        let share = self.share(now, at, item.expected_run > self.opts.short_run, est);
+        let start = |ahead| now + est.slot_free_in + self.wait_behind(at, ahead, &share);
+        let mut ahead: Duration = lane.items()[..index].iter().map(|i| i.expected_run).sum();
+        let own_start = start(ahead).max(now + est.ready_in);
+        let finish = own_start + item.expected_run + self.spare(item, own_start - now);
+        let mut late = finish.saturating_sub(item.deadline);
+        ahead += item.expected_run;
+        for behind in &lane.items()[index..] {
+            // An item that is late anyway is not a reason to refuse another.
+            let before = start(ahead.saturating_sub(item.expected_run));
+            if behind.makes_it(before) {
+                let finish = start(ahead) + behind.expected_run;
+                late = late.max(finish.saturating_sub(behind.deadline));
+            }
+            ahead += behind.expected_run;
+        }
+        late
+    }
+
+    /// Time to spare that is asked of an item; none of one that does not wait.
+    fn spare(&self, item: &Item<K>, wait: Duration) -> Duration {
+        let spare = item.expected_run * u32::from(self.opts.spare_percent) / 100;
+        spare.min(wait)
+    }
+
+    /// Returns the part of the engine that is left to a tier, in slots.
+    ///
+    /// Work of higher tiers that arrives while an item waits goes ahead of it, and so does short
+    /// work of its own tier if the item is long. To look only at what waits now would admit the
+    /// lowest tier again and again, and tell it no at its deadline. What has arrived lately
+    /// stands for what will.
+    pub(super) fn share(&self, now: Duration, at: usize, long: bool, est: &Estimate) -> Share {
+        let slots = est.slots();
+        let higher: f64 = self.lanes[..at].iter().map(|l| l.inflow(now)).sum();
+        let short = if long {
+            self.lanes[at].short_inflow(now)
+        } else {
+            0.0
+        };
+        let below = self.lanes[at + 1..]
+            .iter()
+            .filter(|l| !l.items().is_empty());
+        let floors: f64 = below.map(Lane::floor).sum();
+        let by_rank = slots * (1.0 - floors) - higher - short;
+        let floor = slots * self.lanes[at].floor() - short;
+        Share {
+            by_rank: by_rank.max(slots * MIN_SHARE),
+            floor: floor.max(0.0),
+        }
+    }
+
+    /// Returns the wait behind `own` work of a tier's own and all work of higher tiers that waits.
+    ///
+    /// A tier with a floor never waits longer than that share alone would take.
+    pub(super) fn wait_behind(&self, at: usize, own: Duration, share: &Share) -> Duration {
+        let above: Duration = self.lanes[..at].iter().map(Lane::work).sum();
+        let by_rank = (above + own).as_secs_f64() / share.by_rank;
+        let by_floor = own.as_secs_f64() / share.floor;
+        let wait = match by_floor.is_nan() {
+            true => by_rank,
+            false => by_rank.min(by_floor),
+        };
+        Duration::from_secs_f64(wait.min(MAX_WAIT_SECS))
+    }
+
+    pub(super) fn refuse_full(&self, now: Duration, at: usize, est: &Estimate) -> Outcome<K> {
+        // Half of the work that is ahead has drained by then, so there is room again.
+        let share = self.share(now, at, false, est);
+        let drain = self.wait_behind(at, self.lanes[at].work(), &share) / 2;
+        Outcome::Refused {
+            reason: Reason::QueueFull,
+            retry_after: est.slot_free_in + drain,
+        }
+    }
+}
--- a/crates/stair-policy/src/queue/mod.rs
+++ b/crates/stair-policy/src/queue/mod.rs
@@ -6,7 +6,9 @@
 //! is (congestion collapse); paid priority that is ignored; a lowest tier that never runs; short
 //! work that waits behind long work.
 
+mod forecast;
 mod tier;
+mod types;
 
 use std::time::Duration;
 
@@ -17,112 +19,13 @@
 };
 
 use tier::Lane;
-
-/// Bounds of one queue.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Options {
-    /// Requests that may wait. Bounds the memory of the process and the time of one decision,
-    /// which walks the queue.
-    pub max_requests: u32,
-    /// Bytes of bodies that may wait. A few large bodies would otherwise exhaust the agent's
-    /// memory long before `max_requests`.
-    pub max_bytes: u64,
-    /// Work expected to run no longer than this is short.
-    pub short_run: Duration,
-    /// One entry a tier, by rank. A rank beyond the last uses the last.
-    pub tiers: Vec<TierOptions>,
-}
-
-/// Bounds of one tier within a queue.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct TierOptions {
-    /// Requests of this tier that may wait. Keeps a burst of one tier from filling the queue.
-    pub max_waiting: u32,
-    /// Share of the work that the tier gets at least while it has any waiting, in percent.
-    pub floor_percent: u8,
-}
-
-impl Default for Options {
-    fn default() -> Self {
-        Self {
-            max_requests: 512,
-            max_bytes: 64 * 1024 * 1024,
-            short_run: Duration::from_secs(1),
-            tiers: vec![TierOptions::default()],
-        }
-    }
-}
-
-impl Default for TierOptions {
-    fn default() -> Self {
-        Self {
-            max_waiting: 256,
-            floor_percent: 5,
-        }
-    }
-}
-
-/// One request that waits.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Item<K> {
-    /// The caller's handle of the request.
-    pub key: K,
-    /// The rank of its tier.
-    pub rank: TierRank,
-    /// When it must be finished.
-    pub deadline: Duration,
-    /// When it arrived.
-    pub arrived: Duration,
-    /// How long it is expected to hold a slot.
-    pub expected_run: Duration,
-    /// Bytes that it holds while it waits.
-    pub bytes: u32,
-    /// The model that it needs.
-    pub model: ModelKey,
-}
-
-impl<K> Item<K> {
-    /// Tells whether the item could still finish in time if it started at `start`.
-    fn makes_it(&self, start: Duration) -> bool {
-        start + self.expected_run <= self.deadline
-    }
-}
-
-/// What the engine is expected to do, as seen at the time of a decision.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Estimate {
-    /// Requests that the engine runs at once; 0 counts as 1.
-    pub concurrency: u16,
-    /// Time until a slot is free; zero when one is free now.
-    pub slot_free_in: Duration,
-    /// Time until the item's model can run, such as the rest of a cold start. It passes while
-    /// the item waits, so it is not added to the wait in the queue.
-    pub ready_in: Duration,
-}
-
-impl Estimate {
-    fn slots(&self) -> u32 {
-        u32::from(self.concurrency.max(1))
-    }
-}
-
-/// What became of a pushed item.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Outcome<K> {
-    /// It waits.
-    Queued {
-        /// A waiting item of a lower tier that had to go. It has not run and is to be told now.
-        displaced: Option<K>,
-    },
-    /// It does not wait, and has not run.
-    Refused {
-        /// Why.
-        reason: Reason,
-        /// After how long it would be admitted if nothing else arrived. Spread it by
-        /// [`backoff::retry_after`](crate::backoff::retry_after) before a caller sees it.
-        retry_after: Duration,
-    },
-}
+pub use types::{
+    Estimate,
+    Item,
+    Options,
+    Outcome,
+    TierOptions, //
+};
 
 /// The requests that wait in front of one engine.
 ///
@@ -195,20 +98,20 @@
             };
         }
         if self.lanes[at].is_full() {
-            return self.refuse_full(at, est);
+            return self.refuse_full(now, at, est);
         }
         match self.make_room(at, item.bytes) {
             Room::Free => {}
-            Room::None => return self.refuse_full(at, est),
+            Room::None => return self.refuse_full(now, at, est),
             Room::Displace { lane, index } => {
                 let displaced = self.take(lane, index);
-                self.insert(at, item);
+                self.insert(now, at, item);
                 return Outcome::Queued {
                     displaced: Some(displaced.key),
                 };
             }
         }
-        self.insert(at, item);
+        self.insert(now, at, item);
         Outcome::Queued { displaced: None }
     }
 
@@ -226,10 +129,11 @@
 
     /// As [`Queue::pop`], for short work only.
     ///
-    /// An agent keeps one of its slots for short work and fills it through this call. When all
+    /// An agent keeps some of its slots for short work and fills them through this call. When all
     /// slots may be taken by drafts of a minute, a look-up waits for the first of them to end,
-    /// however it is ordered in the queue; one slot bounds that wait to the run of other
-    /// look-ups. One is enough, because short work leaves its slot soon; more would idle.
+    /// however it is ordered in the queue; slots of its own bound that wait to the run of other
+    /// look-ups. About an eighth of the slots covers short work that is a tenth of all; more would
+    /// idle.
     pub fn pop_short<F>(&mut self, now: Duration, ready: F) -> Option<Item<K>>
     where
         F: Fn(ModelKey) -> bool,
@@ -301,59 +205,10 @@
     /// Returns how long an item of a tier that arrived now would wait for a slot.
     ///
     /// Reported to the entries, which choose a target by it.
-    pub fn expected_wait(&self, rank: TierRank, est: &Estimate) -> Duration {
+    pub fn expected_wait(&self, now: Duration, rank: TierRank, est: &Estimate) -> Duration {
         let at = self.lane_of(rank);
-        est.slot_free_in + self.wait_behind(at, self.lanes[at].work(), est)
-    }
-
-    /// Returns how late the item, or one of its tier behind it, would be; zero when none is.
-    fn late_by(&self, now: Duration, at: usize, item: &Item<K>, est: &Estimate) -> Duration {
-        let lane = &self.lanes[at];
-        let index = lane.index_of(item.deadline);
-        let mut ahead: Duration = lane.items()[..index].iter().map(|i| i.expected_run).sum();
-        let start = |ahead| now + est.slot_free_in + self.wait_behind(at, ahead, est);
-        let own_start = start(ahead).max(now + est.ready_in);
-        let mut late = (own_start + item.expected_run).saturating_sub(item.deadline);
-        ahead += item.expected_run;
-        for behind in &lane.items()[index..] {
-            // An item that is late anyway is not a reason to refuse another.
-            let before = start(ahead.saturating_sub(item.expected_run));
-            if behind.makes_it(before) {
-                let finish = start(ahead) + behind.expected_run;
-                late = late.max(finish.saturating_sub(behind.deadline));
-            }
-            ahead += behind.expected_run;
-        }
-        late
-    }
-
-    /// Returns the wait behind `own` work of a tier's own and all work of higher tiers.
-    ///
-    /// Lower tiers take their floor share meanwhile. A tier with a floor never waits longer than
-    /// that share alone would take.
-    fn wait_behind(&self, at: usize, own: Duration, est: &Estimate) -> Duration {
-        let above: Duration = self.lanes[..at].iter().map(Lane::work).sum();
-        let below = self.lanes[at + 1..]
-            .iter()
-            .filter(|l| !l.items().is_empty());
-        let floors: u32 = below.map(Lane::floor_percent).sum();
-        let left = 100_u32.saturating_sub(floors).max(1);
-        let by_rank = (above + own) * 100 / left;
-        let floor = self.lanes[at].floor_percent();
-        let wait = match floor {
-            0 => by_rank,
-            _ => by_rank.min(own * 100 / floor),
-        };
-        wait / est.slots()
-    }
-
-    fn refuse_full(&self, at: usize, est: &Estimate) -> Outcome<K> {
-        // Half of the work that is ahead has drained by then, so there is room again.
-        let drain = self.wait_behind(at, self.lanes[at].work(), est) / 2;
-        Outcome::Refused {
-            reason: Reason::QueueFull,
-            retry_after: est.slot_free_in + drain,
-        }
+        let share = self.share(now, at, false, est);
+        est.slot_free_in + self.wait_behind(at, self.lanes[at].work(), &share)
     }
 
     /// Finds room for an item, at the cost of the latest deadline of the lowest tier if need be.
@@ -376,10 +231,11 @@
         Room::None
     }
 
-    fn insert(&mut self, at: usize, item: Item<K>) {
+    fn insert(&mut self, now: Duration, at: usize, item: Item<K>) {
         self.bytes += u64::from(item.bytes);
         self.len += 1;
-        self.lanes[at].insert(item);
+        let short = item.expected_run <= self.opts.short_run;
+        self.lanes[at].insert(now, item, short);
     }
 
     fn take(&mut self, lane: usize, index: usize) -> Item<K> {
--- a/crates/stair-policy/src/queue/tier.rs
+++ b/crates/stair-policy/src/queue/tier.rs
@@ -21,6 +21,8 @@
     items: Vec<Item<K>>,
     work: Duration,
     credit: Duration,
+    inflow: Inflow,
+    short_inflow: Inflow,
 }
 
 impl<K> Lane<K>
@@ -33,6 +35,8 @@
             items: Vec::new(),
             work: Duration::ZERO,
             credit: Duration::ZERO,
+            inflow: Inflow::default(),
+            short_inflow: Inflow::default(),
         }
     }
 
@@ -44,10 +48,25 @@
         self.work
     }
 
-    pub(super) fn floor_percent(&self) -> u32 {
+    fn floor_percent(&self) -> u32 {
         u32::from(self.opts.floor_percent.min(100))
     }
 
+    /// The floor share as a part of the engine.
+    pub(super) fn floor(&self) -> f64 {
+        f64::from(self.floor_percent()) / 100.0
+    }
+
+    /// Work admitted lately, in slots: seconds of work a second.
+    pub(super) fn inflow(&self, now: Duration) -> f64 {
+        self.inflow.at(now)
+    }
+
+    /// The part of it that is short.
+    pub(super) fn short_inflow(&self, now: Duration) -> f64 {
+        self.short_inflow.at(now)
+    }
+
     pub(super) fn is_full(&self) -> bool {
         self.items.len() >= self.opts.max_waiting as usize
     }
@@ -57,7 +76,11 @@
         self.items.partition_point(|i| i.deadline <= deadline)
     }
 
-    pub(super) fn insert(&mut self, item: Item<K>) {
+    pub(super) fn insert(&mut self, now: Duration, item: Item<K>, short: bool) {
+        self.inflow.add(now, item.expected_run);
+        if short {
+            self.short_inflow.add(now, item.expected_run);
+        }
         let index = self.index_of(item.deadline);
         self.work += item.expected_run;
         self.items.insert(index, item);
@@ -128,3 +151,25 @@
         self.credit = self.credit.saturating_sub(run);
     }
 }
+
+/// Arrivals older than this count for little. Shorter would take each burst for a trend.
+const INFLOW_WINDOW_SECS: f64 = 20.0;
+
+/// A decaying average of work a second.
+#[derive(Debug, Clone, Copy, Default)]
+struct Inflow {
+    value: f64,
+    since: Duration,
+}
+
+impl Inflow {
+    fn at(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.since).as_secs_f64();
+        self.value * (-age / INFLOW_WINDOW_SECS).exp()
+    }
+
+    fn add(&mut self, now: Duration, work: Duration) {
+        self.value = self.at(now) + work.as_secs_f64() / INFLOW_WINDOW_SECS;
+        self.since = self.since.max(now);
+    }
+}
