standin: model engine with faults and records of its own

Change: stair_standin::Engine (loads, unloads, adapters, completions plain and streamed; fences checked or not, overcommit refused or shown) and Recorder (runs, loads, unloads, peak memory, and the most engines that held a model at one moment, loading and unloading included).

Not measured: speed; repeated runs.

--- a/crates/stair-platform/src/http.rs
+++ b/crates/stair-platform/src/http.rs
@@ -18,13 +18,15 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
-    Method, Request, StatusCode,
+    Method,
+    Request,
+    StatusCode,
     header::{
         CONTENT_TYPE,
         HeaderName,
         IF_MATCH,
         IF_NONE_MATCH, //
-    },
+    }, //
 };
 use serde::{
     Deserialize,
--- a/crates/stair-standin/src/lib.rs
+++ b/crates/stair-standin/src/lib.rs
@@ -1,10 +1,15 @@
 //! Stand-ins for what dandelionstair talks to, with faults on command and records of their own.
 //!
 //! - [`platform`]: the platform's object API.
+//! - [`engine`]: a model engine.
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
+pub mod engine;
 pub mod platform;
+pub mod recorder;
 mod server;
 
+pub use engine::Engine;
 pub use platform::Platform;
+pub use recorder::Recorder;
--- a/crates/stair-standin/src/server.rs
+++ b/crates/stair-standin/src/server.rs
@@ -14,12 +14,14 @@
 
 use bytes::Bytes;
 use hyper::{
-    Request, Response, StatusCode,
+    Request,
+    Response,
+    StatusCode,
     body::Incoming,
     header::{
         CONTENT_TYPE,
         HeaderValue, //
-    },
+    }, //
 };
 use serde::Serialize;
 use stair_http::{
