standin: plain service with records

Cause: calls to plain services need a target that tells what ran.

Change: stair_standin::Service answers any call with method, path, marker and count, records each call as a run from its arrival on, and stalls, cuts or refuses on command.

--- a/crates/stair-standin/src/lib.rs
+++ b/crates/stair-standin/src/lib.rs
@@ -2,6 +2,8 @@
 //!
 //! - [`platform`]: the platform's object API.
 //! - [`engine`]: a model engine.
+//! - [`service`]: a plain service.
+//! - [`recorder`]: what engines and services did, for checks that do not ask the project.
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
@@ -9,7 +11,9 @@
 pub mod platform;
 pub mod recorder;
 mod server;
+pub mod service;
 
 pub use engine::Engine;
 pub use platform::Platform;
 pub use recorder::Recorder;
+pub use service::Service;
--- /dev/null
+++ b/crates/stair-standin/src/service.rs
@@ -0,0 +1,178 @@
+//! The plain service's stand-in: answers any call with what it was asked.
+//!
+//! The answer is 200 with [`Reply`] as JSON. The marker is the header `X-Marker` or, without it,
+//! the body. Each call is recorded as a run from its arrival on, with the header `X-Request-Id`.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use hyper::{
+    Request,
+    Response,
+    StatusCode,
+    body::Incoming, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use stair_http::Body;
+use tokio::sync::watch;
+
+use crate::{
+    recorder::Recorder,
+    server::{
+        Server,
+        cut,
+        error,
+        header,
+        json,
+        read, //
+    },
+};
+
+/// What a service is like.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// The target's name in the records.
+    pub name: Box<str>,
+    /// Time of a call.
+    pub latency: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            name: "service".into(),
+            latency: Duration::ZERO,
+        }
+    }
+}
+
+/// Faults, all switched off at first.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Faults {
+    /// Calls begin and do not end, until switched off.
+    pub stall: bool,
+    /// Breaks the connection after so many bytes of an answer's body.
+    pub cut_after: Option<usize>,
+}
+
+/// The body of an answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reply {
+    /// The call's method.
+    pub method: Box<str>,
+    /// The call's path with its query.
+    pub path: Box<str>,
+    /// The call's marker.
+    pub marker: Box<str>,
+    /// Calls that have arrived, with this one.
+    pub count: u64,
+}
+
+#[derive(Default)]
+struct State {
+    faults: Faults,
+    count: u64,
+}
+
+struct Shared {
+    opts: Options,
+    recorder: Recorder,
+    state: watch::Sender<State>,
+}
+
+/// A running service. Dropping it ends it.
+pub struct Service {
+    server: Server,
+    shared: Arc<Shared>,
+}
+
+impl Service {
+    /// Starts one; port 0 lets the system choose.
+    ///
+    /// # Errors
+    ///
+    /// When the address cannot be had.
+    pub async fn start(addr: SocketAddr, opts: Options, recorder: Recorder) -> io::Result<Self> {
+        let shared = Arc::new(Shared {
+            opts,
+            recorder,
+            state: watch::channel(State::default()).0,
+        });
+        let handler = shared.clone();
+        let server = Server::start(addr, move |req| answer(handler.clone(), req))?;
+        Ok(Self { server, shared })
+    }
+
+    /// Returns the address.
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Changes the faults.
+    pub fn set_faults(&self, change: impl FnOnce(&mut Faults)) {
+        let state = &self.shared.state;
+        state.send_modify(|state| change(&mut state.faults));
+    }
+
+    /// Breaks connections and refuses new ones until [`Service::restart`].
+    ///
+    /// # Errors
+    ///
+    /// When the address cannot be kept.
+    pub async fn stop(&self) -> io::Result<()> {
+        self.server.kill().await
+    }
+
+    /// Comes back after a stop.
+    ///
+    /// # Errors
+    ///
+    /// When the address cannot be had again.
+    pub fn restart(&self) -> io::Result<()> {
+        self.server.revive()
+    }
+}
+
+async fn answer(shared: Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
+    let id: Box<str> = header(&req, "x-request-id").into();
+    let method: Box<str> = req.method().as_str().into();
+    let path: Box<str> = req.uri().path_and_query().map_or("", |p| p.as_str()).into();
+    let mut marker: Box<str> = header(&req, "x-marker").into();
+    let Some(body) = read(req.into_body()).await else {
+        return error(StatusCode::BAD_REQUEST, "the body cannot be read");
+    };
+    if marker.is_empty() {
+        marker = String::from_utf8_lossy(&body).into();
+    }
+    let run = shared.recorder.run(&id, &marker, &path, &shared.opts.name);
+    let mut count = 0;
+    shared.state.send_modify(|state| {
+        state.count += 1;
+        count = state.count;
+    });
+    tokio::time::sleep(shared.opts.latency).await;
+    let mut rx = shared.state.subscribe();
+    // The sender lives in `shared`.
+    let _ = rx.wait_for(|state| !state.faults.stall).await;
+    let reply = Reply {
+        method,
+        path,
+        marker,
+        count,
+    };
+    let cut_after = shared.state.borrow().faults.cut_after;
+    if let Some(limit) = cut_after {
+        let body = Bytes::from(serde_json::to_vec(&reply).unwrap_or_default());
+        return cut(body.slice(..limit.min(body.len())));
+    }
+    run.complete();
+    json(StatusCode::OK, &reply)
+}
