--- a/crates/stair-standin/src/lib.rs
+++ b/crates/stair-standin/src/lib.rs
@@ -3,17 +3,23 @@
 //! - [`platform`]: the platform's object API.
 //! - [`engine`]: a model engine.
 //! - [`service`]: a plain service.
+//! - [`proxy`]: TCP and UDP proxies that cut, delay and swallow.
 //! - [`recorder`]: what engines and services did, for checks that do not ask the project.
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
 pub mod engine;
 pub mod platform;
+pub mod proxy;
 pub mod recorder;
 mod server;
 pub mod service;
 
 pub use engine::Engine;
 pub use platform::Platform;
+pub use proxy::{
+    TcpProxy,
+    UdpProxy, //
+};
 pub use recorder::Recorder;
 pub use service::Service;
