platform: apply a catalogue and load the one in force

An apply writes missing chunks and commits by a conditional update of the manifest that names the version it was made from.

Ruled out: writing the manifest again after a lost answer.

Old chunks are never deleted: a delete could race with an apply that refers to the chunk again.

--- a/crates/stair-config/src/chunks.rs
+++ b/crates/stair-config/src/chunks.rs
@@ -7,7 +7,7 @@
 //! that was given up on does no harm.
 //!
 //! At 13,000 changes a day every entry gets each changed chunk and the manifest. With 64 buckets
-//! for models a chunk has about 20 KB and the manifest up to 6 KB, together about 4 KB a second
+//! for models a chunk has about 20 KB and the manifest up to 8 KB, together about 4 KB a second
 //! for each entry; fewer buckets make chunks larger, more make the manifest larger.
 
 use serde::{
--- /dev/null
+++ b/crates/stair-platform/tests/apply.rs
@@ -0,0 +1,207 @@
+//! Applying a catalogue over a store that fails.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{
+    Fake,
+    Fault, //
+};
+use stair_config::{
+    Catalogue,
+    Declarations,
+    Document, //
+};
+use stair_platform::{
+    Error as PlatformError, Kind,
+    apply::{
+        Error,
+        Options,
+        Outcome,
+        apply, //
+    },
+    load::{
+        head,
+        load, //
+    },
+};
+use stair_types::{
+    ApplyId,
+    ConfigVersion, //
+};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn catalogue(replicas: u16) -> Catalogue {
+    let text = format!(
+        "models:
+  - {{ name: notes, version: '1', memory_mib: 8000, replicas: {replicas} }}
+  - {{ name: screens, version: '1', memory_mib: 8000, replicas: 1 }}
+tiers:
+  - {{ name: gold, rank: 0, timeout_ms: 1000, max_waiting: 10 }}
+"
+    );
+    let document = Document::parse("a.yaml", &text).unwrap();
+    Catalogue::try_from(Declarations::new(vec![document])).unwrap()
+}
+
+fn opts(id: &str) -> Options {
+    Options {
+        apply_id: ApplyId(id.into()),
+        from: None,
+        patience: PATIENCE,
+    }
+}
+
+async fn in_force(store: &Fake) -> (u64, u16) {
+    let found = load(store).await.unwrap().unwrap();
+    let replicas = found.catalogue.model("notes").unwrap().replicas;
+    (found.version.0, replicas)
+}
+
+fn applied(version: u64) -> Result<Outcome, Error> {
+    Ok(Outcome::Applied(ConfigVersion(version)))
+}
+
+async fn with_first() -> Fake {
+    let store = Fake::default();
+    assert_eq!(load(&store).await, Ok(None));
+    assert_eq!(apply(&store, &catalogue(1), &opts("a")).await, applied(1));
+    store
+}
+
+#[tokio::test(start_paused = true)]
+async fn versions_rise() {
+    let store = with_first().await;
+    let chunks = store.puts(Kind::Chunk);
+    assert_eq!(apply(&store, &catalogue(2), &opts("b")).await, applied(2));
+    assert_eq!(in_force(&store).await, (2, 2));
+    assert_eq!(store.puts(Kind::Chunk), chunks + 1);
+    let same = apply(&store, &catalogue(2), &opts("c")).await;
+    assert_eq!(same, Ok(Outcome::Unchanged(ConfigVersion(2))));
+    let manifest = head(&store).await.unwrap().unwrap().manifest;
+    assert_eq!(manifest.earlier, [ApplyId("a".into())]);
+}
+
+// Two operators make their changes from the same version. The second one is told so and nothing
+// of his is in force, instead of undoing the first one's change unseen.
+#[tokio::test(start_paused = true)]
+async fn operators_race() {
+    let store = with_first().await;
+    assert_eq!(apply(&store, &catalogue(2), &opts("b")).await, applied(2));
+    let late = Options {
+        from: Some(ConfigVersion(1)),
+        ..opts("c")
+    };
+    let conflict = Outcome::Conflict {
+        from: ConfigVersion(1),
+        found: ConfigVersion(2),
+    };
+    assert_eq!(apply(&store, &catalogue(3), &late).await, Ok(conflict));
+    assert_eq!(in_force(&store).await, (2, 2));
+}
+
+// Two operators commit at the same moment: the second one reads version 1, and the commit of the
+// first lands before the second one's. Exactly one of them wins and the other is told.
+#[tokio::test(start_paused = true)]
+async fn commits_race() {
+    let store = with_first().await;
+    // The first one's commit lands after two further calls: the first one's look at what became
+    // of it, and the second one's reading of version 1.
+    store.fail_write(Kind::Manifest, Fault::Late(2));
+    let (first, second) = (catalogue(2), catalogue(3));
+    let (first_opts, second_opts) = (opts("b"), opts("c"));
+    let (first, second) = tokio::join!(
+        apply(&store, &first, &first_opts),
+        apply(&store, &second, &second_opts),
+    );
+    let conflict = Outcome::Conflict {
+        from: ConfigVersion(1),
+        found: ConfigVersion(2),
+    };
+    assert_eq!(first, applied(2));
+    assert_eq!(second, Ok(conflict));
+    assert_eq!(in_force(&store).await, (2, 2));
+}
+
+// The platform commits and its answer is lost. The operator reads that his apply is in force, and
+// not that it failed.
+#[tokio::test(start_paused = true)]
+async fn answer_lost() {
+    let store = with_first().await;
+    store.fail_write(Kind::Manifest, Fault::LostAfter);
+    assert_eq!(apply(&store, &catalogue(2), &opts("b")).await, applied(2));
+    assert_eq!(in_force(&store).await, (2, 2));
+    assert_eq!(store.puts(Kind::Manifest), 2);
+}
+
+// The answer is lost before the commit has taken effect, and it takes effect a moment later. The
+// operator's command waits for it and does not write a second time.
+#[tokio::test(start_paused = true)]
+async fn late_effect() {
+    let store = with_first().await;
+    store.fail_write(Kind::Manifest, Fault::Late(5));
+    assert_eq!(apply(&store, &catalogue(2), &opts("b")).await, applied(2));
+    assert_eq!(store.puts(Kind::Manifest), 2);
+}
+
+// The commit is lost on its way for good. Nobody can tell that from a commit that is slow, so the
+// operator reads that it is undetermined; his next try succeeds.
+#[tokio::test(start_paused = true)]
+async fn commit_lost() {
+    let store = with_first().await;
+    store.fail_write(Kind::Manifest, Fault::LostBefore);
+    let outcome = apply(&store, &catalogue(2), &opts("b")).await;
+    assert_eq!(outcome, Ok(Outcome::Undetermined(ConfigVersion(2))));
+    assert_eq!(in_force(&store).await, (1, 1));
+    assert_eq!(apply(&store, &catalogue(2), &opts("c")).await, applied(2));
+}
+
+// The answer to a commit is lost, and before the operator's command reads the manifest again
+// another operator has applied on top of it. The first one's apply was in force all the same.
+#[tokio::test(start_paused = true)]
+async fn answer_lost_then_followed() {
+    let store = with_first().await;
+    store.fail_write(Kind::Manifest, Fault::LostAfter);
+    store.fail_call(Kind::Manifest, Fault::LostBefore);
+    let (catalogue_b, opts_b) = (catalogue(2), opts("b"));
+    let lost = apply(&store, &catalogue_b, &opts_b);
+    let follow = async {
+        // Waits until the first commit is there, whose sender is waiting to read.
+        while head(&store).await.unwrap().unwrap().manifest.version.0 < 2 {
+            tokio::task::yield_now().await;
+        }
+        apply(&store, &catalogue(3), &opts("c")).await
+    };
+    let (lost, follow) = tokio::join!(lost, follow);
+    assert_eq!(lost, applied(2));
+    assert_eq!(follow, applied(3));
+}
+
+// Answers to writes of chunks are lost and the platform refuses some; the apply succeeds after
+// further tries and the operator notices only that it takes longer.
+#[tokio::test(start_paused = true)]
+async fn chunk_writes_fail() {
+    let store = Fake::default();
+    for fault in [Fault::LostAfter, Fault::Down, Fault::LostBefore] {
+        store.fail_write(Kind::Chunk, fault);
+    }
+    store.fail_write(Kind::Manifest, Fault::Down);
+    assert_eq!(apply(&store, &catalogue(1), &opts("a")).await, applied(1));
+    assert_eq!(in_force(&store).await, (1, 1));
+}
+
+// The platform is down for longer than the operator waits. He reads that nothing was written.
+#[tokio::test(start_paused = true)]
+async fn long_outage() {
+    let store = with_first().await;
+    store.set_down(true);
+    let start = tokio::time::Instant::now();
+    let result = apply(&store, &catalogue(2), &opts("b")).await;
+    let unavailable = PlatformError::Unavailable("refused".into());
+    assert_eq!(result, Err(Error::Read(unavailable.into())));
+    assert!(start.elapsed() < PATIENCE * 2);
+    store.set_down(false);
+    assert_eq!(in_force(&store).await, (1, 1));
+}
