entry: take callers' requests to agents and their answers back

The traffic half: route, auth, body, admit, choose, offer, start, answer, resume, claim. Each module is one step of a request's way. The policy crate is not linkable yet, so stopgap.rs has its signatures and far less of its judgement.

Not run yet: no test drives it. Nothing was measured.

--- a/crates/stair-entry/src/lib.rs
+++ b/crates/stair-entry/src/lib.rs
@@ -2,11 +2,13 @@
 //! with the other entries.
 //!
 //! - [`control`]: what this entry knows, and the control work that it shares with others.
+//! - [`traffic`]: callers' requests, from the socket to an agent and back.
 //! - [`view`]: what control publishes and traffic reads.
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
 pub mod control;
+pub mod traffic;
 pub mod view;
 
 pub use view::{
--- /dev/null
+++ b/crates/stair-entry/src/traffic/answer.rs
@@ -0,0 +1,127 @@
+//! Brings the answer to the caller, whole or with an error that it can see.
+
+use bytes::Bytes;
+use stair_types::{
+    Reason,
+    Refusal, //
+};
+use stair_wire::{
+    frame::{
+        Error,
+        Frame, //
+    },
+    request::FromAgent,
+};
+
+use super::{
+    Cx,
+    caller::Caller,
+    exchange::Exchange,
+    offer,
+    request::Request,
+    resume::Resume, //
+};
+
+/// Passes the answer of a started request on until its end.
+///
+/// # Errors
+///
+/// Fails when the agent gives the request up, its link cannot be replaced, or the answer does not
+/// fit together; or when the caller left.
+pub(super) async fn forward<S>(
+    cx: &Cx<S>,
+    req: &Request,
+    exchange: &mut Exchange,
+    caller: &mut Caller,
+) -> Result<(), Refusal> {
+    let mut resume = Resume::default();
+    let mut received = 0;
+    loop {
+        match exchange.read().await {
+            Ok(frame) => {
+                resume.got_frame();
+                if take(req, exchange, caller, &mut received, frame).await? == Step::Whole {
+                    return caller.end().await;
+                }
+            }
+            Err(Error::Io(_)) => resume.resume(cx, req, exchange, received).await?,
+            Err(e) => return Err(broken(&format!("the target's agent sent nonsense: {e}"))),
+        }
+    }
+}
+
+#[derive(PartialEq, Eq)]
+enum Step {
+    Goes,
+    Whole,
+}
+
+async fn take(
+    req: &Request,
+    exchange: &mut Exchange,
+    caller: &mut Caller,
+    received: &mut u64,
+    frame: Frame<FromAgent>,
+) -> Result<Step, Refusal> {
+    match frame {
+        Frame::Body(bytes) => body(caller, received, bytes).await?,
+        Frame::Message(FromAgent::Head {
+            status,
+            content_type,
+            offset,
+        }) => head(caller, *received, status, &content_type, offset)?,
+        Frame::Message(FromAgent::End {
+            total_bytes, load, ..
+        }) => {
+            offer::report(req, &exchange.target, load);
+            exchange.over();
+            return end(caller, *received, total_bytes);
+        }
+        Frame::Message(FromAgent::Refused { refusal, load }) => {
+            offer::report(req, &exchange.target, load);
+            exchange.over();
+            return Err(refusal);
+        }
+        Frame::Message(FromAgent::Queued { load, .. }) => {
+            offer::report(req, &exchange.target, load);
+        }
+        Frame::Message(FromAgent::Ready) => {}
+    }
+    Ok(Step::Goes)
+}
+
+fn head(
+    caller: &mut Caller,
+    received: u64,
+    status: u16,
+    content_type: &str,
+    offset: u64,
+) -> Result<(), Refusal> {
+    // Bytes that were skipped or come twice would reach the caller as a whole answer.
+    if offset != received {
+        return Err(broken("the answer goes on at the wrong place"));
+    }
+    if !caller.has_begun() {
+        caller.begin(status, content_type);
+    }
+    Ok(())
+}
+
+async fn body(caller: &mut Caller, received: &mut u64, bytes: Bytes) -> Result<(), Refusal> {
+    if !caller.has_begun() {
+        return Err(broken("the answer has no head"));
+    }
+    *received += bytes.len() as u64;
+    caller.push(bytes).await
+}
+
+fn end(caller: &Caller, received: u64, total: u64) -> Result<Step, Refusal> {
+    if !caller.has_begun() || received != total {
+        return Err(broken("the answer is not whole"));
+    }
+    Ok(Step::Whole)
+}
+
+fn broken(message: &str) -> Refusal {
+    Refusal::may_have_run(Reason::LinkLost, 0, message)
+}
--- /dev/null
+++ b/crates/stair-entry/src/traffic/auth.rs
@@ -0,0 +1,63 @@
+//! Whose request it is.
+
+use hyper::{
+    HeaderMap,
+    header::AUTHORIZATION, //
+};
+use sha2::{
+    Digest,
+    Sha256, //
+};
+use stair_config::Catalogue;
+use stair_types::{
+    CallerName,
+    Reason,
+    TierRank, //
+};
+
+use super::refuse::Refused;
+
+/// A caller whose key is known.
+#[derive(Debug, Clone)]
+pub(super) struct Who {
+    pub(super) name: CallerName,
+    pub(super) rank: TierRank,
+    /// Timeout of a request that names none, in milliseconds.
+    pub(super) timeout_ms: u32,
+}
+
+pub(super) fn caller(catalogue: &Catalogue, headers: &HeaderMap) -> Result<Who, Refused> {
+    let unauthorized = |text| Refused::new(Reason::Unauthorized, text);
+    let key = headers
+        .get(AUTHORIZATION)
+        .and_then(|v| v.to_str().ok())
+        .and_then(bearer)
+        .ok_or_else(|| unauthorized("send your key as 'Authorization: Bearer KEY'"))?;
+    let caller = catalogue
+        .caller(&hex_sha256(&[key.as_bytes()]))
+        .ok_or_else(|| unauthorized("the key is unknown"))?;
+    let tier = catalogue
+        .tier(&caller.tier)
+        .ok_or_else(|| unauthorized("the key's tier is not declared"))?;
+    Ok(Who {
+        name: caller.name.clone(),
+        rank: tier.rank,
+        timeout_ms: tier.timeout_ms,
+    })
+}
+
+fn bearer(value: &str) -> Option<&str> {
+    let (scheme, key) = value.split_once(' ')?;
+    let key = key.trim();
+    (scheme.eq_ignore_ascii_case("bearer") && !key.is_empty()).then_some(key)
+}
+
+/// Returns the SHA-256 of the parts one after the other, in lower-case hexadecimal.
+pub(super) fn hex_sha256(parts: &[&[u8]]) -> String {
+    let mut hash = Sha256::new();
+    for part in parts {
+        hash.update(part);
+    }
+    let digest = hash.finalize();
+    digest.iter().map(|b| format!("{b:02x}")).collect()
+}
--- /dev/null
+++ b/crates/stair-entry/src/traffic/choose.rs
@@ -0,0 +1,120 @@
+//! Picks the target to try next.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+use stair_types::{
+    FencingToken,
+    TargetKey,
+    TargetName, //
+};
+use stair_wire::request::Work;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    TargetView,
+    View, //
+};
+
+use super::{
+    Cx,
+    request::Request,
+    stopgap::choose::{
+        self,
+        Candidate, //
+    },
+    targets::Target,
+};
+
+/// Expected time of a load where nothing is known of it.
+const COLD_START: Duration = Duration::from_secs(10);
+
+/// A target picked for a request.
+#[derive(Clone)]
+pub(super) struct Chosen {
+    pub(super) name: TargetName,
+    pub(super) link: SocketAddr,
+    pub(super) token: FencingToken,
+    pub(super) target: Arc<Target>,
+}
+
+/// Picks the best target that has not been tried, by the latest view.
+pub(super) fn next<S>(cx: &Cx<S>, req: &Request, tried: &[TargetName]) -> Option<Chosen> {
+    let view = cx.latest();
+    let candidates: Vec<Candidate> = keys(&view, &req.work)
+        .iter()
+        .filter(|k| !tried.contains(&view.target(**k).name))
+        .filter_map(|k| candidate(cx, &view, req, *k))
+        .collect();
+    let home = choose::prefix_home(
+        req.prefix_hash,
+        candidates
+            .iter()
+            .map(|c| (c.key, name_hash(view.target(c.key)))),
+    );
+    let candidates: Vec<Candidate> = candidates
+        .into_iter()
+        .map(|c| Candidate {
+            prefix_affinity: home == Some(c.key),
+            ..c
+        })
+        .collect();
+    let order = choose::order(&choose::Options::default(), &candidates, &mut rand::rng());
+    let target = view.target(*order.first()?);
+    Some(Chosen {
+        name: target.name.clone(),
+        link: target.link,
+        token: target.token,
+        target: cx.targets.get(&target.name),
+    })
+}
+
+fn keys<'a>(view: &'a View, work: &Work) -> &'a [TargetKey] {
+    match work {
+        Work::Model { model, .. } => {
+            let at = view
+                .catalogue
+                .models
+                .binary_search_by(|m| m.name.cmp(model));
+            at.map_or(&[], |i| view.holders_of(i))
+        }
+        Work::Service { service } => {
+            let at = view
+                .catalogue
+                .services
+                .binary_search_by(|s| s.name.cmp(service));
+            at.map_or(&[], |i| view.providers_of(i))
+        }
+    }
+}
+
+/// Returns `None` for a target that is leaving, by the view or by its own word.
+fn candidate<S>(cx: &Cx<S>, view: &View, req: &Request, key: TargetKey) -> Option<Candidate> {
+    let target = view.target(key);
+    let model = match &req.work {
+        Work::Model { model, .. } => Some(model),
+        Work::Service { .. } => None,
+    };
+    let known = cx.targets.get(&target.name).known(model);
+    if target.leaving || known.leaving == Some(target.token) {
+        return None;
+    }
+    Some(Candidate {
+        key,
+        loaded: known.loaded,
+        expected_wait: known.expected_wait,
+        report_age: known.report_age,
+        in_flight: known.in_flight,
+        cold_start: COLD_START,
+        prefix_affinity: false,
+        same_data_centre: target.data_centre == cx.data_centre,
+        weight: known.weight,
+    })
+}
+
+fn name_hash(target: &TargetView) -> u64 {
+    xxh3_64(target.name.as_str().as_bytes())
+}
--- /dev/null
+++ b/crates/stair-entry/src/traffic/claim.rs
@@ -0,0 +1,296 @@
+//! Claims idempotency keys in the platform, so that one request runs for a key.
+//!
+//! A caller whose connection went silent sends its request again, perhaps to another entry, while
+//! the first one runs. Without a claim both would run and the caller be billed twice.
+//!
+//! Each entry has one write in flight per shard; claims that come meanwhile wait and go together
+//! with the next one. So the platform's writes are bounded by shards and its own speed, not by
+//! requests.
+
+use std::{
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::{
+        Duration,
+        SystemTime,
+        UNIX_EPOCH, //
+    },
+};
+
+use stair_platform::{
+    Claim,
+    ClaimShard,
+    Condition,
+    Kind,
+    ObjectStore, //
+};
+use tokio::{
+    sync::oneshot,
+    time::timeout, //
+};
+
+use super::{
+    auth::hex_sha256,
+    request::Request,
+    shard::{
+        self,
+        Change,
+        Outcome, //
+    },
+};
+
+/// Shards of all claims. With group commit, 64 shards carry several hundred claims a second
+/// before entries collide often.
+const SHARDS: usize = 64;
+
+/// A claim is kept for so long. The longest request takes ten minutes, and a caller that repeats
+/// does so within minutes of its end.
+const KEEP: Duration = Duration::from_secs(3_600);
+
+/// Time that a ready request waits for its claim. Longer would hold a place at the target while
+/// the platform is slow.
+const CLAIM_TIME: Duration = Duration::from_secs(4);
+
+/// Reads and writes tried for one batch. Entries that write the same shard at the same time
+/// collide; each collision means that another one got through.
+const TRIES: usize = 12;
+
+/// Releases and claims that wait for one shard.
+const MAX_PENDING: usize = 10_000;
+
+/// Why a key could not be claimed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Error {
+    /// Another request holds the key.
+    Duplicate,
+    /// The shard has no room.
+    Full,
+    /// The platform cannot confirm the claim.
+    PlatformDown,
+}
+
+/// Claims keys.
+pub(super) struct Claims<S> {
+    store: S,
+    shards: Vec<Arc<Shard>>,
+}
+
+#[derive(Default)]
+struct Shard {
+    queue: Mutex<Queue>,
+}
+
+#[derive(Default)]
+struct Queue {
+    pending: Vec<Pending>,
+    is_writing: bool,
+    memory: Memory,
+}
+
+/// What this entry remembers of a shard between writes.
+#[derive(Default)]
+struct Memory {
+    known: Option<Known>,
+    /// An answer to a write was lost: the write may still take effect unless another one follows.
+    is_doubtful: bool,
+}
+
+struct Known {
+    value: ClaimShard,
+    condition: Condition,
+}
+
+struct Pending {
+    change: Change,
+    done: Option<oneshot::Sender<Result<Outcome, Error>>>,
+}
+
+impl<S> Claims<S> {
+    /// Returns the number of changes that wait.
+    pub(super) fn pending(&self) -> usize {
+        self.shards.iter().map(|s| s.lock().pending.len()).sum()
+    }
+
+    pub(super) fn new(store: S) -> Self {
+        Self {
+            store,
+            shards: (0..SHARDS).map(|_| Arc::default()).collect(),
+        }
+    }
+}
+
+impl<S> Claims<S>
+where
+    S: ObjectStore,
+{
+    /// Claims the request's key for it.
+    ///
+    /// # Errors
+    ///
+    /// See [`Error`].
+    pub(super) async fn claim(&self, req: &Request) -> Result<(), Error> {
+        let claim = Claim {
+            key: key(req),
+            request: req.id,
+            expires_s: now_s() + KEEP.as_secs(),
+        };
+        let (tx, rx) = oneshot::channel();
+        self.push(Change::Claim(claim), Some(tx));
+        match timeout(CLAIM_TIME, rx).await {
+            Ok(Ok(Ok(Outcome::Done))) => Ok(()),
+            Ok(Ok(Ok(Outcome::Taken))) => Err(Error::Duplicate),
+            Ok(Ok(Ok(Outcome::Full))) => Err(Error::Full),
+            Ok(Ok(Err(e))) => Err(e),
+            Ok(Err(_)) | Err(_) => Err(Error::PlatformDown),
+        }
+    }
+
+    /// Gives the claim of a request back that has not run, if the platform lets it.
+    pub(super) fn release(&self, req: &Request) {
+        let change = Change::Release {
+            key: key(req),
+            request: req.id,
+        };
+        self.push(change, None);
+    }
+
+    fn push(&self, change: Change, done: Option<oneshot::Sender<Result<Outcome, Error>>>) {
+        let key = match &change {
+            Change::Claim(claim) => &claim.key,
+            Change::Release { key, .. } => key,
+        };
+        let n = shard_of(key);
+        let shard = &self.shards[n];
+        let mut queue = shard.lock();
+        // The sender that is dropped here tells the claim that it failed.
+        if queue.pending.len() >= MAX_PENDING {
+            return;
+        }
+        queue.pending.push(Pending { change, done });
+        if queue.is_writing {
+            return;
+        }
+        queue.is_writing = true;
+        tokio::spawn(write(self.store.clone(), n, shard.clone()));
+    }
+}
+
+impl Shard {
+    fn lock(&self) -> MutexGuard<'_, Queue> {
+        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Writes batch after batch until nothing waits.
+async fn write<S>(store: S, n: usize, shard: Arc<Shard>)
+where
+    S: ObjectStore,
+{
+    let mut memory = std::mem::take(&mut shard.lock().memory);
+    loop {
+        let batch = {
+            let mut queue = shard.lock();
+            if queue.pending.is_empty() {
+                queue.memory = memory;
+                queue.is_writing = false;
+                return;
+            }
+            std::mem::take(&mut queue.pending)
+        };
+        let (changes, waiting): (Vec<_>, Vec<_>) =
+            batch.into_iter().map(|p| (p.change, p.done)).unzip();
+        let result = commit(&store, n, &mut memory, &changes).await;
+        for (i, done) in waiting.into_iter().enumerate() {
+            let Some(done) = done else {
+                continue;
+            };
+            let _ = done.send(result.as_ref().map(|all| all[i]).map_err(|e| *e));
+        }
+    }
+}
+
+async fn commit<S>(
+    store: &S,
+    n: usize,
+    memory: &mut Memory,
+    changes: &[Change],
+) -> Result<Vec<Outcome>, Error>
+where
+    S: ObjectStore,
+{
+    let name = n.to_string();
+    for _ in 0..TRIES {
+        let is_fresh = memory.known.is_none();
+        let mut known = match memory.known.take() {
+            Some(known) => known,
+            None => read(store, &name).await?,
+        };
+        let (outcomes, changed) = shard::apply(&mut known.value, changes, now_s());
+        // The claim that is in the way may have been given back since the shard was read.
+        if !is_fresh && outcomes.iter().any(|o| *o != Outcome::Done) {
+            continue;
+        }
+        if !changed && !memory.is_doubtful {
+            memory.known = Some(known);
+            return Ok(outcomes);
+        }
+        let Ok(value) = serde_json::to_value(&known.value) else {
+            return Err(Error::PlatformDown);
+        };
+        match store
+            .put(Kind::Claims, &name, &value, known.condition)
+            .await
+        {
+            Ok(version) => {
+                memory.is_doubtful = false;
+                memory.known = Some(Known {
+                    value: known.value,
+                    condition: Condition::Version(version),
+                });
+                return Ok(outcomes);
+            }
+            Err(stair_platform::Error::Conflict) => {}
+            // Reading the shard again shows whether the write took effect.
+            Err(stair_platform::Error::Unknown(_)) => memory.is_doubtful = true,
+            Err(_) => return Err(Error::PlatformDown),
+        }
+    }
+    Err(Error::PlatformDown)
+}
+
+async fn read<S>(store: &S, name: &str) -> Result<Known, Error>
+where
+    S: ObjectStore,
+{
+    match store.get(Kind::Claims, name).await {
+        Ok(object) => Ok(Known {
+            value: serde_json::from_value(object.value).map_err(|_| Error::PlatformDown)?,
+            condition: Condition::Version(object.version),
+        }),
+        Err(stair_platform::Error::NotFound) => Ok(Known {
+            value: ClaimShard::default(),
+            condition: Condition::Absent,
+        }),
+        Err(_) => Err(Error::PlatformDown),
+    }
+}
+
+/// The separator cannot be part of a caller's name, so no two pairs give the same text.
+fn key(req: &Request) -> Box<str> {
+    let key = req.idempotency_key.as_deref().unwrap_or("");
+    hex_sha256(&[req.caller.as_str().as_bytes(), b"/", key.as_bytes()]).into()
+}
+
+fn shard_of(key: &str) -> usize {
+    let head = key.get(..2).unwrap_or("0");
+    usize::from_str_radix(head, 16).unwrap_or(0) % SHARDS
+}
+
+fn now_s() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |t| t.as_secs())
+}
--- /dev/null
+++ b/crates/stair-entry/src/traffic/dispatch.rs
@@ -0,0 +1,150 @@
+//! Tries one target after the other until one answers or trying again would be wrong.
+
+use std::sync::PoisonError;
+
+use stair_platform::ObjectStore;
+use stair_types::{
+    Reason,
+    Refusal,
+    Verdict, //
+};
+
+use super::{
+    Cx,
+    admit::Phase,
+    answer,
+    caller::Caller,
+    choose::{
+        self,
+        Chosen, //
+    },
+    offer,
+    request::Request,
+    run::Progress,
+    start,
+};
+
+/// Told to callers when no target can be reached, in milliseconds: about the time in which a
+/// replaced VM's agent shows up in the view.
+const NO_TARGET_RETRY_MS: u32 = 2_000;
+
+pub(super) async fn dispatch<S>(
+    cx: &Cx<S>,
+    req: &Request,
+    caller: &mut Caller,
+    progress: &mut Progress,
+) -> Result<(), Refusal>
+where
+    S: ObjectStore,
+{
+    count_request(cx);
+    let mut tried = Vec::new();
+    let mut last: Option<Refusal> = None;
+    loop {
+        let Some(target) = choose::next(cx, req, &tried) else {
+            return Err(last.unwrap_or_else(no_target));
+        };
+        if let Some(refusal) = last.take_if(|_| !may_retry(cx)) {
+            return Err(refusal);
+        }
+        tried.push(target.name.clone());
+        progress.place.enter(Phase::Waiting);
+        let Err(refusal) = attempt(cx, req, &target, caller, progress).await else {
+            return Ok(());
+        };
+        note(&target, &refusal);
+        // The agent's word that it never ran lifts the doubt that `Start` brought.
+        let started = std::mem::take(&mut progress.started);
+        if refusal.verdict != Verdict::NotRun {
+            progress.doubtful |= started;
+        }
+        if caller.has_part() || !may_go_elsewhere(req, &refusal) {
+            return Err(refusal);
+        }
+        caller.forget();
+        last = Some(sooner(last, refusal));
+    }
+}
+
+async fn attempt<S>(
+    cx: &Cx<S>,
+    req: &Request,
+    target: &Chosen,
+    caller: &mut Caller,
+    progress: &mut Progress,
+) -> Result<(), Refusal>
+where
+    S: ObjectStore,
+{
+    let _in_flight = target.target.take();
+    let mut exchange = offer::offer(cx, req, target, progress).await?;
+    if !progress.started {
+        start::start(cx, req, &mut exchange, progress).await?;
+    }
+    progress.place.enter(Phase::Started);
+    answer::forward(cx, req, &mut exchange, caller).await?;
+    target.target.answered();
+    Ok(())
+}
+
+/// Only work that has surely not run, or that may run twice, goes to another target. A refusal
+/// that every target would repeat is final.
+fn may_go_elsewhere(req: &Request, refusal: &Refusal) -> bool {
+    let elsewhere_differs = match refusal.reason {
+        Reason::Invalid
+        | Reason::Unauthorized
+        | Reason::Unknown
+        | Reason::DeadlinePassed
+        | Reason::Duplicate
+        | Reason::PlatformDown
+        | Reason::Withdrawn => false,
+        Reason::WouldMissDeadline
+        | Reason::QueueFull
+        | Reason::Displaced
+        | Reason::NoTarget
+        | Reason::Leaving
+        | Reason::NotGranted
+        | Reason::LoadFailed
+        | Reason::LinkLost
+        | Reason::TargetFailed => true,
+    };
+    elsewhere_differs && (refusal.verdict == Verdict::NotRun || req.repeatable)
+}
+
+fn note(target: &Chosen, refusal: &Refusal) {
+    match refusal.reason {
+        Reason::Leaving => target.target.leaves(target.token),
+        Reason::NoTarget | Reason::LinkLost | Reason::TargetFailed | Reason::LoadFailed => {
+            target.target.failed();
+        }
+        _ => {}
+    }
+}
+
+/// Of two refusals, keeps the one that lets the caller come back sooner.
+fn sooner(last: Option<Refusal>, refusal: Refusal) -> Refusal {
+    match last {
+        Some(last) if last.retry_after_ms > 0 && last.retry_after_ms < refusal.retry_after_ms => {
+            last
+        }
+        _ => refusal,
+    }
+}
+
+fn no_target() -> Refusal {
+    Refusal::not_run(
+        Reason::NoTarget,
+        NO_TARGET_RETRY_MS,
+        "no target that may serve this can be reached",
+    )
+}
+
+fn count_request<S>(cx: &Cx<S>) {
+    let mut retries = cx.retries.lock().unwrap_or_else(PoisonError::into_inner);
+    retries.request();
+}
+
+fn may_retry<S>(cx: &Cx<S>) -> bool {
+    let mut retries = cx.retries.lock().unwrap_or_else(PoisonError::into_inner);
+    retries.try_retry()
+}
--- /dev/null
+++ b/crates/stair-entry/src/traffic/dump.rs
@@ -0,0 +1,40 @@
+//! The state of the traffic half, for an operator.
+
+use std::sync::PoisonError;
+
+use serde::Serialize;
+
+use super::{
+    Cx,
+    admit,
+    refuse,
+    targets, //
+};
+
+#[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct Dump {
+    draining: bool,
+    in_entry: admit::Counts,
+    refusals: Vec<refuse::Count>,
+    links: usize,
+    ports_replaced: u64,
+    claims_pending: usize,
+    retries_left: u64,
+    targets: Vec<targets::Seen>,
+}
+
+pub(super) fn dump<S>(cx: &Cx<S>) -> serde_json::Value {
+    let retries = cx.retries.lock().unwrap_or_else(PoisonError::into_inner);
+    let dump = Dump {
+        draining: cx.is_draining(),
+        in_entry: cx.gate.snapshot(),
+        refusals: cx.refusals.snapshot(),
+        links: cx.pool.live(),
+        ports_replaced: cx.pool.dialer().replaced(),
+        claims_pending: cx.claims.pending(),
+        retries_left: retries.left(),
+        targets: cx.targets.snapshot(),
+    };
+    serde_json::to_value(dump).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/stair-entry/src/traffic/offer.rs
@@ -0,0 +1,124 @@
+//! Offers a request to an agent.
+
+use std::time::Duration;
+
+use stair_types::{
+    Reason,
+    Refusal,
+    Verdict, //
+};
+use stair_wire::{
+    frame::{
+        Error,
+        Frame, //
+    },
+    request::{
+        FromAgent,
+        Load,
+        Offer,
+        ToAgent,
+        Work, //
+    },
+};
+use tokio::time::timeout;
+
+use super::{
+    Cx,
+    choose::Chosen,
+    exchange::Exchange,
+    refuse::millis,
+    request::Request,
+    run::Progress, //
+};
+
+/// An agent answers an offer at once. One that lets it wait for so long is stuck although its link
+/// lives, and waiting on would hold the request until its deadline.
+const QUEUED_TIME: Duration = Duration::from_secs(3);
+
+/// Offers a request and returns once the agent has queued it.
+///
+/// # Errors
+///
+/// Fails when the agent cannot be reached or refuses.
+pub(super) async fn offer<S>(
+    cx: &Cx<S>,
+    req: &Request,
+    target: &Chosen,
+    progress: &mut Progress,
+) -> Result<Exchange, Refusal> {
+    let unreachable = || Refusal::not_run(Reason::NoTarget, 0, "the target cannot be reached");
+    let link = cx.pool.get(target.link).await.map_err(|_| unreachable())?;
+    let opened = Exchange::open(target, &link).await;
+    let mut exchange = opened.map_err(|_| unreachable())?;
+    // From here on the agent may run work that needs no `Start`.
+    progress.started = req.starts_when_ready();
+    match timeout(QUEUED_TIME, queue(req, &mut exchange)).await {
+        Ok(Ok(())) => Ok(exchange),
+        Ok(Err(refusal)) => Err(refusal),
+        Err(_) => Err(lost(progress, "the target did not queue the request")),
+    }
+}
+
+async fn queue(req: &Request, exchange: &mut Exchange) -> Result<(), Refusal> {
+    let broken = |_| match req.starts_when_ready() {
+        true => Refusal::may_have_run(Reason::LinkLost, 0, BROKE),
+        false => Refusal::not_run(Reason::LinkLost, 0, BROKE),
+    };
+    let offer = ToAgent::Offer(message(req));
+    exchange.send(&offer).await.map_err(broken)?;
+    exchange.send_body(&req.body).await.map_err(broken)?;
+    match exchange.read().await {
+        Ok(Frame::Message(FromAgent::Queued { incarnation, load })) => {
+            exchange.incarnation = incarnation;
+            report(req, &exchange.target, load);
+            Ok(())
+        }
+        Ok(Frame::Message(FromAgent::Refused { refusal, load })) => {
+            report(req, &exchange.target, load);
+            exchange.over();
+            Err(refusal)
+        }
+        Ok(_) => Err(broken(Error::WrongKind)),
+        Err(e) => Err(broken(e)),
+    }
+}
+
+const BROKE: &str = "the link to the target broke";
+
+/// Makes the refusal of a request whose agent is lost, by whether it may have started.
+pub(super) fn lost(progress: &Progress, message: &str) -> Refusal {
+    Refusal {
+        verdict: match progress.started {
+            true => Verdict::MayHaveRun,
+            false => Verdict::NotRun,
+        },
+        reason: Reason::LinkLost,
+        retry_after_ms: 0,
+        message: message.into(),
+    }
+}
+
+/// Notes the load that came with a reply.
+pub(super) fn report(req: &Request, target: &Chosen, load: Load) {
+    let model = match &req.work {
+        Work::Model { model, .. } => Some(model),
+        Work::Service { .. } => None,
+    };
+    target.target.report(load, model);
+}
+
+fn message(req: &Request) -> Offer {
+    Offer {
+        id: req.id,
+        work: req.work.clone(),
+        method: req.method.clone(),
+        path: req.path.clone(),
+        content_type: req.content_type.clone(),
+        rank: req.rank,
+        time_left_ms: millis(req.time_left()),
+        repeatable: req.repeatable,
+        start_when_ready: req.starts_when_ready(),
+        max_tokens: req.max_tokens,
+        body_bytes: u32::try_from(req.body.len()).unwrap_or(u32::MAX),
+    }
+}
--- /dev/null
+++ b/crates/stair-entry/src/traffic/request.rs
@@ -0,0 +1,188 @@
+//! A request that passed all checks.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use hyper::body::Incoming;
+use stair_config::{
+    Catalogue,
+    Model, //
+};
+use stair_types::{
+    AdapterName,
+    CallerName,
+    Reason,
+    RequestId,
+    ServiceName,
+    TierRank, //
+};
+use stair_wire::request::Work;
+use tokio::time::Instant;
+
+use crate::View;
+
+use super::{
+    Cx,
+    admit::Admitted,
+    auth::Who,
+    body,
+    headers::{
+        self,
+        Wishes, //
+    },
+    refuse::Refused,
+    route::Route,
+};
+
+/// A request that passed all checks and may be offered to targets.
+#[derive(Debug)]
+pub(super) struct Request {
+    pub(super) id: RequestId,
+    pub(super) caller: CallerName,
+    pub(super) rank: TierRank,
+    pub(super) work: Work,
+    pub(super) method: Box<str>,
+    pub(super) path: Box<str>,
+    pub(super) content_type: Box<str>,
+    pub(super) body: Bytes,
+    pub(super) max_tokens: u32,
+    pub(super) prefix_hash: u64,
+    pub(super) repeatable: bool,
+    pub(super) idempotency_key: Option<Box<str>>,
+    pub(super) deadline: Instant,
+}
+
+impl Request {
+    /// Returns the idempotency key if it has to be claimed before the start.
+    pub(super) fn key_to_claim(&self) -> Option<&str> {
+        self.idempotency_key.as_deref().filter(|_| !self.repeatable)
+    }
+
+    /// Tells whether an agent may start it without asking back.
+    pub(super) fn starts_when_ready(&self) -> bool {
+        self.repeatable && self.idempotency_key.is_none()
+    }
+
+    /// Returns the time left until the deadline.
+    pub(super) fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
+
+/// Takes a place in the entry, reads the body and checks it.
+pub(super) async fn receive<S>(
+    cx: &Cx<S>,
+    view: &Arc<View>,
+    id: RequestId,
+    received: Instant,
+    route: Route,
+    who: &Who,
+    req: hyper::Request<Incoming>,
+) -> Result<(Request, Admitted), Refused> {
+    let (head, incoming) = req.into_parts();
+    let wishes = headers::wishes(&head.headers)?;
+    let limit = u64::from(cx.limits.max_body_bytes);
+    let expected = wishes
+        .content_length
+        .unwrap_or(match incoming_is_empty(&incoming) {
+            true => 0,
+            false => limit,
+        });
+    if expected > limit {
+        return Err(Refused::too_large(cx.limits.max_body_bytes));
+    }
+    let tiers = view.catalogue.tiers.len();
+    let mut admitted = cx.gate.admit(who.rank, tiers, expected)?;
+    let body = body::read(incoming, &cx.limits).await?;
+    admitted.shrink(body.len() as u64);
+    let target = match route {
+        Route::Service { name, path } => service(&view.catalogue, &head.method, &name, path)?,
+        _ => inference(&view.catalogue, head.uri.path(), &body)?,
+    };
+    let timeout = timeout(&wishes, who, cx.limits.max_timeout_ms);
+    let req = Request {
+        id,
+        caller: who.name.clone(),
+        rank: who.rank,
+        work: target.work,
+        method: head.method.as_str().into(),
+        path: target.path,
+        prefix_hash: body::prefix_hash(&body),
+        body,
+        max_tokens: target.max_tokens,
+        repeatable: wishes.repeatable.unwrap_or(target.repeatable),
+        content_type: wishes.content_type,
+        idempotency_key: wishes.idempotency_key,
+        deadline: received + timeout,
+    };
+    Ok((req, admitted))
+}
+
+fn incoming_is_empty(incoming: &Incoming) -> bool {
+    hyper::body::Body::is_end_stream(incoming)
+}
+
+fn timeout(wishes: &Wishes, who: &Who, max_ms: u32) -> Duration {
+    let ms = wishes.timeout_ms.unwrap_or(who.timeout_ms).min(max_ms);
+    Duration::from_millis(ms.into())
+}
+
+/// What a request goes to and what the declarations say of it.
+struct Declared {
+    work: Work,
+    path: Box<str>,
+    max_tokens: u32,
+    repeatable: bool,
+}
+
+fn service(
+    catalogue: &Catalogue,
+    method: &hyper::Method,
+    name: &str,
+    path: Box<str>,
+) -> Result<Declared, Refused> {
+    let service = catalogue
+        .service(name)
+        .ok_or_else(|| Refused::new(Reason::Unknown, "no such service is declared"))?;
+    let bare = path.split('?').next().unwrap_or("/");
+    Ok(Declared {
+        repeatable: service.repeatable(method.as_str(), bare),
+        work: Work::Service {
+            service: ServiceName::clone(&service.name),
+        },
+        path,
+        max_tokens: 0,
+    })
+}
+
+fn inference(catalogue: &Catalogue, path: &str, body: &[u8]) -> Result<Declared, Refused> {
+    let fields = body::fields(body)?;
+    let (model, adapter) = model(catalogue, &fields.model).ok_or_else(|| {
+        let message = "no such model is declared; GET /v1/models lists them";
+        Refused::new(Reason::Unknown, message)
+    })?;
+    Ok(Declared {
+        work: Work::Model {
+            model: model.name.clone(),
+            adapter,
+        },
+        path: path.into(),
+        max_tokens: fields.tokens(),
+        repeatable: model.repeatable,
+    })
+}
+
+fn model<'a>(catalogue: &'a Catalogue, name: &str) -> Option<(&'a Model, Option<AdapterName>)> {
+    let (base, adapter) = match name.split_once('/') {
+        Some((base, adapter)) => (base, Some(adapter)),
+        None => (name, None),
+    };
+    let model = catalogue.model(base)?;
+    match adapter {
+        Some(adapter) => Some((model, Some(model.adapter(adapter)?.name.clone()))),
+        None => Some((model, None)),
+    }
+}
--- /dev/null
+++ b/crates/stair-entry/src/traffic/resume.rs
@@ -0,0 +1,108 @@
+//! Takes a started request up again after its link broke.
+//!
+//! A link goes silent because something between the VMs has lost track of it, while the run goes
+//! on at the target. The link closes itself, and a new one comes from a new local port. The agent
+//! has kept the answer, so the caller notices a pause and nothing else.
+
+use std::time::Duration;
+
+use stair_types::{
+    Reason,
+    Refusal, //
+};
+use stair_wire::request::ToAgent;
+use tokio::time::{
+    Instant,
+    sleep,
+    timeout_at, //
+};
+
+use super::{
+    Cx,
+    exchange::Exchange,
+    request::Request, //
+};
+
+/// Time for taking a request up again. The agent keeps an answer for ten seconds, and less is left
+/// by the time the loss is noticed.
+const RESUME_TIME: Duration = Duration::from_secs(8);
+
+/// Time between two attempts, so that a target that refuses connections is not flooded.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// The attempts to take one request up again.
+#[derive(Default)]
+pub(super) struct Resume {
+    until: Option<Instant>,
+}
+
+impl Resume {
+    /// Notes that the stream works.
+    pub(super) fn got_frame(&mut self) {
+        self.until = None;
+    }
+
+    /// Opens a new stream and asks for the answer from `received` on.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the agent cannot be reached in time, or has been replaced.
+    pub(super) async fn resume<S>(
+        &mut self,
+        cx: &Cx<S>,
+        req: &Request,
+        exchange: &mut Exchange,
+        received: u64,
+    ) -> Result<(), Refusal> {
+        exchange.target.target.failed();
+        let is_first = self.until.is_none();
+        let until = *self
+            .until
+            .get_or_insert_with(|| Instant::now() + RESUME_TIME);
+        if !is_first {
+            sleep(PAUSE).await;
+        }
+        while Instant::now() < until {
+            if is_replaced(cx, exchange) {
+                return Err(lost("the target was replaced during the run"));
+            }
+            let attempt = once(cx, req, exchange, received);
+            if let Ok(Ok(())) = timeout_at(until, attempt).await {
+                return Ok(());
+            }
+            sleep(PAUSE).await;
+        }
+        Err(lost("the link to the target could not be replaced"))
+    }
+}
+
+async fn once<S>(
+    cx: &Cx<S>,
+    req: &Request,
+    exchange: &mut Exchange,
+    received: u64,
+) -> anyhow::Result<()> {
+    let link = cx.pool.get(exchange.target.link).await?;
+    exchange.reopen(&link).await?;
+    let incarnation = exchange.incarnation;
+    let resume = ToAgent::Resume {
+        id: req.id,
+        offset: received,
+        incarnation,
+    };
+    exchange.send(&resume).await?;
+    Ok(())
+}
+
+/// A later incarnation of the agent knows nothing of the run, so waiting for it is no use.
+fn is_replaced<S>(cx: &Cx<S>, exchange: &Exchange) -> bool {
+    let view = cx.latest();
+    let at = view
+        .targets
+        .binary_search_by(|t| t.name.cmp(&exchange.target.name));
+    at.is_ok_and(|i| view.targets[i].token > exchange.incarnation)
+}
+
+fn lost(message: &str) -> Refusal {
+    Refusal::may_have_run(Reason::LinkLost, 0, message)
+}
--- /dev/null
+++ b/crates/stair-entry/src/traffic/run.rs
@@ -0,0 +1,94 @@
+//! Sees one request through to its answer or its refusal, by its deadline.
+
+use std::sync::Arc;
+
+use hyper::Response;
+use stair_http::Body;
+use stair_platform::ObjectStore;
+use stair_types::{
+    Reason,
+    Refusal,
+    Verdict, //
+};
+
+use super::{
+    Cx,
+    admit::Admitted,
+    caller::{
+        self,
+        Caller, //
+    },
+    dispatch,
+    request::Request,
+};
+
+/// How far a request has come, as far as its verdict depends on it.
+pub(super) struct Progress {
+    pub(super) place: Admitted,
+    /// `Start` may have been sent to the present target, which has not said that it never ran.
+    pub(super) started: bool,
+    /// An earlier target may have run it.
+    pub(super) doubtful: bool,
+    /// The idempotency key may be claimed for this request.
+    pub(super) claimed: bool,
+}
+
+impl Progress {
+    fn may_have_run(&self) -> bool {
+        self.started || self.doubtful
+    }
+}
+
+/// Runs a request in a task of its own and returns the response once its head is known.
+///
+/// A caller that leaves drops the handler of its request at any point. The task outlives it, so
+/// that the request is withdrawn at its agent and its claim is given back.
+pub(super) async fn spawn<S>(cx: Arc<Cx<S>>, req: Request, place: Admitted) -> Response<Body>
+where
+    S: ObjectStore,
+{
+    let (caller, waiting) = caller::pair(&cx.limits, req.id);
+    tokio::spawn(run(cx, req, place, caller));
+    waiting.response().await
+}
+
+async fn run<S>(cx: Arc<Cx<S>>, req: Request, place: Admitted, mut caller: Caller)
+where
+    S: ObjectStore,
+{
+    let mut progress = Progress {
+        place,
+        started: false,
+        doubtful: false,
+        claimed: false,
+    };
+    let gone = caller.gone();
+    // Whatever ends the wait first drops the stream to the agent, which withdraws the request
+    // there.
+    let result = tokio::select! {
+        biased;
+        result = dispatch::dispatch(&cx, &req, &mut caller, &mut progress) => result,
+        () = gone => Err(withdrawn()),
+        () = tokio::time::sleep_until(req.deadline) => Err(too_late()),
+    };
+    let Err(mut refusal) = result else {
+        return;
+    };
+    // A target that refused after another one may have run the request does not make it not run.
+    if progress.may_have_run() {
+        refusal.verdict = Verdict::MayHaveRun;
+    }
+    if refusal.verdict == Verdict::NotRun && progress.claimed {
+        cx.claims.release(&req);
+    }
+    cx.refusals.count(&refusal);
+    caller.fail(refusal).await;
+}
+
+fn withdrawn() -> Refusal {
+    Refusal::not_run(Reason::Withdrawn, 0, "the caller left")
+}
+
+fn too_late() -> Refusal {
+    Refusal::not_run(Reason::DeadlinePassed, 0, "the deadline passed")
+}
--- /dev/null
+++ b/crates/stair-entry/src/traffic/shard.rs
@@ -0,0 +1,79 @@
+//! The rules of one shard of claims: who holds a key, and when a claim may be forgotten.
+
+use stair_platform::{
+    Claim,
+    ClaimShard, //
+};
+use stair_types::RequestId;
+
+/// Claims in one shard; about 150 bytes each, well under the platform's limit of a megabyte.
+pub(super) const MAX_CLAIMS: usize = 5_000;
+
+/// One change that a request wants.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Change {
+    /// Claim a key.
+    Claim(Claim),
+    /// Give a claim back.
+    Release {
+        /// The key.
+        key: Box<str>,
+        /// The request that claimed it.
+        request: RequestId,
+    },
+}
+
+/// What a change came to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Outcome {
+    /// The request holds the key, or no longer holds it after a release.
+    Done,
+    /// Another request holds the key.
+    Taken,
+    /// The shard has no room.
+    Full,
+}
+
+/// Applies changes in order, and tells whether the shard has to be written.
+///
+/// Applying a change again is harmless, so a write whose answer was lost is settled by reading the
+/// shard and applying again.
+pub(super) fn apply(
+    shard: &mut ClaimShard,
+    changes: &[Change],
+    now_s: u64,
+) -> (Vec<Outcome>, bool) {
+    let before = shard.claims.clone();
+    shard.claims.retain(|c| c.expires_s > now_s);
+    let pruned = shard.claims.clone();
+    let outcomes = changes.iter().map(|c| apply_one(shard, c)).collect();
+    let changed = shard.claims != pruned;
+    if !changed {
+        shard.claims = before;
+    }
+    (outcomes, changed)
+}
+
+fn apply_one(shard: &mut ClaimShard, change: &Change) -> Outcome {
+    match change {
+        Change::Claim(claim) => add(shard, claim),
+        Change::Release { key, request } => {
+            shard
+                .claims
+                .retain(|c| c.key != *key || c.request != *request);
+            Outcome::Done
+        }
+    }
+}
+
+fn add(shard: &mut ClaimShard, claim: &Claim) -> Outcome {
+    match shard.claims.binary_search_by(|c| c.key.cmp(&claim.key)) {
+        Ok(i) if shard.claims[i].request == claim.request => Outcome::Done,
+        Ok(_) => Outcome::Taken,
+        Err(_) if shard.claims.len() >= MAX_CLAIMS => Outcome::Full,
+        Err(i) => {
+            shard.claims.insert(i, claim.clone());
+            Outcome::Done
+        }
+    }
+}
--- /dev/null
+++ b/crates/stair-entry/src/traffic/start.rs
@@ -0,0 +1,95 @@
+//! Waits until a queued request can run, claims its key and starts it once.
+
+use stair_platform::ObjectStore;
+use stair_types::{
+    Reason,
+    Refusal, //
+};
+use stair_wire::{
+    frame::Frame,
+    request::{
+        FromAgent,
+        ToAgent, //
+    },
+};
+
+use super::{
+    Cx,
+    admit::Phase,
+    claim,
+    exchange::Exchange,
+    offer,
+    request::Request,
+    run::Progress, //
+};
+
+/// Told to callers whose key cannot be claimed, in milliseconds.
+const PLATFORM_RETRY_MS: u32 = 3_000;
+
+/// Waits for the agent to be ready and sends it `Start`.
+///
+/// # Errors
+///
+/// Fails when the agent refuses or its link breaks, or when the key cannot be claimed; the request
+/// has not run then.
+pub(super) async fn start<S>(
+    cx: &Cx<S>,
+    req: &Request,
+    exchange: &mut Exchange,
+    progress: &mut Progress,
+) -> Result<(), Refusal>
+where
+    S: ObjectStore,
+{
+    ready(req, exchange, progress).await?;
+    if req.key_to_claim().is_some() {
+        progress.place.enter(Phase::Claiming);
+        progress.claimed = true;
+        cx.claims.claim(req).await.map_err(refusal)?;
+    }
+    // A failed write may have left the process all the same. From here on only the agent knows,
+    // and a resume asks it.
+    progress.started = true;
+    let _ = exchange.send(&ToAgent::Start).await;
+    Ok(())
+}
+
+async fn ready(req: &Request, exchange: &mut Exchange, progress: &Progress) -> Result<(), Refusal> {
+    loop {
+        match exchange.read().await {
+            Ok(Frame::Message(FromAgent::Ready)) => return Ok(()),
+            Ok(Frame::Message(FromAgent::Queued { load, .. })) => {
+                offer::report(req, &exchange.target, load);
+            }
+            Ok(Frame::Message(FromAgent::Refused { refusal, load })) => {
+                offer::report(req, &exchange.target, load);
+                exchange.over();
+                return Err(refusal);
+            }
+            Ok(_) | Err(_) => {
+                return Err(offer::lost(progress, "the link to the target broke"));
+            }
+        }
+    }
+}
+
+fn refusal(e: claim::Error) -> Refusal {
+    match e {
+        // The other request with this key may be running, may have run, or may be refused yet.
+        claim::Error::Duplicate => Refusal::may_have_run(
+            Reason::Duplicate,
+            0,
+            "the idempotency key was used before; that request may have run",
+        ),
+        claim::Error::Full => Refusal::not_run(
+            Reason::QueueFull,
+            PLATFORM_RETRY_MS,
+            "too many idempotency keys are in use",
+        ),
+        claim::Error::PlatformDown => Refusal::not_run(
+            Reason::PlatformDown,
+            PLATFORM_RETRY_MS,
+            "the idempotency key cannot be claimed now",
+        ),
+    }
+}
