entry: start and stop the whole process

Cause: control and traffic were two halves without a process around them.

Change: the process binds all addresses, runs control on its thread and traffic on the runtime, answers the operator, and stops without cutting a request: refuse, finish, go on listening for `drain_linger_ms` so that the balancer notices, then close.

--- a/crates/stair-config/src/read_settings.rs
+++ b/crates/stair-config/src/read_settings.rs
@@ -36,7 +36,7 @@
     "limits",
     "telemetry",
 ];
-const ENTRY_LIMITS: [&str; 7] = [
+const ENTRY_LIMITS: [&str; 8] = [
     "max_body_bytes",
     "max_connections",
     "max_requests",
@@ -44,6 +44,7 @@
     "receive_timeout_ms",
     "write_stall_ms",
     "max_timeout_ms",
+    "drain_linger_ms",
 ];
 const AGENT_FIELDS: [&str; 9] = [
     "name",
@@ -295,6 +296,7 @@
     );
     let write_stall_ms = fields.integer(p, "write_stall_ms", 1..=MAX_MS, Some(d.write_stall_ms));
     let max_timeout_ms = fields.integer(p, "max_timeout_ms", 1..=MAX_MS, Some(d.max_timeout_ms));
+    let drain_linger_ms = fields.integer(p, "drain_linger_ms", 0..=MAX_MS, Some(d.drain_linger_ms));
     if let (Some(body), Some(waiting)) = (max_body_bytes, max_waiting_bytes)
         && waiting < u64::from(body)
     {
@@ -309,6 +311,7 @@
         receive_timeout_ms: receive_timeout_ms?,
         write_stall_ms: write_stall_ms?,
         max_timeout_ms: max_timeout_ms?,
+        drain_linger_ms: drain_linger_ms?,
     })
 }
 
--- a/crates/stair-config/src/settings.rs
+++ b/crates/stair-config/src/settings.rs
@@ -66,6 +66,10 @@
     pub write_stall_ms: u32,
     /// Longest timeout that a caller may ask for, in milliseconds.
     pub max_timeout_ms: u32,
+    /// A stopping entry goes on listening for so long, in milliseconds, and refuses what comes: the
+    /// balancer needs a few health checks to notice. A connection that the balancer opened
+    /// meanwhile would be reset otherwise, and its request cut.
+    pub drain_linger_ms: u32,
 }
 
 impl Default for EntryLimits {
@@ -78,6 +82,7 @@
             receive_timeout_ms: 10_000,
             write_stall_ms: 15_000,
             max_timeout_ms: 600_000,
+            drain_linger_ms: 5_000,
         }
     }
 }
--- /dev/null
+++ b/crates/stair-entry/src/process.rs
@@ -0,0 +1,260 @@
+//! A whole entry: control on its thread, traffic on the runtime that calls this.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+use anyhow::Context;
+use serde_json::{
+    Value,
+    json, //
+};
+use stair_config::EntrySettings;
+use stair_link::{
+    Dialer,
+    Keys,
+    Pool,
+    link::Probing, //
+};
+use stair_platform::ObjectStore;
+use stair_telemetry::{
+    Part, info,
+    operator::{
+        self,
+        Routes, //
+    },
+};
+use tokio::{
+    net::TcpListener,
+    sync::watch,
+    task::JoinHandle,
+    time::Instant, //
+};
+
+use crate::{
+    control::{
+        Control,
+        Options,
+        thread::Asker, //
+    },
+    traffic::Traffic,
+    view::View,
+};
+
+/// Time to open a link. Between data centres a handshake takes some ten milliseconds; a VM that
+/// is gone answers nothing, and another target is tried after this time.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(750);
+
+/// A running entry.
+pub struct Entry<S> {
+    parts: Arc<Parts<S>>,
+    control: Control,
+    addresses: Addresses,
+    ended: watch::Sender<bool>,
+    servers: Vec<JoinHandle<()>>,
+    linger: Duration,
+}
+
+/// The addresses that were bound.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Addresses {
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where agents and other entries connect.
+    pub link: SocketAddr,
+    /// Where the operator connects.
+    pub operator: SocketAddr,
+}
+
+struct Parts<S> {
+    traffic: Traffic<S>,
+    asker: Asker,
+    dialer: Dialer,
+    pool: Pool,
+    view: watch::Receiver<Arc<View>>,
+    drain: watch::Sender<bool>,
+}
+
+impl<S> Entry<S>
+where
+    S: ObjectStore,
+{
+    /// Binds all addresses and starts to serve. Callers are refused until a configuration is
+    /// known.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address is taken or the keys cannot be used.
+    pub async fn start(settings: EntrySettings, keys: Keys, store: S) -> anyhow::Result<Self> {
+        let listen = bind(settings.listen, "callers").await?;
+        let operator = bind(settings.operator, "the operator").await?;
+        let control = Control::start(Options {
+            name: settings.name.clone(),
+            link: settings.link,
+            keys: keys.clone(),
+            peers: settings.peers.clone(),
+            connect_timeout: CONNECT_TIMEOUT,
+            store: store.clone(),
+        })
+        .await?;
+        let addresses = Addresses {
+            listen: listen.local_addr()?,
+            link: control.link(),
+            operator: operator.local_addr()?,
+        };
+        let dialer = Dialer::new(&keys, CONNECT_TIMEOUT)?;
+        let pool = Pool::new(dialer.clone(), Probing::REQUESTS);
+        let (drain, _) = watch::channel(false);
+        let parts = Arc::new(Parts {
+            traffic: Traffic::new(
+                control.view(),
+                settings.data_centre.clone(),
+                settings.limits.clone(),
+                pool.clone(),
+                store,
+            ),
+            asker: control.asker(),
+            dialer,
+            pool,
+            view: control.view(),
+            drain,
+        });
+        let (ended, stop) = watch::channel(false);
+        let traffic = parts.traffic.clone();
+        let callers_stop = stop.clone();
+        let servers = vec![
+            tokio::spawn(async move { traffic.serve(listen, callers_stop).await }),
+            tokio::spawn(operator::serve(operator, stop, routes(&parts))),
+        ];
+        info!(
+            Part::Entry,
+            "Entry {} serves callers on {}, links on {}, the operator on {}.",
+            settings.name,
+            addresses.listen,
+            addresses.link,
+            addresses.operator
+        );
+        Ok(Self {
+            parts,
+            control,
+            addresses,
+            ended,
+            servers,
+            linger: Duration::from_millis(settings.limits.drain_linger_ms.into()),
+        })
+    }
+
+    /// Returns the bound addresses.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Returns what control publishes.
+    pub fn view(&self) -> watch::Receiver<Arc<View>> {
+        self.parts.view.clone()
+    }
+
+    /// Returns the state dump.
+    pub async fn dump(&self) -> Value {
+        dump(&self.parts).await
+    }
+
+    /// Waits until the operator asks for a planned stop.
+    pub async fn drain_asked(&self) {
+        let mut asked = self.parts.drain.subscribe();
+        // The sender lives as long as this entry.
+        let _ = asked.wait_for(|d| *d).await;
+    }
+
+    /// Stops without cutting a request: refuses new ones, finishes those in the entry, and listens
+    /// for a while longer so that the balancer has time to notice.
+    pub async fn stop(self) {
+        info!(Part::Entry, "The planned stop begins.");
+        let until = Instant::now() + self.linger;
+        self.parts.traffic.begin_drain();
+        self.parts.traffic.drained().await;
+        tokio::time::sleep_until(until).await;
+        // Requests refused at the very end are finished too: the servers end their connections
+        // gracefully.
+        self.ended.send_replace(true);
+        for server in self.servers {
+            let _ = server.await;
+        }
+        self.control.stop().await;
+        info!(Part::Entry, "The planned stop is done.");
+    }
+}
+
+/// Runs an entry until `stop` turns true or the operator asks for a planned stop.
+///
+/// # Errors
+///
+/// As [`Entry::start`].
+pub async fn run<S>(
+    settings: EntrySettings,
+    keys: Keys,
+    store: S,
+    mut stop: watch::Receiver<bool>,
+) -> anyhow::Result<()>
+where
+    S: ObjectStore,
+{
+    let entry = Entry::start(settings, keys, store).await?;
+    tokio::select! {
+        _ = stop.wait_for(|s| *s) => {}
+        () = entry.drain_asked() => {}
+    }
+    entry.stop().await;
+    Ok(())
+}
+
+async fn bind(addr: SocketAddr, who: &str) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(addr)
+        .await
+        .with_context(|| format!("the address {addr} for {who} cannot be bound"))
+}
+
+fn routes<S>(
+    parts: &Arc<Parts<S>>,
+) -> Routes<
+    impl Fn() -> BoxedAnswer<Value> + Clone + Send + Sync + 'static,
+    impl Fn() -> BoxedAnswer<Value> + Clone + Send + Sync + 'static,
+    impl Fn() -> BoxedAnswer<()> + Clone + Send + Sync + 'static,
+>
+where
+    S: ObjectStore,
+{
+    let (for_status, for_dump, for_drain) = (parts.clone(), parts.clone(), parts.clone());
+    Routes {
+        status: move || -> BoxedAnswer<Value> {
+            let asker = for_status.asker.clone();
+            Box::pin(async move { asker.status().await })
+        },
+        dump: move || -> BoxedAnswer<Value> {
+            let parts = for_dump.clone();
+            Box::pin(async move { dump(&parts).await })
+        },
+        drain: move || -> BoxedAnswer<()> {
+            for_drain.drain.send_replace(true);
+            Box::pin(std::future::ready(()))
+        },
+    }
+}
+
+type BoxedAnswer<T> = std::pin::Pin<Box<dyn Future<Output = T> + Send>>;
+
+async fn dump<S>(parts: &Parts<S>) -> Value
+where
+    S: ObjectStore,
+{
+    json!({
+        "control": parts.asker.dump().await,
+        "traffic": parts.traffic.dump(),
+        "links": {
+            "live": parts.pool.live(),
+            "local_port_replaced": parts.dialer.replaced(),
+        },
+    })
+}
