--- /dev/null
+++ b/crates/stair-agent/src/control.rs
@@ -0,0 +1,387 @@
+//! The actor that decides: what waits, what may run, what the engine is ordered to do.
+//!
+//! It runs on a thread of its own, does no I/O in its decisions, and gives every order to a task
+//! that reports back with a message.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use ractor::{
+    Actor,
+    ActorProcessingErr,
+    ActorRef, //
+};
+use stair_config::{
+    AgentLimits,
+    TargetSettings, //
+};
+use stair_http::Client;
+use stair_link::Pool;
+use stair_state::{
+    Ledger,
+    RunTable,
+    ledger::Item, //
+};
+use stair_types::{
+    ConfigVersion,
+    FencingToken,
+    GrantId,
+    Refusal,
+    RequestId,
+    ShardId,
+    TargetName, //
+};
+use stair_wire::{
+    control::{
+        Assignment,
+        EntryAddress, //
+    },
+    request::{
+        Load,
+        Offer, //
+    }, //
+};
+use tokio::{
+    sync::{
+        mpsc,
+        oneshot,
+        watch, //
+    },
+    time::Instant, //
+};
+
+use crate::{
+    answers::Answer,
+    assignment::InForce,
+    dump::Dump,
+    engine::{
+        Engine,
+        Listed,
+        Ordered, //
+    },
+    queue::Queue, //
+};
+
+/// Time between the control's own ticks.
+const TICK: Duration = Duration::from_millis(100);
+
+/// A process that was paused finds a gap between its ticks. Meanwhile another agent may have
+/// ordered the engine, so its list is read before the next order. A busy machine delays ticks by
+/// less than this.
+const PAUSED: Duration = Duration::from_secs(1);
+
+/// What the control thread is told.
+pub(crate) enum Msg {
+    Offer {
+        offer: Box<Offer>,
+        body: Bytes,
+        events: mpsc::UnboundedSender<Event>,
+    },
+    Start {
+        id: RequestId,
+        reply: oneshot::Sender<Option<Arc<Answer>>>,
+    },
+    Withdraw {
+        id: RequestId,
+    },
+    Resume {
+        id: RequestId,
+        incarnation: FencingToken,
+        reply: oneshot::Sender<Result<Arc<Answer>, Refusal>>,
+    },
+    RunEnded {
+        id: RequestId,
+        run: Duration,
+        /// The target does not hold what it should, or cannot be reached.
+        suspect: bool,
+    },
+    Forget {
+        id: RequestId,
+    },
+    Assign(Box<Assignment>),
+    LoadEnded {
+        item: Item,
+        ended: Ordered,
+        took: Duration,
+    },
+    UnloadEnded {
+        item: Item,
+        ended: Ordered,
+    },
+    Listed(Option<Listed>),
+    Tick,
+    Stop,
+    Dump {
+        reply: oneshot::Sender<Dump>,
+    },
+}
+
+/// What the stream of an offer is told.
+#[derive(Debug)]
+pub(crate) enum Event {
+    Queued(Load),
+    Ready,
+    Started(Arc<Answer>),
+    Refused(Refusal, Load),
+}
+
+/// What the agent tells its entries.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(crate) struct Statement {
+    pub(crate) config: ConfigVersion,
+    pub(crate) shards: Vec<(ShardId, u64)>,
+    pub(crate) released: Vec<(ShardId, GrantId)>,
+    pub(crate) leaving: bool,
+}
+
+/// What the control publishes.
+#[derive(Clone)]
+pub(crate) struct Published {
+    pub(crate) statement: watch::Sender<Statement>,
+    pub(crate) load: watch::Sender<Load>,
+    /// Requests that run, and answers that are being read.
+    pub(crate) busy: watch::Sender<usize>,
+    /// Why the agent must stop serving at once.
+    pub(crate) fatal: watch::Sender<Option<Box<str>>>,
+}
+
+/// What the control thread starts from.
+pub(crate) struct Arguments {
+    pub(crate) name: TargetName,
+    pub(crate) incarnation: FencingToken,
+    pub(crate) limits: AgentLimits,
+    pub(crate) target: TargetSettings,
+    pub(crate) client: Client,
+    pub(crate) engine: Option<Engine>,
+    pub(crate) ledger: Ledger,
+    pub(crate) in_force: InForce,
+    pub(crate) traffic: tokio::runtime::Handle,
+    pub(crate) published: Published,
+    pub(crate) entries: watch::Receiver<Vec<EntryAddress>>,
+    pub(crate) pool: Pool,
+}
+
+/// The actor.
+pub(crate) struct Control;
+
+/// An offer that has not started.
+pub(crate) struct Pending {
+    pub(crate) offer: Box<Offer>,
+    pub(crate) item: Option<Item>,
+    pub(crate) deadline: Duration,
+    pub(crate) body: Bytes,
+    pub(crate) events: mpsc::UnboundedSender<Event>,
+}
+
+/// A request that holds a slot of the target.
+pub(crate) struct Active {
+    pub(crate) id: RequestId,
+    pub(crate) item: Option<Item>,
+    pub(crate) started: bool,
+}
+
+/// A load that failed and is not tried again yet.
+pub(crate) struct Failure {
+    pub(crate) item: Item,
+    pub(crate) count: u32,
+    pub(crate) retry_at: Duration,
+}
+
+/// The state of the control thread.
+pub(crate) struct Core {
+    pub(crate) me: ActorRef<Msg>,
+    pub(crate) args: Arguments,
+    pub(crate) began: Instant,
+    pub(crate) in_force: InForce,
+    pub(crate) ledger: Ledger,
+    pub(crate) runs: RunTable,
+    pub(crate) queue: Queue,
+    /// Sorted by id.
+    pub(crate) pending: Vec<Pending>,
+    pub(crate) active: Vec<Active>,
+    /// Sorted by id.
+    pub(crate) answers: Vec<(RequestId, Arc<Answer>)>,
+    /// Sorted by item.
+    pub(crate) used: Vec<(Item, Duration)>,
+    pub(crate) failures: Vec<Failure>,
+    /// Orders whose answers are awaited.
+    pub(crate) orders: usize,
+    pub(crate) listing: bool,
+    /// The engine's list has to be read before the next order.
+    pub(crate) relist: bool,
+    pub(crate) leaving: bool,
+    pub(crate) mean_run: Duration,
+    pub(crate) mean_load: Duration,
+    pub(crate) loads: u64,
+    pub(crate) last_seen: Duration,
+}
+
+impl Actor for Control {
+    type Msg = Msg;
+    type State = Core;
+    type Arguments = Arguments;
+
+    async fn pre_start(
+        &self,
+        me: ActorRef<Msg>,
+        args: Arguments,
+    ) -> Result<Core, ActorProcessingErr> {
+        tokio::spawn(tick(me.clone()));
+        let core = Core::new(me, args);
+        core.publish();
+        Ok(core)
+    }
+
+    async fn handle(
+        &self,
+        _me: ActorRef<Msg>,
+        msg: Msg,
+        core: &mut Core,
+    ) -> Result<(), ActorProcessingErr> {
+        core.notice_pause();
+        core.take(msg);
+        core.advance();
+        Ok(())
+    }
+}
+
+async fn tick(me: ActorRef<Msg>) {
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        if me.send_message(Msg::Tick).is_err() {
+            return;
+        }
+    }
+}
+
+impl Core {
+    fn new(me: ActorRef<Msg>, args: Arguments) -> Self {
+        Self {
+            me,
+            began: Instant::now(),
+            in_force: args.in_force.clone(),
+            ledger: args.ledger.clone(),
+            args,
+            runs: RunTable::default(),
+            queue: Queue::default(),
+            pending: Vec::new(),
+            active: Vec::new(),
+            answers: Vec::new(),
+            used: Vec::new(),
+            failures: Vec::new(),
+            orders: 0,
+            listing: false,
+            relist: false,
+            leaving: false,
+            mean_run: Duration::from_millis(200),
+            mean_load: Duration::from_secs(2),
+            loads: 0,
+            last_seen: Duration::ZERO,
+        }
+    }
+
+    /// Returns the time since the agent's start.
+    pub(crate) fn now(&self) -> Duration {
+        self.began.elapsed()
+    }
+
+    fn notice_pause(&mut self) {
+        let now = self.now();
+        if now - self.last_seen > PAUSED {
+            spdlog::warn!("agent: was paused for {:?}", now - self.last_seen);
+            self.relist = self.args.engine.is_some();
+        }
+        self.last_seen = now;
+    }
+
+    fn take(&mut self, msg: Msg) {
+        match msg {
+            Msg::Offer {
+                offer,
+                body,
+                events,
+            } => self.offer(offer, body, events),
+            Msg::Start { id, reply } => {
+                let _ = reply.send(self.start(id));
+            }
+            Msg::Withdraw { id } => drop(self.withdraw(id)),
+            Msg::Resume {
+                id,
+                incarnation,
+                reply,
+            } => {
+                let _ = reply.send(self.resume(id, incarnation));
+            }
+            Msg::RunEnded { id, run, suspect } => self.run_ended(id, run, suspect),
+            Msg::Forget { id } => self.forget(id),
+            Msg::Assign(assignment) => self.assign(*assignment),
+            Msg::LoadEnded { item, ended, took } => self.load_ended(&item, ended, took),
+            Msg::UnloadEnded { item, ended } => self.unload_ended(&item, ended),
+            Msg::Listed(listed) => self.listed(listed),
+            Msg::Tick => self.tick(),
+            Msg::Stop => self.leave(),
+            Msg::Dump { reply } => drop(reply.send(self.dump())),
+        }
+    }
+
+    /// Does everything that the present state allows.
+    fn advance(&mut self) {
+        self.expire();
+        self.settle();
+        if self.may_order() {
+            self.hand_out();
+            self.reconcile();
+            self.order_loads();
+        }
+        self.give_back();
+        self.publish();
+    }
+
+    fn assign(&mut self, assignment: Assignment) {
+        if self.in_force.take(assignment) {
+            self.refuse_ungranted();
+        }
+    }
+
+    /// Stops taking work. What runs goes on to its end.
+    pub(crate) fn leave(&mut self) {
+        self.leaving = true;
+        self.refuse_all_leaving();
+    }
+
+    /// A later agent of this target has ordered the engine: orders of this one would break what
+    /// the other relies on.
+    pub(crate) fn superseded(&mut self) {
+        let why = "a later agent of the target has taken over the engine";
+        self.args.published.fatal.send_replace(Some(why.into()));
+        self.leave();
+    }
+
+    fn publish(&self) {
+        let statement = Statement {
+            config: self.in_force.config(),
+            shards: self.in_force.versions(),
+            released: self.in_force.released().to_vec(),
+            leaving: self.leaving,
+        };
+        let published = &self.args.published;
+        published.statement.send_if_modified(|s| {
+            let changed = *s != statement;
+            *s = statement;
+            changed
+        });
+        published.load.send_replace(self.load(None));
+        let read = self.answers.iter().filter(|(_, a)| a.is_read()).count();
+        let busy = self.active.len() + read;
+        published.busy.send_if_modified(|b| {
+            let changed = *b != busy;
+            *b = busy;
+            changed
+        });
+    }
+}
--- /dev/null
+++ b/crates/stair-agent/src/control_links.rs
@@ -0,0 +1,265 @@
+//! The agent's links to two entries, which bring its assignment and take its statements.
+
+use std::{
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::Duration,
+};
+
+use ractor::ActorRef;
+use stair_link::{
+    Dialer,
+    RecvStream,
+    SendStream,
+    link::Probing, //
+};
+use stair_types::{
+    DataCentre,
+    EntryName,
+    FencingToken,
+    TargetName,
+    rendezvous, //
+};
+use stair_wire::{
+    control::{
+        AgentControl,
+        EntryAddress,
+        EntryControl,
+        Hello,
+        Opening, //
+    },
+    frame, //
+};
+use tokio::{
+    sync::{
+        mpsc,
+        watch, //
+    },
+    time::Instant, //
+};
+
+use crate::{
+    control::{
+        Msg,
+        Statement, //
+    },
+    incarnation::Pause,
+};
+
+/// Links an agent keeps: one may break while a configuration change is under way.
+const LINKS: usize = 2;
+
+/// An entry that could not be reached is passed over for this time when there are others.
+const AVOID: Duration = Duration::from_secs(5);
+
+/// A link that lived so long counts as good, and the next try comes soon.
+const GOOD: Duration = Duration::from_secs(10);
+
+/// What the links need.
+#[derive(Clone)]
+pub(crate) struct Context {
+    pub(crate) target: TargetName,
+    pub(crate) incarnation: FencingToken,
+    pub(crate) data_centre: DataCentre,
+    pub(crate) dialer: Dialer,
+    pub(crate) control: ActorRef<Msg>,
+    pub(crate) statement: watch::Receiver<Statement>,
+    pub(crate) entries: watch::Sender<Vec<EntryAddress>>,
+    pub(crate) linked: watch::Sender<Vec<EntryName>>,
+    slots: Arc<Mutex<Slots>>,
+}
+
+#[derive(Default)]
+struct Slots {
+    taken: [Option<EntryName>; LINKS],
+    failed: Vec<(EntryName, Instant)>,
+}
+
+impl Context {
+    pub(crate) fn new(
+        hello: (TargetName, FencingToken, DataCentre),
+        dialer: Dialer,
+        control: ActorRef<Msg>,
+        statement: watch::Receiver<Statement>,
+        entries: watch::Sender<Vec<EntryAddress>>,
+    ) -> Self {
+        let (target, incarnation, data_centre) = hello;
+        Self {
+            target,
+            incarnation,
+            data_centre,
+            dialer,
+            control,
+            statement,
+            entries,
+            linked: watch::Sender::new(Vec::new()),
+            slots: Arc::default(),
+        }
+    }
+
+    fn slots(&self) -> MutexGuard<'_, Slots> {
+        self.slots.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the entries, best first: those of the own data centre, by rendezvous hash.
+    fn ranked(&self) -> Vec<EntryAddress> {
+        let entries = self.entries.borrow().clone();
+        let names = entries.iter().map(|e| e.name.as_str());
+        let order = rendezvous::ranked(self.target.as_str(), names);
+        let (own, others): (Vec<usize>, Vec<usize>) = order
+            .into_iter()
+            .partition(|i| entries[*i].data_centre == self.data_centre);
+        own.into_iter()
+            .chain(others)
+            .map(|i| entries[i].clone())
+            .collect()
+    }
+
+    fn choose(&self, slot: usize) -> Option<EntryAddress> {
+        let ranked = self.ranked();
+        let mut slots = self.slots();
+        slots.failed.retain(|(_, at)| at.elapsed() < AVOID);
+        let free = |e: &&EntryAddress| {
+            let mut taken = slots.taken.iter().flatten();
+            !taken.any(|name| *name == e.name)
+        };
+        let good = |e: &&EntryAddress| !slots.failed.iter().any(|(name, _)| *name == e.name);
+        let mut candidates = ranked.iter().filter(free);
+        let best = candidates.clone().find(good).or_else(|| candidates.next());
+        let best = best.cloned();
+        slots.taken[slot] = best.as_ref().map(|e| e.name.clone());
+        best
+    }
+
+    fn give_up(&self, slot: usize, name: &EntryName) {
+        let mut slots = self.slots();
+        slots.taken[slot] = None;
+        slots.failed.push((name.clone(), Instant::now()));
+    }
+}
+
+/// Keeps the links until the agent ends.
+pub(crate) async fn keep(cx: Context) {
+    let mut tasks = tokio::task::JoinSet::new();
+    for slot in 0..LINKS {
+        tasks.spawn(keep_one(cx.clone(), slot));
+    }
+    while tasks.join_next().await.is_some() {}
+}
+
+async fn keep_one(cx: Context, slot: usize) {
+    let mut pause = Pause::default();
+    loop {
+        let mut entries = cx.entries.subscribe();
+        let Some(entry) = cx.choose(slot) else {
+            tokio::select! {
+                _ = entries.changed() => {}
+                () = pause.wait() => {}
+            }
+            continue;
+        };
+        let began = Instant::now();
+        let result = serve(&cx, &entry).await;
+        cx.linked.send_modify(|l| l.retain(|n| *n != entry.name));
+        if let Err(e) = result {
+            spdlog::info!("agent: the link to {} ended: {e}", entry.name);
+        }
+        cx.give_up(slot, &entry.name);
+        if began.elapsed() > GOOD {
+            pause = Pause::default();
+        }
+        pause.wait().await;
+    }
+}
+
+async fn serve(cx: &Context, entry: &EntryAddress) -> anyhow::Result<()> {
+    let link = cx.dialer.connect(entry.link, Probing::CONTROL).await?;
+    let _in_use = link.use_it();
+    let (mut tx, rx) = link.open().await?;
+    let mut statement = cx.statement.clone();
+    let said = statement.borrow_and_update().clone();
+    let hello = Hello {
+        target: cx.target.clone(),
+        incarnation: cx.incarnation,
+        data_centre: cx.data_centre.clone(),
+        shards: said.shards.clone(),
+        config: said.config,
+    };
+    frame::write_message(&mut tx, &Opening::Agent(hello)).await?;
+    cx.linked.send_modify(|l| l.push(entry.name.clone()));
+    say(&mut tx, &Statement::default(), &said).await?;
+    let mut said = said;
+    let mut from_entry = messages(rx);
+    let mut entries = cx.entries.subscribe();
+    loop {
+        tokio::select! {
+            msg = from_entry.recv() => match msg {
+                Some(EntryControl::Assignment(assignment)) => {
+                    cx.control.send_message(Msg::Assign(Box::new(assignment)))?;
+                }
+                Some(EntryControl::Entries { entries }) => {
+                    cx.entries.send_if_modified(|held| {
+                        let changed = *held != entries;
+                        *held = entries;
+                        changed
+                    });
+                }
+                None => anyhow::bail!("the entry closed it"),
+            },
+            changed = statement.changed() => {
+                changed?;
+                let now = statement.borrow_and_update().clone();
+                say(&mut tx, &said, &now).await?;
+                said = now;
+            }
+            changed = entries.changed() => {
+                changed?;
+                let listed = entries.borrow_and_update().iter().any(|e| e.name == entry.name);
+                anyhow::ensure!(listed, "the entry is no longer listed");
+            }
+        }
+    }
+}
+
+/// Sends what the entry has not been told on this link.
+async fn say(tx: &mut SendStream, said: &Statement, now: &Statement) -> anyhow::Result<()> {
+    if now.leaving && !said.leaving {
+        frame::write_message(tx, &AgentControl::Leaving).await?;
+    }
+    if now.config != said.config {
+        let config = now.config;
+        frame::write_message(tx, &AgentControl::InForce { config }).await?;
+    }
+    // A release may have been lost on its way to the platform, so it is repeated whenever a newer
+    // shard still lists the grant.
+    let news = now.released != said.released || now.shards != said.shards;
+    if news && !now.released.is_empty() {
+        let grants = now.released.clone();
+        frame::write_message(tx, &AgentControl::Released { grants }).await?;
+    }
+    Ok(())
+}
+
+fn messages(mut rx: RecvStream) -> mpsc::Receiver<EntryControl> {
+    let (tx, out) = mpsc::channel(4);
+    tokio::spawn(async move {
+        loop {
+            match frame::read_message(&mut rx).await {
+                Ok(msg) => {
+                    if tx.send(msg).await.is_err() {
+                        return;
+                    }
+                }
+                Err(e) => {
+                    spdlog::debug!("agent: a control stream ended: {e}");
+                    return;
+                }
+            }
+        }
+    });
+    out
+}
--- /dev/null
+++ b/crates/stair-agent/src/learn.rs
@@ -0,0 +1,108 @@
+//! What an agent reads from the platform once, at its start.
+
+use serde::de::DeserializeOwned;
+use stair_platform::{
+    Error,
+    Event,
+    Kind,
+    Object,
+    ObjectStore,
+    Vm,
+    VmRole,
+    VmState, //
+};
+use stair_state::GrantShard;
+use stair_types::{
+    ShardId,
+    TargetName, //
+};
+use stair_wire::control::{
+    AssignedGrant,
+    EntryAddress,
+    ShardAssignment, //
+};
+
+use crate::incarnation::Pause;
+
+/// Reads the shards' versions and the target's grants.
+pub(crate) async fn grants<S>(store: &S, target: &TargetName) -> Vec<ShardAssignment>
+where
+    S: ObjectStore,
+{
+    let objects = list(store, Kind::Grants).await;
+    let shards = objects.iter().filter_map(|o| shard(o, target));
+    shards.collect()
+}
+
+/// Reads the live entries.
+pub(crate) async fn entries<S>(store: &S) -> Vec<EntryAddress>
+where
+    S: ObjectStore,
+{
+    let objects = list(store, Kind::Vm).await;
+    let mut entries: Vec<EntryAddress> = objects.iter().filter_map(entry).collect();
+    entries.sort_by(|a, b| a.name.cmp(&b.name));
+    entries
+}
+
+async fn list<S>(store: &S, kind: Kind) -> Vec<Object>
+where
+    S: ObjectStore,
+{
+    let mut pause = Pause::default();
+    loop {
+        match store.list(kind).await {
+            Ok(page) => return page.events.into_iter().filter_map(put).collect(),
+            Err(Error::NotFound) => return Vec::new(),
+            Err(e) => spdlog::warn!("agent: cannot list {}: {e}", kind.as_str()),
+        }
+        pause.wait().await;
+    }
+}
+
+fn put(event: Event) -> Option<Object> {
+    match event {
+        Event::Put(object) => Some(object),
+        Event::Deleted { .. } => None,
+    }
+}
+
+fn shard(object: &Object, target: &TargetName) -> Option<ShardAssignment> {
+    let id = object.name.parse().ok()?;
+    let shard: GrantShard = decode(object)?;
+    let grants = shard.of_target(target).map(|g| AssignedGrant {
+        id: g.id,
+        model: g.model.clone(),
+        revoking: g.revoking,
+    });
+    Some(ShardAssignment {
+        shard: ShardId(id),
+        version: object.version,
+        grants: grants.collect(),
+    })
+}
+
+fn entry(object: &Object) -> Option<EntryAddress> {
+    let vm: Vm = decode(object)?;
+    match vm.role {
+        VmRole::Entry { name, link } if vm.state == VmState::Live => Some(EntryAddress {
+            name,
+            data_centre: vm.data_centre,
+            link,
+        }),
+        _ => None,
+    }
+}
+
+fn decode<T>(object: &Object) -> Option<T>
+where
+    T: DeserializeOwned,
+{
+    match serde_json::from_value(object.value.clone()) {
+        Ok(value) => Some(value),
+        Err(e) => {
+            spdlog::error!("agent: object {} does not decode: {e}", object.name);
+            None
+        }
+    }
+}
--- a/crates/stair-agent/src/lib.rs
+++ b/crates/stair-agent/src/lib.rs
@@ -1,1 +1,39 @@
-//! Placeholder.
+//! The process beside each target, and the only one that orders its engine.
+//!
+//! The way of a request: [`links`] accepts the stream, `offers` reads the offer, `control` decides
+//! when it may run, `run` runs it at the target, `answers` keeps the answer, and `resume` finds it
+//! again after a link broke.
+//!
+//! - [`start`]: the whole agent, from the exclusive bind to the end of a graceful stop.
+//! - [`dump`]: the state of the agent as the operator sees it.
+//! - [`assignment`]: which grants and models are in force; versions only rise.
+//! - [`queue`]: the requests that wait for the target.
+//! - [`victims`]: what to unload when a load needs room.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+mod admit;
+mod answers;
+mod control;
+mod control_links;
+mod engine;
+mod incarnation;
+mod learn;
+mod links;
+mod loads;
+mod offers;
+mod operator;
+mod resume;
+mod run;
+mod turn;
+
+pub mod assignment;
+pub mod dump;
+pub mod queue;
+pub mod start;
+pub mod victims;
+
+pub use start::{
+    Agent,
+    run, //
+};
--- /dev/null
+++ b/crates/stair-agent/src/links.rs
@@ -0,0 +1,58 @@
+//! Accepts links of entries and the streams on them, one a request.
+
+use std::time::Duration;
+
+use stair_link::{
+    Link,
+    Listener,
+    RecvStream,
+    SendStream, //
+};
+use stair_wire::{
+    frame,
+    request::ToAgent, //
+};
+use tokio::time::timeout;
+
+use crate::{
+    offers::{
+        self,
+        Shared, //
+    },
+    resume,
+};
+
+/// Time for the first frame of a stream.
+const FIRST_TIME: Duration = Duration::from_secs(10);
+
+/// Serves all links until the listener is closed.
+pub(crate) async fn serve(listener: Listener, shared: Shared) {
+    while let Some(link) = listener.accept().await {
+        tokio::spawn(streams(link, shared.clone()));
+    }
+}
+
+async fn streams(link: Link, shared: Shared) {
+    while let Ok((tx, rx)) = link.accept().await {
+        let shared = shared.clone();
+        tokio::spawn(async move {
+            if let Err(e) = stream(&shared, tx, rx).await {
+                spdlog::debug!("agent: a stream ended: {e}");
+            }
+        });
+    }
+}
+
+async fn stream(shared: &Shared, tx: SendStream, mut rx: RecvStream) -> Result<(), frame::Error> {
+    let first = frame::read_message(&mut rx);
+    match timeout(FIRST_TIME, first).await {
+        Ok(Ok(ToAgent::Offer(offer))) => offers::serve(shared, tx, rx, offer).await,
+        Ok(Ok(ToAgent::Resume {
+            id,
+            offset,
+            incarnation,
+        })) => resume::serve(shared, tx, rx, id, offset, incarnation).await,
+        Ok(Ok(_)) | Err(_) => Ok(()),
+        Ok(Err(e)) => Err(e),
+    }
+}
--- /dev/null
+++ b/crates/stair-agent/src/loads.rs
@@ -0,0 +1,407 @@
+//! What the engine is ordered to load and unload, and how lost answers are settled.
+
+use std::time::Duration;
+
+use stair_config::Model;
+use stair_state::{
+    Ledger,
+    ledger::{
+        Answer,
+        Item,
+        OrderError,
+        State, //
+    }, //
+};
+use stair_types::{
+    ModelName,
+    Reason,
+    Refusal,
+    TierRank, //
+};
+use stair_wire::control::TurnRequest;
+use tokio::time::Instant;
+
+use crate::{
+    assignment::InForce,
+    control::{
+        Core,
+        Failure,
+        Msg, //
+    },
+    engine::{
+        Listed,
+        Ordered, //
+    },
+    turn,
+    victims::{
+        self,
+        Use, //
+    },
+};
+
+/// Pause after a first failed load; it doubles with each failure up to [`MAX_RETRY`].
+const MIN_RETRY: Duration = Duration::from_millis(500);
+const MAX_RETRY: Duration = Duration::from_secs(5);
+
+/// After so many failures in a row all that wait for the model are refused: another target may
+/// have better luck, and holding them would only use up their time.
+const MAX_FAILURES: u32 = 3;
+
+/// Returns the declared version and memory of an item that may be held.
+fn declared<'a>(in_force: &'a InForce, item: &Item) -> Option<(&'a str, u32)> {
+    let model: &Model = in_force.may_hold(&item.model)?;
+    match &item.adapter {
+        None => Some((&model.version, model.memory_mib)),
+        Some(name) => {
+            let adapter = model.adapter(name.as_str())?;
+            Some((&adapter.version, adapter.memory_mib))
+        }
+    }
+}
+
+fn base(item: &Item) -> Item {
+    Item {
+        model: item.model.clone(),
+        adapter: None,
+    }
+}
+
+/// Tells whether an item is loaded in the version that is in force, with its base model.
+pub(crate) fn is_current(ledger: &Ledger, in_force: &InForce, item: &Item) -> bool {
+    let current = |item: &Item| {
+        let entry = ledger.get(item);
+        let held = entry.filter(|e| e.state == State::Loaded);
+        let wanted = declared(in_force, item);
+        matches!((held, wanted), (Some(e), Some((version, _))) if *e.version == *version)
+    };
+    current(item) && (item.adapter.is_none() || current(&base(item)))
+}
+
+impl Core {
+    /// Tells whether the engine may be ordered now.
+    pub(crate) fn may_order(&self) -> bool {
+        !self.leaving && !self.relist && !self.listing && !self.ledger.in_doubt()
+    }
+
+    /// Asks for the engine's list when something is in doubt. The list settles an order only if it
+    /// is asked for after the last answer came or was lost, so no order is given meanwhile.
+    pub(crate) fn settle(&mut self) {
+        let doubt = self.relist || self.ledger.in_doubt();
+        if !doubt || self.listing || self.orders > 0 {
+            return;
+        }
+        let Some(engine) = self.args.engine.clone() else {
+            return;
+        };
+        self.listing = true;
+        let me = self.me.clone();
+        tokio::spawn(async move {
+            let listed = engine.list().await;
+            let failed = listed.is_err();
+            if failed || listed.as_ref().is_ok_and(|l| l.is_moving()) {
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+            let _ = me.send_message(Msg::Listed(listed.ok()));
+        });
+    }
+
+    pub(crate) fn listed(&mut self, listed: Option<Listed>) {
+        self.listing = false;
+        if let Some(listed) = listed {
+            self.ledger.settle(listed.entries());
+            self.relist = false;
+        }
+    }
+
+    /// Unloads what may not be held, is of another version, or was idle for long.
+    pub(crate) fn reconcile(&mut self) {
+        let now = self.now();
+        let max_idle = Duration::from_millis(self.in_force.policy().keep.max_idle_ms.into());
+        // Until the first configuration came, what is declared is not known.
+        if self.in_force.config().0 == 0 {
+            return;
+        }
+        let entries = self.ledger.entries().iter();
+        let unwanted: Vec<Item> = entries
+            .filter(|e| e.state == State::Loaded)
+            .filter(|e| {
+                let wanted = declared(&self.in_force, &e.item);
+                let wrong = wanted.is_none_or(|(version, _)| *e.version != *version);
+                let u = self.usage(&e.item);
+                let idle = u.waiting.is_none() && now.saturating_sub(u.last_used) >= max_idle;
+                !u.busy && (wrong || idle)
+            })
+            .map(|e| e.item.clone())
+            .collect();
+        for item in unwanted {
+            self.unload_group(&item);
+        }
+    }
+
+    /// Orders the loads that waiting requests need, in the order in which these are served.
+    ///
+    /// The first that finds no room holds the others back: smaller models of worse tiers would
+    /// take what comes free, and a large one would never be loaded.
+    pub(crate) fn order_loads(&mut self) {
+        let mut wanted: Vec<(Item, TierRank, Duration)> = Vec::new();
+        for w in self.queue.iter() {
+            let Some(item) = &w.item else {
+                continue;
+            };
+            if !wanted.iter().any(|(other, _, _)| other == item) {
+                wanted.push((item.clone(), w.rank, w.deadline));
+            }
+        }
+        for (item, rank, deadline) in wanted {
+            if !self.try_load(&item, rank, deadline) {
+                return;
+            }
+        }
+    }
+
+    /// Returns false when loads after this one have to wait.
+    fn try_load(&mut self, item: &Item, rank: TierRank, deadline: Duration) -> bool {
+        // An adapter needs its base model first.
+        if item.adapter.is_some() && !is_current(&self.ledger, &self.in_force, &base(item)) {
+            return self.try_load(&base(item), rank, deadline);
+        }
+        let now = self.now();
+        let waits = |f: &Failure| f.item == *item && f.retry_at > now;
+        if self.failures.iter().any(waits) {
+            return true;
+        }
+        let Some((version, memory_mib)) = declared(&self.in_force, item) else {
+            return true;
+        };
+        let version: Box<str> = version.into();
+        match self.ledger.begin_load(item.clone(), &version, memory_mib) {
+            Ok(()) => self.spawn_load(item, version, memory_mib, rank, deadline),
+            Err(OrderError::NoRoom { missing_mib }) => {
+                self.make_room(item, rank, missing_mib);
+                return false;
+            }
+            Err(OrderError::NeverFits) => {
+                self.refuse_waiting(item, "the model needs more memory than the engine has");
+            }
+            Err(_) => {}
+        }
+        true
+    }
+
+    fn make_room(&mut self, item: &Item, rank: TierRank, missing_mib: u32) {
+        // What is being unloaded already counts before more is taken away.
+        let entries = self.ledger.entries().iter();
+        let coming: u32 = entries
+            .filter(|e| e.state == State::Unloading)
+            .map(|e| e.memory_mib)
+            .sum();
+        if coming >= missing_mib {
+            return;
+        }
+        let missing = missing_mib - coming;
+        let usage = |i: &Item| self.usage(i);
+        for victim in victims::choose(&self.ledger, item, rank, missing, usage) {
+            self.unload_group(&victim);
+        }
+    }
+
+    /// Unloads an item; of a base model with adapters, the adapters first.
+    fn unload_group(&mut self, item: &Item) {
+        match self.ledger.begin_unload(item) {
+            Ok(()) => self.spawn_unload(item),
+            Err(OrderError::HasAdapters) => {
+                let entries = self.ledger.entries().iter();
+                let adapters: Vec<Item> = entries
+                    .filter(|e| e.item.model == item.model && e.item.adapter.is_some())
+                    .map(|e| e.item.clone())
+                    .collect();
+                for adapter in adapters {
+                    if !self.usage(&adapter).busy && self.ledger.begin_unload(&adapter).is_ok() {
+                        self.spawn_unload(&adapter);
+                    }
+                }
+            }
+            Err(_) => {}
+        }
+    }
+
+    fn spawn_load(
+        &mut self,
+        item: &Item,
+        version: Box<str>,
+        memory_mib: u32,
+        rank: TierRank,
+        deadline: Duration,
+    ) {
+        let Some(engine) = self.args.engine.clone() else {
+            return;
+        };
+        spdlog::info!("agent: loads {} {version}", item.model);
+        self.orders += 1;
+        self.loads += 1;
+        self.touch(Some(item));
+        let left = deadline.saturating_sub(self.now());
+        let request = TurnRequest {
+            rank,
+            time_left_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
+        };
+        let entries = self.args.entries.borrow().clone();
+        let (me, item, pool) = (self.me.clone(), item.clone(), self.args.pool.clone());
+        tokio::spawn(async move {
+            let turn = turn::take(&pool, &entries, request).await;
+            let began = Instant::now();
+            let ended = engine.load(&item, &version, memory_mib).await;
+            drop(turn);
+            let took = began.elapsed();
+            let _ = me.send_message(Msg::LoadEnded { item, ended, took });
+        });
+    }
+
+    fn spawn_unload(&mut self, item: &Item) {
+        let Some(engine) = self.args.engine.clone() else {
+            return;
+        };
+        spdlog::info!("agent: unloads {}", item.model);
+        self.orders += 1;
+        let (me, item) = (self.me.clone(), item.clone());
+        tokio::spawn(async move {
+            let ended = engine.unload(&item).await;
+            let _ = me.send_message(Msg::UnloadEnded { item, ended });
+        });
+    }
+
+    pub(crate) fn load_ended(&mut self, item: &Item, ended: Ordered, took: Duration) {
+        self.orders -= 1;
+        match ended {
+            Ordered::Answer(answer) => self.ledger.end_load(item, answer),
+            Ordered::NoMemory => {
+                // The engine holds something that the ledger does not know of.
+                self.ledger.end_load(item, Answer::Refused);
+                self.relist = true;
+            }
+            Ordered::Superseded => {
+                self.ledger.end_load(item, Answer::Refused);
+                self.superseded();
+            }
+        }
+        if ended == Ordered::Answer(Answer::Done) {
+            self.mean_load = (self.mean_load * 3 + took) / 4;
+            self.failures.retain(|f| f.item != *item);
+            self.touch(Some(item));
+        } else {
+            self.load_failed(item);
+        }
+    }
+
+    pub(crate) fn unload_ended(&mut self, item: &Item, ended: Ordered) {
+        self.orders -= 1;
+        match ended {
+            Ordered::Answer(answer) => self.ledger.end_unload(item, answer),
+            Ordered::NoMemory => self.ledger.end_unload(item, Answer::Lost),
+            Ordered::Superseded => {
+                self.ledger.end_unload(item, Answer::Lost);
+                self.superseded();
+            }
+        }
+    }
+
+    fn load_failed(&mut self, item: &Item) {
+        let now = self.now();
+        let count = match self.failures.iter().position(|f| f.item == *item) {
+            Some(i) => self.failures.swap_remove(i).count + 1,
+            None => 1,
+        };
+        let doubled = MIN_RETRY * 2_u32.saturating_pow(count - 1).min(64);
+        let retry_at = now + doubled.min(MAX_RETRY);
+        self.failures.push(Failure {
+            item: item.clone(),
+            count,
+            retry_at,
+        });
+        if count >= MAX_FAILURES {
+            self.refuse_waiting(item, "the model failed to load");
+            return;
+        }
+        let finish = retry_at + self.mean_load;
+        let late = self
+            .queue
+            .take_if(|w| waits_for(w.item.as_ref(), item) && w.deadline < finish);
+        self.refuse_failed(late, "the model failed to load");
+    }
+
+    fn refuse_waiting(&mut self, item: &Item, message: &str) {
+        let gone = self.queue.take_if(|w| waits_for(w.item.as_ref(), item));
+        self.refuse_failed(gone, message);
+    }
+
+    fn refuse_failed(&mut self, gone: Vec<crate::queue::Waiting>, message: &str) {
+        for w in gone {
+            let retry = u32::try_from(MAX_RETRY.as_millis()).unwrap_or(u32::MAX);
+            let refusal = Refusal::not_run(Reason::LoadFailed, retry, message);
+            self.refuse_id(w.id, refusal);
+        }
+    }
+
+    /// Gives back grants that are being revoked, once the engine surely holds the model no longer
+    /// and nothing can load it: a load after the grant was removed would exceed the replicas.
+    pub(crate) fn give_back(&mut self) {
+        if self.relist || self.listing {
+            return;
+        }
+        let free = |model: &ModelName| {
+            let active = self.active.iter().filter_map(|a| a.item.as_ref());
+            let mut of_model = active.filter(|i| i.model == *model);
+            !self.ledger.may_hold(model) && of_model.next().is_none()
+        };
+        let revoking = self.in_force.revoking();
+        let ready: Vec<_> = revoking
+            .filter(|(_, g)| free(&g.model))
+            .map(|(shard, g)| (shard, g.id))
+            .collect();
+        for (shard, grant) in ready {
+            self.in_force.release(shard, grant);
+        }
+    }
+
+    pub(crate) fn touch(&mut self, item: Option<&Item>) {
+        let Some(item) = item else {
+            return;
+        };
+        let now = self.now();
+        let bases = item.adapter.is_some().then(|| base(item));
+        for item in std::iter::once(item.clone()).chain(bases) {
+            match self.used.binary_search_by(|(other, _)| other.cmp(&item)) {
+                Ok(i) => self.used[i].1 = now,
+                Err(at) => self.used.insert(at, (item, now)),
+            }
+        }
+    }
+
+    /// Returns what is known about the use of an item. A base model is used by its adapters.
+    pub(crate) fn usage(&self, item: &Item) -> Use {
+        let active = self.active.iter().filter_map(|a| a.item.as_ref());
+        let busy = active.into_iter().any(|i| waits_for(Some(i), item));
+        let mut waiting = self
+            .queue
+            .iter()
+            .filter(|w| waits_for(w.item.as_ref(), item));
+        let at = self.used.binary_search_by(|(other, _)| other.cmp(item));
+        Use {
+            busy,
+            waiting: waiting.next().map(|w| w.rank),
+            last_used: at.map_or(Duration::ZERO, |i| self.used[i].1),
+        }
+    }
+
+    pub(crate) fn tick(&mut self) {
+        let (ledger, queue) = (&self.ledger, &self.queue);
+        self.used.retain(|(item, _)| {
+            ledger.get(item).is_some() || queue.iter().any(|w| w.item.as_ref() == Some(item))
+        });
+    }
+}
+
+/// Tells whether work on `needs` cannot go on without `item`.
+fn waits_for(needs: Option<&Item>, item: &Item) -> bool {
+    needs.is_some_and(|n| n.model == item.model && (item.adapter.is_none() || n == item))
+}
--- /dev/null
+++ b/crates/stair-agent/src/run.rs
@@ -0,0 +1,150 @@
+//! One run of a request at the target.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    Request,
+    StatusCode,
+    header::CONTENT_TYPE, //
+};
+use ractor::ActorRef;
+use stair_config::AgentLimits;
+use stair_http::{
+    Client,
+    client::Error as HttpError, //
+};
+use stair_types::{
+    FencingToken,
+    Reason,
+    Refusal,
+    Verdict, //
+};
+use stair_wire::request::Offer;
+use tokio::time::Instant;
+
+use crate::{
+    answers::{
+        Answer,
+        Ended,
+        Head, //
+    },
+    control::Msg,
+};
+
+/// The header that carries the agent's incarnation to the target.
+const FENCE_HEADER: &str = "dandelionstair-fence";
+
+/// The header that carries the request's id to the target.
+const ID_HEADER: &str = "x-request-id";
+
+/// When asking again is worth while after a target could not be reached.
+const RETRY_MS: u32 = 500;
+
+/// Everything that one run needs.
+pub(crate) struct Job {
+    pub(crate) offer: Box<Offer>,
+    pub(crate) body: Bytes,
+    pub(crate) time_left: Duration,
+    pub(crate) answer: Arc<Answer>,
+    pub(crate) client: Client,
+    pub(crate) incarnation: FencingToken,
+    pub(crate) limits: AgentLimits,
+    pub(crate) is_engine: bool,
+    pub(crate) control: ActorRef<Msg>,
+}
+
+/// Why a run went wrong, and whether the target's state has to be read again.
+struct Failed {
+    refusal: Refusal,
+    suspect: bool,
+}
+
+/// Runs the request once and keeps its answer until nobody will ask for it again.
+///
+/// A broken link does not end the run: the entry takes the answer up again on a new link. Only
+/// when nobody does for a while, the run is cancelled by closing the target's connection.
+pub(crate) async fn run(job: Job) {
+    let keep = Duration::from_millis(job.limits.keep_answer_ms.into());
+    let began = Instant::now();
+    let (id, answer, control) = (job.offer.id, job.answer.clone(), job.control.clone());
+    let time_left = job.time_left;
+    let gave_up = |reason, message: &str| {
+        Err(Failed {
+            refusal: Refusal::may_have_run(reason, 0, message),
+            suspect: false,
+        })
+    };
+    let result = tokio::select! {
+        result = at_target(job) => result,
+        () = answer.cancelled() => gave_up(Reason::Withdrawn, "the request was withdrawn"),
+        () = answer.abandoned(keep) => gave_up(Reason::LinkLost, "nobody took the answer up"),
+        () = tokio::time::sleep(time_left) => {
+            gave_up(Reason::DeadlinePassed, "the deadline passed during the run")
+        }
+    };
+    let run = began.elapsed();
+    let run_ms = u32::try_from(run.as_millis()).unwrap_or(u32::MAX);
+    let suspect = result.as_ref().is_err_and(|f| f.suspect);
+    answer.end(match result {
+        Ok(()) => Ended::Complete { run_ms },
+        Err(failed) => Ended::Refused(failed.refusal),
+    });
+    let _ = control.send_message(Msg::RunEnded { id, run, suspect });
+    answer.abandoned(keep).await;
+    let _ = control.send_message(Msg::Forget { id });
+}
+
+async fn at_target(job: Job) -> Result<(), Failed> {
+    let silence = Duration::from_millis(job.limits.target_silence_ms.into());
+    let req = Request::builder()
+        .method(&*job.offer.method)
+        .uri(&*job.offer.path)
+        .header(CONTENT_TYPE, &*job.offer.content_type)
+        .header(ID_HEADER, job.offer.id.to_string())
+        .header(FENCE_HEADER, job.incarnation.0)
+        .body(Full::new(job.body));
+    let req = req.map_err(|_| Failed {
+        refusal: Refusal::not_run(Reason::Invalid, 0, "the request cannot be sent"),
+        suspect: false,
+    })?;
+    let mut resp = job.client.send(req, silence).await.map_err(failed)?;
+    let status = resp.head.status;
+    // The engine lost the model, by a restart for instance. It says so before it runs anything.
+    if job.is_engine && status == StatusCode::NOT_FOUND {
+        let message = "the engine does not hold the model";
+        return Err(Failed {
+            refusal: Refusal::not_run(Reason::LoadFailed, RETRY_MS, message),
+            suspect: true,
+        });
+    }
+    let content_type = resp.head.headers.get(CONTENT_TYPE);
+    let content_type = content_type.and_then(|v| v.to_str().ok());
+    job.answer.head(Head {
+        status: status.as_u16(),
+        content_type: content_type.unwrap_or("application/octet-stream").into(),
+    });
+    while let Some(chunk) = resp.chunk(silence).await.map_err(failed)? {
+        job.answer.push(chunk).await;
+    }
+    Ok(())
+}
+
+fn failed(e: HttpError) -> Failed {
+    let refusal = match e.verdict() {
+        Verdict::NotRun => Refusal::not_run(
+            Reason::TargetFailed,
+            RETRY_MS,
+            "the target is not reachable",
+        ),
+        _ => Refusal::may_have_run(Reason::TargetFailed, 0, "the target's answer was cut"),
+    };
+    Failed {
+        refusal,
+        suspect: true,
+    }
+}
--- /dev/null
+++ b/crates/stair-agent/src/start.rs
@@ -0,0 +1,389 @@
+//! The whole agent, from the exclusive bind to the end of a graceful stop.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use anyhow::Context as _;
+use ractor::{
+    Actor,
+    ActorRef, //
+};
+use stair_config::{
+    AgentSettings,
+    TargetSettings, //
+};
+use stair_http::{
+    Client,
+    client, //
+};
+use stair_link::{
+    Dialer,
+    Keys,
+    Listener,
+    Pool,
+    link::Probing, //
+};
+use stair_platform::{
+    IncarnationRecord,
+    ObjectStore,
+    TargetKind, //
+};
+use stair_state::Ledger;
+use stair_types::{
+    EntryName,
+    FencingToken, //
+};
+use tokio::{
+    net::TcpListener,
+    sync::{
+        oneshot,
+        watch, //
+    },
+    task::JoinHandle,
+};
+
+use crate::{
+    assignment::InForce,
+    control::{
+        Arguments,
+        Control,
+        Msg,
+        Published,
+        Statement, //
+    },
+    control_links,
+    dump::Dump,
+    engine::{
+        Engine,
+        Listed, //
+    },
+    incarnation::{
+        self,
+        Pause, //
+    },
+    learn, links,
+    offers::Shared,
+    operator,
+};
+
+/// Time to open a link to an entry.
+const CONNECT_TIME: Duration = Duration::from_secs(2);
+
+/// Idle connections kept to the target.
+const MAX_IDLE: usize = 64;
+
+/// A running agent.
+pub struct Agent {
+    link: SocketAddr,
+    operator: SocketAddr,
+    incarnation: FencingToken,
+    control: ActorRef<Msg>,
+    linked: watch::Receiver<Vec<EntryName>>,
+    stop: watch::Sender<bool>,
+    done: JoinHandle<anyhow::Result<()>>,
+}
+
+/// Runs an agent until `stop` turns true and the graceful stop has finished.
+///
+/// # Errors
+///
+/// When an address is taken, the keys cannot be used, or a later agent of the same target has
+/// taken over the engine.
+pub async fn run<S>(
+    settings: AgentSettings,
+    keys: Keys,
+    store: S,
+    mut stop: watch::Receiver<bool>,
+) -> anyhow::Result<()>
+where
+    S: ObjectStore,
+{
+    let agent = tokio::select! {
+        agent = Agent::start(settings, keys, store) => agent?,
+        _ = stop.wait_for(|s| *s) => return Ok(()),
+    };
+    agent.run_until(stop).await
+}
+
+impl Agent {
+    /// Starts an agent; returns once it listens for links.
+    ///
+    /// # Errors
+    ///
+    /// When an address is taken or the keys cannot be used.
+    pub async fn start<S>(settings: AgentSettings, keys: Keys, store: S) -> anyhow::Result<Self>
+    where
+        S: ObjectStore,
+    {
+        // A replacement that starts while this process lives, paused or not, would order the same
+        // engine. The exclusive bind, held for the process's life, makes it fail at its start.
+        let operator = TcpListener::bind(settings.operator)
+            .await
+            .with_context(|| format!("agent: the operator address {}", settings.operator))?;
+        let operator_addr = operator.local_addr()?;
+        let listener = Listener::bind(settings.link, &keys)?;
+        let link = listener.addr()?;
+        let record = record(&settings, link);
+        let incarnation = incarnation::raise(&store, &settings.name, &record).await;
+        spdlog::info!("agent: {} starts as {incarnation}", settings.name);
+        let in_force = InForce::new(learn::grants(&store, &settings.name).await);
+        let (entries, _) = watch::channel(learn::entries(&store).await);
+        let dialer = Dialer::new(&keys, CONNECT_TIME)?;
+
+        let address = match settings.target {
+            TargetSettings::Engine { address, .. } | TargetSettings::Service { address, .. } => {
+                address
+            }
+        };
+        let opts = client::Options {
+            max_idle: MAX_IDLE,
+            ..client::Options::default()
+        };
+        let client = Client::new(address, opts);
+        let engine = engine(&settings, &client, incarnation);
+        let ledger = match &engine {
+            Some(engine) => read_ledger(engine, &settings.target).await,
+            None => Ledger::new(0, Vec::new()),
+        };
+        let published = Published {
+            statement: watch::Sender::new(Statement::default()),
+            load: watch::Sender::default(),
+            busy: watch::Sender::new(0),
+            fatal: watch::Sender::new(None),
+        };
+        let control = spawn_control(Arguments {
+            name: settings.name.clone(),
+            incarnation,
+            limits: settings.limits,
+            target: settings.target,
+            client,
+            engine,
+            ledger,
+            in_force,
+            traffic: tokio::runtime::Handle::current(),
+            published: published.clone(),
+            entries: entries.subscribe(),
+            pool: Pool::new(dialer.clone(), Probing::CONTROL),
+        })
+        .await?;
+        let cx = control_links::Context::new(
+            (settings.name, incarnation, settings.data_centre),
+            dialer,
+            control.clone(),
+            published.statement.subscribe(),
+            entries,
+        );
+        let linked = cx.linked.subscribe();
+        let shared = Shared {
+            control: control.clone(),
+            incarnation,
+            load: published.load.subscribe(),
+        };
+        let (stop, stopping) = watch::channel(false);
+        let parts = Parts {
+            listener,
+            operator,
+            shared,
+            cx,
+            store,
+            published,
+        };
+        Ok(Self {
+            link,
+            operator: operator_addr,
+            incarnation,
+            control,
+            linked,
+            stop,
+            done: tokio::spawn(parts.run(stopping)),
+        })
+    }
+
+    /// Returns where the agent listens for links.
+    pub fn link_addr(&self) -> SocketAddr {
+        self.link
+    }
+
+    /// Returns where the operator asks for the state dump.
+    pub fn operator_addr(&self) -> SocketAddr {
+        self.operator
+    }
+
+    /// Returns the agent's incarnation.
+    pub fn incarnation(&self) -> FencingToken {
+        self.incarnation
+    }
+
+    /// Returns the entries that the agent has control links to.
+    pub fn linked(&self) -> Vec<EntryName> {
+        self.linked.borrow().clone()
+    }
+
+    /// Returns the state; none once the agent has ended.
+    pub async fn dump(&self) -> Option<Dump> {
+        operator::dump(&self.control).await
+    }
+
+    /// Stops gracefully: what waits is refused, what runs is finished.
+    ///
+    /// # Errors
+    ///
+    /// When a later agent of the same target has taken over the engine.
+    pub async fn stop(self) -> anyhow::Result<()> {
+        self.stop.send_replace(true);
+        self.done.await?
+    }
+
+    /// Serves until `stop` turns true, then stops gracefully.
+    ///
+    /// # Errors
+    ///
+    /// As [`Agent::stop`].
+    pub async fn run_until(mut self, mut stop: watch::Receiver<bool>) -> anyhow::Result<()> {
+        tokio::select! {
+            result = &mut self.done => return result?,
+            _ = stop.wait_for(|s| *s) => {}
+        }
+        self.stop().await
+    }
+}
+
+struct Parts<S> {
+    listener: Listener,
+    operator: TcpListener,
+    shared: Shared,
+    cx: control_links::Context,
+    store: S,
+    published: Published,
+}
+
+impl<S> Parts<S>
+where
+    S: ObjectStore,
+{
+    async fn run(self, mut stop: watch::Receiver<bool>) -> anyhow::Result<()> {
+        let control = self.shared.control.clone();
+        let (close, closing) = watch::channel(false);
+        let operator = tokio::spawn(operator::serve(self.operator, closing, control.clone()));
+        let links = tokio::spawn(links::serve(self.listener.clone(), self.shared));
+        let refresh = tokio::spawn(refresh_entries(self.store, self.cx.clone()));
+        let control_links = tokio::spawn(control_links::keep(self.cx));
+        let mut fatal = self.published.fatal.subscribe();
+        let why = tokio::select! {
+            why = fatal.wait_for(Option::is_some) => why.ok().and_then(|w| w.clone()),
+            _ = stop.wait_for(|s| *s) => None,
+        };
+        if why.is_none() {
+            let _ = control.send_message(Msg::Stop);
+            drain(&self.published).await;
+        }
+        control_links.abort();
+        refresh.abort();
+        self.listener.close().await;
+        links.abort();
+        let _ = control.stop_and_wait(None, None).await;
+        close.send_replace(true);
+        let _ = operator.await;
+        match why {
+            Some(why) => Err(anyhow::anyhow!("agent: {why}")),
+            None => Ok(()),
+        }
+    }
+}
+
+/// Waits until nothing runs and all answers are read, also after new ones were taken up again.
+async fn drain(published: &Published) {
+    let mut statement = published.statement.subscribe();
+    let _ = statement.wait_for(|s| s.leaving).await;
+    let mut busy = published.busy.subscribe();
+    let _ = busy.wait_for(|b| *b == 0).await;
+}
+
+/// The entries that an agent knows may all be replaced while it was cut off. It lists the VMs
+/// again then, seldom, since 12,000 agents may be cut off at once.
+async fn refresh_entries<S>(store: S, cx: control_links::Context)
+where
+    S: ObjectStore,
+{
+    const ALONE: Duration = Duration::from_secs(30);
+    let mut linked = cx.linked.subscribe();
+    loop {
+        if linked.wait_for(Vec::is_empty).await.is_err() {
+            return;
+        }
+        let share = rand::RngExt::random_range(&mut rand::rng(), 1.0..2.0);
+        let pause = ALONE.mul_f64(share);
+        let some = linked.wait_for(|l| !l.is_empty());
+        if tokio::time::timeout(pause, some).await.is_err() {
+            let entries = learn::entries(&store).await;
+            cx.entries.send_replace(entries);
+        }
+    }
+}
+
+fn record(settings: &AgentSettings, link: SocketAddr) -> IncarnationRecord {
+    let kind = match &settings.target {
+        TargetSettings::Engine { memory_mib, .. } => TargetKind::Engine {
+            memory_mib: *memory_mib,
+        },
+        TargetSettings::Service { service, .. } => TargetKind::Service {
+            service: service.clone(),
+        },
+    };
+    IncarnationRecord {
+        token: FencingToken(0),
+        link,
+        data_centre: settings.data_centre.clone(),
+        kind,
+    }
+}
+
+fn engine(settings: &AgentSettings, client: &Client, fence: FencingToken) -> Option<Engine> {
+    let load_time = Duration::from_millis(settings.limits.load_timeout_ms.into());
+    match settings.target {
+        TargetSettings::Engine { .. } => Some(Engine::new(client.clone(), fence, load_time)),
+        TargetSettings::Service { .. } => None,
+    }
+}
+
+async fn read_ledger(engine: &Engine, target: &TargetSettings) -> Ledger {
+    let mut pause = Pause::default();
+    let listed: Listed = loop {
+        match engine.list().await {
+            Ok(listed) => break listed,
+            Err(e) => spdlog::warn!("agent: the engine does not list what it holds: {e}"),
+        }
+        pause.wait().await;
+    };
+    let declared_mib = match target {
+        TargetSettings::Engine { memory_mib, .. } => *memory_mib,
+        TargetSettings::Service { .. } => 0,
+    };
+    let mut ledger = Ledger::new(declared_mib.min(listed.memory_mib), Vec::new());
+    ledger.settle(listed.entries());
+    ledger
+}
+
+/// Runs the control on a thread of its own, so that heavy traffic does not delay its decisions.
+async fn spawn_control(args: Arguments) -> anyhow::Result<ActorRef<Msg>> {
+    let (tx, rx) = oneshot::channel();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    std::thread::Builder::new()
+        .name("agent-control".into())
+        .spawn(move || {
+            runtime.block_on(async move {
+                match Actor::spawn(None, Control, args).await {
+                    Ok((control, ended)) => {
+                        let _ = tx.send(Ok(control));
+                        let _ = ended.await;
+                    }
+                    Err(e) => drop(tx.send(Err(e))),
+                }
+            });
+        })?;
+    Ok(rx.await??)
+}
