entry: choose, retry and back off by the policy crate

The stopgap is gone. Shares by stair_policy::shift need keys that outlive a view, so each known target has one of this process's own. A target's time counts from its start to its first byte: waits in its queue are load, not slowness.

Not run yet: no test drives it.

--- a/crates/stair-entry/src/traffic/answer.rs
+++ b/crates/stair-entry/src/traffic/answer.rs
@@ -13,6 +13,8 @@
     request::FromAgent,
 };
 
+use tokio::time::Instant;
+
 use super::{
     Cx,
     caller::Caller,
@@ -40,7 +42,7 @@
         match exchange.read().await {
             Ok(frame) => {
                 resume.got_frame();
-                if take(req, exchange, caller, &mut received, frame).await? == Step::Whole {
+                if take(cx, req, exchange, caller, &mut received, frame).await? == Step::Whole {
                     return caller.end().await;
                 }
             }
@@ -56,7 +58,8 @@
     Whole,
 }
 
-async fn take(
+async fn take<S>(
+    cx: &Cx<S>,
     req: &Request,
     exchange: &mut Exchange,
     caller: &mut Caller,
@@ -69,7 +72,10 @@
             status,
             content_type,
             offset,
-        }) => head(caller, *received, status, &content_type, offset)?,
+        }) => {
+            observe(cx, exchange);
+            head(caller, *received, status, &content_type, offset)?;
+        }
         Frame::Message(FromAgent::End {
             total_bytes, load, ..
         }) => {
@@ -85,11 +91,19 @@
         Frame::Message(FromAgent::Queued { load, .. }) => {
             offer::report(req, &exchange.target, load);
         }
-        Frame::Message(FromAgent::Ready) => {}
+        // An agent that starts by itself says so all the same.
+        Frame::Message(FromAgent::Ready) => exchange.started_at = Some(Instant::now()),
     }
     Ok(Step::Goes)
 }
 
+/// Compares the target's time to its first byte with that of the others.
+fn observe<S>(cx: &Cx<S>, exchange: &mut Exchange) {
+    if let Some(at) = exchange.started_at.take() {
+        cx.targets.answered(&exchange.target.target, at.elapsed());
+    }
+}
+
 fn head(
     caller: &mut Caller,
     received: u64,
--- a/crates/stair-entry/src/traffic/choose.rs
+++ b/crates/stair-entry/src/traffic/choose.rs
@@ -6,6 +6,10 @@
     time::Duration, //
 };
 
+use stair_policy::choose::{
+    self,
+    Candidate, //
+};
 use stair_types::{
     FencingToken,
     TargetKey,
@@ -19,15 +23,7 @@
     View, //
 };
 
-use super::{
-    Cx,
-    request::Request,
-    stopgap::choose::{
-        self,
-        Candidate, //
-    },
-    targets::Target,
-};
+use super::{Cx, request::Request, targets::Target};
 
 /// Expected time of a load where nothing is known of it.
 const COLD_START: Duration = Duration::from_secs(10);
@@ -98,7 +94,7 @@
         Work::Model { model, .. } => Some(model),
         Work::Service { .. } => None,
     };
-    let known = cx.targets.get(&target.name).known(model);
+    let known = cx.targets.known(&target.name, model);
     if target.leaving || known.leaving == Some(target.token) {
         return None;
     }
--- a/crates/stair-entry/src/traffic/dispatch.rs
+++ b/crates/stair-entry/src/traffic/dispatch.rs
@@ -52,7 +52,7 @@
         let Err(refusal) = attempt(cx, req, &target, caller, progress).await else {
             return Ok(());
         };
-        note(&target, &refusal);
+        note(cx, &target, &refusal);
         // The agent's word that it never ran lifts the doubt that `Start` brought.
         let started = std::mem::take(&mut progress.started);
         if refusal.verdict != Verdict::NotRun {
@@ -82,9 +82,7 @@
         start::start(cx, req, &mut exchange, progress).await?;
     }
     progress.place.enter(Phase::Started);
-    answer::forward(cx, req, &mut exchange, caller).await?;
-    target.target.answered();
-    Ok(())
+    answer::forward(cx, req, &mut exchange, caller).await
 }
 
 /// Only work that has surely not run, or that may run twice, goes to another target. A refusal
@@ -111,11 +109,11 @@
     elsewhere_differs && (refusal.verdict == Verdict::NotRun || req.repeatable)
 }
 
-fn note(target: &Chosen, refusal: &Refusal) {
+fn note<S>(cx: &Cx<S>, target: &Chosen, refusal: &Refusal) {
     match refusal.reason {
         Reason::Leaving => target.target.leaves(target.token),
         Reason::NoTarget | Reason::LinkLost | Reason::TargetFailed | Reason::LoadFailed => {
-            target.target.failed();
+            cx.targets.failed(&target.target);
         }
         _ => {}
     }
--- a/crates/stair-entry/src/traffic/exchange.rs
+++ b/crates/stair-entry/src/traffic/exchange.rs
@@ -21,6 +21,8 @@
     },
 };
 
+use tokio::time::Instant;
+
 use super::choose::Chosen;
 
 /// Time for a withdrawal to reach the agent. A link that takes longer is silent, and the agent
@@ -32,6 +34,8 @@
     pub(super) target: Chosen,
     /// The incarnation that took the offer.
     pub(super) incarnation: FencingToken,
+    /// When it was started, if its wait before that is known to be over.
+    pub(super) started_at: Option<Instant>,
     streams: Option<Streams>,
 }
 
@@ -52,6 +56,7 @@
         Ok(Self {
             target: target.clone(),
             incarnation: target.token,
+            started_at: None,
             streams: Some(Streams::open(link).await?),
         })
     }
--- a/crates/stair-entry/src/traffic/mod.rs
+++ b/crates/stair-entry/src/traffic/mod.rs
@@ -38,7 +38,6 @@
 mod run;
 mod shard;
 mod start;
-mod stopgap;
 mod targets;
 
 use std::sync::{
@@ -53,6 +52,7 @@
 use stair_config::EntryLimits;
 use stair_link::Pool;
 use stair_platform::ObjectStore;
+use stair_policy::retry;
 use stair_types::DataCentre;
 use tokio::{
     net::TcpListener,
@@ -61,8 +61,6 @@
 
 use crate::View;
 
-use self::stopgap::retry;
-
 /// The traffic of one entry. Cloning shares it.
 pub struct Traffic<S> {
     cx: Arc<Cx<S>>,
--- a/crates/stair-entry/src/traffic/refuse.rs
+++ b/crates/stair-entry/src/traffic/refuse.rs
@@ -17,6 +17,7 @@
     Body,
     error, //
 };
+use stair_policy::backoff;
 use stair_types::{
     Reason,
     Refusal,
@@ -24,8 +25,6 @@
     Verdict, //
 };
 
-use super::stopgap::backoff;
-
 /// A refusal with the status that it is told by.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct Refused {
--- a/crates/stair-entry/src/traffic/resume.rs
+++ b/crates/stair-entry/src/traffic/resume.rs
@@ -54,7 +54,7 @@
         exchange: &mut Exchange,
         received: u64,
     ) -> Result<(), Refusal> {
-        exchange.target.target.failed();
+        cx.targets.failed(&exchange.target.target);
         let is_first = self.until.is_none();
         let until = *self
             .until
--- a/crates/stair-entry/src/traffic/start.rs
+++ b/crates/stair-entry/src/traffic/start.rs
@@ -13,6 +13,8 @@
     },
 };
 
+use tokio::time::Instant;
+
 use super::{
     Cx,
     admit::Phase,
@@ -51,6 +53,7 @@
     // and a resume asks it.
     progress.started = true;
     let _ = exchange.send(&ToAgent::Start).await;
+    exchange.started_at = Some(Instant::now());
     Ok(())
 }
 
--- a/crates/stair-entry/src/traffic/targets.rs
+++ b/crates/stair-entry/src/traffic/targets.rs
@@ -12,36 +12,42 @@
 };
 
 use serde::Serialize;
+use stair_policy::shift::{
+    self,
+    Outcome,
+    Shift, //
+};
 use stair_types::{
     FencingToken,
     ModelName,
+    TargetKey,
     TargetName, //
 };
 use stair_wire::request::Load;
 use tokio::time::Instant;
 
-/// Share of a target that failed over and over. It keeps a trickle, by which its recovery is seen.
-const MIN_WEIGHT: f32 = 1.0 / 16.0;
-
-/// What one failure leaves of a target's share.
-const FAILED: f32 = 0.5;
-
-/// What one answer adds to a target's share.
-const ANSWERED: f32 = 0.125;
-
 /// Targets not heard of for long are swept when this many have been added.
 const SWEEP_AT: usize = 256;
 
 /// All targets that this entry has dealt with.
-#[derive(Default)]
 pub(super) struct Targets {
+    list: RwLock<List>,
+    shift: Mutex<Shift>,
+}
+
+#[derive(Default)]
+struct List {
     /// Sorted by name.
-    all: RwLock<Vec<Arc<Target>>>,
+    all: Vec<Arc<Target>>,
+    /// The key of the next target; a key is never used for another one.
+    next: u32,
 }
 
 /// One target.
 pub(super) struct Target {
     name: TargetName,
+    /// Stable in this process, other than the keys of a view.
+    key: TargetKey,
     state: Mutex<State>,
 }
 
@@ -51,7 +57,6 @@
     in_flight: u16,
     /// Sorted by name.
     models: Vec<Loaded>,
-    weight: f32,
     leaving: Option<FencingToken>,
 }
 
@@ -82,54 +87,101 @@
     leaving: Option<FencingToken>,
 }
 
+impl Default for Targets {
+    fn default() -> Self {
+        Self {
+            list: RwLock::default(),
+            shift: Mutex::new(Shift::new(shift::Options::default())),
+        }
+    }
+}
+
 impl Targets {
     /// Returns a target, known or new.
     pub(super) fn get(&self, name: &TargetName) -> Arc<Target> {
-        let all = self.all.read().unwrap_or_else(PoisonError::into_inner);
-        if let Ok(i) = all.binary_search_by(|t| t.name.cmp(name)) {
-            return all[i].clone();
+        let list = self.list.read().unwrap_or_else(PoisonError::into_inner);
+        if let Ok(i) = list.all.binary_search_by(|t| t.name.cmp(name)) {
+            return list.all[i].clone();
         }
-        drop(all);
+        drop(list);
         self.add(name)
     }
 
+    /// Returns what is known of a target, for a request to a model.
+    pub(super) fn known(&self, name: &TargetName, model: Option<&ModelName>) -> Known {
+        let target = self.get(name);
+        let weight = self.shift().weight(target.key);
+        target.known(model, weight)
+    }
+
+    /// Notes that a target began its answer so long after it was started.
+    pub(super) fn answered(&self, target: &Target, latency: Duration) {
+        let mut shift = self.shift();
+        shift.observe(target.key, latency, Outcome::Answered);
+    }
+
+    /// Notes that a target could not be reached, its link broke or its engine failed.
+    pub(super) fn failed(&self, target: &Target) {
+        let mut shift = self.shift();
+        shift.observe(target.key, Duration::ZERO, Outcome::Failed);
+    }
+
+    pub(super) fn snapshot(&self) -> Vec<Seen> {
+        let list = self.list.read().unwrap_or_else(PoisonError::into_inner);
+        let shift = self.shift();
+        let all = list.all.iter();
+        all.map(|t| t.seen(shift.weight(t.key))).collect()
+    }
+
     fn add(&self, name: &TargetName) -> Arc<Target> {
-        let mut all = self.all.write().unwrap_or_else(PoisonError::into_inner);
-        if all.len() % SWEEP_AT == SWEEP_AT - 1 {
-            all.retain(|t| !t.is_forgettable());
+        let mut list = self.list.write().unwrap_or_else(PoisonError::into_inner);
+        if list.all.len() % SWEEP_AT == SWEEP_AT - 1 {
+            self.sweep(&mut list.all);
         }
-        match all.binary_search_by(|t| t.name.cmp(name)) {
-            Ok(i) => all[i].clone(),
+        match list.all.binary_search_by(|t| t.name.cmp(name)) {
+            Ok(i) => list.all[i].clone(),
             Err(i) => {
-                let target = Arc::new(Target::new(name.clone()));
-                all.insert(i, target.clone());
+                let key = TargetKey(list.next);
+                list.next += 1;
+                let target = Arc::new(Target::new(name.clone(), key));
+                list.all.insert(i, target.clone());
                 target
             }
         }
     }
 
-    pub(super) fn snapshot(&self) -> Vec<Seen> {
-        let all = self.all.read().unwrap_or_else(PoisonError::into_inner);
-        all.iter().map(|t| t.seen()).collect()
+    fn sweep(&self, all: &mut Vec<Arc<Target>>) {
+        let mut shift = self.shift();
+        all.retain(|t| {
+            let keep = !t.is_forgettable();
+            if !keep {
+                shift.forget(t.key);
+            }
+            keep
+        });
+    }
+
+    fn shift(&self) -> MutexGuard<'_, Shift> {
+        self.shift.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl Target {
-    fn new(name: TargetName) -> Self {
+    fn new(name: TargetName, key: TargetKey) -> Self {
         Self {
             name,
+            key,
             state: Mutex::new(State {
                 load: Load::default(),
                 reported: None,
                 in_flight: 0,
                 models: Vec::new(),
-                weight: 1.0,
                 leaving: None,
             }),
         }
     }
 
-    pub(super) fn known(&self, model: Option<&ModelName>) -> Known {
+    fn known(&self, model: Option<&ModelName>, weight: f32) -> Known {
         let state = self.lock();
         let loaded = model.is_none_or(|m| {
             let at = state.models.binary_search_by(|l| l.model.cmp(m));
@@ -140,7 +192,7 @@
             report_age: state.reported.map_or(Duration::MAX, |at| at.elapsed()),
             in_flight: state.in_flight,
             loaded,
-            weight: state.weight,
+            weight,
             leaving: state.leaving,
         }
     }
@@ -165,18 +217,6 @@
         }
     }
 
-    /// Notes that the target answered.
-    pub(super) fn answered(&self) {
-        let mut state = self.lock();
-        state.weight = (state.weight + ANSWERED).min(1.0);
-    }
-
-    /// Notes that the target could not be reached or its link broke.
-    pub(super) fn failed(&self) {
-        let mut state = self.lock();
-        state.weight = (state.weight * FAILED).max(MIN_WEIGHT);
-    }
-
     /// Notes that this incarnation of the agent said that it is leaving.
     pub(super) fn leaves(&self, token: FencingToken) {
         self.lock().leaving = Some(token);
@@ -194,7 +234,7 @@
         state.in_flight == 0 && state.reported.is_none_or(|at| at.elapsed() > FORGET_AFTER)
     }
 
-    fn seen(&self) -> Seen {
+    fn seen(&self, weight: f32) -> Seen {
         let state = self.lock();
         Seen {
             name: self.name.clone(),
@@ -203,7 +243,7 @@
                 .reported
                 .and_then(|at| u64::try_from(at.elapsed().as_millis()).ok()),
             in_flight: state.in_flight,
-            weight: state.weight,
+            weight,
             leaving: state.leaving,
         }
     }
