--- a/crates/stair-standin/src/engine/control.rs
+++ b/crates/stair-standin/src/engine/control.rs
@@ -2,7 +2,10 @@
 
 use std::{
     sync::Arc,
-    time::Instant, //
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use bytes::Bytes;
@@ -22,6 +25,7 @@
     state::{
         Load,
         LoadStep,
+        State,
         UnloadStep, //
     }, //
 };
@@ -147,53 +151,62 @@
 }
 
 async fn finish_load(shared: Arc<Shared>, key: Box<str>, source: Source, life: u64) -> Ended {
-    let (opts, recorder) = (&shared.opts, &shared.recorder);
-    let index = recorder.begin(&opts.name, &key, Action::Load(source));
-    let crashed = shared.until(|state| state.life != life);
-    tokio::select! {
-        () = shared.work(opts.load_time(source)) => {}
-        () = crashed => {}
-    }
-    let ended = shared.modify(|state| {
-        if state.life != life {
-            return Ended::Crashed;
-        }
+    let time = shared.opts.load_time(source);
+    work(&shared, &key, Action::Load(source), time, life, |state| {
         // An adapter goes down with its model, also in the middle of its load.
         if state.faults.fail_loads || state.find(&key).is_none() {
-            state.take_out(&key);
-            recorder.release(&opts.name, &key);
+            release(&shared, state, &key);
             return Ended::Failed;
         }
         state.end_load(&key);
         Ended::Done
-    });
-    recorder.end(index, matches!(ended, Ended::Done));
-    ended
+    })
+    .await
 }
 
 async fn finish_unload(shared: Arc<Shared>, key: Box<str>, life: u64) -> Ended {
-    let (opts, recorder) = (&shared.opts, &shared.recorder);
-    let index = recorder.begin(&opts.name, &key, Action::Unload);
-    let crashed = shared.until(|state| state.life != life);
+    let time = shared.opts.unload;
+    work(&shared, &key, Action::Unload, time, life, |state| {
+        release(&shared, state, &key);
+        Ended::Done
+    })
+    .await
+}
+
+/// Lets a load or unload take its time, and ends it unless the engine has crashed meanwhile.
+async fn work<F>(
+    shared: &Shared,
+    key: &str,
+    action: Action,
+    time: Duration,
+    life: u64,
+    end: F,
+) -> Ended
+where
+    F: FnOnce(&mut State) -> Ended,
+{
+    let index = shared.recorder.begin(&shared.opts.name, key, action);
     tokio::select! {
-        () = shared.work(opts.unload) => {}
-        () = crashed => {}
+        () = shared.work(time) => {}
+        () = shared.until(|state| state.life != life) => {}
     }
-    let ended = shared.modify(|state| {
-        if state.life != life {
-            return Ended::Crashed;
-        }
-        for key in state.take_out(&key) {
-            recorder.release(&opts.name, &key);
-        }
-        Ended::Done
+    let ended = shared.modify(|state| match state.life == life {
+        true => end(state),
+        false => Ended::Crashed,
     });
-    recorder.end(index, matches!(ended, Ended::Done));
+    let completed = matches!(ended, Ended::Done);
+    shared.recorder.end(index, completed);
     ended
 }
 
+fn release(shared: &Shared, state: &mut State, key: &str) {
+    for key in state.take_out(key) {
+        shared.recorder.release(&shared.opts.name, &key);
+    }
+}
+
 async fn until_not(shared: &Shared, key: &str, unwanted: HeldState) {
-    let passed = |state: &super::State| {
+    let passed = |state: &State| {
         let held = state.find(key);
         held.is_none_or(|held| held.state != unwanted)
     };
--- a/crates/stair-standin/src/engine/run.rs
+++ b/crates/stair-standin/src/engine/run.rs
@@ -261,54 +261,45 @@
     }
 
     fn whole(&self, text: &str) -> Value {
-        let (object, choice) = match self.api {
-            Api::Completions => (
-                "text_completion",
-                json!({ "index": 0, "text": text, "finish_reason": "length" }),
-            ),
-            Api::Chat => (
-                "chat.completion",
-                json!({
-                    "index": 0,
-                    "message": { "role": "assistant", "content": text },
-                    "finish_reason": "length",
-                }),
-            ),
-        };
         let tokens = self.ask.tokens();
-        json!({
-            "id": "cmpl",
-            "object": object,
-            "model": self.ask.model,
-            "choices": [choice],
-            "usage": {
-                "prompt_tokens": 1,
-                "completion_tokens": tokens,
-                "total_tokens": tokens + 1,
-            },
-        })
+        let mut whole = match self.api {
+            Api::Completions => self.part("text_completion", "text", json!(text), "length"),
+            Api::Chat => {
+                let message = json!({ "role": "assistant", "content": text });
+                self.part("chat.completion", "message", message, "length")
+            }
+        };
+        whole["usage"] = json!({
+            "prompt_tokens": 1,
+            "completion_tokens": tokens,
+            "total_tokens": tokens + 1,
+        });
+        whole
     }
 
     fn chunk(&self, text: &str, finish: Option<&str>) -> Value {
-        let (object, choice) = match self.api {
-            Api::Completions => (
-                "text_completion",
-                json!({ "index": 0, "text": text, "finish_reason": finish }),
-            ),
-            Api::Chat => (
-                "chat.completion.chunk",
-                json!({
-                    "index": 0,
-                    "delta": { "content": text },
-                    "finish_reason": finish,
-                }),
-            ),
-        };
+        match self.api {
+            Api::Completions => self.part("text_completion", "text", json!(text), finish),
+            Api::Chat => {
+                let delta = json!({ "content": text });
+                self.part("chat.completion.chunk", "delta", delta, finish)
+            }
+        }
+    }
+
+    fn part<'a>(
+        &self,
+        object: &str,
+        field: &str,
+        content: Value,
+        finish: impl Into<Option<&'a str>>,
+    ) -> Value {
+        let finish: Option<&str> = finish.into();
         json!({
             "id": "cmpl",
             "object": object,
             "model": self.ask.model,
-            "choices": [choice],
+            "choices": [{ "index": 0, field: content, "finish_reason": finish }],
         })
     }
 }
