policy: let old reports fade, and keep a slow target to its share

A demoted target had so little in flight that it looked best whenever it took part, and got its weight of all requests instead of its fair part; its chance is now less.

--- a/crates/stair-policy/src/choose.rs
+++ b/crates/stair-policy/src/choose.rs
@@ -16,8 +16,8 @@
 /// Limits of the choice.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Options {
-    /// A report younger than this is taken as it is. Beyond, other entries have probably sent
-    /// work that it does not show.
+    /// A report younger than this may decide alone. Beyond, other entries have probably sent work
+    /// that it does not show.
     pub fresh_for: Duration,
     /// What each request of this entry in flight adds to the wait that a report showed: the
     /// report does not know of them yet.
@@ -68,7 +68,10 @@
 
 impl Candidate {
     fn cost(&self, opts: &Options) -> Duration {
-        let queue = self.expected_wait + opts.per_in_flight * u32::from(self.in_flight);
+        // What waited when the report was made has been worked off since. A small wait in an old
+        // report says nothing, a large one still says something.
+        let reported = self.expected_wait.saturating_sub(self.report_age);
+        let queue = reported + opts.per_in_flight * u32::from(self.in_flight);
         // The model loads while the request waits.
         let start = match self.loaded {
             true => queue,
@@ -107,7 +110,7 @@
     let mut ranked: Vec<Ranked<'_>> = candidates.iter().map(|c| Ranked::new(opts, c)).collect();
     apply_affinity(opts, &mut ranked);
     for r in &mut ranked {
-        r.demoted = !keeps_share(r.candidate.weight, rng);
+        r.demoted = !keeps_share(r.candidate.weight, candidates.len(), rng);
         r.tie = rng.next_u32();
     }
     ranked.sort_unstable_by_key(|r| (r.demoted, r.cost, r.tie));
@@ -146,16 +149,23 @@
     }
 }
 
-/// A target with half a weight keeps its place in half of the choices.
-fn keeps_share<R>(weight: f32, rng: &mut R) -> bool
+/// Decides whether a target takes part in this choice as any other.
+///
+/// A target with little weight has little in flight, and so looks best whenever it takes part. It
+/// would get its weight's part of all requests, not of its fair share of them; so its chance is
+/// less than its weight, the more so the more candidates there are.
+fn keeps_share<R>(weight: f32, candidates: usize, rng: &mut R) -> bool
 where
     R: Rng + ?Sized,
 {
     if weight >= 1.0 {
         return true;
     }
+    let weight = f64::from(weight);
+    let others = candidates.saturating_sub(1) as f64;
+    let chance = weight / (1.0 + others * (1.0 - weight));
     let unit = f64::from(rng.next_u32()) / f64::from(u32::MAX);
-    unit < f64::from(weight)
+    unit < chance
 }
 
 /// Puts the better of two random candidates first.
--- a/crates/stair-policy/src/shift.rs
+++ b/crates/stair-policy/src/shift.rs
@@ -31,7 +31,7 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
-            tolerated_ratio: 2.0,
+            tolerated_ratio: 1.5,
             trickle: 0.02,
             smoothing: 0.1,
             step: 0.2,
@@ -119,7 +119,7 @@
         let median = self.median.as_ref().map_or(state.log_latency, |m| m.value);
         let excess = state.log_latency - median - self.opts.tolerated_ratio.ln();
         // Squared, since a target twice as slow as tolerated also fills up twice as fast.
-        let by_latency = (-2.0 * excess.max(0.0)).exp();
+        let by_latency = (-3.0 * excess.max(0.0)).exp();
         let failures = (state.fail_rate - self.fail_rate).max(0.0);
         let by_failures = (1.0 - failures).powi(4);
         let share = by_latency * by_failures;
