--- a/crates/stair-policy/src/keep.rs
+++ b/crates/stair-policy/src/keep.rs
@@ -37,6 +37,20 @@
     }
 }
 
+/// What it costs to load a model again, and to keep it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Cost {
+    /// What loading again is expected to take, by where the checkpoint is cached now: a model in
+    /// the host's memory is let go sooner than one that only the weight store has.
+    pub cold_start: Duration,
+    /// The part of the accelerator's memory that it holds, up to 1. An adapter that holds a
+    /// twentieth is worth keeping twenty times as long as a model that fills the accelerator.
+    pub share: f64,
+}
+
+/// Least share counted; also guards a division by zero.
+const MIN_SHARE: f64 = 0.001;
+
 /// Buckets of idle times; each is half as wide again as the one before, the last is open.
 const BUCKETS: usize = 20;
 
@@ -108,14 +122,11 @@
     }
 
     /// Returns until when the model is kept if it is not used before.
-    ///
-    /// `cold_start` is what loading it again is expected to take, by where its checkpoint is
-    /// cached now: a model in the host's memory is let go sooner than one that only the weight
-    /// store has.
-    pub fn idle_until(&self, model: ModelKey, now: Duration, cold_start: Duration) -> Duration {
+    pub fn idle_until(&self, model: ModelKey, now: Duration, cost: &Cost) -> Duration {
         let habit = self.habits.get(model.0 as usize);
         let last_used = habit.and_then(Habit::last_used).unwrap_or(now);
-        let miss = cold_start.as_secs_f64() * self.opts.cold_start_weight.max(0.0);
+        let weight = self.opts.cold_start_weight.max(0.0) / cost.share.max(MIN_SHARE);
+        let miss = cost.cold_start.as_secs_f64() * weight;
         let seen = habit.filter(|h| h.samples() >= u32::from(self.opts.min_samples));
         let idle = match seen {
             Some(h) => h.cheapest(miss, &self.opts),
--- a/crates/stair-policy/tests/keep.rs
+++ b/crates/stair-policy/tests/keep.rs
@@ -3,13 +3,17 @@
 use std::time::Duration;
 
 use stair_policy::keep::{
+    Cost,
     Keep,
     Options, //
 };
 use stair_types::ModelKey;
 
 const MODEL: ModelKey = ModelKey(3);
-const COLD: Duration = Duration::from_secs(20);
+const COST: Cost = Cost {
+    cold_start: Duration::from_secs(20),
+    share: 1.0,
+};
 
 fn secs(n: u64) -> Duration {
     Duration::from_secs(n)
@@ -30,7 +34,7 @@
         now += secs(gap);
         keep.used(MODEL, now);
     }
-    keep.idle_until(MODEL, now, COLD) - now
+    keep.idle_until(MODEL, now, &COST) - now
 }
 
 #[test]
@@ -80,6 +84,22 @@
 #[test]
 fn cheap_let_go() {
     let keep = keep(2.0);
-    let until = keep.idle_until(MODEL, secs(100), secs(1));
+    let cost = Cost {
+        cold_start: secs(1),
+        ..COST
+    };
+    let until = keep.idle_until(MODEL, secs(100), &cost);
     assert_eq!(until, secs(105));
 }
+
+// An adapter holds a twentieth of the accelerator, so it is kept twenty times as long.
+#[test]
+fn small_kept() {
+    let keep = keep(1.0);
+    let cost = Cost {
+        cold_start: secs(2),
+        share: 0.05,
+    };
+    let until = keep.idle_until(MODEL, secs(0), &cost);
+    assert_eq!(until, secs(40));
+}
