--- a/crates/stair-policy/src/load_order.rs
+++ b/crates/stair-policy/src/load_order.rs
@@ -174,9 +174,10 @@
     }
 
     fn urgency(&self, now: Duration, w: &Waiting<K>) -> Urgency {
-        let waited = now.saturating_sub(w.since).as_millis();
-        let step = self.opts.promote_after.as_millis().max(1);
-        let promotions = u8::try_from(waited / step).unwrap_or(u8::MAX);
+        let waited = now.saturating_sub(w.since).as_secs_f64();
+        let step = self.opts.promote_after.as_secs_f64().max(MIN_STEP_SECS);
+        // The cast saturates.
+        let promotions = (waited / step) as u8;
         Urgency {
             rank: w.rank.0.saturating_sub(promotions),
             deadline: w.deadline,
@@ -190,6 +191,9 @@
     }
 }
 
+/// Guards against a division by zero.
+const MIN_STEP_SECS: f64 = 0.001;
+
 /// Guards against a rate of zero, which would stop all loads for good.
 const MIN_RATE: f64 = 0.01;
 
--- a/crates/stair-policy/src/queue/forecast.rs
+++ b/crates/stair-policy/src/queue/forecast.rs
@@ -28,6 +28,17 @@
     floor: f64,
 }
 
+/// Less than this is not late: seconds as floating point numbers are not exact.
+const ROUNDING_SECS: f64 = 1e-6;
+
+fn seconds(d: Duration) -> f64 {
+    d.as_secs_f64()
+}
+
+pub(super) fn bounded(secs: f64) -> Duration {
+    Duration::from_secs_f64(secs.min(MAX_WAIT_SECS))
+}
+
 impl<K> Queue<K>
 where
     K: Copy + Eq,
@@ -43,27 +54,31 @@
         let lane = &self.lanes[at];
         let index = lane.index_of(item.deadline);
         let share = self.share(now, at, item.expected_run > self.opts.short_run, est);
-        let start = |ahead| now + est.slot_free_in + self.wait_behind(at, ahead, &share);
-        let mut ahead: Duration = lane.items()[..index].iter().map(|i| i.expected_run).sum();
-        let own_start = start(ahead).max(now + est.ready_in);
-        let finish = own_start + item.expected_run + self.spare(item, own_start - now);
-        let mut late = finish.saturating_sub(item.deadline);
-        ahead += item.expected_run;
-        for behind in &lane.items()[index..] {
+        let begin = (now + est.slot_free_in).as_secs_f64();
+        let start = |ahead| begin + self.wait_behind(at, ahead, &share);
+        let items = lane.items();
+        let mut ahead = seconds(items[..index].iter().map(|i| i.expected_run).sum());
+        let own_start = start(ahead).max(seconds(now + est.ready_in));
+        let run = seconds(item.expected_run);
+        let spare = self.spare(run, own_start - seconds(now));
+        let mut late = own_start + run + spare - seconds(item.deadline);
+        for behind in &items[index..] {
+            let (deadline, its_run) = (seconds(behind.deadline), seconds(behind.expected_run));
             // An item that is late anyway is not a reason to refuse another.
-            let before = start(ahead.saturating_sub(item.expected_run));
-            if behind.makes_it(before) {
-                let finish = start(ahead) + behind.expected_run;
-                late = late.max(finish.saturating_sub(behind.deadline));
+            if start(ahead) + its_run <= deadline {
+                late = late.max(start(ahead + run) + its_run - deadline);
             }
-            ahead += behind.expected_run;
+            ahead += its_run;
+        }
+        match late < ROUNDING_SECS {
+            true => Duration::ZERO,
+            false => bounded(late),
         }
-        late
     }
 
     /// Time to spare that is asked of an item; none of one that does not wait.
-    fn spare(&self, item: &Item<K>, wait: Duration) -> Duration {
-        let spare = item.expected_run * u32::from(self.opts.spare_percent) / 100;
+    fn spare(&self, run: f64, wait: f64) -> f64 {
+        let spare = run * f64::from(self.opts.spare_percent) / 100.0;
         spare.min(wait)
     }
 
@@ -96,24 +111,23 @@
     /// Returns the wait behind `own` work of a tier's own and all work of higher tiers that waits.
     ///
     /// A tier with a floor never waits longer than that share alone would take.
-    pub(super) fn wait_behind(&self, at: usize, own: Duration, share: &Share) -> Duration {
+    pub(super) fn wait_behind(&self, at: usize, own: f64, share: &Share) -> f64 {
         let above: Duration = self.lanes[..at].iter().map(Lane::work).sum();
-        let by_rank = (above + own).as_secs_f64() / share.by_rank;
-        let by_floor = own.as_secs_f64() / share.floor;
-        let wait = match by_floor.is_nan() {
+        let by_rank = (seconds(above) + own) / share.by_rank;
+        let by_floor = own / share.floor;
+        match by_floor.is_nan() {
             true => by_rank,
             false => by_rank.min(by_floor),
-        };
-        Duration::from_secs_f64(wait.min(MAX_WAIT_SECS))
+        }
     }
 
     pub(super) fn refuse_full(&self, now: Duration, at: usize, est: &Estimate) -> Outcome<K> {
         // Half of the work that is ahead has drained by then, so there is room again.
         let share = self.share(now, at, false, est);
-        let drain = self.wait_behind(at, self.lanes[at].work(), &share) / 2;
+        let drain = self.wait_behind(at, seconds(self.lanes[at].work()), &share) / 2.0;
         Outcome::Refused {
             reason: Reason::QueueFull,
-            retry_after: est.slot_free_in + drain,
+            retry_after: est.slot_free_in + bounded(drain),
         }
     }
 }
--- a/crates/stair-policy/src/queue/mod.rs
+++ b/crates/stair-policy/src/queue/mod.rs
@@ -208,7 +208,8 @@
     pub fn expected_wait(&self, now: Duration, rank: TierRank, est: &Estimate) -> Duration {
         let at = self.lane_of(rank);
         let share = self.share(now, at, false, est);
-        est.slot_free_in + self.wait_behind(at, self.lanes[at].work(), &share)
+        let own = self.lanes[at].work().as_secs_f64();
+        est.slot_free_in + forecast::bounded(self.wait_behind(at, own, &share))
     }
 
     /// Finds room for an item, at the cost of the latest deadline of the lowest tier if need be.
