dandelionstair: build the command line and the operator's verbs

check, plan, apply, status, dump and drain are modules of their own; entry, agent and dev answer that they are not built yet.

plan and apply have no platform client yet: platform::store is the one place to hook it up.

--- /dev/null
+++ b/crates/dandelionstair/src/drain.rs
@@ -0,0 +1,58 @@
+//! `dandelionstair drain`.
+
+use std::{
+    io::ErrorKind,
+    net::SocketAddr,
+    process::ExitCode, //
+};
+
+use clap::ArgMatches;
+use hyper::Method;
+use tokio::{
+    net::TcpStream,
+    time::{
+        Instant,
+        sleep,
+        timeout_at, //
+    },
+};
+
+use crate::{
+    exit,
+    operator::{
+        self,
+        PAUSE, //
+    },
+};
+
+/// Starts the planned stop of a process, and waits for its end if asked to.
+pub(crate) fn run(matches: &ArgMatches) -> anyhow::Result<ExitCode> {
+    let addr = operator::addr(matches)?;
+    let wait = matches.get_flag("wait");
+    operator::runtime()?.block_on(async {
+        let deadline = operator::deadline(matches)?;
+        operator::call(addr, Method::POST, "/drain").await?;
+        eprintln!("{addr} drains");
+        if !wait {
+            return Ok(ExitCode::SUCCESS);
+        }
+        if ended(addr, deadline).await {
+            eprintln!("{addr} has ended");
+            return Ok(ExitCode::SUCCESS);
+        }
+        eprintln!("{addr} has not ended in time; it still finishes its requests");
+        Ok(exit::NOT_IN_TIME.into())
+    })
+}
+
+// Only a refused connection shows that the process has ended. Silence may as well be a broken
+// network, behind which requests are still running.
+async fn ended(addr: SocketAddr, deadline: Instant) -> bool {
+    loop {
+        match timeout_at(deadline, TcpStream::connect(addr)).await {
+            Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => return true,
+            Ok(_) if Instant::now() < deadline => sleep(PAUSE).await,
+            _ => return false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/dandelionstair/src/dump.rs
@@ -0,0 +1,16 @@
+//! `dandelionstair dump`.
+
+use std::process::ExitCode;
+
+use clap::ArgMatches;
+use hyper::Method;
+
+use crate::operator;
+
+/// Prints the whole state of a process.
+pub(crate) fn run(matches: &ArgMatches) -> anyhow::Result<ExitCode> {
+    let addr = operator::addr(matches)?;
+    let dump = operator::runtime()?.block_on(operator::call(addr, Method::GET, "/dump"))?;
+    println!("{dump:#}");
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/dandelionstair/src/main.rs
+++ b/crates/dandelionstair/src/main.rs
@@ -1,2 +1,49 @@
-//! dandelionstair.
-fn main() {}
+//! dandelionstair serves a large catalogue of rarely used models on a shared pool of accelerators.
+//!
+//! One binary with all programs: a module a verb, and [`cli`] with the whole command line.
+#![forbid(unsafe_code)]
+
+mod agent;
+mod apply;
+mod check;
+mod cli;
+mod dev;
+mod drain;
+mod dump;
+mod entry;
+mod exit;
+mod operator;
+mod plan;
+mod platform;
+mod status;
+
+use std::process::ExitCode;
+
+use clap::ArgMatches;
+
+fn main() -> ExitCode {
+    let matches = cli::command().get_matches();
+    match dispatch(&matches) {
+        Ok(code) => code,
+        Err(e) => {
+            eprintln!("error: {e:#}");
+            exit::FAILED.into()
+        }
+    }
+}
+
+fn dispatch(matches: &ArgMatches) -> anyhow::Result<ExitCode> {
+    match matches.subcommand() {
+        Some(("entry", m)) => entry::run(m),
+        Some(("agent", m)) => agent::run(m),
+        Some(("dev", m)) => dev::run(m),
+        Some(("check", m)) => check::run(m),
+        Some(("plan", m)) => plan::run(m),
+        Some(("apply", m)) => apply::run(m),
+        Some(("status", m)) => status::run(m),
+        Some(("dump", m)) => dump::run(m),
+        Some(("drain", m)) => drain::run(m),
+        // Clap asks for a subcommand and knows no others.
+        _ => Ok(exit::USAGE.into()),
+    }
+}
--- /dev/null
+++ b/crates/dandelionstair/src/plan.rs
@@ -0,0 +1,36 @@
+//! `dandelionstair plan`.
+
+use std::process::ExitCode;
+
+use clap::ArgMatches;
+use stair_config::{
+    Catalogue,
+    diff::Diff, //
+};
+use stair_platform::{
+    apply::NOTHING,
+    load, //
+};
+
+use crate::{
+    check,
+    operator,
+    platform, //
+};
+
+/// Prints what an apply would change.
+pub(crate) fn run(matches: &ArgMatches) -> anyhow::Result<ExitCode> {
+    let declared = match check::catalogue(matches)? {
+        Ok(declared) => declared,
+        Err(code) => return Ok(code),
+    };
+    let store = platform::store(matches)?;
+    let in_force = operator::runtime()?.block_on(load::load(&store))?;
+    let (version, present) = match in_force {
+        Some(found) => (found.version, found.catalogue),
+        None => (NOTHING, Catalogue::default()),
+    };
+    println!("{}", Diff::between(&present, &declared));
+    println!("Version {version} is in force; apply with --from {version}.");
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/dandelionstair/src/status.rs
@@ -0,0 +1,35 @@
+//! `dandelionstair status`.
+
+use std::{
+    net::SocketAddr,
+    process::ExitCode, //
+};
+
+use clap::ArgMatches;
+use hyper::Method;
+
+use crate::{
+    exit,
+    operator, //
+};
+
+/// Prints one line of JSON for each process.
+pub(crate) fn run(matches: &ArgMatches) -> anyhow::Result<ExitCode> {
+    let addrs = matches.get_many::<SocketAddr>("operator");
+    let runtime = operator::runtime()?;
+    let mut all_answered = true;
+    for addr in addrs.into_iter().flatten() {
+        match runtime.block_on(operator::call(*addr, Method::GET, "/status")) {
+            Ok(status) => println!("{addr} {status}"),
+            Err(e) => {
+                eprintln!("{addr} error: {e:#}");
+                all_answered = false;
+            }
+        }
+    }
+    if all_answered {
+        Ok(ExitCode::SUCCESS)
+    } else {
+        Ok(exit::FAILED.into())
+    }
+}
