--- a/crates/dandelionstair/src/agent.rs
+++ b/crates/dandelionstair/src/agent.rs
@@ -1,11 +1,49 @@
 //! `dandelionstair agent`.
 
-use std::process::ExitCode;
+use std::{
+    path::PathBuf,
+    process::ExitCode, //
+};
 
-use anyhow::bail;
 use clap::ArgMatches;
+use serde_json::json;
+use stair_agent::Agent;
+use stair_config::read_settings;
+use stair_telemetry::log;
 
-/// Runs an agent.
-pub(crate) fn run(_matches: &ArgMatches) -> anyhow::Result<ExitCode> {
-    bail!("`agent` is not built yet")
+use crate::{
+    exit,
+    process, //
+};
+
+/// Runs an agent until it is told to stop.
+pub(crate) fn run(matches: &ArgMatches) -> anyhow::Result<ExitCode> {
+    let Some(path) = matches.get_one::<PathBuf>("settings") else {
+        return Ok(exit::USAGE.into());
+    };
+    let settings = match read_settings::agent(path) {
+        Ok(settings) => settings,
+        Err(problems) => {
+            eprintln!("{problems}");
+            return Ok(exit::USAGE.into());
+        }
+    };
+    log::init(&settings.telemetry)?;
+    let keys = process::keys(&settings.tls)?;
+    let store = process::store(settings.platform);
+    process::runtime()?.block_on(async {
+        let mut stop = process::stop_signal()?;
+        // The start waits for the platform and for the engine, perhaps for long.
+        let agent = tokio::select! {
+            agent = Agent::start(settings, keys, store) => agent?,
+            _ = stop.wait_for(|s| *s) => return Ok(ExitCode::SUCCESS),
+        };
+        process::say_ready(&json!({
+            "link": agent.link_addr(),
+            "operator": agent.operator_addr(),
+            "incarnation": agent.incarnation(),
+        }))?;
+        agent.run_until(stop).await?;
+        Ok(ExitCode::SUCCESS)
+    })
 }
--- a/crates/dandelionstair/src/main.rs
+++ b/crates/dandelionstair/src/main.rs
@@ -15,6 +15,7 @@
 mod operator;
 mod plan;
 mod platform;
+mod process;
 mod status;
 
 use std::process::ExitCode;
--- /dev/null
+++ b/crates/dandelionstair/src/process.rs
@@ -0,0 +1,78 @@
+//! What the long-running programs share: runtime, signals, keys, platform.
+
+use std::{
+    io::Write,
+    net::SocketAddr, //
+};
+
+use anyhow::Context;
+use serde_json::{
+    Value,
+    json, //
+};
+use stair_config::TlsSettings;
+use stair_link::Keys;
+use stair_platform::{
+    HttpStore,
+    http, //
+};
+use tokio::{
+    runtime::{
+        Builder,
+        Runtime, //
+    },
+    signal::unix::{
+        SignalKind,
+        signal, //
+    },
+    sync::watch,
+};
+
+/// Threads for traffic. Entry VMs are thin, and an agent shares its VM with an engine that needs
+/// the other cores.
+const TRAFFIC_THREADS: usize = 2;
+
+/// Makes the runtime for traffic.
+pub(crate) fn runtime() -> anyhow::Result<Runtime> {
+    Builder::new_multi_thread()
+        .worker_threads(TRAFFIC_THREADS)
+        .thread_name("traffic")
+        .enable_all()
+        .build()
+        .context("the runtime cannot be started")
+}
+
+/// Reads the keys for links.
+pub(crate) fn keys(tls: &TlsSettings) -> anyhow::Result<Keys> {
+    Ok(Keys::read(&tls.authority, &tls.certificate, &tls.key)?)
+}
+
+/// Makes the client of the platform.
+pub(crate) fn store(addr: SocketAddr) -> HttpStore {
+    HttpStore::new(addr, http::Options::default())
+}
+
+/// Turns true on SIGTERM or SIGINT. Both are handled from here on, so that one that comes during
+/// the start is not lost.
+pub(crate) fn stop_signal() -> anyhow::Result<watch::Receiver<bool>> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let (tx, rx) = watch::channel(false);
+    tokio::spawn(async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        tx.send_replace(true);
+        // The receivers see the value also after the sender is gone.
+    });
+    Ok(rx)
+}
+
+/// Prints one line of JSON with the addresses that were bound, for whoever supervises the process.
+pub(crate) fn say_ready(addresses: &Value) -> anyhow::Result<()> {
+    let mut out = std::io::stdout().lock();
+    writeln!(out, "{}", json!({ "ready": addresses }))?;
+    out.flush()?;
+    Ok(())
+}
