config: check that a process's addresses differ

An operator who gives one address to two listeners would see the second fail to bind at start; an agent with an unspecified link address would publish one that leads every entry to its own VM. Both are now wrong settings with file and line, as is an entry that lists itself as a peer.

Import lists got the trailing comment that keeps them vertical.

--- a/crates/dandelionstair/src/apply.rs
+++ b/crates/dandelionstair/src/apply.rs
@@ -14,7 +14,7 @@
         Options,
         Outcome,
         apply, //
-    },
+    }, //
 };
 use stair_types::{
     ApplyId,
@@ -26,12 +26,13 @@
 };
 
 use crate::{
-    check, exit,
+    check,
+    exit,
     operator::{
         self,
         PAUSE, //
     },
-    platform,
+    platform, //
 };
 
 /// Puts declarations in force, and waits until they are everywhere if asked to.
--- a/crates/dandelionstair/src/drain.rs
+++ b/crates/dandelionstair/src/drain.rs
@@ -14,7 +14,7 @@
         Instant,
         sleep,
         timeout_at, //
-    },
+    }, //
 };
 
 use crate::{
@@ -22,7 +22,7 @@
     operator::{
         self,
         PAUSE, //
-    },
+    }, //
 };
 
 /// Starts the planned stop of a process, and waits for its end if asked to.
--- a/crates/dandelionstair/src/operator.rs
+++ b/crates/dandelionstair/src/operator.rs
@@ -27,7 +27,7 @@
         Builder,
         Runtime, //
     },
-    time::Instant,
+    time::Instant, //
 };
 
 /// Longer than the listener itself waits for its process.
--- a/crates/dandelionstair/tests/command_line.rs
+++ b/crates/dandelionstair/tests/command_line.rs
@@ -8,7 +8,7 @@
     process::{
         Command,
         Output, //
-    },
+    }, //
 };
 
 fn run(args: &[&str]) -> Output {
--- a/crates/stair-config/src/check.rs
+++ b/crates/stair-config/src/check.rs
@@ -26,7 +26,7 @@
         ServiceRoute,
         Tier,
         WeightStore, //
-    },
+    }, //
 };
 
 pub(crate) const TOP_FIELDS: [&str; 5] = ["models", "tiers", "callers", "services", "policy"];
--- a/crates/stair-config/src/chunks.rs
+++ b/crates/stair-config/src/chunks.rs
@@ -1,14 +1,15 @@
 //! A catalogue cut into values that the platform holds.
 //!
-//! The platform holds at most a megabyte in one value, and a catalogue of 430 models with 16,000
-//! adapters has about 1.2 MB (computed: 70 bytes an adapter, not measured). Items go to a chunk by
-//! a hash of their name, so that a change of one model makes one new chunk and leaves the others
-//! as they are. Chunks are named by their content, so that they are never changed and an apply
-//! that was given up on does no harm.
+//! The platform holds at most a megabyte in one value. A catalogue of 430 models with 15,910
+//! adapters has 970 kB with short names (trial of the test `planned_size`) and more with long
+//! ones. Items go to a chunk by a hash of their name, so that a change of one model makes one new
+//! chunk and leaves the others as they are. Chunks are named by their content, so that they are
+//! never changed and an apply that was given up on does no harm.
 //!
-//! At 13,000 changes a day every entry gets each changed chunk and the manifest. With 64 buckets
-//! for models a chunk has about 20 KB and the manifest up to 8 KB, together about 4 KB a second
-//! for each entry; fewer buckets make chunks larger, more make the manifest larger.
+//! Every entry gets each changed chunk and the manifest. With 64 buckets for models a chunk has
+//! 14 kB in the mean and 34 kB at most (same trial), and the manifest about 8 kB (computed). At
+//! 13,000 changes a day that is about 3.5 kB a second for each entry, of the 7 KB that control may
+//! cost. Fewer buckets make chunks larger, more make the manifest larger.
 
 use serde::{
     Deserialize,
--- a/crates/stair-config/src/declarations.rs
+++ b/crates/stair-config/src/declarations.rs
@@ -8,17 +8,18 @@
     path::{
         Path,
         PathBuf, //
-    },
+    }, //
 };
 
 use crate::{
-    Catalogue, check,
+    Catalogue,
+    check,
     fields::Fields,
     problem::{
         Place,
         Problems, //
     },
-    yaml::Document,
+    yaml::Document, //
 };
 
 /// Files that are read but not yet checked.
--- a/crates/stair-config/src/fields.rs
+++ b/crates/stair-config/src/fields.rs
@@ -19,7 +19,7 @@
         Entry,
         Node,
         Value, //
-    },
+    }, //
 };
 
 /// Longest version accepted, in bytes.
--- a/crates/stair-config/src/read_settings.rs
+++ b/crates/stair-config/src/read_settings.rs
@@ -5,7 +5,7 @@
     path::{
         Path,
         PathBuf, //
-    },
+    }, //
 };
 
 use crate::{
@@ -21,7 +21,7 @@
         TelemetrySettings,
         TlsSettings, //
     },
-    yaml::Document,
+    yaml::Document, //
 };
 
 const ENTRY_FIELDS: [&str; 10] = [
@@ -125,7 +125,22 @@
     let tls = tls(problems, &fields);
     let limits = entry_limits(problems, &fields);
     let telemetry = telemetry(problems, &fields);
-    distinct(problems, &fields, "operator", operator, "listen", listen);
+    let tcp = [
+        ("listen", listen),
+        ("operator", operator),
+        ("platform", platform),
+    ];
+    distinct(problems, &fields, &tcp);
+    if let (Some(link), Some(peers)) = (link, &peers)
+        && peers.contains(&link)
+    {
+        let allowed = "links of other entries only";
+        problems.add(
+            fields.place("peers"),
+            format!("{link}, this entry's link"),
+            allowed,
+        );
+    }
     Some(EntrySettings {
         name: name?,
         data_centre: data_centre?,
@@ -151,12 +166,18 @@
     let tls = tls(problems, &fields);
     let limits = agent_limits(problems, &fields);
     let telemetry = telemetry(problems, &fields);
-    let beside = target.as_ref().map(|t| match t {
-        TargetSettings::Engine { address, .. } | TargetSettings::Service { address, .. } => {
-            *address
-        }
-    });
-    distinct(problems, &fields, "operator", operator, "target", beside);
+    let beside = target.as_ref().map(TargetSettings::address);
+    let tcp = [
+        ("operator", operator),
+        ("platform", platform),
+        ("target", beside),
+    ];
+    distinct(problems, &fields, &tcp);
+    // The agent publishes this address: entries would connect to their own VM and find nobody.
+    if link.is_some_and(|link| link.ip().is_unspecified()) {
+        let allowed = "an IP address that entries reach";
+        problems.add(fields.place("link"), "an unspecified IP address", allowed);
+    }
     Some(AgentSettings {
         name: name?,
         data_centre: data_centre?,
@@ -170,21 +191,21 @@
     })
 }
 
-// Both listen on TCP: the second to bind would fail, and a caller who reached the operator's
-// listener could stop the process.
-fn distinct(
-    problems: &mut Problems,
-    fields: &Fields<'_>,
-    name: &str,
-    addr: Option<SocketAddr>,
-    other_name: &str,
-    other: Option<SocketAddr>,
-) {
-    if let (Some(addr), Some(other)) = (addr, other)
-        && addr == other
-    {
-        let allowed = format!("an address other than that of {other_name}");
-        problems.add(fields.place(name), addr, allowed);
+/// A TCP address and the field that it comes from.
+type Named = (&'static str, Option<SocketAddr>);
+
+// Of two listeners at one address the second cannot bind, and a process that took its own listener
+// for the platform or its target would wait for itself.
+fn distinct(problems: &mut Problems, fields: &Fields<'_>, all: &[Named]) {
+    for (i, (name, addr)) in all.iter().enumerate() {
+        let Some(addr) = addr else {
+            continue;
+        };
+        let same = all[..i].iter().find(|(_, other)| *other == Some(*addr));
+        if let Some((other, _)) = same {
+            let allowed = format!("an address other than that of {other}");
+            problems.add(fields.place(name), addr, allowed);
+        }
     }
 }
 
--- a/crates/stair-config/src/settings.rs
+++ b/crates/stair-config/src/settings.rs
@@ -134,6 +134,15 @@
     },
 }
 
+impl TargetSettings {
+    /// Returns the HTTP address of what stands beside the agent.
+    pub fn address(&self) -> SocketAddr {
+        match self {
+            Self::Engine { address, .. } | Self::Service { address, .. } => *address,
+        }
+    }
+}
+
 /// Bounds of an agent.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/crates/stair-config/tests/bad_files.rs
+++ b/crates/stair-config/tests/bad_files.rs
@@ -129,3 +129,36 @@
     let document = Document::parse("agent.yaml", &one_target.join("\n")).unwrap();
     insta::assert_snapshot!(AgentSettings::try_from(&document).unwrap_err());
 }
+
+#[test]
+fn same_address() {
+    let tls = "tls: { authority: a.pem, certificate: c.pem, key: k.pem }";
+    let text = format!(
+        r#"
+name: entry-1
+data_centre: sthlm-1
+listen: "10.0.0.1:8080"
+link: "10.0.0.1:7400"
+operator: "10.0.0.1:8080"
+platform: "10.0.0.5:7000"
+peers: ["10.0.0.2:7400", "10.0.0.1:7400"]
+{tls}
+"#
+    );
+    let document = Document::parse("entry.yaml", &text).unwrap();
+    insta::assert_snapshot!(EntrySettings::try_from(&document).unwrap_err());
+    let text = format!(
+        r#"
+name: serving-1
+data_centre: lahore-1
+link: "0.0.0.0:7400"
+operator: "10.0.0.1:7401"
+platform: "10.0.0.5:7000"
+target:
+  service: {{ address: "10.0.0.1:7401", service: lookup }}
+{tls}
+"#
+    );
+    let document = Document::parse("agent.yaml", &text).unwrap();
+    insta::assert_snapshot!(AgentSettings::try_from(&document).unwrap_err());
+}
--- a/crates/stair-platform/src/apply.rs
+++ b/crates/stair-platform/src/apply.rs
@@ -11,7 +11,7 @@
     chunks::{
         self,
         Chunk, //
-    },
+    }, //
 };
 use stair_types::{
     ApplyId,
@@ -35,7 +35,7 @@
         Condition,
         Kind,
         Manifest, //
-    },
+    }, //
 };
 
 /// The version before the first apply.
--- a/crates/stair-platform/src/load.rs
+++ b/crates/stair-platform/src/load.rs
@@ -5,7 +5,7 @@
     chunks::{
         self,
         Chunk, //
-    },
+    }, //
 };
 use stair_types::ConfigVersion;
 use tokio::task::JoinSet;
@@ -18,7 +18,7 @@
         Kind,
         Manifest,
         Object, //
-    },
+    }, //
 };
 
 /// The name of the only object of kind [`Kind::Manifest`].
--- a/crates/stair-platform/tests/apply.rs
+++ b/crates/stair-platform/tests/apply.rs
@@ -14,7 +14,8 @@
     Document, //
 };
 use stair_platform::{
-    Error as PlatformError, Kind,
+    Error as PlatformError,
+    Kind,
     apply::{
         Error,
         Options,
@@ -24,7 +25,7 @@
     load::{
         head,
         load, //
-    },
+    }, //
 };
 use stair_types::{
     ApplyId,
--- a/crates/stair-platform/tests/common/mod.rs
+++ b/crates/stair-platform/tests/common/mod.rs
@@ -7,7 +7,7 @@
         Mutex,
         MutexGuard, //
     },
-    time::Duration,
+    time::Duration, //
 };
 
 use serde_json::Value;
--- a/crates/stair-telemetry/src/log.rs
+++ b/crates/stair-telemetry/src/log.rs
@@ -10,14 +10,16 @@
 
 use anyhow::Context;
 use spdlog::{
-    Level, LevelFilter, Logger,
+    Level,
+    LevelFilter,
+    Logger,
     formatter::{
         JsonFormatter,
         PatternFormatter,
         pattern, //
     },
     sink::StdStreamSink,
-    terminal_style::StyleMode,
+    terminal_style::StyleMode, //
 };
 pub use stair_config::LogLevel;
 use stair_config::TelemetrySettings;
--- a/crates/stair-telemetry/src/operator.rs
+++ b/crates/stair-telemetry/src/operator.rs
@@ -28,7 +28,7 @@
         Body,
         full, //
     },
-    server,
+    server, //
 };
 use tokio::{
     net::TcpListener,
--- a/crates/stair-telemetry/tests/operator_listener.rs
+++ b/crates/stair-telemetry/tests/operator_listener.rs
@@ -8,7 +8,7 @@
             Ordering, //
         },
     },
-    time::Duration,
+    time::Duration, //
 };
 
 use bytes::Bytes;
--- a/crates/stair-telemetry/tests/statsd_metrics.rs
+++ b/crates/stair-telemetry/tests/statsd_metrics.rs
@@ -5,7 +5,7 @@
     time::{
         Duration,
         Instant, //
-    },
+    }, //
 };
 
 use stair_telemetry::{
@@ -14,7 +14,7 @@
         LoadOutcome,
         PlatformCall,
         Source, //
-    },
+    }, //
 };
 use stair_types::{
     Reason,
