platform: settle a lost commit beyond the patience

When an outage had used up the operator's patience before the commit, a lost answer was looked at once and then called undetermined. Settling now takes at least 10 s.

The new test late_commit failed before (Undetermined) and passes now; cargo test -p stair-platform: 10 tests passed.

--- a/crates/stair-platform/src/apply.rs
+++ b/crates/stair-platform/src/apply.rs
@@ -48,6 +48,10 @@
 /// Pause between two tries, so that an outage is not met with a storm of calls.
 const PAUSE: Duration = Duration::from_millis(250);
 
+/// Least time to find out what became of a commit whose answer was lost. Most of the operator's
+/// patience may have gone into an outage before, and what is settled here spares him the doubt.
+const SETTLE_TIME: Duration = Duration::from_secs(10);
+
 /// How to apply.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -222,6 +226,7 @@
     S: ObjectStore,
 {
     let undetermined = Outcome::Undetermined(manifest.version);
+    let deadline = deadline.max(Instant::now() + SETTLE_TIME);
     loop {
         let Ok(now) = read_head(store, deadline).await else {
             return undetermined;
--- a/crates/stair-platform/tests/apply.rs
+++ b/crates/stair-platform/tests/apply.rs
@@ -206,3 +206,19 @@
     store.set_down(false);
     assert_eq!(in_force(&store).await, (1, 1));
 }
+
+// The platform comes back just before the operator's patience ends, and then loses the answer to
+// the commit. The operator still learns that the commit took effect a few seconds later.
+#[tokio::test(start_paused = true)]
+async fn late_commit() {
+    let store = with_first().await;
+    store.set_down(true);
+    store.fail_write(Kind::Manifest, Fault::Late(8));
+    let (catalogue, opts) = (catalogue(2), opts("b"));
+    let recovery = async {
+        tokio::time::sleep(PATIENCE - Duration::from_millis(100)).await;
+        store.set_down(false);
+    };
+    let (outcome, ()) = tokio::join!(apply(&store, &catalogue, &opts), recovery);
+    assert_eq!(outcome, applied(2));
+}
