types: write a request's id as text in JSON

serde_json's Value holds no number of 128 bits, so a claim with its request could not be written to the platform at all: every idempotency key was refused as platform-down. Text formats now carry 32 hexadecimal digits; postcard on links is as before. Ruled out: serde_json's arbitrary_precision, which changes how all numbers of all crates are read.

--- a/crates/stair-types/src/ids.rs
+++ b/crates/stair-types/src/ids.rs
@@ -4,7 +4,10 @@
 
 use serde::{
     Deserialize,
-    Serialize, //
+    Deserializer,
+    Serialize,
+    Serializer,
+    de::Error, //
 };
 
 macro_rules! numbers {
@@ -43,10 +46,37 @@
 }
 
 /// Identifies one request through all processes. Random, made by the entry.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
+///
+/// In text formats it is 32 hexadecimal digits: JSON values hold no number of 128 bits.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u128);
 
+impl Serialize for RequestId {
+    fn serialize<S>(&self, serializer: S) -> Result<S::Ok, S::Error>
+    where
+        S: Serializer,
+    {
+        match serializer.is_human_readable() {
+            true => serializer.collect_str(self),
+            false => self.0.serialize(serializer),
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for RequestId {
+    fn deserialize<D>(deserializer: D) -> Result<Self, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        if !deserializer.is_human_readable() {
+            return u128::deserialize(deserializer).map(Self);
+        }
+        let text = Box::<str>::deserialize(deserializer)?;
+        let id = u128::from_str_radix(&text, 16).map_err(D::Error::custom)?;
+        Ok(Self(id))
+    }
+}
+
 impl fmt::Display for RequestId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:032x}", self.0)
