--- /dev/null
+++ b/crates/stair-entry/tests/support/mod.rs
@@ -0,0 +1,20 @@
+//! A scripted agent, a store in memory and an entry's traffic between them.
+#![allow(dead_code, unreachable_pub, missing_docs)]
+
+pub mod agent;
+pub mod rig;
+pub mod store;
+
+use std::time::Duration;
+
+/// Longest wait for what has to happen.
+pub const LONG: Duration = Duration::from_secs(20);
+
+/// Waits for what has to happen, and fails the test if it does not.
+pub async fn soon<F>(what: F) -> F::Output
+where
+    F: Future,
+{
+    let waited = tokio::time::timeout(LONG, what).await;
+    waited.expect("what has to happen happens in time")
+}
