entry: count refusals, avoid unreached targets, keep doubt

A target to which no link opens comes last for a second and is tried once more at the end: the failed attempt has taken a new local port. A request waits two seconds at most behind others' attempts to open one link. Any may-have-run of an earlier target stays in the final verdict. Metrics and logs by stair-telemetry; Traffic::with_metrics takes the metrics.

--- a/crates/stair-entry/src/traffic/accept.rs
+++ b/crates/stair-entry/src/traffic/accept.rs
@@ -62,7 +62,10 @@
     let id = RequestId(rand::random());
     let mut resp = match handle(&cx, id, req).await {
         Ok(resp) => resp,
-        Err(refused) => refused.into_response(&cx.refusals, id),
+        Err(refused) => {
+            cx.refused(id, &refused.refusal);
+            refused.into_response(id)
+        }
     };
     let headers = resp.headers_mut();
     if let Ok(value) = HeaderValue::from_str(&id.to_string()) {
--- a/crates/stair-entry/src/traffic/admit.rs
+++ b/crates/stair-entry/src/traffic/admit.rs
@@ -144,6 +144,12 @@
         }
     }
 
+    /// Returns the requests that wait for a target, by rank of the tier.
+    pub(super) fn waiting(&self) -> Vec<u64> {
+        let counts = self.lock();
+        counts.tiers.iter().map(|t| t.waiting.into()).collect()
+    }
+
     pub(super) fn snapshot(&self) -> Counts {
         self.lock().clone()
     }
--- a/crates/stair-entry/src/traffic/answer.rs
+++ b/crates/stair-entry/src/traffic/answer.rs
@@ -1,6 +1,7 @@
 //! Brings the answer to the caller, whole or with an error that it can see.
 
 use bytes::Bytes;
+use stair_telemetry::metrics::Latency;
 use stair_types::{
     Reason,
     Refusal, //
@@ -73,7 +74,7 @@
             content_type,
             offset,
         }) => {
-            observe(cx, exchange);
+            observe(cx, req, exchange, caller);
             head(caller, *received, status, &content_type, offset)?;
         }
         Frame::Message(FromAgent::End {
@@ -98,7 +99,11 @@
 }
 
 /// Compares the target's time to its first byte with that of the others.
-fn observe<S>(cx: &Cx<S>, exchange: &mut Exchange) {
+fn observe<S>(cx: &Cx<S>, req: &Request, exchange: &mut Exchange, caller: &Caller) {
+    if !caller.has_begun() {
+        cx.metrics
+            .latency(Latency::FirstByte, req.received.elapsed());
+    }
     if let Some(at) = exchange.started_at.take() {
         cx.targets.answered(&exchange.target.target, at.elapsed());
     }
--- a/crates/stair-entry/src/traffic/auth.rs
+++ b/crates/stair-entry/src/traffic/auth.rs
@@ -12,6 +12,7 @@
 use stair_types::{
     CallerName,
     Reason,
+    TierName,
     TierRank, //
 };
 
@@ -21,6 +22,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct Who {
     pub(super) name: CallerName,
+    pub(super) tier: TierName,
     pub(super) rank: TierRank,
     /// Timeout of a request that names none, in milliseconds.
     pub(super) timeout_ms: u32,
@@ -41,6 +43,7 @@
         .ok_or_else(|| unauthorized("the key's tier is not declared"))?;
     Ok(Who {
         name: caller.name.clone(),
+        tier: tier.name.clone(),
         rank: tier.rank,
         timeout_ms: tier.timeout_ms,
     })
--- a/crates/stair-entry/src/traffic/body.rs
+++ b/crates/stair-entry/src/traffic/body.rs
@@ -19,6 +19,9 @@
 /// stand first in a prompt and are longer than this.
 const PREFIX_BYTES: usize = 512;
 
+/// Bytes of a body in which the prompt is looked for. Callers write other fields after it, or few.
+const SEARCH_BYTES: usize = 16 << 10;
+
 /// The fields of an inference's body.
 #[derive(Debug, Deserialize)]
 pub(super) struct Fields<'a> {
@@ -58,7 +61,8 @@
 /// Returns a hash of the prompt's first bytes. The text is not decoded: a field found in the wrong
 /// place costs one request its cached prefix and nothing else.
 pub(super) fn prefix_hash(body: &[u8]) -> u64 {
-    let from = find(body, b"\"messages\"").or_else(|| find(body, b"\"prompt\""));
+    let head = &body[..body.len().min(SEARCH_BYTES)];
+    let from = find(head, b"\"messages\"").or_else(|| find(head, b"\"prompt\""));
     let prompt = &body[from.unwrap_or(0)..];
     xxh3_64(&prompt[..prompt.len().min(PREFIX_BYTES)])
 }
--- a/crates/stair-entry/src/traffic/claim.rs
+++ b/crates/stair-entry/src/traffic/claim.rs
@@ -28,6 +28,10 @@
     Kind,
     ObjectStore, //
 };
+use stair_telemetry::{
+    Part,
+    warn, //
+};
 use tokio::{
     sync::oneshot,
     time::timeout, //
@@ -259,6 +263,7 @@
             Err(_) => return Err(Error::PlatformDown),
         }
     }
+    warn!(Part::Platform, "shard {n} of claims could not be written");
     Err(Error::PlatformDown)
 }
 
--- a/crates/stair-entry/src/traffic/dispatch.rs
+++ b/crates/stair-entry/src/traffic/dispatch.rs
@@ -6,6 +6,7 @@
 use stair_types::{
     Reason,
     Refusal,
+    TargetName,
     Verdict, //
 };
 
@@ -38,26 +39,28 @@
     S: ObjectStore,
 {
     count_request(cx);
-    let mut tried = Vec::new();
+    let mut tried = Tried::default();
     let mut last: Option<Refusal> = None;
     loop {
-        let Some(target) = choose::next(cx, req, &tried) else {
+        let Some(target) = choose::next(cx, req, &tried.names).or_else(|| {
+            let again = tried.forget_unreached();
+            again.then(|| choose::next(cx, req, &tried.names)).flatten()
+        }) else {
             return Err(last.unwrap_or_else(no_target));
         };
         if let Some(refusal) = last.take_if(|_| !may_retry(cx)) {
             return Err(refusal);
         }
-        tried.push(target.name.clone());
+        tried.names.push(target.name.clone());
         progress.place.enter(Phase::Waiting);
         let Err(refusal) = attempt(cx, req, &target, caller, progress).await else {
             return Ok(());
         };
         note(cx, &target, &refusal);
+        tried.note(&target, &refusal);
         // The agent's word that it never ran lifts the doubt that `Start` brought.
-        let started = std::mem::take(&mut progress.started);
-        if refusal.verdict != Verdict::NotRun {
-            progress.doubtful |= started;
-        }
+        progress.started = false;
+        progress.doubtful |= refusal.verdict != Verdict::NotRun;
         if caller.has_part() || !may_go_elsewhere(req, &refusal) {
             return Err(refusal);
         }
@@ -66,6 +69,36 @@
     }
 }
 
+/// The targets that a request has been offered to.
+#[derive(Default)]
+struct Tried {
+    names: Vec<TargetName>,
+    unreached: Vec<TargetName>,
+    is_second_round: bool,
+}
+
+impl Tried {
+    fn note(&mut self, target: &Chosen, refusal: &Refusal) {
+        if refusal.reason == Reason::NoTarget {
+            self.unreached.push(target.name.clone());
+        }
+    }
+
+    /// Lets the targets that were not reached be tried once more, after all others.
+    ///
+    /// The path from this entry's local port may have gone silent. The failed attempt has taken a
+    /// new port, so the next one succeeds although the first one ran out of time.
+    fn forget_unreached(&mut self) -> bool {
+        if self.is_second_round || self.unreached.is_empty() {
+            return false;
+        }
+        self.is_second_round = true;
+        let unreached = std::mem::take(&mut self.unreached);
+        self.names.retain(|n| !unreached.contains(n));
+        true
+    }
+}
+
 async fn attempt<S>(
     cx: &Cx<S>,
     req: &Request,
@@ -112,7 +145,11 @@
 fn note<S>(cx: &Cx<S>, target: &Chosen, refusal: &Refusal) {
     match refusal.reason {
         Reason::Leaving => target.target.leaves(target.token),
-        Reason::NoTarget | Reason::LinkLost | Reason::TargetFailed | Reason::LoadFailed => {
+        Reason::NoTarget => {
+            target.target.unreached();
+            cx.targets.failed(&target.target);
+        }
+        Reason::LinkLost | Reason::TargetFailed | Reason::LoadFailed => {
             cx.targets.failed(&target.target);
         }
         _ => {}
--- a/crates/stair-entry/src/traffic/mod.rs
+++ b/crates/stair-entry/src/traffic/mod.rs
@@ -53,7 +53,16 @@
 use stair_link::Pool;
 use stair_platform::ObjectStore;
 use stair_policy::retry;
-use stair_types::DataCentre;
+use stair_telemetry::{
+    Metrics,
+    Part,
+    debug, //
+};
+use stair_types::{
+    DataCentre,
+    Refusal,
+    RequestId, //
+};
 use tokio::{
     net::TcpListener,
     sync::watch, //
@@ -85,6 +94,7 @@
     targets: targets::Targets,
     retries: Mutex<retry::Budget>,
     refusals: refuse::Counts,
+    metrics: Metrics,
     draining: AtomicBool,
 }
 
@@ -93,6 +103,17 @@
         self.view.borrow().clone()
     }
 
+    /// Counts a refusal that is told to a caller.
+    fn refused(&self, id: RequestId, refusal: &Refusal) {
+        self.refusals.count(refusal);
+        self.metrics.refusal(refusal.reason, refusal.verdict);
+        let (reason, verdict) = (refusal.reason.as_str(), refusal.verdict.as_str());
+        debug!(
+            Part::Callers,
+            "request {id} is refused: {reason}, {verdict}"
+        );
+    }
+
     fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Relaxed)
     }
@@ -109,6 +130,19 @@
         limits: EntryLimits,
         pool: Pool,
         store: S,
+    ) -> Self {
+        let metrics = Metrics::disabled();
+        Self::with_metrics(view, data_centre, limits, pool, store, metrics)
+    }
+
+    /// Makes the traffic half of an entry that sends metrics.
+    pub fn with_metrics(
+        view: watch::Receiver<Arc<View>>,
+        data_centre: DataCentre,
+        limits: EntryLimits,
+        pool: Pool,
+        store: S,
+        metrics: Metrics,
     ) -> Self {
         Self {
             cx: Arc::new(Cx {
@@ -121,6 +155,7 @@
                 targets: targets::Targets::default(),
                 retries: Mutex::new(retry::Budget::new(retry::Options::default())),
                 refusals: refuse::Counts::default(),
+                metrics,
                 draining: AtomicBool::new(false),
             }),
         }
@@ -141,6 +176,15 @@
         self.cx.gate.empty().await;
     }
 
+    /// Sends how many requests wait, by tier. The process calls it about once a second.
+    pub fn report(&self) {
+        let waiting = self.cx.gate.waiting();
+        for tier in &self.cx.latest().catalogue.tiers {
+            let n = waiting.get(usize::from(tier.rank.0)).copied();
+            self.cx.metrics.queue_length(&tier.name, n.unwrap_or(0));
+        }
+    }
+
     /// Returns the state of the traffic half, for an operator.
     pub fn dump(&self) -> serde_json::Value {
         dump::dump(&self.cx)
--- a/crates/stair-entry/src/traffic/offer.rs
+++ b/crates/stair-entry/src/traffic/offer.rs
@@ -4,8 +4,7 @@
 
 use stair_types::{
     Reason,
-    Refusal,
-    Verdict, //
+    Refusal, //
 };
 use stair_wire::{
     frame::{
@@ -35,6 +34,14 @@
 /// lives, and waiting on would hold the request until its deadline.
 const QUEUED_TIME: Duration = Duration::from_secs(3);
 
+/// Requests to one address wait for each other's attempts to open a link. Behind many of them one
+/// would wait for its own turn until its deadline, although other targets are free.
+const LINK_TIME: Duration = Duration::from_secs(2);
+
+/// Told to callers whose targets cannot be reached, in milliseconds: about the time in which a
+/// link is replaced.
+const RETRY_MS: u32 = 1_000;
+
 /// Offers a request and returns once the agent has queued it.
 ///
 /// # Errors
@@ -46,8 +53,12 @@
     target: &Chosen,
     progress: &mut Progress,
 ) -> Result<Exchange, Refusal> {
-    let unreachable = || Refusal::not_run(Reason::NoTarget, 0, "the target cannot be reached");
-    let link = cx.pool.get(target.link).await.map_err(|_| unreachable())?;
+    let unreachable =
+        || Refusal::not_run(Reason::NoTarget, RETRY_MS, "the target cannot be reached");
+    let link = match timeout(LINK_TIME, cx.pool.get(target.link)).await {
+        Ok(Ok(link)) => link,
+        Ok(Err(_)) | Err(_) => return Err(unreachable()),
+    };
     let opened = Exchange::open(target, &link).await;
     let mut exchange = opened.map_err(|_| unreachable())?;
     // From here on the agent may run work that needs no `Start`.
@@ -62,7 +73,7 @@
 async fn queue(req: &Request, exchange: &mut Exchange) -> Result<(), Refusal> {
     let broken = |_| match req.starts_when_ready() {
         true => Refusal::may_have_run(Reason::LinkLost, 0, BROKE),
-        false => Refusal::not_run(Reason::LinkLost, 0, BROKE),
+        false => Refusal::not_run(Reason::LinkLost, RETRY_MS, BROKE),
     };
     let offer = ToAgent::Offer(message(req));
     exchange.send(&offer).await.map_err(broken)?;
@@ -87,14 +98,9 @@
 
 /// Makes the refusal of a request whose agent is lost, by whether it may have started.
 pub(super) fn lost(progress: &Progress, message: &str) -> Refusal {
-    Refusal {
-        verdict: match progress.started {
-            true => Verdict::MayHaveRun,
-            false => Verdict::NotRun,
-        },
-        reason: Reason::LinkLost,
-        retry_after_ms: 0,
-        message: message.into(),
+    match progress.started {
+        true => Refusal::may_have_run(Reason::LinkLost, 0, message),
+        false => Refusal::not_run(Reason::LinkLost, RETRY_MS, message),
     }
 }
 
--- a/crates/stair-entry/src/traffic/refuse.rs
+++ b/crates/stair-entry/src/traffic/refuse.rs
@@ -75,10 +75,9 @@
         }
     }
 
-    /// Makes the response and counts it. The time to come back is spread by the request's id, so
+    /// Makes the response. The time to come back is spread by the request's id, so
     /// that those refused together do not return together.
-    pub(super) fn into_response(mut self, counts: &Counts, id: RequestId) -> Response<Body> {
-        counts.count(&self.refusal);
+    pub(super) fn into_response(mut self, id: RequestId) -> Response<Body> {
         spread(&mut self.refusal, id);
         error::response_with_status(&self.refusal, self.status)
     }
--- a/crates/stair-entry/src/traffic/request.rs
+++ b/crates/stair-entry/src/traffic/request.rs
@@ -17,6 +17,7 @@
     Reason,
     RequestId,
     ServiceName,
+    TierName,
     TierRank, //
 };
 use stair_wire::request::Work;
@@ -42,6 +43,7 @@
 pub(super) struct Request {
     pub(super) id: RequestId,
     pub(super) caller: CallerName,
+    pub(super) tier: TierName,
     pub(super) rank: TierRank,
     pub(super) work: Work,
     pub(super) method: Box<str>,
@@ -52,6 +54,7 @@
     pub(super) prefix_hash: u64,
     pub(super) repeatable: bool,
     pub(super) idempotency_key: Option<Box<str>>,
+    pub(super) received: Instant,
     pub(super) deadline: Instant,
 }
 
@@ -106,16 +109,18 @@
     let req = Request {
         id,
         caller: who.name.clone(),
+        tier: who.tier.clone(),
         rank: who.rank,
         work: target.work,
         method: head.method.as_str().into(),
         path: target.path,
-        prefix_hash: body::prefix_hash(&body),
+        prefix_hash: target.prefix_hash,
         body,
         max_tokens: target.max_tokens,
         repeatable: wishes.repeatable.unwrap_or(target.repeatable),
         content_type: wishes.content_type,
         idempotency_key: wishes.idempotency_key,
+        received,
         deadline: received + timeout,
     };
     Ok((req, admitted))
@@ -135,6 +140,7 @@
     work: Work,
     path: Box<str>,
     max_tokens: u32,
+    prefix_hash: u64,
     repeatable: bool,
 }
 
@@ -155,6 +161,7 @@
         },
         path,
         max_tokens: 0,
+        prefix_hash: 0,
     })
 }
 
@@ -171,6 +178,7 @@
         },
         path: path.into(),
         max_tokens: fields.tokens(),
+        prefix_hash: body::prefix_hash(body),
         repeatable: model.repeatable,
     })
 }
--- a/crates/stair-entry/src/traffic/resume.rs
+++ b/crates/stair-entry/src/traffic/resume.rs
@@ -6,6 +6,10 @@
 
 use std::time::Duration;
 
+use stair_telemetry::{
+    Part,
+    warn, //
+};
 use stair_types::{
     Reason,
     Refusal, //
@@ -56,6 +60,8 @@
     ) -> Result<(), Refusal> {
         cx.targets.failed(&exchange.target.target);
         let is_first = self.until.is_none();
+        let name = &exchange.target.name;
+        warn!(Part::Links, "request {} lost its link to {name}", req.id);
         let until = *self
             .until
             .get_or_insert_with(|| Instant::now() + RESUME_TIME);
--- a/crates/stair-entry/src/traffic/run.rs
+++ b/crates/stair-entry/src/traffic/run.rs
@@ -5,6 +5,7 @@
 use hyper::Response;
 use stair_http::Body;
 use stair_platform::ObjectStore;
+use stair_telemetry::metrics::Latency;
 use stair_types::{
     Reason,
     Refusal,
@@ -22,6 +23,10 @@
     request::Request,
 };
 
+/// Told to callers whose deadline passed before their request ran, in milliseconds. Nothing is
+/// known of the time that it would have taken; a second spreads them a little.
+const RETRY_MS: u32 = 1_000;
+
 /// How far a request has come, as far as its verdict depends on it.
 pub(super) struct Progress {
     pub(super) place: Admitted,
@@ -71,17 +76,21 @@
         () = gone => Err(withdrawn()),
         () = tokio::time::sleep_until(req.deadline) => Err(too_late()),
     };
+    cx.metrics.latency(Latency::Whole, req.received.elapsed());
     let Err(mut refusal) = result else {
+        cx.metrics.request(&req.tier, Verdict::Answered);
         return;
     };
     // A target that refused after another one may have run the request does not make it not run.
     if progress.may_have_run() {
         refusal.verdict = Verdict::MayHaveRun;
+        refusal.retry_after_ms = 0;
     }
     if refusal.verdict == Verdict::NotRun && progress.claimed {
         cx.claims.release(&req);
     }
-    cx.refusals.count(&refusal);
+    cx.metrics.request(&req.tier, refusal.verdict);
+    cx.refused(req.id, &refusal);
     caller.fail(refusal).await;
 }
 
@@ -90,5 +99,5 @@
 }
 
 fn too_late() -> Refusal {
-    Refusal::not_run(Reason::DeadlinePassed, 0, "the deadline passed")
+    Refusal::not_run(Reason::DeadlinePassed, RETRY_MS, "the deadline passed")
 }
--- a/crates/stair-entry/src/traffic/targets.rs
+++ b/crates/stair-entry/src/traffic/targets.rs
@@ -26,6 +26,10 @@
 use stair_wire::request::Load;
 use tokio::time::Instant;
 
+/// A target to which no link could be opened comes last for so long: a request that tries it waits
+/// for the whole time of an attempt.
+const AVOID_FOR: Duration = Duration::from_secs(1);
+
 /// Targets not heard of for long are swept when this many have been added.
 const SWEEP_AT: usize = 256;
 
@@ -58,6 +62,7 @@
     /// Sorted by name.
     models: Vec<Loaded>,
     leaving: Option<FencingToken>,
+    unreached: Option<Instant>,
 }
 
 struct Loaded {
@@ -177,6 +182,7 @@
                 in_flight: 0,
                 models: Vec::new(),
                 leaving: None,
+                unreached: None,
             }),
         }
     }
@@ -192,7 +198,10 @@
             report_age: state.reported.map_or(Duration::MAX, |at| at.elapsed()),
             in_flight: state.in_flight,
             loaded,
-            weight,
+            weight: match state.unreached {
+                Some(at) if at.elapsed() < AVOID_FOR => 0.0,
+                _ => weight,
+            },
             leaving: state.leaving,
         }
     }
@@ -202,6 +211,7 @@
         let mut state = self.lock();
         state.load = load;
         state.reported = Some(Instant::now());
+        state.unreached = None;
         let Some(model) = model else {
             return;
         };
@@ -217,6 +227,11 @@
         }
     }
 
+    /// Notes that no link to the target could be opened.
+    pub(super) fn unreached(&self) {
+        self.lock().unreached = Some(Instant::now());
+    }
+
     /// Notes that this incarnation of the agent said that it is leaving.
     pub(super) fn leaves(&self, token: FencingToken) {
         self.lock().leaving = Some(token);
--- a/crates/stair-entry/tests/resume.rs
+++ b/crates/stair-entry/tests/resume.rs
@@ -15,6 +15,7 @@
     Refusal, //
 };
 use support::{
+    LONG,
     agent::{
         Event,
         FakeAgent,
@@ -29,6 +30,8 @@
     },
 };
 
+use tokio::sync::Notify;
+
 const EVENTS: &str = "text/event-stream";
 
 async fn break_off(mut s: Session) {
@@ -44,30 +47,38 @@
 #[tokio::test]
 async fn stream_goes_on() {
     let keys = keys();
-    let mut agent = FakeAgent::start("t1", &keys, |mut s| async move {
-        if s.is_resume() {
-            s.head(EVENTS, 9).await;
-            s.body("data: 2\n\n").await;
-            return s.end(18).await;
-        }
-        s.queued().await;
-        assert!(s.ready().await);
-        s.head(EVENTS, 0).await;
-        s.body("data: 1\n\n").await;
-        // The caller's part has to be received before the link breaks; a cancel never comes.
-        tokio::time::sleep(std::time::Duration::from_millis(200)).await;
-        s.link.close();
-    });
+    let read = Arc::new(Notify::new());
+    let was_read = read.clone();
+    let mut agent = FakeAgent::start("t1", &keys, move |s| stream(s, was_read.clone()));
     let rig = Rig::start(&keys, &[&agent]).await;
 
-    let got = rig.ask(GOLD, BILLED, &[]).await;
+    let mut answer = rig.send(GOLD, BILLED, &[]).await;
+    let first = answer.chunk(LONG).await.expect("a part");
+    read.notify_one();
+    let rest = answer.collect(1 << 16, LONG).await.expect("whole");
 
-    assert_eq!(&got.body[..], b"data: 1\n\ndata: 2\n\n");
+    assert_eq!(first.as_deref(), Some(&b"data: 1\n\n"[..]));
+    assert_eq!(&rest[..], b"data: 2\n\n");
     assert_eq!(agent.next().await, Event::Offered);
     assert_eq!(agent.next().await, Event::Started);
     assert_eq!(agent.next().await, Event::Resumed(9));
 }
 
+/// Breaks the link once the caller has read the first event.
+async fn stream(mut s: Session, was_read: Arc<Notify>) {
+    if s.is_resume() {
+        s.head(EVENTS, 9).await;
+        s.body("data: 2\n\n").await;
+        return s.end(18).await;
+    }
+    s.queued().await;
+    assert!(s.ready().await);
+    s.head(EVENTS, 0).await;
+    s.body("data: 1\n\n").await;
+    was_read.notified().await;
+    s.link.close();
+}
+
 // The link breaks just after the start was sent, and the start was lost with it. The agent says
 // that the work never ran, so another target may take it although it is billed.
 #[tokio::test]
