--- a/crates/stair-agent/src/admit.rs
+++ b/crates/stair-agent/src/admit.rs
@@ -224,16 +224,15 @@
     }
 
     /// Makes sure that a request that has not started never does.
-    pub(crate) fn withdraw(&mut self, id: RequestId) -> Phase {
-        let phase = self.runs.withdraw(self.now(), id);
-        if phase == Phase::Withdrawn {
-            self.queue.remove(id);
-            self.active.retain(|a| a.id != id);
-            if let Ok(i) = self.find_pending(id) {
-                self.pending.remove(i);
-            }
+    pub(crate) fn withdraw(&mut self, id: RequestId) {
+        if self.runs.withdraw(self.now(), id) == Phase::Started {
+            return;
+        }
+        self.queue.remove(id);
+        self.active.retain(|a| a.id != id);
+        if let Ok(i) = self.find_pending(id) {
+            self.pending.remove(i);
         }
-        phase
     }
 
     /// Finds the answer of a started request, or says for sure that it has not run.
@@ -246,9 +245,13 @@
             let message = "the agent was replaced during the run";
             return Err(Refusal::may_have_run(Reason::LinkLost, 0, message));
         }
-        if self.withdraw(id) == Phase::Withdrawn {
+        if self.runs.withdraw(self.now(), id) == Phase::Withdrawn {
             let message = "the request had not started";
-            return Err(Refusal::not_run(Reason::LinkLost, ELSEWHERE_MS, message));
+            let refusal = Refusal::not_run(Reason::LinkLost, ELSEWHERE_MS, message);
+            // The stream of the offer may live still, and learns the same.
+            self.queue.remove(id);
+            self.refuse_id(id, refusal.clone());
+            return Err(refusal);
         }
         let at = self.answers.binary_search_by_key(&id, |(other, _)| *other);
         match at {
--- a/crates/stair-agent/src/control.rs
+++ b/crates/stair-agent/src/control.rs
@@ -309,7 +309,7 @@
             Msg::Start { id, reply } => {
                 let _ = reply.send(self.start(id));
             }
-            Msg::Withdraw { id } => drop(self.withdraw(id)),
+            Msg::Withdraw { id } => self.withdraw(id),
             Msg::Resume {
                 id,
                 incarnation,
--- a/crates/stair-agent/src/loads.rs
+++ b/crates/stair-agent/src/loads.rs
@@ -189,18 +189,14 @@
     }
 
     fn make_room(&mut self, item: &Item, rank: TierRank, missing_mib: u32) {
-        // What is being unloaded already counts before more is taken away.
-        let entries = self.ledger.entries().iter();
-        let coming: u32 = entries
-            .filter(|e| e.state == State::Unloading)
-            .map(|e| e.memory_mib)
-            .sum();
-        if coming >= missing_mib {
+        // One round at a time: adapters that go first would otherwise not count, nor their base
+        // model be chosen, and a model that is used more would be unloaded in its place.
+        let mut entries = self.ledger.entries().iter();
+        if entries.any(|e| e.state == State::Unloading) {
             return;
         }
-        let missing = missing_mib - coming;
         let usage = |i: &Item| self.usage(i);
-        for victim in victims::choose(&self.ledger, item, rank, missing, usage) {
+        for victim in victims::choose(&self.ledger, item, rank, missing_mib, usage) {
             self.unload_group(&victim);
         }
     }
--- a/crates/stair-agent/tests/common/engine.rs
+++ b/crates/stair-agent/tests/common/engine.rs
@@ -135,6 +135,13 @@
         self.state().fence = fence;
     }
 
+    /// Returns the adapters held on a model.
+    pub(crate) fn adapters(&self, model: &str) -> usize {
+        let state = self.state();
+        let held = state.models.get(model);
+        held.map_or(0, |m| m["adapters"].as_array().expect("a list").len())
+    }
+
     /// Loses all models, as a restart does.
     pub(crate) fn restart(&self) {
         self.state().models.clear();
@@ -151,6 +158,8 @@
             "/engine" => self.list(),
             "/engine/load" => self.load(&sent).await,
             "/engine/unload" => self.unload(&sent),
+            "/engine/adapters/load" => self.load_adapter(&sent),
+            "/engine/adapters/unload" => self.unload_adapter(&sent),
             _ => self.complete(&sent, id.unwrap_or_default()).await,
         }
     }
@@ -214,6 +223,36 @@
         }
     }
 
+    fn load_adapter(&self, sent: &Value) -> Response<Body> {
+        let mut state = self.state();
+        let needs = sent["memory_mib"].as_u64().unwrap_or_default();
+        if state.taken() + needs > state.memory_mib {
+            state.over = true;
+        }
+        let name = sent["model"].as_str().unwrap_or_default();
+        let adapter = json!({"name": sent["adapter"], "version": sent["version"],
+            "memory_mib": needs});
+        let Some(held) = state.models.get_mut(name) else {
+            return reply(StatusCode::NOT_FOUND, &json!({}));
+        };
+        held["adapters"]
+            .as_array_mut()
+            .expect("a list")
+            .push(adapter);
+        reply(StatusCode::OK, &json!({"source": "disk", "load_ms": 1}))
+    }
+
+    fn unload_adapter(&self, sent: &Value) -> Response<Body> {
+        let mut state = self.state();
+        let name = sent["model"].as_str().unwrap_or_default();
+        let Some(held) = state.models.get_mut(name) else {
+            return reply(StatusCode::NOT_FOUND, &json!({}));
+        };
+        let adapters = held["adapters"].as_array_mut().expect("a list");
+        adapters.retain(|a| a["name"] != sent["adapter"]);
+        reply(StatusCode::OK, &json!({}))
+    }
+
     async fn complete(&self, sent: &Value, id: String) -> Response<Body> {
         let name = sent["model"].as_str().unwrap_or_default();
         if !self.state().models.contains_key(name) {
@@ -242,8 +281,12 @@
 impl State {
     fn taken(&self) -> u64 {
         let held = self.models.values();
-        held.map(|m| m["memory_mib"].as_u64().unwrap_or_default())
-            .sum()
+        held.map(|m| {
+            let adapters = m["adapters"].as_array().expect("a list").iter();
+            let adapters = adapters.map(|a| a["memory_mib"].as_u64().unwrap_or_default());
+            m["memory_mib"].as_u64().unwrap_or_default() + adapters.sum::<u64>()
+        })
+        .sum()
     }
 
     fn check_fence(&mut self, sent: &Value) -> Option<Response<Body>> {
--- /dev/null
+++ b/crates/stair-agent/tests/engine_faults.rs
@@ -0,0 +1,172 @@
+//! Orders to an engine that fails.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{
+    World,
+    declared,
+    entry::Stream,
+    until, //
+};
+use stair_config::Adapter;
+use stair_types::{
+    Reason,
+    RequestId,
+    TierRank,
+    Verdict, //
+};
+use stair_wire::request::{
+    Offer,
+    Work, //
+};
+
+// The engine loads a model and its answer is lost. A second load of it would be refused or take
+// the memory twice; treating it as not loaded would let another model overfill the accelerator.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_load_settled() {
+    let mut world = World::new(&["m1", "m2"]).await;
+    world.limits.load_timeout_ms = 200;
+    world.engine.lose_loads(1);
+    let agent = world.agent().await;
+    let link = world.entry.link(&agent).await;
+
+    let ended = Stream::offer(&link, 1, "m1", false).await.finish().await;
+
+    assert_eq!(ended.body(), r#"{"text":"done"}"#);
+    assert_eq!(world.engine.loads(), 1);
+    let dump = agent.dump().await.expect("lives");
+    assert!(!dump.in_doubt);
+    assert_eq!(dump.ledger.taken_mib(), 400);
+}
+
+// The engine's process is restarted and holds nothing any more. Requests that wait for the model
+// should be served after a new load, and the one that found out has surely not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_restarts() {
+    let world = World::new(&["m1"]).await;
+    let agent = world.agent().await;
+    let link = world.entry.link(&agent).await;
+    Stream::offer(&link, 1, "m1", false).await.finish().await;
+
+    world.engine.restart();
+    let found_out = Stream::offer(&link, 2, "m1", false).await.finish().await;
+    let next = Stream::offer(&link, 3, "m1", false).await.finish().await;
+
+    assert_eq!(found_out.refusal().verdict, Verdict::NotRun);
+    assert_eq!(next.body(), r#"{"text":"done"}"#);
+    assert_eq!(world.engine.loads(), 2);
+}
+
+// A checkpoint cannot be read. Its callers have to be told soon that nothing ran, rather than wait
+// until their deadlines.
+#[tokio::test(flavor = "multi_thread")]
+async fn load_keeps_failing() {
+    let world = World::new(&["m1"]).await;
+    world.engine.fail_loads(u32::MAX);
+    let agent = world.agent().await;
+    let link = world.entry.link(&agent).await;
+
+    let ended = Stream::offer(&link, 1, "m1", false).await.finish().await;
+
+    let refusal = ended.refusal();
+    assert_eq!(refusal.reason, Reason::LoadFailed);
+    assert_eq!(refusal.verdict, Verdict::NotRun);
+    assert!(refusal.retry_after_ms > 0);
+    assert_eq!(agent.dump().await.expect("lives").ledger.taken_mib(), 0);
+}
+
+// A later agent of the same target has ordered the engine, while this one was paused or cut off.
+// Two agents that order one engine would overfill its memory.
+#[tokio::test(flavor = "multi_thread")]
+async fn superseded_ends() {
+    let world = World::new(&["m1"]).await;
+    let agent = world.agent().await;
+    let link = world.entry.link(&agent).await;
+    world.engine.raise_fence(1000);
+
+    let _stream = Stream::offer(&link, 1, "m1", false).await;
+    let (_stop, stopping) = tokio::sync::watch::channel(false);
+    let ended = tokio::time::timeout(common::LIMIT, agent.run_until(stopping)).await;
+
+    assert!(ended.expect("ends in time").is_err());
+    assert!(world.engine.models().is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn adapter_after_base() {
+    let mut world = World::new(&["m1", "m2", "m3"]).await;
+    let adapter = Adapter {
+        name: "a1".try_into().expect("a name"),
+        version: "v1".into(),
+        memory_mib: 50,
+    };
+    world.models[0].adapters.push(adapter);
+    world.write_grants();
+    let agent = world.agent().await;
+    let link = world.entry.link(&agent).await;
+    let body = br#"{"model":"m1"}"#;
+    let offer = Offer {
+        id: RequestId(1),
+        work: Work::Model {
+            model: common::model("m1"),
+            adapter: Some("a1".try_into().expect("a name")),
+        },
+        method: "POST".into(),
+        path: "/v1/completions".into(),
+        content_type: "application/json".into(),
+        rank: TierRank(0),
+        time_left_ms: 15_000,
+        repeatable: true,
+        start_when_ready: true,
+        max_tokens: 0,
+        body_bytes: body.len() as u32,
+    };
+
+    let ended = Stream::send(&link, offer, body).await.finish().await;
+
+    assert_eq!(ended.body(), r#"{"text":"done"}"#);
+    assert_eq!(world.engine.adapters("m1"), 1);
+    // Both others need the room of the base model, which goes after its adapter.
+    for (id, name) in [(2, "m2"), (3, "m3")] {
+        let ended = Stream::offer(&link, id, name, false).await.finish().await;
+        assert_eq!(ended.body(), r#"{"text":"done"}"#);
+    }
+    assert!(!world.engine.was_over());
+    assert_eq!(world.engine.models(), ["m2", "m3"]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn never_fits() {
+    let mut world = World::new(&["m1"]).await;
+    world.models = vec![stair_config::Model {
+        memory_mib: 5000,
+        ..declared("m1")
+    }];
+    world.write_grants();
+    let agent = world.agent().await;
+    let link = world.entry.link(&agent).await;
+
+    let ended = Stream::offer(&link, 1, "m1", false).await.finish().await;
+
+    assert_eq!(ended.refusal().reason, Reason::LoadFailed);
+    assert_eq!(world.engine.loads(), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_unloads() {
+    let mut world = World::new(&["m1"]).await;
+    world.policy.keep.min_idle_ms = 0;
+    world.policy.keep.max_idle_ms = 50;
+    world.write_grants();
+    let agent = world.agent().await;
+    let link = world.entry.link(&agent).await;
+    Stream::offer(&link, 1, "m1", false).await.finish().await;
+
+    until(&agent, |d| d.ledger.taken_mib() == 0).await;
+    tokio::time::timeout(Duration::from_secs(5), agent.stop())
+        .await
+        .expect("stops in time")
+        .expect("stops");
+}
