--- a/crates/stair-policy/src/place.rs
+++ b/crates/stair-policy/src/place.rs
@@ -18,6 +18,9 @@
     /// Candidates looked at in each data centre. Two choices keep the fullest target close to the
     /// average; a third or fourth still helps when VMs differ in size, more do not.
     pub probes: u16,
+    /// A data centre with no more targets than this is looked at as a whole: that costs little
+    /// more than the probes, and balances better.
+    pub scan_up_to: u16,
     /// Memory that a target's grants may add up to, in percent of its own memory. Grants are
     /// permissions of which few are in use; beyond some tenfold, wakings on one target would
     /// unload each other too often.
@@ -28,6 +31,7 @@
     fn default() -> Self {
         Self {
             probes: 3,
+            scan_up_to: 8,
             max_granted_percent: 1_000,
         }
     }
@@ -58,6 +62,10 @@
             && self.granted_mib + u64::from(memory_mib) <= limit
     }
 
+    fn may_keep(&self, model: &ModelInfo<'_>) -> bool {
+        self.live && model.memory_mib <= self.memory_mib
+    }
+
     /// Granted memory for each mebibyte of its own, in thousandths.
     fn fullness(&self) -> u64 {
         self.granted_mib * 1_000 / u64::from(self.memory_mib.max(1))
@@ -190,48 +198,41 @@
 /// holders stay unless they are not live, cannot hold the model, or are too many.
 pub fn changes(opts: &Options, fleet: &Fleet, model: &ModelInfo<'_>) -> Vec<Change> {
     let mut out = Vec::new();
-    let mut kept: Vec<TargetKey> = Vec::new();
+    let mut kept: Vec<TargetInfo> = Vec::new();
     for held in model.grants.iter().filter(|h| !h.revoking) {
-        match may_keep(fleet, model, held.target) {
-            true => kept.push(held.target),
-            false => out.push(Change::Revoke(held.target)),
+        match fleet.get(held.target).filter(|t| t.may_keep(model)) {
+            Some(target) => kept.push(*target),
+            None => out.push(Change::Revoke(held.target)),
         }
     }
     while kept.len() > usize::from(model.replicas) {
-        let Some(at) = least_useful(fleet, &kept) else {
+        let Some(at) = least_useful(&kept) else {
             break;
         };
-        out.push(Change::Revoke(kept.swap_remove(at)));
+        out.push(Change::Revoke(kept.swap_remove(at).key));
     }
     let mut free = usize::from(model.replicas).saturating_sub(model.grants.len());
     while free > 0 {
-        let Some(key) = find(opts, fleet, model, &kept) else {
+        let Some(target) = find(opts, fleet, model, &kept) else {
             break;
         };
-        out.push(Change::Grant(key));
-        kept.push(key);
+        out.push(Change::Grant(target.key));
+        kept.push(target);
         free -= 1;
     }
     out
 }
 
-fn may_keep(fleet: &Fleet, model: &ModelInfo<'_>, key: TargetKey) -> bool {
-    let target = fleet.get(key);
-    target.is_some_and(|t| t.live && model.memory_mib <= t.memory_mib)
-}
-
 /// Picks the holder to give up: in the data centre with most holders, the fullest target.
-fn least_useful(fleet: &Fleet, kept: &[TargetKey]) -> Option<usize> {
+fn least_useful(kept: &[TargetInfo]) -> Option<usize> {
     (0..kept.len()).max_by_key(|i| {
-        let target = fleet.get(kept[*i]);
-        let crowd = target.map_or(0, |t| holders_in(fleet, kept, t.data_centre));
-        (crowd, target.map_or(0, TargetInfo::fullness))
+        let target = &kept[*i];
+        (holders_in(kept, target.data_centre), target.fullness())
     })
 }
 
-fn holders_in(fleet: &Fleet, kept: &[TargetKey], data_centre: u16) -> usize {
-    let holders = kept.iter().filter_map(|k| fleet.get(*k));
-    holders.filter(|t| t.data_centre == data_centre).count()
+fn holders_in(kept: &[TargetInfo], data_centre: u16) -> usize {
+    kept.iter().filter(|t| t.data_centre == data_centre).count()
 }
 
 /// Finds the target for one more replica: the data centres with fewest holders first, and in
@@ -240,43 +241,51 @@
     opts: &Options,
     fleet: &Fleet,
     model: &ModelInfo<'_>,
-    kept: &[TargetKey],
-) -> Option<TargetKey> {
+    kept: &[TargetInfo],
+) -> Option<TargetInfo> {
     let mut spans: Vec<(usize, Span)> = fleet
         .data_centres
         .iter()
-        .map(|s| (holders_in(fleet, kept, s.data_centre), *s))
+        .map(|s| (holders_in(kept, s.data_centre), *s))
         .collect();
     spans.sort_by_key(|(holders, _)| *holders);
     spans.chunk_by(|a, b| a.0 == b.0).find_map(|group| {
         let spans = group.iter().map(|(_, s)| s);
         let best = spans.filter_map(|s| candidate(opts, fleet, model, kept, s));
         best.min_by_key(|t| (t.fullness(), mix(model.name_hash, t.name_hash)))
-            .map(|t| t.key)
+            .copied()
     })
 }
 
 /// Picks the least full of a few targets of one data centre, found by hash.
 ///
-/// Each probe starts at a point given by the model's hash and walks on to the first target that
+/// Each probe starts at a position given by the model's hash and walks on to the first target that
 /// fits. A walk is longer than a step or two only when most of the data centre is full or gone.
+/// Positions, and not the nearest hash as on a ring: a target behind a wide gap would be found far
+/// more often than others. That positions shift when a VM comes or goes does no harm, since holders
+/// stay where they are.
 fn candidate<'a>(
     opts: &Options,
     fleet: &'a Fleet,
     model: &ModelInfo<'_>,
-    kept: &[TargetKey],
+    kept: &[TargetInfo],
     span: &Span,
 ) -> Option<&'a TargetInfo> {
     let targets = &fleet.targets[span.start..span.end];
     let fit = |t: &&TargetInfo| {
         t.fits(opts, model.memory_mib)
-            && !kept.contains(&t.key)
+            && !kept.iter().any(|k| k.key == t.key)
             && !model.grants.iter().any(|h| h.target == t.key)
     };
+    if targets.len() <= usize::from(opts.scan_up_to) {
+        let order = |t: &&TargetInfo| (t.fullness(), mix(model.name_hash, t.name_hash));
+        return targets.iter().filter(fit).min_by_key(order);
+    }
+    // Later replicas start elsewhere, or they would look at the targets of the first again.
+    let seed = mix(model.name_hash, kept.len() as u64);
     let probe = |n: u16| {
-        let point = mix(model.name_hash, u64::from(n));
-        let start = targets.partition_point(|t| t.name_hash < point);
-        let (before, after) = targets.split_at(start);
+        let start = mix(seed, u64::from(n)) % targets.len() as u64;
+        let (before, after) = targets.split_at(start as usize);
         after.iter().chain(before).find(fit)
     };
     let first = probe(0)?;
