--- /dev/null
+++ b/crates/stair-policy/examples/measure/dispatch.rs
@@ -0,0 +1,303 @@
+//! A few entries that choose among the targets of one model.
+
+use std::collections::VecDeque;
+
+use rand::{
+    RngExt,
+    SeedableRng,
+    rngs::StdRng, //
+};
+use stair_policy::{
+    choose::{
+        Candidate,
+        Options,
+        order, //
+    },
+    shift::{
+        Options as ShiftOptions,
+        Outcome,
+        Shift, //
+    },
+};
+use stair_types::TargetKey;
+
+use crate::{
+    paper::{
+        Detector,
+        Mean, //
+    },
+    table::{
+        Samples,
+        exponential,
+        secs, //
+    },
+};
+
+/// How an entry chooses.
+#[derive(Clone, Copy, PartialEq)]
+pub(crate) enum Rule {
+    RoundRobin,
+    LeastReported,
+    LeastInFlight,
+    /// The choice under test without weights, but the slow target is never chosen while slow.
+    Oracle,
+    /// The choice under test without weights.
+    Choose,
+    /// With the weights of `shift`.
+    Shift,
+    /// With weights by the paper's rule.
+    Paper(Mean),
+}
+
+/// A scenario. Times in seconds.
+#[derive(Clone, Copy)]
+pub(crate) struct Scenario {
+    pub(crate) entries: usize,
+    pub(crate) targets: usize,
+    pub(crate) slots: usize,
+    pub(crate) load: f64,
+    pub(crate) report_every: f64,
+    pub(crate) slow: Slow,
+    pub(crate) span: f64,
+}
+
+/// Who is slow, from a third of the span to two thirds.
+#[derive(Clone, Copy, PartialEq)]
+pub(crate) enum Slow {
+    Nobody,
+    One(f64),
+    All(f64),
+}
+
+/// What came out.
+pub(crate) struct Report {
+    pub(crate) latency: Samples,
+    /// The same, only while somebody is slow, the first ten seconds left out.
+    pub(crate) latency_slow: Samples,
+    /// Requests sent to target 0 while it is slow, after ten seconds, and all of that time.
+    pub(crate) to_slow: u64,
+    pub(crate) all_then: u64,
+    /// Lowest weight seen of any target but the first, at any entry.
+    pub(crate) lowest_healthy: f32,
+}
+
+const MEAN_RUN: f64 = 0.2;
+
+struct Target {
+    /// When each slot comes free.
+    slots: Vec<f64>,
+    reported_wait: f64,
+    reported_at: f64,
+}
+
+struct Entry {
+    rng: StdRng,
+    in_flight: Vec<u16>,
+    turn: usize,
+    shift: Shift,
+    paper: Detector,
+}
+
+/// An answer on its way: when it comes, to whom, and how long it ran.
+struct Answer {
+    at: f64,
+    entry: usize,
+    target: usize,
+    run: f64,
+}
+
+struct Bench {
+    scenario: Scenario,
+    rule: Rule,
+    targets: Vec<Target>,
+    entries: Vec<Entry>,
+    answers: VecDeque<Answer>,
+    report: Report,
+}
+
+pub(crate) fn run(scenario: Scenario, rule: Rule) -> Report {
+    let mut bench = Bench::new(scenario, rule);
+    let mut rng = StdRng::seed_from_u64(31);
+    let rate = scenario.load * (scenario.targets * scenario.slots) as f64 / MEAN_RUN;
+    let mut now = 0.0;
+    while now < scenario.span {
+        now += exponential(&mut rng, 1.0 / rate);
+        bench.deliver(now);
+        bench.publish(now);
+        let entry = rng.random_range(0..scenario.entries);
+        let run = exponential(&mut rng, MEAN_RUN).max(0.02);
+        bench.send(now, entry, run);
+    }
+    bench.report
+}
+
+impl Bench {
+    fn new(scenario: Scenario, rule: Rule) -> Self {
+        let targets = (0..scenario.targets).map(|t| Target {
+            slots: vec![0.0; scenario.slots],
+            reported_wait: 0.0,
+            // Targets do not report at the same moment.
+            reported_at: -scenario.report_every * t as f64 / scenario.targets as f64,
+        });
+        let entries = (0..scenario.entries).map(|e| Entry {
+            rng: StdRng::seed_from_u64(e as u64),
+            in_flight: vec![0; scenario.targets],
+            turn: e,
+            shift: Shift::new(ShiftOptions::default()),
+            paper: Detector::new(scenario.targets, rule.mean()),
+        });
+        Self {
+            scenario,
+            rule,
+            targets: targets.collect(),
+            entries: entries.collect(),
+            answers: VecDeque::new(),
+            report: Report {
+                latency: Samples::new(),
+                latency_slow: Samples::new(),
+                to_slow: 0,
+                all_then: 0,
+                lowest_healthy: 1.0,
+            },
+        }
+    }
+
+    /// Hands the answers that have come to their entries.
+    fn deliver(&mut self, now: f64) {
+        while self.answers.front().is_some_and(|a| a.at <= now) {
+            let Some(a) = self.answers.pop_front() else {
+                break;
+            };
+            let entry = &mut self.entries[a.entry];
+            entry.in_flight[a.target] -= 1;
+            let key = TargetKey(a.target as u32);
+            entry.shift.observe(key, secs(a.run), Outcome::Answered);
+            entry.paper.observe(a.target, a.run);
+            for t in 1..self.scenario.targets {
+                let weight = entry.weight(self.rule, t);
+                self.report.lowest_healthy = self.report.lowest_healthy.min(weight);
+            }
+        }
+    }
+
+    fn publish(&mut self, now: f64) {
+        for t in &mut self.targets {
+            if now - t.reported_at >= self.scenario.report_every {
+                t.reported_at = now;
+                t.reported_wait = t.wait(now);
+            }
+        }
+    }
+
+    fn send(&mut self, now: f64, entry: usize, run: f64) {
+        let target = self.pick(now, entry);
+        let slow = self.slowness(now, target);
+        let run = run * slow;
+        let t = &mut self.targets[target];
+        let start = now + t.wait(now);
+        let slot = t.first_free();
+        t.slots[slot] = start + run;
+        self.entries[entry].in_flight[target] += 1;
+        let at = start + run;
+        let answer = Answer {
+            at,
+            entry,
+            target,
+            run,
+        };
+        let index = self.answers.partition_point(|a| a.at <= at);
+        self.answers.insert(index, answer);
+        self.note(now, target, at - now);
+    }
+
+    fn note(&mut self, now: f64, target: usize, latency: f64) {
+        self.report.latency.add(latency);
+        if self.is_slow(now) && self.is_slow(now - 10.0) {
+            self.report.latency_slow.add(latency);
+            self.report.all_then += 1;
+            self.report.to_slow += u64::from(target == 0);
+        }
+    }
+
+    fn is_slow(&self, now: f64) -> bool {
+        let third = self.scenario.span / 3.0;
+        (third..2.0 * third).contains(&now)
+    }
+
+    fn slowness(&self, now: f64, target: usize) -> f64 {
+        match self.scenario.slow {
+            Slow::One(factor) if target == 0 && self.is_slow(now) => factor,
+            Slow::All(factor) if self.is_slow(now) => factor,
+            _ => 1.0,
+        }
+    }
+
+    fn pick(&mut self, now: f64, entry: usize) -> usize {
+        let avoid = self.rule == Rule::Oracle && self.is_slow(now);
+        let reported = |t: usize| self.targets[t].reported_wait;
+        let e = &mut self.entries[entry];
+        let all = 0..self.scenario.targets;
+        match self.rule {
+            Rule::RoundRobin => {
+                e.turn += 1;
+                e.turn % self.scenario.targets
+            }
+            Rule::LeastReported => all
+                .min_by(|a, b| reported(*a).total_cmp(&reported(*b)))
+                .unwrap_or(0),
+            Rule::LeastInFlight => {
+                let from = e.rng.random_range(0..self.scenario.targets);
+                let turned = all.map(|t| (t + from) % self.scenario.targets);
+                turned.min_by_key(|t| e.in_flight[*t]).unwrap_or(0)
+            }
+            Rule::Oracle | Rule::Choose | Rule::Shift | Rule::Paper(_) => {
+                let candidates: Vec<Candidate> = all
+                    .filter(|t| *t > 0 || !avoid)
+                    .map(|t| Candidate {
+                        key: TargetKey(t as u32),
+                        loaded: true,
+                        expected_wait: secs(self.targets[t].reported_wait),
+                        report_age: secs(now - self.targets[t].reported_at),
+                        in_flight: e.in_flight[t],
+                        cold_start: secs(0.0),
+                        prefix_affinity: false,
+                        same_data_centre: true,
+                        weight: e.weight(self.rule, t),
+                    })
+                    .collect();
+                order(&Options::default(), &candidates, &mut e.rng)[0].0 as usize
+            }
+        }
+    }
+}
+
+impl Entry {
+    fn weight(&self, rule: Rule, target: usize) -> f32 {
+        match rule {
+            Rule::Shift => self.shift.weight(TargetKey(target as u32)),
+            Rule::Paper(_) => self.paper.weight(target),
+            _ => 1.0,
+        }
+    }
+}
+
+impl Rule {
+    fn mean(self) -> Mean {
+        match self {
+            Self::Paper(mean) => mean,
+            _ => Mean::OnTheFly,
+        }
+    }
+}
+
+impl Target {
+    fn first_free(&self) -> usize {
+        let slots = self.slots.iter().enumerate();
+        let first = slots.min_by(|a, b| a.1.total_cmp(b.1));
+        first.map_or(0, |(i, _)| i)
+    }
+
+    fn wait(&self, now: f64) -> f64 {
+        (self.slots[self.first_free()] - now).max(0.0)
+    }
+}
--- /dev/null
+++ b/crates/stair-policy/examples/measure/slow.rs
@@ -0,0 +1,113 @@
+//! One slow target, all slow together, and reports that lag.
+
+use crate::{
+    dispatch::{
+        Report,
+        Rule,
+        Scenario,
+        Slow,
+        run, //
+    },
+    paper::Mean,
+    table::{
+        head,
+        percent,
+        row, //
+    },
+};
+
+const RULES: [(&str, Rule); 8] = [
+    ("round robin (baseline)", Rule::RoundRobin),
+    ("least reported wait (baseline)", Rule::LeastReported),
+    ("least in flight", Rule::LeastInFlight),
+    ("choose, no weights", Rule::Choose),
+    ("choose, target 0 left out by hand (bound)", Rule::Oracle),
+    ("choose + shift (outlier rule)", Rule::Shift),
+    (
+        "choose + paper, mean on the fly",
+        Rule::Paper(Mean::OnTheFly),
+    ),
+    (
+        "choose + paper, mean pre-computed",
+        Rule::Paper(Mean::PreComputed),
+    ),
+];
+
+const SCENARIO: Scenario = Scenario {
+    entries: 3,
+    targets: 9,
+    slots: 8,
+    load: 0.6,
+    report_every: 0.1,
+    slow: Slow::Nobody,
+    span: 300.0,
+};
+
+/// One of nine targets ten times slower, then all of them.
+pub(crate) fn slow_target() {
+    head(
+        "One slow target, and all slow together",
+        "3 entries, 9 targets of 8 slots, runs of 0.2 s in the mean, 60% load, reports every 0.1 s, \
+         5 minutes, of which the second third is slow. Latency while slow leaves out the first 10 s. \
+         The lowest healthy weight is that of a target that is not slow on its own. With all slow \
+         1.5 times the load is 90%.",
+        &[
+            "who is slow",
+            "rule",
+            "latency",
+            "latency while slow",
+            "sent to the slow one",
+            "lowest healthy weight",
+        ],
+    );
+    let slows = [
+        ("nobody", Slow::Nobody),
+        ("one, 3 times", Slow::One(3.0)),
+        ("one, 10 times", Slow::One(10.0)),
+        ("all, 1.5 times", Slow::All(1.5)),
+    ];
+    for (who, slow) in slows {
+        for (name, rule) in RULES {
+            let report = run(Scenario { slow, ..SCENARIO }, rule);
+            print(who, name, &report);
+        }
+    }
+}
+
+fn print(who: &str, name: &str, report: &Report) {
+    row(&[
+        who.into(),
+        name.into(),
+        report.latency.cell(),
+        report.latency_slow.cell(),
+        percent(report.to_slow as f64, report.all_then as f64),
+        format!("{:.2}", report.lowest_healthy),
+    ]);
+}
+
+/// More entries, and reports of load that are up to two seconds old.
+pub(crate) fn stale_reports() {
+    head(
+        "Reports that lag",
+        "The same with 40 and 400 entries, 85% load and nobody slow.",
+        &["entries", "report every", "rule", "latency"],
+    );
+    for (entries, report_every) in [(40, 0.1), (40, 0.5), (40, 2.0), (400, 0.5), (400, 2.0)] {
+        for (name, rule) in &RULES[..4] {
+            let scenario = Scenario {
+                entries,
+                load: 0.85,
+                report_every,
+                span: 120.0,
+                ..SCENARIO
+            };
+            let report = run(scenario, *rule);
+            row(&[
+                format!("{entries}"),
+                format!("{report_every} s"),
+                (*name).into(),
+                report.latency.cell(),
+            ]);
+        }
+    }
+}
