policy: count an item's own run against the floor share

A tier with a floor and nothing waiting was taken to wait for nothing, while its share has to earn the run first.

--- a/crates/stair-policy/src/choose.rs
+++ b/crates/stair-policy/src/choose.rs
@@ -52,7 +52,7 @@
     pub loaded: bool,
     /// Wait for a slot, as last reported.
     pub expected_wait: Duration,
-    /// Age of that report.
+    /// Age of that report; [`Duration::MAX`] when there was none.
     pub report_age: Duration,
     /// Requests that this entry has there now.
     pub in_flight: u16,
--- a/crates/stair-policy/src/queue/forecast.rs
+++ b/crates/stair-policy/src/queue/forecast.rs
@@ -55,18 +55,18 @@
         let index = lane.index_of(item.deadline);
         let share = self.share(now, at, item.expected_run > self.opts.short_run, est);
         let begin = (now + est.slot_free_in).as_secs_f64();
-        let start = |ahead| begin + self.wait_behind(at, ahead, &share);
+        let start = |ahead, run| begin + self.wait_behind(at, ahead, run, &share);
         let items = lane.items();
         let mut ahead = seconds(items[..index].iter().map(|i| i.expected_run).sum());
-        let own_start = start(ahead).max(seconds(now + est.ready_in));
         let run = seconds(item.expected_run);
+        let own_start = start(ahead, run).max(seconds(now + est.ready_in));
         let spare = self.spare(run, own_start - seconds(now));
         let mut late = own_start + run + spare - seconds(item.deadline);
         for behind in &items[index..] {
             let (deadline, its_run) = (seconds(behind.deadline), seconds(behind.expected_run));
             // An item that is late anyway is not a reason to refuse another.
-            if start(ahead) + its_run <= deadline {
-                late = late.max(start(ahead + run) + its_run - deadline);
+            if start(ahead, its_run) + its_run <= deadline {
+                late = late.max(start(ahead + run, its_run) + its_run - deadline);
             }
             ahead += its_run;
         }
@@ -110,11 +110,12 @@
 
     /// Returns the wait behind `own` work of a tier's own and all work of higher tiers that waits.
     ///
-    /// A tier with a floor never waits longer than that share alone would take.
-    pub(super) fn wait_behind(&self, at: usize, own: f64, share: &Share) -> f64 {
+    /// A tier with a floor never waits longer than that share takes to earn the work before the
+    /// item and its own `run`.
+    pub(super) fn wait_behind(&self, at: usize, own: f64, run: f64, share: &Share) -> f64 {
         let above: Duration = self.lanes[..at].iter().map(Lane::work).sum();
         let by_rank = (seconds(above) + own) / share.by_rank;
-        let by_floor = own / share.floor;
+        let by_floor = (own + run) / share.floor;
         match by_floor.is_nan() {
             true => by_rank,
             false => by_rank.min(by_floor),
@@ -124,7 +125,7 @@
     pub(super) fn refuse_full(&self, now: Duration, at: usize, est: &Estimate) -> Outcome<K> {
         // Half of the work that is ahead has drained by then, so there is room again.
         let share = self.share(now, at, false, est);
-        let drain = self.wait_behind(at, seconds(self.lanes[at].work()), &share) / 2.0;
+        let drain = self.wait_behind(at, seconds(self.lanes[at].work()), 0.0, &share) / 2.0;
         Outcome::Refused {
             reason: Reason::QueueFull,
             retry_after: est.slot_free_in + bounded(drain),
--- a/crates/stair-policy/src/queue/mod.rs
+++ b/crates/stair-policy/src/queue/mod.rs
@@ -117,6 +117,8 @@
 
     /// Takes the item that runs next, among those whose model is ready.
     ///
+    /// Items that are too late are passed over; [`Queue::expire`] takes them out.
+    ///
     /// Tiers are served by rank, except that a tier whose floor share has earned the run of its
     /// own next item goes first: strict priority alone would starve the lowest tier for as long
     /// as the higher ones are busy. Within a tier see [`Queue::pop_short`].
@@ -202,14 +204,15 @@
         None
     }
 
-    /// Returns how long an item of a tier that arrived now would wait for a slot.
+    /// Returns how long a short item of a tier that arrived now would wait for a slot.
     ///
     /// Reported to the entries, which choose a target by it.
     pub fn expected_wait(&self, now: Duration, rank: TierRank, est: &Estimate) -> Duration {
         let at = self.lane_of(rank);
         let share = self.share(now, at, false, est);
         let own = self.lanes[at].work().as_secs_f64();
-        est.slot_free_in + forecast::bounded(self.wait_behind(at, own, &share))
+        let short = self.opts.short_run.as_secs_f64();
+        est.slot_free_in + forecast::bounded(self.wait_behind(at, own, short, &share))
     }
 
     /// Finds room for an item, at the cost of the latest deadline of the lowest tier if need be.
--- a/crates/stair-policy/tests/choose.rs
+++ b/crates/stair-policy/tests/choose.rs
@@ -156,3 +156,14 @@
         assert_eq!(prefix_home(prefix, rest), Some(home));
     }
 }
+
+#[test]
+fn homes_even() {
+    let mut homes = [0; 9];
+    for prefix in 0..9_000 {
+        let fleet = (0..9).map(|k| (TargetKey(k), u64::from(k)));
+        let home = prefix_home(prefix, fleet).unwrap();
+        homes[home.0 as usize] += 1;
+    }
+    assert!(homes.iter().all(|n| (850..1_150).contains(n)), "{homes:?}");
+}
