entry: give the tests' view its number of entries

Cause: the view has told the number of live entries since control was written; the traffic tests, written beside it, did not know the field.

Change: one entry in the tests' view.

--- a/crates/stair-entry/tests/support/rig.rs
+++ b/crates/stair-entry/tests/support/rig.rs
@@ -221,6 +221,7 @@
     targets.sort_by(|a, b| a.name.cmp(&b.name));
     let all: Vec<TargetKey> = (0..targets.len() as u32).map(TargetKey).collect();
     View {
+        entries: 1,
         config: ConfigVersion(1),
         confirmed: true,
         catalogue: Arc::new(catalogue()),
