agent: lock the target by an abstract socket, advertise an address, choose ports

Cause: tests with real processes need ports chosen by the system, and proxies before links. The agent's exclusive bind was its operator's port; port 0 would have undone it, and two agents of one engine with different operator ports would both have started.

Ruled out: a file lock, since VMs keep nothing and a stale file tells nothing.

Change: the agent holds an abstract socket named by its target's address, freed by the kernel only when the process has ended; `advertise` names the address that entries use; `listen`, `link` and `operator` take port 0. Listeners at port 0 do not clash with one another.

--- a/crates/stair-agent/src/lib.rs
+++ b/crates/stair-agent/src/lib.rs
@@ -21,6 +21,7 @@
 mod learn;
 mod links;
 mod loads;
+mod lock;
 mod offers;
 mod operator;
 mod resume;
--- a/crates/stair-agent/src/start.rs
+++ b/crates/stair-agent/src/start.rs
@@ -64,6 +64,10 @@
         Pause, //
     },
     learn, links,
+    lock::{
+        self,
+        Lock, //
+    },
     offers::Shared,
     operator,
 };
@@ -117,15 +121,15 @@
     where
         S: ObjectStore,
     {
-        // A replacement that starts while this process lives, paused or not, would order the same
-        // engine. The exclusive bind, held for the process's life, makes it fail at its start.
+        let lock = lock::take(settings.target.address())
+            .with_context(|| format!("agent: another agent of {} lives", settings.name))?;
         let operator = TcpListener::bind(settings.operator)
             .await
             .with_context(|| format!("agent: the operator address {}", settings.operator))?;
         let operator_addr = operator.local_addr()?;
         let listener = Listener::bind(settings.link, &keys)?;
         let link = listener.addr()?;
-        let record = record(&settings, link);
+        let record = record(&settings, settings.advertise.unwrap_or(link));
         let incarnation = incarnation::raise(&store, &settings.name, &record).await;
         spdlog::info!("agent: {} starts as {incarnation}", settings.name);
         let in_force = InForce::new(learn::grants(&store, &settings.name).await);
@@ -189,6 +193,7 @@
             cx,
             store,
             published,
+            lock,
         };
         Ok(Self {
             link,
@@ -257,6 +262,8 @@
     cx: control_links::Context,
     store: S,
     published: Published,
+    /// Dropped last, when nothing is left that could order the engine.
+    lock: Lock,
 }
 
 impl<S> Parts<S>
@@ -286,6 +293,7 @@
         let _ = control.stop_and_wait(None, None).await;
         close.send_replace(true);
         let _ = operator.await;
+        drop(self.lock);
         match why {
             Some(why) => Err(anyhow::anyhow!("agent: {why}")),
             None => Ok(()),
--- a/crates/stair-agent/tests/common/mod.rs
+++ b/crates/stair-agent/tests/common/mod.rs
@@ -166,6 +166,7 @@
         AgentSettings {
             name: "t1".try_into().expect("a name"),
             data_centre: "dc1".try_into().expect("a name"),
+            advertise: None,
             link: any_port(),
             operator: any_port(),
             platform: any_port(),
--- a/crates/stair-config/src/fields.rs
+++ b/crates/stair-config/src/fields.rs
@@ -233,6 +233,12 @@
         self.text_as(problems, name, ADDRESS, address)
     }
 
+    /// Returns an IP address and port to listen on; port 0 lets the system choose.
+    pub(crate) fn listener(&self, problems: &mut Problems, name: &str) -> Option<SocketAddr> {
+        let parse = |text: &str| text.parse().map_err(|_| format!("{text:?}"));
+        self.text_as(problems, name, ADDRESS, parse)
+    }
+
     /// Returns the addresses in a list.
     pub(crate) fn addresses(&self, problems: &mut Problems, name: &str) -> Option<Vec<SocketAddr>> {
         let items = self.list(problems, name);
--- a/crates/stair-config/src/read_settings.rs
+++ b/crates/stair-config/src/read_settings.rs
@@ -46,10 +46,11 @@
     "max_timeout_ms",
     "drain_linger_ms",
 ];
-const AGENT_FIELDS: [&str; 9] = [
+const AGENT_FIELDS: [&str; 10] = [
     "name",
     "data_centre",
     "link",
+    "advertise",
     "operator",
     "platform",
     "target",
@@ -117,9 +118,9 @@
     let fields = Fields::of_document(problems, document, &ENTRY_FIELDS)?;
     let name = fields.name(problems, "name");
     let data_centre = fields.name(problems, "data_centre");
-    let listen = fields.address(problems, "listen");
-    let link = fields.address(problems, "link");
-    let operator = fields.address(problems, "operator");
+    let listen = fields.listener(problems, "listen");
+    let link = fields.listener(problems, "link");
+    let operator = fields.listener(problems, "operator");
     let platform = fields.address(problems, "platform");
     let peers = fields.addresses(problems, "peers");
     let tls = tls(problems, &fields);
@@ -159,8 +160,12 @@
     let fields = Fields::of_document(problems, document, &AGENT_FIELDS)?;
     let name = fields.name(problems, "name");
     let data_centre = fields.name(problems, "data_centre");
-    let link = fields.address(problems, "link");
-    let operator = fields.address(problems, "operator");
+    let link = fields.listener(problems, "link");
+    let advertise = match fields.has("advertise") {
+        true => Some(fields.address(problems, "advertise")?),
+        false => None,
+    };
+    let operator = fields.listener(problems, "operator");
     let platform = fields.address(problems, "platform");
     let target = target(problems, &fields);
     let tls = tls(problems, &fields);
@@ -182,6 +187,7 @@
         name: name?,
         data_centre: data_centre?,
         link: link?,
+        advertise,
         operator: operator?,
         platform: platform?,
         target: target?,
@@ -198,10 +204,10 @@
 // for the platform or its target would wait for itself.
 fn distinct(problems: &mut Problems, fields: &Fields<'_>, all: &[Named]) {
     for (i, (name, addr)) in all.iter().enumerate() {
-        let Some(addr) = addr else {
+        let Some(addr) = addr.filter(|a| a.port() != 0) else {
             continue;
         };
-        let same = all[..i].iter().find(|(_, other)| *other == Some(*addr));
+        let same = all[..i].iter().find(|(_, other)| *other == Some(addr));
         if let Some((other, _)) = same {
             let allowed = format!("an address other than that of {other}");
             problems.add(fields.place(name), addr, allowed);
--- a/crates/stair-config/src/settings.rs
+++ b/crates/stair-config/src/settings.rs
@@ -97,8 +97,10 @@
     pub data_centre: DataCentre,
     /// Where entries connect; UDP.
     pub link: SocketAddr,
-    /// Where the operator asks for the state dump. Bound exclusively, so that a second agent of
-    /// the same target cannot start while this process lives.
+    /// The address that entries use, when an address translation stands before `link`.
+    #[serde(default)]
+    pub advertise: Option<SocketAddr>,
+    /// Where the operator asks for the state dump.
     pub operator: SocketAddr,
     /// The platform's object API.
     pub platform: SocketAddr,
--- a/crates/stair-dev/src/deployment.rs
+++ b/crates/stair-dev/src/deployment.rs
@@ -274,6 +274,7 @@
             name,
             data_centre: data_centre()?,
             link: any_port(),
+            advertise: None,
             operator: any_port(),
             platform: self.platform.addr(),
             target,
--- a/crates/stair-standin/src/proxy.rs
+++ b/crates/stair-standin/src/proxy.rs
@@ -52,6 +52,8 @@
     silent_below: u64,
     all_silent: bool,
     delay: Duration,
+    /// Where UDP datagrams go.
+    upstream: Option<SocketAddr>,
 }
 
 impl Gate {
@@ -97,12 +99,29 @@
     ///
     /// When there is no port.
     pub async fn start(upstream: SocketAddr) -> io::Result<Self> {
+        let proxy = Self::start_detached().await?;
+        proxy.attach(upstream);
+        Ok(proxy)
+    }
+
+    /// Starts one that loses everything until [`UdpProxy::attach`], for an upstream that is told
+    /// the proxy's address before it has one of its own.
+    ///
+    /// # Errors
+    ///
+    /// When there is no port.
+    pub async fn start_detached() -> io::Result<Self> {
         let socket = Arc::new(UdpSocket::bind(ANY_PORT).await?);
         let addr = socket.local_addr()?;
         let gate = Shared::default();
-        let task = tokio::spawn(udp::run(socket, upstream, gate.clone()));
+        let task = tokio::spawn(udp::run(socket, gate.clone()));
         Ok(Self::new(addr, gate, task))
     }
+
+    /// Sets where datagrams go from now on.
+    pub fn attach(&self, upstream: SocketAddr) {
+        self.gate.send_modify(|gate| gate.upstream = Some(upstream));
+    }
 }
 
 impl<T> Proxy<T> {
--- a/crates/stair-standin/src/proxy/udp.rs
+++ b/crates/stair-standin/src/proxy/udp.rs
@@ -30,7 +30,7 @@
     socket: Arc<UdpSocket>,
 }
 
-pub(super) async fn run(front: Arc<UdpSocket>, upstream: SocketAddr, gate: Shared) {
+pub(super) async fn run(front: Arc<UdpSocket>, gate: Shared) {
     let mut sources: Vec<Source> = Vec::new();
     let mut returns = JoinSet::new();
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
@@ -39,6 +39,9 @@
         let Ok((len, addr)) = front.recv_from(&mut buf).await else {
             continue;
         };
+        let Some(upstream) = gate.borrow().upstream else {
+            continue;
+        };
         sources.retain(|source| !gate.borrow().is_cut(source.number));
         while returns.try_join_next().is_some() {}
         let at = match sources.iter().position(|source| source.addr == addr) {
