--- /dev/null
+++ b/crates/stair-state/tests/grant_moves.rs
@@ -0,0 +1,223 @@
+//! Grants move in two steps, and never add up to more than was decided.
+
+use proptest::prelude::*;
+use proptest_state_machine::{
+    ReferenceStateMachine,
+    StateMachineTest,
+    prop_state_machine, //
+};
+use stair_state::{
+    GrantShard,
+    grants::GrantError, //
+};
+use stair_types::{
+    GrantId,
+    ModelName,
+    TargetName, //
+};
+
+fn model(i: u8) -> ModelName {
+    ModelName::try_from(&*format!("m{i}")).expect("a good name")
+}
+
+fn target(i: u8) -> TargetName {
+    TargetName::try_from(&*format!("t{i}")).expect("a good name")
+}
+
+// The model is granted to a target again before the confirmation of its first grant arrives, which
+// a slow link had held back. If that confirmation ended the second grant, the model would be
+// granted elsewhere while the first target loads it: one replica too many.
+#[test]
+fn late_confirmation() {
+    let mut shard = GrantShard::default();
+    let first = shard.grant(&model(0), &target(0), 1).expect("is free");
+    shard.revoke(first);
+    assert!(shard.confirm(first));
+    let second = shard.grant(&model(0), &target(0), 1).expect("is free");
+    shard.revoke(second);
+
+    assert!(
+        !shard.confirm(first),
+        "an old confirmation ended a later grant"
+    );
+    assert_eq!(
+        shard.grant(&model(0), &target(1), 1),
+        Err(GrantError::NoneLeft(1))
+    );
+}
+
+// A target that is told to give a model back may be paused with the model loaded. Until it
+// confirms, its grant counts.
+#[test]
+fn revoking_counts() {
+    let mut shard = GrantShard::default();
+    let id = shard.grant(&model(0), &target(0), 1).expect("is free");
+    shard.revoke(id);
+
+    let refused = shard.grant(&model(0), &target(1), 1);
+
+    assert_eq!(refused, Err(GrantError::NoneLeft(1)));
+}
+
+// A confirmation that comes although nothing was revoked is a fault of the agent; the grant stays.
+#[test]
+fn unasked_confirmation() {
+    let mut shard = GrantShard::default();
+    let id = shard.grant(&model(0), &target(0), 1).expect("is free");
+
+    assert!(!shard.confirm(id));
+    assert_eq!(shard.of_model(&model(0)).len(), 1);
+}
+
+const REPLICAS: u16 = 2;
+
+/// What happens to one shard. Loads follow the target's last knowledge, which may be old.
+#[derive(Debug, Clone)]
+enum Step {
+    Grant(u8, u8),
+    Revoke(u8),
+    /// The target learns of its grants.
+    Learn(u8),
+    /// The target loads a model if it believes that it holds a grant.
+    Load(u8, u8),
+    /// The target gives back what it knows as revoked.
+    Release(u8),
+    /// A confirmation sent earlier arrives again.
+    Replay(usize),
+    /// The VM is taken away, with all that it holds.
+    Vanish(u8),
+}
+
+/// The oracle is a count of what the targets hold, so the reference only makes the steps.
+#[derive(Debug, Clone, Default)]
+struct Steps;
+
+const MODELS: u8 = 2;
+const TARGETS: u8 = 4;
+
+impl ReferenceStateMachine for Steps {
+    type State = Self;
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<Self> {
+        Just(Self).boxed()
+    }
+
+    fn transitions(_: &Self) -> BoxedStrategy<Step> {
+        let m = 0..MODELS;
+        let t = 0..TARGETS;
+        prop_oneof![
+            (m.clone(), t.clone()).prop_map(|(m, t)| Step::Grant(m, t)),
+            (0..20u8).prop_map(Step::Revoke),
+            t.clone().prop_map(Step::Learn),
+            (m, t.clone()).prop_map(|(m, t)| Step::Load(m, t)),
+            t.clone().prop_map(Step::Release),
+            (0..20usize).prop_map(Step::Replay),
+            t.prop_map(Step::Vanish),
+        ]
+        .boxed()
+    }
+
+    fn apply(state: Self, _: &Step) -> Self {
+        state
+    }
+}
+
+#[derive(Default)]
+struct Agent {
+    known: Vec<stair_state::Grant>,
+    loaded: Vec<u8>,
+    /// Ids under which nothing is loaded any more.
+    given_back: Vec<GrantId>,
+}
+
+struct Deployment {
+    shard: GrantShard,
+    agents: Vec<Agent>,
+    confirmations: Vec<GrantId>,
+}
+
+impl Deployment {
+    fn holders(&self, m: u8) -> usize {
+        self.agents.iter().filter(|a| a.loaded.contains(&m)).count()
+    }
+
+    fn load(&mut self, m: u8, t: u8) {
+        let agent = &mut self.agents[usize::from(t)];
+        let may = agent
+            .known
+            .iter()
+            .any(|g| g.model == model(m) && !g.revoking && !agent.given_back.contains(&g.id));
+        if may && !agent.loaded.contains(&m) {
+            agent.loaded.push(m);
+        }
+    }
+
+    fn release(&mut self, t: u8) {
+        let agent = &mut self.agents[usize::from(t)];
+        for grant in agent.known.iter().filter(|g| g.revoking) {
+            agent.loaded.retain(|m| model(*m) != grant.model);
+            agent.given_back.push(grant.id);
+            self.confirmations.push(grant.id);
+            self.shard.confirm(grant.id);
+        }
+    }
+}
+
+struct Replicas;
+
+impl StateMachineTest for Replicas {
+    type SystemUnderTest = Deployment;
+    type Reference = Steps;
+
+    fn init_test(_: &Steps) -> Deployment {
+        Deployment {
+            shard: GrantShard::default(),
+            agents: (0..TARGETS).map(|_| Agent::default()).collect(),
+            confirmations: Vec::new(),
+        }
+    }
+
+    fn apply(mut d: Deployment, _: &Steps, step: Step) -> Deployment {
+        match step {
+            Step::Grant(m, t) => drop(d.shard.grant(&model(m), &target(t), REPLICAS)),
+            Step::Revoke(id) => drop(d.shard.revoke(GrantId(id.into()))),
+            Step::Learn(t) => {
+                d.agents[usize::from(t)].known = d.shard.of_target(&target(t)).cloned().collect();
+            }
+            Step::Load(m, t) => d.load(m, t),
+            Step::Release(t) => d.release(t),
+            Step::Replay(i) => {
+                if let Some(id) = d.confirmations.get(i) {
+                    d.shard.confirm(*id);
+                }
+            }
+            Step::Vanish(t) => {
+                d.agents[usize::from(t)] = Agent::default();
+                d.shard.remove_target(&target(t));
+            }
+        }
+        d
+    }
+
+    fn check_invariants(d: &Deployment, _: &Steps) {
+        for m in 0..MODELS {
+            let granted = d.shard.of_model(&model(m)).len();
+            assert!(granted <= usize::from(REPLICAS), "{granted} grants of m{m}");
+            let held = d.holders(m);
+            assert!(held <= usize::from(REPLICAS), "{held} replicas of m{m}");
+        }
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(ProptestConfig {
+        cases: 512,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(20_261_202),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn random_moves(sequential 1..60 => Replicas);
+}
--- /dev/null
+++ b/crates/stair-state/tests/ledger.rs
@@ -0,0 +1,168 @@
+//! The ledger counts everything that an engine may hold.
+
+use proptest::prelude::*;
+use stair_state::{
+    Ledger,
+    ledger::{
+        Answer,
+        Entry,
+        Item,
+        OrderError,
+        State, //
+    },
+};
+use stair_types::{
+    AdapterName,
+    ModelName, //
+};
+
+fn base(name: &str) -> Item {
+    Item {
+        model: ModelName::try_from(name).expect("a good name"),
+        adapter: None,
+    }
+}
+
+fn adapter(model: &str, name: &str) -> Item {
+    Item {
+        adapter: Some(AdapterName::try_from(name).expect("a good name")),
+        ..base(model)
+    }
+}
+
+fn loaded(ledger: &mut Ledger, item: &Item, mib: u32) {
+    ledger.begin_load(item.clone(), "1", mib).expect("has room");
+    ledger.end_load(item, Answer::Done);
+}
+
+// The engine takes its time to unload, and the agent wants the memory for another model at once.
+// The engine still holds the old one.
+#[test]
+fn unloading_counts() {
+    let mut ledger = Ledger::new(100, Vec::new());
+    loaded(&mut ledger, &base("a"), 80);
+    ledger.begin_unload(&base("a")).expect("is loaded");
+
+    let refused = ledger.begin_load(base("b"), "1", 30);
+
+    assert_eq!(refused, Err(OrderError::NoRoom { missing_mib: 10 }));
+    ledger.end_unload(&base("a"), Answer::Done);
+    assert_eq!(ledger.begin_load(base("b"), "1", 30), Ok(()));
+}
+
+// The answer to a load is lost. Whether the engine has loaded is unknown, so the memory is taken
+// until the engine's own list settles it.
+#[test]
+fn lost_load() {
+    let mut ledger = Ledger::new(100, Vec::new());
+    ledger.begin_load(base("a"), "1", 80).expect("has room");
+    ledger.end_load(&base("a"), Answer::Lost);
+
+    assert!(ledger.in_doubt());
+    let refused = ledger.begin_load(base("b"), "1", 30);
+    assert_eq!(refused, Err(OrderError::NoRoom { missing_mib: 10 }));
+    ledger.settle(Vec::new());
+    assert_eq!(ledger.begin_load(base("b"), "1", 30), Ok(()));
+}
+
+#[test]
+fn adapter_needs_base() {
+    let mut ledger = Ledger::new(100, Vec::new());
+
+    let early = ledger.begin_load(adapter("a", "x"), "1", 1);
+    loaded(&mut ledger, &base("a"), 50);
+    loaded(&mut ledger, &adapter("a", "x"), 1);
+    let unload = ledger.begin_unload(&base("a"));
+
+    assert_eq!(early, Err(OrderError::NoBase));
+    assert_eq!(unload, Err(OrderError::HasAdapters));
+}
+
+/// What the agent does, and how its order ends.
+#[derive(Debug, Clone)]
+enum Step {
+    Load(u8, u32, Answer),
+    Unload(u8, Answer),
+    Settle,
+}
+
+fn answers() -> impl Strategy<Value = Answer> {
+    prop_oneof![
+        3 => Just(Answer::Done),
+        1 => Just(Answer::Refused),
+        1 => Just(Answer::Lost),
+    ]
+}
+
+fn steps() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        3 => (0..6u8, 1..60u32, answers()).prop_map(|(i, m, a)| Step::Load(i, m, a)),
+        3 => (0..6u8, answers()).prop_map(|(i, a)| Step::Unload(i, a)),
+        1 => Just(Step::Settle),
+    ]
+}
+
+/// The engine's real memory; a lost answer means that the order took effect or not.
+#[derive(Default)]
+struct Engine {
+    held: Vec<Entry>,
+}
+
+impl Engine {
+    fn load(&mut self, item: Item, memory_mib: u32) {
+        self.held.push(Entry {
+            item,
+            version: "1".into(),
+            memory_mib,
+            state: State::Loaded,
+        });
+    }
+
+    fn taken(&self) -> u32 {
+        self.held.iter().map(|e| e.memory_mib).sum()
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 512,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(20_261_202),
+        ..ProptestConfig::default()
+    })]
+
+    // Orders fail, and answers are lost after the order took effect or before. Whatever the agent
+    // believes, the engine must never hold more than it has.
+    #[test]
+    fn never_over(steps in prop::collection::vec(steps(), 1..80), took_effect in any::<bool>()) {
+        let mut ledger = Ledger::new(100, Vec::new());
+        let mut engine = Engine::default();
+        for step in steps {
+            match step {
+                Step::Load(i, mib, answer) => {
+                    let item = base(&format!("m{i}"));
+                    if ledger.begin_load(item.clone(), "1", mib).is_ok() {
+                        let done = answer == Answer::Done;
+                        if done || (answer == Answer::Lost && took_effect) {
+                            engine.load(item.clone(), mib);
+                        }
+                        ledger.end_load(&item, answer);
+                    }
+                }
+                Step::Unload(i, answer) => {
+                    let item = base(&format!("m{i}"));
+                    if ledger.begin_unload(&item).is_ok() {
+                        let done = answer == Answer::Done;
+                        if done || (answer == Answer::Lost && took_effect) {
+                            engine.held.retain(|e| e.item != item);
+                        }
+                        ledger.end_unload(&item, answer);
+                    }
+                }
+                Step::Settle => ledger.settle(engine.held.clone()),
+            }
+            prop_assert!(engine.taken() <= 100, "the engine holds {}", engine.taken());
+            prop_assert!(ledger.taken_mib() >= engine.taken());
+        }
+    }
+}
