standin: let waits in vain fail after half a minute

Cause: a trial that kept streams running after their caller had hung up made the tests hang instead of failing.

Change: the waits of recorder, engine, platform and proxies panic after 30 s.

--- a/crates/stair-standin/src/engine.rs
+++ b/crates/stair-standin/src/engine.rs
@@ -51,6 +51,7 @@
     server::{
         Server,
         error,
+        expected,
         json, //
     },
 };
@@ -224,10 +225,14 @@
     }
 
     /// Waits until the status fulfils a condition.
+    ///
+    /// # Panics
+    ///
+    /// After half a minute.
     pub async fn until(&self, mut condition: impl FnMut(&Status) -> bool) {
         let opts = &self.shared.opts;
         let fulfilled = |state: &State| condition(&state.status(opts));
-        self.shared.until(fulfilled).await;
+        expected(self.shared.until(fulfilled)).await;
     }
 
     /// Changes the faults.
--- a/crates/stair-standin/src/platform.rs
+++ b/crates/stair-standin/src/platform.rs
@@ -20,7 +20,10 @@
 };
 use tokio::sync::watch;
 
-use crate::server::Server;
+use crate::server::{
+    Server,
+    expected, //
+};
 pub use store::Rejected;
 use store::{
     Store,
@@ -165,9 +168,14 @@
     }
 
     /// Waits until the calls so far fulfil a condition.
+    ///
+    /// # Panics
+    ///
+    /// After half a minute.
     pub async fn until_calls(&self, mut condition: impl FnMut(&Calls) -> bool) {
         let mut rx = self.state.subscribe();
-        let _ = rx.wait_for(|state| condition(&state.calls)).await;
+        // The sender lives in `self`.
+        let _ = expected(rx.wait_for(|state| condition(&state.calls))).await;
     }
 
     /// Reads an object directly.
--- a/crates/stair-standin/src/proxy.rs
+++ b/crates/stair-standin/src/proxy.rs
@@ -26,6 +26,8 @@
     task::JoinHandle,
 };
 
+use crate::server::expected;
+
 const ANY_PORT: (Ipv4Addr, u16) = (Ipv4Addr::LOCALHOST, 0);
 
 /// A TCP proxy.
@@ -145,10 +147,14 @@
     }
 
     /// Waits until there have been so many connections or sources.
+    ///
+    /// # Panics
+    ///
+    /// After half a minute.
     pub async fn until_opened(&self, count: u64) {
         let mut rx = self.gate.subscribe();
         // The sender lives in `self`.
-        let _ = rx.wait_for(|gate| gate.opened >= count).await;
+        let _ = expected(rx.wait_for(|gate| gate.opened >= count)).await;
     }
 
     /// Lets everything through without delay, but for what went silent for good.
--- a/crates/stair-standin/src/recorder.rs
+++ b/crates/stair-standin/src/recorder.rs
@@ -11,6 +11,8 @@
 };
 use tokio::sync::watch;
 
+use crate::server::expected;
+
 /// One run of a request.
 #[derive(Debug, Clone)]
 pub struct Run {
@@ -114,10 +116,14 @@
     }
 
     /// Waits until the records fulfil a condition.
+    ///
+    /// # Panics
+    ///
+    /// After half a minute.
     pub async fn until(&self, condition: impl FnMut(&Records) -> bool) {
         let mut rx = self.records.subscribe();
         // The sender lives in `self`.
-        let _ = rx.wait_for(condition).await;
+        let _ = expected(rx.wait_for(condition)).await;
     }
 
     /// Returns the runs that carried a marker.
--- a/crates/stair-standin/src/server.rs
+++ b/crates/stair-standin/src/server.rs
@@ -39,10 +39,13 @@
         watch, //
     },
     task::JoinHandle,
+    time::timeout, //
 };
 
 const BACKLOG: u32 = 1024;
 const FLUSH_TIME: Duration = Duration::from_millis(20);
+/// Longer than any condition takes on a busy machine.
+const WAIT_LIMIT: Duration = Duration::from_secs(30);
 const READ_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// A body larger than any that a test sends.
@@ -50,6 +53,16 @@
 
 type Spawn = Box<dyn Fn(TcpListener, watch::Receiver<bool>) -> JoinHandle<()> + Send>;
 
+/// Waits for what a test expects.
+///
+/// # Panics
+///
+/// After [`WAIT_LIMIT`], so that a test that waits in vain fails instead of hanging.
+pub(crate) async fn expected<T>(condition: impl Future<Output = T>) -> T {
+    let result = timeout(WAIT_LIMIT, condition).await;
+    result.expect("what the test waits for has not come")
+}
+
 /// A listener with its connections. Dropping it ends them.
 pub(crate) struct Server {
     addr: SocketAddr,
