standin: test that a hung-up stream is cancelled between tokens

Cause: in a trial, streams that never looked at their caller passed cancelled_runs, because the caller mostly hung up before the first token and the next send failed.

Change: the test reads the first piece before it hangs up; plain runs and waiting ones are checked as before, streamed waiting ones no longer (same code, ahead of the stream).

--- a/crates/stair-standin/tests/engine.rs
+++ b/crates/stair-standin/tests/engine.rs
@@ -283,24 +283,30 @@
     })
     .await;
     load(&bench, "a", 1).await;
-    for streamed in [true, false] {
-        let sender = |marker| {
-            let client = bench.client.clone();
-            let asked = ask("a", marker, streamed);
-            tokio::spawn(async move { post(&client, "/v1/completions", asked).await })
-        };
-        let runs = sender("m1");
-        bench.engine.until(|s| s.running == 1).await;
-        let waits = sender("m2");
-        bench.engine.until(|s| s.waiting == 1).await;
-        waits.abort();
-        bench.engine.until(|s| s.waiting == 0).await;
-        runs.abort();
-        bench.engine.until(|s| s.running == 0).await;
-    }
+    let mut streams = send(&bench.client, "/v1/completions", ask("a", "m1", true)).await;
+    let first = streams.as_mut().expect("an answer").chunk(LONG).await;
+    assert!(first.is_ok(), "{first:?}");
+    assert_eq!(bench.engine.status().running, 1);
+    drop(streams);
+    bench.engine.until(|s| s.running == 0).await;
+
+    let sender = |marker| {
+        let client = bench.client.clone();
+        let asked = ask("a", marker, false);
+        tokio::spawn(async move { post(&client, "/v1/completions", asked).await })
+    };
+    let runs = sender("m1");
+    bench.engine.until(|s| s.running == 1).await;
+    let waits = sender("m2");
+    bench.engine.until(|s| s.waiting == 1).await;
+    waits.abort();
+    bench.engine.until(|s| s.waiting == 0).await;
+    runs.abort();
+    bench.engine.until(|s| s.running == 0).await;
+
     assert_eq!(bench.recorder.runs_of("m2").len(), 0);
-    let ended = |run: &Run| run.ended.is_some() && !run.completed;
-    assert_eq!(bench.recorder.runs(ended).len(), 2);
+    let cancelled = |run: &Run| run.ended.is_some() && !run.completed;
+    assert_eq!(bench.recorder.runs(cancelled).len(), 2);
 }
 
 /// The answer to a load is lost, or the one who ordered it dies in the middle. The model is
