--- a/crates/stair-entry/tests/support/mod.rs
+++ b/crates/stair-entry/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, unreachable_pub, missing_docs)]
 
 pub mod agent;
+pub mod relay;
 pub mod rig;
 pub mod store;
 
