entry: fit the claim into the agent's wait for the start

The agent withdraws a ready request after two seconds without a start. A claim that took longer, up to four, ended in that refusal with a claim to give back. It now ends after 1.5 s as platform-down, not-run. Work that an agent withdrew in this way may go elsewhere.

A test hangs the platform at the claim; passes.

--- a/crates/stair-entry/src/traffic/claim.rs
+++ b/crates/stair-entry/src/traffic/claim.rs
@@ -55,9 +55,9 @@
 /// does so within minutes of its end.
 const KEEP: Duration = Duration::from_secs(3_600);
 
-/// Time that a ready request waits for its claim. Longer would hold a place at the target while
-/// the platform is slow.
-const CLAIM_TIME: Duration = Duration::from_secs(4);
+/// Time that a ready request waits for its claim. The agent keeps the place free for two seconds
+/// after it said that the request can run; a claim that comes later is of no use.
+const CLAIM_TIME: Duration = Duration::from_millis(1_500);
 
 /// Reads and writes tried for one batch. Entries that write the same shard at the same time
 /// collide; each collision means that another one got through.
--- a/crates/stair-entry/src/traffic/dispatch.rs
+++ b/crates/stair-entry/src/traffic/dispatch.rs
@@ -127,8 +127,7 @@
         | Reason::Unknown
         | Reason::DeadlinePassed
         | Reason::Duplicate
-        | Reason::PlatformDown
-        | Reason::Withdrawn => false,
+        | Reason::PlatformDown => false,
         Reason::WouldMissDeadline
         | Reason::QueueFull
         | Reason::Displaced
@@ -137,7 +136,9 @@
         | Reason::NotGranted
         | Reason::LoadFailed
         | Reason::LinkLost
-        | Reason::TargetFailed => true,
+        | Reason::TargetFailed
+        // An agent that got no `Start` in time; a caller that left does not come this far.
+        | Reason::Withdrawn => true,
     };
     elsewhere_differs && (refusal.verdict == Verdict::NotRun || req.repeatable)
 }
--- a/crates/stair-entry/tests/claims.rs
+++ b/crates/stair-entry/tests/claims.rs
@@ -74,6 +74,23 @@
     assert_eq!(agent.next().await, Event::Cancelled);
 }
 
+// The platform hangs. The caller must hear soon that nothing ran, and not wait for its deadline
+// with a place at the target held for it.
+#[tokio::test]
+async fn stuck_platform_refuses() {
+    let keys = keys();
+    let mut agent = FakeAgent::start("t1", &keys, |s| s.serve("{}"));
+    let rig = Rig::start(&keys, &[&agent]).await;
+    rig.store.set(Mode::Stuck);
+
+    let got = rig.ask(GOLD, BILLED, KEY).await;
+
+    assert_eq!(got.code(), "platform-down");
+    assert_eq!(&*got.verdict, "not-run");
+    assert_eq!(agent.next().await, Event::Offered);
+    assert_eq!(agent.next().await, Event::Cancelled);
+}
+
 // The platform stores the claim and its answer is lost. Taking that for a failure would refuse a
 // caller whose key is then used up without a run.
 #[tokio::test]
--- a/crates/stair-entry/tests/support/store.rs
+++ b/crates/stair-entry/tests/support/store.rs
@@ -24,6 +24,8 @@
 pub enum Mode {
     Up,
     Down,
+    /// Calls are not answered.
+    Stuck,
     /// The next write takes effect and its answer is lost.
     LoseAnswer,
 }
@@ -60,6 +62,13 @@
         self.inner.lock().expect("no panic").writes
     }
 
+    async fn stuck(&self) {
+        let mode = self.inner.lock().expect("no panic").mode;
+        if mode == Mode::Stuck {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Returns the number of claims in all shards.
     pub fn claims(&self) -> usize {
         let inner = self.inner.lock().expect("no panic");
@@ -73,6 +82,7 @@
 
 impl ObjectStore for MemoryStore {
     async fn get(&self, kind: Kind, name: &str) -> Result<Object, Error> {
+        self.stuck().await;
         let inner = self.inner.lock().expect("no panic");
         if inner.mode == Mode::Down {
             return Err(Error::Unavailable("down".into()));
