agent: queue by the policy's queue and estimate runs and loads by item

The stopgap queue admitted by one mean of all runs and did not keep floors. The queue of stair-policy takes its place, with expected runs by tokens asked for, expected loads by item, and an eighth of the slots for short work.

--- a/crates/stair-agent/src/admit.rs
+++ b/crates/stair-agent/src/admit.rs
@@ -7,12 +7,23 @@
 
 use bytes::Bytes;
 use stair_config::TargetSettings;
+use stair_policy::{
+    backoff,
+    queue::{
+        Estimate,
+        Item as Waiting,
+        Options,
+        Outcome,
+        Queue, //
+    },
+};
 use stair_state::{
     ledger::Item,
     runs::Phase, //
 };
 use stair_types::{
     FencingToken,
+    ModelKey,
     Reason,
     Refusal,
     RequestId,
@@ -33,16 +44,11 @@
         Event,
         Pending, //
     },
-    queue::{
-        Limits,
-        Outcome,
-        Waiting, //
-    },
-    run, //
+    run,
 };
 
-/// Requests of a tier that may wait while the tiers are not known yet.
-const WAITING_UNKNOWN_TIER: u32 = 256;
+/// One slot in so many is for short work only.
+const SHORT_PART: usize = 8;
 
 /// When a caller may come back to another target after this one refused for good.
 const ELSEWHERE_MS: u32 = 100;
@@ -67,12 +73,15 @@
             let _ = events.send(Event::Refused(refusal, self.load(None)));
             return;
         }
-        let deadline = now + Duration::from_millis(offer.time_left_ms.into());
-        let checked = self.check(&offer, deadline);
+        let checked = match self.leaving {
+            true => Err(leaving()),
+            false => self.item_of(&offer.work),
+        };
+        let item = checked.as_ref().ok().cloned().flatten();
         let pending = Pending {
-            item: checked.as_ref().ok().cloned().flatten(),
+            key: self.items.key(item.as_ref()),
+            deadline: now + Duration::from_millis(offer.time_left_ms.into()),
             offer,
-            deadline,
             body,
             events,
         };
@@ -82,21 +91,6 @@
         }
     }
 
-    fn check(&self, offer: &Offer, deadline: Duration) -> Result<Option<Item>, Refusal> {
-        if self.leaving {
-            return Err(leaving());
-        }
-        let item = self.item_of(&offer.work)?;
-        let wait = self.expected_wait(item.as_ref(), offer.rank, deadline);
-        let finish = self.now() + wait + self.mean_run;
-        if finish > deadline {
-            let message = "the expected wait exceeds the time left";
-            let retry = millis(wait).max(ELSEWHERE_MS);
-            return Err(Refusal::not_run(Reason::WouldMissDeadline, retry, message));
-        }
-        Ok(item)
-    }
-
     fn item_of(&self, work: &Work) -> Result<Option<Item>, Refusal> {
         let not_granted = |message: &str| {
             let reason = Reason::NotGranted;
@@ -128,57 +122,116 @@
     }
 
     fn enqueue(&mut self, pending: Pending) {
-        let rank = pending.offer.rank;
-        let waiting = Waiting {
-            id: pending.offer.id,
-            item: pending.item.clone(),
-            rank,
-            deadline: pending.deadline,
-            bytes: pending.body.len(),
-        };
-        let tier = self.in_force.tiers().iter().find(|t| t.rank == rank);
-        let limits = Limits {
-            max_bytes: self.args.limits.max_waiting_bytes,
-            max_of_tier: tier.map_or(WAITING_UNKNOWN_TIER, |t| t.max_waiting),
-        };
-        match self.queue.push(waiting, limits) {
-            Outcome::Queued(displaced) => {
-                for id in displaced {
+        let now = self.now();
+        let waiting = self.waiting(&pending, now);
+        let est = self.estimate(pending.key);
+        match self.queue.push(now, waiting, &est) {
+            Outcome::Queued { displaced } => {
+                if let Some(id) = displaced {
                     let message = "work of a higher tier took the place";
-                    let retry = self.drain_ms();
-                    self.refuse_id(id, Refusal::not_run(Reason::Displaced, retry, message));
+                    self.refuse_later(id, Reason::Displaced, message);
                 }
-                let load = self.load(pending.item.as_ref());
+                let load = self.load(self.items.get(pending.key));
                 let _ = pending.events.send(Event::Queued(load));
                 let id = pending.offer.id;
                 let at = self.pending.partition_point(|p| p.offer.id < id);
                 self.pending.insert(at, pending);
             }
-            Outcome::Refused(reason) => {
-                let refusal = Refusal::not_run(reason, self.drain_ms(), "the queue is full");
-                self.refuse(pending, refusal);
+            Outcome::Refused {
+                reason,
+                retry_after,
+            } => {
+                if !est.ready_in.is_zero() {
+                    self.wake(pending.key, pending.offer.rank);
+                }
+                let message = match reason {
+                    Reason::QueueFull => "the queue is full",
+                    _ => "the expected finish lies after the deadline",
+                };
+                let retry = spread_ms(retry_after, pending.offer.id);
+                self.refuse(pending, Refusal::not_run(reason, retry, message));
+            }
+        }
+    }
+
+    fn waiting(&self, pending: &Pending, now: Duration) -> Waiting<RequestId> {
+        Waiting {
+            key: pending.offer.id,
+            rank: pending.offer.rank,
+            deadline: pending.deadline,
+            arrived: now,
+            expected_run: self.items.run(pending.key, pending.offer.max_tokens),
+            bytes: u32::try_from(pending.body.len()).unwrap_or(u32::MAX),
+            model: pending.key,
+        }
+    }
+
+    /// Loads a model whose callers were refused because its load takes too long for them.
+    ///
+    /// When all callers have less time than the load is expected to take, none would ever wait for
+    /// it, and an expectation that is wrong would never be put right. They find it loaded when
+    /// they come back.
+    fn wake(&mut self, key: ModelKey, rank: TierRank) {
+        let Some(item) = self.items.get(key).cloned() else {
+            return;
+        };
+        if !self.woken.iter().any(|(other, _)| *other == item) {
+            self.woken.push((item, rank));
+        }
+    }
+
+    /// Moves what waits into a queue with other bounds.
+    pub(crate) fn rebuild_queue(&mut self, opts: Options) {
+        let old = std::mem::replace(&mut self.queue, Queue::new(opts.clone()));
+        self.queue_opts = opts;
+        let now = self.now();
+        for waiting in old.iter() {
+            let est = self.estimate(waiting.model);
+            match self.queue.push(now, *waiting, &est) {
+                Outcome::Queued { displaced: None } => {}
+                Outcome::Queued {
+                    displaced: Some(id),
+                } => self.refuse_later(id, Reason::Displaced, "the limits have changed"),
+                Outcome::Refused { reason, .. } => {
+                    self.refuse_later(waiting.key, reason, "the limits have changed");
+                }
             }
         }
     }
 
     /// Gives free slots to the first requests whose model is loaded.
+    ///
+    /// An eighth of the slots is for short work only: when all are taken by long drafts, a look-up
+    /// would wait for one of them to end.
     pub(crate) fn hand_out(&mut self) {
-        while self.active.len() < self.slots() {
-            let (ledger, in_force) = (&self.ledger, &self.in_force);
-            let next = self.queue.pop(|w| {
-                let item = w.item.as_ref();
+        let (now, slots) = (self.now(), self.slots());
+        let general = slots - slots / SHORT_PART;
+        while self.active.len() < slots {
+            let (ledger, in_force, items) = (&self.ledger, &self.in_force, &self.items);
+            let ready = |key| {
+                let item = items.get(key);
                 item.is_none_or(|i| crate::loads::is_current(ledger, in_force, i))
-            });
+            };
+            let next = match self.active.len() < general {
+                true => self.queue.pop(now, ready),
+                false => self.queue.pop_short(now, ready),
+            };
             let Some(next) = next else {
                 return;
             };
-            self.touch(next.item.as_ref());
+            let item = self.items.get(next.model).cloned();
+            self.touch(item.as_ref());
+            let max_tokens = self.find_pending(next.key);
+            let max_tokens = max_tokens.map_or(0, |i| self.pending[i].offer.max_tokens);
             self.active.push(Active {
-                id: next.id,
-                item: next.item,
+                id: next.key,
+                key: next.model,
+                item,
+                max_tokens,
+                expected_end: now + next.expected_run,
                 started: false,
             });
-            self.make_ready(next.id);
+            self.make_ready(next.key);
         }
     }
 
@@ -263,16 +316,18 @@
         }
     }
 
-    pub(crate) fn run_ended(&mut self, id: RequestId, run: Duration, suspect: bool) {
+    /// Frees the slot; `run` is the time of a whole run.
+    pub(crate) fn run_ended(&mut self, id: RequestId, run: Option<Duration>, suspect: bool) {
         if let Some(i) = self.active.iter().position(|a| a.id == id) {
             let ended = self.active.swap_remove(i);
             self.touch(ended.item.as_ref());
+            if let Some(run) = run {
+                self.items.ran(ended.key, ended.max_tokens, run);
+            }
         }
         self.runs.end(self.now(), id);
         if suspect {
             self.relist = self.args.engine.is_some();
-        } else {
-            self.mean_run = (self.mean_run * 7 + run) / 8;
         }
     }
 
@@ -283,26 +338,36 @@
     /// Refuses what can no longer be answered in time: its caller has to know now.
     pub(crate) fn expire(&mut self) {
         let now = self.now();
-        for gone in self.queue.take_if(|w| w.deadline <= now) {
-            let message = "the deadline passed while the request waited";
-            let retry = self.drain_ms();
-            let refusal = Refusal::not_run(Reason::DeadlinePassed, retry, message);
-            self.refuse_id(gone.id, refusal);
+        for id in self.queue.expire(now) {
+            let message = "the request waited too long to finish in time";
+            self.refuse_later(id, Reason::DeadlinePassed, message);
         }
     }
 
     /// Refuses what waits for a model that may not be held any more.
     pub(crate) fn refuse_ungranted(&mut self) {
-        let in_force = &self.in_force;
-        let gone = self.queue.take_if(|w| {
-            let item = w.item.as_ref();
-            item.is_some_and(|i| in_force.may_hold(&i.model).is_none())
-        });
-        for w in gone {
+        let gone = self.take_if(|core, item| core.in_force.may_hold(&item.model).is_none());
+        for id in gone {
             let message = "the target gives the model back";
             let refusal = Refusal::not_run(Reason::NotGranted, ELSEWHERE_MS, message);
-            self.refuse_id(w.id, refusal);
+            self.refuse_id(id, refusal);
+        }
+    }
+
+    /// Takes the requests out of the queue that wait for certain items.
+    pub(crate) fn take_if<F>(&mut self, gone: F) -> Vec<RequestId>
+    where
+        F: Fn(&Self, &Item) -> bool,
+    {
+        let waiting = self.queue.iter();
+        let out: Vec<RequestId> = waiting
+            .filter(|w| self.items.get(w.model).is_some_and(|i| gone(self, i)))
+            .map(|w| w.key)
+            .collect();
+        for id in &out {
+            self.queue.remove(*id);
         }
+        out
     }
 
     /// Refuses everything that has not started, also what was told that it can run now.
@@ -321,11 +386,18 @@
         }
     }
 
+    /// Refuses a request that may come back when the queue has drained.
+    fn refuse_later(&mut self, id: RequestId, reason: Reason, message: &str) {
+        let drain = self.expected_wait();
+        let refusal = Refusal::not_run(reason, spread_ms(drain, id), message);
+        self.refuse_id(id, refusal);
+    }
+
     fn refuse(&mut self, pending: Pending, refusal: Refusal) {
         let id = pending.offer.id;
         self.runs.withdraw(self.now(), id);
         self.active.retain(|a| a.id != id || a.started);
-        let load = self.load(pending.item.as_ref());
+        let load = self.load(self.items.get(pending.key));
         let _ = pending.events.send(Event::Refused(refusal, load));
     }
 
@@ -342,25 +414,34 @@
         usize::from(concurrency.max(1))
     }
 
-    fn expected_wait(&self, item: Option<&Item>, rank: TierRank, deadline: Duration) -> Duration {
-        let ahead = self.queue.ahead(rank, deadline) + self.active.len();
-        let rounds = ahead / self.slots();
-        let queue = self.mean_run * u32::try_from(rounds).unwrap_or(u32::MAX);
-        let cold = match item {
-            Some(item) if !self.ledger.is_loaded(item) => self.mean_load,
-            _ => Duration::ZERO,
+    fn estimate(&self, key: ModelKey) -> Estimate {
+        let now = self.now();
+        let slots = self.slots();
+        let ends = self.active.iter().map(|a| a.expected_end);
+        let slot_free_in = match self.active.len() < slots {
+            true => Duration::ZERO,
+            false => ends.min().unwrap_or_default().saturating_sub(now),
         };
-        queue.max(cold)
+        Estimate {
+            concurrency: u16::try_from(slots).unwrap_or(u16::MAX),
+            slot_free_in,
+            ready_in: self
+                .items
+                .get(key)
+                .map_or(Duration::ZERO, |i| self.ready_in(i)),
+        }
     }
 
-    fn drain_ms(&self) -> u32 {
-        let wait = self.expected_wait(None, TierRank(u8::MAX), Duration::MAX);
-        millis(wait).max(ELSEWHERE_MS)
+    /// Returns the wait of a new request of the lowest tier for a loaded model.
+    fn expected_wait(&self) -> Duration {
+        let est = self.estimate(ModelKey(u32::MAX));
+        self.queue
+            .expected_wait(self.now(), TierRank(u8::MAX), &est)
     }
 
     /// Returns the load as replies carry it.
     pub(crate) fn load(&self, item: Option<&Item>) -> Load {
-        let wait = self.expected_wait(None, TierRank(u8::MAX), Duration::MAX);
+        let wait = self.expected_wait();
         Load {
             running: u16::try_from(self.active.len()).unwrap_or(u16::MAX),
             waiting: u16::try_from(self.queue.len()).unwrap_or(u16::MAX),
@@ -374,6 +455,12 @@
     Refusal::not_run(Reason::Leaving, LEAVING_MS, "the target is leaving")
 }
 
+/// Returns when to come back, so that those who are refused together do not come back together.
+fn spread_ms(drain: Duration, id: RequestId) -> u32 {
+    let hash = u64::try_from(id.0 & u128::from(u64::MAX)).unwrap_or_default();
+    millis(backoff::retry_after(drain, hash))
+}
+
 fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/stair-agent/src/control.rs
+++ b/crates/stair-agent/src/control.rs
@@ -20,6 +20,11 @@
 };
 use stair_http::Client;
 use stair_link::Pool;
+use stair_policy::queue::{
+    Options,
+    Queue,
+    TierOptions, //
+};
 use stair_state::{
     Ledger,
     RunTable,
@@ -29,10 +34,12 @@
     ConfigVersion,
     FencingToken,
     GrantId,
+    ModelKey,
     Refusal,
     RequestId,
     ShardId,
-    TargetName, //
+    TargetName,
+    TierRank, //
 };
 use stair_wire::{
     control::{
@@ -62,7 +69,7 @@
         Listed,
         Ordered, //
     },
-    queue::Queue, //
+    items::Items, //
 };
 
 /// Time between the control's own ticks.
@@ -95,6 +102,7 @@
     RunEnded {
         id: RequestId,
         run: Duration,
+        complete: bool,
         /// The target does not hold what it should, or cannot be reached.
         suspect: bool,
     },
@@ -170,7 +178,7 @@
 /// An offer that has not started.
 pub(crate) struct Pending {
     pub(crate) offer: Box<Offer>,
-    pub(crate) item: Option<Item>,
+    pub(crate) key: ModelKey,
     pub(crate) deadline: Duration,
     pub(crate) body: Bytes,
     pub(crate) events: mpsc::UnboundedSender<Event>,
@@ -179,7 +187,10 @@
 /// A request that holds a slot of the target.
 pub(crate) struct Active {
     pub(crate) id: RequestId,
+    pub(crate) key: ModelKey,
     pub(crate) item: Option<Item>,
+    pub(crate) max_tokens: u32,
+    pub(crate) expected_end: Duration,
     pub(crate) started: bool,
 }
 
@@ -198,7 +209,9 @@
     pub(crate) in_force: InForce,
     pub(crate) ledger: Ledger,
     pub(crate) runs: RunTable,
-    pub(crate) queue: Queue,
+    pub(crate) queue: Queue<RequestId>,
+    pub(crate) queue_opts: Options,
+    pub(crate) items: Items,
     /// Sorted by id.
     pub(crate) pending: Vec<Pending>,
     pub(crate) active: Vec<Active>,
@@ -207,14 +220,16 @@
     /// Sorted by item.
     pub(crate) used: Vec<(Item, Duration)>,
     pub(crate) failures: Vec<Failure>,
+    /// Loads under way, with their beginning.
+    pub(crate) loading: Vec<(Item, Duration)>,
+    /// Models whose callers were refused because the load takes too long, with their tier.
+    pub(crate) woken: Vec<(Item, TierRank)>,
     /// Orders whose answers are awaited.
     pub(crate) orders: usize,
     pub(crate) listing: bool,
     /// The engine's list has to be read before the next order.
     pub(crate) relist: bool,
     pub(crate) leaving: bool,
-    pub(crate) mean_run: Duration,
-    pub(crate) mean_load: Duration,
     pub(crate) loads: u64,
     pub(crate) last_seen: Duration,
 }
@@ -261,6 +276,7 @@
 
 impl Core {
     fn new(me: ActorRef<Msg>, args: Arguments) -> Self {
+        let queue_opts = queue_options(&args.in_force, &args.limits);
         Self {
             me,
             began: Instant::now(),
@@ -268,18 +284,20 @@
             ledger: args.ledger.clone(),
             args,
             runs: RunTable::default(),
-            queue: Queue::default(),
+            queue: Queue::new(queue_opts.clone()),
+            queue_opts,
+            items: Items::default(),
             pending: Vec::new(),
             active: Vec::new(),
             answers: Vec::new(),
             used: Vec::new(),
             failures: Vec::new(),
+            loading: Vec::new(),
+            woken: Vec::new(),
             orders: 0,
             listing: false,
             relist: false,
             leaving: false,
-            mean_run: Duration::from_millis(200),
-            mean_load: Duration::from_secs(2),
             loads: 0,
             last_seen: Duration::ZERO,
         }
@@ -317,7 +335,12 @@
             } => {
                 let _ = reply.send(self.resume(id, incarnation));
             }
-            Msg::RunEnded { id, run, suspect } => self.run_ended(id, run, suspect),
+            Msg::RunEnded {
+                id,
+                run,
+                complete,
+                suspect,
+            } => self.run_ended(id, complete.then_some(run), suspect),
             Msg::Forget { id } => self.forget(id),
             Msg::Assign(assignment) => self.assign(*assignment),
             Msg::LoadEnded { item, ended, took } => self.load_ended(&item, ended, took),
@@ -343,8 +366,13 @@
     }
 
     fn assign(&mut self, assignment: Assignment) {
-        if self.in_force.take(assignment) {
-            self.refuse_ungranted();
+        if !self.in_force.take(assignment) {
+            return;
+        }
+        self.refuse_ungranted();
+        let opts = queue_options(&self.in_force, &self.args.limits);
+        if opts != self.queue_opts {
+            self.rebuild_queue(opts);
         }
     }
 
@@ -385,3 +413,20 @@
         });
     }
 }
+
+/// Requests that may wait in one agent, of all tiers: the time of one decision grows with them.
+const MAX_WAITING: u32 = 4096;
+
+/// Bounds the queue by the tiers in force. Before the first configuration there is one tier.
+fn queue_options(in_force: &InForce, limits: &AgentLimits) -> Options {
+    let tiers = in_force.tiers().iter().map(|t| TierOptions {
+        max_waiting: t.max_waiting,
+        floor_percent: t.floor_percent,
+    });
+    Options {
+        max_requests: MAX_WAITING,
+        max_bytes: limits.max_waiting_bytes,
+        tiers: tiers.collect(),
+        ..Options::default()
+    }
+}
--- a/crates/stair-agent/src/dump.rs
+++ b/crates/stair-agent/src/dump.rs
@@ -63,7 +63,7 @@
             in_doubt: self.relist || self.listing || self.ledger.in_doubt(),
             orders: self.orders,
             loads: self.loads,
-            waiting: self.queue.iter().map(|w| w.id).collect(),
+            waiting: self.queue.iter().map(|w| w.key).collect(),
             waiting_bytes: self.queue.bytes(),
             running: self.active.iter().map(|a| a.id).collect(),
             answers: self.answers.len(),
--- a/crates/stair-agent/src/lib.rs
+++ b/crates/stair-agent/src/lib.rs
@@ -7,7 +7,7 @@
 //! - [`start`]: the whole agent, from the exclusive bind to the end of a graceful stop.
 //! - [`dump`]: the state of the agent as the operator sees it.
 //! - [`assignment`]: which grants and models are in force; versions only rise.
-//! - [`queue`]: the requests that wait for the target.
+//! - [`items`]: keys of what requests need, and what runs and loads of it took.
 //! - [`victims`]: what to unload when a load needs room.
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
@@ -30,7 +30,7 @@
 
 pub mod assignment;
 pub mod dump;
-pub mod queue;
+pub mod items;
 pub mod start;
 pub mod victims;
 
--- a/crates/stair-agent/src/loads.rs
+++ b/crates/stair-agent/src/loads.rs
@@ -16,6 +16,7 @@
     ModelName,
     Reason,
     Refusal,
+    RequestId,
     TierRank, //
 };
 use stair_wire::control::TurnRequest;
@@ -145,7 +146,7 @@
     pub(crate) fn order_loads(&mut self) {
         let mut wanted: Vec<(Item, TierRank, Duration)> = Vec::new();
         for w in self.queue.iter() {
-            let Some(item) = &w.item else {
+            let Some(item) = self.items.get(w.model) else {
                 continue;
             };
             if !wanted.iter().any(|(other, _, _)| other == item) {
@@ -157,6 +158,40 @@
                 return;
             }
         }
+        self.load_woken();
+    }
+
+    /// Loads what nobody waits for but callers were refused for, into free memory only.
+    fn load_woken(&mut self) {
+        for (item, rank) in std::mem::take(&mut self.woken) {
+            let fits = declared(&self.in_force, &item).is_some_and(|(_, memory_mib)| {
+                let base_mib = declared(&self.in_force, &base(&item)).map_or(0, |(_, mib)| mib);
+                let needed = match item.adapter {
+                    Some(_) if !self.ledger.is_loaded(&base(&item)) => memory_mib + base_mib,
+                    _ => memory_mib,
+                };
+                needed <= self.ledger.free_mib()
+            });
+            if fits {
+                self.try_load(&item, rank, Duration::MAX);
+            }
+        }
+    }
+
+    /// Returns the time until an item can serve, by what its loads took.
+    pub(crate) fn ready_in(&self, item: &Item) -> Duration {
+        let adapter = item.adapter.is_some().then(|| item.clone());
+        let needed = std::iter::once(base(item)).chain(adapter);
+        needed.map(|i| self.rest_of_load(&i)).sum()
+    }
+
+    fn rest_of_load(&self, item: &Item) -> Duration {
+        if self.ledger.is_loaded(item) {
+            return Duration::ZERO;
+        }
+        let began = self.loading.iter().find(|(other, _)| other == item);
+        let passed = began.map_or(Duration::ZERO, |(_, at)| self.now() - *at);
+        self.items.load(item).saturating_sub(passed)
     }
 
     /// Returns false when loads after this one have to wait.
@@ -235,6 +270,7 @@
         spdlog::info!("agent: loads {} {version}", item.model);
         self.orders += 1;
         self.loads += 1;
+        self.loading.push((item.clone(), self.now()));
         self.touch(Some(item));
         let left = deadline.saturating_sub(self.now());
         let request = TurnRequest {
@@ -268,6 +304,7 @@
 
     pub(crate) fn load_ended(&mut self, item: &Item, ended: Ordered, took: Duration) {
         self.orders -= 1;
+        self.loading.retain(|(other, _)| other != item);
         match ended {
             Ordered::Answer(answer) => self.ledger.end_load(item, answer),
             Ordered::NoMemory => {
@@ -281,7 +318,7 @@
             }
         }
         if ended == Ordered::Answer(Answer::Done) {
-            self.mean_load = (self.mean_load * 3 + took) / 4;
+            self.items.loaded(item, took);
             self.failures.retain(|f| f.item != *item);
             self.touch(Some(item));
         } else {
@@ -318,23 +355,28 @@
             self.refuse_waiting(item, "the model failed to load");
             return;
         }
-        let finish = retry_at + self.mean_load;
-        let late = self
-            .queue
-            .take_if(|w| waits_for(w.item.as_ref(), item) && w.deadline < finish);
+        let finish = retry_at + self.items.load(item);
+        let waiting = self.queue.iter().filter(|w| w.deadline < finish);
+        let late: Vec<RequestId> = waiting
+            .filter(|w| waits_for(self.items.get(w.model), item))
+            .map(|w| w.key)
+            .collect();
+        for id in &late {
+            self.queue.remove(*id);
+        }
         self.refuse_failed(late, "the model failed to load");
     }
 
     fn refuse_waiting(&mut self, item: &Item, message: &str) {
-        let gone = self.queue.take_if(|w| waits_for(w.item.as_ref(), item));
+        let gone = self.take_if(|_, needed| waits_for(Some(needed), item));
         self.refuse_failed(gone, message);
     }
 
-    fn refuse_failed(&mut self, gone: Vec<crate::queue::Waiting>, message: &str) {
-        for w in gone {
+    fn refuse_failed(&mut self, gone: Vec<RequestId>, message: &str) {
+        for id in gone {
             let retry = u32::try_from(MAX_RETRY.as_millis()).unwrap_or(u32::MAX);
             let refusal = Refusal::not_run(Reason::LoadFailed, retry, message);
-            self.refuse_id(w.id, refusal);
+            self.refuse_id(id, refusal);
         }
     }
 
@@ -377,23 +419,20 @@
     pub(crate) fn usage(&self, item: &Item) -> Use {
         let active = self.active.iter().filter_map(|a| a.item.as_ref());
         let busy = active.into_iter().any(|i| waits_for(Some(i), item));
-        let mut waiting = self
-            .queue
-            .iter()
-            .filter(|w| waits_for(w.item.as_ref(), item));
+        let items = &self.items;
+        let mut waiting = self.queue.iter();
+        let waiting = waiting.find(|w| waits_for(items.get(w.model), item));
         let at = self.used.binary_search_by(|(other, _)| other.cmp(item));
         Use {
             busy,
-            waiting: waiting.next().map(|w| w.rank),
+            waiting: waiting.map(|w| w.rank),
             last_used: at.map_or(Duration::ZERO, |i| self.used[i].1),
         }
     }
 
     pub(crate) fn tick(&mut self) {
-        let (ledger, queue) = (&self.ledger, &self.queue);
-        self.used.retain(|(item, _)| {
-            ledger.get(item).is_some() || queue.iter().any(|w| w.item.as_ref() == Some(item))
-        });
+        let ledger = &self.ledger;
+        self.used.retain(|(item, _)| ledger.get(item).is_some());
     }
 }
 
--- a/crates/stair-agent/src/run.rs
+++ b/crates/stair-agent/src/run.rs
@@ -89,12 +89,18 @@
     };
     let run = began.elapsed();
     let run_ms = u32::try_from(run.as_millis()).unwrap_or(u32::MAX);
+    let complete = result.is_ok();
     let suspect = result.as_ref().is_err_and(|f| f.suspect);
     answer.end(match result {
         Ok(()) => Ended::Complete { run_ms },
         Err(failed) => Ended::Refused(failed.refusal),
     });
-    let _ = control.send_message(Msg::RunEnded { id, run, suspect });
+    let _ = control.send_message(Msg::RunEnded {
+        id,
+        run,
+        complete,
+        suspect,
+    });
     answer.abandoned(keep).await;
     let _ = control.send_message(Msg::Forget { id });
 }
