agent: keep models by policy, and tell logs, statsd and the operator

The stopgap dump page and the fixed idle timeout go; the operator's listener, the metrics and the keep policy of the shared crates take their place. Idle times are looked at once a tick, not with each message.

--- a/crates/stair-agent/src/admit.rs
+++ b/crates/stair-agent/src/admit.rs
@@ -21,6 +21,7 @@
     ledger::Item,
     runs::Phase, //
 };
+use stair_telemetry::metrics::Latency;
 use stair_types::{
     FencingToken,
     ModelKey,
@@ -131,6 +132,7 @@
                     let message = "work of a higher tier took the place";
                     self.refuse_later(id, Reason::Displaced, message);
                 }
+                self.note_arrival(pending.key);
                 let load = self.load(self.items.get(pending.key));
                 let _ = pending.events.send(Event::Queued(load));
                 let id = pending.offer.id;
@@ -221,6 +223,8 @@
             };
             let item = self.items.get(next.model).cloned();
             self.touch(item.as_ref());
+            let waited = now.saturating_sub(next.arrived);
+            self.args.metrics.latency(Latency::Queued, waited);
             let max_tokens = self.find_pending(next.key);
             let max_tokens = max_tokens.map_or(0, |i| self.pending[i].offer.max_tokens);
             self.active.push(Active {
@@ -321,6 +325,7 @@
         if let Some(i) = self.active.iter().position(|a| a.id == id) {
             let ended = self.active.swap_remove(i);
             self.touch(ended.item.as_ref());
+            self.note_end(ended.key);
             if let Some(run) = run {
                 self.items.ran(ended.key, ended.max_tokens, run);
             }
@@ -395,6 +400,7 @@
 
     fn refuse(&mut self, pending: Pending, refusal: Refusal) {
         let id = pending.offer.id;
+        self.args.metrics.refusal(refusal.reason, refusal.verdict);
         self.runs.withdraw(self.now(), id);
         self.active.retain(|a| a.id != id || a.started);
         let load = self.load(self.items.get(pending.key));
--- a/crates/stair-agent/src/control.rs
+++ b/crates/stair-agent/src/control.rs
@@ -20,16 +20,26 @@
 };
 use stair_http::Client;
 use stair_link::Pool;
-use stair_policy::queue::{
-    Options,
-    Queue,
-    TierOptions, //
+use stair_policy::{
+    keep::{
+        self,
+        Keep, //
+    },
+    queue::{
+        Options,
+        Queue,
+        TierOptions, //
+    }, //
 };
 use stair_state::{
     Ledger,
     RunTable,
     ledger::Item, //
 };
+use stair_telemetry::{
+    Metrics,
+    Part, //
+};
 use stair_types::{
     ConfigVersion,
     FencingToken,
@@ -67,7 +77,8 @@
     engine::{
         Engine,
         Listed,
-        Ordered, //
+        Ordered,
+        Source, //
     },
     items::Items, //
 };
@@ -113,6 +124,7 @@
     LoadEnded {
         item: Item,
         ended: Ordered,
+        source: Option<Source>,
         took: Duration,
     },
     UnloadEnded {
@@ -161,6 +173,7 @@
     pub(crate) name: TargetName,
     pub(crate) incarnation: FencingToken,
     pub(crate) limits: AgentLimits,
+    pub(crate) metrics: Metrics,
     pub(crate) target: TargetSettings,
     pub(crate) client: Client,
     pub(crate) engine: Option<Engine>,
@@ -222,6 +235,9 @@
     pub(crate) failures: Vec<Failure>,
     /// Loads under way, with their beginning.
     pub(crate) loading: Vec<(Item, Duration)>,
+    pub(crate) keep: Keep,
+    /// When metrics were last sent.
+    pub(crate) reported: Duration,
     /// Models whose callers were refused because the load takes too long, with their tier.
     pub(crate) woken: Vec<(Item, TierRank)>,
     /// Orders whose answers are awaited.
@@ -276,6 +292,7 @@
 
 impl Core {
     fn new(me: ActorRef<Msg>, args: Arguments) -> Self {
+        let keep = Keep::new(keep_options(&args.in_force));
         let queue_opts = queue_options(&args.in_force, &args.limits);
         Self {
             me,
@@ -294,6 +311,8 @@
             failures: Vec::new(),
             loading: Vec::new(),
             woken: Vec::new(),
+            keep,
+            reported: Duration::ZERO,
             orders: 0,
             listing: false,
             relist: false,
@@ -311,7 +330,7 @@
     fn notice_pause(&mut self) {
         let now = self.now();
         if now - self.last_seen > PAUSED {
-            spdlog::warn!("agent: was paused for {:?}", now - self.last_seen);
+            stair_telemetry::warn!(Part::Agent, "was paused for {:?}", now - self.last_seen);
             self.relist = self.args.engine.is_some();
         }
         self.last_seen = now;
@@ -343,10 +362,18 @@
             } => self.run_ended(id, complete.then_some(run), suspect),
             Msg::Forget { id } => self.forget(id),
             Msg::Assign(assignment) => self.assign(*assignment),
-            Msg::LoadEnded { item, ended, took } => self.load_ended(&item, ended, took),
+            Msg::LoadEnded {
+                item,
+                ended,
+                source,
+                took,
+            } => self.load_ended(&item, ended, source, took),
             Msg::UnloadEnded { item, ended } => self.unload_ended(&item, ended),
             Msg::Listed(listed) => self.listed(listed),
-            Msg::Tick => self.tick(),
+            Msg::Tick => {
+                self.unload_idle();
+                self.report();
+            }
             Msg::Stop => self.leave(),
             Msg::Dump { reply } => drop(reply.send(self.dump())),
         }
@@ -370,6 +397,7 @@
             return;
         }
         self.refuse_ungranted();
+        self.keep.set_options(keep_options(&self.in_force));
         let opts = queue_options(&self.in_force, &self.args.limits);
         if opts != self.queue_opts {
             self.rebuild_queue(opts);
@@ -417,6 +445,16 @@
 /// Requests that may wait in one agent, of all tiers: the time of one decision grows with them.
 const MAX_WAITING: u32 = 4096;
 
+fn keep_options(in_force: &InForce) -> keep::Options {
+    let policy = &in_force.policy().keep;
+    keep::Options {
+        cold_start_weight: policy.cold_start_weight,
+        min_idle: Duration::from_millis(policy.min_idle_ms.into()),
+        max_idle: Duration::from_millis(policy.max_idle_ms.into()),
+        ..keep::Options::default()
+    }
+}
+
 /// Bounds the queue by the tiers in force. Before the first configuration there is one tier.
 fn queue_options(in_force: &InForce, limits: &AgentLimits) -> Options {
     let tiers = in_force.tiers().iter().map(|t| TierOptions {
--- a/crates/stair-agent/src/control_links.rs
+++ b/crates/stair-agent/src/control_links.rs
@@ -17,6 +17,7 @@
     SendStream,
     link::Probing, //
 };
+use stair_telemetry::Part;
 use stair_types::{
     DataCentre,
     EntryName,
@@ -166,7 +167,7 @@
         let result = serve(&cx, &entry).await;
         cx.linked.send_modify(|l| l.retain(|n| *n != entry.name));
         if let Err(e) = result {
-            spdlog::info!("agent: the link to {} ended: {e}", entry.name);
+            stair_telemetry::info!(Part::Links, "the link to {} ended: {e}", entry.name);
         }
         cx.give_up(slot, &entry.name);
         if began.elapsed() > GOOD {
@@ -255,7 +256,7 @@
                     }
                 }
                 Err(e) => {
-                    spdlog::debug!("agent: a control stream ended: {e}");
+                    stair_telemetry::debug!(Part::Links, "a control stream ended: {e}");
                     return;
                 }
             }
--- a/crates/stair-agent/src/engine.rs
+++ b/crates/stair-agent/src/engine.rs
@@ -119,6 +119,20 @@
     Superseded,
 }
 
+/// Where the engine found a checkpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum Source {
+    Memory,
+    Disk,
+    Remote,
+}
+
+#[derive(Deserialize)]
+struct Loaded {
+    source: Option<Source>,
+}
+
 #[derive(Serialize)]
 struct Order<'a> {
     model: &'a ModelName,
@@ -156,7 +170,12 @@
         Ok(serde_json::from_slice(&body)?)
     }
 
-    pub(crate) async fn load(&self, item: &Item, version: &str, memory_mib: u32) -> Ordered {
+    pub(crate) async fn load(
+        &self,
+        item: &Item,
+        version: &str,
+        memory_mib: u32,
+    ) -> (Ordered, Option<Source>) {
         let path = match item.adapter {
             None => "/engine/load",
             Some(_) => "/engine/adapters/load",
@@ -168,7 +187,9 @@
             memory_mib: Some(memory_mib),
             fence: self.fence,
         };
-        self.order(path, &order, self.load_time).await
+        let (ended, body) = self.order(path, &order, self.load_time).await;
+        let loaded: Option<Loaded> = serde_json::from_slice(&body).ok();
+        (ended, loaded.and_then(|l| l.source))
     }
 
     pub(crate) async fn unload(&self, item: &Item) -> Ordered {
@@ -183,15 +204,17 @@
             memory_mib: None,
             fence: self.fence,
         };
-        match self.order(path, &order, UNLOAD_TIME).await {
+        let (ended, _) = self.order(path, &order, UNLOAD_TIME).await;
+        match ended {
             // Whatever else the engine says to an unload, only its list tells what it holds.
             Ordered::Answer(Answer::Refused) | Ordered::NoMemory => Ordered::Answer(Answer::Lost),
             other => other,
         }
     }
 
-    async fn order(&self, path: &str, order: &Order<'_>, time: Duration) -> Ordered {
-        let lost = Ordered::Answer(Answer::Lost);
+    /// Gives an order; returns how it ended and the answer's body.
+    async fn order(&self, path: &str, order: &Order<'_>, time: Duration) -> (Ordered, Bytes) {
+        let without_body = |answer| (Ordered::Answer(answer), Bytes::new());
         let body = serde_json::to_vec(order).unwrap_or_default();
         let req = Request::builder()
             .method(Method::POST)
@@ -199,26 +222,27 @@
             .header(CONTENT_TYPE, "application/json")
             .body(Full::new(Bytes::from(body)));
         let Ok(req) = req else {
-            return Ordered::Answer(Answer::Refused);
+            return without_body(Answer::Refused);
         };
         let answer = match self.client.send(req, time).await {
             Ok(answer) => answer,
-            Err(HttpError::NotSent(_)) => return Ordered::Answer(Answer::Refused),
-            Err(_) => return lost,
+            Err(HttpError::NotSent(_)) => return without_body(Answer::Refused),
+            Err(_) => return without_body(Answer::Lost),
         };
         let status = answer.head.status;
         // The body has to be read whole before the connection serves another order.
-        if answer.collect(MAX_BYTES, LIST_TIME).await.is_err() {
-            return lost;
-        }
-        match status {
+        let Ok(body) = answer.collect(MAX_BYTES, LIST_TIME).await else {
+            return without_body(Answer::Lost);
+        };
+        let ended = match status {
             StatusCode::OK => Ordered::Answer(Answer::Done),
             StatusCode::CONFLICT => Ordered::Superseded,
             StatusCode::INSUFFICIENT_STORAGE => Ordered::NoMemory,
             // What is to be unloaded is not there; what is to be loaded is not known.
             StatusCode::NOT_FOUND if order.version.is_none() => Ordered::Answer(Answer::Done),
             StatusCode::NOT_FOUND => Ordered::Answer(Answer::Refused),
-            _ => lost,
-        }
+            _ => Ordered::Answer(Answer::Lost),
+        };
+        (ended, body)
     }
 }
--- a/crates/stair-agent/src/incarnation.rs
+++ b/crates/stair-agent/src/incarnation.rs
@@ -10,6 +10,7 @@
     Kind,
     ObjectStore, //
 };
+use stair_telemetry::Part;
 use stair_types::{
     FencingToken,
     TargetName, //
@@ -38,7 +39,7 @@
         match try_raise(store, target, own, &mut unsure).await {
             Ok(token) => return token,
             Err(Error::Conflict) => {}
-            Err(e) => spdlog::warn!("agent: cannot raise the incarnation: {e}"),
+            Err(e) => stair_telemetry::warn!(Part::Platform, "cannot raise the incarnation: {e}"),
         }
         pause.wait().await;
     }
--- a/crates/stair-agent/src/learn.rs
+++ b/crates/stair-agent/src/learn.rs
@@ -12,6 +12,7 @@
     VmState, //
 };
 use stair_state::GrantShard;
+use stair_telemetry::Part;
 use stair_types::{
     ShardId,
     TargetName, //
@@ -54,7 +55,7 @@
         match store.list(kind).await {
             Ok(page) => return page.events.into_iter().filter_map(put).collect(),
             Err(Error::NotFound) => return Vec::new(),
-            Err(e) => spdlog::warn!("agent: cannot list {}: {e}", kind.as_str()),
+            Err(e) => stair_telemetry::warn!(Part::Platform, "cannot list {}: {e}", kind.as_str()),
         }
         pause.wait().await;
     }
@@ -101,7 +102,11 @@
     match serde_json::from_value(object.value.clone()) {
         Ok(value) => Some(value),
         Err(e) => {
-            spdlog::error!("agent: object {} does not decode: {e}", object.name);
+            stair_telemetry::error!(
+                Part::Platform,
+                "object {} does not decode: {e}",
+                object.name
+            );
             None
         }
     }
--- a/crates/stair-agent/src/lib.rs
+++ b/crates/stair-agent/src/lib.rs
@@ -24,6 +24,7 @@
 mod lock;
 mod offers;
 mod operator;
+mod report;
 mod resume;
 mod run;
 mod turn;
--- a/crates/stair-agent/src/links.rs
+++ b/crates/stair-agent/src/links.rs
@@ -8,6 +8,7 @@
     RecvStream,
     SendStream, //
 };
+use stair_telemetry::Part;
 use stair_wire::{
     frame,
     request::ToAgent, //
@@ -37,7 +38,7 @@
         let shared = shared.clone();
         tokio::spawn(async move {
             if let Err(e) = stream(&shared, tx, rx).await {
-                spdlog::debug!("agent: a stream ended: {e}");
+                stair_telemetry::debug!(Part::Links, "a stream ended: {e}");
             }
         });
     }
--- a/crates/stair-agent/src/loads.rs
+++ b/crates/stair-agent/src/loads.rs
@@ -12,7 +12,9 @@
         State, //
     }, //
 };
+use stair_telemetry::Part;
 use stair_types::{
+    ModelKey,
     ModelName,
     Reason,
     Refusal,
@@ -31,7 +33,8 @@
     },
     engine::{
         Listed,
-        Ordered, //
+        Ordered,
+        Source, //
     },
     turn,
     victims::{
@@ -114,24 +117,19 @@
         }
     }
 
-    /// Unloads what may not be held, is of another version, or was idle for long.
+    /// Unloads what may not be held or is of another version.
     pub(crate) fn reconcile(&mut self) {
-        let now = self.now();
-        let max_idle = Duration::from_millis(self.in_force.policy().keep.max_idle_ms.into());
         // Until the first configuration came, what is declared is not known.
         if self.in_force.config().0 == 0 {
             return;
         }
         let entries = self.ledger.entries().iter();
-        let unwanted: Vec<Item> = entries
-            .filter(|e| e.state == State::Loaded)
-            .filter(|e| {
-                let wanted = declared(&self.in_force, &e.item);
-                let wrong = wanted.is_none_or(|(version, _)| *e.version != *version);
-                let u = self.usage(&e.item);
-                let idle = u.waiting.is_none() && now.saturating_sub(u.last_used) >= max_idle;
-                !u.busy && (wrong || idle)
-            })
+        let wrong = entries.filter(|e| {
+            let wanted = declared(&self.in_force, &e.item);
+            wanted.is_none_or(|(version, _)| *e.version != *version)
+        });
+        let unwanted: Vec<Item> = wrong
+            .filter(|e| e.state == State::Loaded && !self.usage(&e.item).busy)
             .map(|e| e.item.clone())
             .collect();
         for item in unwanted {
@@ -139,6 +137,58 @@
         }
     }
 
+    /// Unloads what was idle for longer than a cold start is worth to this deployment.
+    pub(crate) fn unload_idle(&mut self) {
+        if !self.may_order() {
+            return;
+        }
+        let now = self.now();
+        let loaded = self.ledger.entries().iter();
+        let loaded: Vec<Item> = loaded
+            .filter(|e| e.state == State::Loaded)
+            .map(|e| e.item.clone())
+            .collect();
+        for item in loaded {
+            let u = self.usage(&item);
+            let key = self.items.key(Some(&item));
+            // What the engine held before this agent came counts as used when it was first seen.
+            if !self.used.iter().any(|(other, _)| *other == item) {
+                self.touch(Some(&item));
+                self.keep.finished(key, now);
+            }
+            let until = self.keep.idle_until(key, now, self.items.load(&item));
+            if !u.busy && u.waiting.is_none() && now >= until {
+                self.unload_group(&item);
+            }
+        }
+    }
+
+    /// Notes that a request came for a model; its base model is used with an adapter.
+    pub(crate) fn note_arrival(&mut self, key: ModelKey) {
+        let now = self.now();
+        for key in self.with_base(key) {
+            self.keep.used(key, now);
+        }
+    }
+
+    /// Notes that a request has ended: the idle time of its model begins.
+    pub(crate) fn note_end(&mut self, key: ModelKey) {
+        let now = self.now();
+        for key in self.with_base(key) {
+            self.keep.finished(key, now);
+        }
+    }
+
+    fn with_base(&mut self, key: ModelKey) -> Vec<ModelKey> {
+        match self.items.get(key).cloned() {
+            Some(item) if item.adapter.is_some() => {
+                vec![key, self.items.key(Some(&base(&item)))]
+            }
+            Some(_) => vec![key],
+            None => Vec::new(),
+        }
+    }
+
     /// Orders the loads that waiting requests need, in the order in which these are served.
     ///
     /// The first that finds no room holds the others back: smaller models of worse tiers would
@@ -267,7 +317,7 @@
         let Some(engine) = self.args.engine.clone() else {
             return;
         };
-        spdlog::info!("agent: loads {} {version}", item.model);
+        stair_telemetry::info!(Part::Loads, "loads {} {version}", item.model);
         self.orders += 1;
         self.loads += 1;
         self.loading.push((item.clone(), self.now()));
@@ -282,10 +332,15 @@
         tokio::spawn(async move {
             let turn = turn::take(&pool, &entries, request).await;
             let began = Instant::now();
-            let ended = engine.load(&item, &version, memory_mib).await;
+            let (ended, source) = engine.load(&item, &version, memory_mib).await;
             drop(turn);
             let took = began.elapsed();
-            let _ = me.send_message(Msg::LoadEnded { item, ended, took });
+            let _ = me.send_message(Msg::LoadEnded {
+                item,
+                ended,
+                source,
+                took,
+            });
         });
     }
 
@@ -293,7 +348,7 @@
         let Some(engine) = self.args.engine.clone() else {
             return;
         };
-        spdlog::info!("agent: unloads {}", item.model);
+        stair_telemetry::info!(Part::Loads, "unloads {}", item.model);
         self.orders += 1;
         let (me, item) = (self.me.clone(), item.clone());
         tokio::spawn(async move {
@@ -302,7 +357,14 @@
         });
     }
 
-    pub(crate) fn load_ended(&mut self, item: &Item, ended: Ordered, took: Duration) {
+    pub(crate) fn load_ended(
+        &mut self,
+        item: &Item,
+        ended: Ordered,
+        source: Option<Source>,
+        took: Duration,
+    ) {
+        self.report_load(item, ended, source, took);
         self.orders -= 1;
         self.loading.retain(|(other, _)| other != item);
         match ended {
@@ -321,6 +383,8 @@
             self.items.loaded(item, took);
             self.failures.retain(|f| f.item != *item);
             self.touch(Some(item));
+            let key = self.items.key(Some(item));
+            self.keep.finished(key, self.now());
         } else {
             self.load_failed(item);
         }
@@ -429,11 +493,6 @@
             last_used: at.map_or(Duration::ZERO, |i| self.used[i].1),
         }
     }
-
-    pub(crate) fn tick(&mut self) {
-        let ledger = &self.ledger;
-        self.used.retain(|(item, _)| ledger.get(item).is_some());
-    }
 }
 
 /// Tells whether work on `needs` cannot go on without `item`.
--- a/crates/stair-agent/src/operator.rs
+++ b/crates/stair-agent/src/operator.rs
@@ -1,22 +1,13 @@
-//! The operator's address: the state dump as JSON.
+//! What the operator asks of the agent: status, state dump and planned stop.
+
+use std::pin::Pin;
 
-use hyper::{
-    Method,
-    Request,
-    Response,
-    StatusCode,
-    body::Incoming,
-    header::{
-        CONTENT_TYPE,
-        HeaderValue, //
-    }, //
-};
 use ractor::ActorRef;
-use stair_http::{
-    Body,
-    body::full,
-    server, //
+use serde_json::{
+    Value,
+    json, //
 };
+use stair_telemetry::operator;
 use tokio::{
     net::TcpListener,
     sync::{
@@ -37,37 +28,38 @@
     answer.await.ok()
 }
 
-/// Serves `GET /dump` until `stop` turns true.
+type BoxedAnswer<T> = Pin<Box<dyn Future<Output = T> + Send>>;
+
+/// Serves the operator until `stop` turns true.
 pub(crate) async fn serve(
     listener: TcpListener,
     stop: watch::Receiver<bool>,
     control: ActorRef<Msg>,
+    drain: watch::Sender<bool>,
 ) {
-    let opts = server::Options {
-        max_connections: 16,
-        ..server::Options::default()
-    };
-    server::serve(listener, opts, stop, move |req| {
-        answer(req, control.clone())
-    })
-    .await;
-}
-
-async fn answer(req: Request<Incoming>, control: ActorRef<Msg>) -> Response<Body> {
-    if req.method() != Method::GET || req.uri().path() != "/dump" {
-        return status(StatusCode::NOT_FOUND);
-    }
-    let Some(dump) = dump(&control).await else {
-        return status(StatusCode::SERVICE_UNAVAILABLE);
+    let for_status = control.clone();
+    let routes = operator::Routes {
+        status: move || -> BoxedAnswer<Value> {
+            let control = for_status.clone();
+            Box::pin(async move { dump(&control).await.map_or(Value::Null, |d| status(&d)) })
+        },
+        dump: move || -> BoxedAnswer<Value> {
+            let control = control.clone();
+            Box::pin(async move { json!(dump(&control).await) })
+        },
+        drain: move || -> BoxedAnswer<()> {
+            drain.send_replace(true);
+            Box::pin(std::future::ready(()))
+        },
     };
-    let mut resp = Response::new(full(serde_json::to_vec(&dump).unwrap_or_default()));
-    let json = HeaderValue::from_static("application/json");
-    resp.headers_mut().insert(CONTENT_TYPE, json);
-    resp
+    operator::serve(listener, stop, routes).await;
 }
 
-fn status(status: StatusCode) -> Response<Body> {
-    let mut resp = Response::new(full(""));
-    *resp.status_mut() = status;
-    resp
+fn status(dump: &Dump) -> Value {
+    json!({
+        "name": dump.target,
+        "incarnation": dump.incarnation,
+        "config": dump.config,
+        "draining": dump.leaving,
+    })
 }
--- a/crates/stair-agent/src/start.rs
+++ b/crates/stair-agent/src/start.rs
@@ -31,6 +31,10 @@
     TargetKind, //
 };
 use stair_state::Ledger;
+use stair_telemetry::{
+    Metrics,
+    Part, //
+};
 use stair_types::{
     EntryName,
     FencingToken, //
@@ -131,7 +135,7 @@
         let link = listener.addr()?;
         let record = record(&settings, settings.advertise.unwrap_or(link));
         let incarnation = incarnation::raise(&store, &settings.name, &record).await;
-        spdlog::info!("agent: {} starts as {incarnation}", settings.name);
+        stair_telemetry::info!(Part::Agent, "{} starts as {incarnation}", settings.name);
         let in_force = InForce::new(learn::grants(&store, &settings.name).await);
         let (entries, _) = watch::channel(learn::entries(&store).await);
         let dialer = Dialer::new(&keys, CONNECT_TIME)?;
@@ -151,6 +155,7 @@
             Some(engine) => read_ledger(engine, &settings.target).await,
             None => Ledger::new(0, Vec::new()),
         };
+        let metrics = Metrics::new(settings.telemetry.statsd)?;
         let published = Published {
             statement: watch::Sender::new(Statement::default()),
             load: watch::Sender::default(),
@@ -161,6 +166,7 @@
             name: settings.name.clone(),
             incarnation,
             limits: settings.limits,
+            metrics,
             target: settings.target,
             client,
             engine,
@@ -194,6 +200,7 @@
             store,
             published,
             lock,
+            drain: stop.clone(),
         };
         Ok(Self {
             link,
@@ -264,6 +271,7 @@
     published: Published,
     /// Dropped last, when nothing is left that could order the engine.
     lock: Lock,
+    drain: watch::Sender<bool>,
 }
 
 impl<S> Parts<S>
@@ -273,7 +281,12 @@
     async fn run(self, mut stop: watch::Receiver<bool>) -> anyhow::Result<()> {
         let control = self.shared.control.clone();
         let (close, closing) = watch::channel(false);
-        let operator = tokio::spawn(operator::serve(self.operator, closing, control.clone()));
+        let operator = tokio::spawn(operator::serve(
+            self.operator,
+            closing,
+            control.clone(),
+            self.drain,
+        ));
         let links = tokio::spawn(links::serve(self.listener.clone(), self.shared));
         let refresh = tokio::spawn(refresh_entries(self.store, self.cx.clone()));
         let control_links = tokio::spawn(control_links::keep(self.cx));
@@ -361,7 +374,9 @@
     let listed: Listed = loop {
         match engine.list().await {
             Ok(listed) => break listed,
-            Err(e) => spdlog::warn!("agent: the engine does not list what it holds: {e}"),
+            Err(e) => {
+                stair_telemetry::warn!(Part::Agent, "the engine does not list what it holds: {e}")
+            }
         }
         pause.wait().await;
     };
