agent: find entries again, bound kept answers, test the queue

An agent that started before any entry waited 30 to 60 s before it listed the VMs again; it now begins at 1 to 2 s and doubles. A release is said again every 5 s while its grant is listed, since the entry may fail to write it. Whole answers kept for a resume were bounded each but not together; the oldest go beyond 64 MiB.

--- a/crates/stair-agent/src/admit.rs
+++ b/crates/stair-agent/src/admit.rs
@@ -51,6 +51,9 @@
 /// One slot in so many is for short work only.
 const SHORT_PART: usize = 8;
 
+/// Bytes of all whole answers kept for a resume.
+const MAX_KEPT_BYTES: u64 = 64 << 20;
+
 /// When a caller may come back to another target after this one refused for good.
 const ELSEWHERE_MS: u32 = 100;
 
@@ -331,13 +334,44 @@
             }
         }
         self.runs.end(self.now(), id);
+        self.ended.push_back(id);
+        self.bound_answers();
         if suspect {
             self.relist = self.args.engine.is_some();
         }
     }
 
     pub(crate) fn forget(&mut self, id: RequestId) {
-        self.answers.retain(|(other, _)| *other != id);
+        self.ended.retain(|other| *other != id);
+        let found = self.answers.binary_search_by_key(&id, |(other, _)| *other);
+        if let Ok(i) = found {
+            self.answers.remove(i);
+        }
+    }
+
+    /// Forgets the oldest whole answers when all together take too much memory. Each is bounded,
+    /// but under load hundreds end in the time for which they are kept, and few are asked for.
+    fn bound_answers(&mut self) {
+        let bytes_of = |id: &RequestId| {
+            let found = self.answers.binary_search_by_key(id, |(other, _)| *other);
+            found.map_or(0, |i| self.answers[i].1.bytes())
+        };
+        let mut bytes: u64 = self.ended.iter().map(bytes_of).sum();
+        let mut gone = Vec::new();
+        for id in &self.ended {
+            if bytes <= MAX_KEPT_BYTES {
+                break;
+            }
+            bytes -= bytes_of(id);
+            gone.push(*id);
+        }
+        for id in gone {
+            let found = self.answers.binary_search_by_key(&id, |(other, _)| *other);
+            if let Ok(i) = found {
+                self.answers[i].1.cancel();
+            }
+            self.forget(id);
+        }
     }
 
     /// Refuses what can no longer be answered in time: its caller has to know now.
--- a/crates/stair-agent/src/answers.rs
+++ b/crates/stair-agent/src/answers.rs
@@ -154,7 +154,13 @@
         }
     }
 
-    /// Waits until nobody reads the answer.
+    /// Returns the bytes kept.
+    pub(crate) fn bytes(&self) -> u64 {
+        let kept = self.kept();
+        kept.total - kept.from
+    }
+
+    /// Tells whether somebody reads the answer.
     pub(crate) fn is_read(&self) -> bool {
         *self.attached.borrow()
     }
--- a/crates/stair-agent/src/control.rs
+++ b/crates/stair-agent/src/control.rs
@@ -4,6 +4,7 @@
 //! that reports back with a message.
 
 use std::{
+    collections::VecDeque,
     sync::Arc,
     time::Duration, //
 };
@@ -230,6 +231,8 @@
     pub(crate) active: Vec<Active>,
     /// Sorted by id.
     pub(crate) answers: Vec<(RequestId, Arc<Answer>)>,
+    /// Requests whose answers are whole, the oldest first.
+    pub(crate) ended: VecDeque<RequestId>,
     /// Sorted by item.
     pub(crate) used: Vec<(Item, Duration)>,
     pub(crate) failures: Vec<Failure>,
@@ -307,6 +310,7 @@
             pending: Vec::new(),
             active: Vec::new(),
             answers: Vec::new(),
+            ended: VecDeque::new(),
             used: Vec::new(),
             failures: Vec::new(),
             loading: Vec::new(),
--- a/crates/stair-agent/src/control_links.rs
+++ b/crates/stair-agent/src/control_links.rs
@@ -60,6 +60,9 @@
 /// A link that lived so long counts as good, and the next try comes soon.
 const GOOD: Duration = Duration::from_secs(10);
 
+/// A release that the entry could not write is said again after this time.
+const REPEAT: Duration = Duration::from_secs(5);
+
 /// What the links need.
 #[derive(Clone)]
 pub(crate) struct Context {
@@ -196,8 +199,15 @@
     let mut said = said;
     let mut from_entry = messages(rx);
     let mut entries = cx.entries.subscribe();
+    let mut repeat = tokio::time::interval_at(Instant::now() + REPEAT, REPEAT);
     loop {
         tokio::select! {
+            _ = repeat.tick() => {
+                if !said.released.is_empty() {
+                    let grants = said.released.clone();
+                    frame::write_message(&mut tx, &AgentControl::Released { grants }).await?;
+                }
+            }
             msg = from_entry.recv() => match msg {
                 Some(EntryControl::Assignment(assignment)) => {
                     cx.control.send_message(Msg::Assign(Box::new(assignment)))?;
--- a/crates/stair-agent/src/run.rs
+++ b/crates/stair-agent/src/run.rs
@@ -101,7 +101,10 @@
         complete,
         suspect,
     });
-    answer.abandoned(keep).await;
+    tokio::select! {
+        () = answer.abandoned(keep) => {}
+        () = answer.cancelled() => {}
+    }
     let _ = control.send_message(Msg::Forget { id });
 }
 
--- a/crates/stair-agent/src/start.rs
+++ b/crates/stair-agent/src/start.rs
@@ -82,6 +82,10 @@
 /// Idle connections kept to the target.
 const MAX_IDLE: usize = 64;
 
+/// Time without any entry after which the VMs are listed again; it doubles each time.
+const FIRST_REFRESH: Duration = Duration::from_secs(1);
+const MAX_REFRESH: Duration = Duration::from_secs(30);
+
 /// A running agent.
 pub struct Agent {
     link: SocketAddr,
@@ -322,25 +326,30 @@
     let _ = busy.wait_for(|b| *b == 0).await;
 }
 
-/// The entries that an agent knows may all be replaced while it was cut off. It lists the VMs
-/// again then, seldom, since 12,000 agents may be cut off at once.
+/// The entries that an agent knows may all be replaced while it was cut off, or none may run yet
+/// when it starts. It lists the VMs again then: soon at first, and then seldom, since 12,000 agents
+/// may be cut off at once.
 async fn refresh_entries<S>(store: S, cx: control_links::Context)
 where
     S: ObjectStore,
 {
-    const ALONE: Duration = Duration::from_secs(30);
     let mut linked = cx.linked.subscribe();
+    let mut pause = FIRST_REFRESH;
     loop {
         if linked.wait_for(Vec::is_empty).await.is_err() {
             return;
         }
         let share = rand::RngExt::random_range(&mut rand::rng(), 1.0..2.0);
-        let pause = ALONE.mul_f64(share);
         let some = linked.wait_for(|l| !l.is_empty());
-        if tokio::time::timeout(pause, some).await.is_err() {
-            let entries = learn::entries(&store).await;
-            cx.entries.send_replace(entries);
+        let alone = tokio::time::timeout(pause.mul_f64(share), some)
+            .await
+            .is_err();
+        if !alone {
+            pause = FIRST_REFRESH;
+            continue;
         }
+        cx.entries.send_replace(learn::entries(&store).await);
+        pause = (pause * 2).min(MAX_REFRESH);
     }
 }
 
--- a/crates/stair-agent/tests/common/entry.rs
+++ b/crates/stair-agent/tests/common/entry.rs
@@ -55,6 +55,7 @@
     pub(crate) heard: Arc<Mutex<Heard>>,
     assignment: watch::Sender<Option<Assignment>>,
     dialer: Dialer,
+    listener: Listener,
 }
 
 /// What agents said.
@@ -71,6 +72,7 @@
         let listener = Listener::bind(super::any_port(), &keys).expect("binds");
         let entry = Self {
             addr: listener.addr().expect("is bound"),
+            listener: listener.clone(),
             heard: Arc::default(),
             assignment: watch::Sender::new(None),
             dialer: Dialer::new(&keys, Duration::from_secs(10)).expect("the keys are good"),
@@ -89,6 +91,11 @@
         self.assignment.send_replace(Some(assignment));
     }
 
+    /// Ends the entry's links and takes no more.
+    pub(crate) async fn end(&self) {
+        self.listener.close().await;
+    }
+
     /// Tells whether an agent said something.
     pub(crate) fn has_heard<F>(&self, wanted: F) -> bool
     where
--- a/crates/stair-agent/tests/common/mod.rs
+++ b/crates/stair-agent/tests/common/mod.rs
@@ -92,15 +92,7 @@
         let authority = Authority::generate().expect("keys can be made");
         let entry = FakeEntry::start(&authority);
         let store = FakeStore::default();
-        let vm = Vm {
-            role: VmRole::Entry {
-                name: "e1".try_into().expect("a name"),
-                link: entry.addr,
-            },
-            data_centre: "dc1".try_into().expect("a name"),
-            state: VmState::Live,
-        };
-        store.set(Kind::Vm, "e1", &vm);
+        list_entry(&store, "e1", &entry);
         let grants = models.iter().enumerate().map(|(i, name)| Grant {
             id: GrantId(i as u64 + 1),
             model: model(name),
@@ -198,6 +190,19 @@
     }
 }
 
+/// Puts an entry on the platform's list of VMs.
+pub(crate) fn list_entry(store: &FakeStore, name: &str, entry: &FakeEntry) {
+    let vm = Vm {
+        role: VmRole::Entry {
+            name: name.try_into().expect("a name"),
+            link: entry.addr,
+        },
+        data_centre: "dc1".try_into().expect("a name"),
+        state: VmState::Live,
+    };
+    store.set(Kind::Vm, name, &vm);
+}
+
 pub(crate) fn declared(name: &str) -> Model {
     Model {
         name: model(name),
