--- a/crates/stair-policy/examples/measure/dispatch.rs
+++ b/crates/stair-policy/examples/measure/dispatch.rs
@@ -66,6 +66,7 @@
     /// Prompts begin with one of so many prefixes; 0 for none.
     pub(crate) prefixes: usize,
     pub(crate) span: f64,
+    pub(crate) seed: u64,
 }
 
 /// Who is slow, from a third of the span to two thirds.
@@ -74,6 +75,8 @@
     Nobody,
     One(f64),
     All(f64),
+    /// All, and the first target so many times more.
+    AllAndOne(f64, f64),
 }
 
 /// What came out.
@@ -147,7 +150,7 @@
 
 pub(crate) fn run(scenario: Scenario, rule: Rule) -> Report {
     let mut bench = Bench::new(scenario, rule);
-    let mut rng = StdRng::seed_from_u64(31);
+    let mut rng = StdRng::seed_from_u64(scenario.seed);
     let rate = scenario.load * (scenario.targets * scenario.slots) as f64 / MEAN_RUN;
     let mut now = 0.0;
     while now < scenario.span {
@@ -277,7 +280,8 @@
     fn slowness(&self, now: f64, target: usize) -> f64 {
         match self.scenario.slow {
             Slow::One(factor) if target == 0 && self.is_slow(now) => factor,
-            Slow::All(factor) if self.is_slow(now) => factor,
+            Slow::AllAndOne(all, one) if target == 0 && self.is_slow(now) => all * one,
+            Slow::AllAndOne(factor, _) | Slow::All(factor) if self.is_slow(now) => factor,
             _ => 1.0,
         }
     }
--- a/crates/stair-policy/examples/measure/main.rs
+++ b/crates/stair-policy/examples/measure/main.rs
@@ -23,6 +23,7 @@
     saturation::tiers();
     saturation::mix();
     slow::slow_target();
+    slow::detection();
     slow::stale_reports();
     slow::prefixes();
     placing::fleets();
--- a/crates/stair-policy/examples/measure/slow.rs
+++ b/crates/stair-policy/examples/measure/slow.rs
@@ -42,6 +42,7 @@
     slow: Slow::Nobody,
     prefixes: 0,
     span: 300.0,
+    seed: 31,
 };
 
 /// One of nine targets ten times slower, then all of them.
@@ -75,6 +76,61 @@
     }
 }
 
+/// The outlier rule of `shift` and the paper's, over ten seeds.
+pub(crate) fn detection() {
+    head(
+        "The outlier rule and the paper's rule",
+        "The same, over ten seeds: the mean of p99 while slow, its least and greatest, the mean part \
+         sent to the slow target (11.1% is its fair part), and the lowest weight that a healthy \
+         target had.",
+        &[
+            "who is slow",
+            "rule",
+            "p99 while slow",
+            "sent to the slow one",
+            "lowest healthy weight",
+        ],
+    );
+    let slows = [
+        ("nobody", Slow::Nobody),
+        ("one, 3 times", Slow::One(3.0)),
+        ("one, 10 times", Slow::One(10.0)),
+        ("all, 1.5 times", Slow::All(1.5)),
+        (
+            "all 1.3 times, one of them 5 times more",
+            Slow::AllAndOne(1.3, 5.0),
+        ),
+    ];
+    for (who, slow) in slows {
+        for (name, rule) in &RULES[3..] {
+            let scenarios = (0..10).map(|seed| Scenario {
+                slow,
+                seed,
+                ..SCENARIO
+            });
+            let reports: Vec<_> = scenarios.map(|s| run(s, *rule)).collect();
+            print_detection(who, name, &reports);
+        }
+    }
+}
+
+fn print_detection(who: &str, name: &str, reports: &[Report]) {
+    let p99 = reports.iter().map(|r| r.latency_slow.at(0.99));
+    let mean = p99.clone().sum::<f64>() / reports.len() as f64;
+    let least = p99.clone().fold(f64::INFINITY, f64::min);
+    let greatest = p99.fold(0.0, f64::max);
+    let sent: u64 = reports.iter().map(|r| r.to_slow).sum();
+    let all: u64 = reports.iter().map(|r| r.all_then).sum();
+    let lowest = reports.iter().map(|r| r.lowest_healthy).fold(1.0, f32::min);
+    row(&[
+        who.into(),
+        name.into(),
+        format!("{mean:.3} ({least:.2} to {greatest:.2})"),
+        percent(sent as f64, all as f64),
+        format!("{lowest:.2}"),
+    ]);
+}
+
 fn print(who: &str, name: &str, report: &Report) {
     row(&[
         who.into(),
