agent: weigh idle time by the memory that is held

Change: the agent passes the item's share of the engine's memory; the default weight of a cold start becomes the policy's measured one, 4, in the declarations too.

--- a/crates/stair-agent/src/loads.rs
+++ b/crates/stair-agent/src/loads.rs
@@ -3,10 +3,12 @@
 use std::time::Duration;
 
 use stair_config::Model;
+use stair_policy::keep;
 use stair_state::{
     Ledger,
     ledger::{
         Answer,
+        Entry,
         Item,
         OrderError,
         State, //
@@ -144,11 +146,13 @@
         }
         let now = self.now();
         let loaded = self.ledger.entries().iter();
-        let loaded: Vec<Item> = loaded
+        let loaded: Vec<Entry> = loaded
             .filter(|e| e.state == State::Loaded)
-            .map(|e| e.item.clone())
+            .cloned()
             .collect();
-        for item in loaded {
+        let total_mib = f64::from(self.ledger.total_mib().max(1));
+        for entry in loaded {
+            let item = entry.item;
             let u = self.usage(&item);
             let key = self.items.key(Some(&item));
             // What the engine held before this agent came counts as used when it was first seen.
@@ -156,7 +160,11 @@
                 self.touch(Some(&item));
                 self.keep.finished(key, now);
             }
-            let until = self.keep.idle_until(key, now, self.items.load(&item));
+            let cost = keep::Cost {
+                cold_start: self.items.load(&item),
+                share: f64::from(entry.memory_mib) / total_mib,
+            };
+            let until = self.keep.idle_until(key, now, &cost);
             if !u.busy && u.waiting.is_none() && now >= until {
                 self.unload_group(&item);
             }
--- a/crates/stair-config/src/types.rs
+++ b/crates/stair-config/src/types.rs
@@ -201,7 +201,7 @@
 impl Default for KeepPolicy {
     fn default() -> Self {
         Self {
-            cold_start_weight: 1.0,
+            cold_start_weight: 4.0,
             min_idle_ms: 5_000,
             max_idle_ms: 600_000,
         }
