wire: pass headers on, and let an offer wait for its grant

Cause: (1) plain services got no header but the media type. (2) A burst just after a grant was refused as not granted: the entry's watch was ahead of the agent's assignment, or the agent knew its grant from the platform and not yet what the model is like.

Ruled out: publishing a holder only after its agent's acknowledgement, since only the two entries that the agent is linked to hear it.

Change: an offer carries the caller's headers, without the key and those of the connection, and the version of the shard that named the target; an agent that knows an older one, or lacks the model's specification, holds the offer for at most a second. An agent keeps the specifications of granted models that a later assignment of another entry does not name.

--- a/crates/stair-agent/src/answers.rs
+++ b/crates/stair-agent/src/answers.rs
@@ -13,6 +13,7 @@
 
 use bytes::Bytes;
 use stair_types::Refusal;
+use stair_wire::request::Header;
 use tokio::{
     sync::watch,
     time::timeout, //
@@ -23,6 +24,7 @@
 pub(crate) struct Head {
     pub(crate) status: u16,
     pub(crate) content_type: Box<str>,
+    pub(crate) headers: Vec<Header>,
 }
 
 /// How a run ended.
--- a/crates/stair-agent/src/assignment.rs
+++ b/crates/stair-agent/src/assignment.rs
@@ -54,6 +54,7 @@
         for shard in new.shards {
             changed |= self.take_shard(shard);
         }
+        self.forget_models();
         changed
     }
 
@@ -66,8 +67,7 @@
             self.tiers = new.tiers.clone();
             self.policy = new.policy.clone();
             self.service = new.service.clone();
-            self.models = new.models.clone();
-            self.models.sort_by(|a, b| a.name.cmp(&b.name));
+            self.take_models(&new.models);
             return true;
         }
         // Entries that know different shards name different models of one configuration.
@@ -81,6 +81,29 @@
         changed
     }
 
+    /// Takes over the specifications of a later configuration.
+    ///
+    /// The entry that sends it may not know yet of a model that another entry's assignment
+    /// granted, and will not send it again when only others' models have changed since. So what
+    /// it does not name stays.
+    fn take_models(&mut self, new: &[Model]) {
+        for model in new {
+            match self.models.binary_search_by(|m| m.name.cmp(&model.name)) {
+                Ok(i) => self.models[i] = model.clone(),
+                Err(at) => self.models.insert(at, model.clone()),
+            }
+        }
+    }
+
+    /// Forgets the specifications of models that no grant names.
+    fn forget_models(&mut self) {
+        let shards = &self.shards;
+        self.models.retain(|m| {
+            let mut grants = shards.iter().flat_map(|s| &s.grants);
+            grants.any(|g| g.model == m.name)
+        });
+    }
+
     fn take_shard(&mut self, new: ShardAssignment) -> bool {
         match self.shards.binary_search_by_key(&new.shard, |s| s.shard) {
             Ok(i) if self.shards[i].version >= new.version => return false,
@@ -120,6 +143,11 @@
         &self.shards
     }
 
+    /// Returns the version of a shard, 0 when none is known.
+    pub fn version(&self, shard: ShardId) -> u64 {
+        self.shard(shard).map_or(0, |s| s.version)
+    }
+
     /// Returns the versions of the shards, for a greeting.
     pub fn versions(&self) -> Vec<(ShardId, u64)> {
         self.shards.iter().map(|s| (s.shard, s.version)).collect()
@@ -127,13 +155,16 @@
 
     /// Finds a model that may be held: declared, and under a grant that is not being revoked.
     pub fn may_hold(&self, name: &ModelName) -> Option<&Model> {
-        let shard = self.shard(shard_of(name))?;
-        let granted = shard.grants.iter().find(|g| g.model == *name)?;
-        let released = self.is_released(shard.shard, granted.id);
-        if granted.revoking || released {
-            return None;
-        }
-        self.model(name)
+        self.model(name).filter(|_| self.grants(name))
+    }
+
+    /// Tells whether a grant of a model is in force, whether or not the model is declared.
+    pub fn grants(&self, name: &ModelName) -> bool {
+        let shard = self.shard(shard_of(name));
+        let granted = shard.into_iter().flat_map(|s| &s.grants);
+        granted
+            .filter(|g| g.model == *name && !g.revoking)
+            .any(|g| !self.is_released(shard_of(name), g.id))
     }
 
     /// Finds a declared model.
--- a/crates/stair-agent/src/control.rs
+++ b/crates/stair-agent/src/control.rs
@@ -75,6 +75,7 @@
     answers::Answer,
     assignment::InForce,
     dump::Dump,
+    early::Early,
     engine::{
         Engine,
         Listed,
@@ -229,6 +230,7 @@
     /// Sorted by id.
     pub(crate) pending: Vec<Pending>,
     pub(crate) active: Vec<Active>,
+    pub(crate) early: Vec<Early>,
     /// Sorted by id.
     pub(crate) answers: Vec<(RequestId, Arc<Answer>)>,
     /// Requests whose answers are whole, the oldest first.
@@ -309,6 +311,7 @@
             items: Items::default(),
             pending: Vec::new(),
             active: Vec::new(),
+            early: Vec::new(),
             answers: Vec::new(),
             ended: VecDeque::new(),
             used: Vec::new(),
@@ -346,7 +349,7 @@
                 offer,
                 body,
                 events,
-            } => self.offer(offer, body, events),
+            } => self.take_offer(offer, body, events),
             Msg::Start { id, reply } => {
                 let _ = reply.send(self.start(id));
             }
@@ -385,6 +388,7 @@
 
     /// Does everything that the present state allows.
     fn advance(&mut self) {
+        self.take_early();
         self.expire();
         self.settle();
         if self.may_order() {
--- a/crates/stair-agent/src/offers.rs
+++ b/crates/stair-agent/src/offers.rs
@@ -229,6 +229,7 @@
                 let head = FromAgent::Head {
                     status: head.status,
                     content_type: head.content_type,
+                    headers: head.headers,
                     offset: reader.offset(),
                 };
                 frame::write_message(&mut tx, &head).await?;
--- a/crates/stair-agent/src/run.rs
+++ b/crates/stair-agent/src/run.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
+    HeaderMap,
     Request,
     StatusCode,
     header::CONTENT_TYPE, //
@@ -24,7 +25,10 @@
     Refusal,
     Verdict, //
 };
-use stair_wire::request::Offer;
+use stair_wire::request::{
+    Header,
+    Offer, //
+};
 use tokio::time::Instant;
 
 use crate::{
@@ -110,9 +114,13 @@
 
 async fn at_target(job: Job) -> Result<(), Failed> {
     let silence = Duration::from_millis(job.limits.target_silence_ms.into());
-    let req = Request::builder()
+    let mut req = Request::builder()
         .method(&*job.offer.method)
-        .uri(&*job.offer.path)
+        .uri(&*job.offer.path);
+    for header in &job.offer.headers {
+        req = req.header(&*header.name, &*header.value);
+    }
+    let req = req
         .header(CONTENT_TYPE, &*job.offer.content_type)
         .header(ID_HEADER, job.offer.id.to_string())
         .header(FENCE_HEADER, job.incarnation.0)
@@ -136,6 +144,7 @@
     job.answer.head(Head {
         status: status.as_u16(),
         content_type: content_type.unwrap_or("application/octet-stream").into(),
+        headers: passed_on(&resp.head.headers),
     });
     while let Some(chunk) = resp.chunk(silence).await.map_err(failed)? {
         job.answer.push(chunk).await;
@@ -143,6 +152,43 @@
     Ok(())
 }
 
+/// Headers that belong to the target's connection or travel in fields of their own.
+const NOT_PASSED_ON: [&str; 9] = [
+    "connection",
+    "content-length",
+    "content-type",
+    "date",
+    "keep-alive",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Bytes of headers passed on; a target cannot make a message exceed its frame by more.
+const MAX_HEADER_BYTES: usize = 16 << 10;
+
+fn passed_on(headers: &HeaderMap) -> Vec<Header> {
+    let mut bytes = 0;
+    let mut out = Vec::new();
+    for (name, value) in headers {
+        let own = name.as_str().starts_with("dandelionstair-");
+        let ends_here = own || NOT_PASSED_ON.binary_search(&name.as_str()).is_ok();
+        let (false, Ok(value)) = (ends_here, value.to_str()) else {
+            continue;
+        };
+        bytes += name.as_str().len() + value.len();
+        if bytes > MAX_HEADER_BYTES {
+            break;
+        }
+        out.push(Header {
+            name: name.as_str().into(),
+            value: value.into(),
+        });
+    }
+    out
+}
+
 fn failed(e: HttpError) -> Failed {
     let refusal = match e.verdict() {
         Verdict::NotRun => Refusal::not_run(
--- a/crates/stair-agent/tests/engine_faults.rs
+++ b/crates/stair-agent/tests/engine_faults.rs
@@ -115,6 +115,8 @@
         },
         method: "POST".into(),
         path: "/v1/completions".into(),
+        headers: Vec::new(),
+        shard_version: 0,
         content_type: "application/json".into(),
         rank: TierRank(0),
         time_left_ms: 15_000,
--- a/crates/stair-agent/tests/queue.rs
+++ b/crates/stair-agent/tests/queue.rs
@@ -32,6 +32,8 @@
         },
         method: "POST".into(),
         path: "/v1/completions".into(),
+        headers: Vec::new(),
+        shard_version: 0,
         content_type: "application/json".into(),
         rank: TierRank(rank),
         time_left_ms,
--- a/crates/stair-entry/src/control/state.rs
+++ b/crates/stair-entry/src/control/state.rs
@@ -278,6 +278,7 @@
             config: version_of(&self.config),
             confirmed: self.confirmed,
             entries: self.entries().len() as u32,
+            shard_versions: self.shards.iter().map(|s| s.version).collect(),
             holders: holders.collect(),
             providers: providers.collect(),
             catalogue: catalogue.clone(),
--- a/crates/stair-entry/src/traffic/answer.rs
+++ b/crates/stair-entry/src/traffic/answer.rs
@@ -72,10 +72,17 @@
         Frame::Message(FromAgent::Head {
             status,
             content_type,
+            headers,
             offset,
         }) => {
             observe(cx, req, exchange, caller);
-            head(caller, *received, status, &content_type, offset)?;
+            if offset != *received {
+                // Bytes that were skipped or come twice would reach the caller as a whole answer.
+                return Err(broken("the answer goes on at the wrong place"));
+            }
+            if !caller.has_begun() {
+                caller.begin(status, &content_type, &headers);
+            }
         }
         Frame::Message(FromAgent::End {
             total_bytes, load, ..
@@ -109,23 +116,6 @@
     }
 }
 
-fn head(
-    caller: &mut Caller,
-    received: u64,
-    status: u16,
-    content_type: &str,
-    offset: u64,
-) -> Result<(), Refusal> {
-    // Bytes that were skipped or come twice would reach the caller as a whole answer.
-    if offset != received {
-        return Err(broken("the answer goes on at the wrong place"));
-    }
-    if !caller.has_begun() {
-        caller.begin(status, content_type);
-    }
-    Ok(())
-}
-
 async fn body(caller: &mut Caller, received: &mut u64, bytes: Bytes) -> Result<(), Refusal> {
     if !caller.has_begun() {
         return Err(broken("the answer has no head"));
--- a/crates/stair-entry/src/traffic/caller.rs
+++ b/crates/stair-entry/src/traffic/caller.rs
@@ -11,6 +11,7 @@
     header::{
         CACHE_CONTROL,
         CONTENT_TYPE,
+        HeaderName,
         HeaderValue, //
     },
 };
@@ -26,6 +27,7 @@
     RequestId,
     Verdict, //
 };
+use stair_wire::request::Header;
 use tokio::{
     sync::{
         mpsc,
@@ -124,10 +126,17 @@
     }
 
     /// Begins the answer.
-    pub(super) fn begin(&mut self, status: u16, content_type: &str) {
+    pub(super) fn begin(&mut self, status: u16, content_type: &str, passed: &[Header]) {
         let mut head = Response::new(());
         *head.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
         let headers = head.headers_mut();
+        for header in passed {
+            let name = HeaderName::from_bytes(header.name.as_bytes());
+            let value = HeaderValue::from_str(&header.value);
+            if let (Ok(name), Ok(value)) = (name, value) {
+                headers.append(name, value);
+            }
+        }
         if let Ok(value) = HeaderValue::from_str(content_type) {
             headers.insert(CONTENT_TYPE, value);
         }
--- a/crates/stair-entry/src/traffic/choose.rs
+++ b/crates/stair-entry/src/traffic/choose.rs
@@ -34,6 +34,8 @@
     pub(super) name: TargetName,
     pub(super) link: SocketAddr,
     pub(super) token: FencingToken,
+    /// The version of the model's shard that named the target; 0 for a service.
+    pub(super) shard_version: u64,
     pub(super) target: Arc<Target>,
 }
 
@@ -64,6 +66,10 @@
         name: target.name.clone(),
         link: target.link,
         token: target.token,
+        shard_version: match &req.work {
+            Work::Model { model, .. } => view.shard_version(model),
+            Work::Service { .. } => 0,
+        },
         target: cx.targets.get(&target.name),
     })
 }
--- a/crates/stair-entry/src/traffic/headers.rs
+++ b/crates/stair-entry/src/traffic/headers.rs
@@ -8,6 +8,7 @@
     },
 };
 use stair_types::Reason;
+use stair_wire::request::Header;
 
 use super::refuse::Refused;
 
@@ -28,6 +29,40 @@
     pub(super) content_length: Option<u64>,
 }
 
+/// Headers that end here: those of the connection, those that travel in fields of their own, and
+/// the caller's key, which is no business of a target.
+const NOT_PASSED_ON: [&str; 13] = [
+    "authorization",
+    "connection",
+    "content-length",
+    "content-type",
+    "expect",
+    "host",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Prefix of the project's own headers.
+const OWN: &str = "dandelionstair-";
+
+/// Returns the headers that a target gets. Values that are not visible ASCII are left out.
+pub(super) fn passed_on(headers: &HeaderMap) -> Vec<Header> {
+    let passes = |name: &str| NOT_PASSED_ON.binary_search(&name).is_err() && !name.starts_with(OWN);
+    let all = headers.iter().filter(|(name, _)| passes(name.as_str()));
+    all.filter_map(|(name, value)| {
+        Some(Header {
+            name: name.as_str().into(),
+            value: value.to_str().ok()?.into(),
+        })
+    })
+    .collect()
+}
+
 pub(super) fn wishes(headers: &HeaderMap) -> Result<Wishes, Refused> {
     Ok(Wishes {
         idempotency_key: idempotency_key(headers)?,
--- a/crates/stair-entry/src/traffic/offer.rs
+++ b/crates/stair-entry/src/traffic/offer.rs
@@ -75,7 +75,7 @@
         true => Refusal::may_have_run(Reason::LinkLost, 0, BROKE),
         false => Refusal::not_run(Reason::LinkLost, RETRY_MS, BROKE),
     };
-    let offer = ToAgent::Offer(message(req));
+    let offer = ToAgent::Offer(message(req, &exchange.target));
     exchange.send(&offer).await.map_err(broken)?;
     exchange.send_body(&req.body).await.map_err(broken)?;
     match exchange.read().await {
@@ -113,13 +113,15 @@
     target.target.report(load, model);
 }
 
-fn message(req: &Request) -> Offer {
+fn message(req: &Request, target: &Chosen) -> Offer {
     Offer {
         id: req.id,
         work: req.work.clone(),
         method: req.method.clone(),
         path: req.path.clone(),
         content_type: req.content_type.clone(),
+        headers: req.headers.clone(),
+        shard_version: target.shard_version,
         rank: req.rank,
         time_left_ms: millis(req.time_left()),
         repeatable: req.repeatable,
--- a/crates/stair-entry/src/traffic/request.rs
+++ b/crates/stair-entry/src/traffic/request.rs
@@ -20,7 +20,10 @@
     TierName,
     TierRank, //
 };
-use stair_wire::request::Work;
+use stair_wire::request::{
+    Header,
+    Work, //
+};
 use tokio::time::Instant;
 
 use crate::View;
@@ -49,6 +52,7 @@
     pub(super) method: Box<str>,
     pub(super) path: Box<str>,
     pub(super) content_type: Box<str>,
+    pub(super) headers: Vec<Header>,
     pub(super) body: Bytes,
     pub(super) max_tokens: u32,
     pub(super) prefix_hash: u64,
@@ -119,6 +123,7 @@
         max_tokens: target.max_tokens,
         repeatable: wishes.repeatable.unwrap_or(target.repeatable),
         content_type: wishes.content_type,
+        headers: headers::passed_on(&head.headers),
         idempotency_key: wishes.idempotency_key,
         received,
         deadline: received + timeout,
--- a/crates/stair-entry/src/view.rs
+++ b/crates/stair-entry/src/view.rs
@@ -10,10 +10,12 @@
 
 use serde::Serialize;
 use stair_config::Catalogue;
+use stair_state::grants::shard_of;
 use stair_types::{
     ConfigVersion,
     DataCentre,
     FencingToken,
+    ModelName,
     TargetKey,
     TargetName, //
 };
@@ -33,6 +35,8 @@
     pub targets: Arc<Vec<TargetView>>,
     /// For each model of the catalogue, the targets that hold a grant which is not being revoked.
     pub holders: Vec<Vec<TargetKey>>,
+    /// For each shard of grants, the platform's version that the holders come from.
+    pub shard_versions: Vec<u64>,
     /// For each service of the catalogue, its targets.
     pub providers: Vec<Vec<TargetKey>>,
 }
@@ -63,6 +67,12 @@
         self.holders.get(model).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the version of the shard that names a model's holders.
+    pub fn shard_version(&self, model: &ModelName) -> u64 {
+        let shard = usize::from(shard_of(model).0);
+        self.shard_versions.get(shard).copied().unwrap_or(0)
+    }
+
     /// Returns the targets of a service, by the service's index in the catalogue.
     pub fn providers_of(&self, service: usize) -> &[TargetKey] {
         self.providers.get(service).map_or(&[], Vec::as_slice)
--- a/crates/stair-entry/tests/support/agent.rs
+++ b/crates/stair-entry/tests/support/agent.rs
@@ -193,6 +193,7 @@
 
     pub async fn head(&mut self, content_type: &str, offset: u64) {
         self.send(FromAgent::Head {
+            headers: Vec::new(),
             status: 200,
             content_type: content_type.into(),
             offset,
--- a/crates/stair-wire/src/request.rs
+++ b/crates/stair-wire/src/request.rs
@@ -38,6 +38,15 @@
     },
 }
 
+/// A header that passes through unchanged.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Header {
+    /// Lower-case name.
+    pub name: Box<str>,
+    /// Visible ASCII.
+    pub value: Box<str>,
+}
+
 /// Offers a request to an agent. The body follows in one body frame.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Offer {
@@ -51,6 +60,12 @@
     pub path: Box<str>,
     /// The body's media type.
     pub content_type: Box<str>,
+    /// The caller's other headers, but for those of the connection, its key and the project's own.
+    pub headers: Vec<Header>,
+    /// The version of the model's shard of grants by which the target was chosen; 0 for services.
+    /// An agent that knows an older one waits for its assignment before it says that it holds no
+    /// grant: the entry may learn of a new grant before the agent does.
+    pub shard_version: u64,
     /// The caller's tier.
     pub rank: TierRank,
     /// Time left until the deadline when this was sent, in milliseconds. Clocks of different VMs
@@ -117,6 +132,8 @@
         status: u16,
         /// The answer's media type.
         content_type: Box<str>,
+        /// The answer's other headers, but for those of the connection.
+        headers: Vec<Header>,
         /// The offset of the body byte that comes next: 0, or the offset of a resume.
         offset: u64,
     },
