entry: name the dump's fields alike

Some fields were kebab-case and some snake_case; serde's default, as in the view's dump, now holds for all. The test that reads the dump follows.

--- a/crates/stair-entry/src/traffic/admit.rs
+++ b/crates/stair-entry/src/traffic/admit.rs
@@ -36,8 +36,7 @@
 const MEAN_STEP: f64 = 0.05;
 
 /// How far a request has come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "kebab-case")]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Phase {
     /// Its body arrives.
     Receiving,
@@ -51,7 +50,6 @@
 
 /// The requests of one tier in the entry, by phase.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "kebab-case")]
 pub(super) struct Phases {
     receiving: u32,
     waiting: u32,
--- a/crates/stair-entry/src/traffic/dump.rs
+++ b/crates/stair-entry/src/traffic/dump.rs
@@ -12,7 +12,6 @@
 };
 
 #[derive(Serialize)]
-#[serde(rename_all = "kebab-case")]
 struct Dump {
     draining: bool,
     in_entry: admit::Counts,
--- a/crates/stair-entry/tests/admit.rs
+++ b/crates/stair-entry/tests/admit.rs
@@ -49,7 +49,7 @@
     tokio::spawn(async move { better.ask(GOLD, BILLED, &[]).await });
     assert_eq!(agent.next().await, Event::Offered);
     let dump = rig.traffic.dump();
-    assert_eq!(dump["in-entry"]["requests"], 7);
+    assert_eq!(dump["in_entry"]["requests"], 7);
 }
 
 // Bodies of waiting requests fill the memory set aside for them. One more would bring the process
--- a/crates/stair-entry/tests/silent_link.rs
+++ b/crates/stair-entry/tests/silent_link.rs
@@ -59,5 +59,5 @@
     assert_eq!(agent.next().await, Event::Offered);
     assert_eq!(agent.next().await, Event::Started);
     assert_eq!(agent.next().await, Event::Resumed(9));
-    assert_eq!(rig.traffic.dump()["ports-replaced"], 1);
+    assert_eq!(rig.traffic.dump()["ports_replaced"], 1);
 }
