--- a/crates/stair-policy/examples/measure/dispatch.rs
+++ b/crates/stair-policy/examples/measure/dispatch.rs
@@ -87,6 +87,9 @@
     /// Requests sent to target 0 while it is slow, after ten seconds, and all of that time.
     pub(crate) to_slow: u64,
     pub(crate) all_then: u64,
+    /// Requests sent to target 0 after it has recovered, thirty seconds left out, and all then.
+    pub(crate) to_recovered: u64,
+    pub(crate) all_recovered: u64,
     /// Lowest weight seen of any target but the first, at any entry.
     pub(crate) lowest_healthy: f32,
     /// Requests whose prefix was cached.
@@ -193,6 +196,8 @@
                 latency_slow: Samples::new(),
                 to_slow: 0,
                 all_then: 0,
+                to_recovered: 0,
+                all_recovered: 0,
                 lowest_healthy: 1.0,
                 hits: 0,
                 busiest: 0,
@@ -270,6 +275,10 @@
             self.report.all_then += 1;
             self.report.to_slow += u64::from(target == 0);
         }
+        if now > self.scenario.span * 2.0 / 3.0 + 30.0 {
+            self.report.all_recovered += 1;
+            self.report.to_recovered += u64::from(target == 0);
+        }
     }
 
     fn is_slow(&self, now: f64) -> bool {
--- a/crates/stair-policy/examples/measure/slow.rs
+++ b/crates/stair-policy/examples/measure/slow.rs
@@ -81,13 +81,14 @@
     head(
         "The outlier rule and the paper's rule",
         "The same, over ten seeds: the mean of p99 while slow, its least and greatest, the mean part \
-         sent to the slow target (11.1% is its fair part), and the lowest weight that a healthy \
+         sent to the slow target (11.1% is its fair part) and to it from 30 s after its recovery, and the lowest weight that a healthy \
          target had.",
         &[
             "who is slow",
             "rule",
             "p99 while slow",
             "sent to the slow one",
+            "sent to it 30 s after",
             "lowest healthy weight",
         ],
     );
@@ -103,7 +104,7 @@
     ];
     for (who, slow) in slows {
         for (name, rule) in &RULES[3..] {
-            let scenarios = (0..10).map(|seed| Scenario {
+            let scenarios = (100..110).map(|seed| Scenario {
                 slow,
                 seed,
                 ..SCENARIO
@@ -121,12 +122,15 @@
     let greatest = p99.fold(0.0, f64::max);
     let sent: u64 = reports.iter().map(|r| r.to_slow).sum();
     let all: u64 = reports.iter().map(|r| r.all_then).sum();
+    let back: u64 = reports.iter().map(|r| r.to_recovered).sum();
+    let after: u64 = reports.iter().map(|r| r.all_recovered).sum();
     let lowest = reports.iter().map(|r| r.lowest_healthy).fold(1.0, f32::min);
     row(&[
         who.into(),
         name.into(),
         format!("{mean:.3} ({least:.2} to {greatest:.2})"),
         percent(sent as f64, all as f64),
+        percent(back as f64, after as f64),
         format!("{lowest:.2}"),
     ]);
 }
