--- a/crates/stair-policy/src/place.rs
+++ b/crates/stair-policy/src/place.rs
@@ -126,6 +126,13 @@
     end: usize,
 }
 
+/// A data centre with the replicas that a model has there.
+#[derive(Debug, Clone, Copy)]
+struct Centre {
+    holders: usize,
+    span: Span,
+}
+
 impl Fleet {
     /// Sorts the targets; O(n log n), needed only when the platform's list changes.
     pub fn new(mut targets: Vec<TargetInfo>) -> Self {
@@ -243,15 +250,17 @@
     model: &ModelInfo<'_>,
     kept: &[TargetInfo],
 ) -> Option<TargetInfo> {
-    let mut spans: Vec<(usize, Span)> = fleet
-        .data_centres
-        .iter()
-        .map(|s| (holders_in(kept, s.data_centre), *s))
-        .collect();
-    spans.sort_by_key(|(holders, _)| *holders);
-    spans.chunk_by(|a, b| a.0 == b.0).find_map(|group| {
-        let spans = group.iter().map(|(_, s)| s);
-        let best = spans.filter_map(|s| candidate(opts, fleet, model, kept, s));
+    let centres = fleet.data_centres.iter().map(|span| Centre {
+        holders: holders_in(kept, span.data_centre),
+        span: *span,
+    });
+    let mut centres: Vec<Centre> = centres.collect();
+    centres.sort_by_key(|c| c.holders);
+    let mut groups = centres.chunk_by(|a, b| a.holders == b.holders);
+    groups.find_map(|group| {
+        let best = group
+            .iter()
+            .filter_map(|c| candidate(opts, fleet, model, kept, &c.span));
         best.min_by_key(|t| (t.fullness(), mix(model.name_hash, t.name_hash)))
             .copied()
     })
--- a/crates/stair-policy/src/queue/mod.rs
+++ b/crates/stair-policy/src/queue/mod.rs
@@ -103,8 +103,8 @@
         match self.make_room(at, item.bytes) {
             Room::Free => {}
             Room::None => return self.refuse_full(now, at, est),
-            Room::Displace { lane, index } => {
-                let displaced = self.take(lane, index);
+            Room::Displace(pick) => {
+                let displaced = self.take(pick);
                 self.insert(now, at, item);
                 return Outcome::Queued {
                     displaced: Some(displaced.key),
@@ -151,21 +151,22 @@
         let mut picks = Vec::with_capacity(self.lanes.len());
         for (lane, l) in self.lanes.iter().enumerate() {
             if let Some(index) = l.pick(now, &eligible) {
-                picks.push((lane, index));
+                picks.push(Pick { lane, index });
             }
         }
         let first = *picks.first()?;
-        let owed = picks.iter().skip(1).find(|p| self.lanes[p.0].is_owed(p.1));
-        let (lane, index) = owed.copied().unwrap_or(first);
-        let item = self.take(lane, index);
-        self.account(lane, &picks, item.expected_run);
+        let lower = picks.iter().skip(1);
+        let owed = lower.copied().find(|p| self.lanes[p.lane].is_owed(p.index));
+        let pick = owed.unwrap_or(first);
+        let item = self.take(pick);
+        self.account(pick.lane, &picks, item.expected_run);
         Some(item)
     }
 
     /// Gives each tier that could have run its floor share of the work just started.
-    fn account(&mut self, served: usize, picks: &[(usize, usize)], run: Duration) {
-        for (lane, _) in picks {
-            self.lanes[*lane].earn(run);
+    fn account(&mut self, served: usize, picks: &[Pick], run: Duration) {
+        for pick in picks {
+            self.lanes[pick.lane].earn(run);
         }
         self.lanes[served].spend(run);
     }
@@ -198,7 +199,7 @@
         for lane in 0..self.lanes.len() {
             let found = self.lanes[lane].items().iter().position(|i| i.key == key);
             if let Some(index) = found {
-                return Some(self.take(lane, index));
+                return Some(self.take(Pick { lane, index }));
             }
         }
         None
@@ -229,7 +230,7 @@
             let items = self.lanes[lane].items();
             let found = items.iter().rposition(|i| u64::from(i.bytes) >= missing);
             if let Some(index) = found {
-                return Room::Displace { lane, index };
+                return Room::Displace(Pick { lane, index });
             }
         }
         Room::None
@@ -242,8 +243,8 @@
         self.lanes[at].insert(now, item, short);
     }
 
-    fn take(&mut self, lane: usize, index: usize) -> Item<K> {
-        let item = self.lanes[lane].take(index);
+    fn take(&mut self, pick: Pick) -> Item<K> {
+        let item = self.lanes[pick.lane].take(pick.index);
         self.bytes -= u64::from(item.bytes);
         self.len -= 1;
         item
@@ -254,8 +255,15 @@
     }
 }
 
+/// Where an item stands.
+#[derive(Debug, Clone, Copy)]
+struct Pick {
+    lane: usize,
+    index: usize,
+}
+
 enum Room {
     Free,
-    Displace { lane: usize, index: usize },
+    Displace(Pick),
     None,
 }
