dandelionstair: lay the ground for tests with real processes

Cause: the promises are to be proved with the shipped binary, killed, frozen and cut.

Change: processes with signals and logs, a world with proxies on every path, callers; the path test through them; docs/PROMISES.md with a section a promise, none proved yet.

--- /dev/null
+++ b/crates/dandelionstair/tests/promises/main.rs
@@ -0,0 +1,8 @@
+//! What must always hold, with real processes.
+//!
+//! The shipped binary runs as separate entries and agents. The stand-ins run here, in the test's
+//! own process, behind fault-injecting proxies, and the checks read the stand-ins' records. One
+//! file a promise; `docs/PROMISES.md` has a row for each.
+
+mod path;
+mod support;
--- /dev/null
+++ b/crates/dandelionstair/tests/promises/support/caller.rs
@@ -0,0 +1,204 @@
+//! Callers of an entry.
+
+use std::{
+    net::SocketAddr,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    Request,
+    http::request::Builder, //
+};
+use serde_json::{
+    Value,
+    json, //
+};
+use stair_http::{
+    Client,
+    client, //
+};
+
+use super::{
+    LIMIT,
+    world::{
+        BATCH_KEY,
+        INTERACTIVE_KEY, //
+    },
+};
+
+const MAX_ANSWER: usize = 16 << 20;
+
+/// A caller with its own connections to one entry.
+#[derive(Clone)]
+pub(crate) struct Caller {
+    client: Client,
+}
+
+/// What a caller asks for.
+#[derive(Clone)]
+pub(crate) struct Ask {
+    path: Box<str>,
+    body: Value,
+    key: Box<str>,
+    headers: Vec<(&'static str, Box<str>)>,
+}
+
+impl Ask {
+    /// Asks a model for a completion that echoes `marker` and has `tokens` tokens.
+    pub(crate) fn completion(model: &str, marker: &str, tokens: u32) -> Self {
+        Self {
+            path: "/v1/completions".into(),
+            body: json!({
+                "model": model, "prompt": marker, "max_tokens": tokens, "user": marker,
+            }),
+            key: INTERACTIVE_KEY.into(),
+            headers: Vec::new(),
+        }
+    }
+
+    /// Calls a plain service.
+    pub(crate) fn service(path: &str, marker: &str) -> Self {
+        Self {
+            path: format!("/services/{path}").into(),
+            body: json!({ "marker": marker }),
+            key: INTERACTIVE_KEY.into(),
+            headers: vec![("x-marker", marker.into())],
+        }
+    }
+
+    /// Wants the answer as a stream.
+    pub(crate) fn streamed(mut self) -> Self {
+        self.body["stream"] = true.into();
+        self
+    }
+
+    /// Uses the key of the lower tier.
+    pub(crate) fn batch(mut self) -> Self {
+        self.key = BATCH_KEY.into();
+        self
+    }
+
+    /// Says whether it may run twice.
+    pub(crate) fn repeatable(self, repeatable: bool) -> Self {
+        self.header("dandelionstair-repeatable", &repeatable.to_string())
+    }
+
+    /// Sets the idempotency key.
+    pub(crate) fn once(self, key: &str) -> Self {
+        self.header("idempotency-key", key)
+    }
+
+    /// Sets the timeout.
+    pub(crate) fn within(self, time: Duration) -> Self {
+        self.header("dandelionstair-timeout-ms", &time.as_millis().to_string())
+    }
+
+    fn header(mut self, name: &'static str, value: &str) -> Self {
+        self.headers.push((name, value.into()));
+        self
+    }
+
+    fn request(&self) -> Request<Full<Bytes>> {
+        let mut builder: Builder = Request::post(&*self.path)
+            .header("content-type", "application/json")
+            .header("authorization", format!("Bearer {}", self.key));
+        for (name, value) in &self.headers {
+            builder = builder.header(*name, &**value);
+        }
+        builder
+            .body(Full::new(self.body.to_string().into()))
+            .expect("the request is well formed")
+    }
+}
+
+/// What a caller got.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    /// The HTTP status; 0 when the connection failed before the head came.
+    pub(crate) status: u16,
+    /// The verdict header.
+    pub(crate) verdict: Box<str>,
+    /// The `Retry-After` header, in seconds.
+    pub(crate) retry_after: Option<u64>,
+    /// The body, as far as it came.
+    pub(crate) body: String,
+    /// Whether the body came to its end.
+    pub(crate) whole: bool,
+    /// Time from sending to the end.
+    pub(crate) took: Duration,
+}
+
+impl Answer {
+    /// Tells whether the target's whole answer came.
+    pub(crate) fn is_answered(&self) -> bool {
+        self.status == 200 && self.whole && &*self.verdict == "answered"
+    }
+
+    /// Returns the text of a plain completion.
+    pub(crate) fn text(&self) -> String {
+        let value: Value = serde_json::from_str(&self.body).unwrap_or_default();
+        let text = value["choices"][0]["text"].as_str();
+        text.unwrap_or_default().to_owned()
+    }
+
+    /// Returns a field of the error.
+    pub(crate) fn error(&self, field: &str) -> Value {
+        let value: Value = serde_json::from_str(&self.body).unwrap_or_default();
+        value["error"][field].clone()
+    }
+}
+
+impl Caller {
+    /// Makes a caller of an entry.
+    pub(crate) fn new(entry: SocketAddr) -> Self {
+        Self {
+            client: Client::new(entry, client::Options::default()),
+        }
+    }
+
+    /// Sends a request and waits for its end.
+    pub(crate) async fn ask(&self, ask: &Ask) -> Answer {
+        let sent = Instant::now();
+        let mut answer = Answer {
+            status: 0,
+            verdict: "".into(),
+            retry_after: None,
+            body: String::new(),
+            whole: false,
+            took: Duration::ZERO,
+        };
+        match self.client.send(ask.request(), LIMIT).await {
+            Ok(head) => read(head, &mut answer).await,
+            Err(e) => answer.body = e.to_string(),
+        }
+        answer.took = sent.elapsed();
+        answer
+    }
+}
+
+async fn read(mut head: client::Answer, answer: &mut Answer) {
+    let header = |name: &str| {
+        let value = head.head.headers.get(name);
+        value.and_then(|v| v.to_str().ok()).unwrap_or_default()
+    };
+    answer.status = head.head.status.as_u16();
+    answer.verdict = header("dandelionstair-verdict").into();
+    answer.retry_after = header("retry-after").parse().ok();
+    let mut body = Vec::new();
+    loop {
+        match head.chunk(LIMIT).await {
+            Ok(Some(bytes)) if body.len() < MAX_ANSWER => body.extend_from_slice(&bytes),
+            Ok(Some(_)) | Err(_) => break,
+            Ok(None) => {
+                answer.whole = true;
+                break;
+            }
+        }
+    }
+    answer.body = String::from_utf8_lossy(&body).into_owned();
+}
--- /dev/null
+++ b/crates/dandelionstair/tests/promises/support/mod.rs
@@ -0,0 +1,42 @@
+//! What the tests share: processes, the world around them, and callers.
+#![expect(
+    dead_code,
+    unused_imports,
+    reason = "the tests of the promises are being written and will use all of it"
+)]
+
+pub(crate) mod caller;
+pub(crate) mod process;
+pub(crate) mod world;
+
+use std::time::Duration;
+
+pub(crate) use caller::{
+    Answer,
+    Ask,
+    Caller, //
+};
+pub(crate) use world::{
+    Options,
+    World, //
+};
+
+/// No condition takes so long unless it never comes, also on a slow and busy machine.
+pub(crate) const LIMIT: Duration = Duration::from_secs(60);
+
+const POLL: Duration = Duration::from_millis(20);
+
+/// Waits until a condition holds.
+pub(crate) async fn eventually<F>(what: &str, mut holds: F)
+where
+    F: AsyncFnMut() -> bool,
+{
+    let waiting = async {
+        while !holds().await {
+            tokio::time::sleep(POLL).await;
+        }
+    };
+    if tokio::time::timeout(LIMIT, waiting).await.is_err() {
+        panic!("waited {LIMIT:?} in vain: {what}");
+    }
+}
--- /dev/null
+++ b/crates/dandelionstair/tests/promises/support/world.rs
@@ -0,0 +1,496 @@
+//! The world around the processes: the platform, the targets, and proxies on every path.
+
+use std::{
+    fs,
+    net::SocketAddr,
+    path::{
+        Path,
+        PathBuf, //
+    },
+    sync::Arc,
+    time::Duration,
+};
+
+use serde_json::{
+    Value,
+    json, //
+};
+use stair_config::{
+    Catalogue,
+    chunks::sha256_hex, //
+};
+use stair_http::{
+    Client,
+    client, //
+};
+use stair_link::keys::Authority;
+use stair_platform::{
+    HttpStore,
+    Kind,
+    Vm,
+    VmRole,
+    VmState,
+    apply,
+    http, //
+};
+use stair_standin::{
+    engine,
+    engine::Engine,
+    platform::Platform,
+    proxy::{
+        TcpProxy,
+        UdpProxy, //
+    },
+    recorder::Recorder,
+    service,
+    service::Service, //
+};
+use stair_state::GrantShard;
+use stair_types::{
+    ApplyId,
+    DataCentre,
+    EntryName,
+    TargetName, //
+};
+use tempfile::TempDir;
+use tokio::sync::{
+    OwnedSemaphorePermit,
+    Semaphore, //
+};
+
+use super::{
+    LIMIT,
+    caller::Caller,
+    eventually,
+    process::Process, //
+};
+
+/// The key of a caller of the better tier.
+pub(crate) const INTERACTIVE_KEY: &str = "interactive-key";
+
+/// The key of a caller of the lower tier.
+pub(crate) const BATCH_KEY: &str = "batch-key";
+
+/// Worlds at once. Each has some ten processes, and tests run in parallel; more would make the
+/// machine the slowest part of every measurement.
+const WORLDS: usize = 3;
+
+static SLOTS: std::sync::LazyLock<Arc<Semaphore>> =
+    std::sync::LazyLock::new(|| Arc::new(Semaphore::new(WORLDS)));
+
+/// What a world is like.
+pub(crate) struct Options {
+    /// Entries.
+    pub(crate) entries: usize,
+    /// Engines, each with an agent.
+    pub(crate) engines: usize,
+    /// Targets of the plain service `lookup`.
+    pub(crate) services: usize,
+    /// What the engines are like; names are set here.
+    pub(crate) engine: engine::Options,
+    /// Declared models.
+    pub(crate) models: Vec<ModelSpec>,
+    /// Requests one engine runs at once.
+    pub(crate) concurrency: u16,
+    /// Time an idle model is kept at least and at most.
+    pub(crate) keep_idle: Duration,
+    /// More settings of agents, as the fields of `limits`.
+    pub(crate) agent_limits: Value,
+    /// More settings of entries, as the fields of `limits`.
+    pub(crate) entry_limits: Value,
+}
+
+/// A model to declare.
+#[derive(Clone)]
+pub(crate) struct ModelSpec {
+    pub(crate) name: Box<str>,
+    pub(crate) memory_mib: u32,
+    pub(crate) replicas: u16,
+    pub(crate) repeatable: bool,
+}
+
+impl ModelSpec {
+    /// A repeatable model of 10,000 MiB.
+    pub(crate) fn new(name: &str, replicas: u16) -> Self {
+        Self {
+            name: name.into(),
+            memory_mib: 10_000,
+            replicas,
+            repeatable: true,
+        }
+    }
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            entries: 2,
+            engines: 2,
+            services: 0,
+            engine: engine::Options::default(),
+            models: vec![ModelSpec::new("m", 1)],
+            concurrency: 16,
+            keep_idle: Duration::from_secs(600),
+            agent_limits: json!({}),
+            entry_limits: json!({ "drain_linger_ms": 0 }),
+        }
+    }
+}
+
+/// An entry and the paths to it and from it.
+pub(crate) struct EntryProcess {
+    pub(crate) name: Box<str>,
+    pub(crate) process: Process,
+    pub(crate) listen: SocketAddr,
+    pub(crate) operator: SocketAddr,
+    /// From the entry to the platform.
+    pub(crate) to_platform: TcpProxy,
+    /// From agents and other entries to the entry.
+    pub(crate) to_link: UdpProxy,
+}
+
+/// An agent and the paths to it and from it.
+pub(crate) struct AgentProcess {
+    pub(crate) name: Box<str>,
+    pub(crate) process: Process,
+    pub(crate) operator: SocketAddr,
+    /// From the agent to the platform.
+    pub(crate) to_platform: TcpProxy,
+    /// From the agent to its engine or service.
+    pub(crate) to_target: TcpProxy,
+    /// From entries to the agent.
+    pub(crate) to_link: UdpProxy,
+    settings: PathBuf,
+}
+
+/// Processes, stand-ins and what lies between.
+pub(crate) struct World {
+    pub(crate) platform: Platform,
+    pub(crate) recorder: Recorder,
+    pub(crate) entries: Vec<EntryProcess>,
+    /// Of engines first, in their order, then of services.
+    pub(crate) agents: Vec<AgentProcess>,
+    pub(crate) engines: Vec<Engine>,
+    pub(crate) services: Vec<Service>,
+    pub(crate) opts: Options,
+    authority: Authority,
+    dir: TempDir,
+    _slot: OwnedSemaphorePermit,
+}
+
+impl World {
+    /// Starts everything and waits until every model and service has its targets at every entry.
+    pub(crate) async fn start(opts: Options) -> Self {
+        let slot = SLOTS.clone().acquire_owned().await.expect("never closed");
+        let mut world = Self {
+            platform: Platform::start(any_port()).await.expect("it listens"),
+            recorder: Recorder::new(),
+            entries: Vec::new(),
+            agents: Vec::new(),
+            engines: Vec::new(),
+            services: Vec::new(),
+            authority: Authority::generate().expect("keys can be made"),
+            dir: TempDir::new().expect("a directory can be made"),
+            opts,
+            _slot: slot,
+        };
+        world.apply(&world.catalogue()).await;
+        for _ in 0..world.opts.entries {
+            world.add_entry().await;
+        }
+        for _ in 0..world.opts.engines {
+            world.add_engine().await;
+        }
+        for _ in 0..world.opts.services {
+            world.add_service().await;
+        }
+        world.until_granted().await;
+        world
+    }
+
+    /// Returns a caller of an entry.
+    pub(crate) fn caller(&self, entry: usize) -> Caller {
+        Caller::new(self.entries[entry].listen)
+    }
+
+    /// Returns a client of the platform that no proxy stands before.
+    pub(crate) fn store(&self) -> HttpStore {
+        HttpStore::new(self.platform.addr(), http::Options::default())
+    }
+
+    /// Returns the catalogue that the options describe.
+    pub(crate) fn catalogue(&self) -> Catalogue {
+        let idle = self.opts.keep_idle.as_millis() as u64;
+        let caller = |name: &str, key: &str| {
+            json!({
+                "name": name, "tier": name, "key_sha256": sha256_hex(key.as_bytes()),
+            })
+        };
+        let mut models: Vec<&ModelSpec> = self.opts.models.iter().collect();
+        models.sort_by(|a, b| a.name.cmp(&b.name));
+        let models: Vec<Value> = models.into_iter().map(model).collect();
+        let mut callers = vec![
+            caller("interactive", INTERACTIVE_KEY),
+            caller("batch", BATCH_KEY),
+        ];
+        callers.sort_by_key(|c| c["key_sha256"].as_str().map(str::to_owned));
+        let value = json!({
+            "models": models,
+            "tiers": [tier("interactive", 0, 50), tier("batch", 1, 10)],
+            "callers": callers,
+            "services": [{
+                "name": "lookup", "concurrency": 64,
+                "routes": [{ "method": "POST", "prefix": "/find", "repeatable": true }],
+            }],
+            "policy": {
+                "engine_concurrency": self.opts.concurrency,
+                "keep": { "cold_start_weight": 1.0, "min_idle_ms": idle, "max_idle_ms": idle },
+                "weight_store": { "loads_per_second": 100.0, "full_speed_loads": 16 },
+            },
+        });
+        serde_json::from_value(value).expect("the catalogue is well formed")
+    }
+
+    /// Applies a catalogue and returns its version.
+    pub(crate) async fn apply(&self, catalogue: &Catalogue) -> u64 {
+        let id = ApplyId(format!("{:032x}", rand::random::<u128>()).into());
+        let opts = apply::Options {
+            apply_id: id,
+            from: None,
+            patience: LIMIT,
+        };
+        match apply::apply(&self.store(), catalogue, &opts).await {
+            Ok(apply::Outcome::Applied(v) | apply::Outcome::Unchanged(v)) => v.0,
+            other => panic!("the apply failed: {other:?}"),
+        }
+    }
+
+    /// Starts one more entry.
+    pub(crate) async fn add_entry(&mut self) {
+        let name = format!("entry-{}", self.entries.len());
+        let to_platform = TcpProxy::start(self.platform.addr()).await.expect("starts");
+        let to_link = UdpProxy::start_detached().await.expect("starts");
+        let peers: Vec<SocketAddr> = self.entries.iter().map(|e| e.to_link.addr()).collect();
+        let settings = json!({
+            "name": name,
+            "data_centre": "dc",
+            "listen": "127.0.0.1:0",
+            "link": "127.0.0.1:0",
+            "operator": "127.0.0.1:0",
+            "platform": to_platform.addr(),
+            "peers": peers,
+            "tls": self.keys(&name),
+            "limits": self.opts.entry_limits,
+        });
+        let settings = self.write(&name, &settings);
+        let mut process = Process::start("entry", &settings);
+        let ready = process.ready().await;
+        to_link.attach(ready.addr("link"));
+        let role = VmRole::Entry {
+            name: EntryName::try_from(&*name).expect("a good name"),
+            link: to_link.addr(),
+        };
+        self.platform.set_vm(&name, live(role));
+        self.entries.push(EntryProcess {
+            name: name.into(),
+            process,
+            listen: ready.addr("listen"),
+            operator: ready.addr("operator"),
+            to_platform,
+            to_link,
+        });
+    }
+
+    /// Starts one more engine and its agent.
+    pub(crate) async fn add_engine(&mut self) {
+        let name = format!("engine-{}", self.engines.len());
+        let opts = engine::Options {
+            name: name.as_str().into(),
+            ..self.opts.engine.clone()
+        };
+        let memory_mib = opts.memory_mib;
+        let recorder = self.recorder.clone();
+        let engine = Engine::start(any_port(), opts, recorder).await;
+        let engine = engine.expect("the engine's stand-in starts");
+        let to_target = TcpProxy::start(engine.addr()).await.expect("starts");
+        self.engines.push(engine);
+        let target = json!({
+            "engine": { "address": to_target.addr(), "memory_mib": memory_mib },
+        });
+        self.add_agent(name, target, to_target).await;
+    }
+
+    /// Starts one more target of the plain service and its agent.
+    pub(crate) async fn add_service(&mut self) {
+        let name = format!("lookup-{}", self.services.len());
+        let opts = service::Options {
+            name: name.as_str().into(),
+            ..service::Options::default()
+        };
+        let recorder = self.recorder.clone();
+        let service = Service::start(any_port(), opts, recorder).await;
+        let service = service.expect("the service's stand-in starts");
+        let to_target = TcpProxy::start(service.addr()).await.expect("starts");
+        self.services.push(service);
+        let target = json!({
+            "service": { "address": to_target.addr(), "service": "lookup" },
+        });
+        self.add_agent(name, target, to_target).await;
+    }
+
+    async fn add_agent(&mut self, name: String, target: Value, to_target: TcpProxy) {
+        let to_platform = TcpProxy::start(self.platform.addr()).await.expect("starts");
+        let to_link = UdpProxy::start_detached().await.expect("starts");
+        let settings = json!({
+            "name": name,
+            "data_centre": "dc",
+            "link": "127.0.0.1:0",
+            "advertise": to_link.addr(),
+            "operator": "127.0.0.1:0",
+            "platform": to_platform.addr(),
+            "target": target,
+            "tls": self.keys(&name),
+            "limits": self.opts.agent_limits,
+        });
+        let settings = self.write(&name, &settings);
+        let role = VmRole::Target {
+            name: TargetName::try_from(&*name).expect("a good name"),
+        };
+        self.platform.set_vm(&name, live(role));
+        let mut process = Process::start("agent", &settings);
+        let ready = process.ready().await;
+        to_link.attach(ready.addr("link"));
+        self.agents.push(AgentProcess {
+            name: name.into(),
+            process,
+            operator: ready.addr("operator"),
+            to_platform,
+            to_target,
+            to_link,
+            settings,
+        });
+    }
+
+    /// Starts an agent again after its process has ended.
+    pub(crate) async fn restart_agent(&mut self, i: usize) {
+        let agent = &mut self.agents[i];
+        agent.process = Process::start("agent", &agent.settings);
+        let ready = agent.process.ready().await;
+        agent.to_link.attach(ready.addr("link"));
+        agent.operator = ready.addr("operator");
+    }
+
+    /// Waits until every entry lists the decided number of holders for every model, as far as
+    /// there are engines, and a target of the service.
+    pub(crate) async fn until_granted(&self) {
+        for entry in &self.entries {
+            eventually("every model has its holders", async || {
+                let dump = dump(entry.operator).await;
+                self.opts.models.iter().all(|m| {
+                    let wanted = usize::from(m.replicas).min(self.opts.engines);
+                    grants_of(&dump, &m.name).len() >= wanted
+                })
+            })
+            .await;
+            let caller = Caller::new(entry.listen);
+            if self.opts.services > 0 {
+                eventually("the service is reached", async || {
+                    let ask = super::Ask::service("lookup/find", "warm-up");
+                    caller.ask(&ask).await.status == 200
+                })
+                .await;
+            }
+        }
+    }
+
+    /// Returns all grants of a model as the platform has them.
+    pub(crate) fn grants(&self, model: &str) -> Vec<stair_state::Grant> {
+        let shards = (0..stair_state::grants::SHARDS).filter_map(|i| {
+            let object = self.platform.get(Kind::Grants, &i.to_string())?;
+            serde_json::from_value::<GrantShard>(object.value).ok()
+        });
+        let grants = shards.flat_map(|s| s.grants);
+        grants.filter(|g| g.model.as_str() == model).collect()
+    }
+
+    /// Returns the index of the agent that holds the first grant of a model.
+    pub(crate) fn holder(&self, model: &str) -> usize {
+        let grants = self.grants(model);
+        let target = grants.first().expect("the model is granted").target.clone();
+        let of_target = self.agents.iter().position(|a| *a.name == *target.as_str());
+        of_target.expect("the holder has an agent")
+    }
+
+    fn keys(&self, name: &str) -> Value {
+        let pem = self.authority.issue_pem().expect("keys can be issued");
+        let write = |what: &str, text: &str| {
+            let path = self.dir.path().join(format!("{name}-{what}.pem"));
+            fs::write(&path, text).expect("the directory is ours");
+            path
+        };
+        json!({
+            "authority": write("authority", &pem.authority),
+            "certificate": write("certificate", &pem.certificate),
+            "key": write("key", &pem.key),
+        })
+    }
+
+    /// JSON is YAML.
+    fn write(&self, name: &str, settings: &Value) -> PathBuf {
+        let path: &Path = self.dir.path();
+        let path = path.join(format!("{name}.yaml"));
+        fs::write(&path, settings.to_string()).expect("the directory is ours");
+        path
+    }
+}
+
+/// Returns the state dump of a process.
+pub(crate) async fn dump(operator: SocketAddr) -> Value {
+    let client = Client::new(operator, client::Options::default());
+    let req = hyper::Request::get("/dump")
+        .body(Default::default())
+        .expect("the request is well formed");
+    let Ok(answer) = client.send(req, LIMIT).await else {
+        return Value::Null;
+    };
+    match answer.collect(64 << 20, LIMIT).await {
+        Ok(body) => serde_json::from_slice(&body).unwrap_or_default(),
+        Err(_) => Value::Null,
+    }
+}
+
+/// Returns the grants of a model in an entry's dump.
+fn grants_of(dump: &Value, model: &str) -> Vec<Value> {
+    let shards = dump["control"]["state"]["shards"].as_array();
+    let grants = shards
+        .into_iter()
+        .flatten()
+        .flat_map(|s| s["value"]["grants"].as_array().into_iter().flatten());
+    grants.filter(|g| g["model"] == model).cloned().collect()
+}
+
+fn model(spec: &ModelSpec) -> Value {
+    json!({
+        "name": spec.name, "version": "1", "memory_mib": spec.memory_mib,
+        "replicas": spec.replicas, "repeatable": spec.repeatable, "adapters": [],
+    })
+}
+
+fn tier(name: &str, rank: u8, floor_percent: u8) -> Value {
+    json!({
+        "name": name, "rank": rank, "floor_percent": floor_percent,
+        "timeout_ms": 30_000, "max_waiting": 1_000,
+    })
+}
+
+fn any_port() -> SocketAddr {
+    ([127, 0, 0, 1], 0).into()
+}
+
+fn live(role: VmRole) -> Vm {
+    Vm {
+        role,
+        data_centre: DataCentre::try_from("dc").expect("a good name"),
+        state: VmState::Live,
+    }
+}
