entry: split the control actor by job

Change: `msg`, `agents`, `writes`, `report` and `peers` beside `actor` and `feed`; nothing else changes.

--- /dev/null
+++ b/crates/stair-entry/src/control/agents.rs
@@ -0,0 +1,128 @@
+//! The agents that have a control stream to this entry, and what they are sent.
+
+use std::sync::Arc;
+
+use stair_platform::ObjectStore;
+use stair_telemetry::{
+    Part,
+    info, //
+};
+use stair_types::{
+    GrantId,
+    ShardId, //
+};
+use stair_wire::control::{
+    AgentControl,
+    Hello, //
+};
+use tokio::sync::watch;
+
+use crate::control::{
+    actor::Control,
+    assignment,
+    msg::{
+        AgentUp,
+        Outbox,
+        StreamId, //
+    },
+    writes::Release,
+};
+
+/// One agent's control stream.
+pub(super) struct AgentStream {
+    pub(super) stream: StreamId,
+    pub(super) hello: Hello,
+    pub(super) outbox: watch::Sender<Outbox>,
+    /// Whether the last assignment sent is in force at the agent.
+    pub(super) in_force: bool,
+}
+
+impl<S> Control<S>
+where
+    S: ObjectStore,
+{
+    pub(super) fn add_agent(&mut self, up: AgentUp) -> bool {
+        info!(
+            Part::Links,
+            "Agent {} with incarnation {} is linked.", up.hello.target, up.hello.incarnation
+        );
+        // An agent has one control stream to an entry; an older one is silent or about to end.
+        self.agents.retain(|a| a.hello.target != up.hello.target);
+        self.agents.push(AgentStream {
+            stream: up.stream,
+            hello: up.hello,
+            outbox: up.outbox,
+            in_force: false,
+        });
+        true
+    }
+
+    pub(super) fn agent_said(&mut self, stream: StreamId, said: AgentControl) -> bool {
+        let Some(agent) = self.agents.iter_mut().find(|a| a.stream == stream) else {
+            return false;
+        };
+        match said {
+            AgentControl::InForce { config } => {
+                let sent = agent.outbox.borrow().assignment.clone();
+                agent.in_force = sent.is_some_and(|a| a.config <= config);
+                false
+            }
+            AgentControl::Released { grants } => {
+                for (shard, grant) in grants {
+                    self.note_release(shard, grant);
+                }
+                true
+            }
+            AgentControl::Leaving => {
+                let target = agent.hello.target.clone();
+                let token = agent.hello.incarnation;
+                info!(Part::Members, "Target {target} says that it is leaving.");
+                self.state.note_leaving(target, token)
+            }
+        }
+    }
+
+    pub(super) fn note_release(&mut self, shard: ShardId, grant: GrantId) {
+        let known = |r: &Release| r.shard == shard && r.grant == grant;
+        if !self.releases.iter().any(known) {
+            self.releases.push(Release {
+                shard,
+                grant,
+                writing: false,
+            });
+        }
+    }
+
+    pub(super) fn update_agents(&mut self) {
+        let entries = self.state.entries();
+        if entries != *self.entries {
+            self.entries = Arc::new(entries);
+        }
+        for agent in &mut self.agents {
+            let seen = seen_shards(agent);
+            let next = assignment::derive(&self.state, &agent.hello.target, &seen);
+            let entries = &self.entries;
+            agent.outbox.send_if_modified(|out| {
+                let held = out.assignment.as_ref();
+                let assigned = held.is_none_or(|a| assignment::differs(a, &next));
+                if assigned {
+                    agent.in_force = false;
+                    out.assignment = Some(Arc::new(next));
+                }
+                let moved = !Arc::ptr_eq(&out.entries, entries);
+                if moved {
+                    out.entries = entries.clone();
+                }
+                assigned || moved
+            });
+        }
+    }
+}
+
+fn seen_shards(agent: &AgentStream) -> Vec<ShardId> {
+    let mut seen: Vec<ShardId> = agent.hello.shards.iter().map(|(s, _)| *s).collect();
+    if let Some(assignment) = agent.outbox.borrow().assignment.as_ref() {
+        seen.extend(assignment.shards.iter().map(|s| s.shard));
+    }
+    seen
+}
--- a/crates/stair-entry/src/control/feed.rs
+++ b/crates/stair-entry/src/control/feed.rs
@@ -32,19 +32,13 @@
     info,
     warn, //
 };
-use stair_wire::{
-    control::{
-        Opening,
-        PeerRequest, //
-    },
-    frame,
-};
 
 use tokio::sync::watch;
 
 use crate::{
     control::{
-        actor::Msg,
+        msg::Msg,
+        peers,
         state::{
             Config,
             Versioned, //
@@ -64,12 +58,6 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
 const LONGEST_PAUSE: Duration = Duration::from_secs(5);
 
-/// Time for one peer to send its snapshot.
-const PEER_TIME: Duration = Duration::from_secs(2);
-
-/// Peers asked at start. One may itself be behind; three that all are is unlikely.
-const PEERS_ASKED: usize = 3;
-
 /// Entries that learn of a new manifest at the same moment spread their reads of its chunks over
 /// this time for each of them: at 410 entries that is 0.4 s, a thousand reads a second.
 const CHUNK_SPREAD_PER_ENTRY: Duration = Duration::from_millis(1);
@@ -247,21 +235,9 @@
         Ok(())
     }
 
-    /// A process that starts while the platform is down would know nothing and refuse everything,
-    /// though its peers serve. It asks several and keeps the highest versions of what they know;
-    /// any of them may be behind.
     async fn ask_peers(&mut self, pool: &Pool, peers: Vec<SocketAddr>) {
-        let mut answers = tokio::task::JoinSet::new();
-        for peer in peers.into_iter().take(PEERS_ASKED) {
-            let pool = pool.clone();
-            answers.spawn(async move { ask(&pool, peer).await });
-        }
-        while let Some(answer) = answers.join_next().await {
-            match answer {
-                Ok(Ok(snapshot)) => self.take_snapshot(snapshot),
-                Ok(Err(e)) => warn!(Part::Members, "A peer did not answer: {e}."),
-                Err(_) => {}
-            }
+        for snapshot in peers::ask_several(pool, peers).await {
+            self.take_snapshot(snapshot);
         }
     }
 
@@ -291,18 +267,6 @@
     }
 }
 
-async fn ask(pool: &Pool, peer: SocketAddr) -> anyhow::Result<Snapshot> {
-    let asking = async {
-        let link = pool.get(peer).await?;
-        let _in_use = link.use_it();
-        let (mut tx, mut rx) = link.open().await?;
-        frame::write_message(&mut tx, &Opening::Peer(PeerRequest::Snapshot)).await?;
-        let body = frame::read_body(&mut rx).await?;
-        Ok(serde_json::from_slice(&body)?)
-    };
-    tokio::time::timeout(PEER_TIME, asking).await?
-}
-
 /// Reads an object's value.
 ///
 /// # Errors
--- a/crates/stair-entry/src/control/links.rs
+++ b/crates/stair-entry/src/control/links.rs
@@ -40,7 +40,7 @@
 };
 
 use crate::control::{
-    actor::{
+    msg::{
         AgentUp,
         Msg,
         Outbox,
--- a/crates/stair-entry/src/control/mod.rs
+++ b/crates/stair-entry/src/control/mod.rs
@@ -3,22 +3,29 @@
 //! - [`state`]: what is known of the platform's objects; versions in it only rise.
 //! - [`propose`]: which grants should change, as a pure function of the state.
 //! - [`assignment`]: what one agent may hold, derived from the state.
-//! - [`actor`]: the actor that owns the state and publishes the view.
-//! - [`feed`]: lists and watches the platform, or asks peers while it is down.
+//! - [`msg`]: what control handles.
+//! - [`actor`]: the actor that owns the state and publishes the view; `agents`, `writes` and
+//!   `report` are parts of it.
+//! - [`feed`]: lists and watches the platform, or asks peers (`peers`) while it is down.
 //! - [`shards`]: conditional updates of the grants.
 //! - [`links`]: serves agents and other entries that open links.
 //! - [`turns`]: turns at the weight store.
 //! - [`thread`](mod@thread): runs all of these on one thread.
 
 pub mod actor;
+mod agents;
 pub mod assignment;
 pub mod feed;
 pub mod links;
+pub mod msg;
+mod peers;
 pub mod propose;
+mod report;
 pub mod shards;
 pub mod state;
 pub mod thread;
 pub mod turns;
+mod writes;
 
 pub use thread::{
     Control,
--- a/crates/stair-entry/src/control/thread.rs
+++ b/crates/stair-entry/src/control/thread.rs
@@ -31,11 +31,11 @@
     control::{
         actor::{
             Arguments,
-            ControlActor,
-            Msg, //
+            ControlActor, //
         },
         feed::Feed,
         links,
+        msg::Msg,
         turns::Desk,
     },
     view::View,
--- /dev/null
+++ b/crates/stair-entry/src/control/writes.rs
@@ -0,0 +1,166 @@
+//! What this entry writes to the platform: proposals, grants given back, records deleted.
+
+use std::time::Duration;
+
+use ractor::ActorRef;
+use stair_platform::{
+    Kind,
+    ObjectStore, //
+};
+use stair_state::GrantShard;
+use stair_types::{
+    GrantId,
+    ShardId, //
+};
+use tokio::time::Instant;
+
+use crate::control::{
+    actor::Control,
+    msg::Msg,
+    propose::Round,
+    shards,
+    state::version_of, //
+};
+
+/// An entry that is second for a shard acts when a needed change has been pending for this time,
+/// the third after twice the time. So a dead home is replaced in seconds, although the platform's
+/// list still shows it, and entries that merely hear of a change a little apart do not collide.
+const STAND_IN_AFTER: Duration = Duration::from_secs(3);
+
+/// Records of agents deleted in one tick; a data centre that is lost leaves hundreds.
+const DELETED_A_TICK: usize = 8;
+
+/// A grant that an agent gave back and that is not yet written as such.
+pub(super) struct Release {
+    pub(super) shard: ShardId,
+    pub(super) grant: GrantId,
+    pub(super) writing: bool,
+}
+
+impl<S> Control<S>
+where
+    S: ObjectStore,
+{
+    pub(super) fn write_releases(&mut self, myself: &ActorRef<Msg>) {
+        let listed: Vec<bool> = self.releases.iter().map(|r| self.is_listed(r)).collect();
+        let mut listed = listed.into_iter();
+        self.releases.retain(|_| listed.next().unwrap_or(false));
+        let shards: Vec<ShardId> = self.releases.iter().map(|r| r.shard).collect();
+        for shard in shards {
+            let waiting = self.releases.iter_mut();
+            let mut waiting: Vec<_> = waiting.filter(|r| r.shard == shard && !r.writing).collect();
+            if waiting.is_empty() {
+                continue;
+            }
+            waiting.iter_mut().for_each(|r| r.writing = true);
+            let grants = waiting.iter().map(|r| r.grant).collect();
+            tokio::spawn(write_release(
+                self.args.store.clone(),
+                myself.clone(),
+                shard,
+                grants,
+            ));
+        }
+    }
+
+    /// A release of a grant that is not listed has been written already.
+    pub(super) fn is_listed(&self, release: &Release) -> bool {
+        let shard = self.state.shards[usize::from(release.shard.0)]
+            .value
+            .as_ref();
+        shard.is_some_and(|s| s.grants.iter().any(|g| g.id == release.grant))
+    }
+
+    /// Proposes from what the platform has confirmed only: what a peer knew when this process
+    /// started may be long past.
+    pub(super) fn propose(&mut self, myself: &ActorRef<Msg>) {
+        if !self.state.confirmed || version_of(&self.state.config).0 == 0 {
+            return;
+        }
+        self.unproposed = false;
+        let mut round = Round::new(&self.state);
+        for i in 0..self.state.shards.len() {
+            let shard = ShardId(i as u16);
+            if self.writing[i] {
+                continue;
+            }
+            let Some(next) = round.propose(&self.state, shard) else {
+                self.needed_since[i] = None;
+                continue;
+            };
+            let since = *self.needed_since[i].get_or_insert_with(Instant::now);
+            let rank = self.state.rank(&self.args.name, &format!("grants-{i}"));
+            if since.elapsed() < STAND_IN_AFTER * rank as u32 {
+                self.unproposed = true;
+                continue;
+            }
+            self.writing[i] = true;
+            let from = self.state.shards[i].version;
+            tokio::spawn(write_shard(
+                self.args.store.clone(),
+                myself.clone(),
+                shard,
+                from,
+                next,
+            ));
+        }
+    }
+
+    /// Records of agents whose VM was taken away would pile up: 2,400 VMs are replaced a day. A
+    /// record written after the VM was taken away belongs to a new VM of the same name and stays.
+    pub(super) fn delete_gone(&mut self) {
+        if !self.state.confirmed {
+            return;
+        }
+        let gone = self.state.incarnations.iter().filter(|agent| {
+            let name = agent.name.as_str();
+            let at = self.state.vms.binary_search_by(|vm| (*vm.name).cmp(name));
+            let vm = at.ok().map(|i| &self.state.vms[i].object);
+            agent.object.value.is_some()
+                && vm.is_some_and(|vm| vm.value.is_none() && vm.version > agent.object.version)
+                && self.state.rank(&self.args.name, name) == 0
+        });
+        for agent in gone.take(DELETED_A_TICK) {
+            let store = self.args.store.clone();
+            let name = agent.name.clone();
+            let version = agent.object.version;
+            tokio::spawn(async move {
+                // A failure is met by the next tick.
+                let _ = store
+                    .delete(Kind::Incarnation, name.as_str(), version)
+                    .await;
+            });
+        }
+    }
+}
+
+async fn write_shard<S>(
+    store: S,
+    myself: ActorRef<Msg>,
+    shard: ShardId,
+    from: u64,
+    next: GrantShard,
+) where
+    S: ObjectStore,
+{
+    let result = shards::replace(&store, shard, from, next).await;
+    let _ = myself.send_message(Msg::Written(shard, result.map(Some)));
+}
+
+async fn write_release<S>(store: S, myself: ActorRef<Msg>, shard: ShardId, grants: Vec<GrantId>)
+where
+    S: ObjectStore,
+{
+    let result = shards::update(&store, shard, |s| {
+        let mut changed = false;
+        for grant in &grants {
+            changed |= s.confirm(*grant);
+        }
+        changed
+    })
+    .await;
+    // A release whose write failed is forgotten here; the agent says it again while the grant is
+    // still assigned to it.
+    let _ = myself.send_message(Msg::ReleaseDone(shard, grants));
+    let _ = myself.send_message(Msg::Written(shard, result));
+}
