entry: move grants away from crowded targets

Cause: a model whose only grant shares a target with a model in use waited for it, however many targets idled; with more models than targets that is the common case.

Ruled out: placing by load, which needs a report from all to all; more grants than replicas.

Change: agents say which grants have found no room for a second; an entry that knows a better place revokes, and the release and the new grant are one write (also for leaving VMs). Callers' requests wait for a grant on the move, for 3 s and only while the revoke is young, and 1 s for an entry that is behind the agent.

--- a/crates/dandelionstair/tests/promises/main.rs
+++ b/crates/dandelionstair/tests/promises/main.rs
@@ -4,5 +4,6 @@
 //! own process, behind fault-injecting proxies, and the checks read the stand-ins' records. One
 //! file a promise; `docs/PROMISES.md` has a row for each.
 
+mod crowded;
 mod path;
 mod support;
--- a/crates/stair-agent/src/assignment.rs
+++ b/crates/stair-agent/src/assignment.rs
@@ -160,11 +160,15 @@
 
     /// Tells whether a grant of a model is in force, whether or not the model is declared.
     pub fn grants(&self, name: &ModelName) -> bool {
-        let shard = self.shard(shard_of(name));
-        let granted = shard.into_iter().flat_map(|s| &s.grants);
-        granted
-            .filter(|g| g.model == *name && !g.revoking)
-            .any(|g| !self.is_released(shard_of(name), g.id))
+        self.grant_of(name).is_some()
+    }
+
+    /// Returns the grant of a model that is in force.
+    pub fn grant_of(&self, name: &ModelName) -> Option<(ShardId, GrantId)> {
+        let shard = self.shard(shard_of(name))?;
+        let mut granted = shard.grants.iter().filter(|g| g.model == *name);
+        let grant = granted.find(|g| !g.revoking && !self.is_released(shard.shard, g.id))?;
+        Some((shard.shard, grant.id))
     }
 
     /// Finds a declared model.
--- a/crates/stair-agent/src/control.rs
+++ b/crates/stair-agent/src/control.rs
@@ -74,6 +74,7 @@
 use crate::{
     answers::Answer,
     assignment::InForce,
+    crowding::NoRoom,
     dump::Dump,
     early::Early,
     engine::{
@@ -156,6 +157,8 @@
     pub(crate) config: ConfigVersion,
     pub(crate) shards: Vec<(ShardId, u64)>,
     pub(crate) released: Vec<(ShardId, GrantId)>,
+    /// Grants whose models wait for room.
+    pub(crate) crowded: Vec<(ShardId, GrantId)>,
     pub(crate) leaving: bool,
 }
 
@@ -231,6 +234,7 @@
     pub(crate) pending: Vec<Pending>,
     pub(crate) active: Vec<Active>,
     pub(crate) early: Vec<Early>,
+    pub(crate) no_room: Vec<NoRoom>,
     /// Sorted by id.
     pub(crate) answers: Vec<(RequestId, Arc<Answer>)>,
     /// Requests whose answers are whole, the oldest first.
@@ -266,7 +270,7 @@
         args: Arguments,
     ) -> Result<Core, ActorProcessingErr> {
         tokio::spawn(tick(me.clone()));
-        let core = Core::new(me, args);
+        let mut core = Core::new(me, args);
         core.publish();
         Ok(core)
     }
@@ -312,6 +316,7 @@
             pending: Vec::new(),
             active: Vec::new(),
             early: Vec::new(),
+            no_room: Vec::new(),
             answers: Vec::new(),
             ended: VecDeque::new(),
             used: Vec::new(),
@@ -426,8 +431,9 @@
         self.leave();
     }
 
-    fn publish(&self) {
+    fn publish(&mut self) {
         let statement = Statement {
+            crowded: self.crowded(),
             config: self.in_force.config(),
             shards: self.in_force.versions(),
             released: self.in_force.released().to_vec(),
--- a/crates/stair-agent/src/control_links.rs
+++ b/crates/stair-agent/src/control_links.rs
@@ -270,6 +270,10 @@
     if now.leaving && !said.leaving {
         frame::write_message(tx, &AgentControl::Leaving).await?;
     }
+    if now.crowded != said.crowded {
+        let grants = now.crowded.clone();
+        frame::write_message(tx, &AgentControl::Crowded { grants }).await?;
+    }
     if now.config != said.config {
         let config = now.config;
         frame::write_message(tx, &AgentControl::InForce { config }).await?;
--- a/crates/stair-agent/src/lib.rs
+++ b/crates/stair-agent/src/lib.rs
@@ -16,6 +16,7 @@
 mod answers;
 mod control;
 mod control_links;
+mod crowding;
 mod early;
 mod engine;
 mod incarnation;
--- a/crates/stair-agent/src/loads.rs
+++ b/crates/stair-agent/src/loads.rs
@@ -289,7 +289,11 @@
             return;
         }
         let usage = |i: &Item| self.usage(i);
-        for victim in victims::choose(&self.ledger, item, rank, missing_mib, usage) {
+        let chosen = victims::choose(&self.ledger, item, rank, missing_mib, usage);
+        if chosen.is_empty() {
+            self.note_no_room(&item.model);
+        }
+        for victim in chosen {
             self.unload_group(&victim);
         }
     }
--- a/crates/stair-entry/src/control/actor.rs
+++ b/crates/stair-entry/src/control/actor.rs
@@ -36,10 +36,12 @@
 use crate::{
     control::{
         agents::AgentStream,
+        crowding::Crowding,
         feed::{
             Listed,
             decode, //
         },
+        moving::Moving,
         msg::Msg,
         state::{
             State,
@@ -80,6 +82,10 @@
     pub(super) needed_since: Vec<Option<Instant>>,
     /// Shards with a write under way.
     pub(super) writing: Vec<bool>,
+    /// Grants on their way to another target.
+    pub(super) moving: Moving,
+    /// What agents said about room.
+    pub(super) crowding: Crowding,
     /// Given back by agents and not yet written.
     pub(super) releases: Vec<Release>,
 }
@@ -121,6 +127,8 @@
             unproposed: false,
             needed_since: vec![None; shards],
             writing: vec![false; shards],
+            moving: Moving::default(),
+            crowding: Crowding::default(),
             releases: Vec::new(),
         })
     }
@@ -301,18 +309,39 @@
             full_speed_loads: policy.weight_store.full_speed_loads,
             ..stair_policy::load_order::Options::default()
         });
-        self.args.view.send_replace(Arc::new(self.state.view()));
+        self.publish();
         self.update_agents();
         self.write_releases(myself);
+        self.move_crowded(myself);
         self.propose(myself);
     }
 
+    fn publish(&mut self) {
+        let now = Instant::now();
+        self.moving.update(&self.state, now);
+        let view = View {
+            moving: self.moving.models(&self.state, now),
+            ..self.state.view()
+        };
+        self.args.view.send_replace(Arc::new(view));
+    }
+
+    /// Publishes again when a move has taken too long to be waited for.
+    fn publish_moves(&mut self) {
+        let moving = self.moving.models(&self.state, Instant::now());
+        let changed = self.args.view.borrow().moving != moving;
+        if changed {
+            self.publish();
+        }
+    }
+
     fn tick(&mut self, myself: &ActorRef<Msg>) {
         self.write_releases(myself);
         if self.unproposed {
             self.propose(myself);
         }
         self.delete_gone();
+        self.publish_moves();
     }
 }
 
--- a/crates/stair-entry/src/control/agents.rs
+++ b/crates/stair-entry/src/control/agents.rs
@@ -15,7 +15,10 @@
     AgentControl,
     Hello, //
 };
-use tokio::sync::watch;
+use tokio::{
+    sync::watch,
+    time::Instant, //
+};
 
 use crate::control::{
     actor::Control,
@@ -73,6 +76,10 @@
                 }
                 true
             }
+            AgentControl::Crowded { grants } => {
+                let target = agent.hello.target.clone();
+                self.crowding.note(target, grants, Instant::now())
+            }
             AgentControl::Leaving => {
                 let target = agent.hello.target.clone();
                 let token = agent.hello.incarnation;
--- a/crates/stair-entry/src/control/propose.rs
+++ b/crates/stair-entry/src/control/propose.rs
@@ -5,6 +5,7 @@
 //! models without a target. It proposes from one state, and the conditional update throws the
 //! proposal away when the shard has changed since.
 
+use stair_config::Model;
 use stair_platform::TargetKind;
 use stair_policy::place::{
     self,
@@ -20,6 +21,7 @@
 };
 use stair_types::{
     DataCentre,
+    GrantId,
     ShardId,
     TargetKey,
     TargetName,
@@ -77,18 +79,7 @@
         let catalogue = state.config.catalogue.clone();
         let models = catalogue.models.iter();
         for model in models.filter(|m| stair_state::grants::shard_of(&m.name) == shard) {
-            let grants: Vec<Held> = next
-                .of_model(&model.name)
-                .iter()
-                .map(|g| self.held(g))
-                .collect();
-            let info = ModelInfo {
-                name_hash: rendezvous::weight("model", model.name.as_str()),
-                memory_mib: model.memory_mib,
-                replicas: model.replicas,
-                grants: &grants,
-            };
-            for change in place::changes(&place::Options::default(), &self.fleet, &info) {
+            for change in self.changes(&next, model) {
                 self.apply(&mut next, model, change);
             }
         }
@@ -97,7 +88,66 @@
         (!unchanged && !empty).then_some(next)
     }
 
-    fn apply(&mut self, shard: &mut GrantShard, model: &stair_config::Model, change: Change) {
+    /// Grants what a model lacks, on other targets than `avoid` as far as there are any.
+    pub fn refill(&mut self, next: &mut GrantShard, model: &Model, avoid: &[TargetName]) {
+        let avoided: Vec<TargetKey> = avoid.iter().filter_map(|t| self.key(t)).collect();
+        let holds = |next: &GrantShard, key: TargetKey| {
+            let grants = next.of_model(&model.name);
+            grants.iter().any(|g| self.key(&g.target) == Some(key))
+        };
+        // A holder that is not live would be proposed for a revoke.
+        let hidden: Vec<TargetKey> = avoided
+            .into_iter()
+            .filter(|k| self.fleet.get(*k).is_some_and(|t| t.live) && !holds(next, *k))
+            .collect();
+        hidden.iter().for_each(|k| self.fleet.set_live(*k, false));
+        self.fill(next, model);
+        hidden.iter().for_each(|k| self.fleet.set_live(*k, true));
+        self.fill(next, model);
+    }
+
+    /// Tells whether a model that gives up a grant would find another target.
+    pub fn has_place(
+        &mut self,
+        shard: &GrantShard,
+        model: &Model,
+        grant: GrantId,
+        avoid: &[TargetName],
+    ) -> bool {
+        let mut without = shard.clone();
+        without.grants.retain(|g| g.id != grant);
+        let left = without.of_model(&model.name).len();
+        self.refill(&mut without, model, avoid);
+        let grants = without.of_model(&model.name);
+        grants.len() > left && grants.iter().all(|g| !avoid.contains(&g.target))
+    }
+
+    fn fill(&mut self, next: &mut GrantShard, model: &Model) {
+        for change in self.changes(next, model) {
+            if let Change::Grant(_) = change {
+                self.apply(next, model, change);
+            }
+        }
+    }
+
+    fn changes(&self, shard: &GrantShard, model: &Model) -> Vec<Change> {
+        let grants = shard.of_model(&model.name).iter();
+        let grants: Vec<Held> = grants.map(|g| self.held(g)).collect();
+        let info = ModelInfo {
+            name_hash: rendezvous::weight("model", model.name.as_str()),
+            memory_mib: model.memory_mib,
+            replicas: model.replicas,
+            grants: &grants,
+        };
+        place::changes(&place::Options::default(), &self.fleet, &info)
+    }
+
+    fn key(&self, target: &TargetName) -> Option<TargetKey> {
+        let at = self.names.binary_search(target);
+        at.ok().map(|i| TargetKey(i as u32))
+    }
+
+    fn apply(&mut self, shard: &mut GrantShard, model: &Model, change: Change) {
         match change {
             Change::Grant(key) => {
                 let target = &self.names[key.0 as usize];
@@ -142,9 +192,8 @@
     /// A grant of a target that is not in the arena gets a key that no target has: placement
     /// counts the grant and finds its holder unfit.
     fn held(&self, grant: &Grant) -> Held {
-        let at = self.names.binary_search(&grant.target);
         Held {
-            target: TargetKey(at.map_or(u32::MAX, |i| i as u32)),
+            target: self.key(&grant.target).unwrap_or(TargetKey(u32::MAX)),
             revoking: grant.revoking,
         }
     }
--- a/crates/stair-entry/src/control/state.rs
+++ b/crates/stair-entry/src/control/state.rs
@@ -280,6 +280,8 @@
             entries: self.entries().len() as u32,
             shard_versions: self.shards.iter().map(|s| s.version).collect(),
             holders: holders.collect(),
+            // Since when a grant has been revoked is not part of the platform's objects.
+            moving: Vec::new(),
             providers: providers.collect(),
             catalogue: catalogue.clone(),
             targets: Arc::new(targets),
--- a/crates/stair-entry/src/control/writes.rs
+++ b/crates/stair-entry/src/control/writes.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use ractor::ActorRef;
+use stair_config::Model;
 use stair_platform::{
     Kind,
     ObjectStore, //
@@ -10,7 +11,8 @@
 use stair_state::GrantShard;
 use stair_types::{
     GrantId,
-    ShardId, //
+    ShardId,
+    TargetName, //
 };
 use tokio::time::Instant;
 
@@ -53,16 +55,30 @@
                 continue;
             }
             waiting.iter_mut().for_each(|r| r.writing = true);
-            let grants = waiting.iter().map(|r| r.grant).collect();
-            tokio::spawn(write_release(
-                self.args.store.clone(),
-                myself.clone(),
+            let grants: Vec<GrantId> = waiting.iter().map(|r| r.grant).collect();
+            let job = ReleaseJob {
                 shard,
+                models: self.models_of(shard, &grants),
                 grants,
-            ));
+                round: Round::new(&self.state),
+                avoid: self.crowding.avoid(),
+            };
+            tokio::spawn(write_release(self.args.store.clone(), myself.clone(), job));
         }
     }
 
+    fn models_of(&self, shard: ShardId, grants: &[GrantId]) -> Vec<Model> {
+        let shard = self.state.shards[usize::from(shard.0)].value.as_ref();
+        let released = shard.into_iter().flat_map(|s| &s.grants);
+        let released = released.filter(|g| grants.contains(&g.id));
+        let catalogue = &self.state.config.catalogue;
+        let mut models: Vec<Model> = released
+            .filter_map(|g| catalogue.model(g.model.as_str()).cloned())
+            .collect();
+        models.dedup();
+        models
+    }
+
     /// A release of a grant that is not listed has been written already.
     pub(super) fn is_listed(&self, release: &Release) -> bool {
         let shard = self.state.shards[usize::from(release.shard.0)]
@@ -147,18 +163,37 @@
     let _ = myself.send_message(Msg::Written(shard, result.map(Some)));
 }
 
-async fn write_release<S>(store: S, myself: ActorRef<Msg>, shard: ShardId, grants: Vec<GrantId>)
+/// Grants given back, and what is needed to grant their models again in the same write.
+struct ReleaseJob {
+    shard: ShardId,
+    grants: Vec<GrantId>,
+    models: Vec<Model>,
+    round: Round,
+    avoid: Vec<TargetName>,
+}
+
+impl ReleaseJob {
+    /// Confirms the grants and grants their models elsewhere. In two writes the model would have
+    /// no target in between, and its callers would be refused.
+    fn apply(&mut self, shard: &mut GrantShard) -> bool {
+        let before = shard.clone();
+        for grant in &self.grants {
+            shard.confirm(*grant);
+        }
+        for model in &self.models {
+            self.round.refill(shard, model, &self.avoid);
+        }
+        *shard != before
+    }
+}
+
+async fn write_release<S>(store: S, myself: ActorRef<Msg>, mut job: ReleaseJob)
 where
     S: ObjectStore,
 {
-    let result = shards::update(&store, shard, |s| {
-        let mut changed = false;
-        for grant in &grants {
-            changed |= s.confirm(*grant);
-        }
-        changed
-    })
-    .await;
+    let shard = job.shard;
+    let result = shards::update(&store, shard, |s| job.apply(s)).await;
+    let grants = job.grants;
     // A release whose write failed is forgotten here; the agent says it again while the grant is
     // still assigned to it.
     let _ = myself.send_message(Msg::ReleaseDone(shard, grants));
--- a/crates/stair-entry/src/traffic/dispatch.rs
+++ b/crates/stair-entry/src/traffic/dispatch.rs
@@ -1,6 +1,9 @@
 //! Tries one target after the other until one answers or trying again would be wrong.
 
-use std::sync::PoisonError;
+use std::{
+    sync::PoisonError,
+    time::Duration, //
+};
 
 use stair_platform::ObjectStore;
 use stair_types::{
@@ -9,6 +12,10 @@
     TargetName,
     Verdict, //
 };
+use tokio::time::{
+    Instant,
+    timeout_at, //
+};
 
 use super::{
     Cx,
@@ -42,10 +49,15 @@
     let mut tried = Tried::default();
     let mut last: Option<Refusal> = None;
     loop {
-        let Some(target) = choose::next(cx, req, &tried.names).or_else(|| {
+        let next = choose::next(cx, req, &tried.names).or_else(|| {
             let again = tried.forget_unreached();
             again.then(|| choose::next(cx, req, &tried.names)).flatten()
-        }) else {
+        });
+        let next = match next {
+            Some(target) => Some(target),
+            None => moved(cx, req, &tried.names, last.as_ref()).await,
+        };
+        let Some(target) = next else {
             return Err(last.unwrap_or_else(no_target));
         };
         if let Some(refusal) = last.take_if(|_| !may_retry(cx)) {
@@ -69,6 +81,47 @@
     }
 }
 
+/// Time for a grant to move: the holder unloads the model and gives the grant back, and the next
+/// target learns of it. Longer than that a caller is better off with its refusal.
+const MOVE_TIME: Duration = Duration::from_secs(3);
+
+/// Time for this entry to hear of a revoke that an agent has heard of already.
+const BEHIND_TIME: Duration = Duration::from_secs(1);
+
+/// Waits for the target that a model's grant is moving to.
+///
+/// The holder refuses new work from the moment it learns of the revoke, and without this the
+/// callers of a rarely used model with one replica would be refused although their model is about
+/// to have a better place.
+async fn moved<S>(
+    cx: &Cx<S>,
+    req: &Request,
+    tried: &[TargetName],
+    last: Option<&Refusal>,
+) -> Option<Chosen> {
+    let mut view = cx.view.clone();
+    // The holder may have heard of the revoke from another entry, before this one has, or leaves
+    // and its grants are about to be revoked.
+    let announces = |r: &Refusal| matches!(r.reason, Reason::NotGranted | Reason::Leaving);
+    let is_behind = last.is_some_and(announces);
+    let began = Instant::now();
+    loop {
+        let is_moving = choose::is_moving(&view.borrow_and_update(), &req.work);
+        if let Some(target) = choose::next(cx, req, tried) {
+            return Some(target);
+        }
+        let wait = match (is_moving, is_behind) {
+            (true, _) => MOVE_TIME,
+            (false, true) => BEHIND_TIME,
+            (false, false) => return None,
+        };
+        match timeout_at(began + wait, view.changed()).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) | Err(_) => return None,
+        }
+    }
+}
+
 /// The targets that a request has been offered to.
 #[derive(Default)]
 struct Tried {
--- a/crates/stair-entry/src/view.rs
+++ b/crates/stair-entry/src/view.rs
@@ -35,6 +35,9 @@
     pub targets: Arc<Vec<TargetView>>,
     /// For each model of the catalogue, the targets that hold a grant which is not being revoked.
     pub holders: Vec<Vec<TargetKey>>,
+    /// For each model of the catalogue, whether a grant of it is being revoked and will be granted
+    /// elsewhere in a moment.
+    pub moving: Vec<bool>,
     /// For each shard of grants, the platform's version that the holders come from.
     pub shard_versions: Vec<u64>,
     /// For each service of the catalogue, its targets.
@@ -67,6 +70,11 @@
         self.holders.get(model).map_or(&[], Vec::as_slice)
     }
 
+    /// Tells whether a model's grant is on its way to another target, by the model's index.
+    pub fn is_moving(&self, model: usize) -> bool {
+        self.moving.get(model).copied().unwrap_or(false)
+    }
+
     /// Returns the version of the shard that names a model's holders.
     pub fn shard_version(&self, model: &ModelName) -> u64 {
         let shard = usize::from(shard_of(model).0);
--- a/crates/stair-entry/tests/support/rig.rs
+++ b/crates/stair-entry/tests/support/rig.rs
@@ -237,6 +237,7 @@
     let all: Vec<TargetKey> = (0..targets.len() as u32).map(TargetKey).collect();
     View {
         entries: 1,
+        moving: Vec::new(),
         shard_versions: Vec::new(),
         config: ConfigVersion(1),
         confirmed: true,
--- a/crates/stair-wire/src/control.rs
+++ b/crates/stair-wire/src/control.rs
@@ -94,6 +94,12 @@
         /// The revoked grants that are given back.
         grants: Vec<(ShardId, GrantId)>,
     },
+    /// Requests wait for these granted models, and the engine's memory is full of models that are
+    /// in use. The list is complete; what an earlier one named and this one does not has room.
+    Crowded {
+        /// The grants whose models find no room.
+        grants: Vec<(ShardId, GrantId)>,
+    },
     /// The agent is leaving: offer it nothing more.
     Leaving,
 }
