entry: try releases of claims again after an outage

A claim's write may take effect although its answer is lost. The caller is told that nothing ran, and the claim is given back. When the platform stayed down for longer than one try the release was dropped: the caller's repeat with the same key was told "duplicate, may have run" for an hour, of a request that never ran.

Releases that fail are put back before what has come since, and tried again every 300 ms. The queue of a shard is bounded at 2,000 instead of 10,000, as releases collect in it during an outage.

A release that is still pending when its entry dies is lost all the same.

--- a/crates/stair-entry/src/traffic/claim.rs
+++ b/crates/stair-entry/src/traffic/claim.rs
@@ -63,8 +63,13 @@
 /// collide; each collision means that another one got through.
 const TRIES: usize = 12;
 
-/// Releases and claims that wait for one shard.
-const MAX_PENDING: usize = 10_000;
+/// Releases and claims that wait for one shard. In an outage the releases of claims whose fate is
+/// unknown collect here, about 150 bytes each.
+const MAX_PENDING: usize = 2_000;
+
+/// Time until releases that could not be written are tried again. Claims that come meanwhile wait
+/// with them, and have time for a few tries before they are given up.
+const RELEASE_PAUSE: Duration = Duration::from_millis(300);
 
 /// Why a key could not be claimed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -208,15 +213,34 @@
         let (changes, waiting): (Vec<_>, Vec<_>) =
             batch.into_iter().map(|p| (p.change, p.done)).unzip();
         let result = commit(&store, n, &mut memory, &changes).await;
+        let has_failed = result.is_err();
         for (i, done) in waiting.into_iter().enumerate() {
             let Some(done) = done else {
                 continue;
             };
             let _ = done.send(result.as_ref().map(|all| all[i]).map_err(|e| *e));
         }
+        if has_failed {
+            keep_releases(&shard, changes);
+            tokio::time::sleep(RELEASE_PAUSE).await;
+        }
     }
 }
 
+/// Puts releases that could not be written back, before what has come since.
+///
+/// A claim may take effect although its answer is lost, and the platform may then be down for
+/// longer than one try. The caller was told that nothing ran; a release that were dropped would
+/// make its repeat a duplicate, of a request that never ran, until the claim expires.
+fn keep_releases(shard: &Shard, changes: Vec<Change>) {
+    let releases = changes.into_iter().filter_map(|change| match change {
+        Change::Release { .. } => Some(Pending { change, done: None }),
+        Change::Claim(_) => None,
+    });
+    let mut queue = shard.lock();
+    queue.pending.splice(0..0, releases);
+}
+
 async fn commit<S>(
     store: &S,
     n: usize,
