--- a/crates/dandelionstair/tests/promises/main.rs
+++ b/crates/dandelionstair/tests/promises/main.rs
@@ -4,6 +4,9 @@
 //! own process, behind fault-injecting proxies, and the checks read the stand-ins' records. One
 //! file a promise; `docs/PROMISES.md` has a row for each.
 
+mod at_most_once;
 mod crowded;
+mod not_run;
 mod path;
 mod support;
+mod whole_answer;
