--- a/crates/stair-agent/tests/common/mod.rs
+++ b/crates/stair-agent/tests/common/mod.rs
@@ -4,7 +4,6 @@
 
 pub(crate) mod engine;
 pub(crate) mod entry;
-pub(crate) mod store;
 
 use std::{
     net::{
@@ -58,7 +57,7 @@
 
 use engine::FakeEngine;
 use entry::FakeEntry;
-use store::FakeStore;
+use stair_standin::memory::MemoryStore;
 
 /// The longest wait for anything; reached only when a test fails.
 pub(crate) const LIMIT: Duration = Duration::from_secs(20);
@@ -76,7 +75,7 @@
 /// Everything around one agent.
 pub(crate) struct World {
     pub(crate) authority: Authority,
-    pub(crate) store: FakeStore,
+    pub(crate) store: MemoryStore,
     pub(crate) engine: FakeEngine,
     pub(crate) entry: FakeEntry,
     pub(crate) limits: AgentLimits,
@@ -91,7 +90,7 @@
     pub(crate) async fn new(models: &[&str]) -> Self {
         let authority = Authority::generate().expect("keys can be made");
         let entry = FakeEntry::start(&authority);
-        let store = FakeStore::default();
+        let store = MemoryStore::default();
         list_entry(&store, "e1", &entry);
         let grants = models.iter().enumerate().map(|(i, name)| Grant {
             id: GrantId(i as u64 + 1),
@@ -134,7 +133,7 @@
             let of_shard = of_shard.filter(|g| shard_of(&g.model) == ShardId(shard));
             ShardAssignment {
                 shard: ShardId(shard),
-                version: self.store.version(Kind::Grants, &shard.to_string()),
+                version: version_of(&self.store, shard),
                 grants: of_shard
                     .map(|g| AssignedGrant {
                         id: g.id,
@@ -191,7 +190,12 @@
 }
 
 /// Puts an entry on the platform's list of VMs.
-pub(crate) fn list_entry(store: &FakeStore, name: &str, entry: &FakeEntry) {
+fn version_of(store: &MemoryStore, shard: u16) -> u64 {
+    let object = store.object(Kind::Grants, &shard.to_string());
+    object.map_or(0, |o| o.version)
+}
+
+pub(crate) fn list_entry(store: &MemoryStore, name: &str, entry: &FakeEntry) {
     let vm = Vm {
         role: VmRole::Entry {
             name: name.try_into().expect("a name"),
--- a/crates/stair-agent/tests/lifecycle.rs
+++ b/crates/stair-agent/tests/lifecycle.rs
@@ -13,6 +13,7 @@
     IncarnationRecord,
     Kind, //
 };
+use stair_standin::memory::Fault;
 use stair_types::{
     FencingToken,
     Reason,
@@ -24,7 +25,8 @@
 };
 
 fn record(world: &World) -> IncarnationRecord {
-    let value = world.store.value(Kind::Incarnation, "t1");
+    let object = world.store.object(Kind::Incarnation, "t1");
+    let value = object.expect("the agent registered").value;
     serde_json::from_value(value).expect("a record")
 }
 
@@ -50,7 +52,7 @@
 async fn lost_put_settled() {
     let world = World::new(&["m1"]).await;
     world.store.refuse(3);
-    world.store.lose_puts(1);
+    world.store.fail_write(Kind::Incarnation, Fault::LostAfter);
 
     let agent = world.agent().await;
 
--- a/crates/stair-entry/tests/admit.rs
+++ b/crates/stair-entry/tests/admit.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use stair_config::EntryLimits;
+use stair_standin::memory::MemoryStore;
 use support::{
     agent::{
         Event,
@@ -18,7 +19,6 @@
         Rig,
         keys, //
     },
-    store::MemoryStore,
 };
 
 // Callers of the lower tier fill the entry while the targets are full. A caller of the better tier
@@ -31,7 +31,7 @@
         max_requests: 8,
         ..EntryLimits::default()
     };
-    let rig = Rig::with(&keys, &[&agent], limits, MemoryStore::new()).await;
+    let rig = Rig::with(&keys, &[&agent], limits, MemoryStore::default()).await;
     let rig = Arc::new(rig);
     for _ in 0..6 {
         let rig = rig.clone();
@@ -62,7 +62,7 @@
         max_waiting_bytes: 100,
         ..EntryLimits::default()
     };
-    let rig = Rig::with(&keys, &[&agent], limits, MemoryStore::new()).await;
+    let rig = Rig::with(&keys, &[&agent], limits, MemoryStore::default()).await;
     let rig = Arc::new(rig);
     for _ in 0..3 {
         let rig = rig.clone();
--- a/crates/stair-entry/tests/claims.rs
+++ b/crates/stair-entry/tests/claims.rs
@@ -5,6 +5,11 @@
 use std::sync::Arc;
 
 use stair_config::EntryLimits;
+use stair_platform::Kind;
+use stair_standin::memory::{
+    Fault,
+    MemoryStore, //
+};
 use stair_types::{
     Reason,
     Refusal, //
@@ -22,10 +27,6 @@
         keys, //
     },
     soon,
-    store::{
-        MemoryStore,
-        Mode, //
-    },
 };
 
 const KEY: &[(&str, &str)] = &[("idempotency-key", "draft-1")];
@@ -36,7 +37,7 @@
 async fn repeat_at_another() {
     let keys = keys();
     let mut agent = FakeAgent::start("t1", &keys, |s| s.serve("{}"));
-    let store = MemoryStore::new();
+    let store = MemoryStore::default();
     let limits = EntryLimits::default();
     let one = Rig::with(&keys, &[&agent], limits.clone(), store.clone()).await;
     let other = Rig::with(&keys, &[&agent], limits, store).await;
@@ -62,7 +63,7 @@
     let keys = keys();
     let mut agent = FakeAgent::start("t1", &keys, |s| s.serve("{}"));
     let rig = Rig::start(&keys, &[&agent]).await;
-    rig.store.set(Mode::Down);
+    rig.store.set_down(true);
 
     let got = rig.ask(GOLD, BILLED, KEY).await;
 
@@ -81,7 +82,7 @@
     let keys = keys();
     let mut agent = FakeAgent::start("t1", &keys, |s| s.serve("{}"));
     let rig = Rig::start(&keys, &[&agent]).await;
-    rig.store.set(Mode::Stuck);
+    rig.store.set_stuck(true);
 
     let got = rig.ask(GOLD, BILLED, KEY).await;
 
@@ -98,12 +99,12 @@
     let keys = keys();
     let agent = FakeAgent::start("t1", &keys, |s| s.serve("{}"));
     let rig = Rig::start(&keys, &[&agent]).await;
-    rig.store.set(Mode::LoseAnswer);
+    rig.store.fail_write(Kind::Claims, Fault::LostAfter);
 
     let got = rig.ask(GOLD, BILLED, KEY).await;
 
     assert_eq!(got.status.as_u16(), 200);
-    assert_eq!(rig.store.claims(), 1);
+    assert_eq!(rig.claims(), 1);
 }
 
 // The agent refuses after the key was claimed, and says that nothing ran. The caller's next try
@@ -123,7 +124,7 @@
 
     assert_eq!(&*got.verdict, "not-run");
     soon(async {
-        while rig.store.claims() > 0 {
+        while rig.claims() > 0 {
             tokio::task::yield_now().await;
         }
     })
@@ -137,6 +138,7 @@
     let keys = keys();
     let agent = FakeAgent::start("t1", &keys, |s| s.serve("{}"));
     let rig = Arc::new(Rig::start(&keys, &[&agent]).await);
+    rig.store.set_writes_yield();
 
     let mut tasks = tokio::task::JoinSet::new();
     for i in 0..400 {
@@ -150,7 +152,7 @@
     let all = tasks.join_all().await;
 
     assert!(all.iter().all(|s| *s == 200), "{all:?}");
-    assert_eq!(rig.store.claims(), 400);
-    let writes = rig.store.writes();
+    assert_eq!(rig.claims(), 400);
+    let writes = rig.store.puts(Kind::Claims);
     assert!(writes < 400, "400 claims took {writes} writes");
 }
--- a/crates/stair-entry/tests/route_errors.rs
+++ b/crates/stair-entry/tests/route_errors.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use stair_config::EntryLimits;
+use stair_standin::memory::MemoryStore;
 use support::{
     agent::FakeAgent,
     rig::{
@@ -11,7 +12,6 @@
         keys,
         request, //
     },
-    store::MemoryStore,
 };
 
 async fn rig() -> Rig {
@@ -21,7 +21,7 @@
         max_body_bytes: 1_000,
         ..EntryLimits::default()
     };
-    Rig::with(&keys, &[&agent], limits, MemoryStore::new()).await
+    Rig::with(&keys, &[&agent], limits, MemoryStore::default()).await
 }
 
 async fn check(method: &str, path: &str, key: &str, body: &str, status: u16, code: &str) {
--- a/crates/stair-entry/tests/slow_caller.rs
+++ b/crates/stair-entry/tests/slow_caller.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use stair_config::EntryLimits;
+use stair_standin::memory::MemoryStore;
 use support::{
     agent::{
         Event,
@@ -16,7 +17,6 @@
         keys, //
     },
     soon,
-    store::MemoryStore,
 };
 use tokio::{
     io::{
@@ -49,7 +49,7 @@
 async fn slow_sender_cut() {
     let keys = keys();
     let agent = FakeAgent::start("t1", &keys, |s| s.serve("{}"));
-    let rig = Rig::with(&keys, &[&agent], limits(), MemoryStore::new()).await;
+    let rig = Rig::with(&keys, &[&agent], limits(), MemoryStore::default()).await;
 
     let mut stream = connect(&rig, "{", 100).await;
     let mut text = String::new();
@@ -76,7 +76,7 @@
         }
         s.order().await;
     });
-    let rig = Rig::with(&keys, &[&agent], limits(), MemoryStore::new()).await;
+    let rig = Rig::with(&keys, &[&agent], limits(), MemoryStore::default()).await;
 
     let _stream = connect(&rig, BILLED, BILLED.len()).await;
 
--- a/crates/stair-entry/tests/support/mod.rs
+++ b/crates/stair-entry/tests/support/mod.rs
@@ -1,4 +1,4 @@
-//! A scripted agent, a store in memory and an entry's traffic between them.
+//! A scripted agent and an entry's traffic before it.
 // Each test file is a crate of its own and uses a part of this, so what is unused differs and
 // `expect` would not hold.
 #![allow(dead_code, unreachable_pub, missing_docs)]
@@ -6,7 +6,6 @@
 pub mod agent;
 pub mod relay;
 pub mod rig;
-pub mod store;
 
 use std::time::Duration;
 
--- a/crates/stair-entry/tests/support/rig.rs
+++ b/crates/stair-entry/tests/support/rig.rs
@@ -45,6 +45,12 @@
     keys::Authority,
     link::Probing, //
 };
+use stair_platform::{
+    ClaimShard,
+    Event,
+    Kind, //
+};
+use stair_standin::memory::MemoryStore;
 use stair_types::{
     AdapterName,
     CallerName,
@@ -61,11 +67,7 @@
     sync::watch, //
 };
 
-use super::{
-    LONG,
-    agent::FakeAgent,
-    store::MemoryStore, //
-};
+use super::{LONG, agent::FakeAgent};
 
 /// Key of a caller of the better tier.
 pub const GOLD: &str = "gold-key";
@@ -115,8 +117,21 @@
 }
 
 impl Rig {
+    /// Returns the number of claims in all shards.
+    pub fn claims(&self) -> usize {
+        let shards = self.store.objects(Kind::Claims).events.into_iter();
+        let shards = shards.filter_map(|event| match event {
+            Event::Put(object) => Some(object.value),
+            Event::Deleted { .. } => None,
+        });
+        shards
+            .map(|value| serde_json::from_value::<ClaimShard>(value).expect("a shard"))
+            .map(|shard| shard.claims.len())
+            .sum()
+    }
+
     pub async fn start(keys: &Keys, agents: &[&FakeAgent]) -> Self {
-        Self::with(keys, agents, EntryLimits::default(), MemoryStore::new()).await
+        Self::with(keys, agents, EntryLimits::default(), MemoryStore::default()).await
     }
 
     pub async fn with(
--- a/crates/stair-platform/tests/apply.rs
+++ b/crates/stair-platform/tests/apply.rs
@@ -1,13 +1,7 @@
 //! Applying a catalogue over a store that fails.
 
-mod common;
-
 use std::time::Duration;
 
-use common::{
-    Fake,
-    Fault, //
-};
 use stair_config::{
     Catalogue,
     Declarations,
@@ -27,6 +21,10 @@
         load, //
     }, //
 };
+use stair_standin::memory::{
+    Fault,
+    MemoryStore, //
+};
 use stair_types::{
     ApplyId,
     ConfigVersion, //
@@ -55,7 +53,7 @@
     }
 }
 
-async fn in_force(store: &Fake) -> (u64, u16) {
+async fn in_force(store: &MemoryStore) -> (u64, u16) {
     let found = load(store).await.unwrap().unwrap();
     let replicas = found.catalogue.model("notes").unwrap().replicas;
     (found.version.0, replicas)
@@ -65,8 +63,8 @@
     Ok(Outcome::Applied(ConfigVersion(version)))
 }
 
-async fn with_first() -> Fake {
-    let store = Fake::default();
+async fn with_first() -> MemoryStore {
+    let store = MemoryStore::default();
     assert_eq!(load(&store).await, Ok(None));
     assert_eq!(apply(&store, &catalogue(1), &opts("a")).await, applied(1));
     store
@@ -184,7 +182,7 @@
 // further tries and the operator notices only that it takes longer.
 #[tokio::test(start_paused = true)]
 async fn chunk_writes_fail() {
-    let store = Fake::default();
+    let store = MemoryStore::default();
     for fault in [Fault::LostAfter, Fault::Down, Fault::LostBefore] {
         store.fail_write(Kind::Chunk, fault);
     }
--- a/crates/stair-standin/src/lib.rs
+++ b/crates/stair-standin/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for what dandelionstair talks to, with faults on command and records of their own.
 //!
 //! - [`platform`]: the platform's object API.
+//! - [`memory`]: its objects without the network, for tests of one part.
 //! - [`engine`]: a model engine.
 //! - [`service`]: a plain service.
 //! - [`proxy`]: TCP and UDP proxies that cut, delay and swallow.
@@ -9,6 +10,7 @@
 #![forbid(unsafe_code)]
 
 pub mod engine;
+pub mod memory;
 pub mod platform;
 pub mod proxy;
 pub mod recorder;
--- a/crates/stair-standin/src/platform.rs
+++ b/crates/stair-standin/src/platform.rs
@@ -1,7 +1,7 @@
 //! The platform's stand-in: objects in memory, served by the mapping of `stair_platform::types`.
 
 mod serve;
-mod store;
+pub(crate) mod store;
 
 use std::{
     io,
--- a/crates/stair-standin/src/platform/store.rs
+++ b/crates/stair-standin/src/platform/store.rs
@@ -41,7 +41,7 @@
 }
 
 #[derive(Default)]
-pub(super) struct Store {
+pub(crate) struct Store {
     revision: u64,
     /// Sorted by kind and name.
     objects: Vec<Object>,
@@ -53,12 +53,12 @@
 }
 
 impl Store {
-    pub(super) fn get(&self, kind: Kind, name: &str) -> Option<Object> {
+    pub(crate) fn get(&self, kind: Kind, name: &str) -> Option<Object> {
         let at = self.find(kind, name).ok()?;
         Some(self.objects[at].clone())
     }
 
-    pub(super) fn list(&self, kind: Kind) -> Page {
+    pub(crate) fn list(&self, kind: Kind) -> Page {
         let of_kind = self.objects.iter().filter(|object| object.kind == kind);
         Page {
             revision: self.revision,
@@ -66,7 +66,7 @@
         }
     }
 
-    pub(super) fn put(
+    pub(crate) fn put(
         &mut self,
         kind: Kind,
         name: &str,
@@ -85,7 +85,7 @@
         Ok(self.write(kind, name, value))
     }
 
-    pub(super) fn delete(&mut self, kind: Kind, name: &str, version: u64) -> Result<(), Rejected> {
+    pub(crate) fn delete(&mut self, kind: Kind, name: &str, version: u64) -> Result<(), Rejected> {
         let at = self.find(kind, name).map_err(|_| Rejected::NotFound)?;
         if self.objects[at].version != version {
             return Err(Rejected::Conflict);
@@ -95,7 +95,7 @@
     }
 
     /// Returns the changes after `since`, or `None` when the history does not reach back so far.
-    pub(super) fn changes(&self, kinds: &[Kind], since: u64) -> Option<Page> {
+    pub(crate) fn changes(&self, kinds: &[Kind], since: u64) -> Option<Page> {
         if since < self.forgotten || since > self.revision {
             return None;
         }
@@ -168,7 +168,7 @@
             .binary_search_by(|object| (object.kind, &*object.name).cmp(&key))
     }
 
-    fn write(&mut self, kind: Kind, name: &str, value: Value) -> u64 {
+    pub(crate) fn write(&mut self, kind: Kind, name: &str, value: Value) -> u64 {
         self.revision += 1;
         let object = Object {
             kind,
