dandelionstair: measure the speed of the whole path

The tests' support declares tiers by option, can leave the proxies out, and tells a process's id and the time to an answer's first byte.

--- a/crates/dandelionstair/tests/promises/support/caller.rs
+++ b/crates/dandelionstair/tests/promises/support/caller.rs
@@ -78,8 +78,13 @@
     }
 
     /// Uses the key of the lower tier.
-    pub(crate) fn batch(mut self) -> Self {
-        self.key = BATCH_KEY.into();
+    pub(crate) fn batch(self) -> Self {
+        self.key(BATCH_KEY)
+    }
+
+    /// Uses another caller's key.
+    pub(crate) fn key(mut self, key: &str) -> Self {
+        self.key = key.into();
         self
     }
 
@@ -129,6 +134,8 @@
     pub(crate) body: String,
     /// Whether the body came to its end.
     pub(crate) whole: bool,
+    /// Time from sending to the first piece of the body, if one came.
+    pub(crate) first: Option<Duration>,
     /// Time from sending to the end.
     pub(crate) took: Duration,
 }
@@ -187,10 +194,11 @@
             retry_after: None,
             body: String::new(),
             whole: false,
+            first: None,
             took: Duration::ZERO,
         };
         match self.client.send(ask.request(), LIMIT).await {
-            Ok(head) => read(head, &mut answer).await,
+            Ok(head) => read(head, &mut answer, sent).await,
             Err(e) => answer.body = e.to_string(),
         }
         answer.took = sent.elapsed();
@@ -198,7 +206,7 @@
     }
 }
 
-async fn read(mut head: client::Answer, answer: &mut Answer) {
+async fn read(mut head: client::Answer, answer: &mut Answer, sent: Instant) {
     let header = |name: &str| {
         let value = head.head.headers.get(name);
         value.and_then(|v| v.to_str().ok()).unwrap_or_default()
@@ -209,7 +217,10 @@
     let mut body = Vec::new();
     loop {
         match head.chunk(LIMIT).await {
-            Ok(Some(bytes)) if body.len() < MAX_ANSWER => body.extend_from_slice(&bytes),
+            Ok(Some(bytes)) if body.len() < MAX_ANSWER => {
+                answer.first.get_or_insert_with(|| sent.elapsed());
+                body.extend_from_slice(&bytes);
+            }
             Ok(Some(_)) | Err(_) => break,
             Ok(None) => {
                 answer.whole = true;
--- a/crates/dandelionstair/tests/promises/support/mod.rs
+++ b/crates/dandelionstair/tests/promises/support/mod.rs
@@ -17,7 +17,9 @@
     Caller, //
 };
 pub(crate) use world::{
+    ModelSpec,
     Options,
+    TierSpec,
     World, //
 };
 
--- a/crates/dandelionstair/tests/promises/support/process.rs
+++ b/crates/dandelionstair/tests/promises/support/process.rs
@@ -118,6 +118,11 @@
         matches!(self.child.try_wait(), Ok(Some(_)))
     }
 
+    /// Returns its id.
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id().expect("it has not ended")
+    }
+
     /// Returns what it has logged.
     pub(crate) fn log(&self) -> String {
         fs::read_to_string(&self.log).unwrap_or_default()
--- a/crates/dandelionstair/tests/promises/support/world.rs
+++ b/crates/dandelionstair/tests/promises/support/world.rs
@@ -23,7 +23,10 @@
     Client,
     client, //
 };
-use stair_link::keys::Authority;
+use stair_link::{
+    Keys,
+    keys::Authority, //
+};
 use stair_platform::{
     HttpStore,
     Kind,
@@ -98,6 +101,33 @@
     pub(crate) agent_limits: Value,
     /// More settings of entries, as the fields of `limits`.
     pub(crate) entry_limits: Value,
+    /// The tiers by rank, with a caller each.
+    pub(crate) tiers: Vec<TierSpec>,
+    /// Requests and answers pass no proxy, so that a measurement shows the processes alone.
+    pub(crate) direct: bool,
+}
+
+/// A tier to declare, and its caller's key.
+#[derive(Clone)]
+pub(crate) struct TierSpec {
+    pub(crate) name: Box<str>,
+    pub(crate) key: Box<str>,
+    pub(crate) floor_percent: u8,
+    pub(crate) timeout: Duration,
+    pub(crate) max_waiting: u32,
+}
+
+impl TierSpec {
+    /// A tier with a timeout of 30 s.
+    pub(crate) fn new(name: &str, key: &str, floor_percent: u8) -> Self {
+        Self {
+            name: name.into(),
+            key: key.into(),
+            floor_percent,
+            timeout: Duration::from_secs(30),
+            max_waiting: 1_000,
+        }
+    }
 }
 
 /// A model to declare.
@@ -133,6 +163,11 @@
             keep_idle: Duration::from_secs(600),
             agent_limits: json!({}),
             entry_limits: json!({ "drain_linger_ms": 0 }),
+            tiers: vec![
+                TierSpec::new("interactive", INTERACTIVE_KEY, 50),
+                TierSpec::new("batch", BATCH_KEY, 10),
+            ],
+            direct: false,
         }
     }
 }
@@ -142,6 +177,8 @@
     pub(crate) name: Box<str>,
     pub(crate) process: Process,
     pub(crate) listen: SocketAddr,
+    /// Where agents and other entries reach it.
+    pub(crate) link: SocketAddr,
     pub(crate) operator: SocketAddr,
     /// From the entry to the platform.
     pub(crate) to_platform: TcpProxy,
@@ -221,22 +258,21 @@
     /// Returns the catalogue that the options describe.
     pub(crate) fn catalogue(&self) -> Catalogue {
         let idle = self.opts.keep_idle.as_millis() as u64;
-        let caller = |name: &str, key: &str| {
-            json!({
-                "name": name, "tier": name, "key_sha256": sha256_hex(key.as_bytes()),
-            })
-        };
         let mut models: Vec<&ModelSpec> = self.opts.models.iter().collect();
         models.sort_by(|a, b| a.name.cmp(&b.name));
         let models: Vec<Value> = models.into_iter().map(model).collect();
-        let mut callers = vec![
-            caller("interactive", INTERACTIVE_KEY),
-            caller("batch", BATCH_KEY),
-        ];
+        let tiers = self
+            .opts
+            .tiers
+            .iter()
+            .zip(0..)
+            .map(|(t, rank)| tier(t, rank));
+        let tiers: Vec<Value> = tiers.collect();
+        let mut callers: Vec<Value> = self.opts.tiers.iter().map(caller).collect();
         callers.sort_by_key(|c| c["key_sha256"].as_str().map(str::to_owned));
         let value = json!({
             "models": models,
-            "tiers": [tier("interactive", 0, 50), tier("batch", 1, 10)],
+            "tiers": tiers,
             "callers": callers,
             "services": [{
                 "name": "lookup", "concurrency": 64,
@@ -286,15 +322,20 @@
         let mut process = Process::start("entry", &settings);
         let ready = process.ready().await;
         to_link.attach(ready.addr("link"));
+        let link = match self.opts.direct {
+            true => ready.addr("link"),
+            false => to_link.addr(),
+        };
         let role = VmRole::Entry {
             name: EntryName::try_from(&*name).expect("a good name"),
-            link: to_link.addr(),
+            link,
         };
         self.platform.set_vm(&name, live(role));
         self.entries.push(EntryProcess {
             name: name.into(),
             process,
             listen: ready.addr("listen"),
+            link,
             operator: ready.addr("operator"),
             to_platform,
             to_link,
@@ -313,9 +354,13 @@
         let engine = Engine::start(any_port(), opts, recorder).await;
         let engine = engine.expect("the engine's stand-in starts");
         let to_target = TcpProxy::start(engine.addr()).await.expect("starts");
+        let address = match self.opts.direct {
+            true => engine.addr(),
+            false => to_target.addr(),
+        };
         self.engines.push(engine);
         let target = json!({
-            "engine": { "address": to_target.addr(), "memory_mib": memory_mib },
+            "engine": { "address": address, "memory_mib": memory_mib },
         });
         self.add_agent(name, target, to_target).await;
     }
@@ -341,17 +386,19 @@
     async fn add_agent(&mut self, name: String, target: Value, to_target: TcpProxy) {
         let to_platform = TcpProxy::start(self.platform.addr()).await.expect("starts");
         let to_link = UdpProxy::start_detached().await.expect("starts");
-        let settings = json!({
+        let mut settings = json!({
             "name": name,
             "data_centre": "dc",
             "link": "127.0.0.1:0",
-            "advertise": to_link.addr(),
             "operator": "127.0.0.1:0",
             "platform": to_platform.addr(),
             "target": target,
             "tls": self.keys(&name),
             "limits": self.opts.agent_limits,
         });
+        if !self.opts.direct {
+            settings["advertise"] = json!(to_link.addr());
+        }
         let settings = self.write(&name, &settings);
         let role = VmRole::Target {
             name: TargetName::try_from(&*name).expect("a good name"),
@@ -421,6 +468,11 @@
         of_target.expect("the holder has an agent")
     }
 
+    /// Issues the keys of one more process.
+    pub(crate) fn link_keys(&self) -> Keys {
+        self.authority.issue().expect("keys can be issued")
+    }
+
     fn keys(&self, name: &str) -> Value {
         let pem = self.authority.issue_pem().expect("keys can be issued");
         let write = |what: &str, text: &str| {
@@ -476,10 +528,16 @@
     })
 }
 
-fn tier(name: &str, rank: u8, floor_percent: u8) -> Value {
+fn tier(spec: &TierSpec, rank: u8) -> Value {
+    json!({
+        "name": spec.name, "rank": rank, "floor_percent": spec.floor_percent,
+        "timeout_ms": spec.timeout.as_millis() as u64, "max_waiting": spec.max_waiting,
+    })
+}
+
+fn caller(spec: &TierSpec) -> Value {
     json!({
-        "name": name, "rank": rank, "floor_percent": floor_percent,
-        "timeout_ms": 30_000, "max_waiting": 1_000,
+        "name": spec.name, "tier": spec.name, "key_sha256": sha256_hex(spec.key.as_bytes()),
     })
 }
 
