link: share the outcome of one attempt among all that wait for it

Cause: requests that found no link to a dead address made attempts of their own one after the other, each holding the slot's lock for the whole time to connect. Traffic only bounded its wait to 2 s; everything else waited on. The attempt also died with the request that began it, and the next one began again.

Change: the attempt runs in a task of its own, and all that wait get its outcome, success or failure. Traffic's own bound is not needed any more.

Ruled out: remembering the failure for later requests too. A path that heals would be refused meanwhile, and the next attempt is shared anyway.

--- a/crates/stair-entry/src/traffic/offer.rs
+++ b/crates/stair-entry/src/traffic/offer.rs
@@ -34,10 +34,6 @@
 /// lives, and waiting on would hold the request until its deadline.
 const QUEUED_TIME: Duration = Duration::from_secs(3);
 
-/// Requests to one address wait for each other's attempts to open a link. Behind many of them one
-/// would wait for its own turn until its deadline, although other targets are free.
-const LINK_TIME: Duration = Duration::from_secs(2);
-
 /// Told to callers whose targets cannot be reached, in milliseconds: about the time in which a
 /// link is replaced.
 const RETRY_MS: u32 = 1_000;
@@ -55,10 +51,8 @@
 ) -> Result<Exchange, Refusal> {
     let unreachable =
         || Refusal::not_run(Reason::NoTarget, RETRY_MS, "the target cannot be reached");
-    let link = match timeout(LINK_TIME, cx.pool.get(target.link)).await {
-        Ok(Ok(link)) => link,
-        Ok(Err(_)) | Err(_) => return Err(unreachable()),
-    };
+    let link = cx.pool.get(target.link).await;
+    let link = link.map_err(|_| unreachable())?;
     let opened = Exchange::open(target, &link).await;
     let mut exchange = opened.map_err(|_| unreachable())?;
     // From here on the agent may run work that needs no `Start`.
--- a/crates/stair-link/tests/open.rs
+++ b/crates/stair-link/tests/open.rs
@@ -104,3 +104,50 @@
 
     assert!(result.is_err(), "a stranger opened a link");
 }
+
+// A target's VM is gone and its address swallows everything. A burst of requests for it meets
+// there. Callers must all be told, or sent elsewhere, after the time of one attempt; with attempts
+// one after the other the last of them would wait for half a minute.
+#[tokio::test(start_paused = true)]
+async fn burst_shares_failure() {
+    const TIME: Duration = Duration::from_secs(1);
+    let authority = Authority::generate().expect("keys can be made");
+    let dead = std::net::UdpSocket::bind(any_port()).expect("binds");
+    let addr = dead.local_addr().expect("is bound");
+    let dialer = Dialer::new(&issue(&authority), TIME).expect("the keys are good");
+    let pool = Pool::new(dialer.clone(), Probing::REQUESTS);
+    let began = tokio::time::Instant::now();
+
+    let mut tasks = tokio::task::JoinSet::new();
+    for _ in 0..30 {
+        let pool = pool.clone();
+        tasks.spawn(async move { pool.get(addr).await.map(drop) });
+    }
+    let all = tasks.join_all().await;
+
+    assert!(all.iter().all(Result::is_err), "a dead address answered");
+    assert!(began.elapsed() < TIME * 2, "took {:?}", began.elapsed());
+    assert_eq!(dialer.replaced(), 1);
+}
+
+// The request that began an attempt is given up by its caller, while others wait for the same
+// link. They must get it all the same.
+#[tokio::test]
+async fn first_gives_up() {
+    let authority = Authority::generate().expect("keys can be made");
+    let listener = Listener::bind(any_port(), &issue(&authority)).expect("binds");
+    let addr = listener.addr().expect("is bound");
+    tokio::spawn(echo(listener));
+    let pool = Pool::new(dialer(&issue(&authority)), Probing::REQUESTS);
+
+    let first = pool.get(addr);
+    tokio::select! {
+        biased;
+        _ = first => panic!("a handshake took no time"),
+        () = std::future::ready(()) => {}
+    }
+    let second = pool.get(addr).await;
+
+    assert!(second.is_ok());
+    assert_eq!(pool.live(), 1);
+}
