entry: propose grants only from what it has seen whole

Cause: an entry removes the grants of holders whose VM is not in its list. It can know a shard later than that list: while it lists everything again, grants come before VMs; and when it writes a release it reads the shard by itself, ahead of a watch that lags or whose connection is silent. The grant of a new VM then looked like one of a VM that is gone. It was removed, and the model was granted and loaded a second time.

Ruled out: listing the VMs first, which makes a holder that has just gone look alive and does nothing for the silent watch; not writing releases, which leaves models without a holder.

Change: the feed says up to which revision everything, the configuration included, has been sent to control; a shard known later is left alone until the watch has come so far, or another entry acts.

--- a/crates/stair-entry/src/control/actor.rs
+++ b/crates/stair-entry/src/control/actor.rs
@@ -151,7 +151,9 @@
     fn handle(&mut self, myself: &ActorRef<Msg>, msg: Msg) {
         let changed = match msg {
             Msg::Listed(listed) => self.take_list(*listed),
-            Msg::Changes(page) => self.take_changes(page.events),
+            Msg::Changes(events) => self.take_changes(events),
+            // An own write comes back and changes nothing, but more may follow from it.
+            Msg::Seen(revision) => self.state.raise_seen(revision) && self.unproposed,
             Msg::Config(config) => self.state.raise_config(*config),
             Msg::Confirmed => {
                 self.state.confirmed = true;
--- a/crates/stair-entry/src/control/feed.rs
+++ b/crates/stair-entry/src/control/feed.rs
@@ -81,6 +81,8 @@
     manifest: u64,
     /// A manifest whose chunks could not be read yet.
     pending: Option<Object>,
+    /// The version of the first manifest since the last one whose chunks could be read.
+    unread_since: Option<u64>,
     /// Tells how many entries read at the same time.
     view: watch::Receiver<Arc<View>>,
 }
@@ -97,6 +99,7 @@
             chunks: Arc::default(),
             manifest: 0,
             pending: None,
+            unread_since: None,
             view,
         }
     }
@@ -109,6 +112,7 @@
             match self.list().await {
                 Ok(revision) => {
                     pause = Pause::new();
+                    let _ = self.actor.send_message(Msg::Seen(revision));
                     let _ = self.actor.send_message(Msg::Confirmed);
                     self.watch(revision).await;
                 }
@@ -156,12 +160,15 @@
                     pause = Pause::new();
                     since = page.revision.max(since);
                     self.note_manifests(&page);
-                    if !page.events.is_empty() {
-                        let _ = self.actor.send_message(Msg::Changes(Box::new(page)));
+                    if page.events.is_empty() && self.pending.is_none() {
+                        continue;
                     }
+                    let _ = self.actor.send_message(Msg::Changes(page.events));
                     if let Err(e) = self.load_pending().await {
                         warn!(Part::Config, "A configuration cannot be read yet: {e}.");
                     }
+                    let seen = self.unread_since.map_or(since, |version| version - 1);
+                    let _ = self.actor.send_message(Msg::Seen(seen));
                 }
                 Err(Error::Gone) => return,
                 Err(e) => {
@@ -177,6 +184,7 @@
             if let Event::Put(object) = event
                 && object.kind == Kind::Manifest
             {
+                self.unread_since.get_or_insert(object.version);
                 self.pending = Some(object.clone());
             }
         }
@@ -188,6 +196,7 @@
         };
         if object.version <= self.manifest {
             self.pending = None;
+            self.unread_since = None;
             return Ok(());
         }
         let spread = CHUNK_SPREAD_PER_ENTRY * self.view.borrow().entries;
@@ -199,6 +208,7 @@
         }
         self.put_in_force(object.version, manifest, all)?;
         self.pending = None;
+        self.unread_since = None;
         Ok(())
     }
 
@@ -259,11 +269,8 @@
                 warn!(Part::Members, "A peer's configuration is unusable: {e}.");
             }
         }
-        let page = Page {
-            revision: snapshot.revision,
-            events: others.into_iter().map(Event::Put).collect(),
-        };
-        let _ = self.actor.send_message(Msg::Changes(Box::new(page)));
+        let events = others.into_iter().map(Event::Put).collect();
+        let _ = self.actor.send_message(Msg::Changes(events));
     }
 }
 
--- a/crates/stair-entry/src/control/msg.rs
+++ b/crates/stair-entry/src/control/msg.rs
@@ -5,7 +5,7 @@
 use serde_json::Value;
 use stair_platform::{
     Error,
-    Page,
+    Event,
     Snapshot, //
 };
 use stair_state::GrantShard;
@@ -38,11 +38,13 @@
     /// A complete list of one kind.
     Listed(Box<Listed>),
     /// Changes, of a watch or a peer.
-    Changes(Box<Page>),
+    Changes(Vec<Event>),
     /// A configuration whose chunks are all read.
     Config(Box<Config>),
     /// Everything was listed from the platform itself.
     Confirmed,
+    /// Everything up to this revision of the platform has been sent here.
+    Seen(u64),
     /// A shard as this entry has just written it.
     Written(ShardId, Result<Option<Versioned<GrantShard>>, Error>),
     /// Grants that were written as given back.
--- a/crates/stair-entry/src/control/state.rs
+++ b/crates/stair-entry/src/control/state.rs
@@ -112,6 +112,9 @@
     pub leaving: Vec<LeavingAgent>,
     /// Whether the platform itself has confirmed the state since this process started.
     pub confirmed: bool,
+    /// The platform's revision up to which everything is known. Single objects may be known later:
+    /// a shard that this entry read or wrote by itself, or a kind that was listed before others.
+    pub seen: u64,
 }
 
 /// An agent that said that it is leaving.
@@ -132,11 +135,28 @@
             vms: Vec::new(),
             leaving: Vec::new(),
             confirmed: false,
+            seen: 0,
         }
     }
 }
 
 impl State {
+    /// Notes that everything is known up to a revision. Returns whether that is new.
+    pub fn raise_seen(&mut self, revision: u64) -> bool {
+        let later = revision > self.seen;
+        self.seen = revision.max(self.seen);
+        later
+    }
+
+    /// Tells whether everything is known that a shard may rest on.
+    ///
+    /// A shard that is known later than the list of VMs may name a holder whose VM is not in that
+    /// list yet, and one that is known later than the declarations may have been changed for
+    /// declarations that this entry has not heard of.
+    pub fn has_seen(&self, shard: ShardId) -> bool {
+        self.shards[usize::from(shard.0)].version <= self.seen
+    }
+
     /// Takes over a configuration if it is later. Returns whether it was.
     ///
     /// The configuration's own version decides and not only the platform's revision, since a peer
--- a/crates/stair-entry/src/control/writes.rs
+++ b/crates/stair-entry/src/control/writes.rs
@@ -100,6 +100,13 @@
             if self.writing[i] {
                 continue;
             }
+            // The grant of a VM that is not listed yet would look like one of a VM that is gone:
+            // it would be removed, and the model be loaded twice. The watch is a moment behind, or
+            // its connection is silent, and another entry acts.
+            if !self.state.has_seen(shard) {
+                self.unproposed = true;
+                continue;
+            }
             let Some(next) = round.propose(&self.state, shard) else {
                 self.needed_since[i] = None;
                 continue;
