entry: forget who left once its record is deleted

Cause: an agent that stops says that it is leaving, and entries keep that by target and fencing token. When the VM is taken away its record is deleted, and the tokens of a new VM of the same name start again from one; the new agent was taken for the one that left and got no grant and no request for good.

Change: what an agent said is forgotten with its record.

--- a/crates/stair-entry/src/control/state.rs
+++ b/crates/stair-entry/src/control/state.rs
@@ -185,7 +185,9 @@
         version: u64,
         value: Option<IncarnationRecord>,
     ) -> bool {
-        raise(&mut self.incarnations, name, version, value)
+        let raised = raise(&mut self.incarnations, name, version, value);
+        self.forget_leaving();
+        raised
     }
 
     /// Takes over a VM's line if it is later. Returns whether it was.
@@ -271,7 +273,20 @@
 
     /// Takes over a complete list of agents' records: what it lacks is gone. `listed` is sorted.
     pub fn forget_unlisted_incarnations(&mut self, listed: &[TargetName], revision: u64) -> bool {
-        forget_unlisted(&mut self.incarnations, listed, revision)
+        let changed = forget_unlisted(&mut self.incarnations, listed, revision);
+        self.forget_leaving();
+        changed
+    }
+
+    /// Forgets that agents said that they are leaving once their records are deleted. The tokens
+    /// of a new VM of the same name start again from one, and it would be taken for the one that
+    /// left: it would get no grant and no request for good.
+    fn forget_leaving(&mut self) {
+        let records = &self.incarnations;
+        self.leaving.retain(|l| {
+            let at = records.binary_search_by(|r| r.name.cmp(&l.target));
+            at.is_ok_and(|i| records[i].object.value.is_some()) || at.is_err()
+        });
     }
 
     /// Derives what traffic needs.
