http: use a pooled connection only shortly after its last answer

Cause: a pooled connection can have gone silent while nobody used it.

Change: a connection is used again within 500 ms of its last answer and otherwise a fresh one is opened, whose handshake shows that the path works before anything is sent. When one falls silent all pooled ones are closed.

Ruled out: TCP keepalive alone. It is answered by whatever ends TCP between the two (a proxy, a balancer), and a request sent before it notices is lost all the same. No pool at all: a busy service would run out of local ports.

Not measured: what the handshakes cost at the planned size.

--- a/crates/stair-http/src/client.rs
+++ b/crates/stair-http/src/client.rs
@@ -3,12 +3,19 @@
 //! A connection goes back to the pool only when an answer's last byte was read. One on which a
 //! request timed out, failed or was given up is closed: its late answer must not reach the next
 //! request. An error says whether the request may have reached the other end.
+//!
+//! A pooled connection can have gone silent: something between the two ends has lost track of it,
+//! and neither end gets an error. A request sent on it is lost, and nobody knows whether it ran.
+//! So a connection is used again only shortly after its last answer, and otherwise a fresh one is
+//! opened, which shows that the path works before anything is sent. When one falls silent all
+//! pooled ones are closed, since what took it has probably taken them too.
 
 use std::{
     net::SocketAddr,
     sync::{
         Arc,
         Mutex,
+        MutexGuard,
         PoisonError, //
     },
     time::Duration,
@@ -35,7 +42,10 @@
 use stair_types::Verdict;
 use tokio::{
     net::TcpStream,
-    time::timeout, //
+    time::{
+        Instant,
+        timeout, //
+    },
 };
 
 /// Bounds of a client.
@@ -45,6 +55,8 @@
     pub connect_timeout: Duration,
     /// Idle connections kept.
     pub max_idle: usize,
+    /// Time for which an idle connection is used again.
+    pub idle_time: Duration,
 }
 
 impl Default for Options {
@@ -52,6 +64,9 @@
         Self {
             connect_timeout: Duration::from_secs(1),
             max_idle: 32,
+            // Under load connections are used again within milliseconds; with little load a
+            // handshake costs nothing that counts.
+            idle_time: Duration::from_millis(500),
         }
     }
 }
@@ -89,7 +104,13 @@
 struct Inner {
     addr: SocketAddr,
     opts: Options,
-    idle: Mutex<Vec<Connection>>,
+    /// The one that was used last comes last.
+    idle: Mutex<Vec<Idle>>,
+}
+
+struct Idle {
+    conn: Connection,
+    since: Instant,
 }
 
 type Connection = SendRequest<Full<Bytes>>;
@@ -130,7 +151,10 @@
         match timeout(head_time, self.send_on_any(req)).await {
             Ok(result) => result,
             // Whether the request left before the time was up is unknown.
-            Err(_) => Err(Error::Lost("no answer in time".into())),
+            Err(_) => {
+                self.forget_idle();
+                Err(Error::Lost("no answer in time".into()))
+            }
         }
     }
 
@@ -173,12 +197,14 @@
     }
 
     fn take_idle(&self) -> Option<Connection> {
-        let mut idle = self
-            .inner
-            .idle
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        while let Some(conn) = idle.pop() {
+        let idle_time = self.inner.opts.idle_time;
+        let mut idle = self.idle();
+        while let Some(Idle { conn, since }) = idle.pop() {
+            if since.elapsed() > idle_time {
+                // All others have been idle for even longer.
+                idle.clear();
+                return None;
+            }
             if conn.is_ready() {
                 return Some(conn);
             }
@@ -187,16 +213,24 @@
     }
 
     fn give_back(&self, conn: Connection) {
-        let mut idle = self
-            .inner
-            .idle
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let since = Instant::now();
+        let mut idle = self.idle();
         if idle.len() < self.inner.opts.max_idle {
-            idle.push(conn);
+            idle.push(Idle { conn, since });
         }
     }
 
+    fn forget_idle(&self) {
+        self.idle().clear();
+    }
+
+    fn idle(&self) -> MutexGuard<'_, Vec<Idle>> {
+        self.inner
+            .idle
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn answer(&self, conn: Connection, resp: hyper::Response<Incoming>) -> Answer {
         let (head, body) = resp.into_parts();
         Answer {
@@ -232,7 +266,10 @@
                     self.finish();
                     return Ok(None);
                 }
-                Err(_) => return Err(Error::Lost("the answer fell silent".into())),
+                Err(_) => {
+                    self.client.forget_idle();
+                    return Err(Error::Lost("the answer fell silent".into()));
+                }
             };
             if let Ok(data) = frame.into_data() {
                 return Ok(Some(data));
