entry: offer once more after a lost link, and say when to come back

Cause: a request that was the first to use a silent link was refused although its target was well, when the model has one holder. Refusals that may have run told no time to come back for work that may be repeated.

Change: a target whose link was lost is tried once more after all others, under an offer id of its own, since an agent takes no id twice and the first offer may have reached it. Work that needs a Start got none in the first round, so it cannot run twice. Repeatable work that may have run gets a Retry-After.

--- a/crates/stair-entry/src/traffic/dispatch.rs
+++ b/crates/stair-entry/src/traffic/dispatch.rs
@@ -9,6 +9,7 @@
 use stair_types::{
     Reason,
     Refusal,
+    RequestId,
     TargetName,
     Verdict, //
 };
@@ -50,7 +51,7 @@
     let mut last: Option<Refusal> = None;
     loop {
         let next = choose::next(cx, req, &tried.names).or_else(|| {
-            let again = tried.forget_unreached();
+            let again = tried.forget_lost();
             again.then(|| choose::next(cx, req, &tried.names)).flatten()
         });
         let next = match next {
@@ -65,7 +66,8 @@
         }
         tried.names.push(target.name.clone());
         progress.place.enter(Phase::Waiting);
-        let Err(refusal) = attempt(cx, req, &target, caller, progress).await else {
+        let id = tried.offer_id(req.id);
+        let Err(refusal) = attempt(cx, req, id, &target, caller, progress).await else {
             return Ok(());
         };
         note(cx, &target, &refusal);
@@ -126,35 +128,44 @@
 #[derive(Default)]
 struct Tried {
     names: Vec<TargetName>,
-    unreached: Vec<TargetName>,
+    lost: Vec<TargetName>,
     is_second_round: bool,
 }
 
 impl Tried {
     fn note(&mut self, target: &Chosen, refusal: &Refusal) {
-        if refusal.reason == Reason::NoTarget {
-            self.unreached.push(target.name.clone());
+        if refusal.reason == Reason::LinkLost {
+            self.lost.push(target.name.clone());
         }
     }
 
-    /// Lets the targets that were not reached be tried once more, after all others.
+    /// Lets the targets whose link was lost be tried once more, after all others.
     ///
-    /// The path from this entry's local port may have gone silent. The failed attempt has taken a
-    /// new port, so the next one succeeds although the first one ran out of time.
-    fn forget_unreached(&mut self) -> bool {
-        if self.is_second_round || self.unreached.is_empty() {
+    /// The link may have gone silent while nobody used it, and the request was the first to find
+    /// out. A model often has one holder only; its callers would be refused although the target is
+    /// well, and a new link comes from a new port.
+    fn forget_lost(&mut self) -> bool {
+        if self.is_second_round || self.lost.is_empty() {
             return false;
         }
         self.is_second_round = true;
-        let unreached = std::mem::take(&mut self.unreached);
-        self.names.retain(|n| !unreached.contains(n));
+        let lost = std::mem::take(&mut self.lost);
+        self.names.retain(|n| !lost.contains(n));
         true
     }
+
+    /// Returns the id to offer under. An agent takes no id twice, and the first offer may have
+    /// reached it; so the second round has an id of its own. Work that needs a `Start` got none in
+    /// the first round, and cannot run under the first id any more.
+    fn offer_id(&self, id: RequestId) -> RequestId {
+        RequestId(id.0 ^ u128::from(self.is_second_round))
+    }
 }
 
 async fn attempt<S>(
     cx: &Cx<S>,
     req: &Request,
+    id: RequestId,
     target: &Chosen,
     caller: &mut Caller,
     progress: &mut Progress,
@@ -163,7 +174,7 @@
     S: ObjectStore,
 {
     let _in_flight = target.target.take();
-    let mut exchange = offer::offer(cx, req, target, progress).await?;
+    let mut exchange = offer::offer(cx, req, id, target, progress).await?;
     if !progress.started {
         start::start(cx, req, &mut exchange, progress).await?;
     }
--- a/crates/stair-entry/src/traffic/exchange.rs
+++ b/crates/stair-entry/src/traffic/exchange.rs
@@ -8,7 +8,10 @@
     SendStream,
     link::InUse, //
 };
-use stair_types::FencingToken;
+use stair_types::{
+    FencingToken,
+    RequestId, //
+};
 use stair_wire::{
     frame::{
         self,
@@ -31,6 +34,8 @@
 
 /// One request's stream to an agent. Dropped before it is over, it withdraws the request there.
 pub(super) struct Exchange {
+    /// The id of the offer.
+    pub(super) id: RequestId,
     pub(super) target: Chosen,
     /// The incarnation that took the offer.
     pub(super) incarnation: FencingToken,
@@ -52,8 +57,13 @@
     /// # Errors
     ///
     /// Fails when the link is closed.
-    pub(super) async fn open(target: &Chosen, link: &Link) -> Result<Self, stair_link::Error> {
+    pub(super) async fn open(
+        id: RequestId,
+        target: &Chosen,
+        link: &Link,
+    ) -> Result<Self, stair_link::Error> {
         Ok(Self {
+            id,
             target: target.clone(),
             incarnation: target.token,
             started_at: None,
--- a/crates/stair-entry/src/traffic/offer.rs
+++ b/crates/stair-entry/src/traffic/offer.rs
@@ -4,7 +4,8 @@
 
 use stair_types::{
     Reason,
-    Refusal, //
+    Refusal,
+    RequestId, //
 };
 use stair_wire::{
     frame::{
@@ -46,6 +47,7 @@
 pub(super) async fn offer<S>(
     cx: &Cx<S>,
     req: &Request,
+    id: RequestId,
     target: &Chosen,
     progress: &mut Progress,
 ) -> Result<Exchange, Refusal> {
@@ -53,7 +55,7 @@
         || Refusal::not_run(Reason::NoTarget, RETRY_MS, "the target cannot be reached");
     let link = cx.pool.get(target.link).await;
     let link = link.map_err(|_| unreachable())?;
-    let opened = Exchange::open(target, &link).await;
+    let opened = Exchange::open(id, target, &link).await;
     let mut exchange = opened.map_err(|_| unreachable())?;
     // From here on the agent may run work that needs no `Start`.
     progress.started = req.starts_when_ready();
@@ -69,7 +71,7 @@
         true => Refusal::may_have_run(Reason::LinkLost, 0, BROKE),
         false => Refusal::not_run(Reason::LinkLost, RETRY_MS, BROKE),
     };
-    let offer = ToAgent::Offer(message(req, &exchange.target));
+    let offer = ToAgent::Offer(message(req, exchange));
     exchange.send(&offer).await.map_err(broken)?;
     exchange.send_body(&req.body).await.map_err(broken)?;
     match exchange.read().await {
@@ -107,15 +109,15 @@
     target.target.report(load, model);
 }
 
-fn message(req: &Request, target: &Chosen) -> Offer {
+fn message(req: &Request, exchange: &Exchange) -> Offer {
     Offer {
-        id: req.id,
+        id: exchange.id,
         work: req.work.clone(),
         method: req.method.clone(),
         path: req.path.clone(),
         content_type: req.content_type.clone(),
         headers: req.headers.clone(),
-        shard_version: target.shard_version,
+        shard_version: exchange.target.shard_version,
         rank: req.rank,
         time_left_ms: millis(req.time_left()),
         repeatable: req.repeatable,
--- a/crates/stair-entry/src/traffic/resume.rs
+++ b/crates/stair-entry/src/traffic/resume.rs
@@ -72,7 +72,7 @@
             if is_replaced(cx, exchange) {
                 return Err(lost("the target was replaced during the run"));
             }
-            let attempt = once(cx, req, exchange, received);
+            let attempt = once(cx, exchange, received);
             if let Ok(Ok(())) = timeout_at(until, attempt).await {
                 return Ok(());
             }
@@ -82,17 +82,12 @@
     }
 }
 
-async fn once<S>(
-    cx: &Cx<S>,
-    req: &Request,
-    exchange: &mut Exchange,
-    received: u64,
-) -> anyhow::Result<()> {
+async fn once<S>(cx: &Cx<S>, exchange: &mut Exchange, received: u64) -> anyhow::Result<()> {
     let link = cx.pool.get(exchange.target.link).await?;
     exchange.reopen(&link).await?;
     let incarnation = exchange.incarnation;
     let resume = ToAgent::Resume {
-        id: req.id,
+        id: exchange.id,
         offset: received,
         incarnation,
     };
--- a/crates/stair-entry/src/traffic/run.rs
+++ b/crates/stair-entry/src/traffic/run.rs
@@ -84,8 +84,13 @@
     // A target that refused after another one may have run the request does not make it not run.
     if progress.may_have_run() {
         refusal.verdict = Verdict::MayHaveRun;
-        // Sending billed work again would not be safe at any time.
-        refusal.retry_after_ms *= u32::from(req.repeatable);
+    }
+    if refusal.verdict == Verdict::MayHaveRun {
+        refusal.retry_after_ms = match req.repeatable {
+            true => refusal.retry_after_ms.max(RETRY_MS),
+            // Sending billed work again would not be safe at any time.
+            false => 0,
+        };
     }
     if refusal.verdict == Verdict::NotRun && progress.claimed {
         cx.claims.release(&req);
