agent, entry: let entries tell an agent that its VM is leaving

Cause: an agent does not watch the platform's list. An entry that is cut off from the platform when a VM begins to leave goes on to offer it work, and the agent took it. For models the revocation of the grants stops that; a plain service has no grants.

Change: entries send what the list says of the agent's VM, with the line's version, on the control stream; the agent goes by the highest version and refuses work while its VM is leaving. The entry that hears such a refusal keeps away for 10 s and no longer for good: a VM may be told to stay, and a lagging list may speak of an earlier VM of the same name.

Shared type: stair_wire::control gets EntryControl::Vm and VmNotice.

--- a/crates/stair-agent/src/admit.rs
+++ b/crates/stair-agent/src/admit.rs
@@ -77,7 +77,7 @@
             let _ = events.send(Event::Refused(refusal, self.load(None)));
             return;
         }
-        let checked = match self.leaving {
+        let checked = match self.takes_no_work() {
             true => Err(leaving()),
             false => self.item_of(&offer.work),
         };
--- a/crates/stair-agent/src/control.rs
+++ b/crates/stair-agent/src/control.rs
@@ -55,7 +55,8 @@
 use stair_wire::{
     control::{
         Assignment,
-        EntryAddress, //
+        EntryAddress,
+        VmNotice, //
     },
     request::{
         Load,
@@ -124,6 +125,7 @@
         id: RequestId,
     },
     Assign(Box<Assignment>),
+    Vm(VmNotice),
     LoadEnded {
         item: Item,
         ended: Ordered,
@@ -254,7 +256,10 @@
     pub(crate) listing: bool,
     /// The engine's list has to be read before the next order.
     pub(crate) relist: bool,
+    /// The planned stop has begun.
     pub(crate) leaving: bool,
+    /// What the platform's list says of this VM.
+    pub(crate) vm: VmNotice,
     pub(crate) loads: u64,
     pub(crate) last_seen: Duration,
 }
@@ -329,6 +334,7 @@
             listing: false,
             relist: false,
             leaving: false,
+            vm: VmNotice::default(),
             loads: 0,
             last_seen: Duration::ZERO,
         }
@@ -374,6 +380,7 @@
             } => self.run_ended(id, complete.then_some(run), suspect),
             Msg::Forget { id } => self.forget(id),
             Msg::Assign(assignment) => self.assign(*assignment),
+            Msg::Vm(notice) => self.note_vm(notice),
             Msg::LoadEnded {
                 item,
                 ended,
@@ -423,6 +430,24 @@
         self.refuse_all_leaving();
     }
 
+    /// Takes no more work while the VM is listed as leaving. Of what the entries say the latest
+    /// counts, since any of them may lag.
+    fn note_vm(&mut self, notice: VmNotice) {
+        if notice.version <= self.vm.version {
+            return;
+        }
+        self.vm = notice;
+        if notice.is_leaving {
+            stair_telemetry::info!(Part::Agent, "the VM is listed as leaving");
+            self.refuse_all_leaving();
+        }
+    }
+
+    /// Tells whether new work is refused.
+    pub(crate) fn takes_no_work(&self) -> bool {
+        self.leaving || self.vm.is_leaving
+    }
+
     /// A later agent of this target has ordered the engine: orders of this one would break what
     /// the other relies on.
     pub(crate) fn superseded(&mut self) {
--- a/crates/stair-agent/src/control_links.rs
+++ b/crates/stair-agent/src/control_links.rs
@@ -248,6 +248,9 @@
                         changed
                     });
                 }
+                Some(EntryControl::Vm(notice)) => {
+                    cx.control.send_message(Msg::Vm(notice))?;
+                }
                 None => anyhow::bail!("the entry closed it"),
             },
             changed = statement.changed() => {
--- a/crates/stair-entry/src/control/agents.rs
+++ b/crates/stair-entry/src/control/agents.rs
@@ -109,6 +109,7 @@
             let seen = seen_shards(agent);
             let next = assignment::derive(&self.state, &agent.hello.target, &seen);
             let entries = &self.entries;
+            let vm = self.state.vm_notice(&agent.hello.target);
             agent.outbox.send_if_modified(|out| {
                 let held = out.assignment.as_ref();
                 let assigned = held.is_none_or(|a| assignment::differs(a, &next));
@@ -120,7 +121,9 @@
                 if moved {
                     out.entries = entries.clone();
                 }
-                assigned || moved
+                let noticed = out.vm != vm;
+                out.vm = vm;
+                assigned || moved || noticed
             });
         }
     }
--- a/crates/stair-entry/src/control/msg.rs
+++ b/crates/stair-entry/src/control/msg.rs
@@ -17,7 +17,8 @@
     AgentControl,
     Assignment,
     EntryAddress,
-    Hello, //
+    Hello,
+    VmNotice, //
 };
 use tokio::sync::{
     oneshot,
@@ -78,6 +79,8 @@
     pub assignment: Option<Arc<Assignment>>,
     /// The live entries.
     pub entries: Arc<Vec<EntryAddress>>,
+    /// What the platform's list says of the agent's VM.
+    pub vm: VmNotice,
 }
 
 /// An agent opened its control stream.
--- a/crates/stair-entry/src/control/state.rs
+++ b/crates/stair-entry/src/control/state.rs
@@ -39,7 +39,10 @@
     TargetName,
     rendezvous, //
 };
-use stair_wire::control::EntryAddress;
+use stair_wire::control::{
+    EntryAddress,
+    VmNotice, //
+};
 
 use crate::view::{
     TargetView,
@@ -226,6 +229,17 @@
         self.target_vm(target).is_some()
     }
 
+    /// Returns what the platform's list says of a target's VM.
+    pub fn vm_notice(&self, target: &TargetName) -> VmNotice {
+        let at = self
+            .vms
+            .binary_search_by(|vm| (*vm.name).cmp(target.as_str()));
+        VmNotice {
+            version: at.map_or(0, |i| self.vms[i].object.version),
+            is_leaving: self.is_marked_leaving(target),
+        }
+    }
+
     /// Tells whether a target's present agent said that it is leaving.
     pub fn says_leaving(&self, target: &TargetName, token: FencingToken) -> bool {
         let at = self.leaving.binary_search_by(|l| l.target.cmp(target));
--- a/crates/stair-entry/src/traffic/targets.rs
+++ b/crates/stair-entry/src/traffic/targets.rs
@@ -30,6 +30,11 @@
 /// for the whole time of an attempt.
 const AVOID_FOR: Duration = Duration::from_secs(1);
 
+/// A target that refused because its VM is leaving is not asked again for so long. A VM that is
+/// told to stay after all, or a lagging list that speaks of an earlier VM of the same name, shows
+/// by the next request after that; the refusal costs that request a round trip.
+const LEAVING_FOR: Duration = Duration::from_secs(10);
+
 /// Targets not heard of for long are swept when this many have been added.
 const SWEEP_AT: usize = 256;
 
@@ -61,10 +66,24 @@
     in_flight: u16,
     /// Sorted by name.
     models: Vec<Loaded>,
-    leaving: Option<FencingToken>,
+    leaving: Option<Leaving>,
     unreached: Option<Instant>,
 }
 
+/// An incarnation of the agent said that it is leaving.
+#[derive(Clone, Copy)]
+struct Leaving {
+    token: FencingToken,
+    said: Instant,
+}
+
+impl State {
+    fn leaving(&self) -> Option<FencingToken> {
+        let leaving = self.leaving.filter(|l| l.said.elapsed() < LEAVING_FOR);
+        leaving.map(|l| l.token)
+    }
+}
+
 struct Loaded {
     model: ModelName,
     loaded: bool,
@@ -202,7 +221,7 @@
                 Some(at) if at.elapsed() < AVOID_FOR => 0.0,
                 _ => weight,
             },
-            leaving: state.leaving,
+            leaving: state.leaving(),
         }
     }
 
@@ -234,7 +253,8 @@
 
     /// Notes that this incarnation of the agent said that it is leaving.
     pub(super) fn leaves(&self, token: FencingToken) {
-        self.lock().leaving = Some(token);
+        let said = Instant::now();
+        self.lock().leaving = Some(Leaving { token, said });
     }
 
     /// Counts a request of this entry at the target until the mark is dropped.
@@ -259,7 +279,7 @@
                 .and_then(|at| u64::try_from(at.elapsed().as_millis()).ok()),
             in_flight: state.in_flight,
             weight,
-            leaving: state.leaving,
+            leaving: state.leaving(),
         }
     }
 
--- a/crates/stair-wire/src/control.rs
+++ b/crates/stair-wire/src/control.rs
@@ -114,6 +114,21 @@
         /// Sorted by name.
         entries: Vec<EntryAddress>,
     },
+    /// What the platform's list says of the agent's VM, as one entry knows it.
+    Vm(VmNotice),
+}
+
+/// What the platform's list says of an agent's VM.
+///
+/// 12,000 agents cannot watch the list themselves. An entry that is cut off from the platform goes
+/// on to offer work to a VM that is leaving, so the agent has to refuse it, and hears from its
+/// other entry that it is leaving.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmNotice {
+    /// The platform's version of the VM's line; the agent goes by the highest.
+    pub version: u64,
+    /// Whether the VM is leaving.
+    pub is_leaving: bool,
 }
 
 /// Where an entry listens for links.
