agent: give the grants back before a planned stop ends

Cause: an agent that was told to stop ended with its models loaded and its grants in force. The entries revoked them, but nobody was left to say that the engine holds the models no longer; while the list called the VM live, a model with one replica was served by nobody. Refusals that were said at the very end could also be lost with the links, which left entries in doubt.

Change: an agent that leaves still unloads what is revoked, and waits at most 4 s for its grants to be revoked and 10 s for them to be taken back. It keeps the rest of its models loaded for the next agent of the engine. It waits for the streams' ends to be acknowledged before it closes links, at most 2 s.

Ruled out: giving back grants that are not revoked. The next agent of the target could load under them while another target has them by then.

A stop takes 4 s longer when no entry revokes, as when the platform is down.

--- a/crates/stair-agent/src/control.rs
+++ b/crates/stair-agent/src/control.rs
@@ -162,6 +162,10 @@
     /// Grants whose models wait for room.
     pub(crate) crowded: Vec<(ShardId, GrantId)>,
     pub(crate) leaving: bool,
+    /// Grants in force.
+    pub(crate) granted: usize,
+    /// Grants that are being revoked.
+    pub(crate) revoking: usize,
 }
 
 /// What the control publishes.
@@ -457,12 +461,16 @@
     }
 
     fn publish(&mut self) {
+        let revoking = self.in_force.revoking().count();
+        let listed: usize = self.in_force.shards().iter().map(|s| s.grants.len()).sum();
         let statement = Statement {
             crowded: self.crowded(),
             config: self.in_force.config(),
             shards: self.in_force.versions(),
             released: self.in_force.released().to_vec(),
             leaving: self.leaving,
+            granted: listed - revoking,
+            revoking,
         };
         let published = &self.args.published;
         published.statement.send_if_modified(|s| {
--- a/crates/stair-agent/src/links.rs
+++ b/crates/stair-agent/src/links.rs
@@ -13,7 +13,10 @@
     frame,
     request::ToAgent, //
 };
-use tokio::time::timeout;
+use tokio::{
+    sync::watch,
+    time::timeout, //
+};
 
 use crate::{
     offers::{
@@ -36,7 +39,9 @@
 async fn streams(link: Link, shared: Shared) {
     while let Ok((tx, rx)) = link.accept().await {
         let shared = shared.clone();
+        let open = OpenStream::of(&shared);
         tokio::spawn(async move {
+            let _open = open;
             if let Err(e) = stream(&shared, tx, rx).await {
                 stair_telemetry::debug!(Part::Links, "a stream ended: {e}");
             }
@@ -44,6 +49,22 @@
     }
 }
 
+/// Counts a stream as open while it lives.
+struct OpenStream(watch::Sender<usize>);
+
+impl OpenStream {
+    fn of(shared: &Shared) -> Self {
+        shared.streams.send_modify(|n| *n += 1);
+        Self(shared.streams.clone())
+    }
+}
+
+impl Drop for OpenStream {
+    fn drop(&mut self) {
+        self.0.send_modify(|n| *n -= 1);
+    }
+}
+
 async fn stream(shared: &Shared, tx: SendStream, mut rx: RecvStream) -> Result<(), frame::Error> {
     let first = frame::read_message(&mut rx);
     match timeout(FIRST_TIME, first).await {
--- a/crates/stair-agent/src/loads.rs
+++ b/crates/stair-agent/src/loads.rs
@@ -84,9 +84,10 @@
 }
 
 impl Core {
-    /// Tells whether the engine may be ordered now.
+    /// Tells whether the engine may be ordered now. An agent that leaves still unloads what it has
+    /// to give back.
     pub(crate) fn may_order(&self) -> bool {
-        !self.leaving && !self.relist && !self.listing && !self.ledger.in_doubt()
+        !self.relist && !self.listing && !self.ledger.in_doubt()
     }
 
     /// Asks for the engine's list when something is in doubt. The list settles an order only if it
@@ -139,9 +140,10 @@
         }
     }
 
-    /// Unloads what was idle for longer than a cold start is worth to this deployment.
+    /// Unloads what was idle for longer than a cold start is worth to this deployment. The next
+    /// agent of an engine that stays takes over what is loaded.
     pub(crate) fn unload_idle(&mut self) {
-        if !self.may_order() {
+        if self.leaving || !self.may_order() {
             return;
         }
         let now = self.now();
@@ -221,7 +223,11 @@
 
     /// Loads what nobody waits for but callers were refused for, into free memory only.
     fn load_woken(&mut self) {
-        for (item, rank) in std::mem::take(&mut self.woken) {
+        let woken = std::mem::take(&mut self.woken);
+        if self.takes_no_work() {
+            return;
+        }
+        for (item, rank) in woken {
             let fits = declared(&self.in_force, &item).is_some_and(|(_, memory_mib)| {
                 let base_mib = declared(&self.in_force, &base(&item)).map_or(0, |(_, mib)| mib);
                 let needed = match item.adapter {
--- a/crates/stair-agent/src/offers.rs
+++ b/crates/stair-agent/src/offers.rs
@@ -61,6 +61,8 @@
     pub(crate) control: ActorRef<Msg>,
     pub(crate) incarnation: FencingToken,
     pub(crate) load: watch::Receiver<Load>,
+    /// Streams of requests that are open.
+    pub(crate) streams: watch::Sender<usize>,
 }
 
 impl Shared {
--- a/crates/stair-agent/src/start.rs
+++ b/crates/stair-agent/src/start.rs
@@ -82,6 +82,18 @@
 /// Time for the control links to say their last and close.
 const CLOSE_TIME: Duration = Duration::from_secs(2);
 
+/// Time for the entries to revoke the grants of an agent that stops. It takes them milliseconds,
+/// or 3.5 s when the first of them is dead. When the platform is down they cannot, and the VM has
+/// to go all the same.
+const REVOKE_TIME: Duration = Duration::from_secs(4);
+
+/// Time for revoked grants to be given back once nothing runs any more. An unload takes about a
+/// second.
+const HAND_BACK_TIME: Duration = Duration::from_secs(10);
+
+/// Time for refusals and the ends of answers to reach the entries before the links are closed.
+const STREAMS_TIME: Duration = Duration::from_secs(2);
+
 /// Idle connections kept to the target.
 const MAX_IDLE: usize = 64;
 
@@ -197,6 +209,7 @@
             control: control.clone(),
             incarnation,
             load: published.load.subscribe(),
+            streams: watch::Sender::new(0),
         };
         let (stop, stopping) = watch::channel(false);
         let parts = Parts {
@@ -294,9 +307,11 @@
             control.clone(),
             self.drain,
         ));
+        let mut streams = self.shared.streams.subscribe();
         let links = tokio::spawn(links::serve(self.listener.clone(), self.shared));
         let refresh = tokio::spawn(refresh_entries(self.store, self.cx.clone()));
         let close_links = self.cx.closing.clone();
+        let linked = self.cx.linked.subscribe();
         let mut control_links = tokio::spawn(control_links::keep(self.cx));
         let mut fatal = self.published.fatal.subscribe();
         let why = tokio::select! {
@@ -306,6 +321,11 @@
         if why.is_none() {
             let _ = control.send_message(Msg::Stop);
             drain(&self.published).await;
+            hand_back(&self.published, &linked).await;
+            // What is refused at the very end has to be told too: a link that breaks first would
+            // leave the entries in doubt.
+            let none = streams.wait_for(|n| *n == 0);
+            let _ = tokio::time::timeout(STREAMS_TIME, none).await;
         }
         // An idle agent has nothing to wait for, and its "leaving" would not be said otherwise.
         close_links.send_replace(true);
@@ -335,6 +355,27 @@
     let _ = busy.wait_for(|b| *b == 0).await;
 }
 
+/// Waits until the target has no grants any more, if there is an entry to take them.
+///
+/// The platform's list may call this VM live for long after the agent has ended, and only the
+/// agent can say that the engine holds a model no longer. Its models would be served by nobody
+/// until the list has noticed.
+async fn hand_back(published: &Published, linked: &watch::Receiver<Vec<EntryName>>) {
+    if linked.borrow().is_empty() {
+        return;
+    }
+    let mut statement = published.statement.subscribe();
+    let revoked = statement.wait_for(|s| s.granted == 0);
+    let mut done = tokio::time::timeout(REVOKE_TIME, revoked).await.is_ok();
+    if done {
+        let none = statement.wait_for(|s| s.revoking == 0);
+        done = tokio::time::timeout(HAND_BACK_TIME, none).await.is_ok();
+    }
+    if !done {
+        stair_telemetry::warn!(Part::Agent, "ends with grants that nobody took back");
+    }
+}
+
 /// The entries that an agent knows may all be replaced while it was cut off, or none may run yet
 /// when it starts. It lists the VMs again then: soon at first, and then seldom, since 12,000 agents
 /// may be cut off at once.
