entry: send its metrics, with platform calls by kind and replaced links

Cause: the entry made its traffic without metrics, and nobody called report() or flush().

Change: traffic gets the settings' statsd; once a second the queue lengths and the local ports replaced are sent and the buffer is flushed. Control and claims call the platform through a wrapper that counts calls by kind and takes their time; a watch counts and is not timed.

Seen: reports::failed_calls reads the failed lists of a platform that is down from the statsd socket. The ports of control's own pool, which only asks peers at a start, are not counted.

--- a/crates/stair-entry/src/lib.rs
+++ b/crates/stair-entry/src/lib.rs
@@ -9,6 +9,7 @@
 #![forbid(unsafe_code)]
 
 pub mod control;
+mod metered;
 pub mod process;
 pub mod traffic;
 pub mod view;
--- /dev/null
+++ b/crates/stair-entry/src/metered.rs
@@ -0,0 +1,88 @@
+//! Counts the calls to the platform by kind, and how long they take.
+
+use std::time::Duration;
+
+use serde_json::Value;
+use stair_platform::{
+    Condition,
+    Error,
+    Kind,
+    Object,
+    ObjectStore,
+    Page, //
+};
+use stair_telemetry::{
+    Metrics,
+    metrics::{
+        Latency,
+        PlatformCall, //
+    },
+};
+use tokio::time::Instant;
+
+/// The platform, with its calls counted.
+#[derive(Clone)]
+pub(crate) struct Metered<S> {
+    store: S,
+    metrics: Metrics,
+}
+
+impl<S> Metered<S> {
+    pub(crate) fn new(store: S, metrics: Metrics) -> Self {
+        Self { store, metrics }
+    }
+
+    async fn count<T, F>(&self, call: PlatformCall, calling: F) -> Result<T, Error>
+    where
+        F: Future<Output = Result<T, Error>>,
+    {
+        let began = Instant::now();
+        let result = calling.await;
+        // A watch takes as long as it waits, which tells nothing of the platform.
+        if call != PlatformCall::Watch {
+            self.metrics.latency(Latency::Platform, began.elapsed());
+        }
+        let succeeded = match &result {
+            Ok(_) | Err(Error::Conflict | Error::NotFound | Error::Gone) => true,
+            Err(Error::Unavailable(_) | Error::Unknown(_) | Error::Invalid(_)) => false,
+        };
+        self.metrics.platform_call(call, succeeded);
+        result
+    }
+}
+
+impl<S> ObjectStore for Metered<S>
+where
+    S: ObjectStore,
+{
+    async fn get(&self, kind: Kind, name: &str) -> Result<Object, Error> {
+        let calling = self.store.get(kind, name);
+        self.count(PlatformCall::Get, calling).await
+    }
+
+    async fn list(&self, kind: Kind) -> Result<Page, Error> {
+        let calling = self.store.list(kind);
+        self.count(PlatformCall::List, calling).await
+    }
+
+    async fn put(
+        &self,
+        kind: Kind,
+        name: &str,
+        value: &Value,
+        condition: Condition,
+    ) -> Result<u64, Error> {
+        let calling = self.store.put(kind, name, value, condition);
+        self.count(PlatformCall::Put, calling).await
+    }
+
+    async fn delete(&self, kind: Kind, name: &str, version: u64) -> Result<(), Error> {
+        let calling = self.store.delete(kind, name, version);
+        self.count(PlatformCall::Delete, calling).await
+    }
+
+    async fn watch(&self, kinds: &[Kind], since: u64, wait: Duration) -> Result<Page, Error> {
+        let calling = self.store.watch(kinds, since, wait);
+        self.count(PlatformCall::Watch, calling).await
+    }
+}
--- a/crates/stair-entry/src/process.rs
+++ b/crates/stair-entry/src/process.rs
@@ -20,7 +20,7 @@
 };
 use stair_platform::ObjectStore;
 use stair_telemetry::{
-    Part, info,
+    Metrics, Part, info,
     operator::{
         self,
         Routes, //
@@ -30,7 +30,10 @@
     net::TcpListener,
     sync::watch,
     task::JoinHandle,
-    time::Instant, //
+    time::{
+        Instant,
+        timeout, //
+    },
 };
 
 use crate::{
@@ -39,6 +42,7 @@
         Options,
         thread::Asker, //
     },
+    metered::Metered,
     traffic::Traffic,
     view::View,
 };
@@ -47,6 +51,9 @@
 /// is gone answers nothing, and another target is tried after this time.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(750);
 
+/// Time between two reports to statsd.
+const REPORT_EVERY: Duration = Duration::from_secs(1);
+
 /// A running entry.
 pub struct Entry<S> {
     parts: Arc<Parts<S>>,
@@ -69,7 +76,7 @@
 }
 
 struct Parts<S> {
-    traffic: Traffic<S>,
+    traffic: Traffic<Metered<S>>,
     asker: Asker,
     dialer: Dialer,
     pool: Pool,
@@ -88,6 +95,8 @@
     ///
     /// Fails when an address is taken or the keys cannot be used.
     pub async fn start(settings: EntrySettings, keys: Keys, store: S) -> anyhow::Result<Self> {
+        let metrics = Metrics::new(settings.telemetry.statsd)?;
+        let store = Metered::new(store, metrics.clone());
         let listen = bind(settings.listen, "callers").await?;
         let operator = bind(settings.operator, "the operator").await?;
         let control = Control::start(Options {
@@ -108,12 +117,13 @@
         let pool = Pool::new(dialer.clone(), Probing::REQUESTS);
         let (drain, _) = watch::channel(false);
         let parts = Arc::new(Parts {
-            traffic: Traffic::new(
+            traffic: Traffic::with_metrics(
                 control.view(),
                 settings.data_centre.clone(),
                 settings.limits.clone(),
                 pool.clone(),
                 store,
+                metrics.clone(),
             ),
             asker: control.asker(),
             dialer,
@@ -126,7 +136,8 @@
         let callers_stop = stop.clone();
         let servers = vec![
             tokio::spawn(async move { traffic.serve(listen, callers_stop).await }),
-            tokio::spawn(operator::serve(operator, stop, routes(&parts))),
+            tokio::spawn(operator::serve(operator, stop.clone(), routes(&parts))),
+            tokio::spawn(report(parts.clone(), metrics, stop)),
         ];
         info!(
             Part::Entry,
@@ -187,6 +198,24 @@
     }
 }
 
+/// Sends about once a second what is counted rather than noted as it happens.
+async fn report<S>(parts: Arc<Parts<S>>, metrics: Metrics, mut stop: watch::Receiver<bool>)
+where
+    S: ObjectStore,
+{
+    let mut replaced = 0;
+    let mut ended = false;
+    while !ended {
+        let stopping = stop.wait_for(|s| *s);
+        ended = timeout(REPORT_EVERY, stopping).await.is_ok();
+        parts.traffic.report();
+        let now = parts.dialer.replaced();
+        (replaced..now).for_each(|_| metrics.link_replaced());
+        replaced = now;
+        metrics.flush();
+    }
+}
+
 /// Runs an entry until `stop` turns true or the operator asks for a planned stop.
 ///
 /// # Errors
--- /dev/null
+++ b/crates/stair-entry/tests/reports.rs
@@ -0,0 +1,58 @@
+//! What an entry tells statsd.
+
+use std::net::{
+    SocketAddr,
+    UdpSocket, //
+};
+
+use serde_json::json;
+use stair_config::EntrySettings;
+use stair_entry::Entry;
+use stair_link::keys::Authority;
+use stair_platform::{
+    HttpStore,
+    http, //
+};
+
+fn any_port() -> SocketAddr {
+    ([127, 0, 0, 1], 0).into()
+}
+
+// The platform is down when an entry starts. Its operator sees the failed calls by kind.
+#[tokio::test(flavor = "multi_thread")]
+async fn failed_calls() {
+    let statsd = UdpSocket::bind(any_port()).expect("binds");
+    let statsd_addr = statsd.local_addr().expect("is bound");
+    let closed = std::net::TcpListener::bind(any_port()).expect("binds");
+    let platform = closed.local_addr().expect("is bound");
+    drop(closed);
+    let settings = json!({
+        "name": "e", "data_centre": "dc", "platform": platform,
+        "listen": any_port(), "link": any_port(), "operator": any_port(),
+        "tls": { "authority": "", "certificate": "", "key": "" },
+        "telemetry": { "statsd": statsd_addr },
+    });
+    let settings: EntrySettings = serde_json::from_value(settings).expect("well formed");
+    let keys = Authority::generate().and_then(|a| a.issue());
+    let store = HttpStore::new(platform, http::Options::default());
+    let entry = Entry::start(settings, keys.expect("keys can be made"), store).await;
+    let entry = entry.expect("it starts");
+
+    let seen = tokio::task::spawn_blocking(move || {
+        let mut buf = [0; 2048];
+        loop {
+            let len = statsd.recv(&mut buf).expect("statsd hears");
+            let text = String::from_utf8_lossy(&buf[..len]).into_owned();
+            if text.contains("platform.calls") {
+                return text;
+            }
+        }
+    });
+    let seen = seen.await.expect("the reader lives");
+
+    assert!(
+        seen.contains("platform.calls:1|c|#call:list,outcome:failed"),
+        "{seen}"
+    );
+    entry.stop().await;
+}
