promises: prove service in time, leaving, planned stops and silent links

Promises 3, 7, 8 and 10 with real processes, a file each; support gets a small balancer, measured times, and the longest pause of an answer.

--- a/crates/dandelionstair/benches/speed/load.rs
+++ b/crates/dandelionstair/benches/speed/load.rs
@@ -75,6 +75,7 @@
         let opts = client::Options {
             max_idle: 16_384,
             connect_timeout: Duration::from_secs(10),
+            ..client::Options::default()
         };
         let clients = addrs.iter().map(|a| Client::new(*a, opts));
         Self {
--- a/crates/dandelionstair/tests/promises/main.rs
+++ b/crates/dandelionstair/tests/promises/main.rs
@@ -6,7 +6,11 @@
 
 mod at_most_once;
 mod crowded;
+mod in_time;
+mod leaving;
 mod not_run;
 mod path;
+mod planned_stop;
+mod silent_links;
 mod support;
 mod whole_answer;
--- a/crates/dandelionstair/tests/promises/support/mod.rs
+++ b/crates/dandelionstair/tests/promises/support/mod.rs
@@ -3,7 +3,9 @@
 // unused differs and `expect` would not hold.
 #![allow(dead_code, unused_imports)]
 
+pub(crate) mod balancer;
 pub(crate) mod caller;
+pub(crate) mod measured;
 pub(crate) mod process;
 pub(crate) mod told;
 pub(crate) mod world;
