entry: take over the claim of a request that never ran

An entry that dies between its claim and its start leaves the key claimed. The caller's repeat at another entry was told "duplicate, may have run" until the claim expired, for an hour; so was a repeat that came before a claim was given back after a failing platform.

A claim names the target and the incarnation that its request may be started at, and is written again before a start elsewhere. An entry that finds a key claimed asks that agent to withdraw the request (new message `ToAgent::Withdraw`). Only if the agent says that it never ran, for good, the entry replaces that very claim by its own, conditionally. A duplicate of a young claim carries Retry-After, as a repeat with the key is safe.

Not done: a key whose agent is gone stays claimed for an hour, since nobody knows.

--- a/crates/dandelionstair/tests/promises/at_most_once.rs
+++ b/crates/dandelionstair/tests/promises/at_most_once.rs
@@ -139,18 +139,17 @@
     let told = burst.told().await;
     let early = repeat(&world, 1, key).await;
     world.agents[holder].process.thaw();
-    let late = repeat(&world, 1, key).await;
+    drop(repeat(&world, 1, key).await);
 
     print_counts("frozen after ready", &told);
-    println!("frozen after ready: early {early:?} late {late:?}");
+    assert!(told[0].may_have_run(), "{told:?}");
+    assert!(!early.is_answered(), "{early:?}");
     let ran = runs(&mut world, key).await;
-    if told[0].is_not_run() || ran == 0 && late.is_answered() {
-        assert!(ran <= 1);
-    }
-    if &*late.verdict == "not-run" {
+    // Whether it was too late for the start is decided when the agent wakes.
+    if ran == 0 {
         until_served(&world, 1, key).await;
     }
-    runs(&mut world, key).await;
+    assert_eq!(runs(&mut world, key).await, 1);
 }
 
 // The link goes silent as the start is sent, so the entry cannot know whether it arrived. It asks
@@ -294,7 +293,9 @@
     assert!(is_duplicate(&repeat(&world, 1, key).await));
 }
 
-// The entry dies after its claim took effect and before the start. Nothing ran.
+// The entry dies after its claim took effect and before the start. Nothing ran, and the caller's
+// repeat at the other entry must not be told "may have run" until the claim expires: the agent that
+// the claim names knows better.
 #[tokio::test(flavor = "multi_thread")]
 async fn entry_killed_claiming() {
     let mut world = World::start(options(1)).await;
@@ -311,9 +312,36 @@
     assert!(world.recorder.runs_of(key).is_empty());
     let again = repeat(&world, 1, key).await;
 
-    println!("claim left behind: {again:?}");
     assert!(is_duplicate(&again), "{again:?}");
-    assert_eq!(runs(&mut world, key).await, 0);
+    assert!(again.retry_after.is_some(), "{again:?}");
+    until_served(&world, 1, key).await;
+    assert_eq!(runs(&mut world, key).await, 1);
+    assert!(is_duplicate(&repeat(&world, 1, key).await));
+}
+
+// The entry is frozen with its claim written and wakes long after another entry has taken the key
+// over and served the repeat. Its own start comes too late.
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_frozen_claiming() {
+    let mut world = World::start(options(1)).await;
+    let key = "claim-frozen";
+    world.entries[0]
+        .to_platform
+        .delay(Duration::from_millis(150));
+    let mut burst = Burst::default();
+    burst.send(&world.caller(0), "billed", key.into(), 40, false, |ask| {
+        ask.once(key)
+    });
+
+    until_claimed(&world).await;
+    world.entries[0].process.freeze();
+    until_served(&world, 1, key).await;
+    world.entries[0].process.thaw();
+    let told = burst.told().await;
+
+    print_counts("entry frozen claiming", &told);
+    assert!(!told[0].answer.is_answered(), "{told:?}");
+    assert_eq!(runs(&mut world, key).await, 1);
 }
 
 // The platform stores the claim, loses the answer and goes down. The caller is told that nothing
@@ -364,7 +392,7 @@
             let trying = async {
                 for n in i.. {
                     let answer = entries[n % 2].ask(&ask).await;
-                    let again = &*answer.verdict == "not-run";
+                    let again = &*answer.verdict == "not-run" || answer.retry_after.is_some();
                     told.push(answer);
                     if !again {
                         return;
@@ -404,7 +432,7 @@
         let runs = world.recorder.runs_of(key).len();
         let last = told.last().expect("there is an answer");
         assert!(runs <= 1, "{key} ran {runs} times: {told:?}");
-        assert_eq!(runs == 1, last.is_answered(), "{key}: {told:?}");
+        assert!(runs == 1 && last.is_answered(), "{key}: {told:?}");
     }
     let answers: Vec<Told> = all
         .into_iter()
--- a/crates/stair-agent/src/links.rs
+++ b/crates/stair-agent/src/links.rs
@@ -74,6 +74,9 @@
             offset,
             incarnation,
         })) => resume::serve(shared, tx, rx, id, offset, incarnation).await,
+        Ok(Ok(ToAgent::Withdraw { id, incarnation })) => {
+            resume::withdraw(shared, tx, id, incarnation).await
+        }
         Ok(Ok(_)) | Err(_) => Ok(()),
         Ok(Err(e)) => Err(e),
     }
--- a/crates/stair-agent/src/resume.rs
+++ b/crates/stair-agent/src/resume.rs
@@ -6,6 +6,8 @@
 };
 use stair_types::{
     FencingToken,
+    Reason,
+    Refusal,
     RequestId, //
 };
 use stair_wire::frame;
@@ -42,3 +44,25 @@
         Err(_) => Ok(()),
     }
 }
+
+/// Makes sure that a request which has not started never does, and says whether it had. The answer
+/// of one that runs stays with the entry that reads it.
+pub(crate) async fn withdraw(
+    shared: &Shared,
+    mut tx: SendStream,
+    id: RequestId,
+    incarnation: FencingToken,
+) -> Result<(), frame::Error> {
+    let (reply, found) = oneshot::channel();
+    let _ = shared.control.send_message(Msg::Resume {
+        id,
+        incarnation,
+        reply,
+    });
+    let refusal = match found.await {
+        Ok(Ok(_)) => Refusal::may_have_run(Reason::Duplicate, 0, "the request has started"),
+        Ok(Err(refusal)) => refusal,
+        Err(_) => return Ok(()),
+    };
+    refuse(&mut tx, refusal, shared.load(false)).await
+}
--- a/crates/stair-entry/src/traffic/claim.rs
+++ b/crates/stair-entry/src/traffic/claim.rs
@@ -39,6 +39,7 @@
 
 use super::{
     auth::hex_sha256,
+    exchange::Exchange,
     request::Request,
     shard::{
         self,
@@ -72,10 +73,10 @@
 const RELEASE_PAUSE: Duration = Duration::from_millis(300);
 
 /// Why a key could not be claimed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum Error {
     /// Another request holds the key.
-    Duplicate,
+    Duplicate(Claim),
     /// The shard has no room.
     Full,
     /// The platform cannot confirm the claim.
@@ -136,22 +137,30 @@
 where
     S: ObjectStore,
 {
-    /// Claims the request's key for it.
+    /// Claims the request's key for a start at one target, instead of a claim that was left
+    /// behind, if one is given.
     ///
     /// # Errors
     ///
     /// See [`Error`].
-    pub(super) async fn claim(&self, req: &Request) -> Result<(), Error> {
+    pub(super) async fn claim(
+        &self,
+        req: &Request,
+        exchange: &Exchange,
+        instead_of: Option<Claim>,
+    ) -> Result<(), Error> {
         let claim = Claim {
             key: key(req),
             request: req.id,
+            target: exchange.target.name.clone(),
+            incarnation: exchange.incarnation,
             expires_s: now_s() + KEEP.as_secs(),
         };
         let (tx, rx) = oneshot::channel();
-        self.push(Change::Claim(claim), Some(tx));
+        self.push(Change::Claim { claim, instead_of }, Some(tx));
         match timeout(CLAIM_TIME, rx).await {
             Ok(Ok(Ok(Outcome::Done))) => Ok(()),
-            Ok(Ok(Ok(Outcome::Taken))) => Err(Error::Duplicate),
+            Ok(Ok(Ok(Outcome::Taken(other)))) => Err(Error::Duplicate(other)),
             Ok(Ok(Ok(Outcome::Full))) => Err(Error::Full),
             Ok(Ok(Err(e))) => Err(e),
             Ok(Err(_)) | Err(_) => Err(Error::PlatformDown),
@@ -169,7 +178,7 @@
 
     fn push(&self, change: Change, done: Option<oneshot::Sender<Result<Outcome, Error>>>) {
         let key = match &change {
-            Change::Claim(claim) => &claim.key,
+            Change::Claim { claim, .. } => &claim.key,
             Change::Release { key, .. } => key,
         };
         let n = shard_of(key);
@@ -218,7 +227,12 @@
             let Some(done) = done else {
                 continue;
             };
-            let _ = done.send(result.as_ref().map(|all| all[i]).map_err(|e| *e));
+            let _ = done.send(
+                result
+                    .as_ref()
+                    .map(|all| all[i].clone())
+                    .map_err(Error::clone),
+            );
         }
         if has_failed {
             keep_releases(&shard, changes);
@@ -235,7 +249,7 @@
 fn keep_releases(shard: &Shard, changes: Vec<Change>) {
     let releases = changes.into_iter().filter_map(|change| match change {
         Change::Release { .. } => Some(Pending { change, done: None }),
-        Change::Claim(_) => None,
+        Change::Claim { .. } => None,
     });
     let mut queue = shard.lock();
     queue.pending.splice(0..0, releases);
@@ -319,6 +333,12 @@
     usize::from_str_radix(head, 16).unwrap_or(0) % SHARDS
 }
 
+/// Returns how long a claim has been held, by this process's clock.
+pub(super) fn age(claim: &Claim) -> Duration {
+    let claimed_s = claim.expires_s.saturating_sub(KEEP.as_secs());
+    Duration::from_secs(now_s().saturating_sub(claimed_s))
+}
+
 fn now_s() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     since.map_or(0, |t| t.as_secs())
--- a/crates/stair-entry/src/traffic/mod.rs
+++ b/crates/stair-entry/src/traffic/mod.rs
@@ -11,7 +11,8 @@
 //! - `choose`: orders the targets, with what `targets` remembers of their replies.
 //! - `dispatch`: tries one target after the other.
 //! - `offer`: offers the request on one stream, an `exchange`.
-//! - `start`: waits until it can run, claims its key (`claim`, `shard`) and starts it once.
+//! - `start`: waits until it can run, claims its key (`claim`, `shard`) and starts it once, also
+//!   when the key was claimed by a request that never ran (`left_behind`).
 //! - `answer`: brings the answer to the `caller`.
 //! - `resume`: takes it up again after its link broke.
 //! - `refuse`: refusals, with verdict and time to come back.
@@ -29,6 +30,7 @@
 mod dump;
 mod exchange;
 mod headers;
+mod left_behind;
 mod models;
 mod offer;
 mod refuse;
--- a/crates/stair-entry/src/traffic/run.rs
+++ b/crates/stair-entry/src/traffic/run.rs
@@ -86,10 +86,12 @@
         refusal.verdict = Verdict::MayHaveRun;
     }
     if refusal.verdict == Verdict::MayHaveRun {
-        refusal.retry_after_ms = match req.repeatable {
-            true => refusal.retry_after_ms.max(RETRY_MS),
+        refusal.retry_after_ms = match (req.repeatable, refusal.reason) {
+            (true, _) => refusal.retry_after_ms.max(RETRY_MS),
+            // The key is held: a repeat with it asks for sure whether the other request ran.
+            (false, Reason::Duplicate) => refusal.retry_after_ms,
             // Sending billed work again would not be safe at any time.
-            false => 0,
+            (false, _) => 0,
         };
     }
     if refusal.verdict == Verdict::NotRun && progress.claimed {
--- a/crates/stair-entry/src/traffic/shard.rs
+++ b/crates/stair-entry/src/traffic/shard.rs
@@ -12,8 +12,13 @@
 /// One change that a request wants.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum Change {
-    /// Claim a key.
-    Claim(Claim),
+    /// Claim a key, or name another target for one that the request holds.
+    Claim {
+        /// The claim.
+        claim: Claim,
+        /// A claim of another request that has surely not run, whose place it takes.
+        instead_of: Option<Claim>,
+    },
     /// Give a claim back.
     Release {
         /// The key.
@@ -24,12 +29,12 @@
 }
 
 /// What a change came to.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum Outcome {
     /// The request holds the key, or no longer holds it after a release.
     Done,
     /// Another request holds the key.
-    Taken,
+    Taken(Claim),
     /// The shard has no room.
     Full,
 }
@@ -56,7 +61,7 @@
 
 fn apply_one(shard: &mut ClaimShard, change: &Change) -> Outcome {
     match change {
-        Change::Claim(claim) => add(shard, claim),
+        Change::Claim { claim, instead_of } => add(shard, claim, instead_of.as_ref()),
         Change::Release { key, request } => {
             shard
                 .claims
@@ -66,10 +71,17 @@
     }
 }
 
-fn add(shard: &mut ClaimShard, claim: &Claim) -> Outcome {
+fn add(shard: &mut ClaimShard, claim: &Claim, instead_of: Option<&Claim>) -> Outcome {
     match shard.claims.binary_search_by(|c| c.key.cmp(&claim.key)) {
-        Ok(i) if shard.claims[i].request == claim.request => Outcome::Done,
-        Ok(_) => Outcome::Taken,
+        Ok(i) if is_same(&shard.claims[i], claim) => Outcome::Done,
+        Ok(i) => {
+            let held = &mut shard.claims[i];
+            if held.request != claim.request && Some(&*held) != instead_of {
+                return Outcome::Taken(held.clone());
+            }
+            *held = claim.clone();
+            Outcome::Done
+        }
         Err(_) if shard.claims.len() >= MAX_CLAIMS => Outcome::Full,
         Err(i) => {
             shard.claims.insert(i, claim.clone());
@@ -77,3 +89,7 @@
         }
     }
 }
+
+fn is_same(a: &Claim, b: &Claim) -> bool {
+    (a.request, &a.target, a.incarnation) == (b.request, &b.target, b.incarnation)
+}
--- a/crates/stair-entry/src/traffic/start.rs
+++ b/crates/stair-entry/src/traffic/start.rs
@@ -20,7 +20,9 @@
     admit::Phase,
     claim,
     exchange::Exchange,
+    left_behind,
     offer,
+    refuse,
     request::Request,
     run::Progress, //
 };
@@ -47,7 +49,7 @@
     if req.key_to_claim().is_some() {
         progress.place.enter(Phase::Claiming);
         progress.claimed = true;
-        cx.claims.claim(req).await.map_err(refusal)?;
+        claim(cx, req, exchange).await.map_err(refusal)?;
     }
     // A failed write may have left the process all the same. From here on only the agent knows,
     // and a resume asks it.
@@ -57,6 +59,19 @@
     Ok(())
 }
 
+/// Claims the key, also when another request has left its claim behind.
+async fn claim<S>(cx: &Cx<S>, req: &Request, exchange: &Exchange) -> Result<(), claim::Error>
+where
+    S: ObjectStore,
+{
+    match cx.claims.claim(req, exchange, None).await {
+        Err(claim::Error::Duplicate(other)) if left_behind::has_not_run(cx, &other).await => {
+            cx.claims.claim(req, exchange, Some(other)).await
+        }
+        result => result,
+    }
+}
+
 async fn ready(req: &Request, exchange: &mut Exchange, progress: &Progress) -> Result<(), Refusal> {
     loop {
         match exchange.read().await {
@@ -79,9 +94,9 @@
 fn refusal(e: claim::Error) -> Refusal {
     match e {
         // The other request with this key may be running, may have run, or may be refused yet.
-        claim::Error::Duplicate => Refusal::may_have_run(
+        claim::Error::Duplicate(other) => Refusal::may_have_run(
             Reason::Duplicate,
-            0,
+            refuse::millis(left_behind::ask_in(&other)),
             "the idempotency key was used before; that request may have run",
         ),
         claim::Error::Full => Refusal::not_run(
--- a/crates/stair-entry/tests/support/agent.rs
+++ b/crates/stair-entry/tests/support/agent.rs
@@ -21,6 +21,7 @@
 };
 use stair_types::{
     FencingToken,
+    Reason,
     Refusal,
     TargetName, //
 };
@@ -129,6 +130,14 @@
             let Ok(first) = frame::read_message::<_, ToAgent>(&mut rx).await else {
                 return;
             };
+            if let ToAgent::Withdraw { .. } = first {
+                // It starts whatever it says it can.
+                let refusal = Refusal::may_have_run(Reason::Duplicate, 0, "it has started");
+                let load = Load::default();
+                let refused = FromAgent::Refused { refusal, load };
+                let _ = frame::write_message(&mut { tx }, &refused).await;
+                return;
+            }
             let (event, body) = match &first {
                 ToAgent::Offer(_) => {
                     let body = frame::read_body(&mut rx).await.expect("a body follows");
--- a/crates/stair-platform/src/types.rs
+++ b/crates/stair-platform/src/types.rs
@@ -194,6 +194,10 @@
     pub key: Box<str>,
     /// The one request that may run for the key.
     pub request: RequestId,
+    /// The only target that the request may be started at.
+    pub target: TargetName,
+    /// The incarnation of the target's agent that it may be started at.
+    pub incarnation: FencingToken,
     /// When it may be forgotten, in seconds since the epoch by the writer's clock.
     pub expires_s: u64,
 }
--- a/crates/stair-wire/src/request.rs
+++ b/crates/stair-wire/src/request.rs
@@ -1,7 +1,7 @@
 //! One request, on one bidirectional stream that the entry opens.
 //!
 //! The first frame of the entry is [`ToAgent::Offer`], followed by one body frame with the
-//! request's body; or it is [`ToAgent::Resume`]. The agent answers [`FromAgent::Queued`] at once,
+//! request's body; or it is [`ToAgent::Resume`] or [`ToAgent::Withdraw`]. The agent answers [`FromAgent::Queued`] at once,
 //! later [`FromAgent::Ready`], and after [`ToAgent::Start`] the answer: [`FromAgent::Head`], body
 //! frames, [`FromAgent::End`]. [`FromAgent::Refused`] may come instead of any of these and is
 //! final. Until `Start` arrives the agent runs nothing, so an offer whose link broke before
@@ -99,6 +99,14 @@
         /// The incarnation that the request was started at.
         incarnation: FencingToken,
     },
+    /// Opens a stream to make sure that a request of another entry never starts. The agent answers
+    /// [`FromAgent::Refused`] and says whether it may have run.
+    Withdraw {
+        /// The request.
+        id: RequestId,
+        /// The incarnation that it was offered to.
+        incarnation: FencingToken,
+    },
 }
 
 /// The load of an agent, carried by its replies; there is no separate load report.
