config: bound the nesting of files

A settings file or a declaration with 60 nested lists ("- - - ...") overflowed the stack of a thread in a debug build, and the process ended without a word about the file. The decoder has a limit of its own, 2,000 levels, which is too deep for the stack that one level takes. The limit is 16; the files need six.

--- a/crates/stair-config/src/yaml.rs
+++ b/crates/stair-config/src/yaml.rs
@@ -18,7 +18,9 @@
     }, //
 };
 use serde_saphyr::{
+    Budget,
     Error,
+    Options,
     Spanned, //
 };
 
@@ -27,6 +29,19 @@
     Problems, //
 };
 
+/// Nesting of a file. Settings and declarations need six levels. The decoder's own limit of 2,000
+/// overflows the stack, which ends the process without a word to the operator; in a build without
+/// optimisation 60 levels overflow a thread's two megabytes.
+const MAX_DEPTH: usize = 16;
+
+fn options() -> Options {
+    let mut budget = Budget::default();
+    budget.max_depth = MAX_DEPTH;
+    let mut opts = Options::default();
+    opts.budget = Some(budget);
+    opts
+}
+
 /// A file as read.
 #[derive(Debug, Clone)]
 pub struct Document {
@@ -46,7 +61,7 @@
         let root = if text.trim().is_empty() {
             Ok(Node::empty())
         } else {
-            serde_saphyr::from_str::<Spanned<Value>>(text).map(Node::from)
+            serde_saphyr::from_str_with_options::<Spanned<Value>>(text, options()).map(Node::from)
         };
         root.map(|root| Self {
             file: file.into(),
