agent: keep answers and run ids by parts, and count instead of scanning

Each message to the control thread counted the readers of all kept answers, and each end of a run summed their bytes; with answers kept for 10 s that grew with the rate. Ids stood in one sorted vector, so that an insertion moved half of them. Readers and bytes are counted as they change now, and ids are kept in sorted parts.

--- a/crates/stair-agent/src/admit.rs
+++ b/crates/stair-agent/src/admit.rs
@@ -42,6 +42,7 @@
     control::{
         Active,
         Core,
+        Ended,
         Event,
         Pending, //
     },
@@ -265,9 +266,9 @@
         }
         self.active[slot].started = true;
         let pending = self.pending.remove(at);
-        let answer = Answer::new(self.args.limits.max_answer_bytes.into());
-        let at = self.answers.partition_point(|(other, _)| *other < id);
-        self.answers.insert(at, (id, answer.clone()));
+        let max_bytes = self.args.limits.max_answer_bytes.into();
+        let answer = Answer::new(max_bytes, self.readers.clone());
+        self.answers.insert(id, answer.clone());
         let job = run::Job {
             time_left: pending.deadline.saturating_sub(self.now()),
             offer: pending.offer,
@@ -313,14 +314,10 @@
             self.refuse_id(id, refusal.clone());
             return Err(refusal);
         }
-        let at = self.answers.binary_search_by_key(&id, |(other, _)| *other);
-        match at {
-            Ok(i) => Ok(self.answers[i].1.clone()),
-            Err(_) => {
-                let message = "the answer is no longer kept";
-                Err(Refusal::may_have_run(Reason::LinkLost, 0, message))
-            }
-        }
+        self.answers.get(id).cloned().ok_or_else(|| {
+            let message = "the answer is no longer kept";
+            Refusal::may_have_run(Reason::LinkLost, 0, message)
+        })
     }
 
     /// Frees the slot; `run` is the time of a whole run.
@@ -334,7 +331,11 @@
             }
         }
         self.runs.end(self.now(), id);
-        self.ended.push_back(id);
+        if let Some(answer) = self.answers.get(id) {
+            let bytes = answer.bytes();
+            self.ended_bytes += bytes;
+            self.ended.push_back(Ended { id, bytes });
+        }
         self.bound_answers();
         if suspect {
             self.relist = self.args.engine.is_some();
@@ -342,35 +343,25 @@
     }
 
     pub(crate) fn forget(&mut self, id: RequestId) {
-        self.ended.retain(|other| *other != id);
-        let found = self.answers.binary_search_by_key(&id, |(other, _)| *other);
-        if let Ok(i) = found {
-            self.answers.remove(i);
+        // Answers are kept for the same time, so the one to forget is among the oldest.
+        if let Some(i) = self.ended.iter().position(|e| e.id == id)
+            && let Some(ended) = self.ended.remove(i)
+        {
+            self.ended_bytes -= ended.bytes;
         }
+        self.answers.remove(id);
     }
 
     /// Forgets the oldest whole answers when all together take too much memory. Each is bounded,
     /// but under load hundreds end in the time for which they are kept, and few are asked for.
     fn bound_answers(&mut self) {
-        let bytes_of = |id: &RequestId| {
-            let found = self.answers.binary_search_by_key(id, |(other, _)| *other);
-            found.map_or(0, |i| self.answers[i].1.bytes())
-        };
-        let mut bytes: u64 = self.ended.iter().map(bytes_of).sum();
-        let mut gone = Vec::new();
-        for id in &self.ended {
-            if bytes <= MAX_KEPT_BYTES {
-                break;
-            }
-            bytes -= bytes_of(id);
-            gone.push(*id);
-        }
-        for id in gone {
-            let found = self.answers.binary_search_by_key(&id, |(other, _)| *other);
-            if let Ok(i) = found {
-                self.answers[i].1.cancel();
+        while self.ended_bytes > MAX_KEPT_BYTES
+            && let Some(oldest) = self.ended.front().map(|e| e.id)
+        {
+            if let Some(answer) = self.answers.get(oldest) {
+                answer.cancel();
             }
-            self.forget(id);
+            self.forget(oldest);
         }
     }
 
--- a/crates/stair-agent/src/answers.rs
+++ b/crates/stair-agent/src/answers.rs
@@ -6,7 +6,11 @@
         Arc,
         Mutex,
         MutexGuard,
-        PoisonError, //
+        PoisonError,
+        atomic::{
+            AtomicUsize,
+            Ordering, //
+        }, //
     },
     time::Duration,
 };
@@ -71,16 +75,28 @@
     changed: watch::Sender<u64>,
     attached: watch::Sender<bool>,
     cancelled: watch::Sender<bool>,
+    readers: Readers,
+}
+
+/// Counts the answers that are being read. Cloning shares the count.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Readers(Arc<AtomicUsize>);
+
+impl Readers {
+    pub(crate) fn count(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
 }
 
 impl Answer {
-    pub(crate) fn new(max_bytes: u64) -> Arc<Self> {
+    pub(crate) fn new(max_bytes: u64, readers: Readers) -> Arc<Self> {
         Arc::new(Self {
             kept: Mutex::default(),
             max_bytes,
             changed: watch::Sender::new(0),
             attached: watch::Sender::new(false),
             cancelled: watch::Sender::new(false),
+            readers,
         })
     }
 
@@ -131,7 +147,7 @@
         let mut kept = self.kept();
         kept.reader += 1;
         kept.read = offset;
-        self.attached.send_replace(true);
+        self.attach(true);
         let number = kept.reader;
         drop(kept);
         self.wake();
@@ -162,9 +178,14 @@
         kept.total - kept.from
     }
 
-    /// Tells whether somebody reads the answer.
-    pub(crate) fn is_read(&self) -> bool {
-        *self.attached.borrow()
+    /// Notes whether somebody reads the answer; called with `kept` locked.
+    fn attach(&self, attached: bool) {
+        let before = self.attached.send_replace(attached);
+        match (before, attached) {
+            (false, true) => self.readers.0.fetch_add(1, Ordering::Relaxed),
+            (true, false) => self.readers.0.fetch_sub(1, Ordering::Relaxed),
+            _ => return,
+        };
     }
 
     pub(crate) fn cancel(&self) {
@@ -244,7 +265,7 @@
     fn drop(&mut self) {
         let kept = self.answer.kept();
         if kept.reader == self.number {
-            self.answer.attached.send_replace(false);
+            self.answer.attach(false);
         }
     }
 }
--- a/crates/stair-agent/src/control.rs
+++ b/crates/stair-agent/src/control.rs
@@ -33,6 +33,7 @@
     }, //
 };
 use stair_state::{
+    ById,
     Ledger,
     RunTable,
     ledger::Item, //
@@ -73,7 +74,10 @@
 };
 
 use crate::{
-    answers::Answer,
+    answers::{
+        Answer,
+        Readers, //
+    },
     assignment::InForce,
     crowding::NoRoom,
     dump::Dump,
@@ -218,6 +222,12 @@
     pub(crate) started: bool,
 }
 
+/// A whole answer that is kept for a resume.
+pub(crate) struct Ended {
+    pub(crate) id: RequestId,
+    pub(crate) bytes: u64,
+}
+
 /// A load that failed and is not tried again yet.
 pub(crate) struct Failure {
     pub(crate) item: Item,
@@ -241,10 +251,13 @@
     pub(crate) active: Vec<Active>,
     pub(crate) early: Vec<Early>,
     pub(crate) no_room: Vec<NoRoom>,
-    /// Sorted by id.
-    pub(crate) answers: Vec<(RequestId, Arc<Answer>)>,
-    /// Requests whose answers are whole, the oldest first.
-    pub(crate) ended: VecDeque<RequestId>,
+    pub(crate) answers: ById<Arc<Answer>>,
+    /// Counts the answers that are being read.
+    pub(crate) readers: Readers,
+    /// Whole answers, the oldest first.
+    pub(crate) ended: VecDeque<Ended>,
+    /// Bytes of all whole answers.
+    pub(crate) ended_bytes: u64,
     /// Sorted by item.
     pub(crate) used: Vec<(Item, Duration)>,
     pub(crate) failures: Vec<Failure>,
@@ -326,8 +339,10 @@
             active: Vec::new(),
             early: Vec::new(),
             no_room: Vec::new(),
-            answers: Vec::new(),
+            answers: ById::default(),
+            readers: Readers::default(),
             ended: VecDeque::new(),
+            ended_bytes: 0,
             used: Vec::new(),
             failures: Vec::new(),
             loading: Vec::new(),
@@ -479,8 +494,7 @@
             changed
         });
         published.load.send_replace(self.load(None));
-        let read = self.answers.iter().filter(|(_, a)| a.is_read()).count();
-        let busy = self.active.len() + read;
+        let busy = self.active.len() + self.readers.count();
         published.busy.send_if_modified(|b| {
             let changed = *b != busy;
             *b = busy;
--- a/crates/stair-state/src/runs.rs
+++ b/crates/stair-state/src/runs.rs
@@ -13,6 +13,8 @@
 };
 use stair_types::RequestId;
 
+use crate::ById;
+
 /// Time for which an ended or withdrawn id is remembered.
 pub const RETENTION: Duration = Duration::from_secs(900);
 
@@ -30,7 +32,6 @@
 
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 struct Run {
-    id: RequestId,
     phase: Phase,
     /// When an ended or withdrawn id is forgotten, as time since the process's start.
     forget_at: Option<Duration>,
@@ -39,8 +40,7 @@
 /// The requests of one agent, of one incarnation.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct RunTable {
-    /// Sorted by id.
-    runs: Vec<Run>,
+    runs: ById<Run>,
     next_sweep: Duration,
 }
 
@@ -52,24 +52,23 @@
     /// request must be refused.
     pub fn offer(&mut self, now: Duration, id: RequestId) -> bool {
         self.sweep(now);
-        let Err(at) = self.find(id) else {
+        if self.runs.get(id).is_some() {
             return false;
-        };
+        }
         let run = Run {
-            id,
             phase: Phase::Offered,
             forget_at: None,
         };
-        self.runs.insert(at, run);
+        self.runs.insert(id, run);
         true
     }
 
     /// Lets an offered request run. Returns false when it must not: it was started before, was
     /// withdrawn, or was never offered here.
     pub fn start(&mut self, id: RequestId) -> bool {
-        match self.find(id) {
-            Ok(i) if self.runs[i].phase == Phase::Offered => {
-                self.runs[i].phase = Phase::Started;
+        match self.runs.get_mut(id) {
+            Some(run) if run.phase == Phase::Offered => {
+                run.phase = Phase::Started;
                 true
             }
             _ => false,
@@ -79,33 +78,22 @@
     /// Makes sure that a request which has not started never does, also one whose offer has not
     /// arrived yet. Returns what is known of it afterwards: `Started` or `Withdrawn`.
     pub fn withdraw(&mut self, now: Duration, id: RequestId) -> Phase {
-        let forget_at = Some(now + RETENTION);
-        match self.find(id) {
-            Ok(i) if self.runs[i].phase == Phase::Started => Phase::Started,
-            Ok(i) => {
-                self.runs[i].phase = Phase::Withdrawn;
-                self.runs[i].forget_at = forget_at;
-                Phase::Withdrawn
-            }
-            Err(at) => {
-                let phase = Phase::Withdrawn;
-                self.runs.insert(
-                    at,
-                    Run {
-                        id,
-                        phase,
-                        forget_at,
-                    },
-                );
-                phase
-            }
+        let found = self.runs.get(id).map(|run| run.phase);
+        if found == Some(Phase::Started) {
+            return Phase::Started;
         }
+        let withdrawn = Run {
+            phase: Phase::Withdrawn,
+            forget_at: Some(now + RETENTION),
+        };
+        self.runs.insert(id, withdrawn);
+        Phase::Withdrawn
     }
 
     /// Notes that a started request's run is over.
     pub fn end(&mut self, now: Duration, id: RequestId) {
-        if let Ok(i) = self.find(id) {
-            self.runs[i].forget_at = Some(now + RETENTION);
+        if let Some(run) = self.runs.get_mut(id) {
+            run.forget_at = Some(now + RETENTION);
         }
     }
 
@@ -126,8 +114,4 @@
         self.next_sweep = now + SWEEP_EVERY;
         self.runs.retain(|r| r.forget_at.is_none_or(|at| at > now));
     }
-
-    fn find(&self, id: RequestId) -> Result<usize, usize> {
-        self.runs.binary_search_by_key(&id, |r| r.id)
-    }
 }
