link: ask for larger UDP buffers

At 9,800 requests/s on a busy machine answers took seconds while no process was busy: /proc/net/snmp counted 17,000 datagrams dropped because a socket's buffer was full. The kernel's default holds about a hundred; a process that waits some milliseconds for a core loses what comes then, and QUIC takes that for congestion. The system's limit still holds; where it is lower, the kernel takes that.

--- a/crates/stair-link/src/dialer.rs
+++ b/crates/stair-link/src/dialer.rs
@@ -29,7 +29,8 @@
     Keys,
     Link,
     keys::SERVER_NAME,
-    link::Probing, //
+    link::Probing,
+    socket, //
 };
 
 /// The part of the time to connect that goes to the present port, in percent. A handshake takes
@@ -155,7 +156,7 @@
         if let Some(endpoint) = slot {
             return Ok((endpoint.clone(), generation));
         }
-        let endpoint = Endpoint::client(local)?;
+        let endpoint = socket::endpoint(local, None)?;
         *slot = Some(endpoint.clone());
         Ok((endpoint, generation))
     }
--- a/crates/stair-link/src/lib.rs
+++ b/crates/stair-link/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod link;
 pub mod listener;
 pub mod pool;
+mod socket;
 
 pub use dialer::Dialer;
 pub use keys::Keys;
--- a/crates/stair-link/src/listener.rs
+++ b/crates/stair-link/src/listener.rs
@@ -18,7 +18,8 @@
 use crate::{
     Error,
     Keys,
-    Link, //
+    Link,
+    socket, //
 };
 
 /// Links whose handshake is done and that nobody has taken yet.
@@ -44,7 +45,7 @@
     ///
     /// Fails when the address is taken or the keys cannot be used.
     pub fn bind(addr: SocketAddr, keys: &Keys) -> Result<Self, Error> {
-        let endpoint = Endpoint::server(keys.server_config()?, addr)?;
+        let endpoint = socket::endpoint(addr, Some(keys.server_config()?))?;
         let (tx, rx) = mpsc::channel(ACCEPTED);
         tokio::spawn(accept_all(endpoint.clone(), tx));
         Ok(Self {
