agent: let the entry alone spread the time to come back

An agent spread it over one to two times the expected drain, and the entry did so again: the refused came back after up to four times the drain, while slots stood free. The agent tells the drain now, at least the shortest time told.

--- a/crates/stair-agent/src/admit.rs
+++ b/crates/stair-agent/src/admit.rs
@@ -154,8 +154,8 @@
                     Reason::QueueFull => "the queue is full",
                     _ => "the expected finish lies after the deadline",
                 };
-                let retry = spread_ms(retry_after, pending.offer.id);
-                self.refuse(pending, Refusal::not_run(reason, retry, message));
+                let refusal = Refusal::not_run(reason, drained_ms(retry_after), message);
+                self.refuse(pending, refusal);
             }
         }
     }
@@ -419,7 +419,7 @@
     /// Refuses a request that may come back when the queue has drained.
     fn refuse_later(&mut self, id: RequestId, reason: Reason, message: &str) {
         let drain = self.expected_wait();
-        let refusal = Refusal::not_run(reason, spread_ms(drain, id), message);
+        let refusal = Refusal::not_run(reason, drained_ms(drain), message);
         self.refuse_id(id, refusal);
     }
 
@@ -486,10 +486,10 @@
     Refusal::not_run(Reason::Leaving, LEAVING_MS, "the target is leaving")
 }
 
-/// Returns when to come back, so that those who are refused together do not come back together.
-fn spread_ms(drain: Duration, id: RequestId) -> u32 {
-    let hash = u64::try_from(id.0 & u128::from(u64::MAX)).unwrap_or_default();
-    millis(backoff::retry_after(drain, hash))
+/// Returns when the queue has drained. The entry spreads it, so that those who are refused together
+/// do not come back together; to spread it here as well would send them back later than needed.
+fn drained_ms(drain: Duration) -> u32 {
+    millis(drain.max(backoff::MIN_RETRY_AFTER))
 }
 
 fn millis(time: Duration) -> u32 {
