standin: keep the time between what a proxied connection sends

Cause: the TCP proxy read nothing while it delayed a piece, so the end of a connection came right after its last piece. Servers then saw a request and its end at once and dropped it; an order that is under way when its sender dies could not be tried.

Change: reading goes on while pieces are delayed, at most 16 pieces each way; the proxy counts what it read, so that a test can wait for it.

--- a/crates/stair-standin/src/proxy.rs
+++ b/crates/stair-standin/src/proxy.rs
@@ -48,6 +48,8 @@
 #[derive(Debug, Default)]
 struct Gate {
     opened: u64,
+    /// Pieces that were read from either side of TCP connections.
+    read: u64,
     /// Numbers below are closed.
     cut_below: u64,
     /// Numbers below are silent for good.
@@ -157,6 +159,22 @@
         let _ = expected(rx.wait_for(|gate| gate.opened >= count)).await;
     }
 
+    /// Returns how many pieces were read from TCP connections so far, passed on or not.
+    pub fn read(&self) -> u64 {
+        self.gate.borrow().read
+    }
+
+    /// Waits until so many pieces were read from TCP connections.
+    ///
+    /// # Panics
+    ///
+    /// After half a minute.
+    pub async fn until_read(&self, count: u64) {
+        let mut rx = self.gate.subscribe();
+        // The sender lives in `self`.
+        let _ = expected(rx.wait_for(|gate| gate.read >= count)).await;
+    }
+
     /// Lets everything through without delay, but for what went silent for good.
     pub fn pass(&self) {
         self.gate.send_modify(|gate| {
--- a/crates/stair-standin/src/proxy/tcp.rs
+++ b/crates/stair-standin/src/proxy/tcp.rs
@@ -17,7 +17,15 @@
             OwnedWriteHalf, //
         },
     },
-    task::JoinSet, //
+    sync::{
+        mpsc,
+        mpsc::{
+            Receiver,
+            Sender, //
+        },
+    },
+    task::JoinSet,
+    time::Instant, //
 };
 
 use super::{
@@ -28,6 +36,9 @@
 
 const PIECE_BYTES: usize = 64 << 10;
 
+/// Pieces that wait to be passed on, each way. More stay with their sender, as in a black hole.
+const PIECES: usize = 16;
+
 pub(super) async fn run(listener: TcpListener, upstream: SocketAddr, gate: Shared) {
     let mut conns = JoinSet::new();
     while let Ok((client, _)) = listener.accept().await {
@@ -62,32 +73,56 @@
     Ok(())
 }
 
+/// What one side sent, and when it is passed on; an empty piece is its end.
+struct Piece {
+    due: Instant,
+    bytes: io::Result<Vec<u8>>,
+}
+
 async fn pump(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    from: OwnedReadHalf,
+    to: OwnedWriteHalf,
     gate: &Shared,
     number: u64,
 ) -> io::Result<()> {
+    let (tx, rx) = mpsc::channel(PIECES);
+    tokio::try_join!(read(from, tx, gate), write(to, rx, gate, number))?;
+    Ok(())
+}
+
+/// Reads without waiting for what is delayed, so that the end of a connection comes as long after
+/// its last piece as it was sent.
+async fn read(mut from: OwnedReadHalf, tx: Sender<Piece>, gate: &Shared) -> io::Result<()> {
     let mut buf = vec![0; PIECE_BYTES];
     loop {
-        let len = match from.read(&mut buf).await {
-            Ok(len) => len,
-            Err(e) => {
-                // A reset of one side must not show on the other side of a black hole.
-                until_open(gate, number).await;
-                return Err(e);
-            }
-        };
-        let delay = gate.borrow().delay;
-        if !delay.is_zero() {
-            tokio::time::sleep(delay).await;
+        let bytes = from.read(&mut buf).await.map(|len| buf[..len].to_vec());
+        gate.send_modify(|gate| gate.read += 1);
+        let due = Instant::now() + gate.borrow().delay;
+        let is_last = bytes.as_ref().map_or(true, Vec::is_empty);
+        let passed_on = tx.send(Piece { due, bytes }).await;
+        if is_last || passed_on.is_err() {
+            return Ok(());
         }
+    }
+}
+
+async fn write(
+    mut to: OwnedWriteHalf,
+    mut rx: Receiver<Piece>,
+    gate: &Shared,
+    number: u64,
+) -> io::Result<()> {
+    while let Some(piece) = rx.recv().await {
+        tokio::time::sleep_until(piece.due).await;
+        // A reset of one side, too, must not show on the other side of a black hole.
         until_open(gate, number).await;
-        if len == 0 {
+        let bytes = piece.bytes?;
+        if bytes.is_empty() {
             return to.shutdown().await;
         }
-        to.write_all(&buf[..len]).await?;
+        to.write_all(&bytes).await?;
     }
+    Ok(())
 }
 
 async fn until_open(gate: &Shared, number: u64) {
