dandelionstair: fuzz the whole path with random faults

Seen: an entry whose watch at the platform is held silent learns of a new version only when the watch's 25 s are over (27 s seen in the log). That is promise 9's and 10's matter and is reported, not mended here; the test waits for it.

--- a/crates/dandelionstair/tests/promises/main.rs
+++ b/crates/dandelionstair/tests/promises/main.rs
@@ -6,6 +6,7 @@
 
 mod at_most_once;
 mod crowded;
+mod fuzz;
 mod in_time;
 mod leaving;
 mod not_run;
