http: don't take an answer without an end for a whole one

A target that says neither how long its answer is nor sends it in chunks ends it by closing the connection; a target that dies in the middle does the same. The rest was lost and the answer passed on as whole. Such an answer is now lost at its head, as "may have run". Targets have to send a length or chunks.

Callers that speak HTTP/1.0 still get long answers and streams without a visible end from an entry; that is not mended.

--- a/crates/stair-http/src/client.rs
+++ b/crates/stair-http/src/client.rs
@@ -149,6 +149,9 @@
             req.headers_mut().insert(hyper::header::HOST, host);
         }
         match timeout(head_time, self.send_on_any(req)).await {
+            Ok(Ok(answer)) if !answer.has_end() => {
+                Err(Error::Lost("the answer does not say where it ends".into()))
+            }
             Ok(result) => result,
             // Whether the request left before the time was up is unknown.
             Err(_) => {
@@ -293,6 +296,15 @@
         Ok(all.freeze())
     }
 
+    /// Tells whether a cut can be told from the end. An answer with neither a length nor chunks ends
+    /// with its connection, and so does one of which the rest was lost.
+    fn has_end(&self) -> bool {
+        let headers = &self.head.headers;
+        hyper::body::Body::is_end_stream(&self.body)
+            || headers.contains_key(hyper::header::CONTENT_LENGTH)
+            || headers.contains_key(hyper::header::TRANSFER_ENCODING)
+    }
+
     fn finish(&mut self) {
         if let Some(conn) = self.conn.take() {
             self.client.give_back(conn);
