entry: ask what became of an offer before offering it again

Cause: work that needs no Start may run before the agent's word that it is queued arrives.

Change: the entry asks once, on a new link, as for a started request. The agent answers with the run's answer, or that it never ran and never will, and only then it is offered again. A target that no new link reaches is not waited for.

Ruled out: the resume of a started request, which tries for 8 s; callers of a dead target would be held for as long.

--- a/crates/stair-entry/src/traffic/offer.rs
+++ b/crates/stair-entry/src/traffic/offer.rs
@@ -28,6 +28,7 @@
     exchange::Exchange,
     refuse::millis,
     request::Request,
+    resume,
     run::Progress, //
 };
 
@@ -61,11 +62,27 @@
     progress.started = req.starts_when_ready();
     match timeout(QUEUED_TIME, queue(req, &mut exchange)).await {
         Ok(Ok(())) => Ok(exchange),
+        Ok(Err(refusal)) if progress.started && refusal.reason == Reason::LinkLost => {
+            take_up(cx, exchange).await
+        }
         Ok(Err(refusal)) => Err(refusal),
         Err(_) => Err(lost(progress, "the target did not queue the request")),
     }
 }
 
+/// Asks on a new link what has become of an offer whose link broke before it was answered.
+///
+/// The agent may be running it. Offering it again would run it twice, which such work allows but
+/// which takes a slot from others. A target that no new link reaches either is not waited for.
+async fn take_up<S>(cx: &Cx<S>, mut exchange: Exchange) -> Result<Exchange, Refusal> {
+    let lost = || {
+        let message = "the target can no longer be reached";
+        Refusal::may_have_run(Reason::NoTarget, RETRY_MS, message)
+    };
+    let again = resume::once(cx, &mut exchange, 0).await;
+    again.map(|()| exchange).map_err(|_| lost())
+}
+
 async fn queue(req: &Request, exchange: &mut Exchange) -> Result<(), Refusal> {
     let broken = |_| match req.starts_when_ready() {
         true => Refusal::may_have_run(Reason::LinkLost, 0, BROKE),
--- a/crates/stair-entry/src/traffic/resume.rs
+++ b/crates/stair-entry/src/traffic/resume.rs
@@ -82,7 +82,16 @@
     }
 }
 
-async fn once<S>(cx: &Cx<S>, exchange: &mut Exchange, received: u64) -> anyhow::Result<()> {
+/// Asks once, on a new link, for the answer from `received` on.
+///
+/// # Errors
+///
+/// Fails when no link to the agent can be opened.
+pub(super) async fn once<S>(
+    cx: &Cx<S>,
+    exchange: &mut Exchange,
+    received: u64,
+) -> anyhow::Result<()> {
     let link = cx.pool.get(exchange.target.link).await?;
     exchange.reopen(&link).await?;
     let incarnation = exchange.incarnation;
