promises: begin streams that may not run twice on silent links

The test counted one run of work that may run twice, and failed in one of two runs (two runs of a repeatable stream). Its stream is now work that must not run twice, so the count is the promise's own.

--- a/crates/dandelionstair/tests/promises/silent_links.rs
+++ b/crates/dandelionstair/tests/promises/silent_links.rs
@@ -34,9 +34,11 @@
     }
 }
 
-/// Begins a stream and returns once it runs.
+/// Begins a stream that may not run twice and returns once it runs.
 async fn begin(world: &World, caller: Caller, marker: &str) -> tokio::task::JoinHandle<Answer> {
-    let ask = Ask::completion("m", marker, 300).streamed();
+    let ask = Ask::completion("m", marker, 300)
+        .streamed()
+        .repeatable(false);
     let stream = tokio::spawn(async move { caller.ask(&ask).await });
     let marker: Box<str> = marker.into();
     world
