--- a/crates/dandelionstair/tests/promises/main.rs
+++ b/crates/dandelionstair/tests/promises/main.rs
@@ -16,4 +16,5 @@
 mod replicas;
 mod silent_links;
 mod support;
+mod under_load;
 mod whole_answer;
