entry: hold an answer of one piece back without a copy

A plain answer was copied into a buffer of its own while it was held back, also when it came in one piece, as nearly all do. Not measured apart: the profile is flat, with memmove at 2.6%.

--- a/crates/stair-entry/src/traffic/caller.rs
+++ b/crates/stair-entry/src/traffic/caller.rs
@@ -65,7 +65,20 @@
 struct Answer {
     head: Response<()>,
     is_event_stream: bool,
-    held: BytesMut,
+    held: Bytes,
+}
+
+impl Answer {
+    /// Holds one more piece back. The usual answer is one piece, and is not copied.
+    fn hold(&mut self, bytes: Bytes) {
+        if self.held.is_empty() {
+            self.held = bytes;
+            return;
+        }
+        let mut buf = BytesMut::from(std::mem::take(&mut self.held));
+        buf.extend_from_slice(&bytes);
+        self.held = buf.freeze();
+    }
 }
 
 enum Reply {
@@ -150,7 +163,7 @@
         self.answer = Some(Answer {
             head,
             is_event_stream,
-            held: BytesMut::new(),
+            held: Bytes::new(),
         });
     }
 
@@ -171,11 +184,11 @@
         let Some(answer) = &mut self.answer else {
             return Ok(());
         };
-        answer.held.extend_from_slice(&bytes);
+        answer.hold(bytes);
         if answer.held.len() <= HOLD_BYTES {
             return Ok(());
         }
-        let held = answer.held.split().freeze();
+        let held = std::mem::take(&mut answer.held);
         let head = answer.head.clone();
         self.reply(Reply::Stream(head));
         self.send(Some(held)).await
@@ -191,7 +204,7 @@
             return self.send(None).await;
         }
         if let Some(answer) = self.answer.take() {
-            let whole = body::full(answer.held.freeze());
+            let whole = body::full(answer.held);
             self.reply(Reply::Whole(answer.head.map(|()| whole)));
         }
         Ok(())
