state: cut the grants into 256 shards

Cause: every entry's watch brings each shard that changes. Measured with the example slopes at 12,000 targets and 23,650 grants: 62 kB a shard in the mean, 106 kB at most, with 32 shards. Some four writes a replaced VM would cost each entry about 7 KB a second (worked out). Ruled out: one object a model, whose list would be read as a whole at each start all the same.

--- a/crates/stair-state/src/grants.rs
+++ b/crates/stair-state/src/grants.rs
@@ -17,7 +17,11 @@
 };
 
 /// Shards of the grants; fixed for a deployment's life, since it places every model.
-pub const SHARDS: u16 = 32;
+///
+/// Every entry gets each shard that changes. With 12,000 targets and two grants for each, 32 shards
+/// have 62 kB in the mean, and 2,400 replaced VMs a day would bring each entry more than the 7 KB a
+/// second that control may cost. With 256 a shard has 8 kB.
+pub const SHARDS: u16 = 256;
 
 /// A permission of one target to hold one model.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
