agent: expect orders that are under way when the list is read

Cause: after a lost answer, or at a start, the agent took the engine's list for the whole truth. An order that was given up can still be under way, on a connection that is closed, and take effect after that list: the memory it takes was given to another model. The list also showed no adapters that are being loaded or unloaded, so a restart in such a load overcommitted as well. And a refusal for another version of a held model ended the agent as if a later one had taken over.

Ruled out: raising the incarnation in the platform, which needs the platform and gives up all answers that are kept; waiting only, which says nothing about an order that is late by more.

Change: each incarnation has a range of fencing tokens. After an unanswered order the agent raises its token, tells the engine of it by unloading a name that nothing has, and only then asks for the list: engines that check fences refuse the late order. For the others no order is given and no grant is given back for 2 s after an unanswered order, and after the start of an agent that had a predecessor; then the list is read again. Requests go on for what is loaded, but for the items of the order. Adapters are listed with their state. Only stale-fence (or a conflict without a reason) means that the agent is superseded.

Remains: for engines that ignore fences, an order that is late by more than 2 s.

--- a/crates/stair-agent/src/control.rs
+++ b/crates/stair-agent/src/control.rs
@@ -80,6 +80,7 @@
     },
     assignment::InForce,
     crowding::NoRoom,
+    doubt::UnderWay,
     dump::Dump,
     early::Early,
     engine::{
@@ -99,6 +100,9 @@
 /// less than this.
 const PAUSED: Duration = Duration::from_secs(1);
 
+/// The incarnation that no other agent came before.
+const FIRST: FencingToken = FencingToken(1);
+
 /// What the control thread is told.
 pub(crate) enum Msg {
     Offer {
@@ -273,6 +277,8 @@
     pub(crate) listing: bool,
     /// The engine's list has to be read before the next order.
     pub(crate) relist: bool,
+    /// Orders that may take effect although they were given up.
+    pub(crate) under_way: UnderWay,
     /// The planned stop has begun.
     pub(crate) leaving: bool,
     /// What the platform's list says of this VM.
@@ -325,6 +331,10 @@
     fn new(me: ActorRef<Msg>, args: Arguments) -> Self {
         let keep = Keep::new(keep_options(&args.in_force));
         let queue_opts = queue_options(&args.in_force, &args.limits);
+        let under_way = match args.engine {
+            Some(_) if args.incarnation > FIRST => UnderWay::of_predecessor(),
+            _ => UnderWay::default(),
+        };
         Self {
             me,
             began: Instant::now(),
@@ -352,6 +362,7 @@
             orders: 0,
             listing: false,
             relist: false,
+            under_way,
             leaving: false,
             vm: VmNotice::default(),
             loads: 0,
@@ -422,8 +433,10 @@
         self.take_early();
         self.expire();
         self.settle();
-        if self.may_order() {
+        if self.knows_engine() && !self.leaving {
             self.hand_out();
+        }
+        if self.may_order() {
             self.reconcile();
             self.order_loads();
         }
--- /dev/null
+++ b/crates/stair-agent/src/doubt.rs
@@ -0,0 +1,127 @@
+//! What the agent does not know about its engine, and how the engine's list settles it.
+
+use std::time::Duration;
+
+use stair_state::ledger::Item;
+
+use crate::{
+    control::{
+        Core,
+        Msg, //
+    },
+    engine::Listed, //
+};
+
+/// An order whose answer was lost may still be under way: in the buffer of a connection that is
+/// closed already, or read and not begun. It then takes effect after a list that does not show it,
+/// and the memory or the replica would be given twice. Engines that check fencing tokens are told
+/// of a higher one before the list; others are given nothing new for this time, in which an engine
+/// that answers its list has also read what came before on other connections.
+pub(crate) const UNDER_WAY: Duration = Duration::from_secs(2);
+
+/// Pause before the list is asked for again while the engine is moving or silent.
+const AGAIN: Duration = Duration::from_millis(100);
+
+/// Orders that may take effect although they were given up.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct UnderWay {
+    /// Until when; none when there are none.
+    until: Option<Duration>,
+    items: Vec<Item>,
+}
+
+impl UnderWay {
+    /// Returns those of an agent that ran before this one and has ended.
+    pub(crate) fn of_predecessor() -> Self {
+        Self {
+            until: Some(UNDER_WAY),
+            items: Vec::new(),
+        }
+    }
+
+    /// Tells whether anything may be under way.
+    pub(crate) fn is_any(&self) -> bool {
+        self.until.is_some()
+    }
+
+    /// Tells whether an order for an item or its base model may be under way. An unload that comes
+    /// late would cut the requests that run on it.
+    pub(crate) fn is_for(&self, item: &Item) -> bool {
+        let concerns =
+            |other: &Item| other.model == item.model && (other.adapter.is_none() || other == item);
+        self.items.iter().any(concerns)
+    }
+
+    fn add(&mut self, now: Duration, item: &Item) {
+        self.until = Some(now + UNDER_WAY);
+        if !self.items.contains(item) {
+            self.items.push(item.clone());
+        }
+    }
+
+    /// Returns whether the time has passed just now.
+    fn end(&mut self, now: Duration) -> bool {
+        let ended = self.until.is_some_and(|until| until <= now);
+        if ended {
+            *self = Self::default();
+        }
+        ended
+    }
+}
+
+impl Core {
+    /// Tells whether it is known what the engine holds.
+    pub(crate) fn knows_engine(&self) -> bool {
+        !self.relist && !self.listing && !self.ledger.in_doubt()
+    }
+
+    /// Tells whether the engine may be ordered now. An agent that leaves still unloads what it has
+    /// to give back.
+    pub(crate) fn may_order(&self) -> bool {
+        self.knows_engine() && !self.under_way.is_any()
+    }
+
+    /// Asks for the engine's list when something is in doubt. The list settles an order only if it
+    /// is asked for after the last answer came or was lost, so no order is given meanwhile.
+    pub(crate) fn settle(&mut self) {
+        let now = self.now();
+        if self.under_way.end(now) {
+            self.relist = true;
+        }
+        let doubt = self.relist || self.ledger.in_doubt();
+        if !doubt || self.listing || self.orders > 0 {
+            return;
+        }
+        let Some(engine) = self.args.engine.clone() else {
+            return;
+        };
+        self.listing = true;
+        let me = self.me.clone();
+        tokio::spawn(async move {
+            let listed = engine.list_fenced().await;
+            let failed = listed.is_err();
+            if failed || listed.as_ref().is_ok_and(|l| l.is_moving()) {
+                tokio::time::sleep(AGAIN).await;
+            }
+            let _ = me.send_message(Msg::Listed(listed.ok()));
+        });
+    }
+
+    pub(crate) fn listed(&mut self, listed: Option<Listed>) {
+        self.listing = false;
+        if let Some(listed) = listed {
+            self.ledger.settle(listed.entries());
+            self.relist = false;
+        }
+    }
+
+    /// Notes that an order may still be under way. Orders given from now on carry a higher fencing
+    /// token, and the next list is asked for after the engine was told of it.
+    pub(crate) fn note_unanswered(&mut self, item: &Item) {
+        let now = self.now();
+        self.under_way.add(now, item);
+        if let Some(engine) = &mut self.args.engine {
+            engine.raise_fence();
+        }
+    }
+}
--- a/crates/stair-agent/src/engine.rs
+++ b/crates/stair-agent/src/engine.rs
@@ -36,6 +36,13 @@
 /// An unload only frees memory.
 const UNLOAD_TIME: Duration = Duration::from_secs(30);
 
+/// Fencing tokens of one incarnation. The agent raises its own after each order whose answer was
+/// lost, so that the order can no longer take effect; the next incarnation's are all higher.
+const FENCES: u64 = 1 << 20;
+
+/// A name that no engine holds: an order to unload it only tells the engine the fencing token.
+const NOTHING: &str = "dandelionstair.nothing";
+
 /// The longest list or answer to an order.
 const MAX_BYTES: usize = 1 << 20;
 
@@ -61,20 +68,39 @@
     name: AdapterName,
     version: Box<str>,
     memory_mib: u32,
+    #[serde(default)]
+    state: ListedState,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 enum ListedState {
     Loading,
+    #[default]
     Loaded,
     Unloading,
 }
 
+impl From<ListedState> for State {
+    fn from(state: ListedState) -> Self {
+        match state {
+            ListedState::Loading => Self::Loading,
+            ListedState::Loaded => Self::Loaded,
+            ListedState::Unloading => Self::Unloading,
+        }
+    }
+}
+
 impl Listed {
     /// Tells whether the engine is still loading or unloading something.
     pub(crate) fn is_moving(&self) -> bool {
-        self.models.iter().any(|m| m.state != ListedState::Loaded)
+        let adapters = self.models.iter().flat_map(|m| &m.adapters);
+        let mut states = self
+            .models
+            .iter()
+            .map(|m| m.state)
+            .chain(adapters.map(|a| a.state));
+        states.any(|s| s != ListedState::Loaded)
     }
 
     pub(crate) fn entries(self) -> Vec<Entry> {
@@ -90,11 +116,7 @@
         },
         version: model.version,
         memory_mib: model.memory_mib,
-        state: match model.state {
-            ListedState::Loading => State::Loading,
-            ListedState::Loaded => State::Loaded,
-            ListedState::Unloading => State::Unloading,
-        },
+        state: model.state.into(),
     };
     let adapters = model.adapters.into_iter().map(|a| Entry {
         item: Item {
@@ -103,7 +125,7 @@
         },
         version: a.version,
         memory_mib: a.memory_mib,
-        state: State::Loaded,
+        state: a.state.into(),
     });
     std::iter::once(base).chain(adapters).collect()
 }
@@ -113,8 +135,11 @@
 pub(crate) enum Ordered {
     /// As the ledger takes it.
     Answer(Answer),
-    /// The engine has no room although the ledger has.
-    NoMemory,
+    /// No answer came: the order may still be under way.
+    Unanswered,
+    /// The engine holds something that the ledger does not know of: it has no room although the
+    /// ledger has, or another version of the model.
+    Unexpected,
     /// A later agent of this target has ordered the engine.
     Superseded,
 }
@@ -133,9 +158,21 @@
     source: Option<Source>,
 }
 
+#[derive(Deserialize)]
+struct Rejection {
+    error: Box<str>,
+}
+
+/// Tells whether an order was refused for its fencing token. An engine that says no more than
+/// "conflict" is taken to mean that: to go on would be worse.
+fn is_stale(body: &[u8]) -> bool {
+    let rejection = serde_json::from_slice::<Rejection>(body);
+    rejection.map_or(true, |r| &*r.error != "other-version")
+}
+
 #[derive(Serialize)]
 struct Order<'a> {
-    model: &'a ModelName,
+    model: &'a str,
     #[serde(skip_serializing_if = "Option::is_none")]
     adapter: Option<&'a AdapterName>,
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -157,7 +194,7 @@
     pub(crate) fn new(client: Client, fence: FencingToken, load_time: Duration) -> Self {
         Self {
             client,
-            fence,
+            fence: FencingToken(fence.0.saturating_mul(FENCES)),
             load_time,
         }
     }
@@ -170,6 +207,26 @@
         Ok(serde_json::from_slice(&body)?)
     }
 
+    /// Makes the engine refuse all orders that were given before [`Engine::raise_fence`] and have
+    /// not arrived yet, if it checks fencing tokens, and lists what it holds.
+    pub(crate) async fn list_fenced(&self) -> anyhow::Result<Listed> {
+        let order = Order {
+            model: NOTHING,
+            adapter: None,
+            version: None,
+            memory_mib: None,
+            fence: self.fence,
+        };
+        let (told, _) = self.order("/engine/unload", &order, LIST_TIME).await;
+        anyhow::ensure!(told != Ordered::Unanswered, "the engine is silent");
+        self.list().await
+    }
+
+    /// Gives all later orders a higher fencing token.
+    pub(crate) fn raise_fence(&mut self) {
+        self.fence = FencingToken(self.fence.0 + 1);
+    }
+
     pub(crate) async fn load(
         &self,
         item: &Item,
@@ -181,7 +238,7 @@
             Some(_) => "/engine/adapters/load",
         };
         let order = Order {
-            model: &item.model,
+            model: item.model.as_str(),
             adapter: item.adapter.as_ref(),
             version: Some(version),
             memory_mib: Some(memory_mib),
@@ -198,7 +255,7 @@
             Some(_) => "/engine/adapters/unload",
         };
         let order = Order {
-            model: &item.model,
+            model: item.model.as_str(),
             adapter: item.adapter.as_ref(),
             version: None,
             memory_mib: None,
@@ -207,14 +264,14 @@
         let (ended, _) = self.order(path, &order, UNLOAD_TIME).await;
         match ended {
             // Whatever else the engine says to an unload, only its list tells what it holds.
-            Ordered::Answer(Answer::Refused) | Ordered::NoMemory => Ordered::Answer(Answer::Lost),
+            Ordered::Answer(Answer::Refused) | Ordered::Unexpected => Ordered::Answer(Answer::Lost),
             other => other,
         }
     }
 
     /// Gives an order; returns how it ended and the answer's body.
     async fn order(&self, path: &str, order: &Order<'_>, time: Duration) -> (Ordered, Bytes) {
-        let without_body = |answer| (Ordered::Answer(answer), Bytes::new());
+        let without_body = |ended| (ended, Bytes::new());
         let body = serde_json::to_vec(order).unwrap_or_default();
         let req = Request::builder()
             .method(Method::POST)
@@ -222,22 +279,22 @@
             .header(CONTENT_TYPE, "application/json")
             .body(Full::new(Bytes::from(body)));
         let Ok(req) = req else {
-            return without_body(Answer::Refused);
+            return without_body(Ordered::Answer(Answer::Refused));
         };
         let answer = match self.client.send(req, time).await {
             Ok(answer) => answer,
-            Err(HttpError::NotSent(_)) => return without_body(Answer::Refused),
-            Err(_) => return without_body(Answer::Lost),
+            Err(HttpError::NotSent(_)) => return without_body(Ordered::Answer(Answer::Refused)),
+            Err(_) => return without_body(Ordered::Unanswered),
         };
         let status = answer.head.status;
         // The body has to be read whole before the connection serves another order.
         let Ok(body) = answer.collect(MAX_BYTES, LIST_TIME).await else {
-            return without_body(Answer::Lost);
+            return without_body(Ordered::Answer(Answer::Lost));
         };
         let ended = match status {
             StatusCode::OK => Ordered::Answer(Answer::Done),
-            StatusCode::CONFLICT => Ordered::Superseded,
-            StatusCode::INSUFFICIENT_STORAGE => Ordered::NoMemory,
+            StatusCode::CONFLICT if is_stale(&body) => Ordered::Superseded,
+            StatusCode::CONFLICT | StatusCode::INSUFFICIENT_STORAGE => Ordered::Unexpected,
             // What is to be unloaded is not there; what is to be loaded is not known.
             StatusCode::NOT_FOUND if order.version.is_none() => Ordered::Answer(Answer::Done),
             StatusCode::NOT_FOUND => Ordered::Answer(Answer::Refused),
--- a/crates/stair-agent/src/lib.rs
+++ b/crates/stair-agent/src/lib.rs
@@ -17,6 +17,7 @@
 mod control;
 mod control_links;
 mod crowding;
+mod doubt;
 mod early;
 mod engine;
 mod incarnation;
--- a/crates/stair-agent/src/loads.rs
+++ b/crates/stair-agent/src/loads.rs
@@ -34,7 +34,6 @@
         Msg, //
     },
     engine::{
-        Listed,
         Ordered,
         Source, //
     },
@@ -84,42 +83,6 @@
 }
 
 impl Core {
-    /// Tells whether the engine may be ordered now. An agent that leaves still unloads what it has
-    /// to give back.
-    pub(crate) fn may_order(&self) -> bool {
-        !self.relist && !self.listing && !self.ledger.in_doubt()
-    }
-
-    /// Asks for the engine's list when something is in doubt. The list settles an order only if it
-    /// is asked for after the last answer came or was lost, so no order is given meanwhile.
-    pub(crate) fn settle(&mut self) {
-        let doubt = self.relist || self.ledger.in_doubt();
-        if !doubt || self.listing || self.orders > 0 {
-            return;
-        }
-        let Some(engine) = self.args.engine.clone() else {
-            return;
-        };
-        self.listing = true;
-        let me = self.me.clone();
-        tokio::spawn(async move {
-            let listed = engine.list().await;
-            let failed = listed.is_err();
-            if failed || listed.as_ref().is_ok_and(|l| l.is_moving()) {
-                tokio::time::sleep(Duration::from_millis(100)).await;
-            }
-            let _ = me.send_message(Msg::Listed(listed.ok()));
-        });
-    }
-
-    pub(crate) fn listed(&mut self, listed: Option<Listed>) {
-        self.listing = false;
-        if let Some(listed) = listed {
-            self.ledger.settle(listed.entries());
-            self.relist = false;
-        }
-    }
-
     /// Unloads what may not be held or is of another version.
     pub(crate) fn reconcile(&mut self) {
         // Until the first configuration came, what is declared is not known.
@@ -387,8 +350,11 @@
         self.loading.retain(|(other, _)| other != item);
         match ended {
             Ordered::Answer(answer) => self.ledger.end_load(item, answer),
-            Ordered::NoMemory => {
-                // The engine holds something that the ledger does not know of.
+            Ordered::Unanswered => {
+                self.ledger.end_load(item, Answer::Lost);
+                self.note_unanswered(item);
+            }
+            Ordered::Unexpected => {
                 self.ledger.end_load(item, Answer::Refused);
                 self.relist = true;
             }
@@ -412,7 +378,11 @@
         self.orders -= 1;
         match ended {
             Ordered::Answer(answer) => self.ledger.end_unload(item, answer),
-            Ordered::NoMemory => self.ledger.end_unload(item, Answer::Lost),
+            Ordered::Unanswered => {
+                self.ledger.end_unload(item, Answer::Lost);
+                self.note_unanswered(item);
+            }
+            Ordered::Unexpected => self.ledger.end_unload(item, Answer::Lost),
             Ordered::Superseded => {
                 self.ledger.end_unload(item, Answer::Lost);
                 self.superseded();
@@ -465,7 +435,7 @@
     /// Gives back grants that are being revoked, once the engine surely holds the model no longer
     /// and nothing can load it: a load after the grant was removed would exceed the replicas.
     pub(crate) fn give_back(&mut self) {
-        if self.relist || self.listing {
+        if self.relist || self.listing || self.under_way.is_any() {
             return;
         }
         let free = |model: &ModelName| {
--- a/crates/stair-agent/src/report.rs
+++ b/crates/stair-agent/src/report.rs
@@ -56,7 +56,7 @@
     ) {
         let outcome = match ended {
             Ordered::Answer(Answer::Done) => LoadOutcome::Loaded,
-            Ordered::Answer(Answer::Lost) => LoadOutcome::Unknown,
+            Ordered::Answer(Answer::Lost) | Ordered::Unanswered => LoadOutcome::Unknown,
             _ => LoadOutcome::Failed,
         };
         let metrics = &self.args.metrics;
--- a/crates/stair-standin/src/engine/state.rs
+++ b/crates/stair-standin/src/engine/state.rs
@@ -50,11 +50,11 @@
     pub memory_mib: u32,
     /// How far it is.
     pub state: HeldState,
-    /// Adapters that are loaded.
+    /// Its adapters.
     pub adapters: Vec<AdapterStatus>,
 }
 
-/// An adapter that is loaded.
+/// An adapter that is held.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AdapterStatus {
     /// Its name.
@@ -63,6 +63,8 @@
     pub version: Box<str>,
     /// Its memory.
     pub memory_mib: u32,
+    /// How far it is.
+    pub state: HeldState,
 }
 
 /// A model under its name, or an adapter under `model/adapter`.
@@ -143,13 +145,13 @@
     }
 
     fn model_status(&self, model: &Held) -> ModelStatus {
-        let loaded = self.held.iter().filter(|h| h.state == HeldState::Loaded);
-        let adapters = loaded.filter_map(|held| {
+        let adapters = self.held.iter().filter_map(|held| {
             let (of, name) = held.key.split_once('/')?;
             (of == &*model.key).then(|| AdapterStatus {
                 name: name.into(),
                 version: held.version.clone(),
                 memory_mib: held.memory_mib,
+                state: held.state,
             })
         });
         ModelStatus {
