--- a/crates/dandelionstair/tests/promises/main.rs
+++ b/crates/dandelionstair/tests/promises/main.rs
@@ -9,6 +9,7 @@
 mod fuzz;
 mod in_time;
 mod leaving;
+mod memory;
 mod not_run;
 mod path;
 mod planned_stop;
