dandelionstair: test turns whose home fails, and late orders with moves

A load waits for its turn at the weight store while the entry that gives it dies, is frozen or goes silent; an order that arrives after its agent died and its grant was moved.

--- a/crates/dandelionstair/tests/promises/main.rs
+++ b/crates/dandelionstair/tests/promises/main.rs
@@ -17,5 +17,6 @@
 mod replicas;
 mod silent_links;
 mod support;
+mod turns;
 mod under_load;
 mod whole_answer;
--- a/crates/dandelionstair/tests/promises/replicas.rs
+++ b/crates/dandelionstair/tests/promises/replicas.rs
@@ -167,6 +167,49 @@
     assert_eq!(world.recorder.max_holders("m"), 1);
 }
 
+// The same with an order that is still under way to the engine when its agent dies, and arrives
+// when the replacement has read the engine's list and found nothing.
+async fn killed_before_load(checks_fence: bool, delay: Duration) {
+    let mut world = World::start(engines(2, 1, fences(checks_fence))).await;
+    let holder = world.holder("m");
+    let agent = &mut world.agents[holder];
+    let name = agent.name.clone();
+    agent.to_target.delay(delay);
+    let read = agent.to_target.read();
+    let caller = world.caller(0);
+    let first = tokio::spawn(async move { caller.ask(&Ask::completion("m", "first", 2)).await });
+    let agent = &mut world.agents[holder];
+    agent.to_target.until_read(read + 1).await;
+
+    agent.process.kill().await;
+    agent.to_target.until_read(read + 2).await;
+    agent.to_target.pass();
+    world.platform.set_vm_state(&name, VmState::Leaving);
+    world.restart_agent(holder).await;
+
+    eventually("the grant has moved", async || {
+        world.holder_if_any("m") != Some(holder)
+    })
+    .await;
+    world.until_served(1, "m").await;
+    first.abort();
+    world
+        .holds_past_limits("one engine holds the model", async || {
+            world.recorder.max_holders("m") == 1
+        })
+        .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_before_load_fenced() {
+    killed_before_load(true, Duration::from_secs(4)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_before_load_unfenced() {
+    killed_before_load(false, Duration::from_secs(1)).await;
+}
+
 // The platform writes a change of a grant, and its answer never comes: the connection is closed
 // or goes silent. The writer must find out what became of it; who takes it for lost could grant
 // twice, who takes it for done could leave the model without a holder.
