entry: tell what is in force truly, and derive less at each change

Now its own word is compared with what was sent. - The status told a version that had arrived and was not yet published. - A change taken back, seen at once by one entry and half by another that is then cut off, stayed at the agents (taken_back failed with the check switched off). - A shard that the entry wrote or read itself may be later than its list of VMs. A holder missing in the older list was taken for gone: one replica too many could be granted. The list now has to be as new as the shard. - Of two holders without a record only the first was revoked. - Deletions were remembered without end; now at most 4,096, and older unknown objects are refused.

--- a/crates/stair-entry/src/control/actor.rs
+++ b/crates/stair-entry/src/control/actor.rs
@@ -78,6 +78,8 @@
     pub(super) flush_sent: bool,
     /// Whether grants may have to change since the last round of proposals.
     pub(super) unproposed: bool,
+    /// For each shard, how many live entries come before this one; empty until it is worked out.
+    pub(super) ranks: Vec<usize>,
     /// For each shard, since when a change is needed that this entry is not first for.
     pub(super) needed_since: Vec<Option<Instant>>,
     /// Shards with a write under way.
@@ -88,6 +90,8 @@
     pub(super) crowding: Crowding,
     /// Given back by agents and not yet written.
     pub(super) releases: Vec<Release>,
+    /// The fleet in which no record of an agent was left to delete.
+    pub(super) swept: Option<u64>,
 }
 
 /// The actor; see the module.
@@ -125,11 +129,13 @@
             entries: Arc::default(),
             flush_sent: false,
             unproposed: false,
+            ranks: Vec::new(),
             needed_since: vec![None; shards],
             writing: vec![false; shards],
             moving: Moving::default(),
             crowding: Crowding::default(),
             releases: Vec::new(),
+            swept: None,
         })
     }
 
@@ -153,7 +159,7 @@
             Msg::Listed(listed) => self.take_list(*listed),
             Msg::Changes(events) => self.take_changes(events),
             // An own write comes back and changes nothing, but more may follow from it.
-            Msg::Seen(revision) => self.state.raise_seen(revision) && self.unproposed,
+            Msg::Seen(revision) => self.state.advance(revision) && self.unproposed,
             Msg::Config(config) => self.state.raise_config(*config),
             Msg::Confirmed => {
                 self.state.confirmed = true;
@@ -323,7 +329,7 @@
         self.moving.update(&self.state, now);
         let view = View {
             moving: self.moving.models(&self.state, now),
-            ..self.state.view()
+            ..self.state.view(&self.args.view.borrow())
         };
         self.args.view.send_replace(Arc::new(view));
     }
--- a/crates/stair-entry/src/control/agents.rs
+++ b/crates/stair-entry/src/control/agents.rs
@@ -8,6 +8,7 @@
     info, //
 };
 use stair_types::{
+    ConfigVersion,
     GrantId,
     ShardId, //
 };
@@ -22,7 +23,10 @@
 
 use crate::control::{
     actor::Control,
-    assignment,
+    assignment::{
+        self,
+        Granted, //
+    },
     msg::{
         AgentUp,
         Outbox,
@@ -36,8 +40,17 @@
     pub(super) stream: StreamId,
     pub(super) hello: Hello,
     pub(super) outbox: watch::Sender<Outbox>,
-    /// Whether the last assignment sent is in force at the agent.
-    pub(super) in_force: bool,
+    /// The configuration that the agent last said is in force at it.
+    pub(super) config: ConfigVersion,
+}
+
+impl AgentStream {
+    /// Tells whether the agent lacks a configuration that it was sent. A change that does not
+    /// concern the agent is not sent, and it is not behind for that.
+    pub(super) fn is_behind(&self) -> bool {
+        let sent = &self.outbox.borrow().assignment;
+        sent.as_ref().is_none_or(|a| a.config > self.config)
+    }
 }
 
 impl<S> Control<S>
@@ -55,7 +68,7 @@
             stream: up.stream,
             hello: up.hello,
             outbox: up.outbox,
-            in_force: false,
+            config: ConfigVersion(0),
         });
         true
     }
@@ -66,9 +79,9 @@
         };
         match said {
             AgentControl::InForce { config } => {
+                agent.config = config;
                 let sent = agent.outbox.borrow().assignment.clone();
-                agent.in_force = sent.is_some_and(|a| a.config <= config);
-                false
+                sent.is_some_and(|a| a.config < config)
             }
             AgentControl::Released { grants } => {
                 for (shard, grant) in grants {
@@ -100,21 +113,31 @@
         }
     }
 
-    pub(super) fn update_agents(&mut self) {
-        let entries = self.state.entries();
-        if entries != *self.entries {
-            self.entries = Arc::new(entries);
+    fn note_entries(&mut self) {
+        let changed = *self.state.entries() != **self.entries;
+        if changed {
+            self.entries = Arc::new(self.state.entries().to_vec());
+        }
+        if changed || self.ranks.is_empty() {
+            self.ranks = self.state.ranks(&self.args.name);
         }
+    }
+
+    pub(super) fn update_agents(&mut self) {
+        self.note_entries();
+        let targets = self.agents.iter().map(|a| a.hello.target.clone());
+        let granted = Granted::new(&self.state, targets.collect());
         for agent in &mut self.agents {
             let seen = seen_shards(agent);
-            let next = assignment::derive(&self.state, &agent.hello.target, &seen);
+            let next = assignment::derive(&self.state, &granted, &agent.hello.target, &seen);
             let entries = &self.entries;
             let vm = self.state.vm_notice(&agent.hello.target);
             agent.outbox.send_if_modified(|out| {
                 let held = out.assignment.as_ref();
-                let assigned = held.is_none_or(|a| assignment::differs(a, &next));
+                let assigned = held.is_none_or(|a| {
+                    assignment::differs(a, &next) || is_between(agent.config, a.config, next.config)
+                });
                 if assigned {
-                    agent.in_force = false;
                     out.assignment = Some(Arc::new(next));
                 }
                 let moved = !Arc::ptr_eq(&out.entries, entries);
@@ -129,6 +152,14 @@
     }
 }
 
+/// A change may be taken back by the next one. An entry that sees both at once finds nothing to
+/// send. Another entry may have sent the first to the agent and been cut off from the platform
+/// since: the agent would keep what was taken back. It shows by what the agent says: a version
+/// later than was sent from here and earlier than the one in force here.
+fn is_between(at_agent: ConfigVersion, sent: ConfigVersion, now: ConfigVersion) -> bool {
+    sent < at_agent && at_agent < now
+}
+
 fn seen_shards(agent: &AgentStream) -> Vec<ShardId> {
     let mut seen: Vec<ShardId> = agent.hello.shards.iter().map(|(s, _)| *s).collect();
     if let Some(assignment) = agent.outbox.borrow().assignment.as_ref() {
--- a/crates/stair-entry/src/control/assignment.rs
+++ b/crates/stair-entry/src/control/assignment.rs
@@ -1,10 +1,7 @@
 //! What one agent may hold, derived from the state.
 
 use stair_platform::TargetKind;
-use stair_state::{
-    Grant,
-    grants::SHARDS, //
-};
+use stair_state::Grant;
 use stair_types::{
     ShardId,
     TargetName, //
@@ -20,15 +17,62 @@
     version_of, //
 };
 
+/// The grants of some targets, found by one walk over all grants of the deployment.
+#[derive(Debug)]
+pub struct Granted<'s> {
+    /// Sorted.
+    targets: Vec<TargetName>,
+    /// For each of the targets, by shard and then by model.
+    grants: Vec<Vec<Found<'s>>>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Found<'s> {
+    shard: ShardId,
+    grant: &'s Grant,
+}
+
+impl<'s> Granted<'s> {
+    /// Finds the grants of `targets`.
+    pub fn new(state: &'s State, mut targets: Vec<TargetName>) -> Self {
+        targets.sort_unstable();
+        targets.dedup();
+        let mut grants = vec![Vec::new(); targets.len()];
+        for (i, shard) in state.shards.iter().enumerate() {
+            let shard_id = ShardId(i as u16);
+            for grant in shard.value.iter().flat_map(|s| &s.grants) {
+                if let Ok(at) = targets.binary_search(&grant.target) {
+                    let shard = shard_id;
+                    grants[at].push(Found { shard, grant });
+                }
+            }
+        }
+        Self { targets, grants }
+    }
+
+    fn of(&self, target: &TargetName) -> &[Found<'s>] {
+        let at = self.targets.binary_search(target);
+        at.map_or(&[], |i| &self.grants[i])
+    }
+}
+
 /// Derives the assignment of a target.
 ///
 /// Shards named in `seen` are included even when the target has no grant in them: the agent held
 /// one there before, and has to learn that it is gone.
-pub fn derive(state: &State, target: &TargetName, seen: &[ShardId]) -> Assignment {
-    let shards: Vec<ShardAssignment> = (0..SHARDS)
-        .map(ShardId)
-        .filter_map(|shard| shard_assignment(state, target, shard, seen))
-        .collect();
+pub fn derive(
+    state: &State,
+    granted: &Granted<'_>,
+    target: &TargetName,
+    seen: &[ShardId],
+) -> Assignment {
+    let found = granted.of(target);
+    let mut ids: Vec<ShardId> = found.iter().map(|f| f.shard).collect();
+    ids.extend(seen);
+    ids.sort_unstable();
+    ids.dedup();
+    let shards = ids.into_iter().filter_map(|s| shard(state, s, found));
+    let shards: Vec<ShardAssignment> = shards.collect();
     let granted = shards.iter().flat_map(|s| &s.grants);
     let catalogue = &state.config.catalogue;
     let mut models: Vec<_> = granted
@@ -51,22 +95,13 @@
     }
 }
 
-fn shard_assignment(
-    state: &State,
-    target: &TargetName,
-    shard: ShardId,
-    seen: &[ShardId],
-) -> Option<ShardAssignment> {
-    let held = &state.shards[usize::from(shard.0)];
-    let of_target = held.value.iter().flat_map(|s| s.of_target(target));
-    let grants: Vec<AssignedGrant> = of_target.map(assigned).collect();
-    if grants.is_empty() && !seen.contains(&shard) {
-        return None;
-    }
+fn shard(state: &State, shard: ShardId, found: &[Found<'_>]) -> Option<ShardAssignment> {
+    let held = state.shards.get(usize::from(shard.0))?;
+    let of_shard = found.iter().filter(|f| f.shard == shard);
     Some(ShardAssignment {
         shard,
         version: held.version,
-        grants,
+        grants: of_shard.map(|f| assigned(f.grant)).collect(),
     })
 }
 
--- a/crates/stair-entry/src/control/propose.rs
+++ b/crates/stair-entry/src/control/propose.rs
@@ -70,8 +70,12 @@
         round
     }
 
-    /// Returns the shard as it should be, or none when it is right already.
+    /// Returns the shard as it should be, or none when it is right already or cannot be judged
+    /// yet.
     pub fn propose(&mut self, state: &State, shard: ShardId) -> Option<GrantShard> {
+        if state.is_ahead(shard) {
+            return None;
+        }
         let held = &state.shards[usize::from(shard.0)];
         let mut next = held.value.clone().unwrap_or_default();
         remove_gone(state, &mut next);
@@ -157,7 +161,9 @@
             }
             Change::Revoke(key) => {
                 let grants = shard.of_model(&model.name);
-                let held = grants.iter().find(|g| self.held(g).target == key);
+                // Targets without an agent's record share one key.
+                let mut held = grants.iter().filter(|g| !g.revoking);
+                let held = held.find(|g| self.held(g).target == key);
                 if let Some(id) = held.map(|g| g.id) {
                     shard.revoke(id);
                 }
@@ -215,6 +221,42 @@
     }
 }
 
+/// Tells whether a shard is surely right as it is, at the cost of the shard and not of the fleet.
+///
+/// Most changes concern few shards, and preparing a [`Round`] for 12,000 targets with each change
+/// would cost most of what control may use.
+pub fn is_settled(state: &State, shard: ShardId) -> bool {
+    if state.is_ahead(shard) {
+        return true;
+    }
+    let held = &state.shards[usize::from(shard.0)];
+    let grants = held.value.as_ref().map_or(&[][..], |s| &s.grants);
+    let catalogue = &state.config.catalogue;
+    let right = |g: &Grant| {
+        let declared = catalogue.model(g.model.as_str());
+        declared.is_some_and(|m| {
+            state.is_listed(&g.target) && (g.revoking || may_keep(state, &g.target, m.memory_mib))
+        })
+    };
+    let mut models = catalogue.models.iter();
+    grants.iter().all(right)
+        && models.all(|m| {
+            stair_state::grants::shard_of(&m.name) != shard
+                || held.value.as_ref().map_or(0, |s| s.of_model(&m.name).len())
+                    == usize::from(m.replicas)
+        })
+}
+
+fn may_keep(state: &State, target: &TargetName, memory: u32) -> bool {
+    state.incarnation(target).is_some_and(|record| {
+        let fits = match record.kind {
+            TargetKind::Engine { memory_mib } => memory <= memory_mib,
+            TargetKind::Service { .. } => false,
+        };
+        fits && state.is_live(target) && !state.says_leaving(target, record.token)
+    })
+}
+
 fn index_of<'a>(all: &mut Vec<&'a DataCentre>, name: &'a DataCentre) -> u16 {
     let at = all.iter().position(|d| *d == name).unwrap_or_else(|| {
         all.push(name);
--- a/crates/stair-entry/src/control/report.rs
+++ b/crates/stair-entry/src/control/report.rs
@@ -12,13 +12,7 @@
     Snapshot, //
 };
 
-use crate::control::{
-    actor::Control,
-    state::{
-        Versioned,
-        version_of, //
-    },
-};
+use crate::control::{actor::Control, state::Versioned};
 
 impl<S> Control<S>
 where
@@ -50,10 +44,12 @@
     pub(super) fn status(&self) -> Value {
         json!({
             "entry": self.args.name,
-            "config": version_of(&self.state.config),
+            // What is published, not what has just arrived: an operator who waits for a version
+            // must not be told that it is in force before requests meet it.
+            "config": self.args.view.borrow().config,
             "confirmed": self.state.confirmed,
             "agents": self.agents.len(),
-            "agents_behind": self.agents.iter().filter(|a| !a.in_force).count(),
+            "agents_behind": self.agents.iter().filter(|a| a.is_behind()).count(),
         })
     }
 
@@ -62,7 +58,8 @@
             json!({
                 "target": a.hello.target,
                 "incarnation": a.hello.incarnation,
-                "in_force": a.in_force,
+                "config": a.config,
+                "behind": a.is_behind(),
             })
         });
         json!({
--- a/crates/stair-entry/src/control/state.rs
+++ b/crates/stair-entry/src/control/state.rs
@@ -115,11 +115,21 @@
     pub leaving: Vec<LeavingAgent>,
     /// Whether the platform itself has confirmed the state since this process started.
     pub confirmed: bool,
-    /// The platform's revision up to which everything is known. Single objects may be known later:
-    /// a shard that this entry read or wrote by itself, or a kind that was listed before others.
-    pub seen: u64,
+    /// The platform's revision up to which everything is known. Single objects may be later: a
+    /// shard that this entry read or wrote by itself, or a kind that was listed before others.
+    pub complete: u64,
+    /// The latest deletion that was forgotten. An unknown object that is not later is old.
+    forgotten: u64,
+    /// Rises with each change that concerns targets.
+    fleet: u64,
+    /// The live entries, sorted by name.
+    entries: Vec<EntryAddress>,
 }
 
+/// Deletions of VMs and agents' records that are remembered. Each costs some hundred bytes, and
+/// 2,400 VMs are replaced a day.
+const DELETIONS: usize = 4_096;
+
 /// An agent that said that it is leaving.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct LeavingAgent {
@@ -138,28 +148,15 @@
             vms: Vec::new(),
             leaving: Vec::new(),
             confirmed: false,
-            seen: 0,
+            complete: 0,
+            forgotten: 0,
+            fleet: 0,
+            entries: Vec::new(),
         }
     }
 }
 
 impl State {
-    /// Notes that everything is known up to a revision. Returns whether that is new.
-    pub fn raise_seen(&mut self, revision: u64) -> bool {
-        let later = revision > self.seen;
-        self.seen = revision.max(self.seen);
-        later
-    }
-
-    /// Tells whether everything is known that a shard may rest on.
-    ///
-    /// A shard that is known later than the list of VMs may name a holder whose VM is not in that
-    /// list yet, and one that is known later than the declarations may have been changed for
-    /// declarations that this entry has not heard of.
-    pub fn has_seen(&self, shard: ShardId) -> bool {
-        self.shards[usize::from(shard.0)].version <= self.seen
-    }
-
     /// Takes over a configuration if it is later. Returns whether it was.
     ///
     /// The configuration's own version decides and not only the platform's revision, since a peer
@@ -188,19 +185,91 @@
         version: u64,
         value: Option<IncarnationRecord>,
     ) -> bool {
+        if self.is_forgotten(version) && find_at(&self.incarnations, &name).is_none() {
+            return false;
+        }
         let raised = raise(&mut self.incarnations, name, version, value);
+        self.fleet += u64::from(raised);
         self.forget_leaving();
         raised
     }
 
     /// Takes over a VM's line if it is later. Returns whether it was.
     pub fn raise_vm(&mut self, name: Box<str>, version: u64, value: Option<Vm>) -> bool {
-        raise(&mut self.vms, name, version, value)
+        let held = find_at(&self.vms, &name);
+        if self.is_forgotten(version) && held.is_none() {
+            return false;
+        }
+        let held = held.and_then(|i| self.vms[i].object.value.as_ref());
+        let of_entry = [held, value.as_ref()].into_iter().flatten().any(is_entry);
+        let raised = raise(&mut self.vms, name, version, value);
+        self.note_vms(raised, of_entry);
+        raised
+    }
+
+    /// Notes that all changes of the platform up to a revision are known. Returns whether that is
+    /// news.
+    pub fn advance(&mut self, revision: u64) -> bool {
+        if revision <= self.complete {
+            return false;
+        }
+        self.complete = revision;
+        self.forget_deleted();
+        true
+    }
+
+    /// Deletions are kept so that a late answer does not bring a deleted object back, and so that
+    /// a VM that was taken away is told from one that the lagging list does not show yet. Without
+    /// end they would fill the memory of a process that lives for months.
+    fn forget_deleted(&mut self) {
+        let deleted = self.vms.iter().filter(|n| n.object.value.is_none()).count()
+            + self
+                .incarnations
+                .iter()
+                .filter(|n| n.object.value.is_none())
+                .count();
+        if deleted <= DELETIONS {
+            return;
+        }
+        let mut forgotten = self.forgotten;
+        let complete = self.complete;
+        let mut stays = |version: u64, exists: bool| {
+            let stays = exists || version > complete;
+            if !stays {
+                forgotten = forgotten.max(version);
+            }
+            stays
+        };
+        self.incarnations
+            .retain(|n| stays(n.object.version, n.object.value.is_some()));
+        let agents = &self.incarnations;
+        self.vms.retain(|n| {
+            let at = agents.binary_search_by(|a| a.name.as_str().cmp(&n.name));
+            stays(n.object.version, n.object.value.is_some() || at.is_ok())
+        });
+        self.leaving
+            .retain(|l| agents.binary_search_by(|a| a.name.cmp(&l.target)).is_ok());
+        self.forgotten = forgotten;
+    }
+
+    fn is_forgotten(&self, version: u64) -> bool {
+        version <= self.forgotten
+    }
+
+    fn note_vms(&mut self, changed: bool, of_entries: bool) {
+        self.fleet += u64::from(changed);
+        if changed && of_entries {
+            self.entries = list_entries(&self.vms);
+        }
     }
 
     /// Notes that an agent said that it is leaving.
     pub fn note_leaving(&mut self, target: TargetName, token: FencingToken) -> bool {
-        match self.leaving.binary_search_by(|l| l.target.cmp(&target)) {
+        let at = self.leaving.binary_search_by(|l| l.target.cmp(&target));
+        if at.is_err() || at.is_ok_and(|i| self.leaving[i].token < token) {
+            self.fleet += 1;
+        }
+        match at {
             Ok(i) if self.leaving[i].token >= token => false,
             Ok(i) => {
                 self.leaving[i].token = token;
@@ -240,6 +309,17 @@
         }
     }
 
+    /// Tells whether a shard is later than what is known of VMs, agents and declarations.
+    ///
+    /// A shard that this entry read or wrote itself may be. A holder that the list of VMs lacks may
+    /// then be newer than the list. Were its grants taken for free, another target would load what
+    /// the holder has loaded: one replica too many. And the shard may have been changed for
+    /// declarations that this entry has not heard of. So nothing is proposed for such a shard until
+    /// the watch has caught up.
+    pub fn is_ahead(&self, shard: ShardId) -> bool {
+        self.shards[usize::from(shard.0)].version > self.complete
+    }
+
     /// Tells whether a target's present agent said that it is leaving.
     pub fn says_leaving(&self, target: &TargetName, token: FencingToken) -> bool {
         let at = self.leaving.binary_search_by(|l| l.target.cmp(target));
@@ -253,16 +333,8 @@
     }
 
     /// Returns the entries that the platform lists as live, sorted by name.
-    pub fn entries(&self) -> Vec<EntryAddress> {
-        let mut entries: Vec<EntryAddress> = self
-            .vms
-            .iter()
-            .filter_map(|vm| vm.object.value.as_ref())
-            .filter(|vm| vm.state == VmState::Live)
-            .filter_map(entry_address)
-            .collect();
-        entries.sort_by(|a, b| a.name.cmp(&b.name));
-        entries
+    pub fn entries(&self) -> &[EntryAddress] {
+        &self.entries
     }
 
     /// Returns how many live entries come before this one for the work of a key; the first one
@@ -273,21 +345,34 @@
     /// work.
     pub fn rank(&self, me: &EntryName, key: &str) -> usize {
         let mine = rendezvous::weight(key, me.as_str());
-        let entries = self.entries();
-        let others = entries.iter().filter(|e| e.name != *me);
+        let others = self.entries.iter().filter(|e| e.name != *me);
         others
             .filter(|e| rendezvous::weight(key, e.name.as_str()) > mine)
             .count()
     }
 
+    /// Returns this entry's rank for each shard of the grants.
+    pub fn ranks(&self, me: &EntryName) -> Vec<usize> {
+        let keys = (0..SHARDS).map(|i| format!("grants-{i}"));
+        keys.map(|key| self.rank(me, &key)).collect()
+    }
+
+    /// Counts the changes that concern targets.
+    pub fn fleet(&self) -> u64 {
+        self.fleet
+    }
+
     /// Takes over a complete list of VMs: what it lacks is gone. `listed` is sorted.
     pub fn forget_unlisted_vms(&mut self, listed: &[Box<str>], revision: u64) -> bool {
-        forget_unlisted(&mut self.vms, listed, revision)
+        let changed = forget_unlisted(&mut self.vms, listed, revision);
+        self.note_vms(changed, true);
+        changed
     }
 
     /// Takes over a complete list of agents' records: what it lacks is gone. `listed` is sorted.
     pub fn forget_unlisted_incarnations(&mut self, listed: &[TargetName], revision: u64) -> bool {
         let changed = forget_unlisted(&mut self.incarnations, listed, revision);
+        self.fleet += u64::from(changed);
         self.forget_leaving();
         changed
     }
@@ -303,15 +388,27 @@
         });
     }
 
-    /// Derives what traffic needs.
-    pub fn view(&self) -> View {
-        let targets = self.targets();
+    /// Derives what traffic needs, with the targets of the view before if none has changed since:
+    /// most changes are of the configuration or the grants, and 12,000 targets are most of a view.
+    pub fn view(&self, before: &View) -> View {
+        let same_targets = before.fleet == self.fleet;
+        let targets = match same_targets {
+            true => before.targets.clone(),
+            false => Arc::new(self.targets()),
+        };
         let key_of = |name: &TargetName| {
             let at = targets.binary_search_by(|t| t.name.cmp(name));
             at.ok().map(|i| TargetKey(i as u32))
         };
         let catalogue = &self.config.catalogue;
         let holders = catalogue.models.iter().map(|m| {
+            let same_grants = before.shard_version(&m.name) == self.shard_version(&m.name);
+            if let Some(held) = before.holders_by_name(&m.name)
+                && same_targets
+                && same_grants
+            {
+                return held.to_vec();
+            }
             let grants = self.shard(&m.name).map_or(&[][..], |s| s.of_model(&m.name));
             let granted = grants.iter().filter(|g| !g.revoking);
             granted.filter_map(|g| key_of(&g.target)).collect()
@@ -326,17 +423,22 @@
         View {
             config: version_of(&self.config),
             confirmed: self.confirmed,
-            entries: self.entries().len() as u32,
+            entries: self.entries.len() as u32,
+            fleet: self.fleet,
             shard_versions: self.shards.iter().map(|s| s.version).collect(),
             holders: holders.collect(),
             // Since when a grant has been revoked is not part of the platform's objects.
             moving: Vec::new(),
             providers: providers.collect(),
             catalogue: catalogue.clone(),
-            targets: Arc::new(targets),
+            targets,
         }
     }
 
+    fn shard_version(&self, model: &ModelName) -> u64 {
+        self.shards[usize::from(shard_of(model).0)].version
+    }
+
     fn targets(&self) -> Vec<TargetView> {
         let agents = self.incarnations.iter();
         agents
@@ -379,6 +481,18 @@
     manifest.map_or(ConfigVersion(0), |m| m.version)
 }
 
+fn is_entry(vm: &Vm) -> bool {
+    matches!(vm.role, VmRole::Entry { .. })
+}
+
+fn list_entries(vms: &[Named<Box<str>, Vm>]) -> Vec<EntryAddress> {
+    let listed = vms.iter().filter_map(|vm| vm.object.value.as_ref());
+    let live = listed.filter(|vm| vm.state == VmState::Live);
+    let mut entries: Vec<EntryAddress> = live.filter_map(entry_address).collect();
+    entries.sort_by(|a, b| a.name.cmp(&b.name));
+    entries
+}
+
 fn entry_address(vm: &Vm) -> Option<EntryAddress> {
     match &vm.role {
         VmRole::Entry { name, link } => Some(EntryAddress {
@@ -399,8 +513,14 @@
 where
     N: Ord,
 {
-    let at = all.binary_search_by(|n| n.name.cmp(name));
-    at.ok().and_then(|i| all[i].object.value.as_ref())
+    find_at(all, name).and_then(|i| all[i].object.value.as_ref())
+}
+
+fn find_at<N, T>(all: &[Named<N, T>], name: &N) -> Option<usize>
+where
+    N: Ord,
+{
+    all.binary_search_by(|n| n.name.cmp(name)).ok()
 }
 
 fn raise<N, T>(all: &mut Vec<Named<N, T>>, name: N, version: u64, value: Option<T>) -> bool
--- a/crates/stair-entry/src/control/writes.rs
+++ b/crates/stair-entry/src/control/writes.rs
@@ -19,7 +19,10 @@
 use crate::control::{
     actor::Control,
     msg::Msg,
-    propose::Round,
+    propose::{
+        Round,
+        is_settled, //
+    },
     shards,
     state::version_of, //
 };
@@ -29,6 +32,10 @@
 /// list still shows it, and entries that merely hear of a change a little apart do not collide.
 const STAND_IN_AFTER: Duration = Duration::from_secs(3);
 
+/// Entries that may act in place of a shard's home. All three are dead and yet listed only for the
+/// few seconds that the list lags; the others don't look at the shard, which is most of the work.
+const STAND_INS: usize = 3;
+
 /// Records of agents deleted in one tick; a data centre that is lost leaves hundreds.
 const DELETED_A_TICK: usize = 8;
 
@@ -94,25 +101,30 @@
             return;
         }
         self.unproposed = false;
-        let mut round = Round::new(&self.state);
+        let mut round = None;
         for i in 0..self.state.shards.len() {
             let shard = ShardId(i as u16);
+            let rank = self.ranks.get(i).copied().unwrap_or(0);
             if self.writing[i] {
                 continue;
             }
             // The grant of a VM that is not listed yet would look like one of a VM that is gone:
             // it would be removed, and the model be loaded twice. The watch is a moment behind, or
             // its connection is silent, and another entry acts.
-            if !self.state.has_seen(shard) {
+            if self.state.is_ahead(shard) {
                 self.unproposed = true;
                 continue;
             }
+            if rank > STAND_INS || is_settled(&self.state, shard) {
+                self.needed_since[i] = None;
+                continue;
+            }
+            let round = round.get_or_insert_with(|| Round::new(&self.state));
             let Some(next) = round.propose(&self.state, shard) else {
                 self.needed_since[i] = None;
                 continue;
             };
             let since = *self.needed_since[i].get_or_insert_with(Instant::now);
-            let rank = self.state.rank(&self.args.name, &format!("grants-{i}"));
             if since.elapsed() < STAND_IN_AFTER * rank as u32 {
                 self.unproposed = true;
                 continue;
@@ -132,9 +144,11 @@
     /// Records of agents whose VM was taken away would pile up: 2,400 VMs are replaced a day. A
     /// record written after the VM was taken away belongs to a new VM of the same name and stays.
     pub(super) fn delete_gone(&mut self) {
-        if !self.state.confirmed {
+        let fleet = self.state.fleet();
+        if !self.state.confirmed || self.swept == Some(fleet) {
             return;
         }
+        self.swept = Some(fleet);
         let gone = self.state.incarnations.iter().filter(|agent| {
             let name = agent.name.as_str();
             let at = self.state.vms.binary_search_by(|vm| (*vm.name).cmp(name));
@@ -144,6 +158,7 @@
                 && self.state.rank(&self.args.name, name) == 0
         });
         for agent in gone.take(DELETED_A_TICK) {
+            self.swept = None;
             let store = self.args.store.clone();
             let name = agent.name.clone();
             let version = agent.object.version;
--- a/crates/stair-entry/src/view.rs
+++ b/crates/stair-entry/src/view.rs
@@ -29,6 +29,8 @@
     pub confirmed: bool,
     /// Entries that the platform lists as live.
     pub entries: u32,
+    /// Tells apart what the targets were made from.
+    pub fleet: u64,
     /// The declarations in force.
     pub catalogue: Arc<Catalogue>,
     /// The arena that [`TargetKey`] points into, of this view only. Sorted by name.
@@ -75,6 +77,13 @@
         self.moving.get(model).copied().unwrap_or(false)
     }
 
+    /// Returns the targets that may serve a model; none when the model is not declared.
+    pub fn holders_by_name(&self, model: &ModelName) -> Option<&[TargetKey]> {
+        let models = &self.catalogue.models;
+        let at = models.binary_search_by(|m| m.name.cmp(model)).ok()?;
+        self.holders.get(at).map(Vec::as_slice)
+    }
+
     /// Returns the version of the shard that names a model's holders.
     pub fn shard_version(&self, model: &ModelName) -> u64 {
         let shard = usize::from(shard_of(model).0);
