--- a/crates/dandelionstair/tests/promises/support/world.rs
+++ b/crates/dandelionstair/tests/promises/support/world.rs
@@ -517,7 +517,7 @@
     }
 
     /// JSON is YAML.
-    fn write(&self, name: &str, settings: &Value) -> PathBuf {
+    pub(crate) fn write(&self, name: &str, settings: &Value) -> PathBuf {
         let path: &Path = self.dir.path();
         let path = path.join(format!("{name}.yaml"));
         fs::write(&path, settings.to_string()).expect("the directory is ours");
@@ -527,8 +527,17 @@
 
 /// Returns the state dump of a process.
 pub(crate) async fn dump(operator: SocketAddr) -> Value {
+    page(operator, "/dump").await
+}
+
+/// Returns the short status of a process.
+pub(crate) async fn status(operator: SocketAddr) -> Value {
+    page(operator, "/status").await
+}
+
+async fn page(operator: SocketAddr, path: &str) -> Value {
     let client = Client::new(operator, client::Options::default());
-    let req = hyper::Request::get("/dump")
+    let req = hyper::Request::get(path)
         .body(Default::default())
         .expect("the request is well formed");
     let Ok(answer) = client.send(req, LIMIT).await else {
