--- a/crates/stair-entry/src/control/actor.rs
+++ b/crates/stair-entry/src/control/actor.rs
@@ -159,7 +159,7 @@
             Msg::Listed(listed) => self.take_list(*listed),
             Msg::Changes(events) => self.take_changes(events),
             // An own write comes back and changes nothing, but more may follow from it.
-            Msg::Seen(revision) => self.state.advance(revision) && self.unproposed,
+            Msg::Seen(revision) => self.state.raise_seen(revision) && self.unproposed,
             Msg::Config(config) => self.state.raise_config(*config),
             Msg::Confirmed => {
                 self.state.confirmed = true;
--- a/crates/stair-entry/src/control/feed.rs
+++ b/crates/stair-entry/src/control/feed.rs
@@ -176,10 +176,10 @@
                     pause = Pause::new();
                     since = page.revision.max(since);
                     self.note_manifests(&page);
-                    let changed = !page.events.is_empty();
-                    if !changed && self.pending.is_none() {
+                    if page.events.is_empty() && self.pending.is_none() {
                         continue;
                     }
+                    let changed = !page.events.is_empty();
                     let _ = self.actor.send_message(Msg::Changes(page.events));
                     if let Err(e) = self.load_pending().await {
                         warn!(Part::Config, "A configuration cannot be read yet: {e}.");
@@ -295,8 +295,6 @@
                 warn!(Part::Members, "A peer's configuration is unusable: {e}.");
             }
         }
-        // A peer may have its own writes before what the platform's watch brings it, so its
-        // snapshot is not complete up to any position.
         let events = others.into_iter().map(Event::Put).collect();
         let _ = self.actor.send_message(Msg::Changes(events));
     }
--- a/crates/stair-entry/src/control/propose.rs
+++ b/crates/stair-entry/src/control/propose.rs
@@ -70,12 +70,8 @@
         round
     }
 
-    /// Returns the shard as it should be, or none when it is right already or cannot be judged
-    /// yet.
+    /// Returns the shard as it should be, or none when it is right already.
     pub fn propose(&mut self, state: &State, shard: ShardId) -> Option<GrantShard> {
-        if state.is_ahead(shard) {
-            return None;
-        }
         let held = &state.shards[usize::from(shard.0)];
         let mut next = held.value.clone().unwrap_or_default();
         remove_gone(state, &mut next);
@@ -226,9 +222,6 @@
 /// Most changes concern few shards, and preparing a [`Round`] for 12,000 targets with each change
 /// would cost most of what control may use.
 pub fn is_settled(state: &State, shard: ShardId) -> bool {
-    if state.is_ahead(shard) {
-        return true;
-    }
     let held = &state.shards[usize::from(shard.0)];
     let grants = held.value.as_ref().map_or(&[][..], |s| &s.grants);
     let catalogue = &state.config.catalogue;
--- a/crates/stair-entry/src/control/state.rs
+++ b/crates/stair-entry/src/control/state.rs
@@ -115,9 +115,9 @@
     pub leaving: Vec<LeavingAgent>,
     /// Whether the platform itself has confirmed the state since this process started.
     pub confirmed: bool,
-    /// The platform's revision up to which everything is known. Single objects may be later: a
-    /// shard that this entry read or wrote by itself, or a kind that was listed before others.
-    pub complete: u64,
+    /// The platform's revision up to which everything is known. Single objects may be known later:
+    /// a shard that this entry read or wrote by itself, or a kind that was listed before others.
+    pub seen: u64,
     /// The latest deletion that was forgotten. An unknown object that is not later is old.
     forgotten: u64,
     /// Rises with each change that concerns targets.
@@ -148,7 +148,7 @@
             vms: Vec::new(),
             leaving: Vec::new(),
             confirmed: false,
-            complete: 0,
+            seen: 0,
             forgotten: 0,
             fleet: 0,
             entries: Vec::new(),
@@ -157,6 +157,25 @@
 }
 
 impl State {
+    /// Notes that everything is known up to a revision. Returns whether that is new.
+    pub fn raise_seen(&mut self, revision: u64) -> bool {
+        let later = revision > self.seen;
+        self.seen = revision.max(self.seen);
+        if later {
+            self.forget_deleted();
+        }
+        later
+    }
+
+    /// Tells whether everything is known that a shard may rest on.
+    ///
+    /// A shard that is known later than the list of VMs may name a holder whose VM is not in that
+    /// list yet, and one that is known later than the declarations may have been changed for
+    /// declarations that this entry has not heard of.
+    pub fn has_seen(&self, shard: ShardId) -> bool {
+        self.shards[usize::from(shard.0)].version <= self.seen
+    }
+
     /// Takes over a configuration if it is later. Returns whether it was.
     ///
     /// The configuration's own version decides and not only the platform's revision, since a peer
@@ -207,17 +226,6 @@
         raised
     }
 
-    /// Notes that all changes of the platform up to a revision are known. Returns whether that is
-    /// news.
-    pub fn advance(&mut self, revision: u64) -> bool {
-        if revision <= self.complete {
-            return false;
-        }
-        self.complete = revision;
-        self.forget_deleted();
-        true
-    }
-
     /// Deletions are kept so that a late answer does not bring a deleted object back, and so that
     /// a VM that was taken away is told from one that the lagging list does not show yet. Without
     /// end they would fill the memory of a process that lives for months.
@@ -232,9 +240,9 @@
             return;
         }
         let mut forgotten = self.forgotten;
-        let complete = self.complete;
+        let seen = self.seen;
         let mut stays = |version: u64, exists: bool| {
-            let stays = exists || version > complete;
+            let stays = exists || version > seen;
             if !stays {
                 forgotten = forgotten.max(version);
             }
@@ -309,17 +317,6 @@
         }
     }
 
-    /// Tells whether a shard is later than what is known of VMs, agents and declarations.
-    ///
-    /// A shard that this entry read or wrote itself may be. A holder that the list of VMs lacks may
-    /// then be newer than the list. Were its grants taken for free, another target would load what
-    /// the holder has loaded: one replica too many. And the shard may have been changed for
-    /// declarations that this entry has not heard of. So nothing is proposed for such a shard until
-    /// the watch has caught up.
-    pub fn is_ahead(&self, shard: ShardId) -> bool {
-        self.shards[usize::from(shard.0)].version > self.complete
-    }
-
     /// Tells whether a target's present agent said that it is leaving.
     pub fn says_leaving(&self, target: &TargetName, token: FencingToken) -> bool {
         let at = self.leaving.binary_search_by(|l| l.target.cmp(target));
--- a/crates/stair-entry/src/control/writes.rs
+++ b/crates/stair-entry/src/control/writes.rs
@@ -108,17 +108,17 @@
             if self.writing[i] {
                 continue;
             }
+            if rank > STAND_INS || is_settled(&self.state, shard) {
+                self.needed_since[i] = None;
+                continue;
+            }
             // The grant of a VM that is not listed yet would look like one of a VM that is gone:
             // it would be removed, and the model be loaded twice. The watch is a moment behind, or
             // its connection is silent, and another entry acts.
-            if self.state.is_ahead(shard) {
+            if !self.state.has_seen(shard) {
                 self.unproposed = true;
                 continue;
             }
-            if rank > STAND_INS || is_settled(&self.state, shard) {
-                self.needed_since[i] = None;
-                continue;
-            }
             let round = round.get_or_insert_with(|| Round::new(&self.state));
             let Some(next) = round.propose(&self.state, shard) else {
                 self.needed_since[i] = None;
--- a/crates/stair-entry/tests/control/fleet.rs
+++ b/crates/stair-entry/tests/control/fleet.rs
@@ -101,7 +101,7 @@
         state.raise_vm(name, 3, Some(target_vm(i, VmState::Live)));
         state.raise_incarnation(target(i), 4, Some(record(1)));
     }
-    state.advance(1_000);
+    state.raise_seen(1_000);
     state.confirmed = true;
     state
 }
--- a/crates/stair-entry/tests/control_propose.rs
+++ b/crates/stair-entry/tests/control_propose.rs
@@ -34,11 +34,12 @@
 
 const MODELS: u32 = 20;
 
-/// Proposes for every shard and takes what is proposed as written at `version`.
+/// Proposes for every shard that may be judged and takes what is proposed as written at `version`.
 fn round(state: &mut State, version: u64) -> usize {
     let mut round = Round::new(state);
     let mut written = 0;
-    for shard in (0..SHARDS).map(ShardId) {
+    let judged = (0..SHARDS).map(ShardId);
+    for shard in judged.filter(|s| state.has_seen(*s)).collect::<Vec<_>>() {
         let settled = is_settled(state, shard);
         if let Some(next) = round.propose(state, shard) {
             assert!(!settled, "a shard that needs a change was taken for right");
@@ -119,7 +120,7 @@
     round(&mut state, 10);
     let name = target(4);
     state.raise_vm(name.as_str().into(), 1_001, None);
-    state.advance(1_001);
+    state.raise_seen(1_001);
 
     round(&mut state, 1_002);
 
@@ -142,7 +143,7 @@
     assert_eq!(round(&mut state, 2_001), 0);
 
     assert_eq!(of_target(&state, &newcomer).len(), 1);
-    state.advance(2_002);
+    state.raise_seen(2_002);
     round(&mut state, 2_003);
     assert!(of_target(&state, &newcomer).is_empty());
 }
--- a/crates/stair-entry/tests/control_state.rs
+++ b/crates/stair-entry/tests/control_state.rs
@@ -120,7 +120,7 @@
         );
         let name = target(i).as_str().into();
         state.raise_vm(name, u64::from(i) * 2 + 2, None);
-        state.advance(u64::from(i) * 2 + 2);
+        state.raise_seen(u64::from(i) * 2 + 2);
     }
     assert!(state.vms.len() < 5_000, "{} are held", state.vms.len());
 
