link: set memory aside for few streams, and allow more when they are used

The transport keeps a place for each stream that the other end may open, used or not: with 16,384 of them an idle link cost an entry 1,381 KiB (1,000 links: 1,365 MiB), and the end that opened it as much for streams that nobody opens backward. A link begins with 64 and none backward now; an agent allows twice as many as are open.

--- a/crates/dandelionstair/benches/speed/streams.rs
+++ b/crates/dandelionstair/benches/speed/streams.rs
@@ -24,6 +24,8 @@
         Goal::engines(&world, body.clone()),
         Goal::entry(&world, body),
     );
+    // Every engine loads the model.
+    load::closed(&path, CALLERS, Duration::from_secs(1)).await;
     println!("## Streamed tokens a second\n");
     println!(
         "{CALLERS} callers, {TOKENS} tokens an answer, each token an event of its own; the engine makes them as fast as it can.\n"
--- a/crates/stair-agent/src/links.rs
+++ b/crates/stair-agent/src/links.rs
@@ -1,6 +1,9 @@
 //! Accepts links of entries and the streams on them, one a request.
 
-use std::time::Duration;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use stair_link::{
     Link,
@@ -36,12 +39,19 @@
     }
 }
 
+/// Streams that an entry may have open on its link: one a waiting or running request.
+const MAX_STREAMS: usize = 16_384;
+
 async fn streams(link: Link, shared: Shared) {
+    let open = Arc::new(());
     while let Ok((tx, rx)) = link.accept().await {
-        let shared = shared.clone();
-        let open = OpenStream::of(&shared);
+        let (shared, mark) = (shared.clone(), open.clone());
+        // Twice as many as there are, so that a burst meets no limit for longer than a round trip.
+        let streams = (Arc::strong_count(&open) * 2).next_power_of_two();
+        link.allow_streams(streams.min(MAX_STREAMS) as u32);
+        let counted = OpenStream::of(&shared);
         tokio::spawn(async move {
-            let _open = open;
+            let _open = (mark, counted);
             if let Err(e) = stream(&shared, tx, rx).await {
                 stair_telemetry::debug!(Part::Links, "a stream ended: {e}");
             }
--- a/crates/stair-link/src/keys.rs
+++ b/crates/stair-link/src/keys.rs
@@ -43,8 +43,13 @@
 /// demand; those of rarely used models would pile up otherwise.
 const IDLE_CLOSE: Duration = Duration::from_secs(15);
 
-/// Streams that the other end may have open at once: one a waiting or running request.
-const MAX_STREAMS: u32 = 16_384;
+/// Streams that the end which opened a link may have open at once, at first. The transport sets
+/// memory aside for each of them, about 85 bytes, whether it is used or not; an entry has many links
+/// with one or two streams. See [`Link::allow_streams`](crate::Link::allow_streams).
+pub(crate) const FIRST_STREAMS: u32 = 64;
+
+/// Streams that the end which accepted a link may open: none does.
+const BACKWARD_STREAMS: u32 = 0;
 
 /// Bytes of one stream that may be under way unread, so that one slow reader of a long answer
 /// does not fill the memory of either end.
@@ -108,7 +113,7 @@
         tls.alpn_protocols = vec![PROTOCOL.as_bytes().to_vec()];
         let quic = QuicServerConfig::try_from(tls).map_err(|e| bad(&e))?;
         let mut cfg = ServerConfig::with_crypto(Arc::new(quic));
-        cfg.transport_config(Arc::new(transport()));
+        cfg.transport_config(Arc::new(transport(FIRST_STREAMS)));
         Ok(cfg)
     }
 
@@ -125,7 +130,7 @@
         tls.alpn_protocols = vec![PROTOCOL.as_bytes().to_vec()];
         let quic = QuicClientConfig::try_from(tls).map_err(|e| bad(&e))?;
         let mut cfg = ClientConfig::new(Arc::new(quic));
-        cfg.transport_config(Arc::new(transport()));
+        cfg.transport_config(Arc::new(transport(BACKWARD_STREAMS)));
         Ok(cfg)
     }
 
@@ -138,10 +143,10 @@
     }
 }
 
-fn transport() -> TransportConfig {
+fn transport(streams: u32) -> TransportConfig {
     let mut cfg = TransportConfig::default();
     cfg.max_idle_timeout(IdleTimeout::try_from(IDLE_CLOSE).ok())
-        .max_concurrent_bidi_streams(VarInt::from_u32(MAX_STREAMS))
+        .max_concurrent_bidi_streams(VarInt::from_u32(streams))
         .max_concurrent_uni_streams(VarInt::from_u32(0))
         .stream_receive_window(VarInt::from_u32(STREAM_WINDOW))
         .receive_window(VarInt::from_u32(LINK_WINDOW))
--- a/crates/stair-link/src/link.rs
+++ b/crates/stair-link/src/link.rs
@@ -2,7 +2,14 @@
 
 use std::{
     net::SocketAddr,
-    time::Duration, //
+    sync::{
+        Arc,
+        atomic::{
+            AtomicU32,
+            Ordering, //
+        }, //
+    },
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -16,7 +23,8 @@
 
 use crate::{
     Dialer,
-    Error, //
+    Error,
+    keys::FIRST_STREAMS, //
 };
 
 pub(crate) const LEAVING: VarInt = VarInt::from_u32(1);
@@ -61,6 +69,8 @@
 pub struct Link {
     conn: Connection,
     in_use: watch::Sender<u32>,
+    /// Streams that the other end may have open at once.
+    allowed: Arc<AtomicU32>,
 }
 
 /// Marks a link as in use while it lives.
@@ -77,7 +87,7 @@
 impl Link {
     pub(crate) fn accepted(conn: Connection) -> Self {
         let (in_use, _) = watch::channel(0);
-        Self { conn, in_use }
+        Self::new(conn, in_use)
     }
 
     pub(crate) fn dialed(
@@ -88,7 +98,15 @@
     ) -> Self {
         let (in_use, rx) = watch::channel(0);
         tokio::spawn(probe(conn.clone(), rx, dialer, generation, probing));
-        Self { conn, in_use }
+        Self::new(conn, in_use)
+    }
+
+    fn new(conn: Connection, in_use: watch::Sender<u32>) -> Self {
+        Self {
+            conn,
+            in_use,
+            allowed: Arc::new(AtomicU32::new(FIRST_STREAMS)),
+        }
     }
 
     /// Marks the link as in use until the mark is dropped.
@@ -117,6 +135,16 @@
         Ok(self.conn.accept_bi().await?)
     }
 
+    /// Lets the other end have so many streams open at once, if that is more than it may have now.
+    ///
+    /// It waits for a stream of its own to end otherwise.
+    pub fn allow_streams(&self, streams: u32) {
+        if streams > self.allowed.fetch_max(streams, Ordering::Relaxed) {
+            let streams = VarInt::from_u32(streams);
+            self.conn.set_max_concurrent_bi_streams(streams);
+        }
+    }
+
     /// Waits until the link is closed by either end or went silent.
     pub async fn closed(&self) {
         self.conn.closed().await;
