--- a/crates/stair-standin/src/proxy.rs
+++ b/crates/stair-standin/src/proxy.rs
@@ -56,6 +56,8 @@
     silent_below: u64,
     all_silent: bool,
     delay: Duration,
+    /// Bytes let through, both ways.
+    bytes: u64,
     /// Where UDP datagrams go.
     upstream: Option<SocketAddr>,
 }
@@ -175,6 +177,11 @@
         let _ = expected(rx.wait_for(|gate| gate.read >= count)).await;
     }
 
+    /// Returns the bytes let through so far, both ways.
+    pub fn bytes(&self) -> u64 {
+        self.gate.borrow().bytes
+    }
+
     /// Lets everything through without delay, but for what went silent for good.
     pub fn pass(&self) {
         self.gate.send_modify(|gate| {
@@ -211,6 +218,14 @@
     }
 }
 
+/// Nobody waits for the count, so nobody is woken.
+fn count(gate: &Shared, len: usize) {
+    gate.send_if_modified(|gate| {
+        gate.bytes += len as u64;
+        false
+    });
+}
+
 fn open(gate: &Shared) -> u64 {
     let mut number = 0;
     gate.send_modify(|gate| {
--- a/crates/stair-standin/src/proxy/tcp.rs
+++ b/crates/stair-standin/src/proxy/tcp.rs
@@ -30,6 +30,7 @@
 
 use super::{
     Shared,
+    count,
     open,
     until_cut, //
 };
@@ -120,6 +121,7 @@
         if bytes.is_empty() {
             return to.shutdown().await;
         }
+        count(gate, bytes.len());
         to.write_all(&bytes).await?;
     }
     Ok(())
--- a/crates/stair-standin/src/proxy/udp.rs
+++ b/crates/stair-standin/src/proxy/udp.rs
@@ -17,6 +17,7 @@
 use super::{
     ANY_PORT,
     Shared,
+    count,
     open,
     until_cut, //
 };
@@ -110,6 +111,7 @@
     if silent {
         return;
     }
+    count(gate, datagram.len());
     if delay.is_zero() {
         let _ = socket.send_to(datagram, to).await;
         return;
