--- a/crates/stair-dev/examples/slopes/size.rs
+++ b/crates/stair-dev/examples/slopes/size.rs
@@ -135,6 +135,7 @@
             state.raise_shard(shard, next(), Some(made));
         }
     }
+    state.raise_seen(next());
     Ok(state)
 }
 
