platform: bound the calls of one process, waiting watches among them

Cause: when the platform is slow a process piles up calls without end. Change: 32 at once; one that finds no turn in its time is surely unsent. Test bounded_calls: 40 writes against a platform that does not answer, at most 8 sent; not seen failing on the old path, where all 40 are sent (by reading).

--- a/crates/stair-platform/src/http.rs
+++ b/crates/stair-platform/src/http.rs
@@ -36,7 +36,10 @@
 use serde_json::Value;
 use stair_http::client;
 use stair_types::Verdict;
-use tokio::time::timeout;
+use tokio::{
+    sync::Semaphore,
+    time::timeout, //
+};
 
 use crate::{
     store::ObjectStore,
@@ -56,6 +59,9 @@
     pub call_timeout: Duration,
     /// Bytes of an answer, that is, of a whole list.
     pub max_answer_bytes: usize,
+    /// Calls at once, waiting watches among them; further ones wait within their own time. When
+    /// the platform is slow, a process would otherwise pile up calls without end and keep it slow.
+    pub max_calls: usize,
 }
 
 impl Default for Options {
@@ -63,6 +69,7 @@
         Self {
             call_timeout: Duration::from_secs(2),
             max_answer_bytes: 256 << 20,
+            max_calls: 32,
         }
     }
 }
@@ -100,6 +107,7 @@
 pub struct HttpStore {
     client: client::Client,
     opts: Options,
+    slots: Arc<Semaphore>,
     counters: Arc<Counters>,
 }
 
@@ -131,6 +139,7 @@
         };
         Self {
             client: client::Client::new(addr, client_opts),
+            slots: Arc::new(Semaphore::new(opts.max_calls)),
             opts,
             counters: Arc::default(),
         }
@@ -153,9 +162,8 @@
     where
         T: DeserializeOwned,
     {
-        counter.fetch_add(1, Ordering::Relaxed);
         let result = match call {
-            Ok(call) => self.answer(call).await,
+            Ok(call) => self.in_turn(counter, call).await,
             Err(e) => Err(e),
         };
         if let Err(Error::Unavailable(_) | Error::Unknown(_) | Error::Invalid(_)) = result {
@@ -164,6 +172,19 @@
         result
     }
 
+    async fn in_turn<T>(&self, counter: &AtomicU64, call: Call) -> Result<T, Error>
+    where
+        T: DeserializeOwned,
+    {
+        let slot = timeout(call.time, self.slots.acquire()).await;
+        let Ok(Ok(_slot)) = slot else {
+            // Nothing was sent, so a write has surely had no effect.
+            return Err(Error::Unavailable("too many calls wait".into()));
+        };
+        counter.fetch_add(1, Ordering::Relaxed);
+        self.answer(call).await
+    }
+
     async fn answer<T>(&self, call: Call) -> Result<T, Error>
     where
         T: DeserializeOwned,
--- a/crates/stair-platform/tests/http_store.rs
+++ b/crates/stair-platform/tests/http_store.rs
@@ -205,3 +205,43 @@
     assert!(matches!(result, Err(Error::Invalid(_))), "{result:?}");
     assert_eq!(platform.calls().of(Call::Put), 0);
 }
+
+// The platform accepts calls and answers none. A process whose callers keep coming would pile up
+// calls, and the platform would have all of them to work off when it is back.
+#[tokio::test]
+async fn bounded_calls() {
+    const MANY: usize = 40;
+    const AT_ONCE: usize = 4;
+    let (platform, _) = start(LONG).await;
+    let opts = Options {
+        call_timeout: SHORT,
+        max_calls: AT_ONCE,
+        ..Options::default()
+    };
+    let store = HttpStore::new(platform.addr(), opts);
+    let outage = platform.faults().set_outage(Outage::BlackHole).await;
+    outage.expect("set");
+    let mut puts = tokio::task::JoinSet::new();
+    for i in 0..MANY {
+        let store = store.clone();
+        puts.spawn(async move { put(&store, &i.to_string(), json!(i)).await });
+    }
+    platform
+        .until_calls(|c| c.of(Call::Put) == AT_ONCE as u64)
+        .await;
+
+    let results = puts.join_all().await;
+
+    // A call that had no turn in its time was surely not sent; one that was sent may have been
+    // written.
+    let sent = platform.calls().of(Call::Put);
+    let unknown = results
+        .iter()
+        .filter(|r| matches!(r, Err(Error::Unknown(_))));
+    assert!(unknown.count() as u64 >= AT_ONCE as u64);
+    let unsent = results
+        .iter()
+        .filter(|r| matches!(r, Err(Error::Unavailable(_))));
+    assert_eq!(unsent.count() as u64, MANY as u64 - sent);
+    assert!(sent <= 2 * AT_ONCE as u64, "{sent} calls were sent");
+}
