agent: split admit and loads by job

Cause: both were near 500 lines and held two jobs each.

Change: moved without a change of behaviour. admit keeps what waits, slots has what runs, refuse the final refusals; loads keeps what should be loaded, orders the orders and their answers: 233, 197, 111, 323 and 186 lines.

Seen: clippy and the tests of the crate pass. control.rs and start.rs are not split yet.

--- a/crates/stair-agent/src/lib.rs
+++ b/crates/stair-agent/src/lib.rs
@@ -27,9 +27,12 @@
 mod lock;
 mod offers;
 mod operator;
+mod orders;
+mod refuse;
 mod report;
 mod resume;
 mod run;
+mod slots;
 mod turn;
 
 pub mod assignment;
--- a/crates/stair-agent/src/loads.rs
+++ b/crates/stair-agent/src/loads.rs
@@ -1,4 +1,4 @@
-//! What the engine is ordered to load and unload, and how lost answers are settled.
+//! What the engine should load and unload.
 
 use std::time::Duration;
 
@@ -7,51 +7,30 @@
 use stair_state::{
     Ledger,
     ledger::{
-        Answer,
         Entry,
         Item,
         OrderError,
         State, //
     }, //
 };
-use stair_telemetry::Part;
 use stair_types::{
     ModelKey,
     ModelName,
-    Reason,
-    Refusal,
-    RequestId,
     TierRank, //
 };
-use stair_wire::control::TurnRequest;
-use tokio::time::Instant;
 
 use crate::{
     assignment::InForce,
     control::{
         Core,
-        Failure,
-        Msg, //
+        Failure, //
     },
-    engine::{
-        Ordered,
-        Source, //
-    },
-    turn,
     victims::{
         self,
         Use, //
     },
 };
 
-/// Pause after a first failed load; it doubles with each failure up to [`MAX_RETRY`].
-const MIN_RETRY: Duration = Duration::from_millis(500);
-const MAX_RETRY: Duration = Duration::from_secs(5);
-
-/// After so many failures in a row all that wait for the model are refused: another target may
-/// have better luck, and holding them would only use up their time.
-const MAX_FAILURES: u32 = 3;
-
 /// Returns the declared version and memory of an item that may be held.
 fn declared<'a>(in_force: &'a InForce, item: &Item) -> Option<(&'a str, u32)> {
     let model: &Model = in_force.may_hold(&item.model)?;
@@ -287,151 +266,6 @@
         }
     }
 
-    fn spawn_load(
-        &mut self,
-        item: &Item,
-        version: Box<str>,
-        memory_mib: u32,
-        rank: TierRank,
-        deadline: Duration,
-    ) {
-        let Some(engine) = self.args.engine.clone() else {
-            return;
-        };
-        stair_telemetry::info!(Part::Loads, "loads {} {version}", item.model);
-        self.orders += 1;
-        self.loads += 1;
-        self.loading.push((item.clone(), self.now()));
-        self.touch(Some(item));
-        let left = deadline.saturating_sub(self.now());
-        let request = TurnRequest {
-            rank,
-            time_left_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
-        };
-        let entries = self.args.entries.borrow().clone();
-        let (me, item, pool) = (self.me.clone(), item.clone(), self.args.pool.clone());
-        tokio::spawn(async move {
-            let turn = turn::take(&pool, &entries, request).await;
-            let began = Instant::now();
-            let (ended, source) = engine.load(&item, &version, memory_mib).await;
-            drop(turn);
-            let took = began.elapsed();
-            let _ = me.send_message(Msg::LoadEnded {
-                item,
-                ended,
-                source,
-                took,
-            });
-        });
-    }
-
-    fn spawn_unload(&mut self, item: &Item) {
-        let Some(engine) = self.args.engine.clone() else {
-            return;
-        };
-        stair_telemetry::info!(Part::Loads, "unloads {}", item.model);
-        self.orders += 1;
-        let (me, item) = (self.me.clone(), item.clone());
-        tokio::spawn(async move {
-            let ended = engine.unload(&item).await;
-            let _ = me.send_message(Msg::UnloadEnded { item, ended });
-        });
-    }
-
-    pub(crate) fn load_ended(
-        &mut self,
-        item: &Item,
-        ended: Ordered,
-        source: Option<Source>,
-        took: Duration,
-    ) {
-        self.report_load(item, ended, source, took);
-        self.orders -= 1;
-        self.loading.retain(|(other, _)| other != item);
-        match ended {
-            Ordered::Answer(answer) => self.ledger.end_load(item, answer),
-            Ordered::Unanswered => {
-                self.ledger.end_load(item, Answer::Lost);
-                self.note_unanswered(item);
-            }
-            Ordered::Unexpected => {
-                self.ledger.end_load(item, Answer::Refused);
-                self.relist = true;
-            }
-            Ordered::Superseded => {
-                self.ledger.end_load(item, Answer::Refused);
-                self.superseded();
-            }
-        }
-        if ended == Ordered::Answer(Answer::Done) {
-            self.items.loaded(item, took);
-            self.failures.retain(|f| f.item != *item);
-            self.touch(Some(item));
-            let key = self.items.key(Some(item));
-            self.keep.finished(key, self.now());
-        } else {
-            self.load_failed(item);
-        }
-    }
-
-    pub(crate) fn unload_ended(&mut self, item: &Item, ended: Ordered) {
-        self.orders -= 1;
-        match ended {
-            Ordered::Answer(answer) => self.ledger.end_unload(item, answer),
-            Ordered::Unanswered => {
-                self.ledger.end_unload(item, Answer::Lost);
-                self.note_unanswered(item);
-            }
-            Ordered::Unexpected => self.ledger.end_unload(item, Answer::Lost),
-            Ordered::Superseded => {
-                self.ledger.end_unload(item, Answer::Lost);
-                self.superseded();
-            }
-        }
-    }
-
-    fn load_failed(&mut self, item: &Item) {
-        let now = self.now();
-        let count = match self.failures.iter().position(|f| f.item == *item) {
-            Some(i) => self.failures.swap_remove(i).count + 1,
-            None => 1,
-        };
-        let doubled = MIN_RETRY * 2_u32.saturating_pow(count - 1).min(64);
-        let retry_at = now + doubled.min(MAX_RETRY);
-        self.failures.push(Failure {
-            item: item.clone(),
-            count,
-            retry_at,
-        });
-        if count >= MAX_FAILURES {
-            self.refuse_waiting(item, "the model failed to load");
-            return;
-        }
-        let finish = retry_at + self.items.load(item);
-        let waiting = self.queue.iter().filter(|w| w.deadline < finish);
-        let late: Vec<RequestId> = waiting
-            .filter(|w| waits_for(self.items.get(w.model), item))
-            .map(|w| w.key)
-            .collect();
-        for id in &late {
-            self.queue.remove(*id);
-        }
-        self.refuse_failed(late, "the model failed to load");
-    }
-
-    fn refuse_waiting(&mut self, item: &Item, message: &str) {
-        let gone = self.take_if(|_, needed| waits_for(Some(needed), item));
-        self.refuse_failed(gone, message);
-    }
-
-    fn refuse_failed(&mut self, gone: Vec<RequestId>, message: &str) {
-        for id in gone {
-            let retry = u32::try_from(MAX_RETRY.as_millis()).unwrap_or(u32::MAX);
-            let refusal = Refusal::not_run(Reason::LoadFailed, retry, message);
-            self.refuse_id(id, refusal);
-        }
-    }
-
     /// Gives back grants that are being revoked, once the engine surely holds the model no longer
     /// and nothing can load it: a load after the grant was removed would exceed the replicas.
     pub(crate) fn give_back(&mut self) {
@@ -484,6 +318,6 @@
 }
 
 /// Tells whether work on `needs` cannot go on without `item`.
-fn waits_for(needs: Option<&Item>, item: &Item) -> bool {
+pub(crate) fn waits_for(needs: Option<&Item>, item: &Item) -> bool {
     needs.is_some_and(|n| n.model == item.model && (item.adapter.is_none() || n == item))
 }
--- /dev/null
+++ b/crates/stair-agent/src/refuse.rs
@@ -0,0 +1,111 @@
+//! Final refusals, with when to come back.
+
+use std::time::Duration;
+
+use stair_policy::backoff;
+use stair_state::ledger::Item;
+use stair_types::{
+    Reason,
+    Refusal,
+    RequestId, //
+};
+
+use crate::{
+    admit::ELSEWHERE_MS,
+    control::{
+        Core,
+        Event,
+        Pending, //
+    },
+};
+
+/// When a caller may come back after a request was refused because the agent leaves.
+const LEAVING_MS: u32 = 500;
+
+impl Core {
+    /// Refuses what can no longer be answered in time: its caller has to know now.
+    pub(crate) fn expire(&mut self) {
+        let now = self.now();
+        for id in self.queue.expire(now) {
+            let message = "the request waited too long to finish in time";
+            self.refuse_later(id, Reason::DeadlinePassed, message);
+        }
+    }
+
+    /// Refuses what waits for a model that may not be held any more.
+    pub(crate) fn refuse_ungranted(&mut self) {
+        let gone = self.take_if(|core, item| core.in_force.may_hold(&item.model).is_none());
+        for id in gone {
+            let message = "the target gives the model back";
+            let refusal = Refusal::not_run(Reason::NotGranted, ELSEWHERE_MS, message);
+            self.refuse_id(id, refusal);
+        }
+    }
+
+    /// Takes the requests out of the queue that wait for certain items.
+    pub(crate) fn take_if<F>(&mut self, gone: F) -> Vec<RequestId>
+    where
+        F: Fn(&Self, &Item) -> bool,
+    {
+        let waiting = self.queue.iter();
+        let out: Vec<RequestId> = waiting
+            .filter(|w| self.items.get(w.model).is_some_and(|i| gone(self, i)))
+            .map(|w| w.key)
+            .collect();
+        for id in &out {
+            self.queue.remove(*id);
+        }
+        out
+    }
+
+    /// Refuses everything that has not started, also what was told that it can run now.
+    pub(crate) fn refuse_all_leaving(&mut self) {
+        let ids: Vec<RequestId> = self.pending.iter().map(|p| p.offer.id).collect();
+        for id in ids {
+            self.queue.remove(id);
+            self.refuse_id(id, leaving());
+        }
+    }
+
+    pub(crate) fn refuse_id(&mut self, id: RequestId, refusal: Refusal) {
+        if let Ok(i) = self.find_pending(id) {
+            let pending = self.pending.remove(i);
+            self.refuse(pending, refusal);
+        }
+    }
+
+    /// Refuses a request that may come back when the queue has drained.
+    pub(crate) fn refuse_later(&mut self, id: RequestId, reason: Reason, message: &str) {
+        let drain = self.expected_wait();
+        let refusal = Refusal::not_run(reason, drained_ms(drain), message);
+        self.refuse_id(id, refusal);
+    }
+
+    pub(crate) fn refuse(&mut self, pending: Pending, refusal: Refusal) {
+        let id = pending.offer.id;
+        self.args.metrics.refusal(refusal.reason, refusal.verdict);
+        self.runs.withdraw(self.now(), id);
+        self.active.retain(|a| a.id != id || a.started);
+        let load = self.load(self.items.get(pending.key));
+        let _ = pending.events.send(Event::Refused(refusal, load));
+    }
+
+    pub(crate) fn find_pending(&self, id: RequestId) -> Result<usize, usize> {
+        self.pending.binary_search_by_key(&id, |p| p.offer.id)
+    }
+}
+
+/// Says that the agent takes no more work.
+pub(crate) fn leaving() -> Refusal {
+    Refusal::not_run(Reason::Leaving, LEAVING_MS, "the target is leaving")
+}
+
+/// Returns when the queue has drained. The entry spreads it, so that those who are refused together
+/// do not come back together; to spread it here as well would send them back later than needed.
+pub(crate) fn drained_ms(drain: Duration) -> u32 {
+    millis(drain.max(backoff::MIN_RETRY_AFTER))
+}
+
+pub(crate) fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/stair-agent/src/slots.rs
@@ -0,0 +1,197 @@
+//! Which requests run, and the answers that they leave.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use stair_state::runs::Phase;
+use stair_telemetry::metrics::Latency;
+use stair_types::{
+    FencingToken,
+    Reason,
+    Refusal,
+    RequestId, //
+};
+
+use crate::{
+    admit::ELSEWHERE_MS,
+    answers::Answer,
+    control::{
+        Active,
+        Core,
+        Ended,
+        Event, //
+    },
+    loads::is_current,
+    run,
+};
+
+/// One slot in so many is for short work only.
+const SHORT_PART: usize = 8;
+
+/// Bytes of all whole answers kept for a resume.
+const MAX_KEPT_BYTES: u64 = 64 << 20;
+
+impl Core {
+    /// Gives free slots to the first requests whose model is loaded.
+    ///
+    /// An eighth of the slots is for short work only: when all are taken by long drafts, a look-up
+    /// would wait for one of them to end.
+    pub(crate) fn hand_out(&mut self) {
+        let (now, slots) = (self.now(), self.slots());
+        let general = slots - slots / SHORT_PART;
+        while self.active.len() < slots {
+            let (ledger, in_force, items) = (&self.ledger, &self.in_force, &self.items);
+            let under_way = &self.under_way;
+            let ready = |key| {
+                let item = items.get(key);
+                item.is_none_or(|i| !under_way.is_for(i) && is_current(ledger, in_force, i))
+            };
+            let next = match self.active.len() < general {
+                true => self.queue.pop(now, ready),
+                false => self.queue.pop_short(now, ready),
+            };
+            let Some(next) = next else {
+                return;
+            };
+            let item = self.items.get(next.model).cloned();
+            self.touch(item.as_ref());
+            let waited = now.saturating_sub(next.arrived);
+            self.args.metrics.latency(Latency::Queued, waited);
+            let max_tokens = self.find_pending(next.key);
+            let max_tokens = max_tokens.map_or(0, |i| self.pending[i].offer.max_tokens);
+            self.active.push(Active {
+                id: next.key,
+                key: next.model,
+                item,
+                max_tokens,
+                expected_end: now + next.expected_run,
+                started: false,
+            });
+            self.make_ready(next.key);
+        }
+    }
+
+    fn make_ready(&mut self, id: RequestId) {
+        let Ok(i) = self.find_pending(id) else {
+            return;
+        };
+        let events = self.pending[i].events.clone();
+        if !self.pending[i].offer.start_when_ready {
+            let _ = events.send(Event::Ready);
+            return;
+        }
+        if let Some(answer) = self.start(id) {
+            let _ = events.send(Event::Started(answer));
+        }
+    }
+
+    /// Runs a request that holds a slot, at most once.
+    pub(crate) fn start(&mut self, id: RequestId) -> Option<Arc<Answer>> {
+        let slot = self.active.iter().position(|a| a.id == id && !a.started)?;
+        let at = self.find_pending(id).ok()?;
+        if !self.runs.start(id) {
+            return None;
+        }
+        self.active[slot].started = true;
+        let pending = self.pending.remove(at);
+        let max_bytes = self.args.limits.max_answer_bytes.into();
+        let answer = Answer::new(max_bytes, self.readers.clone());
+        self.answers.insert(id, answer.clone());
+        let job = run::Job {
+            time_left: pending.deadline.saturating_sub(self.now()),
+            offer: pending.offer,
+            body: pending.body,
+            answer: answer.clone(),
+            client: self.args.client.clone(),
+            incarnation: self.args.incarnation,
+            limits: self.args.limits.clone(),
+            is_engine: self.args.engine.is_some(),
+            control: self.me.clone(),
+        };
+        self.args.traffic.spawn(run::run(job));
+        Some(answer)
+    }
+
+    /// Makes sure that a request that has not started never does.
+    pub(crate) fn withdraw(&mut self, id: RequestId) {
+        if self.runs.withdraw(self.now(), id) == Phase::Started {
+            return;
+        }
+        self.queue.remove(id);
+        self.active.retain(|a| a.id != id);
+        if let Ok(i) = self.find_pending(id) {
+            self.pending.remove(i);
+        }
+    }
+
+    /// Finds the answer of a started request, or says for sure that it has not run.
+    pub(crate) fn resume(
+        &mut self,
+        id: RequestId,
+        incarnation: FencingToken,
+    ) -> Result<Arc<Answer>, Refusal> {
+        if incarnation != self.args.incarnation {
+            let message = "the agent was replaced during the run";
+            return Err(Refusal::may_have_run(Reason::LinkLost, 0, message));
+        }
+        if self.runs.withdraw(self.now(), id) == Phase::Withdrawn {
+            let message = "the request had not started";
+            let refusal = Refusal::not_run(Reason::LinkLost, ELSEWHERE_MS, message);
+            // The stream of the offer may live still, and learns the same.
+            self.queue.remove(id);
+            self.refuse_id(id, refusal.clone());
+            return Err(refusal);
+        }
+        self.answers.get(id).cloned().ok_or_else(|| {
+            let message = "the answer is no longer kept";
+            Refusal::may_have_run(Reason::LinkLost, 0, message)
+        })
+    }
+
+    /// Frees the slot; `run` is the time of a whole run.
+    pub(crate) fn run_ended(&mut self, id: RequestId, run: Option<Duration>, suspect: bool) {
+        if let Some(i) = self.active.iter().position(|a| a.id == id) {
+            let ended = self.active.swap_remove(i);
+            self.touch(ended.item.as_ref());
+            self.note_end(ended.key);
+            if let Some(run) = run {
+                self.items.ran(ended.key, ended.max_tokens, run);
+            }
+        }
+        self.runs.end(self.now(), id);
+        if let Some(answer) = self.answers.get(id) {
+            let bytes = answer.bytes();
+            self.ended_bytes += bytes;
+            self.ended.push_back(Ended { id, bytes });
+        }
+        self.bound_answers();
+        if suspect {
+            self.relist = self.args.engine.is_some();
+        }
+    }
+
+    pub(crate) fn forget(&mut self, id: RequestId) {
+        // Answers are kept for the same time, so the one to forget is among the oldest.
+        if let Some(i) = self.ended.iter().position(|e| e.id == id)
+            && let Some(ended) = self.ended.remove(i)
+        {
+            self.ended_bytes -= ended.bytes;
+        }
+        self.answers.remove(id);
+    }
+
+    /// Forgets the oldest whole answers when all together take too much memory. Each is bounded,
+    /// but under load hundreds end in the time for which they are kept, and few are asked for.
+    fn bound_answers(&mut self) {
+        while self.ended_bytes > MAX_KEPT_BYTES
+            && let Some(oldest) = self.ended.front().map(|e| e.id)
+        {
+            if let Some(answer) = self.answers.get(oldest) {
+                answer.cancel();
+            }
+            self.forget(oldest);
+        }
+    }
+}
