--- a/crates/stair-agent/src/admit.rs
+++ b/crates/stair-agent/src/admit.rs
@@ -29,9 +29,9 @@
 use crate::{
     control::{
         Core,
-        Event,
         Pending, //
     },
+    msg::Event,
     refuse::{
         drained_ms,
         leaving,
--- a/crates/stair-agent/src/control.rs
+++ b/crates/stair-agent/src/control.rs
@@ -15,22 +15,12 @@
     ActorProcessingErr,
     ActorRef, //
 };
-use stair_config::{
-    AgentLimits,
-    TargetSettings, //
-};
-use stair_http::Client;
-use stair_link::Pool;
 use stair_policy::{
-    keep::{
-        self,
-        Keep, //
-    },
+    keep::Keep,
     queue::{
         Options,
-        Queue,
-        TierOptions, //
-    }, //
+        Queue, //
+    },
 };
 use stair_state::{
     ById,
@@ -38,38 +28,22 @@
     RunTable,
     ledger::Item, //
 };
-use stair_telemetry::{
-    Metrics,
-    Part, //
-};
+use stair_telemetry::Part;
 use stair_types::{
-    ConfigVersion,
     FencingToken,
-    GrantId,
     ModelKey,
-    Refusal,
     RequestId,
-    ShardId,
-    TargetName,
     TierRank, //
 };
 use stair_wire::{
     control::{
         Assignment,
-        EntryAddress,
         VmNotice, //
     },
-    request::{
-        Load,
-        Offer, //
-    }, //
+    request::Offer, //
 };
 use tokio::{
-    sync::{
-        mpsc,
-        oneshot,
-        watch, //
-    },
+    sync::mpsc,
     time::Instant, //
 };
 
@@ -81,15 +55,18 @@
     assignment::InForce,
     crowding::NoRoom,
     doubt::UnderWay,
-    dump::Dump,
     early::Early,
-    engine::{
-        Engine,
-        Listed,
-        Ordered,
-        Source, //
+    items::Items,
+    msg::{
+        Arguments,
+        Event,
+        Msg,
+        Statement, //
+    },
+    options::{
+        keep_options,
+        queue_options, //
     },
-    items::Items, //
 };
 
 /// Time between the control's own ticks.
@@ -103,107 +80,6 @@
 /// The incarnation that no other agent came before.
 const FIRST: FencingToken = FencingToken(1);
 
-/// What the control thread is told.
-pub(crate) enum Msg {
-    Offer {
-        offer: Box<Offer>,
-        body: Bytes,
-        events: mpsc::UnboundedSender<Event>,
-    },
-    Start {
-        id: RequestId,
-        reply: oneshot::Sender<Option<Arc<Answer>>>,
-    },
-    Withdraw {
-        id: RequestId,
-    },
-    Resume {
-        id: RequestId,
-        incarnation: FencingToken,
-        reply: oneshot::Sender<Result<Arc<Answer>, Refusal>>,
-    },
-    RunEnded {
-        id: RequestId,
-        run: Duration,
-        complete: bool,
-        /// The target does not hold what it should, or cannot be reached.
-        suspect: bool,
-    },
-    Forget {
-        id: RequestId,
-    },
-    Assign(Box<Assignment>),
-    Vm(VmNotice),
-    LoadEnded {
-        item: Item,
-        ended: Ordered,
-        source: Option<Source>,
-        took: Duration,
-    },
-    UnloadEnded {
-        item: Item,
-        ended: Ordered,
-    },
-    Listed(Option<Listed>),
-    Tick,
-    Stop,
-    Dump {
-        reply: oneshot::Sender<Dump>,
-    },
-}
-
-/// What the stream of an offer is told.
-#[derive(Debug)]
-pub(crate) enum Event {
-    Queued(Load),
-    Ready,
-    Started(Arc<Answer>),
-    Refused(Refusal, Load),
-}
-
-/// What the agent tells its entries.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub(crate) struct Statement {
-    pub(crate) config: ConfigVersion,
-    pub(crate) shards: Vec<(ShardId, u64)>,
-    pub(crate) released: Vec<(ShardId, GrantId)>,
-    /// Grants whose models wait for room.
-    pub(crate) crowded: Vec<(ShardId, GrantId)>,
-    pub(crate) leaving: bool,
-    /// Grants in force.
-    pub(crate) granted: usize,
-    /// Grants that are being revoked.
-    pub(crate) revoking: usize,
-}
-
-/// What the control publishes.
-#[derive(Clone)]
-pub(crate) struct Published {
-    pub(crate) statement: watch::Sender<Statement>,
-    pub(crate) load: watch::Sender<Load>,
-    /// Requests that run, and answers that are being read.
-    pub(crate) busy: watch::Sender<usize>,
-    /// Why the agent must stop serving at once.
-    pub(crate) fatal: watch::Sender<Option<Box<str>>>,
-}
-
-/// What the control thread starts from.
-pub(crate) struct Arguments {
-    pub(crate) name: TargetName,
-    pub(crate) incarnation: FencingToken,
-    pub(crate) limits: AgentLimits,
-    pub(crate) metrics: Metrics,
-    pub(crate) target: TargetSettings,
-    pub(crate) client: Client,
-    pub(crate) engine: Option<Engine>,
-    pub(crate) ledger: Ledger,
-    pub(crate) in_force: InForce,
-    pub(crate) traffic: tokio::runtime::Handle,
-    pub(crate) published: Published,
-    pub(crate) entries: watch::Receiver<Vec<EntryAddress>>,
-    pub(crate) pool: Pool,
-}
-
 /// The actor.
 pub(crate) struct Control;
 
@@ -515,30 +391,3 @@
         });
     }
 }
-
-/// Requests that may wait in one agent, of all tiers: the time of one decision grows with them.
-const MAX_WAITING: u32 = 4096;
-
-fn keep_options(in_force: &InForce) -> keep::Options {
-    let policy = &in_force.policy().keep;
-    keep::Options {
-        cold_start_weight: policy.cold_start_weight,
-        min_idle: Duration::from_millis(policy.min_idle_ms.into()),
-        max_idle: Duration::from_millis(policy.max_idle_ms.into()),
-        ..keep::Options::default()
-    }
-}
-
-/// Bounds the queue by the tiers in force. Before the first configuration there is one tier.
-fn queue_options(in_force: &InForce, limits: &AgentLimits) -> Options {
-    let tiers = in_force.tiers().iter().map(|t| TierOptions {
-        max_waiting: t.max_waiting,
-        floor_percent: t.floor_percent,
-    });
-    Options {
-        max_requests: MAX_WAITING,
-        max_bytes: limits.max_waiting_bytes,
-        tiers: tiers.collect(),
-        ..Options::default()
-    }
-}
--- a/crates/stair-agent/src/control_links.rs
+++ b/crates/stair-agent/src/control_links.rs
@@ -48,11 +48,11 @@
 };
 
 use crate::{
-    control::{
+    incarnation::Pause,
+    msg::{
         Msg,
         Statement, //
     },
-    incarnation::Pause,
 };
 
 /// Links an agent keeps: one may break while a configuration change is under way.
--- a/crates/stair-agent/src/doubt.rs
+++ b/crates/stair-agent/src/doubt.rs
@@ -5,11 +5,9 @@
 use stair_state::ledger::Item;
 
 use crate::{
-    control::{
-        Core,
-        Msg, //
-    },
-    engine::Listed, //
+    control::Core,
+    engine::Listed,
+    msg::Msg, //
 };
 
 /// An order whose answer was lost may still be under way: in the buffer of a connection that is
--- a/crates/stair-agent/src/early.rs
+++ b/crates/stair-agent/src/early.rs
@@ -14,9 +14,9 @@
 };
 use tokio::sync::mpsc;
 
-use crate::control::{
-    Core,
-    Event, //
+use crate::{
+    control::Core,
+    msg::Event, //
 };
 
 /// How long an offer waits for its assignment. Both come from entries that hear of a grant within
--- /dev/null
+++ b/crates/stair-agent/src/msg.rs
@@ -0,0 +1,157 @@
+//! What the control thread is told, what it tells, and what it starts from.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use stair_config::{
+    AgentLimits,
+    TargetSettings, //
+};
+use stair_http::Client;
+use stair_link::Pool;
+use stair_state::{
+    Ledger,
+    ledger::Item, //
+};
+use stair_telemetry::Metrics;
+use stair_types::{
+    ConfigVersion,
+    FencingToken,
+    GrantId,
+    Refusal,
+    RequestId,
+    ShardId,
+    TargetName, //
+};
+use stair_wire::{
+    control::{
+        Assignment,
+        EntryAddress,
+        VmNotice, //
+    },
+    request::{
+        Load,
+        Offer, //
+    }, //
+};
+use tokio::sync::{
+    mpsc,
+    oneshot,
+    watch, //
+};
+
+use crate::{
+    answers::Answer,
+    assignment::InForce,
+    dump::Dump,
+    engine::{
+        Engine,
+        Listed,
+        Ordered,
+        Source, //
+    },
+};
+
+/// What the control thread is told.
+pub(crate) enum Msg {
+    Offer {
+        offer: Box<Offer>,
+        body: Bytes,
+        events: mpsc::UnboundedSender<Event>,
+    },
+    Start {
+        id: RequestId,
+        reply: oneshot::Sender<Option<Arc<Answer>>>,
+    },
+    Withdraw {
+        id: RequestId,
+    },
+    Resume {
+        id: RequestId,
+        incarnation: FencingToken,
+        reply: oneshot::Sender<Result<Arc<Answer>, Refusal>>,
+    },
+    RunEnded {
+        id: RequestId,
+        run: Duration,
+        complete: bool,
+        /// The target does not hold what it should, or cannot be reached.
+        suspect: bool,
+    },
+    Forget {
+        id: RequestId,
+    },
+    Assign(Box<Assignment>),
+    Vm(VmNotice),
+    LoadEnded {
+        item: Item,
+        ended: Ordered,
+        source: Option<Source>,
+        took: Duration,
+    },
+    UnloadEnded {
+        item: Item,
+        ended: Ordered,
+    },
+    Listed(Option<Listed>),
+    Tick,
+    Stop,
+    Dump {
+        reply: oneshot::Sender<Dump>,
+    },
+}
+
+/// What the stream of an offer is told.
+#[derive(Debug)]
+pub(crate) enum Event {
+    Queued(Load),
+    Ready,
+    Started(Arc<Answer>),
+    Refused(Refusal, Load),
+}
+
+/// What the agent tells its entries.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(crate) struct Statement {
+    pub(crate) config: ConfigVersion,
+    pub(crate) shards: Vec<(ShardId, u64)>,
+    pub(crate) released: Vec<(ShardId, GrantId)>,
+    /// Grants whose models wait for room.
+    pub(crate) crowded: Vec<(ShardId, GrantId)>,
+    pub(crate) leaving: bool,
+    /// Grants in force.
+    pub(crate) granted: usize,
+    /// Grants that are being revoked.
+    pub(crate) revoking: usize,
+}
+
+/// What the control publishes.
+#[derive(Clone)]
+pub(crate) struct Published {
+    pub(crate) statement: watch::Sender<Statement>,
+    pub(crate) load: watch::Sender<Load>,
+    /// Requests that run, and answers that are being read.
+    pub(crate) busy: watch::Sender<usize>,
+    /// Why the agent must stop serving at once.
+    pub(crate) fatal: watch::Sender<Option<Box<str>>>,
+}
+
+/// What the control thread starts from.
+pub(crate) struct Arguments {
+    pub(crate) name: TargetName,
+    pub(crate) incarnation: FencingToken,
+    pub(crate) limits: AgentLimits,
+    pub(crate) metrics: Metrics,
+    pub(crate) target: TargetSettings,
+    pub(crate) client: Client,
+    pub(crate) engine: Option<Engine>,
+    pub(crate) ledger: Ledger,
+    pub(crate) in_force: InForce,
+    pub(crate) traffic: tokio::runtime::Handle,
+    pub(crate) published: Published,
+    pub(crate) entries: watch::Receiver<Vec<EntryAddress>>,
+    pub(crate) pool: Pool,
+}
--- a/crates/stair-agent/src/offers.rs
+++ b/crates/stair-agent/src/offers.rs
@@ -39,7 +39,7 @@
         Answer,
         Piece, //
     },
-    control::{
+    msg::{
         Event,
         Msg, //
     },
--- a/crates/stair-agent/src/operator.rs
+++ b/crates/stair-agent/src/operator.rs
@@ -17,8 +17,8 @@
 };
 
 use crate::{
-    control::Msg,
-    dump::Dump, //
+    dump::Dump,
+    msg::Msg, //
 };
 
 /// Asks the control for its state.
--- a/crates/stair-agent/src/orders.rs
+++ b/crates/stair-agent/src/orders.rs
@@ -19,14 +19,14 @@
 use crate::{
     control::{
         Core,
-        Failure,
-        Msg, //
+        Failure, //
     },
     engine::{
         Ordered,
         Source, //
     },
     loads::waits_for,
+    msg::Msg,
     turn, //
 };
 
--- a/crates/stair-agent/src/refuse.rs
+++ b/crates/stair-agent/src/refuse.rs
@@ -14,9 +14,9 @@
     admit::ELSEWHERE_MS,
     control::{
         Core,
-        Event,
         Pending, //
     },
+    msg::Event, //
 };
 
 /// When a caller may come back after a request was refused because the agent leaves.
--- a/crates/stair-agent/src/resume.rs
+++ b/crates/stair-agent/src/resume.rs
@@ -14,7 +14,7 @@
 use tokio::sync::oneshot;
 
 use crate::{
-    control::Msg,
+    msg::Msg,
     offers::{
         Shared,
         forward,
--- a/crates/stair-agent/src/run.rs
+++ b/crates/stair-agent/src/run.rs
@@ -37,7 +37,7 @@
         Ended,
         Head, //
     },
-    control::Msg,
+    msg::Msg, //
 };
 
 /// The header that carries the agent's incarnation to the target.
--- a/crates/stair-agent/src/slots.rs
+++ b/crates/stair-agent/src/slots.rs
@@ -20,11 +20,11 @@
     control::{
         Active,
         Core,
-        Ended,
-        Event, //
+        Ended, //
     },
     loads::is_current,
-    run,
+    msg::Event,
+    run, //
 };
 
 /// One slot in so many is for short work only.
--- a/crates/stair-agent/src/start.rs
+++ b/crates/stair-agent/src/start.rs
@@ -50,13 +50,7 @@
 
 use crate::{
     assignment::InForce,
-    control::{
-        Arguments,
-        Control,
-        Msg,
-        Published,
-        Statement, //
-    },
+    control::Control,
     control_links,
     dump::Dump,
     engine::{
@@ -67,13 +61,20 @@
         self,
         Pause, //
     },
-    learn, links,
+    learn,
+    links,
     lock::{
         self,
         Lock, //
     },
+    msg::{
+        Arguments,
+        Msg,
+        Published,
+        Statement, //
+    },
     offers::Shared,
-    operator,
+    operator, //
 };
 
 /// Time to open a link to an entry.
