dev: say how many grants a replaced VM held

Cause: a replaced VM seemed to cost 8 to 45 writes. The agents that started first hold nearly all grants, as each model is granted while they are alone; one from the middle held none and cost one write, its incarnation.

--- a/crates/stair-dev/examples/slopes/live.rs
+++ b/crates/stair-dev/examples/slopes/live.rs
@@ -101,12 +101,14 @@
     row("a change", f64::from(CHANGES), &fleet, &before)?;
 
     let before = counts(&fleet)?;
+    let mut grants = 0;
     for _ in 0..REPLACED {
-        fleet.replace_agent().await?;
+        grants += fleet.replace_agent().await?;
         fleet.until_settled().await?;
     }
     tokio::time::sleep(Duration::from_secs(2)).await;
-    row("a replaced VM", f64::from(REPLACED), &fleet, &before)?;
+    let what = format!("a replaced VM; {grants} grants in all");
+    row(&what, f64::from(REPLACED), &fleet, &before)?;
 
     for e in fleet.entries.iter().step_by(3) {
         e.to_link.blackhole_all();
