entry: ask the peers three times at least in an outage

Cause: start_in_outage failed once in 16 runs: the entry kept the old version of the faster peer. Likely (not traced) the peer with the later one did not answer within 2 s, and peers were asked no more once one had answered.

--- a/crates/stair-entry/src/control/feed.rs
+++ b/crates/stair-entry/src/control/feed.rs
@@ -78,6 +78,10 @@
 /// this time for each of them: at 410 entries that is 0.4 s, a thousand reads a second.
 const CHUNK_SPREAD_PER_ENTRY: Duration = Duration::from_millis(1);
 
+/// Times that peers are asked at least in an outage: of several peers the one that knows the latest
+/// configuration may be too slow the first time.
+const PEER_ROUNDS: u32 = 3;
+
 /// A complete list of one kind.
 #[derive(Debug, Clone)]
 pub struct Listed {
@@ -123,6 +127,7 @@
     /// Runs for the life of the process.
     pub async fn run(mut self, pool: Pool, peers: Vec<SocketAddr>) {
         let mut pause = Pause::new();
+        let mut rounds = 0;
         loop {
             match self.list().await {
                 Ok(revision) => {
@@ -135,7 +140,8 @@
                     warn!(Part::Platform, "The platform cannot be listed: {e}.");
                     // Asked until one has told a configuration. What peers learn later arrives
                     // here by the watch as well, and a snapshot is large.
-                    if self.manifest == 0 {
+                    if self.manifest == 0 || rounds < PEER_ROUNDS {
+                        rounds += 1;
                         self.ask_peers(&pool, peers.clone()).await;
                     }
                     pause.wait().await;
