agent, entry: don't take a starting entry's short list for the whole

Cause: an entry that has just started sends its agents the entries that it knows, which may be none; agents dropped their links to entries that such a list lacks, and an agent without an entry asks the platform again only after 30 s.

Ruled out: asking the platform sooner, 12,000 agents may be cut off at once.

Change: an entry sends its list only when it is in it itself, and an agent passes over a list that lacks its sender. A test of memory asks until it is answered, since its one request may be refused on a busy machine.

--- a/crates/stair-agent/src/control_links.rs
+++ b/crates/stair-agent/src/control_links.rs
@@ -241,6 +241,9 @@
                 Some(EntryControl::Assignment(assignment)) => {
                     cx.control.send_message(Msg::Assign(Box::new(assignment)))?;
                 }
+                // An entry whose list lacks itself leaves, or has just started and knows no more.
+                Some(EntryControl::Entries { entries })
+                    if entries.iter().all(|e| e.name != entry.name) => {}
                 Some(EntryControl::Entries { entries }) => {
                     cx.entries.send_if_modified(|held| {
                         let changed = *held != entries;
--- a/crates/stair-entry/src/control/agents.rs
+++ b/crates/stair-entry/src/control/agents.rs
@@ -127,6 +127,10 @@
         self.note_entries();
         let targets = self.agents.iter().map(|a| a.hello.target.clone());
         let granted = Granted::new(&self.state, targets.collect());
+        // An entry that has just started may not have seen itself in the platform's list yet, nor
+        // the others. Agents would take its short list for the whole, drop their links to entries
+        // that it lacks, and have none left.
+        let is_listed = self.entries.iter().any(|e| e.name == self.args.name);
         for agent in &mut self.agents {
             let seen = seen_shards(agent);
             let next = assignment::derive(&self.state, &granted, &agent.hello.target, &seen);
@@ -140,7 +144,7 @@
                 if assigned {
                     out.assignment = Some(Arc::new(next));
                 }
-                let moved = !Arc::ptr_eq(&out.entries, entries);
+                let moved = is_listed && !Arc::ptr_eq(&out.entries, entries);
                 if moved {
                     out.entries = entries.clone();
                 }
