agent: refuse what waits for an engine that is down

Change: an engine whose list has not been answered for a second counts as lost; what waits and what comes is refused as not run, and the entry tries the next target.

--- a/crates/dandelionstair/tests/promises/in_time.rs
+++ b/crates/dandelionstair/tests/promises/in_time.rs
@@ -254,6 +254,23 @@
     assert!(answers.iter().all(|a| !a.is_answered()));
 }
 
+// An engine's process dies and does not come back. Its agent lives and holds requests for it, and
+// the other engine could serve them; their callers must not wait until their deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_gone() {
+    const TIMEOUT: Duration = Duration::from_secs(20);
+    let world = World::start(two_engines()).await;
+    ask_all(&world, 8, TIMEOUT).await;
+
+    world.engines[0].crash().await.expect("it can be stopped");
+    let answers = ask_all(&world, 40, TIMEOUT).await;
+
+    println!("engine gone: told within {:.1?}", longest(&answers));
+    assert!(longest(&answers) < Duration::from_secs(6), "{answers:?}");
+    let answered = answers.iter().filter(|a| a.is_answered()).count();
+    assert!(answered > 20, "only {answered} of 40 were answered");
+}
+
 // Something between an agent and its engine swallows everything. Callers are to get their refusal
 // at their deadline, also those whose model would have to be loaded.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/stair-agent/src/admit.rs
+++ b/crates/stair-agent/src/admit.rs
@@ -34,6 +34,7 @@
     msg::Event,
     refuse::{
         drained_ms,
+        engine_lost,
         leaving,
         millis, //
     },
@@ -59,9 +60,10 @@
             let _ = events.send(Event::Refused(refusal, self.load(None)));
             return;
         }
-        let checked = match self.takes_no_work() {
-            true => Err(leaving()),
-            false => self.item_of(&offer.work),
+        let checked = match (self.takes_no_work(), self.engine_is_lost()) {
+            (true, _) => Err(leaving()),
+            (false, true) => Err(engine_lost()),
+            (false, false) => self.item_of(&offer.work),
         };
         let item = checked.as_ref().ok().cloned().flatten();
         let pending = Pending {
--- a/crates/stair-agent/src/control.rs
+++ b/crates/stair-agent/src/control.rs
@@ -155,6 +155,8 @@
     pub(crate) relist: bool,
     /// Orders that may take effect although they were given up.
     pub(crate) under_way: UnderWay,
+    /// Since when the engine has not answered when it was asked for its list.
+    pub(crate) silent_since: Option<Duration>,
     /// The planned stop has begun.
     pub(crate) leaving: bool,
     /// What the platform's list says of this VM.
@@ -239,6 +241,7 @@
             listing: false,
             relist: false,
             under_way,
+            silent_since: None,
             leaving: false,
             vm: VmNotice::default(),
             loads: 0,
@@ -309,6 +312,7 @@
         self.take_early();
         self.expire();
         self.settle();
+        self.refuse_all_lost();
         if self.knows_engine() && !self.leaving {
             self.hand_out();
         }
--- a/crates/stair-agent/src/doubt.rs
+++ b/crates/stair-agent/src/doubt.rs
@@ -20,6 +20,10 @@
 /// Pause before the list is asked for again while the engine is moving or silent.
 const AGAIN: Duration = Duration::from_millis(100);
 
+/// An engine whose list has not been answered for so long is down, and not just busy. Requests that
+/// wait for it would wait until their deadline, though another target may serve them.
+const LOST_AFTER: Duration = Duration::from_secs(1);
+
 /// Orders that may take effect although they were given up.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct UnderWay {
@@ -107,12 +111,25 @@
 
     pub(crate) fn listed(&mut self, listed: Option<Listed>) {
         self.listing = false;
-        if let Some(listed) = listed {
-            self.ledger.settle(listed.entries());
-            self.relist = false;
+        match listed {
+            Some(listed) => {
+                self.ledger.settle(listed.entries());
+                self.relist = false;
+                self.silent_since = None;
+            }
+            None => {
+                let now = self.now();
+                self.silent_since.get_or_insert(now);
+            }
         }
     }
 
+    /// Tells whether the engine has not answered for so long that it counts as lost.
+    pub(crate) fn engine_is_lost(&self) -> bool {
+        let lost = |since: Duration| self.now().saturating_sub(since) >= LOST_AFTER;
+        self.silent_since.is_some_and(lost)
+    }
+
     /// Notes that an order may still be under way. Orders given from now on carry a higher fencing
     /// token, and the next list is asked for after the engine was told of it.
     pub(crate) fn note_unanswered(&mut self, item: &Item) {
--- a/crates/stair-agent/src/refuse.rs
+++ b/crates/stair-agent/src/refuse.rs
@@ -60,10 +60,21 @@
 
     /// Refuses everything that has not started, also what was told that it can run now.
     pub(crate) fn refuse_all_leaving(&mut self) {
+        self.refuse_all(&leaving());
+    }
+
+    /// Refuses everything that has not started at an engine that is down.
+    pub(crate) fn refuse_all_lost(&mut self) {
+        if self.engine_is_lost() {
+            self.refuse_all(&engine_lost());
+        }
+    }
+
+    fn refuse_all(&mut self, refusal: &Refusal) {
         let ids: Vec<RequestId> = self.pending.iter().map(|p| p.offer.id).collect();
         for id in ids {
             self.queue.remove(id);
-            self.refuse_id(id, leaving());
+            self.refuse_id(id, refusal.clone());
         }
     }
 
@@ -96,6 +107,14 @@
 }
 
 /// Says that the agent takes no more work.
+/// When a caller may come back after the engine was found down, in milliseconds: a process beside
+/// it starts it again in some seconds.
+const LOST_MS: u32 = 2_000;
+
+pub(crate) fn engine_lost() -> Refusal {
+    Refusal::not_run(Reason::TargetFailed, LOST_MS, "the engine does not answer")
+}
+
 pub(crate) fn leaving() -> Refusal {
     Refusal::not_run(Reason::Leaving, LEAVING_MS, "the target is leaving")
 }
