dandelionstair: let tests wait for the end of killed processes

Cause: tests were seen to fail with "another agent lives": an agent that is still being ended holds the lock of its target's address, while a proxy of another test may be given that port. Not proved to be the cause; "the process did not become ready" fits it.

Change: dropping a process waits until it is gone, for five seconds at most.

--- a/crates/dandelionstair/tests/promises/support/process.rs
+++ b/crates/dandelionstair/tests/promises/support/process.rs
@@ -39,6 +39,10 @@
 
 use super::LIMIT;
 
+/// How often, and for how long altogether, the end of a killed process is looked for.
+const ENDING_CHECKS: u32 = 5_000;
+const ENDING_CHECK: std::time::Duration = std::time::Duration::from_millis(1);
+
 /// A running process; dropping it kills it.
 pub(crate) struct Process {
     child: Child,
@@ -138,7 +142,16 @@
 }
 
 impl Drop for Process {
+    /// Waits until the process is gone: an agent that is still being ended holds the lock of its
+    /// target's address, and another test may be given that port in the same moment.
     fn drop(&mut self) {
+        let _ = self.child.start_kill();
+        for _ in 0..ENDING_CHECKS {
+            if self.has_ended() {
+                break;
+            }
+            std::thread::sleep(ENDING_CHECK);
+        }
         if std::thread::panicking() {
             eprintln!("--- {}\n{}", self.log.display(), self.log());
         }
