entry, dandelionstair: split the state's view out and read settings in one place

Change: `control/derive.rs` makes the view; `process::settings` reads and prints problems. Nothing else changes.

Measured: the entry's tests and those of the command line pass.

--- a/crates/dandelionstair/src/agent.rs
+++ b/crates/dandelionstair/src/agent.rs
@@ -1,9 +1,6 @@
 //! `dandelionstair agent`.
 
-use std::{
-    path::PathBuf,
-    process::ExitCode, //
-};
+use std::process::ExitCode;
 
 use clap::ArgMatches;
 use serde_json::json;
@@ -11,22 +8,13 @@
 use stair_config::read_settings;
 use stair_telemetry::log;
 
-use crate::{
-    exit,
-    process, //
-};
+use crate::process;
 
 /// Runs an agent until it is told to stop.
 pub(crate) fn run(matches: &ArgMatches) -> anyhow::Result<ExitCode> {
-    let Some(path) = matches.get_one::<PathBuf>("settings") else {
-        return Ok(exit::USAGE.into());
-    };
-    let settings = match read_settings::agent(path) {
+    let settings = match process::settings(matches, read_settings::agent) {
         Ok(settings) => settings,
-        Err(problems) => {
-            eprintln!("{problems}");
-            return Ok(exit::USAGE.into());
-        }
+        Err(code) => return Ok(code),
     };
     log::init(&settings.telemetry)?;
     let keys = process::keys(&settings.tls)?;
--- a/crates/dandelionstair/src/entry.rs
+++ b/crates/dandelionstair/src/entry.rs
@@ -1,9 +1,6 @@
 //! `dandelionstair entry`.
 
-use std::{
-    path::PathBuf,
-    process::ExitCode, //
-};
+use std::process::ExitCode;
 
 use clap::ArgMatches;
 use serde_json::json;
@@ -11,22 +8,13 @@
 use stair_entry::Entry;
 use stair_telemetry::log;
 
-use crate::{
-    exit,
-    process, //
-};
+use crate::process;
 
 /// Runs an entry until it is told to stop.
 pub(crate) fn run(matches: &ArgMatches) -> anyhow::Result<ExitCode> {
-    let Some(path) = matches.get_one::<PathBuf>("settings") else {
-        return Ok(exit::USAGE.into());
-    };
-    let settings = match read_settings::entry(path) {
+    let settings = match process::settings(matches, read_settings::entry) {
         Ok(settings) => settings,
-        Err(problems) => {
-            eprintln!("{problems}");
-            return Ok(exit::USAGE.into());
-        }
+        Err(code) => return Ok(code),
     };
     log::init(&settings.telemetry)?;
     let keys = process::keys(&settings.tls)?;
--- a/crates/dandelionstair/src/process.rs
+++ b/crates/dandelionstair/src/process.rs
@@ -2,15 +2,24 @@
 
 use std::{
     io::Write,
-    net::SocketAddr, //
+    net::SocketAddr,
+    path::{
+        Path,
+        PathBuf, //
+    },
+    process::ExitCode, //
 };
 
 use anyhow::Context;
+use clap::ArgMatches;
 use serde_json::{
     Value,
     json, //
 };
-use stair_config::TlsSettings;
+use stair_config::{
+    TlsSettings,
+    problem::Problems, //
+};
 use stair_link::Keys;
 use stair_platform::{
     HttpStore,
@@ -28,10 +37,26 @@
     sync::watch,
 };
 
+use crate::exit;
+
 /// Threads for traffic. Entry VMs are thin, and an agent shares its VM with an engine that needs
 /// the other cores.
 const TRAFFIC_THREADS: usize = 2;
 
+/// Reads the file of `--settings`, or prints every problem in it and returns the exit code.
+pub(crate) fn settings<T, F>(matches: &ArgMatches, read: F) -> Result<T, ExitCode>
+where
+    F: FnOnce(&Path) -> Result<T, Problems>,
+{
+    let Some(path) = matches.get_one::<PathBuf>("settings") else {
+        return Err(exit::USAGE.into());
+    };
+    read(path).map_err(|problems| {
+        eprintln!("{problems}");
+        exit::USAGE.into()
+    })
+}
+
 /// Makes the runtime for traffic.
 pub(crate) fn runtime() -> anyhow::Result<Runtime> {
     Builder::new_multi_thread()
--- a/crates/stair-entry/src/control/mod.rs
+++ b/crates/stair-entry/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control half of an entry, on one thread of its own.
 //!
-//! - [`state`]: what is known of the platform's objects; versions in it only rise.
+//! - [`state`]: what is known of the platform's objects; versions in it only rise; `derive` makes the
+//!   view of it.
 //! - [`propose`]: which grants should change, as a pure function of the state.
 //! - [`assignment`]: what one agent may hold, derived from the state.
 //! - [`msg`]: what control handles.
@@ -16,6 +17,7 @@
 mod agents;
 pub mod assignment;
 mod crowding;
+mod derive;
 pub mod feed;
 pub mod links;
 mod moving;
--- a/crates/stair-entry/src/control/state.rs
+++ b/crates/stair-entry/src/control/state.rs
@@ -17,7 +17,6 @@
 use stair_platform::{
     IncarnationRecord,
     Manifest,
-    TargetKind,
     Vm,
     VmRole,
     VmState, //
@@ -35,7 +34,6 @@
     FencingToken,
     ModelName,
     ShardId,
-    TargetKey,
     TargetName,
     rendezvous, //
 };
@@ -44,11 +42,6 @@
     VmNotice, //
 };
 
-use crate::view::{
-    TargetView,
-    View, //
-};
-
 /// A value with the platform's revision of its last write.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Versioned<T> {
@@ -385,79 +378,9 @@
         });
     }
 
-    /// Derives what traffic needs, with the targets of the view before if none has changed since:
-    /// most changes are of the configuration or the grants, and 12,000 targets are most of a view.
-    pub fn view(&self, before: &View) -> View {
-        let same_targets = before.fleet == self.fleet;
-        let targets = match same_targets {
-            true => before.targets.clone(),
-            false => Arc::new(self.targets()),
-        };
-        let key_of = |name: &TargetName| {
-            let at = targets.binary_search_by(|t| t.name.cmp(name));
-            at.ok().map(|i| TargetKey(i as u32))
-        };
-        let catalogue = &self.config.catalogue;
-        let holders = catalogue.models.iter().map(|m| {
-            let same_grants = before.shard_version(&m.name) == self.shard_version(&m.name);
-            if let Some(held) = before.holders_by_name(&m.name)
-                && same_targets
-                && same_grants
-            {
-                return held.to_vec();
-            }
-            let grants = self.shard(&m.name).map_or(&[][..], |s| s.of_model(&m.name));
-            let granted = grants.iter().filter(|g| !g.revoking);
-            granted.filter_map(|g| key_of(&g.target)).collect()
-        });
-        let providers = catalogue.services.iter().map(|s| {
-            let kind = TargetKind::Service {
-                service: s.name.clone(),
-            };
-            let agents = self.incarnations.iter().filter(|a| has_kind(a, &kind));
-            agents.filter_map(|a| key_of(&a.name)).collect()
-        });
-        View {
-            config: version_of(&self.config),
-            confirmed: self.confirmed,
-            entries: self.entries.len() as u32,
-            fleet: self.fleet,
-            shard_versions: self.shards.iter().map(|s| s.version).collect(),
-            holders: holders.collect(),
-            // Since when a grant has been revoked is not part of the platform's objects.
-            moving: Vec::new(),
-            providers: providers.collect(),
-            catalogue: catalogue.clone(),
-            targets,
-        }
-    }
-
-    fn shard_version(&self, model: &ModelName) -> u64 {
-        self.shards[usize::from(shard_of(model).0)].version
-    }
-
-    fn targets(&self) -> Vec<TargetView> {
-        let agents = self.incarnations.iter();
-        agents
-            .filter_map(|agent| {
-                let record = agent.object.value.as_ref()?;
-                let token = record.token;
-                let leaving =
-                    self.is_marked_leaving(&agent.name) || self.says_leaving(&agent.name, token);
-                Some(TargetView {
-                    name: agent.name.clone(),
-                    link: record.link,
-                    token,
-                    data_centre: record.data_centre.clone(),
-                    leaving,
-                })
-            })
-            .collect()
-    }
-
     /// A VM that the list does not have yet is not leaving: its agent may have started before the
     /// lagging list shows it.
-    fn is_marked_leaving(&self, target: &TargetName) -> bool {
+    pub(super) fn is_marked_leaving(&self, target: &TargetName) -> bool {
         self.target_vm(target)
             .is_some_and(|vm| vm.state == VmState::Leaving)
     }
@@ -501,11 +424,6 @@
     }
 }
 
-fn has_kind(agent: &Named<TargetName, IncarnationRecord>, kind: &TargetKind) -> bool {
-    let record = agent.object.value.as_ref();
-    record.is_some_and(|r| r.kind == *kind)
-}
-
 fn find<'a, N, T>(all: &'a [Named<N, T>], name: &N) -> Option<&'a T>
 where
     N: Ord,
