--- /dev/null
+++ b/crates/stair-fleet/src/blame.rs
@@ -0,0 +1,28 @@
+//! Which targets a failure is put down to.
+//!
+//! The load it answers: some requests fail wherever they run, after their full work (seven in a
+//! hundred of the repeatable lookups of the deployments in use). Put down to the targets, each such
+//! request made two sound ones look as if they failed a fifth of their requests, and sent the
+//! requests of others to the rest of them.
+
+use crate::view::TargetKey;
+
+/// How the attempts of one request ended.
+#[derive(Debug, Clone, Copy)]
+pub struct Options<'a> {
+    /// Targets that ran the request and failed it by their own word.
+    pub failed: &'a [TargetKey],
+    /// Whether another target then served it.
+    pub served: bool,
+}
+
+/// Returns the targets that the failures are put down to: those that failed what another served, and
+/// one that failed alone, as nothing speaks for it. What several failed and none served is put down
+/// to the request.
+pub fn blame<'a>(opts: &Options<'a>) -> &'a [TargetKey] {
+    if opts.served || opts.failed.len() == 1 {
+        opts.failed
+    } else {
+        &[]
+    }
+}
--- a/crates/stair-fleet/src/lib.rs
+++ b/crates/stair-fleet/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`balance`]: which model gets a further replica, and whose replicas make way for it.
 //! - [`reading`]: when a prompt may be sent to an engine.
 //! - [`budget`]: one entry's share of the retries that all entries may make together.
+//! - [`blame`]: which targets a failure is put down to.
 //! - [`events`]: whole events out of a stream's bytes.
 //! - [`msg`]: what entries and agents tell each other about engines.
 #![deny(missing_docs)]
@@ -20,6 +21,7 @@
 
 pub mod balance;
 pub mod budget;
+pub mod blame;
 pub mod catalogue;
 pub mod choose;
 pub mod events;
--- a/crates/stair-relay/src/relay.rs
+++ b/crates/stair-relay/src/relay.rs
@@ -15,9 +15,15 @@
     body::Incoming, //
 };
 use platform_adapter::request::Meta;
-use stair_fleet::view::{
-    SUSPECT_TIME,
-    TargetKey, //
+use stair_fleet::{
+    blame::{
+        self,
+        blame, //
+    },
+    view::{
+        SUSPECT_TIME,
+        TargetKey, //
+    },
 };
 use stair_http::body::{
     Body,
@@ -139,6 +145,8 @@
     pub paid: bool,
     /// A target's own failure that was to be bettered by a retry.
     failure: Option<Response<Body>>,
+    /// Targets that ran the request and failed it by their own word.
+    failed: Vec<TargetKey>,
 }
 
 impl Tried {
@@ -150,7 +158,9 @@
 
 async fn run(cx: &Arc<Context>, job: Arc<Job>) -> Result<Response<Body>, Refusal> {
     let mut tried = Tried::default();
-    let result = attempts(cx, job, &mut tried).await;
+    let result = attempts(cx, job.clone(), &mut tried).await;
+    let served = matches!(&result, Ok(resp) if !resp.status().is_server_error());
+    put_down(cx, &job, &tried.failed, served);
     // What a target has answered is passed on rather than replaced by a failure of the entry's own,
     // which would tell the client less.
     match (result, tried.failure.take()) {
@@ -159,6 +169,25 @@
     }
 }
 
+/// Takes the failures that targets themselves told into what is known of them.
+fn put_down(cx: &Context, job: &Job, failed: &[TargetKey], served: bool) {
+    if failed.is_empty() {
+        return;
+    }
+    let blamed = blame(&blame::Options { failed, served });
+    let mut state = cx.state();
+    for key in blamed {
+        state.view.get_mut(*key).learn(false);
+    }
+    drop(state);
+    Line::new("failures")
+        .text("id", &job.meta.id)
+        .num("failed", failed.len() as i64)
+        .num("put_down", blamed.len() as i64)
+        .flag("served", served)
+        .write();
+}
+
 async fn attempts(
     cx: &Arc<Context>,
     job: Arc<Job>,
@@ -305,7 +334,11 @@
         }
         Outcome::Head(live) => {
             tried.ran += 1;
-            seen.learn(!live.head.status.is_server_error());
+            if live.head.status.is_server_error() {
+                tried.failed.push(key);
+            } else {
+                seen.learn(true);
+            }
         }
     }
     drop(state);
