--- a/crates/stair-fleet/src/budget.rs
+++ b/crates/stair-fleet/src/budget.rs
@@ -27,6 +27,21 @@
 
 /// Part of the bound that is used: requests are counted when they arrive and retries when they
 /// are sent, so at the edge of a window the two can be off by a few.
+/// How many shares there are for each entry that is heard of: those that were replaced within the
+/// window have spent theirs too, and one that is cut off is not heard of and goes on spending.
+const SHARES_PER_ENTRY: u32 = 2;
+
+/// Returns the number of entries that share `extra`: as many as the settings say, more when an agent
+/// hears of more. `heard` is what each agent says; the largest counts, as an agent that is cut off
+/// from most entries would have the rest take too large a share.
+pub fn entries<I>(settings: u32, heard: I) -> u32
+where
+    I: IntoIterator<Item = u32>,
+{
+    let most = heard.into_iter().max().unwrap_or(0);
+    settings.max(most.saturating_mul(SHARES_PER_ENTRY))
+}
+
 const PART_USED: f64 = 0.8;
 
 /// Requests and retries of one service within the window.
--- a/crates/stair-fleet/src/msg.rs
+++ b/crates/stair-fleet/src/msg.rs
@@ -122,6 +122,8 @@
     /// The least name among all entries, the one told among them.
     pub least: Box<str>,
     /// The others that are ahead of the one told, by catalogue or by targets; at most two.
+    /// Entries that the agent hears, the one told among them.
+    pub entries: u32,
     pub ahead: Vec<Known>,
 }
 
@@ -142,6 +144,7 @@
         Self {
             least: least.clone(),
             ahead,
+            entries: u32::try_from(all.len()).unwrap_or(u32::MAX),
         }
     }
 }
--- a/crates/stair-fleet/tests/budget.rs
+++ b/crates/stair-fleet/tests/budget.rs
@@ -4,7 +4,8 @@
 
 use stair_fleet::budget::{
     Budget,
-    Options, //
+    Options,
+    entries, //
 };
 
 const OPTS: Options = Options {
@@ -61,3 +62,29 @@
     }
     assert_eq!(first, second);
 }
+
+/// A fleet has grown from five entries to thirty, and the settings still say ten. If each kept to a
+/// tenth of the shared part, all together would make three times the retries that targets are to get
+/// when most of them fail.
+#[test]
+fn more_entries_than_said() {
+    let mut sent = 0;
+    for _ in 0..30 {
+        let mut budget = Budget::new(Options {
+            entries: entries(OPTS.entries, [30]),
+            ..OPTS
+        });
+        while budget.try_retry(s(1.0)) {
+            sent += 1;
+        }
+    }
+    assert!(f64::from(sent) <= OPTS.extra, "{sent}");
+}
+
+/// An agent is cut off from most entries and tells the rest that they are few.
+#[test]
+fn few_heard_by_one_agent() {
+    assert_eq!(entries(10, [30, 3]), 60);
+    assert_eq!(entries(10, [3]), 10, "no fewer than the settings say");
+    assert_eq!(entries(10, []), 10);
+}
--- a/crates/stair-relay/src/context.rs
+++ b/crates/stair-relay/src/context.rs
@@ -100,6 +100,8 @@
     pub engine: SocketAddr,
     /// Messages to the agent.
     pub tx: mpsc::Sender<ToAgent>,
+    /// Entries that the agent hears, as it said last; 0 before it has.
+    pub entries: u32,
     /// Questions that wait for their answer.
     pub waiting: Vec<(u64, oneshot::Sender<Outcome>)>,
     /// Prompts that wait to be told their turn.
@@ -235,18 +237,15 @@
     /// Counts a request for a service.
     pub fn count_request(&self, service: &str) {
         let now = self.now();
-        self.state()
-            .budget(service, self.budget_options())
-            .request(now);
+        let opts = self.budget_options();
+        self.state().budget(service, opts).request(now);
     }
 
     /// Takes a retry from this entry's share of the budget, and tells whether it may be made.
     pub fn may_retry(&self, service: &str) -> bool {
         let now = self.now();
-        let allowed = self
-            .state()
-            .budget(service, self.budget_options())
-            .try_retry(now);
+        let opts = self.budget_options();
+        let allowed = self.state().budget(service, opts).try_retry(now);
         let outcome = if allowed { "made" } else { "refused" };
         self.page.count("retries_total", &[("outcome", outcome)], 1);
         allowed
@@ -254,11 +253,13 @@
 
     fn budget_options(&self) -> budget::Options {
         let retries = self.live().retries;
+        let state = self.state();
+        let heard = state.agents.iter().map(|a| a.entries);
         budget::Options {
             ratio: retries.ratio,
             extra: retries.extra,
             window: Duration::from_millis(retries.window_ms.into()),
-            entries: retries.entries,
+            entries: budget::entries(retries.entries, heard),
         }
     }
 
--- a/crates/stair-relay/src/links.rs
+++ b/crates/stair-relay/src/links.rs
@@ -75,6 +75,7 @@
             let link = AgentLink {
                 engine,
                 tx,
+                entries: 0,
                 waiting: Vec::new(),
                 turns: Vec::new(),
             };
@@ -200,7 +201,11 @@
             }
             ToEntry::Peers(peers) => {
                 let now = cx.now();
-                cx.state().peers = Some((*peers, now));
+                let mut state = cx.state();
+                if let Some(i) = state.agent(engine) {
+                    state.agents[i].entries = peers.entries;
+                }
+                state.peers = Some((*peers, now));
             }
         }
     }
--- a/crates/stair-sidecar/src/process.rs
+++ b/crates/stair-sidecar/src/process.rs
@@ -164,8 +164,8 @@
     known: Option<Known>,
     /// Since when it has lagged behind another entry.
     behind: Option<Instant>,
-    /// The least name that it has been told.
-    least: Option<Box<str>>,
+    /// The least name and the number of entries that it has been told.
+    fleet: Option<(Box<str>, u32)>,
 }
 
 struct Agent {
@@ -263,7 +263,7 @@
                     tx,
                     known: None,
                     behind: None,
-                    least: None,
+                    fleet: None,
                 });
                 self.tell_all(key);
             }
--- a/crates/stair-sidecar/src/process/tell.rs
+++ b/crates/stair-sidecar/src/process/tell.rs
@@ -36,7 +36,7 @@
 
 impl Agent {
     /// Tells entries of the others: those that have lagged behind for a while, and all of them when
-    /// the least name changes.
+    /// the least name or their number changes.
     pub(super) fn tell_peers(&mut self) {
         let all: Vec<Known> = self.links.iter().filter_map(|l| l.known.clone()).collect();
         for link in &mut self.links {
@@ -47,10 +47,10 @@
             }
             let since = *link.behind.get_or_insert_with(Instant::now);
             let lags = !peers.ahead.is_empty() && since.elapsed() >= LAG_TIME;
-            let least = link.least.as_ref() != Some(&peers.least);
-            if lags || least {
+            let fleet = (peers.least.clone(), peers.entries);
+            if lags || link.fleet.as_ref() != Some(&fleet) {
                 link.behind = None;
-                link.least = Some(peers.least.clone());
+                link.fleet = Some(fleet);
                 // A full queue belongs to an entry that does not read; it is told again.
                 let _ = link.tx.try_send(ToEntry::Peers(Box::new(peers)));
             }
