--- a/crates/stair-config/src/fleet_settings.rs
+++ b/crates/stair-config/src/fleet_settings.rs
@@ -31,7 +31,7 @@
     "retries",
 ];
 const RETRY_FIELDS: [&str; 4] = ["ratio", "extra", "window_ms", "entries"];
-const SIDECAR_FIELDS: [&str; 7] = [
+const SIDECAR_FIELDS: [&str; 8] = [
     "name",
     "data_centre",
     "engine",
@@ -39,6 +39,7 @@
     "metrics",
     "store",
     "stop_within_ms",
+    "fetch_window_ms",
 ];
 
 const MAX_MS: u32 = 3_600_000;
@@ -48,6 +49,10 @@
 /// usual deployment's five, since replaced ones have spent their part too.
 const DEFAULT_ENTRIES: u32 = 10;
 
+/// Time in which an engine begins one load from the weight store at most, when the settings do not
+/// say: as long as the weight stores in use count, in milliseconds.
+const DEFAULT_FETCH_WINDOW_MS: u32 = 5000;
+
 /// Settings of an entry in front of targets that announce themselves.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct GatewaySettings {
@@ -105,6 +110,8 @@
     pub store: SocketAddr,
     /// Time from SIGTERM until the process is killed, in milliseconds.
     pub stop_within_ms: u32,
+    /// Time in which the engine begins one load from the weight store at most, in milliseconds.
+    pub fetch_window_ms: u32,
 }
 
 /// Reads and checks an entry's settings.
@@ -196,6 +203,12 @@
     let metrics = fields.listener(problems, "metrics");
     let store = fields.address(problems, "store");
     let stop_within_ms = fields.integer(problems, "stop_within_ms", 1..=MAX_MS, None);
+    let fetch_window_ms = fields.integer(
+        problems,
+        "fetch_window_ms",
+        0..=MAX_MS,
+        Some(DEFAULT_FETCH_WINDOW_MS),
+    );
     Some(SidecarSettings {
         name: name?,
         data_centre: data_centre?,
@@ -204,5 +217,6 @@
         metrics: metrics?,
         store: store?,
         stop_within_ms: stop_within_ms?,
+        fetch_window_ms: fetch_window_ms?,
     })
 }
--- a/crates/stair-fleet/src/budget.rs
+++ b/crates/stair-fleet/src/budget.rs
@@ -11,8 +11,10 @@
     time::Duration, //
 };
 
+use serde::Serialize;
+
 /// The bound for all entries together, and the part of one.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
 pub struct Options {
     /// Retries for each request.
     pub ratio: f64,
@@ -25,8 +27,6 @@
     pub entries: u32,
 }
 
-/// Part of the bound that is used: requests are counted when they arrive and retries when they
-/// are sent, so at the edge of a window the two can be off by a few.
 /// How many shares there are for each entry that is heard of: those that were replaced within the
 /// window have spent theirs too, and one that is cut off is not heard of and goes on spending.
 const SHARES_PER_ENTRY: u32 = 2;
@@ -42,6 +42,8 @@
     settings.max(most.saturating_mul(SHARES_PER_ENTRY))
 }
 
+/// Part of the bound that is used: requests are counted when they arrive and retries when they
+/// are sent, so at the edge of a window the two can be off by a few.
 const PART_USED: f64 = 0.8;
 
 /// Requests and retries of one service within the window.
@@ -67,6 +69,11 @@
         self.opts = opts;
     }
 
+    /// The bound.
+    pub fn options(&self) -> Options {
+        self.opts
+    }
+
     /// Counts a request for the service.
     pub fn request(&mut self, now: Duration) {
         self.forget(now);
--- a/crates/stair-fleet/src/lib.rs
+++ b/crates/stair-fleet/src/lib.rs
@@ -11,20 +11,22 @@
 //! - [`overload`]: what to do with a request whose best target is slow.
 //! - [`spread`]: the next load to make before a request asks for it.
 //! - [`balance`]: which model gets a further replica, and whose replicas make way for it.
+//! - [`fetch`]: how many loads from the weight store are of use at once.
 //! - [`reading`]: when a prompt may be sent to an engine.
-//! - [`budget`]: one entry's share of the retries that all entries may make together.
 //! - [`blame`]: which targets a failure is put down to.
+//! - [`budget`]: one entry's share of the retries that all entries may make together.
 //! - [`events`]: whole events out of a stream's bytes.
 //! - [`msg`]: what entries and agents tell each other about engines.
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
 pub mod balance;
-pub mod budget;
 pub mod blame;
+pub mod budget;
 pub mod catalogue;
 pub mod choose;
 pub mod events;
+pub mod fetch;
 pub mod msg;
 pub mod overload;
 pub mod reading;
--- a/crates/stair-fleet/src/msg.rs
+++ b/crates/stair-fleet/src/msg.rs
@@ -73,8 +73,9 @@
     pub adapter: Option<Box<str>>,
     /// Models that may be unloaded to make room, the least missed first.
     pub victims: Vec<Box<str>>,
-    /// Whether a load from the weight store is allowed.
-    pub from_store: bool,
+    /// How many loads run together with this one, itself among them, if it may come from the weight
+    /// store; `None` if it may not.
+    pub fetch: Option<u32>,
     /// Whether no request waits for it yet; such a want gives way to all others.
     pub ahead: bool,
 }
@@ -121,9 +122,9 @@
 pub struct Peers {
     /// The least name among all entries, the one told among them.
     pub least: Box<str>,
-    /// The others that are ahead of the one told, by catalogue or by targets; at most two.
     /// Entries that the agent hears, the one told among them.
     pub entries: u32,
+    /// The others that are ahead of the one told, by catalogue or by targets; at most two.
     pub ahead: Vec<Known>,
 }
 
@@ -143,8 +144,8 @@
         ahead.dedup();
         Self {
             least: least.clone(),
-            ahead,
             entries: u32::try_from(all.len()).unwrap_or(u32::MAX),
+            ahead,
         }
     }
 }
--- a/crates/stair-fleet/src/spread.rs
+++ b/crates/stair-fleet/src/spread.rs
@@ -9,6 +9,7 @@
 use crate::{
     balance,
     catalogue::Engine,
+    fetch,
     target::{
         Copy,
         Report, //
@@ -21,11 +22,7 @@
     wake, //
 };
 
-/// Loads from the weight store that are made ahead at once, one fewer than run at full speed, so
-/// that a request that waits finds one free.
-const AHEAD: usize = wake::STORE_LOADS_AT_ONCE - 1;
-
-/// Of these, how many may be for models that are hardly asked for. When engines are lost with the
+/// Of the loads from the weight store that are made ahead, how many may be for models that are hardly asked for. When engines are lost with the
 /// only copies of several rare models, a busy model that moves to new engines would otherwise wait
 /// for all of those (measured on one day: seven seconds at ten requests a second an engine).
 const AHEAD_RARE: usize = 1;
@@ -118,7 +115,9 @@
             engine: self.engine,
             asked: self.asked,
             left_alone: &self.left_alone,
-            store: self.store_loads() < AHEAD && !self.unheard(),
+            store: self.store_loads()
+                < fetch::ahead(self.view, self.service, self.engine, self.now)
+                && !self.unheard(),
         };
         balance::next(&opts, self.now)
     }
@@ -131,11 +130,11 @@
             holds.copy(&a.model) == Copy::Store
         };
         let asked = self.asked.iter().filter(reported).filter(from_store);
-        wake::store_loads(self.view, self.service, self.now) + asked.count()
+        fetch::under_way(self.view, self.service, self.now) + asked.count()
     }
 
     fn unheard(&self) -> bool {
-        wake::unheard(self.view, self.service, self.now)
+        fetch::unheard(self.view, self.service, self.now)
     }
 
     /// Engines that hold the model or have a copy of it.
--- a/crates/stair-fleet/src/target.rs
+++ b/crates/stair-fleet/src/target.rs
@@ -102,7 +102,7 @@
 }
 
 /// What an engine's agent has told of it.
-#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
 pub struct Report {
     /// What it holds.
     pub holds: Holds,
@@ -122,8 +122,6 @@
     pub queued: u32,
     /// Requests running in it.
     pub running: u32,
-    /// Of those running, how many are still having their prompts read.
-    pub prefilling: u32,
     /// Time for which it has prompts to read.
     pub backlog: Duration,
     /// Tokens of its memory that cannot be freed.
@@ -132,6 +130,8 @@
     pub total_tokens: u64,
     /// The load that is under way, if any.
     pub loading: Option<Loading>,
+    /// What became of the last load from the weight store, for some time.
+    pub fetched: Option<Fetched>,
     /// Time that the loads which are asked for and have not begun will take.
     pub to_load: Duration,
     /// The model that is being unloaded, if any.
@@ -151,6 +151,17 @@
     pub from: Copy,
     /// Time until it is expected to be ready, when the report was made.
     pub left: Duration,
+    /// How many times the declared time it had taken by then.
+    pub times: f32,
+}
+
+/// A load from the weight store that has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Fetched {
+    /// Loads that were under way when it began, itself among them.
+    pub together: u32,
+    /// How many times the declared time it took.
+    pub times: f32,
 }
 
 /// How much a model is used at one engine.
--- a/crates/stair-fleet/src/wake.rs
+++ b/crates/stair-fleet/src/wake.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     catalogue::Engine,
+    fetch,
     target::{
         Copy,
         Report, //
@@ -24,18 +25,10 @@
     },
 };
 
-/// Loads from the weight store that run at full speed together; further ones slow all of them
-/// down, so they would gain nothing.
-pub const STORE_LOADS_AT_ONCE: usize = 4;
-
 /// Time until an engine that unloads a model takes its next order: it waits for the model's streams
 /// to end, which took 4.8 s at a busy one (measured on one day of a fleet of 52).
 pub const UNLOAD_TIME: Duration = Duration::from_millis(3000);
 
-/// Age up to which an entry waits for the reports of all engines before it has a model fetched from
-/// the weight store. Links to agents are up within a second; one that stays silent is cut off.
-const HEARD_TIME: Duration = Duration::from_millis(2500);
-
 /// Cost of a victim that has requests in flight, in milliseconds: the order waits for them, and a
 /// stream of usual length has this much left on average.
 const BUSY_MS: f64 = 700.0;
@@ -117,7 +110,7 @@
         .of(service)
         .filter(|(key, s)| s.open(now) && !tried.contains(key))
         .any(|(key, s)| cost_at(view, service, engine, model, key, s, now).is_some());
-    Err(if unheard(view, service, now) {
+    Err(if fetch::unheard(view, service, now) {
         Error::Unheard
     } else if any {
         Error::StoreBusy
@@ -126,17 +119,6 @@
     })
 }
 
-/// Whether an entry that has just started still lacks the report of an engine.
-///
-/// All VMs come back together after a power cut. What engines have on their disks is told by their
-/// agents, within half a second or so; an entry that does not wait for it has rare models fetched
-/// from the weight store although a copy is a second away, and the store is busy with those for
-/// eight seconds while the busy models need it (seen on one day: the worst ten seconds of it).
-pub fn unheard(view: &View, service: &str, now: Duration) -> bool {
-    let mut open = view.of(service).filter(|(_, s)| s.open(now));
-    now < HEARD_TIME && open.any(|(_, s)| s.fresh(now).is_none())
-}
-
 /// As [`find`], without the reason.
 pub fn choose(
     view: &View,
@@ -146,8 +128,9 @@
     tried: &[TargetKey],
     now: Duration,
 ) -> Option<Outcome> {
-    let store_free =
-        store_loads(view, service, now) < STORE_LOADS_AT_ONCE && !unheard(view, service, now);
+    let fetching = fetch::under_way(view, service, now);
+    let store_free = fetching < fetch::at_once(view, service, engine, now)
+        && !fetch::unheard(view, service, now);
     view.of(service)
         .filter(|(key, s)| s.open(now) && !tried.contains(key))
         .filter_map(|(key, s)| cost_at(view, service, engine, model, key, s, now))
@@ -181,14 +164,6 @@
     idle.any(|name| !elsewhere(name))
 }
 
-/// Counts the loads from the weight store that are under way.
-pub fn store_loads(view: &View, service: &str, now: Duration) -> usize {
-    view.of(service)
-        .filter_map(|(_, s)| s.fresh(now)?.load.loading.as_ref())
-        .filter(|l| l.from == Copy::Store)
-        .count()
-}
-
 fn cost_at(
     view: &View,
     service: &str,
--- a/crates/stair-fleet/tests/balance.rs
+++ b/crates/stair-fleet/tests/balance.rs
@@ -153,6 +153,7 @@
         model: "a".into(),
         from: Copy::Disk,
         left: support::ms(500),
+        times: 0.0,
     });
     tell(&mut view, 1, loading);
     assert_eq!(next(&view), None);
--- a/crates/stair-fleet/tests/choose.rs
+++ b/crates/stair-fleet/tests/choose.rs
@@ -143,6 +143,7 @@
         model: "b".into(),
         from: stair_fleet::target::Copy::Store,
         left: ms(5000),
+        times: 0.0,
     });
     let mut other = report(&["a"], &[]);
     other.load.backlog = ms(300);
--- a/crates/stair-fleet/tests/support/mod.rs
+++ b/crates/stair-fleet/tests/support/mod.rs
@@ -14,9 +14,11 @@
     },
     choose,
     target::{
+        Copy,
         Held,
         Holds,
         Load,
+        Loading,
         Report,
         State,
         Usage, //
@@ -99,6 +101,19 @@
     }
 }
 
+/// A report of an engine that has nothing but a load from the weight store under way, which has
+/// taken so many times its declared time.
+pub(crate) fn fetching(model: &str, left: Duration, times: f32) -> Report {
+    let mut report = report(&[], &[]);
+    report.load.loading = Some(Loading {
+        model: model.into(),
+        from: Copy::Store,
+        left,
+        times,
+    });
+    report
+}
+
 pub(crate) fn used(mut report: Report, model: &str, per_s: f32, in_flight: u32) -> Report {
     report.load.usage.push(Usage {
         model: model.into(),
--- a/crates/stair-fleet/tests/wake.rs
+++ b/crates/stair-fleet/tests/wake.rs
@@ -14,7 +14,6 @@
     },
     wake::{
         Error,
-        STORE_LOADS_AT_ONCE,
         choose,
         find, //
     },
@@ -24,6 +23,7 @@
     SERVICE,
     ask,
     engine,
+    fetching,
     fleet,
     ms,
     report,
@@ -72,6 +72,7 @@
         model: "a".into(),
         from: Copy::Disk,
         left: ms(300),
+        times: 0.0,
     });
     let (view, keys) = fleet(vec![report(&[], &["a"]), loading]);
     let at = choose(&view, SERVICE, &engine(), "a", &[], NOW).expect("a place");
@@ -82,17 +83,9 @@
 /// down; the request is told that the store is busy, not that there is no place.
 #[test]
 fn store_is_busy() {
-    let loading = |model: &str| {
-        let mut r = report(&[], &[]);
-        r.load.loading = Some(Loading {
-            model: model.into(),
-            from: Copy::Store,
-            left: ms(4000),
-        });
-        r
-    };
-    let mut reports: Vec<_> = ["b", "c", "d", "e"].map(loading).to_vec();
-    assert_eq!(reports.len(), STORE_LOADS_AT_ONCE);
+    let mut reports: Vec<_> = ["b", "c", "d", "e"]
+        .map(|m| fetching(m, ms(4000), 0.3))
+        .to_vec();
     reports.push(report(&[], &[]));
     let (view, keys) = fleet(reports);
     let found = find(&view, SERVICE, &engine(), "a", &[], NOW);
--- a/crates/stair-relay/src/context.rs
+++ b/crates/stair-relay/src/context.rs
@@ -297,6 +297,11 @@
         self.agents.binary_search_by_key(&engine, |a| a.engine).ok()
     }
 
+    /// The retries of each service.
+    pub fn budgets(&self) -> impl Iterator<Item = (&str, &Budget)> {
+        self.budgets.iter().map(|(service, b)| (&**service, b))
+    }
+
     fn budget(&mut self, service: &str, opts: budget::Options) -> &mut Budget {
         let i = match self
             .budgets
--- /dev/null
+++ b/crates/stair-relay/src/dump.rs
@@ -0,0 +1,126 @@
+//! The state of an entry as the operator sees it.
+
+use std::time::Duration;
+
+use serde::Serialize;
+use stair_fleet::{
+    Target,
+    budget,
+    msg::Peers,
+    target::Report,
+    view::Seen, //
+};
+
+use crate::context::{
+    AgentLink,
+    Context, //
+};
+
+/// Everything that an entry knows and is doing. Times are in milliseconds.
+#[derive(Debug, Clone, Serialize)]
+pub struct Dump {
+    name: Box<str>,
+    up_ms: u64,
+    stopping: bool,
+    /// The version of the catalogue in force, 0 for none.
+    catalogue: u64,
+    /// The store's revision up to which the list of targets is complete, 0 for none.
+    targets_revision: u64,
+    targets: Vec<TargetDump>,
+    agents: Vec<AgentDump>,
+    /// What an agent said last of the other entries, and how long ago.
+    peers: Option<(Peers, u64)>,
+    requests_in_flight: usize,
+    retries: Vec<RetriesDump>,
+}
+
+/// One target.
+#[derive(Debug, Clone, Serialize)]
+struct TargetDump {
+    #[serde(flatten)]
+    target: Target,
+    /// Whether it gets requests now.
+    open: bool,
+    /// How much longer its announcement is waited for, if the list lacks it.
+    missing_for_ms: Option<u64>,
+    /// How much longer it is left out after a failed connection.
+    suspect_for_ms: u64,
+    in_flight: u32,
+    unread_tokens: u64,
+    failing: f64,
+    delay_ms: f64,
+    report: Option<Report>,
+    report_age_ms: Option<u64>,
+}
+
+/// The link to one agent.
+#[derive(Debug, Clone, Serialize)]
+struct AgentDump {
+    engine: std::net::SocketAddr,
+    entries: u32,
+    wants_waiting: usize,
+    turns_waiting: usize,
+}
+
+/// Retries for one service.
+#[derive(Debug, Clone, Serialize)]
+struct RetriesDump {
+    service: Box<str>,
+    spent: usize,
+    options: budget::Options,
+}
+
+/// Takes the state as it is now.
+pub fn dump(cx: &Context) -> Dump {
+    let now = cx.now();
+    let state = cx.state();
+    let ago = |t: Duration| ms(now.saturating_sub(t));
+    Dump {
+        name: cx.settings.name.clone(),
+        up_ms: ms(now),
+        stopping: cx.draining(),
+        catalogue: state.catalogue.as_ref().map_or(0, |c| c.version),
+        targets_revision: state.view.revision,
+        targets: state.view.all().map(|(_, s)| target(s, now)).collect(),
+        agents: state.agents.iter().map(agent).collect(),
+        peers: state.peers.as_ref().map(|(p, at)| (p.clone(), ago(*at))),
+        requests_in_flight: cx.serving(),
+        retries: state
+            .budgets()
+            .map(|(service, budget)| RetriesDump {
+                service: service.into(),
+                spent: budget.spent(),
+                options: budget.options(),
+            })
+            .collect(),
+    }
+}
+
+fn target(seen: &Seen, now: Duration) -> TargetDump {
+    let report = seen.report.as_ref();
+    TargetDump {
+        target: seen.target.clone(),
+        open: seen.open(now),
+        missing_for_ms: seen.missing_until.map(|t| ms(t.saturating_sub(now))),
+        suspect_for_ms: ms(seen.suspect_until.saturating_sub(now)),
+        in_flight: seen.in_flight,
+        unread_tokens: seen.unread_tokens,
+        failing: seen.failing,
+        delay_ms: seen.delay_ms,
+        report: report.map(|(r, _)| r.clone()),
+        report_age_ms: report.map(|(_, at)| ms(now.saturating_sub(*at))),
+    }
+}
+
+fn agent(link: &AgentLink) -> AgentDump {
+    AgentDump {
+        engine: link.engine,
+        entries: link.entries,
+        wants_waiting: link.waiting.len(),
+        turns_waiting: link.turns.len(),
+    }
+}
+
+fn ms(t: Duration) -> u64 {
+    u64::try_from(t.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/stair-relay/src/know.rs
+++ b/crates/stair-relay/src/know.rs
@@ -24,7 +24,10 @@
 };
 use stair_platform::Error;
 use stair_telemetry::event::Line;
-use tokio::time::sleep;
+use tokio::time::{
+    Instant,
+    sleep, //
+};
 
 use crate::context::Context;
 
@@ -58,7 +61,9 @@
     let mut health = Health::new("catalogue");
     loop {
         let store = cx.store();
+        let begun = Instant::now();
         let found = store.get(catalogue::KIND, catalogue::NAME).await;
+        time_call(&cx, "get", begun);
         let since = match found {
             Ok(object) => {
                 health.ok();
@@ -139,7 +144,7 @@
     let mut health = Health::new("targets");
     loop {
         let store = cx.store();
-        match list_targets(&store).await {
+        match list_targets(&cx, &store).await {
             Ok((targets, revision)) => {
                 let was_away = health.ok();
                 apply_targets(&cx, targets, revision, was_away);
@@ -151,12 +156,21 @@
     }
 }
 
-async fn list_targets(store: &Store) -> Result<(Vec<Target>, u64), Error> {
+/// Takes the time of a store call that does not wait for changes, answered or not.
+fn time_call(cx: &Context, call: &str, begun: Instant) {
+    let labels = [("call", call)];
+    cx.page.time("store_call_ms", &labels, begun.elapsed());
+}
+
+async fn list_targets(cx: &Context, store: &Store) -> Result<(Vec<Target>, u64), Error> {
     let mut targets = Vec::new();
     let mut revision = None;
     let mut after: Option<Box<str>> = None;
     loop {
-        let page = store.list(target::KIND, after.as_deref()).await?;
+        let begun = Instant::now();
+        let page = store.list(target::KIND, after.as_deref()).await;
+        time_call(cx, "list", begun);
+        let page = page?;
         // Changes between pages are seen again by a watch from the first page's revision.
         revision.get_or_insert(page.revision);
         after = page.objects.last().map(|o| o.name.clone());
--- a/crates/stair-relay/src/lib.rs
+++ b/crates/stair-relay/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod ahead;
 pub mod attempt;
 pub mod context;
+pub mod dump;
 pub mod job;
 pub mod know;
 pub mod links;
--- a/crates/stair-relay/src/pick.rs
+++ b/crates/stair-relay/src/pick.rs
@@ -331,7 +331,7 @@
         model: model.clone(),
         adapter: Some(adapter.clone()),
         victims: Vec::new(),
-        from_store: false,
+        fetch: None,
         ahead: false,
     };
     let begun = Instant::now();
--- a/crates/stair-relay/src/serve.rs
+++ b/crates/stair-relay/src/serve.rs
@@ -22,6 +22,7 @@
     TokioIo,
     TokioTimer, //
 };
+use serde_json::json;
 use stair_http::{
     body::{
         Body,
@@ -29,6 +30,7 @@
     },
     server,
 };
+use stair_telemetry::observe;
 use tokio::{
     net::{
         TcpListener,
@@ -42,6 +44,7 @@
 
 use crate::{
     context::Context,
+    dump,
     relay, //
 };
 
@@ -124,12 +127,18 @@
     server::serve(listener, server::Options::default(), stop, handler).await;
 }
 
-/// Serves the metrics until `stop` turns true.
+/// Serves metrics and state dump until `stop` turns true.
 pub async fn metrics(cx: Arc<Context>, listener: TcpListener, stop: watch::Receiver<bool>) {
-    let handler = move |_: Request<Incoming>| {
-        cx.gauges();
-        let text = cx.page.text();
-        async move { Response::new(full(text)) }
+    let dumped = cx.clone();
+    let opts = observe::Options {
+        page: move || {
+            cx.gauges();
+            cx.page.text()
+        },
+        dump: move || {
+            let dump = json!(dump::dump(&dumped));
+            async move { dump }
+        },
     };
-    server::serve(listener, server::Options::default(), stop, handler).await;
+    observe::serve(listener, stop, opts).await;
 }
--- a/crates/stair-relay/src/stream.rs
+++ b/crates/stair-relay/src/stream.rs
@@ -202,6 +202,9 @@
             Ended::Cut(_) => "cut",
         };
         self.cx.page.count("streams_total", &[("end", kind)], 1);
+        // One sample a stream: a sample an event would cost the entry more than passing it on.
+        let pause = self.longest_pause;
+        self.cx.page.time("longest_pause_ms", &[], pause);
         if matches!(ended, Ended::Complete) {
             // A client that is gone by now has no use for the end.
             let _ = self.tx.send(None).await;
--- a/crates/stair-relay/src/waken.rs
+++ b/crates/stair-relay/src/waken.rs
@@ -7,6 +7,7 @@
 
 use stair_fleet::{
     catalogue::Engine,
+    fetch,
     msg::{
         self,
         Want, //
@@ -180,13 +181,18 @@
     at: &wake::Outcome,
     ahead: bool,
 ) -> Option<oneshot::Receiver<msg::Outcome>> {
-    let addr = cx.state().view.get(at.key).target.addr;
+    let (addr, together) = {
+        let state = cx.state();
+        let target = &state.view.get(at.key).target;
+        let others = fetch::under_way(&state.view, &target.service, cx.now());
+        (target.addr, u32::try_from(others + 1).unwrap_or(u32::MAX))
+    };
     let want = Want {
         seq: 0,
         model: model.into(),
         adapter: None,
         victims: at.victims.clone(),
-        from_store: at.from == Copy::Store,
+        fetch: (at.from == Copy::Store).then_some(together),
         ahead,
     };
     let rx = cx.want(addr, want)?;
@@ -200,6 +206,7 @@
             model: model.into(),
             from: at.from,
             left: at.ready_in,
+            times: 0.0,
         });
     }
     Some(rx)
--- a/crates/stair-sidecar/src/desk.rs
+++ b/crates/stair-sidecar/src/desk.rs
@@ -21,6 +21,7 @@
     },
     target::{
         Copy,
+        Fetched,
         Holds,
         Load,
         Loading,
@@ -38,6 +39,10 @@
 /// shared by twice as many loads as run at full speed.
 const WANT_TIME: Duration = Duration::from_secs(14);
 
+/// Time for which entries are told how long a load from the weight store took. Others use the store
+/// too, so that what was so for some minutes need not stay so.
+const FETCHED_TIME: Duration = Duration::from_secs(120);
+
 /// Rate below which use is not told: one request in several minutes.
 const LEAST_PER_S: f32 = 0.005;
 
@@ -84,7 +89,10 @@
     load: bool,
     model: Box<str>,
     from: Copy,
+    since: Duration,
     until: Duration,
+    /// Loads from the weight store that run together with it, itself among them.
+    together: u32,
 }
 
 /// The state of one engine and of what is asked of it.
@@ -101,9 +109,34 @@
     dropping: Vec<(Box<str>, Duration)>,
     /// No order before then.
     not_before: Duration,
+    /// The last load from the weight store that ended, and when.
+    fetched: Option<(Fetched, Duration)>,
+    /// When the last one began.
+    fetch_began: Option<Duration>,
+    opts: Options,
+}
+
+/// Bounds of what is ordered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Options {
+    /// An engine begins one load from the weight store in such a time at most.
+    ///
+    /// The weight store bounds the loads that begin in this time over all engines, also while their
+    /// agents and the entries cannot see each other. A load that takes longer than this keeps to the
+    /// bound by itself; an engine that crashes in one and comes back, or that loads faster, would
+    /// begin the next at once.
+    pub fetch_window: Duration,
 }
 
 impl Desk {
+    /// Makes one that knows nothing yet.
+    pub fn new(opts: Options) -> Self {
+        Self {
+            opts,
+            ..Self::default()
+        }
+    }
+
     /// Takes in what the engine's service declares.
     pub fn declare(&mut self, decl: Engine) {
         self.decl = Some(decl);
@@ -119,6 +152,11 @@
         !self.wants.is_empty()
     }
 
+    /// Counts what is asked for and not answered.
+    pub fn wants(&self) -> usize {
+        self.wants.len()
+    }
+
     /// Takes a question in.
     pub fn want(&mut self, asker: Asker, want: Want, now: Duration) {
         self.uses.wanted(&want, now);
@@ -149,9 +187,24 @@
     /// Takes a reading of the engine in, `None` when it does not answer.
     pub fn read(&mut self, reading: Option<Reading>, now: Duration) {
         self.alive = reading.is_some();
-        let Some(reading) = reading else { return };
-        if !reading.busy {
+        let Some(reading) = reading else {
+            // What it was loading is lost if it has crashed. Told on, that load would take one of the
+            // few places at the weight store, and look as if others had slowed it, for as long as
+            // the engine is away. One that comes back in its load says that it is busy.
             self.doing = None;
+            return;
+        };
+        if !reading.busy
+            && let Some(doing) = self.doing.take()
+        {
+            let fetches = doing.load && doing.from == Copy::Store;
+            if fetches && reading.holds.model(&doing.model).is_some() {
+                let fetched = Fetched {
+                    together: doing.together,
+                    times: self.times(&doing, now),
+                };
+                self.fetched = Some((fetched, now));
+            }
         }
         self.dropping.retain(|(name, until)| {
             let held = name.split_once('/').is_some_and(|(model, adapter)| {
@@ -174,10 +227,16 @@
         match reply {
             Some(Reply::Accepted) if step.adapter.is_none() => {
                 let from = self.copy(&step.model);
+                if step.load && from == Copy::Store {
+                    self.fetch_began = Some(now);
+                }
+                let mut asked = self.wants.iter().filter(|p| p.want.model == step.model);
                 self.doing = Some(Doing {
                     load: step.load,
                     model: step.model.clone(),
                     from,
+                    since: now,
+                    together: asked.find_map(|p| p.want.fetch).unwrap_or(1),
                     until: now + self.load_time(&step.model, from),
                 });
             }
@@ -234,7 +293,7 @@
         if self.loads(&p.want.model) {
             return None;
         }
-        if !p.want.from_store
+        if p.want.fetch.is_none()
             && !self.holds(&p.want.model)
             && self.copy(&p.want.model) == Copy::Store
         {
@@ -294,7 +353,7 @@
         if let Some(step) = self.next_adapter(now) {
             return Some(step);
         }
-        while let Some(i) = self.first_model() {
+        while let Some(i) = self.first_model(now) {
             match self.make_way(&self.wants[i].want, now) {
                 Some(step) => return Some(step),
                 None => {
@@ -307,8 +366,12 @@
     }
 
     /// The first want for a model that is not there; those that a request waits for come first.
-    fn first_model(&self) -> Option<usize> {
-        let absent = |p: &Pending| !self.holds(&p.want.model);
+    fn first_model(&self, now: Duration) -> Option<usize> {
+        let may_fetch = self
+            .fetch_began
+            .is_none_or(|at| now.saturating_sub(at) >= self.opts.fetch_window);
+        let allowed = |p: &Pending| may_fetch || self.copy(&p.want.model) != Copy::Store;
+        let absent = |p: &Pending| !self.holds(&p.want.model) && allowed(p);
         let first = |ahead| {
             let mut wants = self.wants.iter();
             wants.position(|p| p.want.ahead == ahead && absent(p))
@@ -440,6 +503,7 @@
             model: d.model.clone(),
             from: d.from,
             left: d.until.saturating_sub(now),
+            times: self.times(d, now),
         });
         let unloading = self.doing.as_ref().filter(|d| !d.load);
         let mut usage: Vec<Usage> = reading
@@ -458,11 +522,11 @@
             alive: self.alive,
             queued: reading.queued,
             running: reading.running,
-            prefilling: reading.prefilling,
             backlog: Duration::ZERO,
             used_tokens: reading.used_tokens,
             total_tokens: reading.total_tokens,
             loading,
+            fetched: self.fetched(now),
             to_load: self.to_load(),
             unloading: unloading.map(|d| d.model.clone()),
             free_adapters: self.free_adapters(),
@@ -470,6 +534,21 @@
         }
     }
 
+    fn fetched(&self, now: Duration) -> Option<Fetched> {
+        let fresh = |at: Duration| now.saturating_sub(at) < FETCHED_TIME;
+        self.fetched.filter(|(_, at)| fresh(*at)).map(|(f, _)| f)
+    }
+
+    /// How many times its declared time a load has taken.
+    fn times(&self, doing: &Doing, now: Duration) -> f32 {
+        let declared = self.load_time(&doing.model, doing.from);
+        let taken = now.saturating_sub(doing.since);
+        match declared.is_zero() {
+            true => 0.0,
+            false => taken.div_duration_f32(declared),
+        }
+    }
+
     /// Places for adapters that are free or could be freed at once.
     fn free_adapters(&self) -> u32 {
         let (Some(decl), Some(reading)) = (&self.decl, &self.reading) else {
--- a/crates/stair-sidecar/src/links.rs
+++ b/crates/stair-sidecar/src/links.rs
@@ -18,11 +18,17 @@
             OwnedWriteHalf, //
         },
     },
-    sync::mpsc,
+    sync::{
+        mpsc,
+        oneshot, //
+    },
     time::timeout,
 };
 
-use crate::uses::LinkKey;
+use crate::{
+    process::dump::Dump,
+    uses::LinkKey, //
+};
 
 /// Messages waiting for one entry. A report replaces the ones before it, so an entry that reads
 /// slowly loses nothing by a dropped one.
@@ -42,6 +48,8 @@
     Message(LinkKey, ToAgent),
     /// The link is gone.
     Closed(LinkKey),
+    /// The operator asks for the state.
+    Dump(oneshot::Sender<Dump>),
 }
 
 /// Accepts links until the receiver of events is gone.
--- a/crates/stair-sidecar/src/process.rs
+++ b/crates/stair-sidecar/src/process.rs
@@ -1,18 +1,23 @@
 //! Start, main loop, stop.
 
+pub(crate) mod dump;
 mod tell;
 
 use std::{
+    pin::Pin,
     sync::Arc,
     time::Duration, //
 };
 
 use anyhow::Context;
-use hyper::Response;
 use platform_adapter::{
     engine::Order,
     store::Store, //
 };
+use serde_json::{
+    Value,
+    json, //
+};
 use stair_config::fleet_settings::SidecarSettings;
 use stair_fleet::{
     msg::{
@@ -27,18 +32,16 @@
         Load, //
     },
 };
-use stair_http::{
-    body::full,
-    server, //
-};
 use stair_telemetry::{
     event::Line,
+    observe,
     page::Page, //
 };
 use tokio::{
     net::TcpListener,
     sync::{
         mpsc,
+        oneshot,
         watch, //
     },
     task::JoinSet,
@@ -50,6 +53,7 @@
 
 use crate::{
     desk::{
+        self,
         Asker,
         Desk,
         Step, //
@@ -104,6 +108,7 @@
         let metrics = TcpListener::bind(settings.metrics)
             .await
             .with_context(|| format!("cannot listen on {}", settings.metrics))?;
+        settings.metrics = metrics.local_addr()?;
         Ok(Self {
             settings,
             inner,
@@ -121,8 +126,12 @@
         let mut tasks = JoinSet::new();
         let page = Arc::new(Page::default());
         let (_end, never) = watch::channel(false);
-        tasks.spawn(serve_page(page.clone(), self.metrics, never));
         let (tx, rx) = mpsc::channel(QUEUE);
+        let opts = observe::Options {
+            page: text_of(page.clone()),
+            dump: dump_of(tx.clone()),
+        };
+        tasks.spawn(observe::serve(self.metrics, never, opts));
         tasks.spawn(links::accept(self.inner, tx));
         let (fence_tx, fence_rx) = mpsc::channel(1);
         Line::new("agent.started")
@@ -150,14 +159,30 @@
     Ok(())
 }
 
-async fn serve_page(page: Arc<Page>, listener: TcpListener, stop: watch::Receiver<bool>) {
-    let handler = move |_| {
-        let text = page.text();
-        async move { Response::new(full(text)) }
-    };
-    server::serve(listener, server::Options::default(), stop, handler).await;
+fn text_of(page: Arc<Page>) -> impl Fn() -> String + Clone + Send + Sync + 'static {
+    move || page.text()
+}
+
+/// Asks the main loop for its state.
+fn dump_of(
+    events: mpsc::Sender<Event>,
+) -> impl Fn() -> BoxFuture<Value> + Clone + Send + Sync + 'static {
+    move || {
+        let events = events.clone();
+        Box::pin(async move {
+            let (tx, rx) = oneshot::channel();
+            // Both fail only when the process is ending.
+            let asked = events.send(Event::Dump(tx)).await.is_ok();
+            match rx.await {
+                Ok(dump) if asked => json!(dump),
+                _ => json!({ "stopping": true }),
+            }
+        })
+    }
 }
 
+type BoxFuture<T> = Pin<Box<dyn Future<Output = T> + Send>>;
+
 struct Link {
     key: LinkKey,
     tx: mpsc::Sender<ToEntry>,
@@ -194,9 +219,11 @@
         Self {
             engine: Engine::new(settings.engine),
             store: Store::new(settings.store),
-            settings,
             started: Instant::now(),
-            desk: Desk::default(),
+            desk: Desk::new(desk::Options {
+                fetch_window: Duration::from_millis(settings.fetch_window_ms.into()),
+            }),
+            settings,
             turns: Turns::default(),
             links: Vec::new(),
             fence: None,
@@ -272,6 +299,8 @@
                 self.desk.gone(key);
             }
             Event::Message(key, msg) => self.hear(key, msg),
+            // Whoever asked may have gone.
+            Event::Dump(tx) => drop(tx.send(self.dump())),
         }
     }
 
@@ -304,7 +333,7 @@
                 Line::new("want")
                     .text("model", &want.model)
                     .text("adapter", want.adapter.as_deref().unwrap_or(""))
-                    .flag("from_store", want.from_store)
+                    .num("fetch", want.fetch.unwrap_or(0))
                     .write();
                 self.desk.want(Asker { link: key, seq }, want, now);
             }
--- /dev/null
+++ b/crates/stair-sidecar/src/process/dump.rs
@@ -0,0 +1,58 @@
+//! The state of an agent as the operator sees it.
+
+use std::net::SocketAddr;
+
+use serde::Serialize;
+use stair_fleet::{
+    msg::Known,
+    target::{
+        Holds,
+        Load, //
+    },
+};
+
+use super::Agent;
+
+/// Everything that an agent knows and is doing. Times are in milliseconds.
+#[derive(Debug, Clone, Serialize)]
+pub struct Dump {
+    name: Box<str>,
+    up_ms: u64,
+    engine: SocketAddr,
+    /// The engine's present life, and the store's revision that says so.
+    instance: Option<(Box<str>, u64)>,
+    /// The last life that the engine said it is not.
+    former: Option<Box<str>>,
+    /// The fencing token that orders bear.
+    fence: Option<u64>,
+    /// The version of the catalogue that declared the engine, 0 for none.
+    declared: u64,
+    /// Readings that failed in a row.
+    misses: u32,
+    holds: Holds,
+    load: Load,
+    /// Wants that wait, those ahead of requests among them.
+    wants: usize,
+    /// Entries that are linked, with how far each one's knowledge goes.
+    entries: Vec<Option<Known>>,
+}
+
+impl Agent {
+    pub(super) fn dump(&self) -> Dump {
+        let now = self.now();
+        Dump {
+            name: self.settings.name.clone(),
+            up_ms: u64::try_from(now.as_millis()).unwrap_or(u64::MAX),
+            engine: self.settings.engine,
+            instance: self.instance.clone(),
+            former: self.former.clone(),
+            fence: self.fence,
+            declared: self.declared,
+            misses: self.misses,
+            holds: self.desk.held(),
+            load: self.load(),
+            wants: self.desk.wants(),
+            entries: self.links.iter().map(|l| l.known.clone()).collect(),
+        }
+    }
+}
--- a/crates/stair-sidecar/src/process/tell.rs
+++ b/crates/stair-sidecar/src/process/tell.rs
@@ -76,7 +76,7 @@
         }
     }
 
-    fn load(&self) -> Load {
+    pub(super) fn load(&self) -> Load {
         let now = self.now();
         Load {
             backlog: self.turns.backlog(now),
--- a/crates/stair-sidecar/tests/desk.rs
+++ b/crates/stair-sidecar/tests/desk.rs
@@ -17,6 +17,7 @@
         Want, //
     },
     target::{
+        Fetched,
         Held,
         Holds, //
     },
@@ -25,6 +26,7 @@
     desk::{
         Asker,
         Desk,
+        Options,
         Step, //
     },
     uses::LinkKey,
@@ -75,7 +77,7 @@
         model: model.into(),
         adapter: adapter.map(Into::into),
         victims: Vec::new(),
-        from_store: false,
+        fetch: None,
         ahead: false,
     }
 }
@@ -279,3 +281,70 @@
     let per_s = load.usage("m1").expect("used").per_s;
     assert!((7.0..13.0).contains(&per_s), "{per_s}");
 }
+
+/// A desk whose engine has no copy of model "d", which has been asked for beside two other loads.
+fn fetching(opts: Options) -> Desk {
+    let mut desk = Desk::new(opts);
+    desk.declare(decl());
+    desk.read(Some(reading(1, &[])), ms(0));
+    let fetch = Want {
+        fetch: Some(3),
+        ..want("d", None)
+    };
+    desk.want(asker(1), fetch, ms(0));
+    let load = next(&mut desk, ms(0)).expect("a load");
+    desk.replied(&load, Some(Reply::Accepted), ms(0));
+    let mut busy = reading(2, &[]);
+    busy.busy = true;
+    desk.read(Some(busy), ms(40));
+    desk
+}
+
+/// Loads that run together slow each other down at the weight store, which nobody can tell but those
+/// whose loads take longer than declared.
+#[test]
+fn tells_how_long_a_fetch_took() {
+    let mut desk = fetching(Options::default());
+    let load = desk.load(ms(9000));
+    let times = load.loading.expect("under way").times;
+    assert!((1.49..1.51).contains(&times), "{times}");
+    assert_eq!(load.fetched, None);
+    desk.read(Some(reading(3, &[("d", &[])])), ms(12_000));
+    let took = Fetched {
+        together: 3,
+        times: 2.0,
+    };
+    assert_eq!(desk.load(ms(12_000)).fetched, Some(took));
+    assert_eq!(desk.load(ms(200_000)).fetched, None, "others use it too");
+}
+
+/// The engine crashes in a load and comes back at once. Its models are fetched anew; were each crash
+/// followed by a load, an engine that crashes again and again would use up what the weight store
+/// allows to all.
+#[test]
+fn one_fetch_in_a_window() {
+    let opts = Options {
+        fetch_window: ms(5000),
+    };
+    let mut desk = fetching(opts);
+    desk.read(Some(reading(0, &[])), ms(1000));
+    assert_eq!(next(&mut desk, ms(1000)), None);
+    desk.want(asker(2), want("a", None), ms(1000));
+    let near = next(&mut desk, ms(1000));
+    assert_eq!(near, Some(step(true, "a", None, 0)), "copies may be used");
+    desk.read(Some(reading(1, &[("a", &[])])), ms(2000));
+    assert_eq!(next(&mut desk, ms(4999)), None);
+    assert_eq!(next(&mut desk, ms(5000)), Some(step(true, "d", None, 1)));
+}
+
+/// An engine crashes in a load from the weight store and does not come back. Were the load told on,
+/// it would count as one of the few that run at once, ever later, and models that requests wait for
+/// would not be fetched.
+#[test]
+fn crash_ends_a_fetch() {
+    let mut desk = fetching(Options::default());
+    assert!(desk.load(ms(2000)).loading.is_some());
+    desk.read(None, ms(2000));
+    let load = desk.load(ms(9000));
+    assert_eq!((load.loading, load.fetched), (None, None));
+}
--- a/crates/stair-telemetry/src/lib.rs
+++ b/crates/stair-telemetry/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`losses`]: what clients did not get in time, out of those lines.
 //! - [`metrics`]: counters, gauges and timers, by cadence to statsd.
 //! - [`page`]: counters and histograms as text that a collector reads.
+//! - [`observe`]: the listener of a process that takes no orders, with metrics and state dump.
 //! - [`operator`]: the operator's HTTP listener with state dump, status and planned stop.
 //!
 //! # Examples
@@ -23,6 +24,7 @@
 pub mod log;
 pub mod losses;
 pub mod metrics;
+pub mod observe;
 pub mod operator;
 pub mod page;
 
--- /dev/null
+++ b/crates/stair-telemetry/src/observe.rs
@@ -0,0 +1,54 @@
+//! The listener for whoever watches a process that takes no orders.
+//!
+//! | call | answer |
+//! | --- | --- |
+//! | `GET /dump` | the whole state as JSON |
+//! | any other path | counters, gauges and histograms as text |
+
+use hyper::{
+    Request,
+    Response,
+    body::Incoming, //
+};
+use serde_json::Value;
+use stair_http::{
+    body::full,
+    server, //
+};
+use tokio::{
+    net::TcpListener,
+    sync::watch, //
+};
+
+use crate::operator;
+
+/// What the listener asks of its process.
+#[derive(Debug, Clone)]
+pub struct Options<P, D> {
+    /// Returns the page of metrics.
+    pub page: P,
+    /// Returns the whole state.
+    pub dump: D,
+}
+
+/// Serves until `stop` turns true.
+pub async fn serve<P, D, DF>(
+    listener: TcpListener,
+    stop: watch::Receiver<bool>,
+    opts: Options<P, D>,
+) where
+    P: Fn() -> String + Clone + Send + Sync + 'static,
+    D: Fn() -> DF + Clone + Send + Sync + 'static,
+    DF: Future<Output = Value> + Send + 'static,
+{
+    let handler = move |req: Request<Incoming>| {
+        let opts = opts.clone();
+        async move {
+            match req.uri().path() {
+                "/dump" => operator::in_time((opts.dump)()).await,
+                _ => Response::new(full((opts.page)())),
+            }
+        }
+    };
+    server::serve(listener, server::Options::default(), stop, handler).await;
+}
--- a/crates/stair-telemetry/src/operator.rs
+++ b/crates/stair-telemetry/src/operator.rs
@@ -106,7 +106,7 @@
     }
 }
 
-async fn in_time<F>(state: F) -> Response<Body>
+pub(crate) async fn in_time<F>(state: F) -> Response<Body>
 where
     F: Future<Output = Value>,
 {
