--- a/crates/stair-fleet/src/fetch.rs
+++ b/crates/stair-fleet/src/fetch.rs
@@ -68,15 +68,17 @@
     let full_speed = |f: &Fetched| (f.together as f32 / f.times).round().max(1.0) as usize;
     // One that ran alone was not slowed by others, whatever it took.
     let slow = slow.iter().filter(|f| f.together > 1).map(full_speed);
+    let proven = fast.iter().map(|f| f.together as usize).max().unwrap_or(0);
     if let Some(n) = slow.min() {
-        return n;
+        // Too low where others joined after a load had begun, which its agent cannot know.
+        return n.max(proven);
     }
-    let proven = match fast.iter().map(|f| f.together as usize).max() {
-        None => 0,
-        Some(n) if n <= DOUBLES_UP_TO => 2 * n,
-        Some(n) => n + 1,
+    let more = match proven {
+        0 => 0,
+        n if n <= DOUBLES_UP_TO => 2 * n,
+        n => n + 1,
     };
-    proven.max(first(engine))
+    more.max(first(engine))
 }
 
 /// Loads that may run at once without a request that waits for one of them to end, at least one.
--- a/crates/stair-fleet/tests/fetch.rs
+++ b/crates/stair-fleet/tests/fetch.rs
@@ -91,6 +91,14 @@
     assert_eq!(at_once(&by_link(), vec![fetched(1, 3.0)]), 4);
 }
 
+/// Two loads run at full speed and three more begin, so that all five are late. What the first two
+/// tell would leave two of four places at the weight store unused for minutes.
+#[test]
+fn others_joined_later() {
+    let told = vec![fetched(2, 1.2), fetched(4, 1.0), fetched(5, 1.25)];
+    assert_eq!(at_once(&by_link(), told), 4);
+}
+
 /// One of the loads that are of use is left for a request that waits for it.
 #[test]
 fn one_is_kept_free() {
