--- a/crates/stair-fleet/src/msg.rs
+++ b/crates/stair-fleet/src/msg.rs
@@ -47,6 +47,8 @@
     },
     /// What the entry has sent to the engine since it last said so.
     Used(Vec<Used>),
+    /// How long the prompts took whose first events came since it last said so.
+    Read(Vec<reading::Read>),
 }
 
 /// How far an entry's knowledge goes.
--- a/crates/stair-fleet/src/reading.rs
+++ b/crates/stair-fleet/src/reading.rs
@@ -10,6 +10,10 @@
 //! Turns are given by a bucket that drains at the rate at which prompts can be read while streams
 //! keep their pace. A turn is booked when it is given and never given back, so that nothing depends
 //! on a message that may be lost.
+//!
+//! Engines of one service differ in speed, and a third of them read a quarter slower. At one rate for
+//! all, the streams of the slow ones stall beside prompts while the others could read more. So each
+//! engine's rate follows how long its prompts took to be read.
 
 use std::time::Duration;
 
@@ -18,14 +22,27 @@
     Serialize, //
 };
 
-/// Prompt tokens that may be read in a millisecond in the long run. Engines read 29 to 38; the rest
-/// of the time goes to the streams' tokens, so that a stream of 300 tokens ends within 8 s beside
-/// any number of prompts.
-const TOKENS_PER_MS: f64 = 26.0;
+/// Prompt tokens that an engine reads in a millisecond, until its prompts have told better. The
+/// engines in use read 25 to 35 of long prompts.
+const FIRST_RATE: f64 = 33.0;
+
+/// The least and the most that is believed, whatever a sample says.
+const RATES: std::ops::RangeInclusive<f64> = 10.0..=60.0;
+
+/// Weight of the newest sample in the rate; a change shows after about seven prompts.
+const RATE_SMOOTH: f64 = 0.15;
+
+/// Tokens below which a prompt says nothing of the rate: the way there and the first step of its
+/// stream take 10 to 15 ms, as long as 400 tokens.
+const SAMPLE_TOKENS: u32 = 2500;
 
-/// Tokens that may be read without a pause: 450 to 550 ms, under the 600 ms that clients are
-/// promised between events.
-const BURST_TOKENS: f64 = 14_000.0;
+/// Part of an engine's time that may go to prompts in the long run. The rest goes to the streams'
+/// tokens, so that a stream of 300 tokens ends within 8 s beside any number of prompts.
+const READ_PART: f64 = 0.79;
+
+/// Time for which prompts may be read without a pause, in milliseconds: under the 600 ms that clients
+/// are promised between events.
+const BURST_MS: f64 = 425.0;
 
 /// Part of the engine's memory that kept prompts are taken to have. The rest belongs to what runs.
 const KEPT_PART: f64 = 0.6;
@@ -68,6 +85,18 @@
     pub backlog: Duration,
     /// Tokens of the prompt that the engine is taken to have kept.
     pub kept: u32,
+    /// Tokens that the engine has to read from the turn on until the prompt is read, those of the
+    /// prompts before it among them.
+    pub unread: u32,
+}
+
+/// How long an engine took over a prompt whose turn had come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Read {
+    /// What the [`Answer`] called unread.
+    pub unread: u32,
+    /// From sending the request to its first event.
+    pub took: Duration,
 }
 
 /// A part that the engine has read.
@@ -79,20 +108,54 @@
 }
 
 /// The turns at one engine.
-#[derive(Default)]
 pub struct Turns {
-    /// Tokens that are still to be read, as of `at`.
+    /// Tokens that the engine reads in a millisecond.
+    rate: f64,
+    /// Tokens that are still to be read, as of `at`, did the engine read for its part of the time.
     level: f64,
+    /// The same at its full rate.
+    unread: f64,
     at: Duration,
     /// Sorted by chain.
     kept: Vec<Kept>,
     kept_tokens: u64,
 }
 
+impl Default for Turns {
+    fn default() -> Self {
+        Self {
+            rate: FIRST_RATE,
+            level: 0.0,
+            unread: 0.0,
+            at: Duration::ZERO,
+            kept: Vec::new(),
+            kept_tokens: 0,
+        }
+    }
+}
+
 impl Turns {
-    /// Forgets everything: the engine has begun a new life.
+    /// Forgets all prompts: the engine has begun a new life. Its hardware is the same.
     pub fn clear(&mut self) {
-        *self = Self::default();
+        *self = Self {
+            rate: self.rate,
+            ..Self::default()
+        };
+    }
+
+    /// Takes in how long the engine took to read a prompt and those before it.
+    pub fn learn(&mut self, read: Read) {
+        if read.unread < SAMPLE_TOKENS || read.took.is_zero() {
+            return;
+        }
+        let sample = f64::from(read.unread) / (read.took.as_secs_f64() * 1000.0);
+        let sample = sample.clamp(*RATES.start(), *RATES.end());
+        self.rate += RATE_SMOOTH * (sample - self.rate);
+    }
+
+    /// Tokens that the engine reads in a millisecond.
+    pub fn rate(&self) -> f64 {
+        self.rate
     }
 
     /// Forgets what was kept for a model: the engine has unloaded it.
@@ -103,7 +166,7 @@
 
     /// Time for which the engine has prompts to read.
     pub fn backlog(&self, now: Duration) -> Duration {
-        time(self.level(now))
+        self.time(self.level(now))
     }
 
     /// Gives a prompt its turn, if the wait is of use. `memory` is the engine's, in tokens.
@@ -112,9 +175,11 @@
         let cost = f64::from(ask.tokens.saturating_sub(kept)) + EACH_TOKENS;
         let level = self.level(now);
         // A prompt longer than a burst goes when nothing is before it.
-        let wait = time((level + cost - BURST_TOKENS).min(level));
+        let wait = self.time((level + cost - BURST_MS * self.rate).min(level));
         let booked = wait <= ask.limit;
+        let before = self.left(self.unread, self.rate, now + wait);
         if booked {
+            self.unread = self.left(self.unread, self.rate, now) + cost;
             self.level = level + cost;
             self.at = now;
             self.keep(ask, memory, now);
@@ -124,12 +189,27 @@
             wait,
             backlog: self.backlog(now),
             kept,
+            unread: (before + cost) as u32,
         }
     }
 
+    /// Tokens that are read in a millisecond while streams keep their pace.
+    fn drain(&self) -> f64 {
+        READ_PART * self.rate
+    }
+
+    fn time(&self, tokens: f64) -> Duration {
+        Duration::from_secs_f64(tokens.max(0.0) / self.drain() / 1000.0)
+    }
+
     fn level(&self, now: Duration) -> f64 {
+        self.left(self.level, self.drain(), now)
+    }
+
+    /// What is left at `now` of tokens as of `at` that are read at a rate.
+    fn left(&self, tokens: f64, rate: f64, now: Duration) -> f64 {
         let passed = now.saturating_sub(self.at).as_secs_f64() * 1000.0;
-        (self.level - passed * TOKENS_PER_MS).max(0.0)
+        (tokens - passed * rate).max(0.0)
     }
 
     /// A part is of use only if all before it are kept as well.
@@ -170,7 +250,3 @@
         self.kept_tokens = self.kept.iter().map(|k| u64::from(k.tokens)).sum();
     }
 }
-
-fn time(tokens: f64) -> Duration {
-    Duration::from_secs_f64(tokens.max(0.0) / TOKENS_PER_MS / 1000.0)
-}
--- a/crates/stair-fleet/tests/reading.rs
+++ b/crates/stair-fleet/tests/reading.rs
@@ -6,6 +6,7 @@
     Answer,
     Ask,
     Part,
+    Read,
     Turns, //
 };
 
@@ -163,3 +164,122 @@
     // 26 tokens a millisecond are read, 3,050 a prompt once the heads are kept.
     assert!((78..=92).contains(&booked), "{booked}");
 }
+
+/// An engine that reads prompts between the tokens of one stream, in the order in which they come.
+struct Engine {
+    tokens_per_ms: f64,
+    now: f64,
+    /// Prompts that were sent: when, what is left of them, what their agent called unread.
+    prompts: Vec<(f64, f64, u32)>,
+}
+
+impl Engine {
+    /// Takes one step, and tells which prompts it finished.
+    fn step(&mut self) -> Vec<Read> {
+        const CHUNK: f64 = 4096.0;
+        const TOKEN_MS: f64 = 6.0;
+        let mut room = CHUNK;
+        for (at, left, _) in &mut self.prompts {
+            let read = if *at <= self.now { left.min(room) } else { 0.0 };
+            *left -= read;
+            room -= read;
+        }
+        self.now += TOKEN_MS + (CHUNK - room) / self.tokens_per_ms;
+        let took = |at: f64| Duration::from_secs_f64((self.now - at) / 1000.0);
+        let done = self.prompts.iter().filter(|p| p.1 <= 0.0);
+        let done = done
+            .map(|(at, _, unread)| Read {
+                unread: *unread,
+                took: took(*at),
+            })
+            .collect();
+        self.prompts.retain(|p| p.1 > 0.0);
+        done
+    }
+}
+
+/// What a minute of prompts beside a stream came to.
+struct Minute {
+    sent: usize,
+    events: usize,
+    /// Events that came later than promised.
+    late: usize,
+}
+
+/// A prompt of 9,200 tokens every 300 ms, more than any engine reads, beside a stream whose events
+/// have four tokens and are promised every 600 ms. The first half is for learning.
+fn minute(tokens_per_ms: f64, learns: bool) -> Minute {
+    let mut turns = Turns::default();
+    let mut engine = Engine {
+        tokens_per_ms,
+        now: 0.0,
+        prompts: Vec::new(),
+    };
+    let mut out = Minute {
+        sent: 0,
+        events: 0,
+        late: 0,
+    };
+    let mut next: u32 = 0;
+    while engine.now < 60_000.0 {
+        let counts = engine.now > 30_000.0;
+        let begun = engine.now;
+        for _ in 0..4 {
+            while f64::from(next) * 300.0 <= engine.now {
+                let now = ms(300 * u64::from(next));
+                next += 1;
+                let prompt = Ask {
+                    limit: ms(800),
+                    ..prompt(1000 + u64::from(next), 2000 + u64::from(next))
+                };
+                let answer = turns.ask(&prompt, MEMORY, now);
+                if answer.booked {
+                    let at = (now + answer.wait).as_secs_f64() * 1000.0;
+                    engine.prompts.push((at, 9200.0, answer.unread));
+                    out.sent += usize::from(counts);
+                }
+            }
+            let read = engine.step();
+            read.into_iter()
+                .filter(|_| learns)
+                .for_each(|r| turns.learn(r));
+        }
+        if counts {
+            out.events += 1;
+            out.late += usize::from(engine.now - begun > 600.0);
+        }
+    }
+    out
+}
+
+/// A third of the engines read a quarter slower than the others. At one rate for all of them, prompts
+/// come to such an engine as fast as it can read and its streams stall for as long as that lasts.
+#[test]
+fn streams_of_slow_engines() {
+    let part = |m: &Minute| m.late as f64 / m.events as f64;
+    let (before, after) = (minute(25.6, false), minute(25.6, true));
+    assert!(part(&before) > 0.5, "{} of {}", before.late, before.events);
+    assert!(part(&after) < 0.1, "{} of {}", after.late, after.events);
+}
+
+/// A fast engine takes more prompts than the usual one, and its streams keep their pace.
+#[test]
+fn fast_engines_take_more() {
+    let (before, after) = (minute(36.0, false), minute(36.0, true));
+    assert!(after.sent > before.sent, "{} {}", after.sent, before.sent);
+    assert_eq!(after.late, 0);
+}
+
+/// Short prompts say nothing of the rate: the way there takes as long as reading them.
+#[test]
+fn short_prompts_tell_nothing() {
+    let mut turns = Turns::default();
+    let before = turns.rate();
+    for _ in 0..50 {
+        turns.learn(Read {
+            unread: 800,
+            took: ms(60),
+        });
+    }
+    assert_eq!(turns.rate(), before);
+}
--- a/crates/stair-relay/src/context.rs
+++ b/crates/stair-relay/src/context.rs
@@ -37,7 +37,8 @@
     },
     reading::{
         Answer,
-        Ask, //
+        Ask,
+        Read, //
     },
     view::TargetKey, //
 };
@@ -91,6 +92,8 @@
     pub peers: Option<(Peers, Duration)>,
     budgets: Vec<(Box<str>, Budget)>,
     use_of: Vec<UseAt>,
+    /// How long prompts took to be read, for each engine's agent.
+    read: Vec<(SocketAddr, Read)>,
     next_seq: u64,
 }
 
@@ -277,6 +280,16 @@
         Some(rx)
     }
 
+    /// Takes in how long an engine took until the first event of a prompt, for its agent.
+    pub fn was_read(&self, key: TargetKey, unread: u32, took: Duration) {
+        let mut state = self.state();
+        let engine = state.view.get(key).target.addr;
+        // Without a link nobody would ever take it.
+        if unread > 0 && state.agent(engine).is_some() {
+            state.read.push((engine, Read { unread, took }));
+        }
+    }
+
     /// Asks the agent of an engine for a prompt's turn. `None` when there is no link.
     pub fn turn(&self, engine: SocketAddr, ask: Ask) -> Option<oneshot::Receiver<Answer>> {
         let mut state = self.state();
@@ -350,6 +363,14 @@
         }
     }
 
+    /// Takes how long prompts took to be read at an engine since its agent was told.
+    pub fn take_read(&mut self, engine: SocketAddr) -> Vec<Read> {
+        let here = self.read.iter().filter(|(e, _)| *e == engine);
+        let out = here.map(|(_, read)| *read).collect();
+        self.read.retain(|(e, _)| *e != engine);
+        out
+    }
+
     /// Takes what an engine's agent has not been told yet; all of it for a new link.
     pub fn take_used(&mut self, engine: SocketAddr, whole: bool) -> Vec<Used> {
         let mut out = Vec::new();
--- a/crates/stair-relay/src/links.rs
+++ b/crates/stair-relay/src/links.rs
@@ -294,6 +294,10 @@
     if !used.is_empty() {
         out.push(ToAgent::Used(used));
     }
+    let read = state.take_read(engine);
+    if !read.is_empty() {
+        out.push(ToAgent::Read(read));
+    }
     out
 }
 
--- a/crates/stair-relay/src/pick.rs
+++ b/crates/stair-relay/src/pick.rs
@@ -36,6 +36,7 @@
     job::Job,
     turn::{
         self,
+        Prompt,
         Turn,
         turn, //
     },
@@ -84,6 +85,10 @@
     pub id: Box<str>,
     /// The estimate that decided, in milliseconds.
     pub wait_ms: f64,
+    /// Tokens that the target has to read until the prompt is read, 0 if that is not known.
+    pub unread: u32,
+    /// When it was picked, right before the request is sent.
+    pub at: Instant,
 }
 
 /// Nothing can run the request in time; when to come back.
@@ -170,7 +175,7 @@
         ..looks.turn
     };
     match turn(cx, job, at.key, &opts).await {
-        Turn::Now(kept) => Ok(go(cx, job, at, kept)),
+        Turn::Now(prompt) => Ok(go(cx, job, at, prompt)),
         Turn::Later => Err(Nowhere::after(Duration::ZERO)),
         Turn::Full(wait) => Err(Nowhere::after(wait)),
     }
@@ -230,7 +235,7 @@
     let opts = looks.turn;
     looks.turn.first = false;
     match turn(cx, job, at.key, &opts).await {
-        Turn::Now(kept) => Step::Go(go(cx, job, at, kept)),
+        Turn::Now(prompt) => Step::Go(go(cx, job, at, prompt)),
         Turn::Later => Step::Again,
         Turn::Full(wait) if opts.full >= MAX_FULL => Step::Crowded(wait),
         Turn::Full(_) => {
@@ -280,7 +285,7 @@
     choose::choose(&cx.state().view, &opts, cx.now())
 }
 
-fn go(cx: &Arc<Context>, job: &Job, at: choose::Outcome, kept: u32) -> Picked {
+fn go(cx: &Arc<Context>, job: &Job, at: choose::Outcome, prompt: Prompt) -> Picked {
     let (addr, id, age) = {
         let state = cx.state();
         let seen = state.view.get(at.key);
@@ -298,7 +303,8 @@
         .text("target", &id)
         .show("addr", addr)
         .num("wait_ms", at.wait_ms as i64)
-        .num("kept", kept)
+        .num("kept", prompt.kept)
+        .num("unread", prompt.unread)
         .ms(
             "report_age_ms",
             age.unwrap_or(Duration::MAX.min(Duration::from_secs(999))),
@@ -309,6 +315,8 @@
         addr,
         id,
         wait_ms: at.wait_ms,
+        unread: prompt.unread,
+        at: Instant::now(),
     }
 }
 
--- a/crates/stair-relay/src/stream.rs
+++ b/crates/stair-relay/src/stream.rs
@@ -108,6 +108,9 @@
         }
     };
     source.flight.read();
+    if first.is_some() {
+        cx.was_read(key, picked.unread, picked.at.elapsed());
+    }
     let took = begun.elapsed().as_secs_f64() * 1000.0;
     cx.state()
         .view
--- a/crates/stair-relay/src/turn.rs
+++ b/crates/stair-relay/src/turn.rs
@@ -40,14 +40,23 @@
 
 /// What a prompt may do.
 pub enum Turn {
-    /// The prompt may be sent; so many of its tokens are taken to be kept.
-    Now(u32),
+    /// The prompt may be sent.
+    Now(Prompt),
     /// Others go first, or the target has left meanwhile; there is time to look again.
     Later,
     /// The wait would be longer than is of use.
     Full(Duration),
 }
 
+/// What the engine's agent takes a prompt for; nothing is known when it is silent.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Prompt {
+    /// Tokens of it that the engine has kept.
+    pub kept: u32,
+    /// Tokens that the engine has to read until this prompt is read.
+    pub unread: u32,
+}
+
 /// What a turn is asked for with.
 #[derive(Debug, Clone, Copy)]
 pub struct Options {
@@ -66,7 +75,7 @@
 /// Waits for the prompt's turn at a target, as far as its agent can be reached.
 pub async fn turn(cx: &Arc<Context>, job: &Job, key: TargetKey, opts: &Options) -> Turn {
     let Some((model, _)) = job.model_of_engine() else {
-        return Turn::Now(0);
+        return Turn::Now(Prompt::default());
     };
     let addr = cx.state().view.get(key).target.addr;
     let of_use = of_use(job, opts);
@@ -83,11 +92,11 @@
         first: opts.first,
     };
     let Some(rx) = cx.turn(addr, ask) else {
-        return Turn::Now(0);
+        return Turn::Now(Prompt::default());
     };
     let Ok(Ok(answer)) = timeout(TURN_TIME, rx).await else {
         // A sound engine is used also when its agent is silent.
-        return Turn::Now(0);
+        return Turn::Now(Prompt::default());
     };
     cx.page.time("turn_wait_ms", &[], answer.wait);
     if !answer.booked {
@@ -112,7 +121,10 @@
             return Turn::Later;
         }
     }
-    Turn::Now(answer.kept)
+    Turn::Now(Prompt {
+        kept: answer.kept,
+        unread: answer.unread,
+    })
 }
 
 /// The longest wait for a turn that is of use: at first one after which the answer is on time, then
--- a/crates/stair-sidecar/src/process/dump.rs
+++ b/crates/stair-sidecar/src/process/dump.rs
@@ -31,6 +31,8 @@
     misses: u32,
     holds: Holds,
     load: Load,
+    /// Prompt tokens that the engine reads in a millisecond, as far as its prompts have told.
+    tokens_per_ms: f64,
     /// Wants that wait, those ahead of requests among them.
     wants: usize,
     /// Entries that are linked, with how far each one's knowledge goes.
@@ -51,6 +53,7 @@
             misses: self.misses,
             holds: self.desk.held(),
             load: self.load(),
+            tokens_per_ms: self.turns.rate(),
             wants: self.desk.wants(),
             entries: self.links.iter().map(|l| l.known.clone()).collect(),
         }
