--- a/crates/stair-standin/src/proxy.rs
+++ b/crates/stair-standin/src/proxy.rs
@@ -55,6 +55,8 @@
     /// Numbers below are silent for good.
     silent_below: u64,
     all_silent: bool,
+    /// What the upstreams of TCP connections say is held.
+    answers_silent: bool,
     delay: Duration,
     /// Bytes let through, both ways.
     bytes: u64,
@@ -186,6 +188,7 @@
     pub fn pass(&self) {
         self.gate.send_modify(|gate| {
             gate.all_silent = false;
+            gate.answers_silent = false;
             gate.delay = Duration::ZERO;
         });
     }
@@ -206,6 +209,12 @@
         self.gate.send_modify(|gate| gate.all_silent = true);
     }
 
+    /// Holds what the upstreams of TCP connections say until [`Proxy::pass`], while what is said to
+    /// them goes through: a cut in one way, after which a call has its effect and no answer.
+    pub fn hold_answers(&self) {
+        self.gate.send_modify(|gate| gate.answers_silent = true);
+    }
+
     /// Delays each piece or datagram; pieces of a TCP connection wait for one another.
     pub fn delay(&self, delay: Duration) {
         self.gate.send_modify(|gate| gate.delay = delay);
--- a/crates/stair-standin/src/proxy/tcp.rs
+++ b/crates/stair-standin/src/proxy/tcp.rs
@@ -29,6 +29,7 @@
 };
 
 use super::{
+    Gate,
     Shared,
     count,
     open,
@@ -61,19 +62,25 @@
     gate: &Shared,
     number: u64,
 ) -> io::Result<()> {
-    until_open(gate, number).await;
+    until_open(gate, number, Way::There).await;
     let server = TcpStream::connect(upstream).await?;
     client.set_nodelay(true)?;
     server.set_nodelay(true)?;
     let (from_client, to_client) = client.into_split();
     let (from_server, to_server) = server.into_split();
     tokio::try_join!(
-        pump(from_client, to_server, gate, number),
-        pump(from_server, to_client, gate, number),
+        pump(from_client, to_server, gate, number, Way::There),
+        pump(from_server, to_client, gate, number, Way::Back),
     )?;
     Ok(())
 }
 
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Way {
+    There,
+    Back,
+}
+
 /// What one side sent, and when it is passed on; an empty piece is its end.
 struct Piece {
     due: Instant,
@@ -85,9 +92,10 @@
     to: OwnedWriteHalf,
     gate: &Shared,
     number: u64,
+    way: Way,
 ) -> io::Result<()> {
     let (tx, rx) = mpsc::channel(PIECES);
-    tokio::try_join!(read(from, tx, gate), write(to, rx, gate, number))?;
+    tokio::try_join!(read(from, tx, gate), write(to, rx, gate, number, way))?;
     Ok(())
 }
 
@@ -112,11 +120,12 @@
     mut rx: Receiver<Piece>,
     gate: &Shared,
     number: u64,
+    way: Way,
 ) -> io::Result<()> {
     while let Some(piece) = rx.recv().await {
         tokio::time::sleep_until(piece.due).await;
         // A reset of one side, too, must not show on the other side of a black hole.
-        until_open(gate, number).await;
+        until_open(gate, number, way).await;
         let bytes = piece.bytes?;
         if bytes.is_empty() {
             return to.shutdown().await;
@@ -127,7 +136,10 @@
     Ok(())
 }
 
-async fn until_open(gate: &Shared, number: u64) {
+async fn until_open(gate: &Shared, number: u64, way: Way) {
+    let held = |gate: &Gate| way == Way::Back && gate.answers_silent;
     let mut rx = gate.subscribe();
-    let _ = rx.wait_for(|gate| !gate.is_silent(number)).await;
+    let _ = rx
+        .wait_for(|gate| !gate.is_silent(number) && !held(gate))
+        .await;
 }
