--- a/crates/dandelionstair/src/check.rs
+++ b/crates/dandelionstair/src/check.rs
@@ -11,6 +11,7 @@
     Catalogue,
     Problems,
     declarations,
+    fleet_settings,
     read_settings, //
 };
 
@@ -23,6 +24,10 @@
     let checked = match kind.as_str() {
         "entry" => read_settings::entry(path).map(|s| format!("settings of entry {}", s.name)),
         "agent" => read_settings::agent(path).map(|s| format!("settings of agent {}", s.name)),
+        "relay" => fleet_settings::gateway(path).map(|s| format!("settings of relay {}", s.name)),
+        "sidecar" => {
+            fleet_settings::sidecar(path).map(|s| format!("settings of sidecar {}", s.name))
+        }
         _ => declarations::read(path).map(|c| summary(&c)),
     };
     match checked {
--- a/crates/dandelionstair/src/cli.rs
+++ b/crates/dandelionstair/src/cli.rs
@@ -188,9 +188,11 @@
             "declarations",
             "entry",
             "agent",
+            "relay",
+            "sidecar",
         ]))
         .default_value("declarations")
-        .help("What PATH holds: declarations, or the settings of an entry or an agent");
+        .help("What PATH holds: declarations, or the settings of a process");
     Command::new("check")
         .about("Check declarations or settings without touching anything")
         .long_about(CHECK_HELP)
--- a/crates/dandelionstair/tests/command_line.rs
+++ b/crates/dandelionstair/tests/command_line.rs
@@ -57,9 +57,11 @@
     let declarations = example("gawahi/declarations");
     let text = stdout(&["check", declarations.to_str().unwrap()]);
     insta::assert_snapshot!(text);
-    let entry = example("gawahi/settings/entry.yaml");
-    let output = run(&["check", "--kind", "entry", entry.to_str().unwrap()]);
-    assert_eq!(output.status.code(), Some(0));
+    for kind in ["entry", "agent", "relay", "sidecar"] {
+        let settings = example(&format!("gawahi/settings/{kind}.yaml"));
+        let output = run(&["check", "--kind", kind, settings.to_str().unwrap()]);
+        assert_eq!(output.status.code(), Some(0), "{kind}");
+    }
 }
 
 #[test]
--- a/crates/stair-config/tests/examples.rs
+++ b/crates/stair-config/tests/examples.rs
@@ -8,6 +8,7 @@
 use stair_config::{
     Catalogue,
     declarations,
+    fleet_settings,
     read_settings, //
 };
 
@@ -42,6 +43,10 @@
     entry.unwrap_or_else(|e| panic!("{e}"));
     let agent = read_settings::agent(&example(name).join("settings/agent.yaml"));
     agent.unwrap_or_else(|e| panic!("{e}"));
+    let relay = fleet_settings::gateway(&example(name).join("settings/relay.yaml"));
+    relay.unwrap_or_else(|e| panic!("{e}"));
+    let sidecar = fleet_settings::sidecar(&example(name).join("settings/sidecar.yaml"));
+    sidecar.unwrap_or_else(|e| panic!("{e}"));
 }
 
 #[test]
