--- a/crates/stair-fleet/src/fetch.rs
+++ b/crates/stair-fleet/src/fetch.rs
@@ -105,13 +105,14 @@
         .count()
 }
 
-/// Whether an entry that has just started still lacks the report of an engine.
+/// Whether an entry that has just started still lacks the report of an engine, or knows of none.
 ///
 /// All VMs come back together after a power cut. What engines have on their disks is told by their
 /// agents, within half a second or so; an entry that does not wait for it has rare models fetched
 /// from the weight store although a copy is a second away, and the store is busy with those for
 /// eight seconds while the busy models need it (seen on one day: the worst ten seconds of it).
 pub fn unheard(view: &View, service: &str, now: Duration) -> bool {
-    let mut open = view.of(service).filter(|(_, s)| s.open(now));
-    now < HEARD_TIME && open.any(|(_, s)| s.fresh(now).is_none())
+    let mut open = view.of(service).filter(|(_, s)| s.open(now)).peekable();
+    let none = open.peek().is_none();
+    now < HEARD_TIME && (none || open.any(|(_, s)| s.fresh(now).is_none()))
 }
--- a/crates/stair-fleet/src/msg.rs
+++ b/crates/stair-fleet/src/msg.rs
@@ -36,6 +36,8 @@
         /// The store's revision.
         revision: u64,
     },
+    /// A life that the engine has said it is not.
+    Former(Box<str>),
     /// Asks for a model or an adapter.
     Want(Want),
     /// Asks for a prompt's turn.
@@ -114,6 +116,10 @@
         /// What came of it.
         answer: reading::Answer,
     },
+    /// The last life that the engine has said it is not; all entries stop using it at once. After a
+    /// power cut the store's list has the dead lives for some seconds, and each entry would find out
+    /// by requests of its own, a few of which use up its share of the retries.
+    Former(Box<str>),
     /// What the entry needs to know of the others that this agent hears.
     Peers(Box<Peers>),
 }
--- a/crates/stair-relay/src/context.rs
+++ b/crates/stair-relay/src/context.rs
@@ -112,6 +112,8 @@
     pub tx: mpsc::Sender<ToAgent>,
     /// Entries that the agent hears, as it said last; 0 before it has.
     pub entries: u32,
+    /// The last life that the engine has said it is not.
+    pub former: Option<Box<str>>,
     /// Questions that wait for their answer.
     pub waiting: Vec<(u64, oneshot::Sender<Outcome>)>,
     /// Prompts that wait to be told their turn.
@@ -273,6 +275,15 @@
         }
     }
 
+    /// Tells the agent at an address that its engine has said it is not this life.
+    pub fn tell_former(&self, engine: SocketAddr, id: Box<str>) {
+        let state = self.state();
+        if let Some(i) = state.agent(engine) {
+            // An agent that does not read finds out by its own orders.
+            let _ = state.agents[i].tx.try_send(ToAgent::Former(id));
+        }
+    }
+
     /// Asks the agent of an engine for a model or adapter. `None` when there is no link.
     pub fn want(&self, engine: SocketAddr, mut want: Want) -> Option<oneshot::Receiver<Outcome>> {
         let mut state = self.state();
@@ -312,6 +323,13 @@
 }
 
 impl State {
+    /// Takes from the list what engines have said they are not: the store may list it for some time.
+    pub fn drop_former(&mut self) {
+        for id in self.agents.iter().filter_map(|a| a.former.as_ref()) {
+            self.view.remove(id);
+        }
+    }
+
     /// Finds the link to an engine's agent.
     pub fn agent(&self, engine: SocketAddr) -> Option<usize> {
         self.agents.binary_search_by_key(&engine, |a| a.engine).ok()
--- a/crates/stair-relay/src/know.rs
+++ b/crates/stair-relay/src/know.rs
@@ -210,6 +210,7 @@
         }
         state.view.expire(now);
         state.view.replace(targets, revision, now + grace);
+        state.drop_former();
     }
     log_list(cx, revision, count, "store");
 }
@@ -223,6 +224,7 @@
             return;
         }
         state.view.replace_by_peers(listed, revision, cx.now());
+        state.drop_former();
     }
     log_list(cx, revision, count, peer);
 }
--- a/crates/stair-relay/src/links.rs
+++ b/crates/stair-relay/src/links.rs
@@ -76,6 +76,7 @@
                 engine,
                 tx,
                 entries: 0,
+                former: None,
                 waiting: Vec::new(),
                 turns: Vec::new(),
             };
@@ -199,6 +200,7 @@
                 // The request that asked may have been given up.
                 asked.map(|tx| tx.send(answer));
             }
+            ToEntry::Former(id) => hear_former(cx, engine, id),
             ToEntry::Peers(peers) => {
                 let now = cx.now();
                 let mut state = cx.state();
@@ -211,6 +213,18 @@
     }
 }
 
+fn hear_former(cx: &Context, engine: SocketAddr, id: Box<str>) {
+    Line::new("target.former")
+        .text("target", &id)
+        .show("engine", engine)
+        .write();
+    let mut state = cx.state();
+    state.view.remove(&id);
+    if let Some(i) = state.agent(engine) {
+        state.agents[i].former = Some(id);
+    }
+}
+
 /// What an agent has been told on this link.
 #[derive(Default)]
 struct Told {
--- a/crates/stair-relay/src/relay.rs
+++ b/crates/stair-relay/src/relay.rs
@@ -310,6 +310,7 @@
     let now = cx.now();
     let mut state = cx.state();
     let seen = state.view.get_mut(key);
+    let mut former = None;
     match outcome {
         Outcome::NotSent(_) => {
             seen.suspect_until = now + SUSPECT_TIME;
@@ -322,7 +323,10 @@
             let other = instance.as_ref().is_some_and(|i| *i != picked.id);
             match &job.meta.model {
                 // The target that was meant is gone, whatever the list still says.
-                _ if other => seen.leave(),
+                _ if other => {
+                    seen.leave();
+                    former = Some(seen.target.addr);
+                }
                 Some(model) => seen.lacks(model),
                 None => seen.learn(false),
             }
@@ -342,6 +346,9 @@
         }
     }
     drop(state);
+    if let Some(engine) = former {
+        cx.tell_former(engine, picked.id.clone());
+    }
     let line = match outcome {
         Outcome::Head(live) if live.head.status.is_success() => Line::new("attempt"),
         _ => Line::failure("attempt"),
--- a/crates/stair-sidecar/src/process/hear.rs
+++ b/crates/stair-sidecar/src/process/hear.rs
@@ -63,6 +63,7 @@
                 // would be fetched from the weight store.
                 self.tell_all(key);
             }
+            ToAgent::Former(id) => self.hear_former(id),
             ToAgent::Want(want) => {
                 let seq = want.seq;
                 Line::new("want")
@@ -86,6 +87,19 @@
         }
     }
 
+    /// Takes in that the engine has told an entry that it is not this life.
+    fn hear_former(&mut self, id: Box<str>) {
+        if self.former.as_ref() == Some(&id) {
+            return;
+        }
+        if self.instance.as_ref().is_some_and(|(i, _)| *i == id) {
+            self.forget_instance(&id);
+            return;
+        }
+        self.former = Some(id.clone());
+        self.tell(&ToEntry::Former(id));
+    }
+
     /// Forgets the life that an order was refused for.
     ///
     /// The refusal need not name the life that is there instead. Ordering on for the one before
@@ -95,6 +109,7 @@
         if self.instance.as_ref().is_some_and(|(i, _)| **i == *refused) {
             Line::failure("instance.former").text("id", refused).write();
             self.former = self.instance.take().map(|(id, _)| id);
+            self.tell(&ToEntry::Former(refused.into()));
         }
     }
 
--- a/crates/stair-sidecar/src/process/tell.rs
+++ b/crates/stair-sidecar/src/process/tell.rs
@@ -114,14 +114,15 @@
         };
         let holds = ToEntry::Holds(Box::new(self.desk.held()));
         let load = ToEntry::Load(Box::new(self.load()));
-        for msg in [holds, load] {
+        let former = self.former.clone().map(ToEntry::Former);
+        for msg in [holds, load].into_iter().chain(former) {
             if link.tx.try_send(msg).is_err() {
                 self.page.count("untold_total", &[], 1);
             }
         }
     }
 
-    fn tell(&self, msg: &ToEntry) {
+    pub(super) fn tell(&self, msg: &ToEntry) {
         for link in &self.links {
             if link.tx.try_send(msg.clone()).is_err() {
                 // The entry does not read. Its link ends by itself, and the next one begins with
