--- a/crates/stair-fleet/src/reading.rs
+++ b/crates/stair-fleet/src/reading.rs
@@ -15,7 +15,10 @@
 //! all, the streams of the slow ones stall beside prompts while the others could read more. So each
 //! engine's rate follows how long its prompts took to be read.
 
-use std::time::Duration;
+use std::{
+    ops::RangeInclusive,
+    time::Duration, //
+};
 
 use serde::{
     Deserialize,
@@ -27,7 +30,7 @@
 const FIRST_RATE: f64 = 33.0;
 
 /// The least and the most that is believed, whatever a sample says.
-const RATES: std::ops::RangeInclusive<f64> = 10.0..=60.0;
+const RATES: RangeInclusive<f64> = 10.0..=60.0;
 
 /// Weight of the newest sample in the rate; a change shows after about seven prompts.
 const RATE_SMOOTH: f64 = 0.15;
--- a/crates/stair-fleet/src/view.rs
+++ b/crates/stair-fleet/src/view.rs
@@ -35,8 +35,14 @@
 const SMOOTH: f64 = 0.2;
 
 /// Names a target in one [`View`] for as long as the process runs.
+///
+/// The slot of one that has left is used again. A request may have waited for a turn meanwhile, and by
+/// the slot alone it would go to whatever target has it now, of another service too.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct TargetKey(u32);
+pub struct TargetKey {
+    slot: u32,
+    born: u64,
+}
 
 /// One target as an entry knows it.
 #[derive(Debug, Clone)]
@@ -82,6 +88,24 @@
         }
     }
 
+    /// One that is not listed.
+    fn gone() -> Self {
+        let target = Target {
+            id: "".into(),
+            service: "".into(),
+            addr: SocketAddr::from(([0, 0, 0, 0], 0)),
+            data_centre: "".into(),
+            slots: 0,
+            state: State::Draining(None),
+            cold: Duration::ZERO,
+            holds: Holds::default(),
+        };
+        Self {
+            listed: false,
+            ..Self::new(target, 0)
+        }
+    }
+
     /// Whether the target takes new requests as far as is known.
     pub fn open(&self, now: Duration) -> bool {
         let missing = self.missing_until.is_some_and(|t| now >= t);
@@ -162,15 +186,29 @@
     pub missing_for: Option<Duration>,
 }
 
-/// The targets, in an arena: a key stays valid although its target leaves.
-#[derive(Debug, Clone, Default)]
+/// The targets, in an arena: a key stays valid although its target leaves, and names none once its slot
+/// has another.
+#[derive(Debug, Clone)]
 pub struct View {
     seen: Vec<Seen>,
+    /// What keys name whose slots have another target: never listed.
+    gone: Seen,
     born: u64,
     /// Revision of the store that the list is complete up to, 0 for none.
     pub revision: u64,
 }
 
+impl Default for View {
+    fn default() -> Self {
+        Self {
+            seen: Vec::new(),
+            gone: Seen::gone(),
+            born: 0,
+            revision: 0,
+        }
+    }
+}
+
 impl View {
     /// Replaces the list by a whole one.
     ///
@@ -220,7 +258,7 @@
             self.seen[i].target = target;
             self.seen[i].listed = true;
             self.seen[i].missing_until = None;
-            return TargetKey(i as u32);
+            return self.key(i);
         }
         self.born += 1;
         // A slot of a target that is gone and has nothing in flight is used again, so that a
@@ -229,15 +267,24 @@
             .seen
             .iter()
             .position(|s| !s.listed && s.in_flight == 0 && s.report.is_none());
-        match free {
+        let new = Seen::new(target, self.born);
+        let i = match free {
             Some(i) => {
-                self.seen[i] = Seen::new(target, self.born);
-                TargetKey(i as u32)
+                self.seen[i] = new;
+                i
             }
             None => {
-                self.seen.push(Seen::new(target, self.born));
-                TargetKey(self.seen.len() as u32 - 1)
+                self.seen.push(new);
+                self.seen.len() - 1
             }
+        };
+        self.key(i)
+    }
+
+    fn key(&self, i: usize) -> TargetKey {
+        TargetKey {
+            slot: i as u32,
+            born: self.seen[i].born,
         }
     }
 
@@ -308,14 +355,26 @@
         }
     }
 
-    /// Returns a target.
+    /// Returns a target; one that is not listed and has no address when its slot has another.
     pub fn get(&self, key: TargetKey) -> &Seen {
-        &self.seen[key.0 as usize]
+        let seen = &self.seen[key.slot as usize];
+        if seen.born == key.born {
+            seen
+        } else {
+            &self.gone
+        }
     }
 
-    /// Returns a target to change what was seen of it.
+    /// Returns a target to change what was seen of it. Nobody looks at what is changed of one whose slot
+    /// has another.
     pub fn get_mut(&mut self, key: TargetKey) -> &mut Seen {
-        &mut self.seen[key.0 as usize]
+        let seen = &mut self.seen[key.slot as usize];
+        if seen.born == key.born {
+            seen
+        } else {
+            self.gone = Seen::gone();
+            &mut self.gone
+        }
     }
 
     /// All listed targets of a service.
@@ -326,11 +385,10 @@
 
     /// All listed targets.
     pub fn all(&self) -> impl Iterator<Item = (TargetKey, &Seen)> {
-        let keyed = |(i, s)| (TargetKey(i as u32), s);
         self.seen
             .iter()
             .enumerate()
-            .map(keyed)
+            .map(|(i, s)| (self.key(i), s))
             .filter(|(_, s)| s.listed)
     }
 
--- a/crates/stair-fleet/tests/fetch.rs
+++ b/crates/stair-fleet/tests/fetch.rs
@@ -87,7 +87,7 @@
 /// An engine took long over a load beside which nothing ran: its own trouble, and no reason to have
 /// the others wait for each other.
 #[test]
-fn own_trouble_counts_not() {
+fn own_trouble_is_ignored() {
     assert_eq!(at_once(&by_link(), vec![fetched(1, 3.0)]), 4);
 }
 
@@ -113,38 +113,58 @@
     declared: Duration,
     /// Loads to come, the most urgent first.
     queue: Vec<u32>,
-    /// Under way: which, since when, how many began with it, what is left.
-    running: Vec<(u32, Duration, u32, f64)>,
-    /// Which ended when.
-    ended: Vec<(u32, Duration)>,
+    running: Vec<Running>,
+    ended: Vec<Ended>,
     told: Vec<Report>,
 }
 
+/// A load under way.
+struct Running {
+    number: u32,
+    since: Duration,
+    /// How many ran when it began, itself among them.
+    together: u32,
+    /// Part of it that is left.
+    left: f64,
+}
+
+struct Ended {
+    number: u32,
+    at: Duration,
+}
+
 impl Store {
     fn reports(&self, now: Duration) -> Vec<Report> {
         let times = |since| (now - since).div_duration_f32(self.declared);
         let running = self.running.iter();
-        let running = running.map(|(_, since, ..)| fetching("b", ms(100), times(*since)));
+        let running = running.map(|r| fetching("b", ms(100), times(r.since)));
         running.chain(self.told.iter().cloned()).collect()
     }
 
     fn step(&mut self, engine: &Engine, by: Duration, now: Duration) {
         while !self.queue.is_empty() && self.running.len() < at_once(engine, self.reports(now)) {
             let together = self.running.len() as u32 + 1;
-            let next = self.queue.remove(0);
-            self.running.push((next, now, together, 1.0));
+            let number = self.queue.remove(0);
+            self.running.push(Running {
+                number,
+                since: now,
+                together,
+                left: 1.0,
+            });
         }
         let share = (self.at_full_speed / self.running.len() as f64).min(1.0);
         let pace = share * by.as_secs_f64() / self.declared.as_secs_f64();
         for load in &mut self.running {
-            load.3 -= pace;
+            load.left -= pace;
         }
-        let (done, running): (Vec<_>, Vec<_>) = self.running.drain(..).partition(|l| l.3 <= 0.0);
+        let (done, running): (Vec<_>, Vec<_>) = self.running.drain(..).partition(|l| l.left <= 0.0);
         self.running = running;
-        for (n, since, together, _) in done {
-            let times = (now + by - since).div_duration_f32(self.declared);
-            self.ended.push((n, now + by));
-            self.told.push(fetched(together, times));
+        for load in done {
+            let at = now + by;
+            let times = (at - load.since).div_duration_f32(self.declared);
+            self.told.push(fetched(load.together, times));
+            let number = load.number;
+            self.ended.push(Ended { number, at });
         }
     }
 }
@@ -163,8 +183,8 @@
     for n in 0..6000 {
         store.step(engine, by, by * n);
     }
-    store.ended.sort_by_key(|(n, _)| *n);
-    store.ended.iter().map(|(_, at)| at.as_secs()).collect()
+    store.ended.sort_by_key(|e| e.number);
+    store.ended.iter().map(|e| e.at.as_secs()).collect()
 }
 
 /// Demand has moved and eight models are to come, the most urgent first. Where the store serves one
--- a/crates/stair-fleet/tests/reading.rs
+++ b/crates/stair-fleet/tests/reading.rs
@@ -169,8 +169,16 @@
 struct Engine {
     tokens_per_ms: f64,
     now: f64,
-    /// Prompts that were sent: when, what is left of them, what their agent called unread.
-    prompts: Vec<(f64, f64, u32)>,
+    prompts: Vec<Sent>,
+}
+
+/// A prompt that was sent.
+struct Sent {
+    at_ms: f64,
+    /// Tokens that are left to be read.
+    left: f64,
+    /// What the agent called unread.
+    unread: u32,
 }
 
 impl Engine {
@@ -179,21 +187,20 @@
         const CHUNK: f64 = 4096.0;
         const TOKEN_MS: f64 = 6.0;
         let mut room = CHUNK;
-        for (at, left, _) in &mut self.prompts {
-            let read = if *at <= self.now { left.min(room) } else { 0.0 };
-            *left -= read;
+        for prompt in self.prompts.iter_mut().filter(|p| p.at_ms <= self.now) {
+            let read = prompt.left.min(room);
+            prompt.left -= read;
             room -= read;
         }
         self.now += TOKEN_MS + (CHUNK - room) / self.tokens_per_ms;
-        let took = |at: f64| Duration::from_secs_f64((self.now - at) / 1000.0);
-        let done = self.prompts.iter().filter(|p| p.1 <= 0.0);
+        let done = self.prompts.iter().filter(|p| p.left <= 0.0);
         let done = done
-            .map(|(at, _, unread)| Read {
-                unread: *unread,
-                took: took(*at),
+            .map(|p| Read {
+                unread: p.unread,
+                took: Duration::from_secs_f64((self.now - p.at_ms) / 1000.0),
             })
             .collect();
-        self.prompts.retain(|p| p.1 > 0.0);
+        self.prompts.retain(|p| p.left > 0.0);
         done
     }
 }
@@ -234,8 +241,11 @@
                 };
                 let answer = turns.ask(&prompt, MEMORY, now);
                 if answer.booked {
-                    let at = (now + answer.wait).as_secs_f64() * 1000.0;
-                    engine.prompts.push((at, 9200.0, answer.unread));
+                    engine.prompts.push(Sent {
+                        at_ms: (now + answer.wait).as_secs_f64() * 1000.0,
+                        left: 9200.0,
+                        unread: answer.unread,
+                    });
                     out.sent += usize::from(counts);
                 }
             }
--- a/crates/stair-fleet/tests/view.rs
+++ b/crates/stair-fleet/tests/view.rs
@@ -93,7 +93,7 @@
     }
     assert_eq!(view.all().count(), 0);
     let key = view.put(target(0, SERVICE));
-    assert_eq!(format!("{key:?}"), "TargetKey(0)");
+    assert_eq!(format!("{key:?}"), "TargetKey { slot: 0, born: 1001 }");
 }
 
 /// One entry is turned away by the store and lags. It is told of the one that is ahead, and of no
@@ -178,3 +178,21 @@
     view.expire(NOW + ms(1900));
     assert_eq!(view.all().count(), 0);
 }
+
+/// A request waits for its turn at an engine, which leaves. A target of another service comes and gets
+/// its slot. Sent by the old key, a prompt would run at a service that its route does not name.
+#[test]
+fn slot_used_again() {
+    let mut view = View::default();
+    let key = view.put(target(0, "engines"));
+    view.remove("t0");
+    let other = view.put(target(1, "lookups"));
+    assert_ne!(key, other);
+    let seen = view.get(key);
+    assert!(!seen.listed_ready() && !seen.open(NOW));
+    view.get_mut(key).learn(false);
+    view.get_mut(key).in_flight += 1;
+    assert_eq!(view.get(other).failing, 0.0);
+    assert_eq!(view.get(other).in_flight, 0);
+    assert_eq!(&*view.get(other).target.service, "lookups");
+}
--- a/crates/stair-relay/src/pick.rs
+++ b/crates/stair-relay/src/pick.rs
@@ -175,7 +175,7 @@
         ..looks.turn
     };
     match turn(cx, job, at.key, &opts).await {
-        Turn::Now(prompt) => Ok(go(cx, job, at, prompt)),
+        Turn::Now(prompt) => go(cx, job, at, prompt).ok_or(Nowhere::after(Duration::ZERO)),
         Turn::Later => Err(Nowhere::after(Duration::ZERO)),
         Turn::Full(wait) => Err(Nowhere::after(wait)),
     }
@@ -235,7 +235,7 @@
     let opts = looks.turn;
     looks.turn.first = false;
     match turn(cx, job, at.key, &opts).await {
-        Turn::Now(prompt) => Step::Go(go(cx, job, at, prompt)),
+        Turn::Now(prompt) => go(cx, job, at, prompt).map_or(Step::Again, Step::Go),
         Turn::Later => Step::Again,
         Turn::Full(wait) if opts.full >= MAX_FULL => Step::Crowded(wait),
         Turn::Full(_) => {
@@ -285,10 +285,14 @@
     choose::choose(&cx.state().view, &opts, cx.now())
 }
 
-fn go(cx: &Arc<Context>, job: &Job, at: choose::Outcome, prompt: Prompt) -> Picked {
+/// Returns where the request goes, unless the target has left while an adapter or a turn was waited for.
+fn go(cx: &Arc<Context>, job: &Job, at: choose::Outcome, prompt: Prompt) -> Option<Picked> {
     let (addr, id, age) = {
         let state = cx.state();
         let seen = state.view.get(at.key);
+        if !seen.open(cx.now()) && !seen.listed_ready() {
+            return None;
+        }
         let age = seen
             .report
             .as_ref()
@@ -310,14 +314,14 @@
             age.unwrap_or(Duration::MAX.min(Duration::from_secs(999))),
         )
         .write();
-    Picked {
+    Some(Picked {
         flight,
         addr,
         id,
         wait_ms: at.wait_ms,
         unread: prompt.unread,
         at: Instant::now(),
-    }
+    })
 }
 
 /// Makes sure that the adapter is at the target, as far as its agent can be reached.
