--- a/crates/stair-fleet/src/balance.rs
+++ b/crates/stair-fleet/src/balance.rs
@@ -143,11 +143,7 @@
         None => return None,
     };
     let decl = &engine.models[best.model];
-    let ready_in = match best.from {
-        Copy::Memory => decl.from_memory,
-        Copy::Disk => decl.from_disk,
-        Copy::Store => decl.from_store,
-    };
+    let ready_in = decl.load_time(best.from);
     let name = |m: &usize| engine.models[*m].name.clone();
     let place = wake::Outcome {
         key: plan.nodes[best.node].key,
--- a/crates/stair-fleet/src/catalogue.rs
+++ b/crates/stair-fleet/src/catalogue.rs
@@ -7,6 +7,8 @@
     Serialize, //
 };
 
+use crate::target::Copy;
+
 /// Everything that operators declare.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Catalogue {
@@ -217,6 +219,17 @@
     }
 }
 
+impl Model {
+    /// Time of a load from where its copy lies.
+    pub fn load_time(&self, from: Copy) -> Duration {
+        match from {
+            Copy::Memory => self.from_memory,
+            Copy::Disk => self.from_disk,
+            Copy::Store => self.from_store,
+        }
+    }
+}
+
 impl Engine {
     /// Finds a model by name.
     pub fn model(&self, name: &str) -> Option<&Model> {
--- a/crates/stair-fleet/src/wake.rs
+++ b/crates/stair-fleet/src/wake.rs
@@ -7,7 +7,10 @@
 //! see about the same reports and break ties by hash, so that they mostly choose alike and the
 //! agent loads once.
 
-use std::time::Duration;
+use std::{
+    cell::LazyCell,
+    time::Duration, //
+};
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -102,19 +105,17 @@
     tried: &[TargetKey],
     now: Duration,
 ) -> Result<Outcome, Error> {
-    if let Some(at) = choose(view, service, engine, model, tried, now) {
-        return Ok(at);
-    }
-    let any = view
-        .of(service)
-        .filter(|(key, s)| s.open(now) && !tried.contains(key))
-        .any(|(key, s)| cost_at(view, service, engine, model, key, s, now).is_some());
-    Err(if fetch::unheard(view, service, now) {
-        Error::Unheard
-    } else if any {
-        Error::StoreBusy
-    } else {
-        Error::Nowhere
+    let look = Look::new(view, service, engine, model, now);
+    let places = look.places(tried);
+    let any = !places.is_empty();
+    look.best(places).ok_or_else(|| {
+        if fetch::unheard(view, service, now) {
+            Error::Unheard
+        } else if any {
+            Error::StoreBusy
+        } else {
+            Error::Nowhere
+        }
     })
 }
 
@@ -127,22 +128,192 @@
     tried: &[TargetKey],
     now: Duration,
 ) -> Option<Outcome> {
-    let fetching = fetch::under_way(view, service, now);
-    let store_free = fetching < fetch::at_once(view, service, engine, now)
-        && !fetch::unheard(view, service, now);
-    view.of(service)
-        .filter(|(key, s)| s.open(now) && !tried.contains(key))
-        .filter_map(|(key, s)| cost_at(view, service, engine, model, key, s, now))
-        .filter(|o| store_free || o.from != Copy::Store || view.get(o.key).coming(model, now))
-        .min_by(|a, b| {
-            let tie = |o: &Outcome| {
-                let id = &view.get(o.key).target.id;
-                xxh3_64(format!("{id}/{model}").as_bytes())
-            };
-            // Whole tens of milliseconds, so that estimates that differ by little tie.
-            let steps = |o: &Outcome| (o.cost_ms / 10.0) as u64;
-            steps(a).cmp(&steps(b)).then_with(|| tie(a).cmp(&tie(b)))
+    let look = Look::new(view, service, engine, model, now);
+    look.best(look.places(tried))
+}
+
+/// One look for a place. What does not depend on the place is worked out once: requests that find no
+/// target each make such a look, at every engine.
+struct Look<'a> {
+    view: &'a View,
+    service: &'a str,
+    engine: &'a Engine,
+    model: &'a str,
+    /// In the order of the declared models.
+    demands: Vec<Demand>,
+    now: Duration,
+}
+
+/// Requests a second for a model, and its replicas, those that are coming among them.
+#[derive(Debug, Clone, Copy, Default)]
+struct Demand {
+    per_s: f64,
+    replicas: u32,
+}
+
+impl<'a> Look<'a> {
+    fn new(
+        view: &'a View,
+        service: &'a str,
+        engine: &'a Engine,
+        model: &'a str,
+        now: Duration,
+    ) -> Self {
+        let mut look = Self {
+            view,
+            service,
+            engine,
+            model,
+            demands: vec![Demand::default(); engine.models.len()],
+            now,
+        };
+        for (_, s) in view.of(service).filter(|(_, s)| s.open(now)) {
+            look.count(s);
+        }
+        look
+    }
+
+    fn count(&mut self, s: &Seen) {
+        let report = s.fresh(self.now);
+        let held = s.holds(self.now).models.iter().map(|h| &*h.name);
+        let coming = report.and_then(|r| r.load.loading.as_ref());
+        let coming = coming.map(|l| &*l.model).filter(|m| !s.has(m, self.now));
+        let here = held.filter(|m| s.has(m, self.now)).chain(coming);
+        for model in here {
+            let Ok(i) = self.index(model) else { continue };
+            let usage = report.and_then(|r| r.load.usage(model));
+            self.demands[i].per_s += f64::from(usage.map_or(0.0, |u| u.per_s));
+            self.demands[i].replicas += 1;
+        }
+    }
+
+    fn index(&self, model: &str) -> Result<usize, usize> {
+        let models = &self.engine.models;
+        models.binary_search_by(|m| (*m.name).cmp(model))
+    }
+
+    /// All places but those that were tried.
+    fn places(&self, tried: &[TargetKey]) -> Vec<Outcome> {
+        self.view
+            .of(self.service)
+            .filter(|(key, s)| s.open(self.now) && !tried.contains(key))
+            .filter_map(|(key, s)| self.cost_at(key, s))
+            .collect()
+    }
+
+    /// The cheapest place, one that needs the weight store only if a load from there may begin.
+    fn best(&self, places: Vec<Outcome>) -> Option<Outcome> {
+        let (view, now) = (self.view, self.now);
+        let store_free = LazyCell::new(|| {
+            let at_once = fetch::at_once(view, self.service, self.engine, now);
+            fetch::under_way(view, self.service, now) < at_once
+                && !fetch::unheard(view, self.service, now)
+        });
+        let near = |o: &Outcome| o.from != Copy::Store || view.get(o.key).coming(self.model, now);
+        places
+            .into_iter()
+            .filter(|o| near(o) || *store_free)
+            .min_by(|a, b| {
+                let tie = |o: &Outcome| {
+                    let id = &view.get(o.key).target.id;
+                    xxh3_64(format!("{id}/{}", self.model).as_bytes())
+                };
+                // Whole tens of milliseconds, so that estimates that differ by little tie.
+                let steps = |o: &Outcome| (o.cost_ms / 10.0) as u64;
+                steps(a).cmp(&steps(b)).then_with(|| tie(a).cmp(&tie(b)))
+            })
+    }
+
+    fn cost_at(&self, key: TargetKey, s: &Seen) -> Option<Outcome> {
+        let (model, now) = (self.model, self.now);
+        let report = s.fresh(now)?;
+        let decl = self.engine.model(model)?;
+        if s.has(model, now) {
+            return None;
+        }
+        if let Some(loading) = report.load.loading.as_ref().filter(|l| *l.model == *model) {
+            return Some(Outcome {
+                key,
+                from: loading.from,
+                ready_in: loading.left,
+                victims: Vec::new(),
+                cost_ms: ms(loading.left),
+            });
+        }
+        let from = report.holds.copy(model);
+        let mut ready = decl.load_time(from);
+        if let Some(other) = &report.load.loading {
+            ready += other.left;
+        }
+        if report.load.unloading.is_some() {
+            ready += UNLOAD_TIME;
+        }
+        ready += report.load.to_load;
+        let victims = self.room(decl.weights_mb, s, report)?;
+        ready += busy_time(victims.iter().map(|v| v.name), report);
+        let missed: f64 = victims.iter().map(|v| v.missed_ms).sum();
+        Some(Outcome {
+            key,
+            from,
+            ready_in: ready,
+            victims: victims.iter().map(|v| v.name.into()).collect(),
+            cost_ms: ms(ready) + missed + blocked_ms(report, ready),
         })
+    }
+
+    /// What a model costs when it makes way, in milliseconds that its requests wait longer.
+    fn missed_ms(&self, model: &str) -> f64 {
+        // What is no longer declared is not missed.
+        let demand = self.index(model).map(|i| self.demands[i]);
+        let Demand { per_s, replicas } = demand.unwrap_or_default();
+        let stay = replicas.saturating_sub(1);
+        if stay == 0 {
+            return LAST_MS + LAST_MS_PER_S * per_s;
+        }
+        let over = per_s / f64::from(stay) - REPLICA_PER_S;
+        SPARE_MS + CROWD_MS_PER_S * over.max(0.0)
+    }
+
+    /// Finds the models that make way for `needed` MB, the least missed first.
+    fn room<'s>(&self, needed: f64, s: &'s Seen, report: &Report) -> Option<Vec<Victim<'s>>> {
+        let engine = self.engine;
+        let size = |name: &str| engine.model(name).map_or(0.0, |m| m.weights_mb);
+        let held = &s.holds(self.now).models;
+        let coming = report.load.loading.as_ref().map_or(0.0, |l| size(&l.model));
+        let taken: f64 = held.iter().map(|h| size(&h.name)).sum::<f64>() + coming;
+        let mut free = engine.weights_mb - adapters_mb(engine) - taken;
+        let mut candidates: Vec<Victim<'_>> = held
+            .iter()
+            .map(|h| Victim {
+                name: &h.name,
+                missed_ms: self.missed_ms(&h.name),
+                busy_ms: ms(busy_time([&*h.name], report)),
+            })
+            .collect();
+        candidates.sort_by(|a, b| a.cost_ms().total_cmp(&b.cost_ms()));
+        // One large victim can be cheaper than two small ones, yet with two or three models an engine
+        // the order by cost alone is close enough; what turned out needless is dropped below.
+        let mut victims = Vec::new();
+        for v in candidates {
+            if free >= needed {
+                break;
+            }
+            free += size(v.name);
+            victims.push(v);
+        }
+        if free < needed {
+            return None;
+        }
+        victims.retain(|v| {
+            let without = free - size(v.name);
+            let needless = without >= needed;
+            if needless {
+                free = without;
+            }
+            !needless
+        });
+        Some(victims)
+    }
 }
 
 /// Whether an engine has the only copy of a model that it does not hold.
@@ -163,69 +334,10 @@
     idle.any(|name| !elsewhere(name))
 }
 
-fn cost_at(
-    view: &View,
-    service: &str,
-    engine: &Engine,
-    model: &str,
-    key: TargetKey,
-    s: &Seen,
-    now: Duration,
-) -> Option<Outcome> {
-    let report = s.fresh(now)?;
-    let decl = engine.model(model)?;
-    if s.has(model, now) {
-        return None;
-    }
-    if let Some(loading) = report.load.loading.as_ref().filter(|l| *l.model == *model) {
-        return Some(Outcome {
-            key,
-            from: loading.from,
-            ready_in: loading.left,
-            victims: Vec::new(),
-            cost_ms: ms(loading.left),
-        });
-    }
-    let from = report.holds.copy(model);
-    let mut ready = match from {
-        Copy::Memory => decl.from_memory,
-        Copy::Disk => decl.from_disk,
-        Copy::Store => decl.from_store,
-    };
-    if let Some(other) = &report.load.loading {
-        ready += other.left;
-    }
-    if report.load.unloading.is_some() {
-        ready += UNLOAD_TIME;
-    }
-    ready += report.load.to_load;
-    let victims = room(view, service, engine, decl.weights_mb, s, report, now)?;
-    ready += busy_time(victims.iter().map(|v| v.name), report);
-    let missed: f64 = victims.iter().map(|v| v.missed_ms).sum();
-    Some(Outcome {
-        key,
-        from,
-        ready_in: ready,
-        victims: victims.iter().map(|v| v.name.into()).collect(),
-        cost_ms: ms(ready) + missed + blocked_ms(report, ready),
-    })
-}
-
 fn ms(t: Duration) -> f64 {
     t.as_secs_f64() * 1000.0
 }
 
-/// What a model costs when it makes way, in milliseconds that its requests wait longer.
-fn missed_ms(view: &View, service: &str, model: &str, now: Duration) -> f64 {
-    let (per_s, replicas) = demand(view, service, model, now);
-    let stay = replicas.saturating_sub(1);
-    if stay == 0 {
-        return LAST_MS + LAST_MS_PER_S * per_s;
-    }
-    let over = per_s / f64::from(stay) - REPLICA_PER_S;
-    SPARE_MS + CROWD_MS_PER_S * over.max(0.0)
-}
-
 /// The wait for the requests in flight at the models that make way, until the last of them has ended.
 ///
 /// The longest of several streams of unequal length: with `n` of them the average times the sum of
@@ -241,20 +353,6 @@
     Duration::from_secs_f64(STREAM_LEFT_MS / 1000.0 * longest)
 }
 
-/// Requests a second for a model, and its replicas, those that are coming among them.
-pub fn demand(view: &View, service: &str, model: &str, now: Duration) -> (f64, u32) {
-    let mut per_s = 0.0;
-    let mut replicas = 0;
-    for (_, s) in view.of(service).filter(|(_, s)| s.open(now)) {
-        if s.has(model, now) || s.coming(model, now) {
-            replicas += 1;
-            let usage = s.fresh(now).and_then(|r| r.load.usage(model));
-            per_s += f64::from(usage.map_or(0.0, |u| u.per_s));
-        }
-    }
-    (per_s, replicas)
-}
-
 /// What an engine's adapters cost while it loads, in milliseconds.
 fn blocked_ms(report: &Report, ready: Duration) -> f64 {
     let with_adapters = report
@@ -283,52 +381,3 @@
         self.missed_ms + self.busy_ms
     }
 }
-
-/// Finds the models that make way for `needed` MB, the least missed first.
-fn room<'a>(
-    view: &View,
-    service: &str,
-    engine: &Engine,
-    needed: f64,
-    s: &'a Seen,
-    report: &Report,
-    now: Duration,
-) -> Option<Vec<Victim<'a>>> {
-    let size = |name: &str| engine.model(name).map_or(0.0, |m| m.weights_mb);
-    let held = &s.holds(now).models;
-    let coming = report.load.loading.as_ref().map_or(0.0, |l| size(&l.model));
-    let taken: f64 = held.iter().map(|h| size(&h.name)).sum::<f64>() + coming;
-    let mut free = engine.weights_mb - adapters_mb(engine) - taken;
-    let mut victims: Vec<Victim<'_>> = held
-        .iter()
-        .map(|h| Victim {
-            name: &h.name,
-            missed_ms: missed_ms(view, service, &h.name, now),
-            busy_ms: ms(busy_time([&*h.name], report)),
-        })
-        .collect();
-    victims.sort_by(|a, b| a.cost_ms().total_cmp(&b.cost_ms()));
-    // One large victim can be cheaper than two small ones, yet with two or three models an engine
-    // the order by cost alone is close enough; what turned out needless is dropped below.
-    let enough = victims.iter().position(|v| {
-        let before = free;
-        free += size(v.name);
-        before >= needed
-    });
-    if let Some(n) = enough {
-        free -= size(victims[n].name);
-        victims.truncate(n);
-    }
-    if free < needed {
-        return None;
-    }
-    victims.retain(|v| {
-        let without = free - size(v.name);
-        let needless = without >= needed;
-        if needless {
-            free = without;
-        }
-        !needless
-    });
-    Some(victims)
-}
--- a/crates/stair-sidecar/src/desk.rs
+++ b/crates/stair-sidecar/src/desk.rs
@@ -328,11 +328,7 @@
 
     fn load_time(&self, model: &str, from: Copy) -> Duration {
         let decl = self.decl.as_ref().and_then(|d| d.model(model));
-        decl.map_or(Duration::ZERO, |m| match from {
-            Copy::Memory => m.from_memory,
-            Copy::Disk => m.from_disk,
-            Copy::Store => m.from_store,
-        })
+        decl.map_or(Duration::ZERO, |m| m.load_time(from))
     }
 
     /// How many times its declared time a load has taken.
