--- /dev/null
+++ b/crates/stair-relay/src/failures.rs
@@ -0,0 +1,77 @@
+//! Failures of one request by targets' own word, until it is known what they are put down to.
+
+use std::sync::Arc;
+
+use stair_fleet::{
+    blame::{
+        self,
+        blame, //
+    },
+    view::TargetKey, //
+};
+use stair_telemetry::event::Line;
+
+use crate::{
+    context::Context,
+    job::Job, //
+};
+
+/// The failures of one request that are not put down yet.
+///
+/// They are at the latest when this is dropped: with the answer, with the stream, or with the request of
+/// a client that left. One that was forgotten would have a failing target get its full share for as long
+/// as it is there.
+pub struct Failures {
+    cx: Arc<Context>,
+    id: Box<str>,
+    keys: Vec<TargetKey>,
+}
+
+impl Failures {
+    /// Makes an empty list for a request.
+    pub fn new(cx: &Arc<Context>, job: &Job) -> Self {
+        Self {
+            cx: cx.clone(),
+            id: job.meta.id.clone(),
+            keys: Vec::new(),
+        }
+    }
+
+    /// Notes that a target ran the request and failed it by its own word.
+    pub fn add(&mut self, key: TargetKey) {
+        self.keys.push(key);
+    }
+
+    /// Notes that another target served it.
+    pub fn served(&mut self) {
+        self.put_down(true);
+    }
+
+    fn put_down(&mut self, served: bool) {
+        let failed = std::mem::take(&mut self.keys);
+        if failed.is_empty() {
+            return;
+        }
+        let blamed = blame(&blame::Options {
+            failed: &failed,
+            served,
+        });
+        let mut state = self.cx.state();
+        for key in blamed {
+            state.view.get_mut(*key).learn(false);
+        }
+        drop(state);
+        Line::new("failures")
+            .text("id", &self.id)
+            .num("failed", failed.len() as i64)
+            .num("put_down", blamed.len() as i64)
+            .flag("served", served)
+            .write();
+    }
+}
+
+impl Drop for Failures {
+    fn drop(&mut self) {
+        self.put_down(false);
+    }
+}
--- a/crates/stair-relay/src/lib.rs
+++ b/crates/stair-relay/src/lib.rs
@@ -2,12 +2,13 @@
 //!
 //! A request's way: [`serve`] takes it, [`admit`] finds its route and makes a [`job`] of it, [`relay`]
 //! brings it to a target: [`pick`] chooses one, [`waken`] has its model loaded, [`turn`] waits until its
-//! prompt may be sent, [`attempt`] sends it there once, [`stream`] passes the events of a stream on and
-//! resumes it elsewhere, [`refuse`] makes the entry's own answers.
+//! prompt may be sent, [`attempt`] sends it there once, [`failures`] keeps what targets failed until it is
+//! known what that is put down to, [`stream`] passes the events of a stream on and resumes it elsewhere,
+//! [`refuse`] makes the entry's own answers.
 //!
 //! What the entry knows: [`know`] watches the store, [`links`] hears the agents, [`peers`] asks other
 //! entries when the store does not answer, [`ahead`] has models loaded before they are asked for.
-//! [`context`] holds it all, [`process`] starts and stops.
+//! [`context`] holds it all, [`dump`] shows it to the operator, [`process`] starts and stops.
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
@@ -16,6 +17,7 @@
 pub mod attempt;
 pub mod context;
 pub mod dump;
+pub mod failures;
 pub mod job;
 pub mod know;
 pub mod links;
--- a/crates/stair-relay/src/relay.rs
+++ b/crates/stair-relay/src/relay.rs
@@ -15,15 +15,9 @@
     body::Incoming, //
 };
 use platform_adapter::request::Meta;
-use stair_fleet::{
-    blame::{
-        self,
-        blame, //
-    },
-    view::{
-        SUSPECT_TIME,
-        TargetKey, //
-    },
+use stair_fleet::view::{
+    SUSPECT_TIME,
+    TargetKey, //
 };
 use stair_http::body::{
     Body,
@@ -42,6 +36,7 @@
         Live, //
     },
     context::Context,
+    failures::Failures,
     job::Job,
     pick::{
         self,
@@ -133,7 +128,6 @@
 }
 
 /// How the attempts of one request went so far.
-#[derive(Default)]
 pub struct Tried {
     /// Targets that are not to be tried again.
     pub keys: Vec<TargetKey>,
@@ -145,11 +139,23 @@
     pub paid: bool,
     /// A target's own failure that was to be bettered by a retry.
     failure: Option<Response<Body>>,
-    /// Targets that ran the request and failed it by their own word.
-    failed: Vec<TargetKey>,
+    /// Failures by targets' own word.
+    failures: Failures,
 }
 
 impl Tried {
+    /// Makes that of a request that has not been sent.
+    pub fn new(cx: &Arc<Context>, job: &Job) -> Self {
+        Self {
+            keys: Vec::new(),
+            ran: 0,
+            sent: 0,
+            paid: false,
+            failure: None,
+            failures: Failures::new(cx, job),
+        }
+    }
+
     /// Whether another target may be tried after an attempt that may have run.
     pub fn may_run_again(&self, job: &Job) -> bool {
         job.route.repeatable() && self.ran < job.route.attempts
@@ -157,10 +163,8 @@
 }
 
 async fn run(cx: &Arc<Context>, job: Arc<Job>) -> Result<Response<Body>, Refusal> {
-    let mut tried = Tried::default();
-    let result = attempts(cx, job.clone(), &mut tried).await;
-    let served = matches!(&result, Ok(resp) if !resp.status().is_server_error());
-    put_down(cx, &job, &tried.failed, served);
+    let mut tried = Tried::new(cx, &job);
+    let result = attempts(cx, job, &mut tried).await;
     // What a target has answered is passed on rather than replaced by a failure of the entry's own,
     // which would tell the client less.
     match (result, tried.failure.take()) {
@@ -169,25 +173,6 @@
     }
 }
 
-/// Takes the failures that targets themselves told into what is known of them.
-fn put_down(cx: &Context, job: &Job, failed: &[TargetKey], served: bool) {
-    if failed.is_empty() {
-        return;
-    }
-    let blamed = blame(&blame::Options { failed, served });
-    let mut state = cx.state();
-    for key in blamed {
-        state.view.get_mut(*key).learn(false);
-    }
-    drop(state);
-    Line::new("failures")
-        .text("id", &job.meta.id)
-        .num("failed", failed.len() as i64)
-        .num("put_down", blamed.len() as i64)
-        .flag("served", served)
-        .write();
-}
-
 async fn attempts(
     cx: &Arc<Context>,
     job: Arc<Job>,
@@ -339,13 +324,16 @@
         Outcome::Head(live) => {
             tried.ran += 1;
             if live.head.status.is_server_error() {
-                tried.failed.push(key);
+                tried.failures.add(key);
             } else {
                 seen.learn(true);
             }
         }
     }
     drop(state);
+    if matches!(outcome, Outcome::Head(live) if !live.head.status.is_server_error()) {
+        tried.failures.served();
+    }
     if let Some(engine) = former {
         cx.tell_former(engine, picked.id.clone());
     }
--- a/crates/stair-relay/src/stream.rs
+++ b/crates/stair-relay/src/stream.rs
@@ -121,7 +121,7 @@
     let pump = Pump {
         cx: cx.clone(),
         job: job.clone(),
-        tried: std::mem::take(tried),
+        tried: std::mem::replace(tried, Tried::new(cx, job)),
         last: job.meta.last_event,
         passed: 0,
         first: job.received.elapsed(),
