--- a/crates/stair-sidecar/src/process.rs
+++ b/crates/stair-sidecar/src/process.rs
@@ -5,7 +5,6 @@
 mod tell;
 
 use std::{
-    pin::Pin,
     sync::Arc,
     time::Duration, //
 };
@@ -127,9 +126,10 @@
         let page = Arc::new(Page::default());
         let (_end, never) = watch::channel(false);
         let (tx, rx) = mpsc::channel(QUEUE);
+        let (counted, events) = (page.clone(), tx.clone());
         let opts = observe::Options {
-            page: text_of(page.clone()),
-            dump: dump_of(tx.clone()),
+            page: move || counted.text(),
+            dump: move || ask_dump(events.clone()),
         };
         tasks.spawn(observe::serve(self.metrics, never, opts));
         tasks.spawn(links::accept(self.inner, tx));
@@ -159,30 +159,17 @@
     Ok(())
 }
 
-fn text_of(page: Arc<Page>) -> impl Fn() -> String + Clone + Send + Sync + 'static {
-    move || page.text()
-}
-
 /// Asks the main loop for its state.
-fn dump_of(
-    events: mpsc::Sender<Event>,
-) -> impl Fn() -> BoxFuture<Value> + Clone + Send + Sync + 'static {
-    move || {
-        let events = events.clone();
-        Box::pin(async move {
-            let (tx, rx) = oneshot::channel();
-            // Both fail only when the process is ending.
-            let asked = events.send(Event::Dump(tx)).await.is_ok();
-            match rx.await {
-                Ok(dump) if asked => json!(dump),
-                _ => json!({ "stopping": true }),
-            }
-        })
+async fn ask_dump(events: mpsc::Sender<Event>) -> Value {
+    let (tx, rx) = oneshot::channel();
+    // Both fail only when the process is ending.
+    let asked = events.send(Event::Dump(tx)).await.is_ok();
+    match rx.await {
+        Ok(dump) if asked => json!(dump),
+        _ => json!({ "stopping": true }),
     }
 }
 
-type BoxFuture<T> = Pin<Box<dyn Future<Output = T> + Send>>;
-
 struct Link {
     key: LinkKey,
     tx: mpsc::Sender<ToEntry>,
@@ -347,7 +334,7 @@
             self.learn_instance(id, revision);
         }
         if matches!(reply, Ok(platform_adapter::engine::Reply::OtherInstance)) {
-            self.forget_instance(&order.instance);
+            self.hear_former(order.instance.clone());
         }
         let said = match &reply {
             Ok(reply) => format!("{reply:?}"),
--- a/crates/stair-sidecar/src/process/hear.rs
+++ b/crates/stair-sidecar/src/process/hear.rs
@@ -87,32 +87,23 @@
         }
     }
 
-    /// Takes in that the engine has told an entry that it is not this life.
-    fn hear_former(&mut self, id: Box<str>) {
+    /// Takes in that the engine has said it is not this life, to an entry or to this agent.
+    ///
+    /// The refusal need not name the life that is there instead. Ordering on for the one before
+    /// would be refused for as long as entries ask (measured: 546 refusals in 14 s at one engine);
+    /// without a life the entries are told at once that this engine takes no orders.
+    pub(super) fn hear_former(&mut self, id: Box<str>) {
         if self.former.as_ref() == Some(&id) {
             return;
         }
+        Line::failure("instance.former").text("id", &id).write();
         if self.instance.as_ref().is_some_and(|(i, _)| *i == id) {
-            self.forget_instance(&id);
-            return;
+            self.instance = None;
         }
         self.former = Some(id.clone());
         self.tell(&ToEntry::Former(id));
     }
 
-    /// Forgets the life that an order was refused for.
-    ///
-    /// The refusal need not name the life that is there instead. Ordering on for the one before
-    /// would be refused for as long as entries ask (measured: 546 refusals in 14 s at one engine);
-    /// without a life the entries are told at once that this engine takes no orders.
-    pub(super) fn forget_instance(&mut self, refused: &str) {
-        if self.instance.as_ref().is_some_and(|(i, _)| **i == *refused) {
-            Line::failure("instance.former").text("id", refused).write();
-            self.former = self.instance.take().map(|(id, _)| id);
-            self.tell(&ToEntry::Former(refused.into()));
-        }
-    }
-
     pub(super) fn learn_instance(&mut self, id: Box<str>, revision: u64) {
         // An entry that lags still names the life before.
         if self.former.as_ref() == Some(&id) {
