--- a/crates/stair-fleet/src/choose.rs
+++ b/crates/stair-fleet/src/choose.rs
@@ -78,8 +78,7 @@
 
 /// Chooses among the targets that are open and, where a model is asked for, hold it.
 pub fn choose(view: &View, opts: &Options<'_>, now: Duration) -> Option<Outcome> {
-    let open = |s: &Seen| s.open(now) || (opts.suspects && s.listed_ready());
-    let able = |s: &Seen| open(s) && opts.model.is_none_or(|m| s.has(m, now));
+    let able = |s: &Seen| s.takes(opts.suspects, now) && opts.model.is_none_or(|m| s.has(m, now));
     let candidates: Vec<(TargetKey, &Seen)> = view
         .of(opts.service)
         .filter(|(key, s)| able(s) && !opts.tried.contains(key))
--- a/crates/stair-fleet/src/fetch.rs
+++ b/crates/stair-fleet/src/fetch.rs
@@ -35,7 +35,8 @@
 /// assumption about the hardware that only decides until loads have ended.
 const LINK_MB_PER_S: f64 = 10_000.0;
 
-/// Loads of those that are of use at once that are only begun for a request which waits for one.
+/// Loads, of those that are of use at once, that are only begun for a request which waits for one. Were
+/// all taken by loads ahead of requests, it would wait for one of those to end first.
 const KEPT_FREE: usize = 1;
 
 /// Number up to which loads that kept their declared time let twice as many begin; beyond it, one
--- a/crates/stair-fleet/src/reading.rs
+++ b/crates/stair-fleet/src/reading.rs
@@ -29,7 +29,9 @@
 /// engines in use read 25 to 35 of long prompts.
 const FIRST_RATE: f64 = 33.0;
 
-/// The least and the most that is believed, whatever a sample says.
+/// The least and the most that is believed of an engine's rate. A VM that stood still, or a link that
+/// lost a packet, makes a sample of a few tokens a millisecond; believed as it is, the engine would be
+/// sent hardly a prompt for as long as it takes to learn better, which it does by prompts.
 const RATES: RangeInclusive<f64> = 10.0..=60.0;
 
 /// Weight of the newest sample in the rate; a change shows after about seven prompts.
--- a/crates/stair-fleet/src/view.rs
+++ b/crates/stair-fleet/src/view.rs
@@ -114,8 +114,12 @@
         ready && !missing && now >= self.suspect_until && !dead
     }
 
-    /// Whether the target takes new requests by its own word, suspicion left aside.
-    pub fn listed_ready(&self) -> bool {
+    /// Whether the target takes new requests, by its own word alone where suspicion is left aside.
+    pub fn takes(&self, suspects: bool, now: Duration) -> bool {
+        self.open(now) || (suspects && self.listed_ready())
+    }
+
+    fn listed_ready(&self) -> bool {
         self.listed && self.missing_until.is_none() && self.target.state == State::Ready
     }
 
--- a/crates/stair-fleet/tests/view.rs
+++ b/crates/stair-fleet/tests/view.rs
@@ -189,7 +189,7 @@
     let other = view.put(target(1, "lookups"));
     assert_ne!(key, other);
     let seen = view.get(key);
-    assert!(!seen.listed_ready() && !seen.open(NOW));
+    assert!(!seen.takes(true, NOW) && !seen.open(NOW));
     view.get_mut(key).learn(false);
     view.get_mut(key).in_flight += 1;
     assert_eq!(view.get(other).failing, 0.0);
--- a/crates/stair-relay/src/context.rs
+++ b/crates/stair-relay/src/context.rs
@@ -99,8 +99,6 @@
     pub peers: Option<(Peers, Duration)>,
     budgets: Vec<(Box<str>, Budget)>,
     use_of: Vec<UseAt>,
-    /// How long prompts took to be read, for each engine's agent.
-    read: Vec<(SocketAddr, Read)>,
     next_seq: u64,
 }
 
@@ -114,6 +112,8 @@
     pub entries: u32,
     /// The last life that the engine has said it is not.
     pub former: Option<Box<str>>,
+    /// How long prompts took to be read, that the agent has not been told.
+    pub read: Vec<Read>,
     /// Questions that wait for their answer.
     pub waiting: Vec<(u64, oneshot::Sender<Outcome>)>,
     /// Prompts that wait to be told their turn.
@@ -249,23 +249,42 @@
     /// Counts a request for a service.
     pub fn count_request(&self, service: &str) {
         let now = self.now();
-        let opts = self.budget_options();
-        self.state().budget(service, opts).request(now);
+        let mut state = self.state();
+        let i = self.budget(&mut state, service);
+        state.budgets[i].1.request(now);
     }
 
     /// Takes a retry from this entry's share of the budget, and tells whether it may be made.
     pub fn may_retry(&self, service: &str) -> bool {
         let now = self.now();
-        let opts = self.budget_options();
-        let allowed = self.state().budget(service, opts).try_retry(now);
+        let allowed = {
+            let mut state = self.state();
+            let i = self.budget(&mut state, service);
+            let opts = self.budget_options(&state);
+            let budget = &mut state.budgets[i].1;
+            budget.set_options(opts);
+            budget.try_retry(now)
+        };
         let outcome = if allowed { "made" } else { "refused" };
         self.page.count("retries_total", &[("outcome", outcome)], 1);
         allowed
     }
 
-    fn budget_options(&self) -> budget::Options {
+    /// Finds the retries of a service. What bounds them is looked up for a retry, and not for each
+    /// request: it is the largest word of all agents.
+    fn budget(&self, state: &mut State, service: &str) -> usize {
+        let found = state
+            .budgets
+            .binary_search_by(|(name, _)| (**name).cmp(service));
+        found.unwrap_or_else(|i| {
+            let budget = Budget::new(self.budget_options(state));
+            state.budgets.insert(i, (service.into(), budget));
+            i
+        })
+    }
+
+    fn budget_options(&self, state: &State) -> budget::Options {
         let retries = self.live().retries;
-        let state = self.state();
         let heard = state.agents.iter().map(|a| a.entries);
         budget::Options {
             ratio: retries.ratio,
@@ -302,9 +321,8 @@
     pub fn was_read(&self, key: TargetKey, unread: u32, took: Duration) {
         let mut state = self.state();
         let engine = state.view.get(key).target.addr;
-        // Without a link nobody would ever take it.
-        if unread > 0 && state.agent(engine).is_some() {
-            state.read.push((engine, Read { unread, took }));
+        if let Some(i) = state.agent(engine).filter(|_| unread > 0) {
+            state.agents[i].read.push(Read { unread, took });
         }
     }
 
@@ -340,22 +358,6 @@
         self.budgets.iter().map(|(service, b)| (&**service, b))
     }
 
-    fn budget(&mut self, service: &str, opts: budget::Options) -> &mut Budget {
-        let i = match self
-            .budgets
-            .binary_search_by(|(name, _)| (**name).cmp(service))
-        {
-            Ok(i) => i,
-            Err(i) => {
-                self.budgets.insert(i, (service.into(), Budget::new(opts)));
-                i
-            }
-        };
-        let budget = &mut self.budgets[i].1;
-        budget.set_options(opts);
-        budget
-    }
-
     /// Notes that a request goes to an engine.
     fn use_begins(&mut self, engine: SocketAddr, name: &str) {
         let found = self
@@ -390,10 +392,8 @@
 
     /// Takes how long prompts took to be read at an engine since its agent was told.
     pub fn take_read(&mut self, engine: SocketAddr) -> Vec<Read> {
-        let here = self.read.iter().filter(|(e, _)| *e == engine);
-        let out = here.map(|(_, read)| *read).collect();
-        self.read.retain(|(e, _)| *e != engine);
-        out
+        let i = self.agent(engine);
+        i.map_or_else(Vec::new, |i| std::mem::take(&mut self.agents[i].read))
     }
 
     /// Takes what an engine's agent has not been told yet; all of it for a new link.
--- a/crates/stair-relay/src/links.rs
+++ b/crates/stair-relay/src/links.rs
@@ -77,6 +77,7 @@
                 tx,
                 entries: 0,
                 former: None,
+                read: Vec::new(),
                 waiting: Vec::new(),
                 turns: Vec::new(),
             };
@@ -143,6 +144,7 @@
     if let Some(i) = state.agent(engine) {
         state.agents[i].waiting.clear();
         state.agents[i].turns.clear();
+        state.agents[i].read.clear();
     }
     state.view.unreport(engine);
 }
--- a/crates/stair-relay/src/pick.rs
+++ b/crates/stair-relay/src/pick.rs
@@ -175,7 +175,7 @@
         ..looks.turn
     };
     match turn(cx, job, at.key, &opts).await {
-        Turn::Now(prompt) => go(cx, job, at, prompt).ok_or(Nowhere::after(Duration::ZERO)),
+        Turn::Now(prompt) => go(cx, job, at, prompt, true).ok_or(Nowhere::after(Duration::ZERO)),
         Turn::Later => Err(Nowhere::after(Duration::ZERO)),
         Turn::Full(wait) => Err(Nowhere::after(wait)),
     }
@@ -235,7 +235,7 @@
     let opts = looks.turn;
     looks.turn.first = false;
     match turn(cx, job, at.key, &opts).await {
-        Turn::Now(prompt) => go(cx, job, at, prompt).map_or(Step::Again, Step::Go),
+        Turn::Now(prompt) => go(cx, job, at, prompt, false).map_or(Step::Again, Step::Go),
         Turn::Later => Step::Again,
         Turn::Full(wait) if opts.full >= MAX_FULL => Step::Crowded(wait),
         Turn::Full(_) => {
@@ -285,12 +285,19 @@
     choose::choose(&cx.state().view, &opts, cx.now())
 }
 
-/// Returns where the request goes, unless the target has left while an adapter or a turn was waited for.
-fn go(cx: &Arc<Context>, job: &Job, at: choose::Outcome, prompt: Prompt) -> Option<Picked> {
+/// Returns where the request goes, unless the target has left while an adapter or a turn was waited for:
+/// what is sent to it after that is lost.
+fn go(
+    cx: &Arc<Context>,
+    job: &Job,
+    at: choose::Outcome,
+    prompt: Prompt,
+    suspects: bool,
+) -> Option<Picked> {
     let (addr, id, age) = {
         let state = cx.state();
         let seen = state.view.get(at.key);
-        if !seen.open(cx.now()) && !seen.listed_ready() {
+        if !seen.takes(suspects, cx.now()) {
             return None;
         }
         let age = seen
--- a/crates/stair-relay/src/turn.rs
+++ b/crates/stair-relay/src/turn.rs
@@ -42,7 +42,7 @@
 pub enum Turn {
     /// The prompt may be sent.
     Now(Prompt),
-    /// Others go first, or the target has left meanwhile; there is time to look again.
+    /// Others go first; there is time to look again.
     Later,
     /// The wait would be longer than is of use.
     Full(Duration),
@@ -113,13 +113,9 @@
         }
         return Turn::Full(answer.wait);
     }
-    if answer.wait > Duration::ZERO {
+    // A timer takes up to a millisecond also when there is nothing to wait for.
+    if !answer.wait.is_zero() {
         sleep(answer.wait).await;
-        // It may have been told to leave meanwhile; what is sent to it after that is lost.
-        let now = cx.now();
-        if !cx.state().view.get(key).open(now) {
-            return Turn::Later;
-        }
     }
     Turn::Now(Prompt {
         kept: answer.kept,
