--- a/crates/dandelionstair/tests/promises/main.rs
+++ b/crates/dandelionstair/tests/promises/main.rs
@@ -21,3 +21,4 @@
 mod turns;
 mod under_load;
 mod whole_answer;
+mod without_key;
--- a/crates/dandelionstair/tests/promises/support/mod.rs
+++ b/crates/dandelionstair/tests/promises/support/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod caller;
 pub(crate) mod measured;
 pub(crate) mod process;
+pub(crate) mod specs;
 pub(crate) mod told;
 pub(crate) mod waits;
 pub(crate) mod world;
--- a/crates/stair-agent/tests/common/entry.rs
+++ b/crates/stair-agent/tests/common/entry.rs
@@ -242,6 +242,12 @@
         }
     }
 
+    /// Waits until the agent is ready, and says that the work may start.
+    pub(crate) async fn start(&mut self) {
+        self.ready().await;
+        self.say(ToAgent::Start).await;
+    }
+
     /// Starts the request once it is ready, and reads until its end.
     pub(crate) async fn finish(&mut self) -> Ended {
         let (mut status_now, mut body) = (0, Vec::new());
--- a/crates/stair-agent/tests/grants.rs
+++ b/crates/stair-agent/tests/grants.rs
@@ -12,10 +12,7 @@
     GrantId,
     Reason, //
 };
-use stair_wire::{
-    control::AgentControl,
-    request::ToAgent, //
-};
+use stair_wire::control::AgentControl;
 
 fn releases(said: &AgentControl, id: u64) -> bool {
     match said {
@@ -34,8 +31,7 @@
     let agent = world.agent().await;
     let link = world.entry.link(&agent).await;
     let mut running = Stream::offer(&link, 1, "m1", false).await;
-    running.ready().await;
-    running.say(ToAgent::Start).await;
+    running.start().await;
     eventually(|| !world.engine.runs().is_empty()).await;
 
     world.grants[0].revoking = true;
--- a/crates/stair-agent/tests/lifecycle.rs
+++ b/crates/stair-agent/tests/lifecycle.rs
@@ -19,10 +19,7 @@
     Reason,
     Verdict, //
 };
-use stair_wire::{
-    control::AgentControl,
-    request::ToAgent, //
-};
+use stair_wire::control::AgentControl;
 
 fn record(world: &World) -> IncarnationRecord {
     let object = world.store.object(Kind::Incarnation, "t1");
@@ -85,8 +82,7 @@
     let agent = world.agent().await;
     let link = world.entry.link(&agent).await;
     let mut running = Stream::offer(&link, 1, "m1", false).await;
-    running.ready().await;
-    running.say(ToAgent::Start).await;
+    running.start().await;
     eventually(|| !world.engine.runs().is_empty()).await;
     let mut waiting = Stream::offer(&link, 2, "m1", false).await;
     until(&agent, |d| d.waiting.len() == 1).await;
--- a/crates/stair-agent/tests/once.rs
+++ b/crates/stair-agent/tests/once.rs
@@ -33,8 +33,7 @@
     let agent = world.agent().await;
     let link = world.entry.link(&agent).await;
     let mut stream = Stream::offer(&link, 1, "m1", false).await;
-    stream.ready().await;
-    stream.say(ToAgent::Start).await;
+    stream.start().await;
     stream.say(ToAgent::Start).await;
     eventually(|| !world.engine.runs().is_empty()).await;
 
@@ -59,8 +58,7 @@
     let agent = world.agent().await;
     let link = world.entry.link(&agent).await;
     let mut stream = Stream::offer(&link, 1, "m1", true).await;
-    stream.ready().await;
-    stream.say(ToAgent::Start).await;
+    stream.start().await;
     let head = stream.next().await;
     assert!(matches!(
         head,
@@ -142,8 +140,7 @@
     let agent = world.agent().await;
     let link = world.entry.link(&agent).await;
     let mut stream = Stream::offer(&link, 1, "m1", false).await;
-    stream.ready().await;
-    stream.say(ToAgent::Start).await;
+    stream.start().await;
     eventually(|| !world.engine.runs().is_empty()).await;
 
     link.close();
@@ -159,8 +156,7 @@
     let agent = world.agent().await;
     let link = world.entry.link(&agent).await;
     let mut stream = Stream::offer(&link, 1, "m1", false).await;
-    stream.ready().await;
-    stream.say(ToAgent::Start).await;
+    stream.start().await;
     eventually(|| !world.engine.runs().is_empty()).await;
 
     stream.say(ToAgent::Cancel).await;
--- a/crates/stair-agent/tests/queue.rs
+++ b/crates/stair-agent/tests/queue.rs
@@ -18,7 +18,6 @@
 use stair_wire::{
     request::{
         Offer,
-        ToAgent,
         Work, //
     }, //
 };
@@ -53,8 +52,7 @@
     let agent = world.agent().await;
     let link = world.entry.link(&agent).await;
     let mut running = Stream::offer(&link, 1, "m1", false).await;
-    running.ready().await;
-    running.say(ToAgent::Start).await;
+    running.start().await;
     let engine: &FakeEngine = &world.engine;
     eventually(|| !engine.runs().is_empty()).await;
     (agent, link, running)
--- a/crates/stair-dev/examples/slopes/fleet.rs
+++ b/crates/stair-dev/examples/slopes/fleet.rs
@@ -1,14 +1,7 @@
 //! A fleet in this process: the platform's stand-in, entries behind proxies that count bytes, and
 //! agents beside idle engines.
 
-use std::{
-    net::{
-        Ipv4Addr,
-        SocketAddr, //
-    },
-    path::PathBuf,
-    time::Duration, //
-};
+use std::time::Duration;
 
 use anyhow::Context;
 use stair_agent::Agent;
@@ -19,17 +12,20 @@
     EntryLimits,
     EntrySettings,
     TargetSettings,
-    TelemetrySettings,
-    TlsSettings, //
+    TelemetrySettings, //
+};
+use stair_dev::loopback::{
+    any_port,
+    data_centre,
+    live,
+    no_files, //
 };
 use stair_entry::Entry;
 use stair_link::keys::Authority;
 use stair_platform::{
     HttpStore,
     Kind,
-    Vm,
     VmRole,
-    VmState,
     apply,
     http, //
 };
@@ -49,7 +45,6 @@
 };
 use stair_types::{
     ApplyId,
-    DataCentre,
     EntryName,
     TargetName, //
 };
@@ -237,27 +232,3 @@
         Ok(())
     }
 }
-
-fn any_port() -> SocketAddr {
-    (Ipv4Addr::LOCALHOST, 0).into()
-}
-
-fn data_centre() -> anyhow::Result<DataCentre> {
-    Ok(DataCentre::try_from("dev")?)
-}
-
-fn live(role: VmRole) -> anyhow::Result<Vm> {
-    Ok(Vm {
-        role,
-        data_centre: data_centre()?,
-        state: VmState::Live,
-    })
-}
-
-fn no_files() -> TlsSettings {
-    TlsSettings {
-        authority: PathBuf::new(),
-        certificate: PathBuf::new(),
-        key: PathBuf::new(),
-    }
-}
--- a/crates/stair-dev/src/deployment.rs
+++ b/crates/stair-dev/src/deployment.rs
@@ -1,12 +1,8 @@
 //! Starts and stops the parts of a small deployment.
 
 use std::{
-    net::{
-        Ipv4Addr,
-        SocketAddr, //
-    },
-    path::PathBuf,
-    time::Duration,
+    net::SocketAddr,
+    time::Duration, //
 };
 
 use anyhow::{
@@ -21,16 +17,13 @@
     EntryLimits,
     EntrySettings,
     TargetSettings,
-    TelemetrySettings,
-    TlsSettings, //
+    TelemetrySettings, //
 };
 use stair_entry::Entry;
 use stair_link::keys::Authority;
 use stair_platform::{
     HttpStore,
-    Vm,
     VmRole,
-    VmState,
     apply,
     http, //
 };
@@ -44,12 +37,18 @@
 };
 use stair_types::{
     ApplyId,
-    DataCentre,
     EntryName,
     ServiceName,
     TargetName, //
 };
 
+use crate::loopback::{
+    any_port,
+    data_centre,
+    live,
+    no_files, //
+};
+
 /// Size and addresses of a deployment.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -307,28 +306,3 @@
         Ok(())
     }
 }
-
-fn any_port() -> SocketAddr {
-    (Ipv4Addr::LOCALHOST, 0).into()
-}
-
-fn data_centre() -> anyhow::Result<DataCentre> {
-    Ok(DataCentre::try_from("dev")?)
-}
-
-fn live(role: VmRole) -> anyhow::Result<Vm> {
-    Ok(Vm {
-        role,
-        data_centre: data_centre()?,
-        state: VmState::Live,
-    })
-}
-
-/// The keys are made on the spot and never touch a file.
-fn no_files() -> TlsSettings {
-    TlsSettings {
-        authority: PathBuf::new(),
-        certificate: PathBuf::new(),
-        key: PathBuf::new(),
-    }
-}
--- a/crates/stair-dev/src/lib.rs
+++ b/crates/stair-dev/src/lib.rs
@@ -4,11 +4,13 @@
 //! processes.
 //!
 //! - [`deployment`]: starts and stops the parts.
+//! - [`loopback`]: addresses, keys and VMs of its parts.
 //! - [`sample`]: the sample catalogue and its callers' keys.
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
 pub mod deployment;
+pub mod loopback;
 pub mod sample;
 
 pub use deployment::{
