--- a/crates/stair-agent/tests/queue.rs
+++ b/crates/stair-agent/tests/queue.rs
@@ -15,11 +15,9 @@
     TierRank,
     Verdict, //
 };
-use stair_wire::{
-    request::{
-        Offer,
-        Work, //
-    }, //
+use stair_wire::request::{
+    Offer,
+    Work, //
 };
 
 fn offer(id: u128, rank: u8, time_left_ms: u32, body: &[u8]) -> Offer {
