fleet, platform, relay, sidecar: a life is an id and its start; strangers name no target

Ruled out: that targets of the deployments in hand say when they started (none does, in the list nor in a reading), so the start stays optional; a life that says it goes before one that does not. Now: a later start replaces the life, an older word is dropped unless it is all that comes for three heartbeats (a clock that was set back); what is not wholly a target's own words names no target, item by item; a load that a former life left unanswered keeps its room until its count is past.

--- a/crates/stair-fleet/src/target.rs
+++ b/crates/stair-fleet/src/target.rs
@@ -13,8 +13,10 @@
 /// A target as it announces itself.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Target {
-    /// One life of the target; a restart has another.
+    /// Names the target. A restart has another one, or the same with a later start.
     pub id: Box<str>,
+    /// When this life of it started, in milliseconds of its own clock, where it says so.
+    pub started: Option<u64>,
     /// The service that it belongs to.
     pub service: Box<str>,
     /// Where it takes requests.
--- a/crates/stair-fleet/src/view.rs
+++ b/crates/stair-fleet/src/view.rs
@@ -31,6 +31,14 @@
 /// that a crashed process takes to come back; a target that is sound again loses little by it.
 pub const SUSPECT_TIME: Duration = Duration::from_millis(1500);
 
+/// Time for which words of an earlier life are dropped while none of the later one comes.
+///
+/// An old word can be written to the list late, by the target itself or by the store; the target writes
+/// over it at its next heartbeat, 1.2 s later. One whose clock was set back between two lives would
+/// look old for ever, and would get no requests; after three heartbeats without a word of the other
+/// life its word is taken.
+pub const OLD_WORDS_TIME: Duration = Duration::from_millis(3600);
+
 /// Weight of the newest sample in the averages; a change shows after about five requests.
 const SMOOTH: f64 = 0.2;
 
@@ -41,7 +49,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TargetKey {
     slot: u32,
-    born: u64,
+    serial: u64,
 }
 
 /// One target as an entry knows it.
@@ -67,16 +75,23 @@
     pub failing: f64,
     /// Time to the answer's head or first event lately beyond what was expected, in milliseconds.
     pub delay_ms: f64,
-    /// Rises with each target that was seen for the first time.
-    born: u64,
+    /// Whether its service is declared. An announcement of another one was written by a stranger, and
+    /// its address can be that of a sound target.
+    declared: bool,
+    /// Since when only words of an earlier life have come.
+    old_words_since: Option<Duration>,
+    /// Rises with each life that was seen for the first time.
+    serial: u64,
 }
 
 impl Seen {
-    fn new(target: Target, born: u64) -> Self {
+    fn new(target: Target, serial: u64) -> Self {
         Self {
             target,
-            born,
+            serial,
             listed: true,
+            declared: true,
+            old_words_since: None,
             missing_until: None,
             report: None,
             suspect_until: Duration::ZERO,
@@ -95,6 +110,7 @@
             service: "".into(),
             addr: SocketAddr::from(([0, 0, 0, 0], 0)),
             data_centre: "".into(),
+            started: None,
             slots: 0,
             state: State::Draining(None),
             cold: Duration::ZERO,
@@ -163,6 +179,26 @@
         }
     }
 
+    /// Whether a word about the target is one of the life that is known.
+    fn is_life(&self, word: &Target) -> bool {
+        self.target.id == word.id && self.target.started == word.started
+    }
+
+    /// Whether a word is one of an earlier life, which changes nothing.
+    fn is_older(&mut self, word: &Target, now: Duration) -> bool {
+        let older = match (word.started, self.target.started) {
+            (Some(word), Some(known)) => word < known,
+            // Who says when its life started always does: another writer has written this.
+            (None, Some(_)) => true,
+            (_, None) => false,
+        };
+        if !older {
+            return false;
+        }
+        let since = *self.old_words_since.get_or_insert(now);
+        now.saturating_sub(since) < OLD_WORDS_TIME
+    }
+
     /// Notes that the target is gone.
     pub fn leave(&mut self) {
         self.listed = false;
@@ -197,7 +233,10 @@
     seen: Vec<Seen>,
     /// What keys name whose slots have another target: never listed.
     gone: Seen,
-    born: u64,
+    /// That of the newest life.
+    serial: u64,
+    /// Services that operators declare, sorted; `None` until that is known.
+    declared: Option<Vec<Box<str>>>,
     /// Revision of the store that the list is complete up to, 0 for none.
     pub revision: u64,
 }
@@ -207,7 +246,8 @@
         Self {
             seen: Vec::new(),
             gone: Seen::gone(),
-            born: 0,
+            serial: 0,
+            declared: None,
             revision: 0,
         }
     }
@@ -218,18 +258,42 @@
     ///
     /// One that is missing from it is used until `missing_until`: after the store was away, a
     /// target that lives may only be late in announcing itself again.
-    pub fn replace(&mut self, targets: Vec<Target>, revision: u64, missing_until: Duration) {
+    pub fn replace(
+        &mut self,
+        targets: Vec<Target>,
+        revision: u64,
+        missing_until: Duration,
+        now: Duration,
+    ) {
         for seen in self.seen.iter_mut().filter(|s| s.listed) {
             if !targets.iter().any(|t| t.id == seen.target.id) {
                 seen.missing_until.get_or_insert(missing_until);
             }
         }
         for target in targets {
-            self.put(target);
+            self.put(target, now);
         }
         self.revision = revision;
     }
 
+    /// Takes in which services are declared, in any order.
+    pub fn declare<'a, I>(&mut self, services: I)
+    where
+        I: IntoIterator<Item = &'a str>,
+    {
+        let mut services: Vec<Box<str>> = services.into_iter().map(Into::into).collect();
+        services.sort();
+        for seen in &mut self.seen {
+            seen.declared = services.binary_search(&seen.target.service).is_ok();
+        }
+        self.declared = Some(services);
+    }
+
+    fn is_declared(&self, service: &str) -> bool {
+        let declared = self.declared.as_ref();
+        declared.is_none_or(|list| list.binary_search_by(|s| (**s).cmp(service)).is_ok())
+    }
+
     /// Replaces the list by that of a peer, who may still wait for some of them itself.
     pub fn replace_by_peers(&mut self, listed: Vec<Listed>, revision: u64, now: Duration) {
         let late: Vec<(Box<str>, Duration)> = listed
@@ -237,41 +301,71 @@
             .filter_map(|l| Some((l.target.id.clone(), now + l.missing_for?)))
             .collect();
         let targets = listed.into_iter().map(|l| l.target).collect();
-        self.replace(targets, revision, now);
+        self.replace(targets, revision, now, now);
         for (id, until) in late {
-            if let Some(seen) = self.seen.iter_mut().find(|s| s.target.id == id) {
+            let mut listed = self.seen.iter_mut().filter(|s| s.listed);
+            if let Some(seen) = listed.find(|s| s.target.id == id) {
                 seen.missing_until = Some(until);
             }
         }
     }
 
-    /// Adds or changes one target.
-    pub fn put(&mut self, target: Target) -> TargetKey {
-        let known = self.seen.iter().position(|s| s.target.id == target.id);
-        if known.is_none_or(|i| !self.seen[i].listed) {
-            // The other target at this address, whose announcement is missing, has not come back.
-            // Both at one address would have the agent's reports count for the dead one, and the
-            // living one would get no orders.
-            for other in &mut self.seen {
-                if other.target.addr == target.addr && other.missing_until.is_some() {
-                    other.leave();
-                }
+    /// Takes in what one target announces. A later life of it replaces the one before; a word of an
+    /// earlier life is dropped, as by [`OLD_WORDS_TIME`]. `None` for what is dropped.
+    pub fn put(&mut self, target: Target, now: Duration) -> Option<TargetKey> {
+        let known = self
+            .seen
+            .iter()
+            .position(|s| s.listed && s.target.id == target.id);
+        match known {
+            Some(i) if self.seen[i].is_life(&target) => {
+                let declared = self.is_declared(&target.service);
+                let seen = &mut self.seen[i];
+                seen.declared = declared;
+                seen.target = target;
+                seen.missing_until = None;
+                seen.old_words_since = None;
+                return Some(self.key(i));
+            }
+            Some(i) if self.seen[i].is_older(&target, now) => return None,
+            Some(i) => self.seen[i].leave(),
+            None => {}
+        }
+        Some(self.add(target))
+    }
+
+    /// Adds a life that was not listed.
+    fn add(&mut self, target: Target) -> TargetKey {
+        // The other target at this address, whose announcement is missing, has not come back. Both at
+        // one address would have the agent's reports count for the dead one, and the living one would
+        // get no orders.
+        for other in &mut self.seen {
+            if other.target.addr == target.addr && other.missing_until.is_some() {
+                other.leave();
             }
         }
-        if let Some(i) = known {
-            self.seen[i].target = target;
-            self.seen[i].listed = true;
-            self.seen[i].missing_until = None;
+        let again = self.seen.iter().position(|s| s.is_life(&target));
+        if let Some(i) = again {
+            let declared = self.is_declared(&target.service);
+            let seen = &mut self.seen[i];
+            seen.declared = declared;
+            seen.target = target;
+            seen.listed = true;
+            seen.missing_until = None;
             return self.key(i);
         }
-        self.born += 1;
+        self.serial += 1;
+        let declared = self.is_declared(&target.service);
+        let new = Seen {
+            declared,
+            ..Seen::new(target, self.serial)
+        };
         // A slot of a target that is gone and has nothing in flight is used again, so that a
         // process that sees many replacements does not grow.
         let free = self
             .seen
             .iter()
             .position(|s| !s.listed && s.in_flight == 0 && s.report.is_none());
-        let new = Seen::new(target, self.born);
         let i = match free {
             Some(i) => {
                 self.seen[i] = new;
@@ -288,13 +382,14 @@
     fn key(&self, i: usize) -> TargetKey {
         TargetKey {
             slot: i as u32,
-            born: self.seen[i].born,
+            serial: self.seen[i].serial,
         }
     }
 
     /// Removes one target from the list.
     pub fn remove(&mut self, id: &str) {
-        if let Some(seen) = self.seen.iter_mut().find(|s| *s.target.id == *id) {
+        let mut listed = self.seen.iter_mut().filter(|s| s.listed);
+        if let Some(seen) = listed.find(|s| *s.target.id == *id) {
             seen.leave();
         }
     }
@@ -312,7 +407,7 @@
     /// has, since the one before stays on it until its heartbeats have been missed.
     pub fn at(&self, addr: SocketAddr) -> Option<(TargetKey, &Seen)> {
         let here = self.all().filter(|(_, s)| s.target.addr == addr);
-        here.max_by_key(|(_, s)| (s.missing_until.is_none(), s.born))
+        here.max_by_key(|(_, s)| (s.missing_until.is_none(), s.serial))
     }
 
     /// What a listed target says of itself.
@@ -362,7 +457,7 @@
     /// Returns a target; one that is not listed and has no address when its slot has another.
     pub fn get(&self, key: TargetKey) -> &Seen {
         let seen = &self.seen[key.slot as usize];
-        if seen.born == key.born {
+        if seen.serial == key.serial {
             seen
         } else {
             &self.gone
@@ -373,7 +468,7 @@
     /// has another.
     pub fn get_mut(&mut self, key: TargetKey) -> &mut Seen {
         let seen = &mut self.seen[key.slot as usize];
-        if seen.born == key.born {
+        if seen.serial == key.serial {
             seen
         } else {
             self.gone = Seen::gone();
@@ -387,13 +482,13 @@
             .filter(move |(_, s)| *s.target.service == *service)
     }
 
-    /// All listed targets.
+    /// All listed targets of declared services.
     pub fn all(&self) -> impl Iterator<Item = (TargetKey, &Seen)> {
         self.seen
             .iter()
             .enumerate()
             .map(|(i, s)| (self.key(i), s))
-            .filter(|(_, s)| s.listed)
+            .filter(|(_, s)| s.listed && s.declared)
     }
 
     /// Copies the list for a peer, without what has left: a target that came back that way would
--- a/crates/stair-fleet/tests/blame.rs
+++ b/crates/stair-fleet/tests/blame.rs
@@ -24,7 +24,7 @@
 
 fn lookups() -> (View, Vec<TargetKey>) {
     let mut view = View::default();
-    view.replace((0..3).map(|n| target(n, PLAIN)).collect(), 1, NOW);
+    view.replace((0..3).map(|n| target(n, PLAIN)).collect(), 1, NOW, NOW);
     let keys = view.all().map(|(key, _)| key).collect();
     (view, keys)
 }
--- a/crates/stair-fleet/tests/choose.rs
+++ b/crates/stair-fleet/tests/choose.rs
@@ -73,7 +73,7 @@
     assert!(choose(&view, &ask("a"), NOW).is_some());
     let mut leaving = view.get(keys[0]).target.clone();
     leaving.state = State::Draining(Some(ms(2000)));
-    view.put(leaving);
+    view.put(leaving, NOW);
     assert_eq!(choose(&view, &ask("a"), NOW), None);
 }
 
@@ -93,7 +93,7 @@
     let (mut view, keys) = fleet(vec![report(&["a"], &[])]);
     let mut announced = view.get(keys[0]).target.clone();
     announced.holds = support::holds(&["a"], &[]);
-    view.put(announced);
+    view.put(announced, NOW);
     let later = NOW + Duration::from_secs(10);
     assert_eq!(choose(&view, &ask("a"), later).expect("one").key, keys[0]);
 }
@@ -118,7 +118,7 @@
 #[test]
 fn half_failing() {
     let mut view = stair_fleet::View::default();
-    view.replace((0..3).map(|n| target(n, SERVICE)).collect(), 1, NOW);
+    view.replace((0..3).map(|n| target(n, SERVICE)).collect(), 1, NOW, NOW);
     let opts = Options {
         model: None,
         ..ask("")
@@ -167,7 +167,7 @@
 #[test]
 fn equal_targets_share() {
     let mut view = stair_fleet::View::default();
-    view.replace((0..3).map(|n| target(n, SERVICE)).collect(), 1, NOW);
+    view.replace((0..3).map(|n| target(n, SERVICE)).collect(), 1, NOW, NOW);
     let mut counts = [0; 3];
     for salt in 0..300 {
         let opts = Options {
--- a/crates/stair-fleet/tests/random.rs
+++ b/crates/stair-fleet/tests/random.rs
@@ -110,7 +110,7 @@
         for (n, event) in events.into_iter().enumerate() {
             match event {
                 Event::Put(n) => {
-                    view.put(life(n));
+                    view.put(life(n), now);
                     oracle.put(n);
                 }
                 Event::Remove(n) => {
@@ -119,7 +119,7 @@
                 }
                 Event::List(listed, grace) => {
                     let targets = listed.iter().map(|n| life(*n)).collect();
-                    view.replace(targets, n as u64, now + ms(grace));
+                    view.replace(targets, n as u64, now + ms(grace), now);
                     oracle.list(&listed, now + ms(grace));
                 }
                 Event::Pass(time) => now += ms(time),
--- a/crates/stair-fleet/tests/support/mod.rs
+++ b/crates/stair-fleet/tests/support/mod.rs
@@ -64,6 +64,7 @@
 pub(crate) fn target(n: usize, service: &str) -> Target {
     Target {
         id: format!("t{n}").into(),
+        started: None,
         service: service.into(),
         addr: addr(n),
         data_centre: "dc".into(),
@@ -128,7 +129,7 @@
 pub(crate) fn fleet(reports: Vec<Report>) -> (View, Vec<TargetKey>) {
     let mut view = View::default();
     let targets = (0..reports.len()).map(|n| target(n, SERVICE)).collect();
-    view.replace(targets, 1, NOW);
+    view.replace(targets, 1, NOW, NOW);
     for (n, report) in reports.into_iter().enumerate() {
         tell(&mut view, n, report);
     }
--- a/crates/stair-fleet/tests/view.rs
+++ b/crates/stair-fleet/tests/view.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use stair_fleet::{
+    Target,
     View,
     msg::{
         Known,
@@ -27,12 +28,12 @@
 #[test]
 fn missing_after_an_outage() {
     let mut view = View::default();
-    view.replace(vec![target(0, SERVICE), target(1, SERVICE)], 1, NOW);
-    view.replace(vec![target(0, SERVICE)], 2, NOW + ms(1900));
+    view.replace(vec![target(0, SERVICE), target(1, SERVICE)], 1, NOW, NOW);
+    view.replace(vec![target(0, SERVICE)], 2, NOW + ms(1900), NOW);
     let open = |view: &View, now| view.of(SERVICE).filter(|(_, s)| s.open(now)).count();
     assert_eq!(open(&view, NOW), 2);
     assert_eq!(open(&view, NOW + ms(1900)), 1);
-    view.put(target(1, SERVICE));
+    view.put(target(1, SERVICE), NOW);
     assert_eq!(open(&view, NOW + ms(3000)), 2);
 }
 
@@ -40,8 +41,8 @@
 #[test]
 fn missing_otherwise() {
     let mut view = View::default();
-    view.replace(vec![target(0, SERVICE)], 1, NOW);
-    view.replace(vec![], 2, NOW);
+    view.replace(vec![target(0, SERVICE)], 1, NOW, NOW);
+    view.replace(vec![], 2, NOW, NOW);
     assert!(!view.of(SERVICE).any(|(_, s)| s.open(NOW)));
 }
 
@@ -53,7 +54,7 @@
     view.remove(&view.get(keys[0]).target.id.clone());
     let mut other = target(7, "lookups");
     other.addr = addr(0);
-    let key = view.put(other);
+    let key = view.put(other, NOW).expect("a newer word");
     assert_eq!(view.of(SERVICE).count(), 0);
     assert!(view.get(key).report.is_none());
 }
@@ -61,11 +62,11 @@
 #[test]
 fn leaving_is_not_open() {
     let mut view = View::default();
-    let key = view.put(target(0, SERVICE));
+    let key = view.put(target(0, SERVICE), NOW).expect("a newer word");
     assert!(view.get(key).open(NOW));
     let mut leaving = target(0, SERVICE);
     leaving.state = State::Draining(None);
-    view.put(leaving);
+    view.put(leaving, NOW);
     assert!(!view.get(key).open(NOW));
 }
 
@@ -88,12 +89,12 @@
     for n in 0..1000 {
         let mut t = target(1, SERVICE);
         t.id = format!("life{n}").into();
-        view.put(t);
+        view.put(t, NOW);
         view.remove(&format!("life{n}"));
     }
     assert_eq!(view.all().count(), 0);
-    let key = view.put(target(0, SERVICE));
-    assert_eq!(format!("{key:?}"), "TargetKey { slot: 0, born: 1001 }");
+    let key = view.put(target(0, SERVICE), NOW).expect("a newer word");
+    assert_eq!(format!("{key:?}"), "TargetKey { slot: 0, serial: 1001 }");
 }
 
 /// One entry is turned away by the store and lags. It is told of the one that is ahead, and of no
@@ -121,9 +122,9 @@
 #[test]
 fn peers_do_not_bring_back() {
     let mut peer = View::default();
-    peer.replace(vec![target(0, SERVICE), target(1, SERVICE)], 1, NOW);
+    peer.replace(vec![target(0, SERVICE), target(1, SERVICE)], 1, NOW, NOW);
     let mut cut = peer.clone();
-    peer.replace(vec![target(0, SERVICE)], 2, NOW + ms(1900));
+    peer.replace(vec![target(0, SERVICE)], 2, NOW + ms(1900), NOW);
     let open = |view: &View, now| view.of(SERVICE).filter(|(_, s)| s.open(now)).count();
     // The peer waits for it itself: so does the other, no longer.
     cut.replace_by_peers(peer.list(NOW + ms(1000)), 2, NOW + ms(1000));
@@ -131,7 +132,7 @@
     assert_eq!(open(&cut, NOW + ms(1900)), 1);
     let later = NOW + ms(5000);
     let mut third = View::default();
-    third.replace(vec![target(0, SERVICE), target(1, SERVICE)], 1, NOW);
+    third.replace(vec![target(0, SERVICE), target(1, SERVICE)], 1, NOW, NOW);
     third.replace_by_peers(peer.list(later), 2, later);
     assert_eq!(open(&third, later), 1);
 }
@@ -145,7 +146,7 @@
     let (mut view, _) = fleet(vec![report(&["a"], &[])]);
     let mut next = target(0, SERVICE);
     next.id = "next".into();
-    view.replace(vec![next], 2, NOW);
+    view.replace(vec![next], 2, NOW, NOW);
     let (key, here) = view.at(addr(0)).expect("one is there");
     assert_eq!((&*here.target.id, here.report.is_none()), ("next", true));
     tell(&mut view, 0, report(&["b"], &[]));
@@ -159,7 +160,7 @@
     let (mut view, keys) = fleet(vec![report(&["a"], &[])]);
     let mut next = target(0, SERVICE);
     next.id = "next".into();
-    let key = view.put(next);
+    let key = view.put(next, NOW).expect("a newer word");
     tell(&mut view, 0, report(&["b"], &[]));
     assert!(view.get(key).has("b", NOW));
     assert!(view.get(keys[0]).has("a", NOW));
@@ -171,8 +172,8 @@
 #[test]
 fn missing_ones_expire() {
     let mut view = View::default();
-    view.replace(vec![target(0, SERVICE)], 1, NOW);
-    view.replace(vec![], 2, NOW + ms(1900));
+    view.replace(vec![target(0, SERVICE)], 1, NOW, NOW);
+    view.replace(vec![], 2, NOW + ms(1900), NOW);
     view.expire(NOW + ms(1800));
     assert_eq!(view.all().count(), 1);
     view.expire(NOW + ms(1900));
@@ -184,9 +185,9 @@
 #[test]
 fn slot_used_again() {
     let mut view = View::default();
-    let key = view.put(target(0, "engines"));
+    let key = view.put(target(0, "engines"), NOW).expect("a newer word");
     view.remove("t0");
-    let other = view.put(target(1, "lookups"));
+    let other = view.put(target(1, "lookups"), NOW).expect("a newer word");
     assert_ne!(key, other);
     let seen = view.get(key);
     assert!(!seen.takes(true, NOW) && !seen.open(NOW));
@@ -196,3 +197,75 @@
     assert_eq!(view.get(other).in_flight, 0);
     assert_eq!(&*view.get(other).target.service, "lookups");
 }
+
+fn life(started: u64) -> Target {
+    Target {
+        started: Some(started),
+        ..target(0, SERVICE)
+    }
+}
+
+/// An engine crashes and starts again under the id that it had. It holds nothing, and what was sent to
+/// the life before is over. Taken for the same one, it would be sent requests for models that it lost.
+#[test]
+fn starts_again_under_its_id() {
+    let mut view = View::default();
+    let before = view.put(life(10), NOW).expect("a newer word");
+    tell(&mut view, 0, report(&["a"], &[]));
+    view.get_mut(before).in_flight = 1;
+    let after = view.put(life(20), NOW).expect("a newer word");
+    assert_ne!(before, after);
+    assert!(!view.get(before).takes(true, NOW));
+    assert!(view.get(after).report.is_none() && view.get(after).in_flight == 0);
+    assert_eq!(view.at(addr(0)).map(|(key, _)| key), Some(after));
+    assert_eq!(view.of(SERVICE).count(), 1);
+}
+
+/// What an engine wrote in its former life reaches the list late, from the store or from a peer. It says
+/// that the engine leaves; believed, the engine would get no request until its next change.
+#[test]
+fn late_word_of_a_former_life() {
+    let mut view = View::default();
+    let key = view.put(life(20), NOW).expect("a newer word");
+    let mut old = life(10);
+    old.state = State::Draining(None);
+    assert_eq!(view.put(old.clone(), NOW), None);
+    view.replace(vec![old], 2, NOW, NOW + ms(1000));
+    assert!(view.get(key).open(NOW + ms(1000)));
+    // A writer that does not say when it started is not the target either.
+    assert_eq!(view.put(target(0, SERVICE), NOW + ms(1000)), None);
+}
+
+/// An engine's clock is set back between two lives, so that the later one looks older. Its words come
+/// heartbeat after heartbeat; were they dropped for ever, a sound engine would stand idle.
+#[test]
+fn clock_set_back() {
+    let mut view = View::default();
+    view.put(life(20), NOW);
+    assert_eq!(view.put(life(10), NOW + ms(100)), None);
+    assert_eq!(view.put(life(10), NOW + ms(1300)), None);
+    let key = view.put(life(10), NOW + ms(3800)).expect("believed by now");
+    assert_eq!(view.get(key).target.started, Some(10));
+    // The word of the other life between starts the time anew.
+    view.put(life(20), NOW + ms(4000));
+    view.put(life(10), NOW + ms(4100));
+    view.put(life(20), NOW + ms(5000));
+    assert_eq!(view.put(life(10), NOW + ms(8000)), None);
+}
+
+/// A stranger announces itself under a service that nobody declares, at the address of a sound engine.
+/// Were it found by that address, it would get the reports of the engine's agent.
+#[test]
+fn undeclared_service() {
+    let mut view = View::default();
+    let key = view.put(target(0, SERVICE), NOW).expect("a newer word");
+    view.declare([SERVICE]);
+    let mut stranger = target(0, "nobody's");
+    stranger.id = "stranger".into();
+    view.put(stranger, NOW);
+    assert_eq!(view.at(addr(0)).map(|(key, _)| key), Some(key));
+    assert_eq!(view.all().count(), 1);
+    // Declared later, it counts.
+    view.declare([SERVICE, "nobody's"]);
+    assert_eq!(view.all().count(), 2);
+}
--- a/crates/stair-relay/src/know.rs
+++ b/crates/stair-relay/src/know.rs
@@ -128,6 +128,7 @@
         if version <= known {
             return;
         }
+        state.view.declare(new.services.iter().map(|s| &*s.name));
         state.catalogue = Some(Arc::new(new));
     }
     Line::failure("catalogue")
@@ -209,7 +210,7 @@
             return;
         }
         state.view.expire(now);
-        state.view.replace(targets, revision, now + grace);
+        state.view.replace(targets, revision, now + grace, now);
         state.drop_former();
     }
     log_list(cx, revision, count, "store");
@@ -274,13 +275,16 @@
                     (id, was, None)
                 }
                 Change::Put(object) => {
-                    let Some(target) = decode(object) else {
-                        continue;
-                    };
-                    let was = state.view.state_of(&target.id);
-                    let is = Some(target.state);
-                    state.view.put(target);
-                    (&object.name, was, is)
+                    let was = state.view.state_of(&object.name);
+                    match decode(object) {
+                        Some(target) => {
+                            state.view.put(target, cx.now());
+                        }
+                        // Another writer has put itself in the target's place. Whether the target
+                        // still takes requests is not known until it announces itself again.
+                        None => state.view.remove(&object.name),
+                    }
+                    (&object.name, was, state.view.state_of(&object.name))
                 }
             };
             // What a target holds changes many times a second, and its agent tells that.
--- a/crates/stair-relay/src/links.rs
+++ b/crates/stair-relay/src/links.rs
@@ -232,7 +232,8 @@
 struct Told {
     known: Option<Known>,
     catalogue: u64,
-    instance: Option<(Box<str>, u64)>,
+    /// The target's id and the start of its life.
+    life: Option<(Box<str>, Option<u64>)>,
     spoke: Option<Instant>,
 }
 
@@ -289,13 +290,14 @@
         .view
         .at(engine)
         .filter(|(_, s)| s.target.state == TargetState::Ready)
-        .map(|(_, s)| (s.target.id.clone(), s.target.service.clone()));
-    if let (Some((id, service)), Some(catalogue)) = (target, state.catalogue.clone()) {
-        let instance = Some((id.clone(), 0));
-        if told.instance != instance {
+        .map(|(_, s)| s.target.clone());
+    if let (Some(target), Some(catalogue)) = (target, state.catalogue.clone()) {
+        let (id, service) = (target.id, target.service);
+        let life = Some((id.clone(), target.started));
+        if told.life != life {
             let revision = state.view.revision;
             out.push(ToAgent::Instance { id, revision });
-            told.instance = instance;
+            told.life = life;
         }
         let decl = catalogue.service(&service).and_then(|s| s.engine.clone());
         if let Some(decl) = decl.filter(|_| catalogue.version > told.catalogue) {
--- a/crates/stair-sidecar/src/desk.rs
+++ b/crates/stair-sidecar/src/desk.rs
@@ -4,7 +4,9 @@
 //!
 //! Invariants: an order is planned on the newest reading and names its sequence, so one that the
 //! engine carries out late or twice is refused by it; the weights that an engine would hold after
-//! an order never exceed its memory, since an engine that is ordered beyond it crashes.
+//! an order never exceed its memory, since an engine that is ordered beyond it crashes. An engine that
+//! starts again counts its orders anew, so a load that its former life left unanswered could still be
+//! carried out at the same count; until then, or until it is too late for that, it takes its room.
 
 mod plan;
 mod tell;
@@ -46,6 +48,9 @@
 /// asking again at once would be refused again.
 const CONFLICT_PAUSE: Duration = Duration::from_millis(120);
 
+/// Time after which an order that was not answered is not carried out any more. Seen were some seconds.
+const LATE_ORDER_TIME: Duration = Duration::from_secs(10);
+
 /// Who asked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Asker {
@@ -87,6 +92,13 @@
     together: u32,
 }
 
+/// A load that was ordered and not answered; it may be carried out late.
+struct Unanswered {
+    model: Box<str>,
+    planned_on: u64,
+    until: Duration,
+}
+
 /// The state of one engine and of what is asked of it.
 #[derive(Default)]
 pub struct Desk {
@@ -101,6 +113,10 @@
     dropping: Vec<(Box<str>, Duration)>,
     /// No order before then.
     not_before: Duration,
+    /// Loads that the present life of the engine has not answered.
+    unanswered: Vec<Unanswered>,
+    /// Those that a former life has not answered.
+    former: Vec<Unanswered>,
     /// The last load from the weight store that ended, and when.
     fetched: Option<(Fetched, Duration)>,
     /// When the last one began.
@@ -186,6 +202,7 @@
             self.doing = None;
             return;
         };
+        self.take_life(&reading, now);
         if !reading.busy
             && let Some(doing) = self.doing.take()
         {
@@ -214,6 +231,26 @@
         self.reading = Some(reading);
     }
 
+    /// Takes in whether the engine has started again, and which unanswered orders may still come.
+    fn take_life(&mut self, reading: &Reading, now: Duration) {
+        let before = self.reading.as_ref().and_then(|r| r.started);
+        if before.is_some() && reading.started.is_some() && before != reading.started {
+            self.doing = None;
+            self.dropping.clear();
+            self.not_before = Duration::ZERO;
+            self.former.append(&mut self.unanswered);
+        }
+        // Each is planned on a count that the engine goes past only once.
+        let may_come = |u: &Unanswered| u.planned_on >= reading.sequence && now < u.until;
+        self.unanswered.retain(may_come);
+        self.former.retain(may_come);
+    }
+
+    /// When the engine's present life started, by its own clock, where it says so.
+    pub fn started(&self) -> Option<u64> {
+        self.reading.as_ref().and_then(|r| r.started)
+    }
+
     /// Takes in what the engine said to an order; `None` when it said nothing in time.
     pub fn replied(&mut self, step: &Step, reply: Option<Reply>, now: Duration) {
         match reply {
@@ -241,7 +278,13 @@
             Some(Reply::Conflict) => self.not_before = now + CONFLICT_PAUSE,
             // The next reading tells: the sequence has risen, or the same order is given again,
             // planned on the same sequence, so that at most one of the two takes effect.
-            Some(Reply::Holds) | None => {}
+            Some(Reply::Holds) => {}
+            None if step.load && step.adapter.is_none() => self.unanswered.push(Unanswered {
+                model: step.model.clone(),
+                planned_on: step.planned_on,
+                until: now + LATE_ORDER_TIME,
+            }),
+            None => {}
             Some(Reply::Fenced | Reply::OtherInstance) => self.reading = None,
             Some(Reply::Refused(_)) => self.fail(step),
         }
--- a/crates/stair-sidecar/src/desk/plan.rs
+++ b/crates/stair-sidecar/src/desk/plan.rs
@@ -156,6 +156,11 @@
             let model = p.split_once('/').map_or(&**p, |(m, _)| m);
             decl.model(model).map_or(0.0, |m| m.adapter_mb)
         });
-        models.sum::<f64>() + pending.sum::<f64>()
+        let former = self.former.iter().map(|u| {
+            let may_come = reading.holds.model(&u.model).is_none();
+            let size = || decl.model(&u.model).map_or(0.0, |m| m.weights_mb);
+            if may_come { size() } else { 0.0 }
+        });
+        models.sum::<f64>() + pending.sum::<f64>() + former.sum::<f64>()
     }
 }
--- a/crates/stair-sidecar/tests/desk.rs
+++ b/crates/stair-sidecar/tests/desk.rs
@@ -348,3 +348,28 @@
     let load = desk.load(ms(9000));
     assert_eq!((load.loading, load.fetched), (None, None));
 }
+
+/// An engine loses the answer to a load and starts again under its id. Its count of orders begins anew,
+/// and the lost load can still be carried out where the count fits. Two models of 60 GB beside it would
+/// be more than the engine holds, and it would crash.
+#[test]
+fn late_load_of_a_former_life() {
+    let mut desk = desk(&[("a", &[])]);
+    let life = |started, sequence, models: &[(&str, &[&str])]| Reading {
+        started: Some(started),
+        ..reading(sequence, models)
+    };
+    desk.read(Some(life(10, 1, &[])), ms(0));
+    desk.want(asker(1), want("b", None), ms(0));
+    let lost = next(&mut desk, ms(0)).expect("a load");
+    assert_eq!(lost, step(true, "b", None, 1));
+    desk.replied(&lost, None, ms(400));
+    desk.gone(LinkKey(1));
+    desk.read(Some(life(20, 1, &[("a", &[])])), ms(500));
+    desk.want(asker(2), want("c", None), ms(500));
+    // With "a" there and "b" perhaps to come, "a" has to make way first.
+    assert_eq!(next(&mut desk, ms(1500)), Some(step(false, "a", None, 1)));
+    // Once the count is past it, the lost load is refused by the engine.
+    desk.read(Some(life(20, 2, &[("a", &[])])), ms(1600));
+    assert_eq!(next(&mut desk, ms(1600)), Some(step(true, "c", None, 2)));
+}
