fleet, relay, sidecar: replicas follow work, one spare a model, wants taken back, victims leave first

Ruled out: engines that are full (they read for a few percent of their time); the unload order itself (27 ms where nothing runs).

--- a/crates/stair-fleet/src/balance.rs
+++ b/crates/stair-fleet/src/balance.rs
@@ -6,10 +6,11 @@
 //! model at a time leaves engines empty beside others with eight requests a second, where two in
 //! five of the long streams pause for longer than promised (measured on one day of 52 engines).
 //!
-//! The fleet's strain is the sum over the engines of the square of their requests a second, each
-//! model's demand split equally over its replicas: a request is delayed in proportion to the
-//! requests beside it. A move is worth what it takes off the strain. Each move lowers the strain by
-//! a margin, so under steady demand the moves come to an end and no two of them undo each other.
+//! The fleet's strain is the number of requests that wait at a time: at an engine of whose time
+//! prompts take a part `w`, each waits for half of what is beside it, `w * w / 2` in all, each model's
+//! demand split equally over its replicas; and the requests of a model without a replica wait for a
+//! swap. A move is worth what it takes off the strain. Each move lowers the strain by a margin, so
+//! under steady demand the moves come to an end and no two of them undo each other.
 
 use std::time::Duration;
 
@@ -25,24 +26,23 @@
     wake, //
 };
 
-/// Strain of a model without a replica, for each request a second. Its requests wait about a second
-/// for a swap; one beside others waits some 25 ms for each of them a second, an assumption.
-const ABSENT_PER_S: f64 = 40.0;
+/// Strain of a model without a replica, for each request a second: the seconds that a swap takes.
+const ABSENT_PER_S: f64 = 1.0;
 
 /// The least strain of a model without a replica: a request in ten seconds.
-const ABSENT: f64 = 4.0;
+const ABSENT: f64 = 0.1;
 
-/// Strain that a move has to take off when nothing makes way. A model with 1.26 requests a second on
-/// one engine reaches it with an empty second one.
-const MARGIN_FREE: f64 = 0.8;
+/// Strain that a move has to take off when nothing makes way. A model whose prompts take 0.28 of one
+/// engine's time reaches it with an empty second one.
+const MARGIN_FREE: f64 = 0.02;
 
 /// The same when models make way. Rates are averages over two seconds: ten requests a second are
-/// measured as eight to twelve, which alone moves the strain by several units.
-const MARGIN_VICTIMS: f64 = 5.0;
+/// measured as eight to twelve, which alone moves the strain by half of this.
+const MARGIN_VICTIMS: f64 = 0.125;
 
 /// The same for a load from the weight store, which is priced and takes as long as demand stays with
 /// a model.
-const MARGIN_STORE: f64 = 8.0;
+const MARGIN_STORE: f64 = 0.2;
 
 /// Part of a move's gain that is left when a victim has requests in flight: its engine neither takes
 /// an order nor new requests for it until they have ended, three seconds or so of the six to eight for
@@ -63,13 +63,16 @@
     free: bool,
     /// Models that it holds or is loading.
     models: Vec<usize>,
-    per_s: f64,
+    /// Part of its time that prompts take.
+    work: f64,
 }
 
 /// One model.
 #[derive(Default, Clone)]
 struct Demand {
     per_s: f64,
+    /// Part of one engine's time that its prompts take.
+    work: f64,
     nodes: Vec<usize>,
 }
 
@@ -81,7 +84,7 @@
     fn share_of(&self, replicas: usize) -> f64 {
         match replicas {
             0 => 0.0,
-            n => self.per_s / n as f64,
+            n => self.work / n as f64,
         }
     }
 }
@@ -128,7 +131,7 @@
     /// Where it is to be loaded. Its cost is the time until it is ready alone: what the models that
     /// make way are missed is in the gain.
     pub place: wake::Outcome,
-    /// What decided: strain that the move takes off, in squared requests a second.
+    /// What decided: strain that the move takes off, in requests that wait at a time.
     pub gain: f64,
 }
 
@@ -184,21 +187,22 @@
             for usage in report.iter().flat_map(|r| &r.load.usage) {
                 if let Some(m) = index(&usage.model) {
                     models[m].per_s += f64::from(usage.per_s);
+                    models[m].work += f64::from(usage.work);
                 }
             }
             let idle = report.is_some_and(|r| {
-                r.load.loading.is_none() && r.load.unloading.is_none() && r.load.to_load.is_zero()
+                r.load.loading.is_none() && !r.load.unloading && r.load.to_load.is_zero()
             });
             nodes.push(Node {
                 key,
                 seen,
                 free: idle && !opts.left_alone.contains(&key),
                 models: here,
-                per_s: 0.0,
+                work: 0.0,
             });
         }
         for node in &mut nodes {
-            node.per_s = node.models.iter().map(|m| models[*m].share()).sum();
+            node.work = node.models.iter().map(|m| models[*m].share()).sum();
         }
         let room_mb = engine.weights_mb - wake::adapters_mb(engine);
         Self {
@@ -241,8 +245,8 @@
             })
             .collect();
         nodes.sort_by(|a, b| {
-            let per_s = |n: &usize| self.nodes[*n].per_s;
-            per_s(a).total_cmp(&per_s(b))
+            let work = |n: &usize| self.nodes[*n].work;
+            work(a).total_cmp(&work(b))
         });
         let mut best = None;
         for m in models.iter().take(STORE_MODELS) {
@@ -259,7 +263,7 @@
         let demand = &self.models[model];
         let alone = demand.share();
         // The most that a move can take off: an engine with nothing else to do takes half of it.
-        !demand.nodes.is_empty() && alone * demand.per_s > MARGIN_FREE
+        !demand.nodes.is_empty() && alone * demand.work / 2.0 > MARGIN_FREE
     }
 
     /// The best way to bring a model to an engine, if it is worth the margin.
@@ -330,9 +334,9 @@
         changes.sort_unstable_by_key(|(n, _)| *n);
         let mut off = 0.0;
         for group in changes.chunk_by(|a, b| a.0 == b.0) {
-            let before = self.nodes[group[0].0].per_s;
+            let before = self.nodes[group[0].0].work;
             let after = before + group.iter().map(|(_, d)| d).sum::<f64>();
-            off += before * before - after * after;
+            off += (before * before - after * after) / 2.0;
         }
         if victims.iter().any(|v| self.busy(node, *v)) {
             off *= BUSY_PART;
--- a/crates/stair-fleet/src/msg.rs
+++ b/crates/stair-fleet/src/msg.rs
@@ -3,6 +3,8 @@
 //! The entry opens the connection. Each side sends one message a frame; the agent's first report
 //! answers the entry's hello.
 
+use std::time::Duration;
+
 use serde::{
     Deserialize,
     Serialize, //
@@ -40,6 +42,8 @@
     Former(Box<str>),
     /// Asks for a model or an adapter.
     Want(Want),
+    /// Takes a [`Want`] back: nobody waits for it any more.
+    Cancel(u64),
     /// Asks for a prompt's turn.
     Turn {
         /// Names the question on this connection.
@@ -82,6 +86,8 @@
     pub fetch: Option<u32>,
     /// Whether no request waits for it yet; such a want gives way to all others.
     pub ahead: bool,
+    /// Time after which it is of no use.
+    pub of_use: Duration,
 }
 
 /// Use of one model at one engine by one entry.
--- a/crates/stair-fleet/src/reading.rs
+++ b/crates/stair-fleet/src/reading.rs
@@ -95,6 +95,19 @@
     pub unread: u32,
 }
 
+impl Answer {
+    /// No turn, as the wait would be so long.
+    pub fn full(wait: Duration) -> Self {
+        Self {
+            booked: false,
+            wait,
+            backlog: Duration::ZERO,
+            kept: 0,
+            unread: 0,
+        }
+    }
+}
+
 /// How long an engine took over a prompt whose turn had come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Read {
@@ -198,6 +211,12 @@
         }
     }
 
+    /// Time that reading a prompt takes, of which so many tokens are kept.
+    pub fn work(&self, ask: &Ask, kept: u32) -> Duration {
+        let tokens = f64::from(ask.tokens.saturating_sub(kept)) + EACH_TOKENS;
+        Duration::from_secs_f64(tokens / self.rate / 1000.0)
+    }
+
     /// Tokens that are read in a millisecond while streams keep their pace.
     fn drain(&self) -> f64 {
         READ_PART * self.rate
--- a/crates/stair-fleet/src/spread.rs
+++ b/crates/stair-fleet/src/spread.rs
@@ -64,7 +64,7 @@
 ) -> Option<Outcome> {
     let at_work = |s: &Seen| {
         s.fresh(now).is_none_or(|r| {
-            r.load.loading.is_some() || r.load.unloading.is_some() || !r.load.to_load.is_zero()
+            r.load.loading.is_some() || r.load.unloading || !r.load.to_load.is_zero()
         })
     };
     let mut left_alone: Vec<TargetKey> = asked.iter().map(|a| a.key).collect();
--- a/crates/stair-fleet/src/target.rs
+++ b/crates/stair-fleet/src/target.rs
@@ -136,8 +136,10 @@
     pub fetched: Option<Fetched>,
     /// Time that the loads which are asked for and have not begun will take.
     pub to_load: Duration,
-    /// The model that is being unloaded, if any.
-    pub unloading: Option<Box<str>>,
+    /// Whether a model is being unloaded.
+    pub unloading: bool,
+    /// Models that are unloaded, or will be once their requests have ended; they get no new ones.
+    pub leaving: Vec<Box<str>>,
     /// Adapters that it could take now: free places and those that nothing uses.
     pub free_adapters: u32,
     /// Use of what it holds, by all entries, sorted by model.
@@ -175,6 +177,8 @@
     pub in_flight: u32,
     /// Requests a second lately.
     pub per_s: f32,
+    /// Part of the engine's time that reading their prompts took lately; 1 is all of it.
+    pub work: f32,
 }
 
 impl Load {
--- a/crates/stair-fleet/src/view.rs
+++ b/crates/stair-fleet/src/view.rs
@@ -155,10 +155,8 @@
 
     /// Whether the model can run there now, and is not about to be dropped.
     pub fn has(&self, model: &str, now: Duration) -> bool {
-        let leaving = self
-            .fresh(now)
-            .and_then(|r| r.load.unloading.as_deref())
-            .is_some_and(|m| m == model);
+        let report = self.fresh(now);
+        let leaving = report.is_some_and(|r| r.load.leaving.iter().any(|m| **m == *model));
         !leaving && self.holds(now).model(model).is_some()
     }
 
--- a/crates/stair-fleet/src/wake.rs
+++ b/crates/stair-fleet/src/wake.rs
@@ -35,9 +35,8 @@
 /// What a stream of usual length that is in flight has left on average, in milliseconds.
 const STREAM_LEFT_MS: f64 = 700.0;
 
-/// Requests a second that one replica serves without its streams stalling: each prompt that is read
-/// stalls the others' tokens by a quarter of a second when nothing of it is kept.
-pub const REPLICA_PER_S: f64 = 1.25;
+/// Part of an engine's time that one replica's prompts may take without its streams stalling.
+pub const REPLICA_WORK: f64 = 0.28;
 
 /// Cost of the last replica of a model that is hardly asked for, in milliseconds. Its next request
 /// waits for a swap of under a second, which most are promised less than.
@@ -46,8 +45,8 @@
 /// Added to it for each request a second.
 const LAST_MS_PER_S: f64 = 600.0;
 
-/// Cost of a replica for each request a second by which those that stay are overloaded then.
-const CROWD_MS_PER_S: f64 = 400.0;
+/// Cost of a replica for each engine's whole time by which those that stay are overloaded then.
+const CROWD_MS: f64 = 1800.0;
 
 /// Cost of a replica that can be spared.
 const SPARE_MS: f64 = 20.0;
@@ -148,7 +147,11 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Demand {
     per_s: f64,
+    /// Part of one engine's time that reading their prompts takes.
+    work: f64,
     replicas: u32,
+    /// The replica that may be spared, with its lot.
+    spare: Option<(u64, TargetKey)>,
 }
 
 impl<'a> Look<'a> {
@@ -167,13 +170,13 @@
             demands: vec![Demand::default(); engine.models.len()],
             now,
         };
-        for (_, s) in view.of(service).filter(|(_, s)| s.open(now)) {
-            look.count(s);
+        for (key, s) in view.of(service).filter(|(_, s)| s.open(now)) {
+            look.count(key, s);
         }
         look
     }
 
-    fn count(&mut self, s: &Seen) {
+    fn count(&mut self, key: TargetKey, s: &Seen) {
         let report = s.fresh(self.now);
         let held = s.holds(self.now).models.iter().map(|h| &*h.name);
         let coming = report.and_then(|r| r.load.loading.as_ref());
@@ -183,7 +186,12 @@
             let Ok(i) = self.index(model) else { continue };
             let usage = report.and_then(|r| r.load.usage(model));
             self.demands[i].per_s += f64::from(usage.map_or(0.0, |u| u.per_s));
+            self.demands[i].work += f64::from(usage.map_or(0.0, |u| u.work));
             self.demands[i].replicas += 1;
+            let lot = lot(s, model);
+            if self.demands[i].spare.is_none_or(|(most, _)| lot > most) {
+                self.demands[i].spare = Some((lot, key));
+            }
         }
     }
 
@@ -214,10 +222,7 @@
             .into_iter()
             .filter(|o| near(o) || *store_free)
             .min_by(|a, b| {
-                let tie = |o: &Outcome| {
-                    let id = &view.get(o.key).target.id;
-                    xxh3_64(format!("{id}/{}", self.model).as_bytes())
-                };
+                let tie = |o: &Outcome| lot(view.get(o.key), self.model);
                 // Whole tens of milliseconds, so that estimates that differ by little tie.
                 let steps = |o: &Outcome| (o.cost_ms / 10.0) as u64;
                 steps(a).cmp(&steps(b)).then_with(|| tie(a).cmp(&tie(b)))
@@ -245,11 +250,11 @@
         if let Some(other) = &report.load.loading {
             ready += other.left;
         }
-        if report.load.unloading.is_some() {
+        if report.load.unloading {
             ready += UNLOAD_TIME;
         }
         ready += report.load.to_load;
-        let victims = self.room(decl.weights_mb, s, report)?;
+        let victims = self.room(decl.weights_mb, key, s, report)?;
         ready += busy_time(victims.iter().map(|v| v.name), report);
         let missed: f64 = victims.iter().map(|v| v.missed_ms).sum();
         Some(Outcome {
@@ -262,20 +267,27 @@
     }
 
     /// What a model costs when it makes way, in milliseconds that its requests wait longer.
-    fn missed_ms(&self, model: &str) -> f64 {
+    fn missed_ms(&self, model: &str, key: TargetKey) -> f64 {
         // What is no longer declared is not missed.
         let demand = self.index(model).map(|i| self.demands[i]);
-        let Demand { per_s, replicas } = demand.unwrap_or_default();
-        let stay = replicas.saturating_sub(1);
+        let demand = demand.unwrap_or_default();
+        let may_go = demand.spare.is_some_and(|(_, spare)| spare == key);
+        let stay = demand.replicas.saturating_sub(1) * u32::from(may_go);
         if stay == 0 {
-            return LAST_MS + LAST_MS_PER_S * per_s;
+            return LAST_MS + LAST_MS_PER_S * demand.per_s;
         }
-        let over = per_s / f64::from(stay) - REPLICA_PER_S;
-        SPARE_MS + CROWD_MS_PER_S * over.max(0.0)
+        let over = demand.work / f64::from(stay) - REPLICA_WORK;
+        SPARE_MS + CROWD_MS * over.max(0.0)
     }
 
     /// Finds the models that make way for `needed` MB, the least missed first.
-    fn room<'s>(&self, needed: f64, s: &'s Seen, report: &Report) -> Option<Vec<Victim<'s>>> {
+    fn room<'s>(
+        &self,
+        needed: f64,
+        key: TargetKey,
+        s: &'s Seen,
+        report: &Report,
+    ) -> Option<Vec<Victim<'s>>> {
         let engine = self.engine;
         let size = |name: &str| engine.model(name).map_or(0.0, |m| m.weights_mb);
         let held = &s.holds(self.now).models;
@@ -286,7 +298,7 @@
             .iter()
             .map(|h| Victim {
                 name: &h.name,
-                missed_ms: self.missed_ms(&h.name),
+                missed_ms: self.missed_ms(&h.name, key),
                 busy_ms: ms(busy_time([&*h.name], report)),
             })
             .collect();
@@ -334,6 +346,11 @@
     idle.any(|name| !elsewhere(name))
 }
 
+/// A number that all entries agree on for a model at an engine.
+fn lot(s: &Seen, model: &str) -> u64 {
+    xxh3_64(format!("{}/{model}", s.target.id).as_bytes())
+}
+
 fn ms(t: Duration) -> f64 {
     t.as_secs_f64() * 1000.0
 }
--- a/crates/stair-fleet/tests/balance.rs
+++ b/crates/stair-fleet/tests/balance.rs
@@ -160,3 +160,14 @@
     assert_eq!(next(&view), None);
     assert_eq!(keys.len(), 2);
 }
+
+/// Short prompts: 20 requests a second take a tenth of one engine's time. A further replica would gain
+/// them next to nothing, and the rare model that made way for it would be missed.
+#[test]
+fn light_work_stays() {
+    let mut busy = used(report(&["a"], &["a"]), "a", 20.0, 20);
+    busy.load.usage[0].work = 0.1;
+    let rare = used(used(report(&["b", "c"], &["a"]), "b", 0.6, 0), "c", 0.6, 0);
+    let (view, _) = fleet(vec![busy, rare]);
+    assert_eq!(next(&view), None);
+}
--- a/crates/stair-fleet/tests/support/mod.rs
+++ b/crates/stair-fleet/tests/support/mod.rs
@@ -115,11 +115,15 @@
     report
 }
 
+/// Part of an engine's time that a prompt of usual length takes a second.
+pub(crate) const PROMPT_WORK: f32 = 0.22;
+
 pub(crate) fn used(mut report: Report, model: &str, per_s: f32, in_flight: u32) -> Report {
     report.load.usage.push(Usage {
         model: model.into(),
         in_flight,
         per_s,
+        work: per_s * PROMPT_WORK,
     });
     report.load.usage.sort_by(|a, b| a.model.cmp(&b.model));
     report
--- a/crates/stair-relay/src/ahead.rs
+++ b/crates/stair-relay/src/ahead.rs
@@ -5,40 +5,38 @@
     time::Duration, //
 };
 
-use stair_fleet::{
-    msg::Outcome,
-    spread::{
-        self,
-        Asked, //
-    },
+use stair_fleet::spread::{
+    self,
+    Asked, //
 };
 use stair_telemetry::event::Line;
-use tokio::{
-    sync::oneshot::{
-        self,
-        error::TryRecvError, //
-    },
-    time::sleep, //
-};
+use tokio::time::sleep;
 
 use crate::{
-    context::Context,
+    context::{
+        Context,
+        Wanted, //
+    },
     waken, //
 };
 
 /// Pause between looks. A load from a copy takes half a second.
 const EVERY: Duration = Duration::from_millis(300);
 
+/// Time for which a load that no request waits for is of use. Longer than one from a weight store that
+/// is shared by twice as many loads as run at full speed.
+const AHEAD_TIME: Duration = Duration::from_secs(14);
+
 /// Loads asked for in one look.
 const AT_ONCE: usize = 4;
 
 /// Looks for loads worth making, for as long as the process runs.
 pub async fn keep(cx: Arc<Context>) {
-    let mut asked: Vec<(Asked, oneshot::Receiver<Outcome>)> = Vec::new();
+    let mut asked: Vec<(Asked, Wanted)> = Vec::new();
     loop {
         sleep(EVERY).await;
         // An engine is asked for one load at a time.
-        asked.retain_mut(|(_, rx)| matches!(rx.try_recv(), Err(TryRecvError::Empty)));
+        asked.retain_mut(|(_, wanted)| wanted.is_open());
         if !leads(&cx) {
             continue;
         }
@@ -55,9 +53,9 @@
                 .show("from", format_args!("{:?}", place.from))
                 .show("victims", format_args!("{:?}", place.victims))
                 .num("cost_ms", place.cost_ms as i64)
-                .num("gain", gain.unwrap_or_default() as i64)
+                .num("gain_1000", (gain.unwrap_or_default() * 1000.0) as i64)
                 .write();
-            let Some(rx) = waken::ask(&cx, &model, &place, true) else {
+            let Some(wanted) = waken::ask(&cx, &model, &place, AHEAD_TIME, true) else {
                 break;
             };
             asked.push((
@@ -65,7 +63,7 @@
                     key: place.key,
                     model,
                 },
-                rx,
+                wanted,
             ));
         }
     }
--- a/crates/stair-relay/src/context.rs
+++ b/crates/stair-relay/src/context.rs
@@ -1,6 +1,7 @@
 //! What all parts of one entry share.
 
 mod flight;
+mod wanted;
 
 use std::{
     net::SocketAddr,
@@ -62,6 +63,7 @@
     Flight,
     Serving, //
 };
+pub use wanted::Wanted;
 
 /// One entry.
 pub struct Context {
@@ -304,7 +306,7 @@
     }
 
     /// Asks the agent of an engine for a model or adapter. `None` when there is no link.
-    pub fn want(&self, engine: SocketAddr, mut want: Want) -> Option<oneshot::Receiver<Outcome>> {
+    pub fn want(self: &Arc<Self>, engine: SocketAddr, mut want: Want) -> Option<Wanted> {
         let mut state = self.state();
         state.next_seq += 1;
         want.seq = state.next_seq;
@@ -314,7 +316,23 @@
         link.tx.try_send(ToAgent::Want(want)).ok()?;
         let (tx, rx) = oneshot::channel();
         link.waiting.push((seq, tx));
-        Some(rx)
+        Some(Wanted {
+            cx: self.clone(),
+            engine,
+            seq,
+            rx,
+            open: true,
+        })
+    }
+
+    fn cancel(&self, engine: SocketAddr, seq: u64) {
+        let mut state = self.state();
+        if let Some(i) = state.agent(engine) {
+            let link = &mut state.agents[i];
+            link.waiting.retain(|(s, _)| *s != seq);
+            // An agent that does not read forgets it when the link ends.
+            let _ = link.tx.try_send(ToAgent::Cancel(seq));
+        }
     }
 
     /// Takes in how long an engine took until the first event of a prompt, for its agent.
--- /dev/null
+++ b/crates/stair-relay/src/context/wanted.rs
@@ -0,0 +1,59 @@
+//! A question to an agent, which is taken back when nobody waits for it any more.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc, //
+};
+
+use stair_fleet::msg::Outcome;
+use tokio::sync::oneshot::{
+    self,
+    error::{
+        RecvError,
+        TryRecvError, //
+    },
+};
+
+use super::Context;
+
+/// A model or adapter that was asked for. Dropped before its answer, it is taken back.
+pub struct Wanted {
+    pub(super) cx: Arc<Context>,
+    pub(super) engine: SocketAddr,
+    pub(super) seq: u64,
+    pub(super) rx: oneshot::Receiver<Outcome>,
+    /// Whether it is to be taken back.
+    pub(super) open: bool,
+}
+
+impl Wanted {
+    /// Waits for what comes of it; may be given up and waited for again.
+    ///
+    /// # Errors
+    ///
+    /// When the link to the agent has ended.
+    pub async fn outcome(&mut self) -> Result<Outcome, RecvError> {
+        let outcome = (&mut self.rx).await;
+        self.open = false;
+        outcome
+    }
+
+    /// Whether it is neither answered nor lost.
+    pub fn is_open(&mut self) -> bool {
+        self.open = matches!(self.rx.try_recv(), Err(TryRecvError::Empty));
+        self.open
+    }
+
+    /// Lets it stand although nobody waits for its answer here.
+    pub fn leave(mut self) {
+        self.open = false;
+    }
+}
+
+impl Drop for Wanted {
+    fn drop(&mut self) {
+        if self.open {
+            self.cx.cancel(self.engine, self.seq);
+        }
+    }
+}
--- a/crates/stair-relay/src/pick.rs
+++ b/crates/stair-relay/src/pick.rs
@@ -53,6 +53,9 @@
 /// one slot after another has to be freed, some hundred.
 const ADAPTER_TIME: Duration = Duration::from_millis(1500);
 
+/// Time for which a replica beside a slow one is of use: as long as the requests wait that made it slow.
+const BESIDE_TIME: Duration = Duration::from_secs(2);
+
 /// Time that is left for the run itself when a load is waited for: a prompt of usual length is read
 /// in a quarter of a second.
 pub(crate) const RUN_TIME: Duration = Duration::from_millis(400);
@@ -252,7 +255,9 @@
     {
         log_wake(job, model, place, "beside");
         // The next report tells what came of it.
-        drop(ask(cx, model, place, true));
+        if let Some(wanted) = ask(cx, model, place, BESIDE_TIME, true) {
+            wanted.leave();
+        }
     }
 }
 
@@ -352,13 +357,14 @@
         victims: Vec::new(),
         fetch: None,
         ahead: false,
+        of_use: ADAPTER_TIME,
     };
     let begun = Instant::now();
-    let Some(rx) = cx.want(addr, want) else {
+    let Some(mut wanted) = cx.want(addr, want) else {
         return false;
     };
     let until = until.min(begun + ADAPTER_TIME);
-    let outcome = timeout_at(until, rx).await;
+    let outcome = timeout_at(until, wanted.outcome()).await;
     Line::new("adapter")
         .text("id", &job.meta.id)
         .text("adapter", adapter)
--- a/crates/stair-relay/src/relay.rs
+++ b/crates/stair-relay/src/relay.rs
@@ -54,6 +54,10 @@
 /// for their refusals to reach the clients.
 const LAST_REFUSALS: Duration = Duration::from_millis(500);
 
+/// Time before its client leaves at which a request that waits for a target is refused. Told as late as
+/// the client leaves, it would not learn that its request has not run, nor when to come back.
+const REFUSAL_TIME: Duration = Duration::from_millis(150);
+
 /// When to come back after the targets refused: their queues drain in some hundred milliseconds.
 const REFUSED_COME_BACK: Duration = Duration::from_millis(500);
 
@@ -256,7 +260,8 @@
     if !job.route.stream || after_event.is_some() {
         return job.deadline;
     }
-    job.deadline.min(job.received + job.route.client_waits())
+    let leaves = job.route.client_waits().saturating_sub(REFUSAL_TIME);
+    job.deadline.min(job.received + leaves)
 }
 
 /// When an attempt is given up for another: a repeatable request is not left to a target that hangs.
--- a/crates/stair-relay/src/waken.rs
+++ b/crates/stair-relay/src/waken.rs
@@ -22,7 +22,7 @@
 };
 use stair_telemetry::event::Line;
 use tokio::{
-    sync::oneshot,
+    sync::oneshot::error::RecvError,
     time::{
         Instant,
         sleep,
@@ -31,7 +31,10 @@
 };
 
 use crate::{
-    context::Context,
+    context::{
+        Context,
+        Wanted, //
+    },
     job::Job,
     pick::{
         COME_BACK,
@@ -41,6 +44,9 @@
     },
 };
 
+/// Time that a refused client may take to return beyond what it was told.
+const RETURN_TIME: Duration = Duration::from_millis(1000);
+
 /// What came of a try to have a model loaded.
 pub enum Woken {
     /// An engine has it.
@@ -95,14 +101,22 @@
         return Woken::Nowhere;
     };
     let begun = Instant::now();
-    let Some(rx) = ask(cx, model, at, false) else {
+    let late = begun + at.ready_in + RUN_TIME > until;
+    let of_use = if late {
+        at.ready_in + RETURN_TIME
+    } else {
+        until.saturating_duration_since(begun)
+    };
+    let Some(mut wanted) = ask(cx, model, at, of_use, false) else {
         return Woken::Refused(at.key);
     };
     log_wake(job, model, at, "needed");
-    if begun + at.ready_in + RUN_TIME > until {
+    if late {
+        // It is to be there when the client returns.
+        wanted.leave();
         return Woken::TooLate(at.ready_in);
     }
-    let outcome = match wait_woken(cx, job, rx, refused, until).await {
+    let outcome = match wait_woken(cx, job, &mut wanted, refused, until).await {
         Some(outcome) => outcome,
         None => {
             Line::new("woken.elsewhere")
@@ -136,13 +150,13 @@
 async fn wait_woken(
     cx: &Arc<Context>,
     job: &Job,
-    mut rx: oneshot::Receiver<msg::Outcome>,
+    wanted: &mut Wanted,
     refused: &[TargetKey],
     until: Instant,
-) -> Option<Result<msg::Outcome, oneshot::error::RecvError>> {
+) -> Option<Result<msg::Outcome, RecvError>> {
     loop {
         let look = Instant::now() + LOOK_EVERY;
-        if let Ok(outcome) = timeout_at(look.min(until), &mut rx).await {
+        if let Ok(outcome) = timeout_at(look.min(until), wanted.outcome()).await {
             return Some(outcome);
         }
         if Instant::now() >= until {
@@ -176,11 +190,12 @@
 /// Asks an engine's agent for a model, and notes it as loading there until the next report says
 /// better: requests for other models would otherwise choose the same engine at the same moment.
 pub fn ask(
-    cx: &Context,
+    cx: &Arc<Context>,
     model: &str,
     at: &wake::Outcome,
+    of_use: Duration,
     ahead: bool,
-) -> Option<oneshot::Receiver<msg::Outcome>> {
+) -> Option<Wanted> {
     let (addr, together) = {
         let state = cx.state();
         let target = &state.view.get(at.key).target;
@@ -194,8 +209,9 @@
         victims: at.victims.clone(),
         fetch: (at.from == Copy::Store).then_some(together),
         ahead,
+        of_use,
     };
-    let rx = cx.want(addr, want)?;
+    let wanted = cx.want(addr, want)?;
     let from = [("from", source(at.from))];
     cx.page.count("loads_asked_total", &from, 1);
     let mut state = cx.state();
@@ -209,7 +225,7 @@
             times: 0.0,
         });
     }
-    Some(rx)
+    Some(wanted)
 }
 
 /// Writes the line of a model that is asked for.
--- a/crates/stair-sidecar/src/desk.rs
+++ b/crates/stair-sidecar/src/desk.rs
@@ -36,10 +36,6 @@
     key, //
 };
 
-/// Time after which a want is answered as failed. Longer than a load from a weight store that is
-/// shared by twice as many loads as run at full speed.
-const WANT_TIME: Duration = Duration::from_secs(14);
-
 /// Time for which an adapter that is still in use counts as making way. Until its requests end the
 /// engine keeps it, and ordering it again or another one away gains nothing.
 const DROP_TIME: Duration = Duration::from_millis(1500);
@@ -111,6 +107,8 @@
     /// Adapters, as `MODEL/NAME`, that make way once their requests have ended, and until when they
     /// count as doing so.
     dropping: Vec<(Box<str>, Duration)>,
+    /// Models that get no new requests, so that they can make way once those in flight have ended.
+    leaving: Vec<Box<str>>,
     /// No order before then.
     not_before: Duration,
     /// Loads that the present life of the engine has not answered.
@@ -176,6 +174,14 @@
         });
     }
 
+    /// Takes a question back.
+    ///
+    /// A request that found the model elsewhere, or whose client left, would otherwise still have it
+    /// loaded here, in the place of one that is in use.
+    pub fn cancel(&mut self, asker: Asker) {
+        self.wants.retain(|p| p.asker != asker);
+    }
+
     /// Takes in what an entry has sent to the engine.
     pub fn used(&mut self, link: LinkKey, list: &[Used], now: Duration) {
         self.uses.take(link, list, now);
@@ -186,6 +192,23 @@
         self.uses.missed(model, now);
     }
 
+    /// Whether a model gets no new requests here: it makes way.
+    pub fn is_leaving(&self, model: &str) -> bool {
+        let unloading = self.doing.as_ref().filter(|d| !d.load);
+        let ordered = unloading.is_some_and(|d| *d.model == *model);
+        ordered || self.leaving.iter().any(|m| **m == *model)
+    }
+
+    /// Takes in that a prompt for a model has its turn and is on its way.
+    pub fn sent(&mut self, model: &str, now: Duration) {
+        self.uses.asked(model, now);
+    }
+
+    /// Takes in that a prompt which the engine reads, or would have, takes so long.
+    pub fn read_prompt(&mut self, model: &str, work: Duration, now: Duration) {
+        self.uses.worked(model, work, now);
+    }
+
     /// Forgets a connection.
     pub fn gone(&mut self, link: LinkKey) {
         self.wants.retain(|p| p.asker.link != link);
@@ -312,6 +335,9 @@
                 None => self.wants.push(p),
             }
         }
+        if self.wants.is_empty() {
+            self.leaving.clear();
+        }
         out
     }
 
@@ -319,7 +345,7 @@
         if self.ready(&p.want) {
             return Some(Outcome::Ready);
         }
-        if p.failed || now.saturating_sub(p.since) > WANT_TIME {
+        if p.failed || now.saturating_sub(p.since) > p.want.of_use {
             return Some(Outcome::Failed);
         }
         if !control || !self.alive || self.reading.is_none() || self.decl.is_none() {
@@ -342,10 +368,7 @@
             .reading
             .as_ref()
             .and_then(|r| r.holds.model(&want.model));
-        let leaving = self
-            .doing
-            .as_ref()
-            .is_some_and(|d| !d.load && d.model == want.model);
+        let leaving = self.is_leaving(&want.model);
         match (held, &want.adapter) {
             (Some(_), None) => !leaving,
             (Some(held), Some(a)) => !leaving && held.adapters.iter().any(|x| x == a),
--- a/crates/stair-sidecar/src/desk/plan.rs
+++ b/crates/stair-sidecar/src/desk/plan.rs
@@ -18,6 +18,19 @@
 };
 use crate::uses::key;
 
+/// Whether there is room for a model.
+enum Room {
+    /// The order that loads it, or makes room for it.
+    Now(Step),
+    /// What could make way was asked for a moment ago, or is in use; what is to get no new requests.
+    Later(Option<Box<str>>),
+    /// The engine is too small for it, or it is not declared.
+    Never,
+}
+
+/// Time that a load is taken to need at least, in seconds, as one from host memory does.
+const LEAST_LOAD_S: f64 = 0.1;
+
 impl Desk {
     /// Returns the next order, if one is to be given now. Wants that nothing can be done for are
     /// answered through `refused`.
@@ -29,50 +42,93 @@
         if let Some(step) = self.next_adapter(now) {
             return Some(step);
         }
-        while let Some(i) = self.first_model(now) {
-            match self.make_way(&self.wants[i].want, now) {
-                Some(step) => return Some(step),
-                None => {
-                    let p = self.wants.remove(i);
-                    refused.push((p.asker, Outcome::NoRoom));
+        let before = std::mem::take(&mut self.leaving);
+        let mut hopeless = Vec::new();
+        let mut step = None;
+        for i in self.models_to_load(now) {
+            match self.make_way(&self.wants[i].want, &before, now) {
+                Room::Now(next) => {
+                    step = Some(next);
+                    break;
+                }
+                Room::Later(None) => {}
+                // One at a time: the next want may need no more room than this one makes.
+                Room::Later(Some(victim)) if self.leaving.is_empty() => {
+                    self.leaving.push(victim);
                 }
+                Room::Later(Some(_)) => {}
+                Room::Never => hopeless.push(i),
             }
         }
-        None
+        hopeless.sort_unstable();
+        for i in hopeless.into_iter().rev() {
+            let p = self.wants.remove(i);
+            refused.push((p.asker, Outcome::NoRoom));
+        }
+        step
     }
 
-    /// The first want for a model that is not there; those that a request waits for come first.
-    fn first_model(&self, now: Duration) -> Option<usize> {
+    /// The wants for models that are not there, as they go: the most requests served for the time that
+    /// the load takes first, of those that are equal the oldest; last what no request waits for.
+    fn models_to_load(&self, now: Duration) -> Vec<usize> {
         let may_fetch = self
             .fetch_began
             .is_none_or(|at| now.saturating_sub(at) >= self.opts.fetch_window);
         let allowed = |p: &Pending| may_fetch || self.copy(&p.want.model) != Copy::Store;
         let absent = |p: &Pending| !self.holds(&p.want.model) && allowed(p);
-        let first = |ahead| {
-            let mut wants = self.wants.iter();
-            wants.position(|p| p.want.ahead == ahead && absent(p))
+        let waiting = |model: &str| {
+            let same = |p: &&Pending| !p.want.ahead && *p.want.model == *model;
+            self.wants.iter().filter(same).count()
+        };
+        let gain = |p: &Pending| {
+            let time = self.load_time(&p.want.model, self.copy(&p.want.model));
+            waiting(&p.want.model) as f64 / time.as_secs_f64().max(LEAST_LOAD_S)
         };
-        first(false).or_else(|| first(true))
+        let candidates = (0..self.wants.len()).filter(|i| absent(&self.wants[*i]));
+        let mut order: Vec<(usize, f64)> = candidates.map(|i| (i, gain(&self.wants[i]))).collect();
+        order.sort_by(|a, b| b.1.total_cmp(&a.1));
+        let mut seen: Vec<&str> = Vec::new();
+        order.retain(|(i, _)| {
+            let model = &*self.wants[*i].want.model;
+            let first = !seen.contains(&model);
+            if first {
+                seen.push(model);
+            }
+            first
+        });
+        order.into_iter().map(|(i, _)| i).collect()
     }
 
-    /// Time that the loads will take that are asked for and have not begun.
+    /// Time that the loads from copies will take that are asked for and have not begun. Those from the
+    /// weight store take turns after them, unless many requests wait for one.
     pub(super) fn to_load(&self) -> Duration {
         let mut models: Vec<&str> = self
             .wants
             .iter()
             .map(|p| &*p.want.model)
-            .filter(|m| !self.holds(m) && !self.loads(m))
+            .filter(|m| !self.holds(m) && !self.loads(m) && self.copy(m) != Copy::Store)
             .collect();
         models.sort_unstable();
         models.dedup();
         models.iter().map(|m| self.load_time(m, self.copy(m))).sum()
     }
 
-    /// The next step towards a model: unload a victim, or load it. `None` when there is no room.
-    fn make_way(&self, want: &Want, now: Duration) -> Option<Step> {
-        let decl = self.decl.as_ref()?;
-        let reading = self.reading.as_ref()?;
-        let needed = decl.model(&want.model)?.weights_mb;
+    /// The next step towards a model: unload a victim, or load it.
+    ///
+    /// An engine takes no order while it unloads a model, and that waits for the model's streams. So a
+    /// victim with requests in flight gets no new ones first, and the order is given when they have
+    /// ended; meanwhile the engine takes the orders that need no such wait.
+    fn make_way(&self, want: &Want, leaving: &[Box<str>], now: Duration) -> Room {
+        let (Some(decl), Some(reading)) = (&self.decl, &self.reading) else {
+            return Room::Never;
+        };
+        let Some(model) = decl.model(&want.model) else {
+            return Room::Never;
+        };
+        let needed = model.weights_mb;
+        if needed > decl.weights_mb {
+            return Room::Never;
+        }
         let free = decl.weights_mb - self.taken_mb();
         let step = |load, model: &str| Step {
             load,
@@ -81,18 +137,23 @@
             planned_on: reading.sequence,
         };
         if needed <= free {
-            return Some(step(true, &want.model));
+            return Room::Now(step(true, &want.model));
         }
+        let idle = |v: &str| self.uses.in_flight(v) == 0 && self.uses.settled(v, now);
         let named = want.victims.iter().map(|v| &**v);
+        let named = named.filter(|v| reading.holds.model(v).is_some());
         // The entry's view can be a second old; what it named may be gone, then the least used
         // ones make way.
         let mut others: Vec<&str> = reading.holds.models.iter().map(|h| &*h.name).collect();
         others.sort_by(|a, b| self.uses.rate(a, now).total_cmp(&self.uses.rate(b, now)));
-        let victim = named
-            .filter(|v| reading.holds.model(v).is_some())
-            .chain(others)
-            .find(|v| self.uses.settled(v, now))?;
-        Some(step(false, victim))
+        if let Some(victim) = named.clone().chain(others).find(|v| idle(v)) {
+            return Room::Now(step(false, victim));
+        }
+        let mut busy = named.filter(|v| {
+            let begun = leaving.iter().any(|m| **m == **v);
+            begun || want.ahead || self.uses.settled(v, now)
+        });
+        Room::Later(busy.next().map(Into::into))
     }
 
     fn next_adapter(&self, now: Duration) -> Option<Step> {
--- a/crates/stair-sidecar/src/desk/tell.rs
+++ b/crates/stair-sidecar/src/desk/tell.rs
@@ -43,7 +43,11 @@
             left: d.until.saturating_sub(now),
             times: self.times(d, now),
         });
-        let unloading = self.doing.as_ref().filter(|d| !d.load);
+        let unloading = self.doing.as_ref().filter(|d| !d.load).map(|d| &d.model);
+        let mut leaving: Vec<Box<str>> = self.leaving.clone();
+        leaving.extend(unloading.cloned());
+        leaving.sort();
+        leaving.dedup();
         let mut usage: Vec<Usage> = reading
             .holds
             .models
@@ -52,6 +56,7 @@
                 model: h.name.clone(),
                 in_flight: self.uses.in_flight(&h.name),
                 per_s: self.uses.rate(&h.name, now) as f32,
+                work: self.uses.work(&h.name, now) as f32,
             })
             .filter(|u| u.in_flight > 0 || u.per_s > LEAST_PER_S)
             .collect();
@@ -66,7 +71,8 @@
             loading,
             fetched: self.fetched(now),
             to_load: self.to_load(),
-            unloading: unloading.map(|d| d.model.clone()),
+            unloading: unloading.is_some(),
+            leaving,
             free_adapters: self.free_adapters(),
             usage,
         }
--- a/crates/stair-sidecar/src/process/hear.rs
+++ b/crates/stair-sidecar/src/process/hear.rs
@@ -1,8 +1,13 @@
 //! What the agent hears from entries, and which life of its engine it believes in.
 
-use stair_fleet::msg::{
-    ToAgent,
-    ToEntry, //
+use std::time::Duration;
+
+use stair_fleet::{
+    msg::{
+        ToAgent,
+        ToEntry, //
+    },
+    reading::Answer,
 };
 use stair_telemetry::event::Line;
 
@@ -16,6 +21,9 @@
     uses::LinkKey, //
 };
 
+/// What a prompt is told of the wait at an engine whose model makes way: longer than any that is of use.
+const LEAVING_WAIT: Duration = Duration::from_secs(60);
+
 impl Agent {
     pub(super) fn take(&mut self, event: Event) {
         match event {
@@ -73,11 +81,24 @@
                     .write();
                 self.desk.want(Asker { link: key, seq }, want, now);
             }
+            ToAgent::Cancel(seq) => self.desk.cancel(Asker { link: key, seq }),
             ToAgent::Turn { seq, ask } => {
-                let answer = self.turns.ask(&ask, self.desk.memory_tokens(), now);
-                if ask.first && !answer.booked {
+                let answer = if self.desk.is_leaving(&ask.model) {
+                    Answer::full(LEAVING_WAIT)
+                } else {
+                    self.turns.ask(&ask, self.desk.memory_tokens(), now)
+                };
+                if answer.booked {
+                    self.desk.sent(&ask.model, now);
+                }
+                let missed = ask.first && !answer.booked;
+                if missed {
                     self.desk.missed(&ask.model, now);
                 }
+                if missed || answer.booked {
+                    let work = self.turns.work(&ask, answer.kept);
+                    self.desk.read_prompt(&ask.model, work, now);
+                }
                 let link = self.links.iter().find(|l| l.key == key);
                 // An entry that does not read goes without its turn.
                 link.map(|l| l.tx.try_send(ToEntry::Turn { seq, answer }));
--- a/crates/stair-sidecar/src/process/tell.rs
+++ b/crates/stair-sidecar/src/process/tell.rs
@@ -90,7 +90,7 @@
         };
         let orders = |l: &Load| {
             let loading = l.loading.as_ref().map(|l| l.model.clone());
-            (l.alive, loading, l.unloading.clone(), l.to_load)
+            (l.alive, loading, l.leaving.clone(), l.to_load)
         };
         let work = |l: &Load| {
             (
--- a/crates/stair-sidecar/src/uses.rs
+++ b/crates/stair-sidecar/src/uses.rs
@@ -22,6 +22,8 @@
 struct Use {
     name: Box<str>,
     per_s: f64,
+    /// Part of the engine's time that it took lately.
+    work: f64,
     at: Duration,
     /// In flight by connection.
     in_flight: Vec<(LinkKey, u32)>,
@@ -44,6 +46,11 @@
         self.entry(&name, now).wanted = Some(now);
     }
 
+    /// Notes that a request for a model is on its way.
+    pub fn asked(&mut self, model: &str, now: Duration) {
+        self.entry(model, now).wanted = Some(now);
+    }
+
     /// Notes a request that found no turn here. It counts as use: were only those counted that were
     /// sent, a crowded replica would look as busy as it can serve, never busier, and its model would
     /// get no further one (seen on one day: 40 prompts in seven seconds at one replica, 24 sent).
@@ -51,6 +58,11 @@
         self.entry(model, now).per_s += 1.0 / RATE_TIME_S;
     }
 
+    /// Takes in that a request's prompt takes so much of the engine's time.
+    pub fn worked(&mut self, model: &str, work: Duration, now: Duration) {
+        self.entry(model, now).work += work.as_secs_f64() / RATE_TIME_S;
+    }
+
     /// Takes in what an entry has sent.
     pub fn take(&mut self, link: LinkKey, list: &[Used], now: Duration) {
         for used in list {
@@ -96,6 +108,11 @@
         self.find(name).map_or(0.0, |u| u.rate(now))
     }
 
+    /// Part of the engine's time that it took lately.
+    pub fn work(&self, name: &str, now: Duration) -> f64 {
+        self.find(name).map_or(0.0, |u| u.work * u.left(now))
+    }
+
     fn find(&self, name: &str) -> Option<&Use> {
         let i = self.list.binary_search_by(|u| (*u.name).cmp(name)).ok()?;
         Some(&self.list[i])
@@ -108,6 +125,7 @@
                 let new = Use {
                     name: name.into(),
                     per_s: 0.0,
+                    work: 0.0,
                     at: now,
                     in_flight: Vec::new(),
                     wanted: None,
@@ -117,6 +135,7 @@
             }
         };
         let entry = &mut self.list[i];
+        entry.work *= entry.left(now);
         entry.per_s = entry.rate(now);
         entry.at = now;
         entry
@@ -125,8 +144,13 @@
 
 impl Use {
     fn rate(&self, now: Duration) -> f64 {
+        self.per_s * self.left(now)
+    }
+
+    /// Part of the averages that is left of what they were.
+    fn left(&self, now: Duration) -> f64 {
         let passed = now.saturating_sub(self.at).as_secs_f64();
-        self.per_s * (-passed / RATE_TIME_S).exp()
+        (-passed / RATE_TIME_S).exp()
     }
 }
 
--- a/crates/stair-sidecar/tests/random.rs
+++ b/crates/stair-sidecar/tests/random.rs
@@ -186,6 +186,7 @@
                         victims: Vec::new(),
                         fetch: Some(1),
                         ahead: false,
+                        of_use: Duration::from_secs(14),
                     };
                     desk.want(asker, want, now);
                 }
