--- a/crates/stair-sidecar/src/process/hear.rs
+++ b/crates/stair-sidecar/src/process/hear.rs
@@ -81,7 +81,10 @@
                     .write();
                 self.desk.want(Asker { link: key, seq }, want, now);
             }
-            ToAgent::Cancel(seq) => self.desk.cancel(Asker { link: key, seq }),
+            ToAgent::Cancel(seq) => {
+                Line::new("want.taken_back").num("seq", seq).write();
+                self.desk.cancel(Asker { link: key, seq });
+            }
             ToAgent::Turn { seq, ask } => {
                 let answer = if self.desk.is_leaving(&ask.model) {
                     Answer::full(LEAVING_WAIT)
--- a/crates/stair-sidecar/src/process/tell.rs
+++ b/crates/stair-sidecar/src/process/tell.rs
@@ -71,6 +71,12 @@
         }
         let load = self.load();
         if self.load_is_due(&load) {
+            let before = self.told_load.as_ref().map(|(l, _)| &l.leaving);
+            if before.is_some_and(|b| *b != load.leaving) {
+                Line::new("leaving")
+                    .text("models", &load.leaving.join(" "))
+                    .write();
+            }
             self.tell(&ToEntry::Load(Box::new(load.clone())));
             self.told_load = Some((load, Instant::now()));
         }
