fleet, sidecar: a model that makes way tells a wait that a client can come back after

Found by reading the diff: a prompt at such a model was told a wait of 60 s, which a request that finds no other engine passes on as the time to come back. Now a second beyond what is of use. Test: reading::model_makes_way.

--- a/crates/stair-fleet/src/reading.rs
+++ b/crates/stair-fleet/src/reading.rs
@@ -60,6 +60,9 @@
 /// are promised between events.
 const BURST_MS: f64 = 425.0;
 
+/// Time in which a model that makes way at one engine is brought to another from a copy.
+const SWAP_TIME: Duration = Duration::from_millis(1000);
+
 /// Part of the engine's memory that kept prompts are taken to have. The rest belongs to what runs.
 const KEPT_PART: f64 = 0.6;
 
@@ -107,11 +110,12 @@
 }
 
 impl Answer {
-    /// No turn, as the wait would be so long.
-    pub fn full(wait: Duration) -> Self {
+    /// No turn, as the prompt's model makes way. The wait is longer than is of use, so that the prompt goes
+    /// elsewhere, and short enough to tell a client when to come back: by then another engine has it.
+    pub fn leaving(ask: &Ask) -> Self {
         Self {
             booked: false,
-            wait,
+            wait: ask.limit + SWAP_TIME,
             backlog: Duration::ZERO,
             kept: 0,
             reads: Duration::ZERO,
--- a/crates/stair-fleet/tests/reading.rs
+++ b/crates/stair-fleet/tests/reading.rs
@@ -315,3 +315,17 @@
     assert!(turns.rate("small") > 1.4 * turns.rate("large"));
     assert!((30.0..36.0).contains(&turns.rate("large")));
 }
+
+/// A prompt asks for its turn at an engine whose model makes way. It is to go elsewhere; told a wait of a
+/// minute, the request that finds no other engine would tell its client to come back after that, while
+/// its model is there again within a second.
+#[test]
+fn model_makes_way() {
+    let ask = Ask {
+        limit: ms(300),
+        ..prompt(1, 100)
+    };
+    let answer = Answer::leaving(&ask);
+    assert!(!answer.booked && answer.wait > ask.limit);
+    assert!(answer.wait <= ask.limit + ms(1000));
+}
--- a/crates/stair-sidecar/src/process/hear.rs
+++ b/crates/stair-sidecar/src/process/hear.rs
@@ -1,7 +1,5 @@
 //! What the agent hears from entries, and which life of its engine it believes in.
 
-use std::time::Duration;
-
 use stair_fleet::{
     msg::{
         ToAgent,
@@ -21,9 +19,6 @@
     uses::LinkKey, //
 };
 
-/// What a prompt is told of the wait at an engine whose model makes way: longer than any that is of use.
-const LEAVING_WAIT: Duration = Duration::from_secs(60);
-
 impl Agent {
     pub(super) fn take(&mut self, event: Event) {
         match event {
@@ -87,7 +82,7 @@
             }
             ToAgent::Turn { seq, ask } => {
                 let answer = if self.desk.is_leaving(&ask.model) {
-                    Answer::full(LEAVING_WAIT)
+                    Answer::leaving(&ask)
                 } else {
                     self.turns.ask(&ask, self.desk.memory_tokens(), now)
                 };
