fleet: one target in a file of its own; a word is taken in at one place

Ruled out: a third file for lives; is_life and is_older are a few lines of one target's state. Change: seen.rs; put ends, finds or makes the slot and then sets the fields once.

--- a/crates/stair-fleet/src/balance.rs
+++ b/crates/stair-fleet/src/balance.rs
@@ -16,10 +16,10 @@
 
 use crate::{
     catalogue::Engine,
+    seen::Seen,
     spread::Asked,
     target::Copy,
     view::{
-        Seen,
         TargetKey,
         View, //
     },
--- a/crates/stair-fleet/src/choose.rs
+++ b/crates/stair-fleet/src/choose.rs
@@ -10,10 +10,12 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::view::{
-    Seen,
-    TargetKey,
-    View, //
+use crate::{
+    seen::Seen,
+    view::{
+        TargetKey,
+        View, //
+    }, //
 };
 
 /// Prompt tokens that an engine reads in a millisecond, for estimates. A little under the rate of
--- a/crates/stair-fleet/src/lib.rs
+++ b/crates/stair-fleet/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`catalogue`]: routes, services and models that operators declare, and the choice of a route.
 //! - [`target`]: what a target announces, and what its agent reports of it.
 //! - [`view`]: all that one entry knows of the targets, with the age of each part.
+//! - [`seen`]: one target as an entry knows it.
 //! - [`choose`]: the target for a request among those that can run it now.
 //! - [`wake`]: the target that loads a model, and what makes room for it there.
 //! - [`overload`]: what to do with a request whose best target is slow.
@@ -30,6 +31,7 @@
 pub mod msg;
 pub mod overload;
 pub mod reading;
+pub mod seen;
 pub mod spread;
 pub mod target;
 pub mod view;
--- a/crates/stair-fleet/src/spread.rs
+++ b/crates/stair-fleet/src/spread.rs
@@ -10,12 +10,12 @@
     balance,
     catalogue::Engine,
     fetch,
+    seen::Seen,
     target::{
         Copy,
         Report, //
     },
     view::{
-        Seen,
         TargetKey,
         View, //
     },
--- a/crates/stair-fleet/src/view.rs
+++ b/crates/stair-fleet/src/view.rs
@@ -15,33 +15,17 @@
     Serialize, //
 };
 
-use crate::target::{
-    Holds,
-    Load,
-    Report,
-    State,
-    Target, //
+use crate::{
+    seen::Seen,
+    target::{
+        Holds,
+        Load,
+        Report,
+        State,
+        Target, //
+    }, //
 };
 
-/// Age up to which a report goes before the list. Agents report every second at least, so three
-/// missed ones mean that the link is dead or the agent stands still.
-pub const REPORT_FRESH: Duration = Duration::from_secs(3);
-
-/// Time for which a target that failed a connection or fell silent is left out. Twice the time
-/// that a crashed process takes to come back; a target that is sound again loses little by it.
-pub const SUSPECT_TIME: Duration = Duration::from_millis(1500);
-
-/// Time for which words of an earlier life are dropped while none of the later one comes.
-///
-/// An old word can be written to the list late, by the target itself or by the store; the target writes
-/// over it at its next heartbeat, 1.2 s later. One whose clock was set back between two lives would
-/// look old for ever, and would get no requests; after three heartbeats without a word of the other
-/// life its word is taken.
-pub const OLD_WORDS_TIME: Duration = Duration::from_millis(3600);
-
-/// Weight of the newest sample in the averages; a change shows after about five requests.
-const SMOOTH: f64 = 0.2;
-
 /// Names a target in one [`View`] for as long as the process runs.
 ///
 /// The slot of one that has left is used again. A request may have waited for a turn meanwhile, and by
@@ -52,169 +36,6 @@
     serial: u64,
 }
 
-/// One target as an entry knows it.
-#[derive(Debug, Clone)]
-pub struct Seen {
-    /// What it announced.
-    pub target: Target,
-    /// Whether the list still has it; otherwise it has left and gets nothing new.
-    pub listed: bool,
-    /// Set when the newest list lacks it: it has left from then on.
-    pub missing_until: Option<Duration>,
-    /// Its agent's last report, and when it came.
-    pub report: Option<(Report, Duration)>,
-    /// Left out until then.
-    pub suspect_until: Duration,
-    /// Requests of this entry in flight there.
-    pub in_flight: u32,
-    /// Prompt tokens of this entry's requests there that have had no event yet.
-    pub unread_tokens: u64,
-    /// Until when the engine has prompts to read, by its agent's last word.
-    pub reads_until: Duration,
-    /// Share of attempts that failed lately, 0 to 1.
-    pub failing: f64,
-    /// Time to the answer's head or first event lately beyond what was expected, in milliseconds.
-    pub delay_ms: f64,
-    /// Whether its service is declared. An announcement of another one was written by a stranger, and
-    /// its address can be that of a sound target.
-    declared: bool,
-    /// Since when only words of an earlier life have come.
-    old_words_since: Option<Duration>,
-    /// Rises with each life that was seen for the first time.
-    serial: u64,
-}
-
-impl Seen {
-    fn new(target: Target, serial: u64) -> Self {
-        Self {
-            target,
-            serial,
-            listed: true,
-            declared: true,
-            old_words_since: None,
-            missing_until: None,
-            report: None,
-            suspect_until: Duration::ZERO,
-            in_flight: 0,
-            unread_tokens: 0,
-            reads_until: Duration::ZERO,
-            failing: 0.0,
-            delay_ms: 0.0,
-        }
-    }
-
-    /// One that is not listed.
-    fn gone() -> Self {
-        let target = Target {
-            id: "".into(),
-            service: "".into(),
-            addr: SocketAddr::from(([0, 0, 0, 0], 0)),
-            data_centre: "".into(),
-            started: None,
-            slots: 0,
-            state: State::Draining(None),
-            cold: Duration::ZERO,
-            holds: Holds::default(),
-        };
-        Self {
-            listed: false,
-            ..Self::new(target, 0)
-        }
-    }
-
-    /// Whether the target takes new requests as far as is known.
-    pub fn open(&self, now: Duration) -> bool {
-        let missing = self.missing_until.is_some_and(|t| now >= t);
-        let dead = self.fresh(now).is_some_and(|r| !r.load.alive);
-        let ready = self.listed && self.target.state == State::Ready;
-        ready && !missing && now >= self.suspect_until && !dead
-    }
-
-    /// Whether the target takes new requests, by its own word alone where suspicion is left aside.
-    pub fn takes(&self, suspects: bool, now: Duration) -> bool {
-        self.open(now) || (suspects && self.listed_ready())
-    }
-
-    fn listed_ready(&self) -> bool {
-        self.listed && self.missing_until.is_none() && self.target.state == State::Ready
-    }
-
-    /// Returns the agent's report if it is fresh.
-    pub fn fresh(&self, now: Duration) -> Option<&Report> {
-        let (report, at) = self.report.as_ref()?;
-        (now.saturating_sub(*at) < REPORT_FRESH).then_some(report)
-    }
-
-    /// Returns what the target holds, by the report if it is fresh, else by the list.
-    pub fn holds(&self, now: Duration) -> &Holds {
-        match self.fresh(now) {
-            Some(report) if report.load.alive => &report.holds,
-            _ => &self.target.holds,
-        }
-    }
-
-    /// Whether the model can run there now, and is not about to be dropped.
-    pub fn has(&self, model: &str, now: Duration) -> bool {
-        let report = self.fresh(now);
-        let leaving = report.is_some_and(|r| r.load.leaving.iter().any(|m| **m == *model));
-        !leaving && self.holds(now).model(model).is_some()
-    }
-
-    /// Whether the model is being loaded there.
-    pub fn coming(&self, model: &str, now: Duration) -> bool {
-        let loading = self.fresh(now).and_then(|r| r.load.loading.as_ref());
-        loading.is_some_and(|l| *l.model == *model)
-    }
-
-    /// Notes that the target has said it does not hold a model, ahead of the report that says so.
-    pub fn lacks(&mut self, model: &str) {
-        let lists = [
-            Some(&mut self.target.holds),
-            self.report.as_mut().map(|(r, _)| &mut r.holds),
-        ];
-        for holds in lists.into_iter().flatten() {
-            holds.models.retain(|h| *h.name != *model);
-        }
-    }
-
-    /// Whether a word about the target is one of the life that is known.
-    fn is_life(&self, word: &Target) -> bool {
-        self.target.id == word.id && self.target.started == word.started
-    }
-
-    /// Whether a word is one of an earlier life, which changes nothing.
-    fn is_older(&mut self, word: &Target, now: Duration) -> bool {
-        let older = match (word.started, self.target.started) {
-            (Some(word), Some(known)) => word < known,
-            // Who says when its life started always does: another writer has written this.
-            (None, Some(_)) => true,
-            (_, None) => false,
-        };
-        if !older {
-            return false;
-        }
-        let since = *self.old_words_since.get_or_insert(now);
-        now.saturating_sub(since) < OLD_WORDS_TIME
-    }
-
-    /// Notes that the target is gone.
-    pub fn leave(&mut self) {
-        self.listed = false;
-        self.report = None;
-    }
-
-    /// Takes the outcome of an attempt into the averages.
-    pub fn learn(&mut self, ok: bool) {
-        let sample = if ok { 0.0 } else { 1.0 };
-        self.failing += SMOOTH * (sample - self.failing);
-    }
-
-    /// Takes a delay beyond the expected into the averages.
-    pub fn learn_delay(&mut self, ms: f64) {
-        self.delay_ms += SMOOTH * (ms - self.delay_ms);
-    }
-}
-
 /// A line of the list as one entry tells it another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Listed {
@@ -309,72 +130,58 @@
     }
 
     /// Takes in what one target announces. A later life of it replaces the one before; a word of an
-    /// earlier life is dropped, as by [`OLD_WORDS_TIME`]. `None` for what is dropped.
+    /// earlier life is dropped, as by [`OLD_WORDS_TIME`](crate::seen::OLD_WORDS_TIME). `None` for what
+    /// is dropped.
     pub fn put(&mut self, target: Target, now: Duration) -> Option<TargetKey> {
-        let known = self
-            .seen
-            .iter()
-            .position(|s| s.listed && s.target.id == target.id);
-        match known {
-            Some(i) if self.seen[i].is_life(&target) => {
-                let declared = self.is_declared(&target.service);
-                let seen = &mut self.seen[i];
-                seen.declared = declared;
-                seen.target = target;
-                seen.missing_until = None;
-                seen.old_words_since = None;
-                return Some(self.key(i));
+        let listed = |s: &Seen| s.listed && s.target.id == target.id;
+        let known = self.seen.iter().position(listed);
+        if let Some(i) = known
+            && !self.seen[i].is_life(&target)
+        {
+            if self.seen[i].is_older(&target, now) {
+                return None;
             }
-            Some(i) if self.seen[i].is_older(&target, now) => return None,
-            Some(i) => self.seen[i].leave(),
-            None => {}
+            self.seen[i].leave();
         }
-        Some(self.add(target))
+        if !self.seen.iter().any(|s| s.listed && s.is_life(&target)) {
+            self.end_missing_at(target.addr);
+        }
+        let i = self.slot(&target);
+        let declared = self.is_declared(&target.service);
+        let seen = &mut self.seen[i];
+        seen.target = target;
+        seen.declared = declared;
+        seen.listed = true;
+        seen.missing_until = None;
+        seen.old_words_since = None;
+        Some(self.key(i))
+    }
+
+    /// Ends the other target at an address, whose announcement is missing: it has not come back. Both at
+    /// one address would have the agent's reports count for the dead one, and the living one would get no
+    /// orders.
+    fn end_missing_at(&mut self, addr: SocketAddr) {
+        let missing = |s: &&mut Seen| s.target.addr == addr && s.missing_until.is_some();
+        self.seen.iter_mut().filter(missing).for_each(Seen::leave);
     }
 
-    /// Adds a life that was not listed.
-    fn add(&mut self, target: Target) -> TargetKey {
-        // The other target at this address, whose announcement is missing, has not come back. Both at
-        // one address would have the agent's reports count for the dead one, and the living one would
-        // get no orders.
-        for other in &mut self.seen {
-            if other.target.addr == target.addr && other.missing_until.is_some() {
-                other.leave();
-            }
-        }
-        let again = self.seen.iter().position(|s| s.is_life(&target));
-        if let Some(i) = again {
-            let declared = self.is_declared(&target.service);
-            let seen = &mut self.seen[i];
-            seen.declared = declared;
-            seen.target = target;
-            seen.listed = true;
-            seen.missing_until = None;
-            return self.key(i);
+    /// Finds the slot of a life, or gives it one.
+    ///
+    /// A slot of a target that is gone and has nothing in flight is used again, so that a process that
+    /// sees many replacements does not grow.
+    fn slot(&mut self, target: &Target) -> usize {
+        if let Some(i) = self.seen.iter().position(|s| s.is_life(target)) {
+            return i;
         }
         self.serial += 1;
-        let declared = self.is_declared(&target.service);
-        let new = Seen {
-            declared,
-            ..Seen::new(target, self.serial)
-        };
-        // A slot of a target that is gone and has nothing in flight is used again, so that a
-        // process that sees many replacements does not grow.
-        let free = self
-            .seen
-            .iter()
-            .position(|s| !s.listed && s.in_flight == 0 && s.report.is_none());
-        let i = match free {
-            Some(i) => {
-                self.seen[i] = new;
-                i
-            }
-            None => {
-                self.seen.push(new);
-                self.seen.len() - 1
-            }
-        };
-        self.key(i)
+        let new = Seen::new(target.clone(), self.serial);
+        let free = |s: &Seen| !s.listed && s.in_flight == 0 && s.report.is_none();
+        if let Some(i) = self.seen.iter().position(free) {
+            self.seen[i] = new;
+            return i;
+        }
+        self.seen.push(new);
+        self.seen.len() - 1
     }
 
     fn key(&self, i: usize) -> TargetKey {
--- a/crates/stair-fleet/src/wake.rs
+++ b/crates/stair-fleet/src/wake.rs
@@ -17,12 +17,12 @@
 use crate::{
     catalogue::Engine,
     fetch,
+    seen::Seen,
     target::{
         Copy,
         Report, //
     },
     view::{
-        Seen,
         TargetKey,
         View, //
     },
--- a/crates/stair-fleet/tests/choose.rs
+++ b/crates/stair-fleet/tests/choose.rs
@@ -9,12 +9,12 @@
         Options,
         choose, //
     },
+    seen::SUSPECT_TIME,
     target::{
         Held,
         Loading,
         State, //
     },
-    view::SUSPECT_TIME,
 };
 use support::{
     NOW,
--- a/crates/stair-relay/src/dump.rs
+++ b/crates/stair-relay/src/dump.rs
@@ -7,8 +7,8 @@
     Target,
     budget,
     msg::Peers,
+    seen::Seen, //
     target::Report,
-    view::Seen, //
 };
 
 use crate::context::{
--- a/crates/stair-relay/src/relay.rs
+++ b/crates/stair-relay/src/relay.rs
@@ -15,9 +15,9 @@
     body::Incoming, //
 };
 use platform_adapter::request::Meta;
-use stair_fleet::view::{
-    SUSPECT_TIME,
-    TargetKey, //
+use stair_fleet::{
+    seen::SUSPECT_TIME,
+    view::TargetKey, //
 };
 use stair_http::body::{
     Body,
