fleet: a peer is told targets of services that are not declared here

Cause, found by reading the diff: since undeclared services are passed by, list() left their targets out. An entry that is cut off from the store, with newer declarations than the peer it asks, would take those targets for gone and refuse all requests of that service until the store is back. Ruled out: filtering at the receiver, which knows its own declarations and passes strangers by already. Change: the list a peer is told is what is listed, declared or not. Test: view::told_by_a_peer_that_lags, 1 failed before, passes now.

--- a/crates/stair-fleet/src/view.rs
+++ b/crates/stair-fleet/src/view.rs
@@ -297,14 +297,15 @@
     }
 
     /// Copies the list for a peer, without what has left: a target that came back that way would
-    /// get requests after its word that it leaves.
+    /// get requests after its word that it leaves. With targets of services that are not declared here:
+    /// the peer may have newer declarations, and would take those for gone.
     pub fn list(&self, now: Duration) -> Vec<Listed> {
-        self.all()
-            .filter(|(_, s)| s.missing_until.is_none_or(|t| now < t))
-            .map(|(_, s)| Listed {
-                target: s.target.clone(),
-                missing_for: s.missing_until.map(|t| t.saturating_sub(now)),
-            })
-            .collect()
+        let told = |s: &&Seen| s.listed && s.missing_until.is_none_or(|t| now < t);
+        let all = self.seen.iter().filter(told);
+        all.map(|s| Listed {
+            target: s.target.clone(),
+            missing_for: s.missing_until.map(|t| t.saturating_sub(now)),
+        })
+        .collect()
     }
 }
--- a/crates/stair-fleet/tests/view.rs
+++ b/crates/stair-fleet/tests/view.rs
@@ -269,3 +269,19 @@
     view.declare([SERVICE, "nobody's"]);
     assert_eq!(view.all().count(), 2);
 }
+
+/// An entry that is cut off from the store has newer declarations than the peer that it gets the list from.
+/// Were the targets of a service that the peer does not know left out, the entry would take them for
+/// gone and refuse all requests for that service.
+#[test]
+fn told_by_a_peer_that_lags() {
+    let mut peer = View::default();
+    peer.declare([]);
+    peer.put(target(0, SERVICE), NOW);
+    assert_eq!(peer.all().count(), 0);
+    let mut cut = View::default();
+    cut.declare([SERVICE]);
+    let key = cut.put(target(0, SERVICE), NOW).expect("a newer word");
+    cut.replace_by_peers(peer.list(NOW), 2, NOW);
+    assert!(cut.get(key).open(NOW));
+}
