sidecar: the start of an engine's life outlives what was read of it

Cause, found by reading the diff: the start was derived from the last reading, which is dropped when the engine refuses an order by fence or life. A restart right after that went unnoticed: a load that the life before left unanswered had no room kept (an engine ordered beyond its memory crashes), and prompts counted as kept. The agent and its desk each compared starts as well, in near copies. Ruled out: keeping the reading after a refusal, since orders would go on being planned on it. Change: the desk keeps the start and says at each reading whether the engine has started again. Test: desk::restart_after_a_refusal fails with the start derived from the reading, passes now; the other 18 of desk as they were.

--- a/crates/stair-sidecar/src/desk.rs
+++ b/crates/stair-sidecar/src/desk.rs
@@ -100,6 +100,8 @@
 pub struct Desk {
     decl: Option<Engine>,
     reading: Option<Reading>,
+    /// When the engine's present life started, by its own clock, where it says so.
+    started: Option<u64>,
     alive: bool,
     wants: Vec<Pending>,
     doing: Option<Doing>,
@@ -215,17 +217,18 @@
         self.uses.forget(link);
     }
 
-    /// Takes a reading of the engine in, `None` when it does not answer.
-    pub fn read(&mut self, reading: Option<Reading>, now: Duration) {
+    /// Takes a reading of the engine in, `None` when it does not answer. Whether the engine has started
+    /// again under the id that it had since the last one.
+    pub fn read(&mut self, reading: Option<Reading>, now: Duration) -> bool {
         self.alive = reading.is_some();
         let Some(reading) = reading else {
             // What it was loading is lost if it has crashed. Told on, that load would take one of the
             // few places at the weight store, and look as if others had slowed it, for as long as
             // the engine is away. One that comes back in its load says that it is busy.
             self.doing = None;
-            return;
+            return false;
         };
-        self.take_life(&reading, now);
+        let restarted = self.take_life(&reading, now);
         if !reading.busy
             && let Some(doing) = self.doing.take()
         {
@@ -252,12 +255,15 @@
             doing.until = now + Duration::from_millis(100);
         }
         self.reading = Some(reading);
+        restarted
     }
 
     /// Takes in whether the engine has started again, and which unanswered orders may still come.
-    fn take_life(&mut self, reading: &Reading, now: Duration) {
-        let before = self.reading.as_ref().and_then(|r| r.started);
-        if before.is_some() && reading.started.is_some() && before != reading.started {
+    fn take_life(&mut self, reading: &Reading, now: Duration) -> bool {
+        let before = self.started;
+        self.started = reading.started.or(before);
+        let restarted = before.is_some() && self.started != before;
+        if restarted {
             self.doing = None;
             self.dropping.clear();
             self.not_before = Duration::ZERO;
@@ -267,11 +273,7 @@
         let may_come = |u: &Unanswered| u.planned_on >= reading.sequence && now < u.until;
         self.unanswered.retain(may_come);
         self.former.retain(may_come);
-    }
-
-    /// When the engine's present life started, by its own clock, where it says so.
-    pub fn started(&self) -> Option<u64> {
-        self.reading.as_ref().and_then(|r| r.started)
+        restarted
     }
 
     /// Takes in what the engine said to an order; `None` when it said nothing in time.
--- a/crates/stair-sidecar/src/process.rs
+++ b/crates/stair-sidecar/src/process.rs
@@ -280,9 +280,14 @@
                     let revision = self.instance.as_ref().map_or(0, |(_, r)| *r);
                     self.learn_instance(id, revision);
                 }
-                let before = self.desk.started();
-                self.desk.read(Some(reading), self.now());
-                self.take_start(before);
+                let started = reading.started.unwrap_or(0);
+                if self.desk.read(Some(reading), self.now()) {
+                    Line::failure("engine.restarted")
+                        .num("started_ms", started)
+                        .write();
+                    // It has read no prompts yet.
+                    self.turns.clear();
+                }
             }
             Err(e) => {
                 self.misses += 1;
@@ -294,17 +299,6 @@
         }
     }
 
-    /// Takes in whether the engine has started again under the id that it had: it has read nothing.
-    fn take_start(&mut self, before: Option<u64>) {
-        let started = self.desk.started();
-        if before.is_some() && started.is_some() && before != started {
-            Line::failure("engine.restarted")
-                .num("started_ms", started.unwrap_or(0))
-                .write();
-            self.turns.clear();
-        }
-    }
-
     /// Gives orders until there is none to give, and answers what can be answered.
     async fn work(&mut self) {
         loop {
--- a/crates/stair-sidecar/tests/desk.rs
+++ b/crates/stair-sidecar/tests/desk.rs
@@ -424,3 +424,24 @@
     }
     assert_eq!(next(&mut desk, ms(10)), Some(step(true, "b", None, 1)));
 }
+
+/// An engine refuses an order by its fencing token and starts again before it is read. What was read of it
+/// is dropped with the refusal; were its start dropped as well, nobody would notice the restart, and a
+/// load that the life before left unanswered could come on top of a full engine.
+#[test]
+fn restart_after_a_refusal() {
+    let mut desk = desk(&[]);
+    let life = |started, sequence| Reading {
+        started: Some(started),
+        ..reading(sequence, &[("a", &[])])
+    };
+    desk.read(Some(life(10, 3)), ms(0));
+    desk.want(asker(1), want("b", None), ms(0));
+    let lost = next(&mut desk, ms(0)).expect("a load");
+    desk.replied(&lost, None, ms(400));
+    desk.replied(&lost, Some(Reply::Fenced), ms(500));
+    assert!(desk.read(Some(life(20, 3)), ms(600)));
+    desk.cancel(asker(1));
+    desk.want(asker(2), want("c", None), ms(600));
+    assert_eq!(next(&mut desk, ms(1500)), Some(step(false, "a", None, 3)));
+}
--- a/crates/stair-sidecar/tests/random.rs
+++ b/crates/stair-sidecar/tests/random.rs
@@ -190,7 +190,9 @@
                     };
                     desk.want(asker, want, now);
                 }
-                Event::Read(done) => desk.read(Some(engine.reading(done)), now),
+                Event::Read(done) => {
+                    desk.read(Some(engine.reading(done)), now);
+                }
                 Event::Lose(done) => lost = Some(done),
                 Event::Crash => engine.crash(),
                 Event::Pass(ms) => now += Duration::from_millis(ms),
