sidecar: wants are gathered by model once for each look for an order

Cause: each look counted, for every want, the wants for the same model, so its cost grew with the square of what waits; an agent looks at every message, and hundreds wait where a busy model is nowhere. Ruled out: keeping the counts as state, which would have to follow every want that comes, ends or is taken back. Change: one pass over the wants, sorted by model; the time that is left to load comes from the same pass.

--- a/crates/stair-sidecar/src/desk/plan.rs
+++ b/crates/stair-sidecar/src/desk/plan.rs
@@ -13,7 +13,6 @@
 use super::{
     Asker,
     Desk,
-    Pending,
     Step, //
 };
 use crate::uses::key;
@@ -28,6 +27,24 @@
     Never,
 }
 
+/// A model that is asked for and not there.
+struct Absent<'a> {
+    model: &'a str,
+    /// The oldest want for it.
+    oldest: usize,
+    /// Requests that wait for it.
+    waiting: usize,
+    from: Copy,
+    takes: Duration,
+}
+
+impl Absent<'_> {
+    /// Requests served for each second that the load takes.
+    fn gain(&self) -> f64 {
+        self.waiting as f64 / self.takes.as_secs_f64().max(LEAST_LOAD_S)
+    }
+}
+
 /// Time that a load is taken to need at least, in seconds, as one from host memory does.
 const LEAST_LOAD_S: f64 = 0.1;
 
@@ -68,49 +85,54 @@
         step
     }
 
-    /// The wants for models that are not there, as they go: the most requests served for the time that
-    /// the load takes first, of those that are equal the oldest; last what no request waits for.
+    /// The models that are asked for and not there, by name.
+    fn absent(&self) -> Vec<Absent<'_>> {
+        let mut out: Vec<Absent<'_>> = Vec::new();
+        for (i, p) in self.wants.iter().enumerate() {
+            let model = &*p.want.model;
+            if self.holds(model) {
+                continue;
+            }
+            let waiting = usize::from(!p.want.ahead);
+            match out.binary_search_by(|a| a.model.cmp(model)) {
+                Ok(at) => out[at].waiting += waiting,
+                Err(at) => {
+                    let from = self.copy(model);
+                    let new = Absent {
+                        model,
+                        oldest: i,
+                        waiting,
+                        from,
+                        takes: self.load_time(model, from),
+                    };
+                    out.insert(at, new);
+                }
+            }
+        }
+        out
+    }
+
+    /// The oldest want for each model to load, as they go: the most requests served for the time that the
+    /// load takes first, of those that are equal the oldest; last what no request waits for.
     fn models_to_load(&self, now: Duration) -> Vec<usize> {
         let may_fetch = self
             .fetch_began
             .is_none_or(|at| now.saturating_sub(at) >= self.opts.fetch_window);
-        let allowed = |p: &Pending| may_fetch || self.copy(&p.want.model) != Copy::Store;
-        let absent = |p: &Pending| !self.holds(&p.want.model) && allowed(p);
-        let waiting = |model: &str| {
-            let same = |p: &&Pending| !p.want.ahead && *p.want.model == *model;
-            self.wants.iter().filter(same).count()
-        };
-        let gain = |p: &Pending| {
-            let time = self.load_time(&p.want.model, self.copy(&p.want.model));
-            waiting(&p.want.model) as f64 / time.as_secs_f64().max(LEAST_LOAD_S)
-        };
-        let candidates = (0..self.wants.len()).filter(|i| absent(&self.wants[*i]));
-        let mut order: Vec<(usize, f64)> = candidates.map(|i| (i, gain(&self.wants[i]))).collect();
-        order.sort_by(|a, b| b.1.total_cmp(&a.1));
-        let mut seen: Vec<&str> = Vec::new();
-        order.retain(|(i, _)| {
-            let model = &*self.wants[*i].want.model;
-            let first = !seen.contains(&model);
-            if first {
-                seen.push(model);
-            }
-            first
+        let mut models = self.absent();
+        models.retain(|a| may_fetch || a.from != Copy::Store);
+        models.sort_by(|a, b| {
+            let older = || a.oldest.cmp(&b.oldest);
+            b.gain().total_cmp(&a.gain()).then_with(older)
         });
-        order.into_iter().map(|(i, _)| i).collect()
+        models.iter().map(|a| a.oldest).collect()
     }
 
     /// Time that the loads from copies will take that are asked for and have not begun. Those from the
     /// weight store take turns after them, unless many requests wait for one.
     pub(super) fn to_load(&self) -> Duration {
-        let mut models: Vec<&str> = self
-            .wants
-            .iter()
-            .map(|p| &*p.want.model)
-            .filter(|m| !self.holds(m) && !self.loads(m) && self.copy(m) != Copy::Store)
-            .collect();
-        models.sort_unstable();
-        models.dedup();
-        models.iter().map(|m| self.load_time(m, self.copy(m))).sum()
+        let absent = self.absent();
+        let near = absent.iter().filter(|a| a.from != Copy::Store);
+        near.filter(|a| !self.loads(a.model)).map(|a| a.takes).sum()
     }
 
     /// The next step towards a model: unload a victim, or load it.
