relay: what a refused request asked for stands until its client returns

Cause, found by reading the diff: a request that had waited for a load in vain was refused with when to come back, and dropping its wait took the question to the agent back, so that the load could be given up and the client waited from the start again. One that was refused at once left its question standing. Hypothesis: more of those that return are served. Change: at the end of its time the question stands, for as long as the client may take to return.

--- a/crates/stair-relay/src/context/wanted.rs
+++ b/crates/stair-relay/src/context/wanted.rs
@@ -45,7 +45,7 @@
     }
 
     /// Lets it stand although nobody waits for its answer here.
-    pub fn leave(mut self) {
+    pub fn stand(&mut self) {
         self.open = false;
     }
 }
--- a/crates/stair-relay/src/pick.rs
+++ b/crates/stair-relay/src/pick.rs
@@ -255,8 +255,8 @@
     {
         log_wake(job, model, place, "beside");
         // The next report tells what came of it.
-        if let Some(wanted) = ask(cx, model, place, BESIDE_TIME, true) {
-            wanted.leave();
+        if let Some(mut wanted) = ask(cx, model, place, BESIDE_TIME, true) {
+            wanted.stand();
         }
     }
 }
--- a/crates/stair-relay/src/waken.rs
+++ b/crates/stair-relay/src/waken.rs
@@ -103,18 +103,15 @@
     };
     let begun = Instant::now();
     let late = begun + at.ready_in + RUN_TIME > until;
-    let of_use = if late {
-        at.ready_in + RETURN_TIME
-    } else {
-        until.saturating_duration_since(begun)
-    };
+    let waits = until.saturating_duration_since(begun);
+    let of_use = at.ready_in.max(waits + COME_BACK) + RETURN_TIME;
     let Some(mut wanted) = ask(cx, model, at, of_use, false) else {
         return Woken::Refused(at.key);
     };
     log_wake(job, model, at, "needed");
     if late {
         // It is to be there when the client returns.
-        wanted.leave();
+        wanted.stand();
         return Woken::TooLate(at.ready_in);
     }
     let outcome = match wait_woken(cx, job, &mut wanted, refused, until).await {
@@ -161,7 +158,9 @@
             return Some(outcome);
         }
         if Instant::now() >= until {
-            // As if the agent had failed: the request is refused.
+            // As if the agent had failed: the request is refused, and the model is to be there when its
+            // client returns.
+            wanted.stand();
             return Some(Ok(msg::Outcome::Failed));
         }
         if ready(cx, job, refused, false).is_some() {
