fleet: a target that is listed again is found once

Cause, found by reading the diff: since put was brought to one place, a known life was searched for three times, over all targets, at each word of the list. Ruled out: an index by id; the list of a whole fleet comes only when a watch is lost. Change: the first search decides; only a new life looks for a slot. No behaviour changes; tests of view and random pass as they were.

--- a/crates/stair-fleet/src/view.rs
+++ b/crates/stair-fleet/src/view.rs
@@ -135,18 +135,15 @@
     pub fn put(&mut self, target: Target, now: Duration) -> Option<TargetKey> {
         let listed = |s: &Seen| s.listed && s.target.id == target.id;
         let known = self.seen.iter().position(listed);
-        if let Some(i) = known
-            && !self.seen[i].is_life(&target)
-        {
-            if self.seen[i].is_older(&target, now) {
-                return None;
+        let i = match known {
+            Some(i) if self.seen[i].is_life(&target) => i,
+            Some(i) if self.seen[i].is_older(&target, now) => return None,
+            former => {
+                former.into_iter().for_each(|i| self.seen[i].leave());
+                self.end_missing_at(target.addr);
+                self.slot(&target)
             }
-            self.seen[i].leave();
-        }
-        if !self.seen.iter().any(|s| s.listed && s.is_life(&target)) {
-            self.end_missing_at(target.addr);
-        }
-        let i = self.slot(&target);
+        };
         let declared = self.is_declared(&target.service);
         let seen = &mut self.seen[i];
         seen.target = target;
