sidecar: an engine that comes back empty is given what it held and was used for

Ruled out: the weight store (its copies were on both disks). Now the agent asks for it itself, the busiest first, behind what requests ask for and without room made; the refusal of the first order names the new life. Tests: brings_back_what_was_used, what_is_asked_for_goes_first.

--- a/crates/stair-sidecar/src/desk.rs
+++ b/crates/stair-sidecar/src/desk.rs
@@ -48,6 +48,10 @@
 /// twice as long as any that was seen is an assumption.
 const LATE_ORDER_TIME: Duration = Duration::from_secs(10);
 
+/// Time in which what an engine held before it crashed is brought back, each model after the other. Later
+/// than that, entries have asked for what is still missed.
+const RESTORE_TIME: Duration = Duration::from_secs(6);
+
 /// Who asked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Asker {
@@ -211,7 +215,7 @@
     /// Takes a reading of the engine in, `None` when it does not answer. Whether the engine has started
     /// again under the id that it had since the last one.
     pub fn read(&mut self, reading: Option<Reading>, now: Duration) -> bool {
-        self.alive = reading.is_some();
+        let was_alive = std::mem::replace(&mut self.alive, reading.is_some());
         let Some(reading) = reading else {
             // What it was loading is lost if it has crashed. Told on, that load would take one of the
             // few places at the weight store, and look as if others had slowed it, for as long as
@@ -220,6 +224,9 @@
             return false;
         };
         let restarted = self.take_life(&reading, now);
+        if restarted || !was_alive {
+            self.restore(&reading, now);
+        }
         if !reading.busy
             && let Some(doing) = self.doing.take()
         {
@@ -249,6 +256,42 @@
         restarted
     }
 
+    /// Asks for what the engine held and was used for, if it has come back empty.
+    ///
+    /// Entries ask for a model again only when the list has the engine's new life, seconds later, and then in
+    /// the order in which their requests happen to come. From its own disk the model is back by then.
+    fn restore(&mut self, reading: &Reading, now: Duration) {
+        let Some(before) = &self.reading else { return };
+        if !reading.holds.models.is_empty() {
+            return;
+        }
+        let rate = |m: &str| self.uses.rate(m, now);
+        let held = before.holds.models.iter().map(|h| &h.name);
+        let mut lost: Vec<Box<str>> = held.filter(|m| rate(m) > 0.0).cloned().collect();
+        lost.sort_by(|a, b| rate(b).total_cmp(&rate(a)));
+        for model in lost {
+            let asker = Asker {
+                link: LinkKey::OWN,
+                seq: 0,
+            };
+            let want = Want {
+                seq: 0,
+                model,
+                adapter: None,
+                victims: Vec::new(),
+                fetch: None,
+                ahead: true,
+                of_use: RESTORE_TIME,
+            };
+            self.wants.push(Pending {
+                asker,
+                want,
+                since: now,
+                failed: false,
+            });
+        }
+    }
+
     /// Takes in whether the engine has started again, and which unanswered orders may still come.
     fn take_life(&mut self, reading: &Reading, now: Duration) -> bool {
         let before = self.started;
@@ -342,7 +385,9 @@
             return Some(Outcome::Failed);
         }
         if !control || !self.alive || self.reading.is_none() || self.decl.is_none() {
-            return Some(Outcome::NoControl);
+            // The agent itself waits until it is told the engine's new life.
+            let own = p.asker.link == LinkKey::OWN;
+            return (!own).then_some(Outcome::NoControl);
         }
         if self.loads(&p.want.model) {
             return None;
--- a/crates/stair-sidecar/src/desk/plan.rs
+++ b/crates/stair-sidecar/src/desk/plan.rs
@@ -3,19 +3,20 @@
 use std::time::Duration;
 
 use stair_fleet::{
-    msg::{
-        Outcome,
-        Want, //
-    },
+    msg::Outcome,
     target::Copy, //
 };
 
 use super::{
     Asker,
     Desk,
+    Pending,
     Step, //
 };
-use crate::uses::key;
+use crate::uses::{
+    LinkKey,
+    key, //
+};
 
 /// Whether there is room for a model.
 enum Room {
@@ -63,7 +64,7 @@
         let mut hopeless = Vec::new();
         let mut step = None;
         for i in self.models_to_load(now) {
-            match self.make_way(&self.wants[i].want, &before, now) {
+            match self.make_way(&self.wants[i], &before, now) {
                 Room::Now(next) => {
                     step = Some(next);
                     break;
@@ -140,7 +141,8 @@
     /// An engine takes no order while it unloads a model, and that waits for the model's streams. So a
     /// victim with requests in flight gets no new ones first, and the order is given when they have
     /// ended; meanwhile the engine takes the orders that need no such wait.
-    fn make_way(&self, want: &Want, leaving: &[Box<str>], now: Duration) -> Room {
+    fn make_way(&self, pending: &Pending, leaving: &[Box<str>], now: Duration) -> Room {
+        let want = &pending.want;
         let (Some(decl), Some(reading)) = (&self.decl, &self.reading) else {
             return Room::Never;
         };
@@ -161,6 +163,10 @@
         if needed <= free {
             return Room::Now(step(true, &want.model));
         }
+        if pending.asker.link == LinkKey::OWN {
+            // What entries have asked for since is missed more.
+            return Room::Never;
+        }
         let idle = |v: &str| self.uses.in_flight(v) == 0 && self.uses.settled(v, now);
         let named = want.victims.iter().map(|v| &**v);
         let named = named.filter(|v| reading.holds.model(v).is_some());
--- a/crates/stair-sidecar/src/uses.rs
+++ b/crates/stair-sidecar/src/uses.rs
@@ -18,6 +18,11 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct LinkKey(pub u64);
 
+impl LinkKey {
+    /// No connection: the agent itself.
+    pub const OWN: Self = Self(0);
+}
+
 /// Use of one model, or of an adapter as `MODEL/NAME`.
 struct Use {
     name: Box<str>,
--- a/crates/stair-sidecar/tests/desk.rs
+++ b/crates/stair-sidecar/tests/desk.rs
@@ -445,3 +445,47 @@
     desk.want(asker(2), want("c", None), ms(600));
     assert_eq!(next(&mut desk, ms(1500)), Some(step(false, "a", None, 3)));
 }
+
+/// An engine crashes with the only replica of a busy model and comes back empty, with its disk. Entries ask it
+/// for models again when the list has its new life, seconds later, and first for whichever request comes
+/// first. All that time the busy model's requests are refused.
+#[test]
+fn brings_back_what_was_used() {
+    let mut desk = desk(&[("a", &[]), ("b", &[])]);
+    desk.used(LinkKey(2), &[used("a", 3, 1), used("b", 40, 9)], ms(0));
+    desk.read(None, ms(1000));
+    assert_eq!(next(&mut desk, ms(1000)), None);
+    desk.read(Some(reading(0, &[])), ms(4000));
+    assert!(
+        desk.settle(false, ms(4000)).is_empty(),
+        "it waits for a life"
+    );
+    let first = next(&mut desk, ms(4000)).expect("a load");
+    assert_eq!(first, step(true, "b", None, 0), "the busier one first");
+    desk.replied(&first, Some(Reply::Accepted), ms(4000));
+    desk.read(Some(reading(1, &[("b", &[])])), ms(4800));
+    desk.settle(true, ms(4800));
+    assert_eq!(next(&mut desk, ms(4800)), Some(step(true, "a", None, 1)));
+}
+
+/// What requests ask for meanwhile goes first, and nothing makes way for what was there before.
+#[test]
+fn what_is_asked_for_goes_first() {
+    let mut desk = desk(&[("a", &[]), ("b", &[])]);
+    desk.used(LinkKey(2), &[used("a", 3, 0), used("b", 2, 0)], ms(0));
+    desk.read(None, ms(1000));
+    desk.read(Some(reading(0, &[])), ms(4000));
+    desk.want(asker(1), want("c", None), ms(4000));
+    let first = next(&mut desk, ms(4000)).expect("a load");
+    assert_eq!(first, step(true, "c", None, 0));
+    desk.replied(&first, Some(Reply::Accepted), ms(4000));
+    desk.read(Some(reading(1, &[("c", &[])])), ms(4800));
+    desk.settle(true, ms(4800));
+    let second = next(&mut desk, ms(4800)).expect("a load");
+    assert_eq!(second, step(true, "a", None, 1));
+    desk.replied(&second, Some(Reply::Accepted), ms(4800));
+    desk.read(Some(reading(2, &[("a", &[]), ("c", &[])])), ms(5600));
+    desk.settle(true, ms(5600));
+    assert_eq!(next(&mut desk, ms(5600)), None);
+    assert!(!desk.wanted(), "there is no room for the rest");
+}
