relay, sidecar: one entry of a data centre watches the store, the others follow it

And agents told an entry that others were ahead by comparing words of different age, so nearly every entry fetched the whole list of 185 targets from a peer once a second (3,385 times in 36 s). Now the entry with the least name in a data centre watches, and the others hear from it: what decides whether a target gets requests at once, what targets hold every four seconds (agents tell that). One that hears nothing for 750 ms watches by itself; the one that is followed says so only while its own calls are answered in time. Whether an entry lags is judged when its word comes, by what others had said 0.9 s before. Nothing is asked for before operators have declared something.

--- a/crates/stair-fleet/src/lib.rs
+++ b/crates/stair-fleet/src/lib.rs
@@ -17,6 +17,7 @@
 //! - [`blame`]: which targets a failure is put down to.
 //! - [`budget`]: one entry's share of the retries that all entries may make together.
 //! - [`events`]: whole events out of a stream's bytes.
+//! - [`lag`]: which entries lag behind what the others know.
 //! - [`msg`]: what entries and agents tell each other about engines.
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
@@ -28,6 +29,7 @@
 pub mod choose;
 pub mod events;
 pub mod fetch;
+pub mod lag;
 pub mod msg;
 pub mod overload;
 pub mod reading;
--- a/crates/stair-fleet/src/msg.rs
+++ b/crates/stair-fleet/src/msg.rs
@@ -62,6 +62,8 @@
 pub struct Known {
     /// The entry's name.
     pub entry: Box<str>,
+    /// Its data centre.
+    pub data_centre: Box<str>,
     /// Where it answers other entries that ask for its knowledge.
     pub peer: std::net::SocketAddr,
     /// The version of its catalogue, 0 for none.
@@ -138,14 +140,25 @@
     pub least: Box<str>,
     /// Entries that the agent hears, the one told among them.
     pub entries: u32,
+    /// The entry of the same data centre that watches the store for the others there: the one with the
+    /// least name, which may be the one told.
+    pub watcher: Option<Peer>,
     /// The others that are ahead of the one told, by catalogue or by targets; at most two.
     pub ahead: Vec<Known>,
 }
 
+/// An entry that other entries can ask.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Peer {
+    /// The entry's name.
+    pub entry: Box<str>,
+    /// Where it answers other entries.
+    pub addr: std::net::SocketAddr,
+}
+
 impl Peers {
     /// Picks what the entry `own` needs to know out of what all entries say; `all` has `own` too.
     pub fn of(own: &Known, all: &[Known]) -> Self {
-        let least = all.iter().map(|k| &k.entry).min().unwrap_or(&own.entry);
         let newest = all
             .iter()
             .filter(|k| k.catalogue > own.catalogue)
@@ -157,9 +170,54 @@
         let mut ahead: Vec<Known> = newest.into_iter().chain(freshest).cloned().collect();
         ahead.dedup();
         Self {
-            least: least.clone(),
-            entries: u32::try_from(all.len()).unwrap_or(u32::MAX),
             ahead,
+            ..Fleet::of(all).peers(own)
+        }
+    }
+}
+
+/// All entries together, as far as each of them needs to know.
+///
+/// Worked out once for all of them: by each for itself it would take the square of their number.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Fleet {
+    least: Option<Box<str>>,
+    entries: u32,
+    /// The data centres with the entry that watches the store in each, sorted.
+    watchers: Vec<(Box<str>, Peer)>,
+}
+
+impl Fleet {
+    /// Takes in what all entries say.
+    pub fn of(all: &[Known]) -> Self {
+        let mut watchers: Vec<(Box<str>, Peer)> = Vec::new();
+        for known in all {
+            let peer = Peer {
+                entry: known.entry.clone(),
+                addr: known.peer,
+            };
+            match watchers.binary_search_by(|(dc, _)| dc.cmp(&known.data_centre)) {
+                Ok(i) if watchers[i].1.entry > peer.entry => watchers[i].1 = peer,
+                Ok(_) => {}
+                Err(i) => watchers.insert(i, (known.data_centre.clone(), peer)),
+            }
+        }
+        Self {
+            least: all.iter().map(|k| &k.entry).min().cloned(),
+            entries: u32::try_from(all.len()).unwrap_or(u32::MAX),
+            watchers,
+        }
+    }
+
+    /// What one of them needs to know, but for those ahead of it.
+    pub fn peers(&self, own: &Known) -> Peers {
+        let near = |(dc, _): &(Box<str>, Peer)| dc.cmp(&own.data_centre);
+        let watcher = self.watchers.binary_search_by(near).ok();
+        Peers {
+            least: self.least.clone().unwrap_or_else(|| own.entry.clone()),
+            entries: self.entries,
+            watcher: watcher.map(|i| self.watchers[i].1.clone()),
+            ahead: Vec::new(),
         }
     }
 }
--- /dev/null
+++ b/crates/stair-fleet/tests/lag.rs
@@ -0,0 +1,73 @@
+//! Which entries lag behind what the others know.
+
+use std::time::Duration;
+
+use stair_fleet::{
+    lag::Lag,
+    msg::{
+        Known,
+        Peers, //
+    },
+};
+
+fn known(entry: &str, data_centre: &str, targets: u64) -> Known {
+    Known {
+        entry: entry.into(),
+        data_centre: data_centre.into(),
+        peer: ([127, 0, 0, 1], 1).into(),
+        catalogue: 1,
+        targets,
+    }
+}
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// A hundred entries follow a list that changes sixty times a second, each 600 ms behind it, and say so once
+/// a second. At nearly any moment the last word of each is older than that of some other. Were that a lag,
+/// each would fetch the whole list from a peer several times a second although its own watch brings it.
+#[test]
+fn late_words_are_no_lag() {
+    let mut lag = Lag::default();
+    for at in 0..10_000_u64 {
+        if at % 10 == 0 {
+            let n = at / 10 % 100;
+            // Watches bring news at their own moments, at most 600 ms old.
+            let behind = n * 37 % 600;
+            let word = known(&format!("e{n}"), "a", at.saturating_sub(behind) * 60 / 1000);
+            assert!(!lag.hear(&word, ms(at)), "e{n} at {at} ms");
+        }
+    }
+}
+
+/// The store turns one entry away while it serves the others. It would send requests to targets that have
+/// said that they leave, and is told who is ahead within two seconds.
+#[test]
+fn entry_turned_away() {
+    let mut lag = Lag::default();
+    let mut noticed = None;
+    for at in (0..4000_u64).step_by(10) {
+        lag.hear(&known("sound", "a", at), ms(at));
+        let stuck = known("stuck", "a", at.min(1000));
+        if at % 500 == 0 && lag.hear(&stuck, ms(at)) {
+            noticed.get_or_insert(at);
+        }
+    }
+    let noticed = noticed.expect("noticed");
+    assert!((1900..=2500).contains(&noticed), "{noticed} ms");
+}
+
+/// Every entry of a data centre is told the same one to follow, in each data centre another.
+#[test]
+fn one_watcher() {
+    let all = vec![
+        known("d", "a", 1),
+        known("b", "b", 2),
+        known("c", "a", 3),
+        known("e", "b", 4),
+    ];
+    let watcher = |own: &Known| Peers::of(own, &all).watcher.map(|p| p.entry);
+    let found: Vec<_> = all.iter().map(|k| watcher(k).expect("one")).collect();
+    assert_eq!(found, ["c".into(), "b".into(), "c".into(), "b".into()]);
+}
--- a/crates/stair-fleet/tests/view.rs
+++ b/crates/stair-fleet/tests/view.rs
@@ -103,6 +103,7 @@
 fn told_of_those_ahead() {
     let known = |entry: &str, catalogue, targets| Known {
         entry: entry.into(),
+        data_centre: "a".into(),
         peer: addr(0),
         catalogue,
         targets,
--- a/crates/stair-relay/src/context.rs
+++ b/crates/stair-relay/src/context.rs
@@ -59,7 +59,10 @@
     },
 };
 
-use crate::job::Job;
+use crate::{
+    follow::Follow,
+    job::Job, //
+};
 
 pub use flight::{
     Flight,
@@ -75,6 +78,8 @@
     pub page: Page,
     /// Notified at each change of the state.
     pub changed: Notify,
+    /// Who watches the store: this entry, or one that it follows.
+    pub follow: Follow,
     started: Instant,
     /// When the process ends, once the stop has begun.
     ends_at: watch::Sender<Option<Instant>>,
@@ -144,6 +149,7 @@
             settings,
             page: Page::default(),
             changed: Notify::new(),
+            follow: Follow::default(),
             started: Instant::now(),
             ends_at: watch::Sender::new(None),
             serving: AtomicUsize::new(0),
@@ -217,6 +223,18 @@
         !self.draining() && state.catalogue.is_some() && state.view.revision > 0
     }
 
+    /// Waits until operators have declared something. Before that no target can be used, and each look at
+    /// their list is a call of the store.
+    pub async fn declared(&self) {
+        loop {
+            let changed = self.changed.notified();
+            if self.state().catalogue.is_some() {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// Sets the gauges to what is so now.
     pub fn gauges(&self) {
         let now = self.now();
@@ -244,6 +262,7 @@
         let state = self.state();
         Known {
             entry: self.settings.name.clone(),
+            data_centre: self.settings.data_centre.as_str().into(),
             peer: self.settings.inner,
             catalogue: state.catalogue.as_ref().map_or(0, |c| c.version),
             targets: state.view.revision,
--- a/crates/stair-relay/src/dump.rs
+++ b/crates/stair-relay/src/dump.rs
@@ -30,6 +30,8 @@
     agents: Vec<AgentDump>,
     /// What an agent said last of the other entries, and how long ago.
     peers: Option<(Peers, u64)>,
+    /// Whether another entry watches the store for this one.
+    follows: bool,
     requests_in_flight: usize,
     retries: Vec<RetriesDump>,
 }
@@ -84,6 +86,7 @@
         targets: state.view.all().map(|(_, s)| target(s, now)).collect(),
         agents: state.agents.iter().map(agent).collect(),
         peers: state.peers.as_ref().map(|(p, at)| (p.clone(), ago(*at))),
+        follows: cx.follow.follows(),
         requests_in_flight: cx.serving(),
         retries: state
             .budgets()
--- /dev/null
+++ b/crates/stair-relay/src/follow.rs
@@ -0,0 +1,343 @@
+//! One entry of a data centre watches the store, and the others there follow it.
+//!
+//! The load it answers: a hundred entries that each watch a list which changes many times a second. Every
+//! answer is a call of the store, the same for all of them.
+//!
+//! Who watches is told by agents: the entry with the least name in the data centre. The others open a
+//! connection to it and hear what it hears; one that hears nothing for [`SILENCE`] watches by itself until
+//! it follows again, so that nobody is left behind by a peer that stops, stands still or is cut off. An entry
+//! is followed only while it vouches for what it knows: its own calls to the store are answered in time.
+
+use std::{
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::Duration,
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use stair_fleet::{
+    Catalogue,
+    msg::Peer,
+    view::Listed, //
+};
+use stair_telemetry::event::Line;
+use stair_wire::frame;
+use tokio::{
+    net::{
+        TcpStream,
+        tcp::OwnedWriteHalf, //
+    },
+    sync::{
+        broadcast,
+        watch, //
+    },
+    time::{
+        Instant,
+        sleep,
+        timeout, //
+    },
+};
+
+use crate::{
+    context::Context,
+    know::{
+        self,
+        TargetChange, //
+    },
+    peers::{
+        Ask,
+        Question, //
+    },
+};
+
+/// Time to open a connection to the entry that watches.
+const CONNECT_TIME: Duration = Duration::from_millis(500);
+
+/// Time without a word after which it is not followed any longer: three heartbeats. With the pauses of its
+/// own watch, what is new comes within two seconds also when it stops.
+const SILENCE: Duration = Duration::from_millis(750);
+
+/// Pause between heartbeats while there is nothing to tell.
+const HEARTBEAT: Duration = Duration::from_millis(250);
+
+/// Pause before an entry is followed again.
+const PAUSE: Duration = Duration::from_millis(1000);
+
+/// Time beyond a watch's own within which the store has to answer it, for its entry to vouch for what it
+/// knows.
+const VOUCH_TIME: Duration = Duration::from_millis(300);
+
+/// Pause between words of what targets hold. Their agents tell that at once; the list stands in for an agent
+/// that is silent.
+const HOLDS_EVERY: Duration = Duration::from_millis(4000);
+
+/// Words that wait for one follower; one that has missed some is told everything again.
+const QUEUE: usize = 64;
+
+/// What an entry watches.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Part {
+    /// What operators declare.
+    Catalogue,
+    /// The list of targets.
+    Targets,
+}
+
+/// How soon a change of the list has to be known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Weight {
+    /// It decides whether a target gets requests.
+    Major,
+    /// It is about what a target holds.
+    Minor,
+}
+
+/// What has changed, for the connections of followers.
+#[derive(Debug, Clone)]
+pub enum News {
+    /// Another catalogue is in force.
+    Catalogue,
+    /// The whole list of targets was replaced.
+    Whole,
+    /// Changes of the list, and the revision that it is complete up to.
+    Changes(Arc<[TargetChange]>, u64),
+}
+
+/// What an entry tells those that follow it.
+#[derive(Debug, Serialize, Deserialize)]
+enum Told {
+    Catalogue(Catalogue),
+    Whole(Vec<Listed>, u64),
+    Changes(Vec<TargetChange>, u64),
+    /// Nothing is new.
+    Alive,
+}
+
+/// Whether this entry follows another, and what it tells those that follow it.
+pub struct Follow {
+    follows: watch::Sender<bool>,
+    news: broadcast::Sender<News>,
+    state: Mutex<State>,
+}
+
+struct State {
+    /// Until when the store's next word on each part is on time; `None` after a call that failed.
+    on_time: [Option<Instant>; 2],
+    /// The last words of what targets hold that have not been told, by id.
+    minor: Vec<TargetChange>,
+    minor_told: Instant,
+}
+
+impl Default for Follow {
+    fn default() -> Self {
+        Self {
+            follows: watch::Sender::new(false),
+            news: broadcast::Sender::new(QUEUE),
+            state: Mutex::new(State {
+                on_time: [None; 2],
+                minor: Vec::new(),
+                minor_told: Instant::now(),
+            }),
+        }
+    }
+}
+
+impl Follow {
+    /// Whether this entry hears the store's news from another one.
+    pub fn follows(&self) -> bool {
+        *self.follows.borrow()
+    }
+
+    /// Waits until this entry has to watch the store itself.
+    pub async fn unless_followed(&self) {
+        // The sender lives as long as this.
+        let _ = self.follows.subscribe().wait_for(|f| !*f).await;
+    }
+
+    /// The time of a watch: another one while others follow.
+    pub fn wait(&self, alone: Duration, followed: Duration) -> Duration {
+        match self.news.receiver_count() {
+            0 => alone,
+            _ => followed,
+        }
+    }
+
+    /// Notes that the store's next word on a part is due within a time: a watch has begun, or will after a
+    /// pause.
+    pub fn expects(&self, part: Part, within: Duration) {
+        self.state().on_time[part as usize] = Some(Instant::now() + within + VOUCH_TIME);
+    }
+
+    /// Notes that a call for a part has failed.
+    pub fn fails(&self, part: Part) {
+        self.state().on_time[part as usize] = None;
+    }
+
+    /// Tells followers.
+    pub fn tell(&self, news: News) {
+        // Nobody follows when this fails.
+        let _ = self.news.send(news);
+    }
+
+    /// Tells followers of changes, in their order; the minor ones only now and then.
+    ///
+    /// A minor word that waits is dropped when a later one comes for its target. Told after that, it would
+    /// bring back a target that has said that it leaves, and requests sent there would be cut.
+    pub fn changed(&self, changes: Vec<(TargetChange, Weight)>, revision: u64) {
+        let mut state = self.state();
+        if self.news.receiver_count() == 0 {
+            state.minor.clear();
+            return;
+        }
+        let mut told = Vec::new();
+        for (change, weight) in changes {
+            state.minor.retain(|c| c.id() != change.id());
+            match weight {
+                Weight::Major => told.push(change),
+                Weight::Minor => state.minor.push(change),
+            }
+        }
+        if state.minor_told.elapsed() >= HOLDS_EVERY {
+            state.minor_told = Instant::now();
+            told.append(&mut state.minor);
+        }
+        drop(state);
+        self.tell(News::Changes(told.into(), revision));
+    }
+
+    /// Whether others may rely on what this entry knows.
+    fn vouches(&self) -> bool {
+        let now = Instant::now();
+        let on_time = self.state().on_time;
+        !self.follows() && on_time.iter().all(|t| t.is_some_and(|t| now < t))
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Follows the entry that watches the store, for as long as the process runs.
+pub async fn keep(cx: Arc<Context>) {
+    loop {
+        if let Some(peer) = watcher(&cx) {
+            let heard = hear(&cx, &peer).await;
+            if cx.follow.follows.send_replace(false) {
+                Line::failure("follow.ended")
+                    .text("peer", &peer.entry)
+                    .show("why", heard)
+                    .write();
+            }
+        }
+        sleep(PAUSE).await;
+    }
+}
+
+fn watcher(cx: &Context) -> Option<Peer> {
+    let state = cx.state();
+    let (peers, _) = state.peers.as_ref()?;
+    peers
+        .watcher
+        .clone()
+        .filter(|p| p.entry != cx.settings.name)
+}
+
+/// Why a peer is not followed any longer.
+#[derive(Debug, thiserror::Error)]
+enum Ended {
+    #[error("no connection")]
+    NotOpened,
+    #[error("no word in time")]
+    Silent,
+    #[error(transparent)]
+    Frame(#[from] frame::Error),
+}
+
+/// Takes in what a peer tells, until it tells nothing more.
+async fn hear(cx: &Arc<Context>, peer: &Peer) -> Ended {
+    let Ok(Ok(mut stream)) = timeout(CONNECT_TIME, TcpStream::connect(peer.addr)).await else {
+        return Ended::NotOpened;
+    };
+    let own = cx.known();
+    let question = Question::Follow(Ask {
+        catalogue: own.catalogue,
+        targets: own.targets,
+    });
+    if let Err(e) = frame::write_message(&mut stream, &question).await {
+        return e.into();
+    }
+    loop {
+        let told = match timeout(SILENCE, frame::read_message(&mut stream)).await {
+            Ok(Ok(told)) => told,
+            Ok(Err(e)) => return e.into(),
+            Err(_) => return Ended::Silent,
+        };
+        match told {
+            Told::Catalogue(catalogue) => know::apply_catalogue(cx, catalogue, &peer.entry),
+            Told::Whole(list, revision) => know::apply_listed(cx, list, revision, &peer.entry),
+            Told::Changes(changes, revision) => know::take_changes(cx, changes, revision),
+            Told::Alive => {}
+        }
+        if !cx.follow.follows.send_replace(true) {
+            Line::failure("follow").text("peer", &peer.entry).write();
+        }
+    }
+}
+
+/// Tells one follower all that is newer than what it has, and then what is new, for as long as this entry
+/// vouches for it.
+pub async fn serve(cx: &Context, ask: &Ask, mut w: OwnedWriteHalf) {
+    let mut news = cx.follow.news.subscribe();
+    let mut next = first(cx, ask);
+    loop {
+        for told in next {
+            if !cx.follow.vouches() || !write(&mut w, &told).await {
+                return;
+            }
+        }
+        next = match timeout(HEARTBEAT, news.recv()).await {
+            Err(_) => vec![Told::Alive],
+            Ok(Ok(News::Catalogue)) => catalogue(cx, 0).into_iter().collect(),
+            Ok(Ok(News::Whole)) => vec![whole(cx)],
+            Ok(Ok(News::Changes(changes, revision))) => {
+                vec![Told::Changes(changes.to_vec(), revision)]
+            }
+            // It has missed some, and begins anew.
+            Ok(Err(_)) => return,
+        };
+    }
+}
+
+fn first(cx: &Context, ask: &Ask) -> Vec<Told> {
+    let mut out: Vec<Told> = catalogue(cx, ask.catalogue).into_iter().collect();
+    if cx.state().view.revision > ask.targets {
+        out.push(whole(cx));
+    }
+    out.push(Told::Alive);
+    out
+}
+
+fn catalogue(cx: &Context, known: u64) -> Option<Told> {
+    let state = cx.state();
+    let newer = state.catalogue.as_ref().filter(|c| c.version > known)?;
+    Some(Told::Catalogue((**newer).clone()))
+}
+
+fn whole(cx: &Context) -> Told {
+    let state = cx.state();
+    Told::Whole(state.view.list(cx.now()), state.view.revision)
+}
+
+async fn write(w: &mut OwnedWriteHalf, told: &Told) -> bool {
+    matches!(
+        timeout(SILENCE, frame::write_message(w, told)).await,
+        Ok(Ok(()))
+    )
+}
--- a/crates/stair-relay/src/know.rs
+++ b/crates/stair-relay/src/know.rs
@@ -1,6 +1,7 @@
 //! Watches the store: what operators declare, and the targets.
 //!
-//! Versions only rise: an answer that is older than what is known, from a store that serves stale
+//! One entry of a data centre watches for the others there, which hear from it by [`follow`](crate::follow);
+//! each of them watches by itself for as long as it hears nothing. Versions only rise: an answer that is older than what is known, from a store that serves stale
 //! data or from a peer that lags, changes nothing.
 
 use std::{
@@ -17,10 +18,17 @@
     },
     target,
 };
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use stair_fleet::{
     Catalogue,
     Target,
-    view::Listed, //
+    view::{
+        Listed,
+        View, //
+    }, //
 };
 use stair_platform::Error;
 use stair_telemetry::event::Line;
@@ -29,19 +37,31 @@
     sleep, //
 };
 
-use crate::context::Context;
+use crate::{
+    context::Context,
+    follow::{
+        News,
+        Part,
+        Weight, //
+    }, //
+};
 
 /// How long a watch waits. One whose connection fell silent is noticed by its end, so this bounds
 /// the age of what is known; each call is priced.
 const WATCH_TIME: Duration = Duration::from_millis(3000);
 
+/// The same of an entry that others follow. They hear nothing new while its connection is silent, and what
+/// is new is due with them within two seconds too.
+const FOLLOWED_TARGETS_TIME: Duration = Duration::from_millis(500);
+const FOLLOWED_CATALOGUE_TIME: Duration = Duration::from_millis(1000);
+
 /// Pause after a failed call. The store answers many entries; when it comes back, what changed
 /// meanwhile is due within two seconds.
 const PAUSE: Duration = Duration::from_millis(300);
 
 /// Pause between watches of the targets that bring changes. Engines announce each model that comes
-/// or goes, tens of times a second in a fleet of twenty; without the pause each is a priced call of
-/// every entry (measured: 37 of 40 calls a second). What changes is due within two seconds.
+/// or goes, tens of times a second in a fleet of twenty; without the pause each is a priced call.
+/// What changes is due within two seconds.
 const GATHER: Duration = Duration::from_millis(600);
 
 /// The same while the process is young. After a power cut all targets announce their next lives
@@ -65,6 +85,7 @@
 pub async fn follow_catalogue(cx: Arc<Context>) {
     let mut health = Health::new("catalogue");
     loop {
+        cx.follow.unless_followed().await;
         let store = cx.store();
         let begun = Instant::now();
         let page = store.list(catalogue::KIND, None).await;
@@ -84,8 +105,10 @@
 }
 
 async fn watch_catalogue(cx: &Context, store: &Store, mut since: u64, health: &mut Health) {
-    loop {
-        match store.watch(catalogue::KIND, since, WATCH_TIME).await {
+    while !cx.follow.follows() {
+        let wait = cx.follow.wait(WATCH_TIME, FOLLOWED_CATALOGUE_TIME);
+        cx.follow.expects(Part::Catalogue, wait);
+        match store.watch(catalogue::KIND, since, wait).await {
             Ok(news) => {
                 health.ok();
                 since = news.revision;
@@ -97,16 +120,19 @@
                     }
                 }
             }
-            Err(e) => return watch_ended(health, &e),
+            Err(e) => return watch_ended(cx, Part::Catalogue, health, &e),
         }
     }
 }
 
 /// Takes in why a watch has ended. One whose history is gone is read anew; the store is there.
-fn watch_ended(health: &mut Health, e: &Error) {
-    if *e != Error::Gone {
-        health.failed(e);
+fn watch_ended(cx: &Context, part: Part, health: &mut Health, e: &Error) {
+    if *e == Error::Gone {
+        cx.follow.expects(part, PAUSE);
+        return;
     }
+    cx.follow.fails(part);
+    health.failed(e);
 }
 
 fn take_catalogue(cx: &Context, object: &Object) {
@@ -138,6 +164,7 @@
         .write();
     let gauge = i64::try_from(version).unwrap_or(i64::MAX);
     cx.page.gauge("catalogue_version", &[], gauge);
+    cx.follow.tell(News::Catalogue);
     cx.changed.notify_waiters();
 }
 
@@ -145,12 +172,14 @@
 pub async fn follow_targets(cx: Arc<Context>) {
     let mut health = Health::new("targets");
     loop {
+        cx.declared().await;
+        cx.follow.unless_followed().await;
         let store = cx.store();
         match list_targets(&cx, &store).await {
             Ok((targets, revision)) => {
                 let was_away = health.ok();
                 apply_targets(&cx, targets, revision, was_away);
-                watch_targets(&cx, &store, revision, &mut health).await;
+                watch_targets(&cx, &store, &mut health).await;
             }
             Err(e) => health.failed(&e),
         }
@@ -237,68 +266,127 @@
         .num("count", count)
         .text("source", source)
         .write();
+    cx.follow.tell(News::Whole);
     cx.changed.notify_waiters();
 }
 
-async fn watch_targets(cx: &Context, store: &Store, mut since: u64, health: &mut Health) {
+/// Watches for as long as the store answers. What a peer has told meanwhile is not asked for again.
+async fn watch_targets(cx: &Context, store: &Store, health: &mut Health) {
     loop {
-        match store.watch(target::KIND, since, WATCH_TIME).await {
+        cx.follow.unless_followed().await;
+        let since = cx.state().view.revision;
+        let wait = cx.follow.wait(WATCH_TIME, FOLLOWED_TARGETS_TIME);
+        cx.follow.expects(Part::Targets, wait);
+        match store.watch(target::KIND, since, wait).await {
             Ok(news) => {
                 health.ok();
-                since = news.revision;
-                take_changes(cx, &news.changes, since);
-                if !news.changes.is_empty() {
+                let changes: Vec<TargetChange> = news.changes.into_iter().map(change).collect();
+                let any = !changes.is_empty();
+                take_changes(cx, changes, news.revision);
+                if any {
                     let young = cx.now() < YOUNG;
-                    sleep(if young { GATHER_YOUNG } else { GATHER }).await;
+                    let pause = if young { GATHER_YOUNG } else { GATHER };
+                    cx.follow.expects(Part::Targets, pause);
+                    sleep(pause).await;
                 }
             }
             // Without an outage what is missing from the new list is gone.
-            Err(e) => return watch_ended(health, &e),
+            Err(e) => return watch_ended(cx, Part::Targets, health, &e),
+        }
+    }
+}
+
+/// A change of the list of targets.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum TargetChange {
+    /// What a target announces.
+    Put(Box<Target>),
+    /// The target of this id has left the list.
+    Removed(Box<str>),
+}
+
+impl TargetChange {
+    /// The target's id.
+    pub fn id(&self) -> &str {
+        match self {
+            Self::Put(target) => &target.id,
+            Self::Removed(id) => id,
+        }
+    }
+
+    /// Whether more than what the target holds differs from what is known of it. That changes many times a
+    /// second, and the target's agent tells it.
+    fn weight(&self, view: &View) -> Weight {
+        let Self::Put(new) = self else {
+            return Weight::Major;
+        };
+        let known = view.all().find(|(_, s)| s.target.id == new.id);
+        let holds_alone = known.is_some_and(|(_, s)| {
+            let same = Target {
+                holds: s.target.holds.clone(),
+                ..(**new).clone()
+            };
+            s.missing_until.is_none() && same == s.target
+        });
+        match holds_alone {
+            true => Weight::Minor,
+            false => Weight::Major,
         }
     }
 }
 
-fn take_changes(cx: &Context, changes: &[Change], revision: u64) {
+fn change(change: Change) -> TargetChange {
+    match change {
+        Change::Removed(id) => TargetChange::Removed(id),
+        Change::Put(object) => match decode(&object) {
+            Some(target) => TargetChange::Put(Box::new(target)),
+            // Another writer has put itself in the target's place. Whether the target still takes
+            // requests is not known until it announces itself again.
+            None => TargetChange::Removed(object.name),
+        },
+    }
+}
+
+/// Takes changes of the list in, from the store or from a peer that watches it, up to a revision.
+pub fn take_changes(cx: &Context, changes: Vec<TargetChange>, revision: u64) {
     let mut lines = Vec::new();
+    let mut weighed = Vec::new();
+    let any = !changes.is_empty();
     {
         let mut state = cx.state();
-        state.view.expire(cx.now());
+        // What a peer tells can be older than what the store has told since.
+        if revision < state.view.revision {
+            return;
+        }
+        let now = cx.now();
+        state.view.expire(now);
         for change in changes {
-            let (id, was, is) = match change {
-                Change::Removed(id) => {
-                    let was = state.view.state_of(id);
-                    state.view.remove(id);
-                    (id, was, None)
-                }
-                Change::Put(object) => {
-                    let was = state.view.state_of(&object.name);
-                    match decode(object) {
-                        Some(target) => {
-                            state.view.put(target, cx.now());
-                        }
-                        // Another writer has put itself in the target's place. Whether the target
-                        // still takes requests is not known until it announces itself again.
-                        None => state.view.remove(&object.name),
-                    }
-                    (&object.name, was, state.view.state_of(&object.name))
+            let weight = change.weight(&state.view);
+            let was = state.view.state_of(change.id());
+            match &change {
+                TargetChange::Removed(id) => state.view.remove(id),
+                TargetChange::Put(target) => {
+                    state.view.put((**target).clone(), now);
                 }
-            };
-            // What a target holds changes many times a second, and its agent tells that.
+            }
+            let is = state.view.state_of(change.id());
             if was != is {
-                lines.push((id, is));
+                lines.push((Box::<str>::from(change.id()), is));
             }
+            weighed.push((change, weight));
         }
         state.view.revision = revision;
     }
     for (id, is) in lines {
         let state = is.map_or("gone".to_owned(), |s| format!("{s:?}"));
         Line::failure("target")
-            .text("target", id)
+            .text("target", &id)
             .text("state", &state)
             .num("revision", revision)
             .write();
     }
-    if !changes.is_empty() {
+    cx.follow.changed(weighed, revision);
+    if any {
         cx.changed.notify_waiters();
     }
 }
--- a/crates/stair-relay/src/lib.rs
+++ b/crates/stair-relay/src/lib.rs
@@ -6,7 +6,8 @@
 //! known what that is put down to, [`stream`] passes the events of a stream on and resumes it elsewhere,
 //! [`refuse`] makes the entry's own answers.
 //!
-//! What the entry knows: [`know`] watches the store, [`links`] hears the agents, [`peers`] asks other
+//! What the entry knows: [`know`] watches the store, [`follow`] hears it from the one entry of the data
+//! centre that watches for all, [`links`] hears the agents, [`peers`] asks other
 //! entries when the store does not answer, [`ahead`] has models loaded before they are asked for.
 //! [`context`] holds it all, [`dump`] shows it to the operator, [`process`] starts and stops.
 #![deny(missing_docs)]
@@ -18,6 +19,7 @@
 pub mod context;
 pub mod dump;
 pub mod failures;
+pub mod follow;
 pub mod job;
 pub mod know;
 pub mod links;
--- a/crates/stair-relay/src/peers.rs
+++ b/crates/stair-relay/src/peers.rs
@@ -32,6 +32,7 @@
 
 use crate::{
     context::Context,
+    follow,
     know, //
 };
 
@@ -44,11 +45,22 @@
 /// Time for a peer to answer.
 const ANSWER_TIME: Duration = Duration::from_millis(1500);
 
-/// What one entry asks of another: all that is newer than what it has.
+/// How far the knowledge of an entry goes that asks for what is newer.
 #[derive(Debug, Serialize, Deserialize)]
-struct Ask {
-    catalogue: u64,
-    targets: u64,
+pub struct Ask {
+    /// The version of its catalogue, 0 for none.
+    pub catalogue: u64,
+    /// The store's revision of its list of targets, 0 for none.
+    pub targets: u64,
+}
+
+/// What one entry asks of another.
+#[derive(Debug, Serialize, Deserialize)]
+pub enum Question {
+    /// All that is newer, once.
+    Once(Ask),
+    /// All that is newer, and what is new from then on.
+    Follow(Ask),
 }
 
 /// The answer; what is not newer is left out.
@@ -92,11 +104,11 @@
 
 async fn ask(peer: &Known, own: &Known) -> Result<Answer, frame::Error> {
     let mut stream = TcpStream::connect(peer.peer).await?;
-    let ask = Ask {
+    let question = Question::Once(Ask {
         catalogue: own.catalogue,
         targets: own.targets,
-    };
-    frame::write_message(&mut stream, &ask).await?;
+    });
+    frame::write_message(&mut stream, &question).await?;
     frame::read_message(&mut stream).await
 }
 
@@ -122,7 +134,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(timeout(ANSWER_TIME, reply(cx.clone(), stream)));
+                tokio::spawn(answer(cx.clone(), stream));
             }
             // Out of descriptors, for instance: accepting again at once would spin.
             Err(_) => sleep(Duration::from_millis(50)).await,
@@ -130,10 +142,24 @@
     }
 }
 
-async fn reply(cx: Arc<Context>, mut stream: TcpStream) {
-    let Ok(ask) = frame::read_message::<_, Ask>(&mut stream).await else {
-        return;
-    };
+async fn answer(cx: Arc<Context>, mut stream: TcpStream) {
+    let question = timeout(ANSWER_TIME, frame::read_message(&mut stream)).await;
+    match question {
+        Ok(Ok(Question::Once(ask))) => {
+            // The peer has stopped waiting by then.
+            let _ = timeout(ANSWER_TIME, reply(&cx, &ask, stream)).await;
+        }
+        Ok(Ok(Question::Follow(ask))) => {
+            // The peer closes its side when it ends, and the next word to it fails.
+            let (_r, w) = stream.into_split();
+            follow::serve(&cx, &ask, w).await;
+        }
+        // Whoever asked has gone.
+        Ok(Err(_)) | Err(_) => {}
+    }
+}
+
+async fn reply(cx: &Context, ask: &Ask, mut stream: TcpStream) {
     let answer = {
         let state = cx.state();
         let newer = state
--- a/crates/stair-relay/src/process.rs
+++ b/crates/stair-relay/src/process.rs
@@ -22,6 +22,7 @@
 use crate::{
     ahead,
     context::Context,
+    follow,
     know,
     links,
     peers,
@@ -92,6 +93,7 @@
         tasks.spawn(links::keep(cx.clone()));
         tasks.spawn(peers::serve(cx.clone(), self.inner));
         tasks.spawn(peers::follow(cx.clone()));
+        tasks.spawn(follow::keep(cx.clone()));
         tasks.spawn(ahead::keep(cx.clone()));
         tasks.spawn(serve::readiness(cx.clone(), self.ready, never.clone()));
         tasks.spawn(serve::metrics(cx.clone(), self.metrics, never));
--- a/crates/stair-sidecar/src/process.rs
+++ b/crates/stair-sidecar/src/process.rs
@@ -20,9 +20,11 @@
 };
 use stair_config::fleet_settings::SidecarSettings;
 use stair_fleet::{
+    lag::Lag,
     msg::{
         Known,
         Outcome,
+        Peers,
         ToEntry, //
     },
     reading::Turns,
@@ -72,7 +74,7 @@
 /// Pause between readings while an order is carried out: the end of a load shows this late.
 const READ_EVERY_BUSY: Duration = Duration::from_millis(40);
 
-/// Pause between looks whether an entry lags behind another.
+/// Pause between looks whether what entries are told of each other has changed.
 const PEERS_EVERY: Duration = Duration::from_millis(250);
 
 /// Pause between tries to raise the fencing token while the store does not answer.
@@ -174,10 +176,8 @@
     key: LinkKey,
     tx: mpsc::Sender<ToEntry>,
     known: Option<Known>,
-    /// Since when it has lagged behind another entry.
-    behind: Option<Instant>,
-    /// The least name and the number of entries that it has been told.
-    fleet: Option<(Box<str>, u32)>,
+    /// What it has been told of the other entries, without those that are ahead of it.
+    told_peers: Option<Peers>,
 }
 
 struct Agent {
@@ -188,6 +188,7 @@
     desk: Desk,
     turns: Turns,
     links: Vec<Link>,
+    lag: Lag,
     fence: Option<u64>,
     fence_tx: mpsc::Sender<u64>,
     /// The engine's present life, and the store's revision that says so.
@@ -213,6 +214,7 @@
             settings,
             turns: Turns::default(),
             links: Vec::new(),
+            lag: Lag::default(),
             fence: None,
             fence_tx,
             instance: None,
--- a/crates/stair-sidecar/src/process/hear.rs
+++ b/crates/stair-sidecar/src/process/hear.rs
@@ -27,8 +27,7 @@
                     key,
                     tx,
                     known: None,
-                    behind: None,
-                    fleet: None,
+                    told_peers: None,
                 });
                 self.tell_all(key);
             }
@@ -46,9 +45,13 @@
         let now = self.now();
         match msg {
             ToAgent::Hello(known) => {
+                let lags = self.lag.hear(&known, now);
                 if let Some(link) = self.links.iter_mut().find(|l| l.key == key) {
                     link.known = Some(known);
                 }
+                if lags {
+                    self.tell_ahead(key);
+                }
             }
             ToAgent::Engine { version, engine } if version >= self.declared => {
                 if version > self.declared {
--- a/crates/stair-sidecar/src/process/tell.rs
+++ b/crates/stair-sidecar/src/process/tell.rs
@@ -4,6 +4,7 @@
 
 use stair_fleet::{
     msg::{
+        Fleet,
         Known,
         Peers,
         ToEntry, //
@@ -25,38 +26,42 @@
 /// Pause between reports of changed load alone.
 const LOAD_EVERY: Duration = Duration::from_millis(200);
 
-/// Time for which an entry must have lagged before it is told: its own watch brings news within
-/// 600 ms, and what is new is due within two seconds.
-const LAG_TIME: Duration = Duration::from_millis(900);
-
 /// The same for each link: with thirty entries a change is told every 600 ms, so that telling does
 /// not take more of the VM than ordering (measured: 0.7 GB between data centres in 45 s with 46
 /// agents and 25 entries at 200 ms).
 const LOAD_EVERY_LINK: Duration = Duration::from_millis(20);
 
 impl Agent {
-    /// Tells entries of the others: those that have lagged behind for a while, and all of them when
-    /// the least name or their number changes.
+    /// Tells entries of the others when the least name, their number or who watches the store for them
+    /// changes.
     pub(super) fn tell_peers(&mut self) {
-        let all: Vec<Known> = self.links.iter().filter_map(|l| l.known.clone()).collect();
+        let fleet = Fleet::of(&self.all_known());
         for link in &mut self.links {
             let Some(own) = &link.known else { continue };
-            let peers = Peers::of(own, &all);
-            if peers.ahead.is_empty() {
-                link.behind = None;
-            }
-            let since = *link.behind.get_or_insert_with(Instant::now);
-            let lags = !peers.ahead.is_empty() && since.elapsed() >= LAG_TIME;
-            let fleet = (peers.least.clone(), peers.entries);
-            if lags || link.fleet.as_ref() != Some(&fleet) {
-                link.behind = None;
-                link.fleet = Some(fleet);
+            let peers = fleet.peers(own);
+            if link.told_peers.as_ref() != Some(&peers) {
+                link.told_peers = Some(peers.clone());
                 // A full queue belongs to an entry that does not read; it is told again.
                 let _ = link.tx.try_send(ToEntry::Peers(Box::new(peers)));
             }
         }
     }
 
+    /// Tells an entry that lags who is ahead of it.
+    pub(super) fn tell_ahead(&self, key: LinkKey) {
+        let link = self.links.iter().find(|l| l.key == key);
+        let Some((link, own)) = link.and_then(|l| Some((l, l.known.as_ref()?))) else {
+            return;
+        };
+        let peers = Peers::of(own, &self.all_known());
+        // As above.
+        let _ = link.tx.try_send(ToEntry::Peers(Box::new(peers)));
+    }
+
+    fn all_known(&self) -> Vec<Known> {
+        self.links.iter().filter_map(|l| l.known.clone()).collect()
+    }
+
     /// Tells what is new, or the load as a heartbeat.
     pub(super) fn publish(&mut self) {
         let holds = self.desk.held();
