relay, fleet: a target whose VM stands still is known by what its agent does not say

Now a link that says nothing for 1.25 s marks its target: no new requests while another can run them, and those that may run again go elsewhere. An agent whose process has ended closes or refuses the connection and is no such sign; an entry that has stood still itself waits until it has read what came meanwhile.

--- a/crates/stair-fleet/src/seen.rs
+++ b/crates/stair-fleet/src/seen.rs
@@ -28,6 +28,10 @@
 /// life its word is taken.
 pub const OLD_WORDS_TIME: Duration = Duration::from_millis(3600);
 
+/// Time without a word of a target's agent after which its VM is taken to stand still. Agents report every
+/// 900 ms; one whose process has ended closes its connections, and is no sign of a VM that stands still.
+pub const QUIET_TIME: Duration = Duration::from_millis(1250);
+
 /// Weight of the newest sample in the averages; a change shows after about five requests.
 const SMOOTH: f64 = 0.2;
 
@@ -42,6 +46,10 @@
     pub missing_until: Option<Duration>,
     /// Its agent's last report, and when it came.
     pub report: Option<(Report, Duration)>,
+    /// When its agent was last heard; `None` when none is linked, or it has closed the link.
+    pub heard: Option<Duration>,
+    /// Whether its VM is taken to stand still.
+    pub quiet: bool,
     /// Left out until then.
     pub suspect_until: Duration,
     /// Requests of this entry in flight there.
@@ -73,6 +81,8 @@
             old_words_since: None,
             missing_until: None,
             report: None,
+            heard: None,
+            quiet: false,
             suspect_until: Duration::ZERO,
             in_flight: 0,
             unread_tokens: 0,
@@ -106,7 +116,7 @@
         let missing = self.missing_until.is_some_and(|t| now >= t);
         let dead = self.fresh(now).is_some_and(|r| !r.load.alive);
         let ready = self.listed && self.target.state == State::Ready;
-        ready && !missing && now >= self.suspect_until && !dead
+        ready && !missing && !self.quiet && now >= self.suspect_until && !dead
     }
 
     /// Whether the target takes new requests, by its own word alone where suspicion is left aside.
@@ -182,6 +192,24 @@
         self.report = None;
     }
 
+    /// Takes in that its agent has said something.
+    pub fn hear(&mut self, now: Duration) {
+        self.heard = Some(now);
+        self.quiet = false;
+    }
+
+    /// Takes in that its agent has gone and its VM has not: the connection was closed or refused.
+    pub fn agent_gone(&mut self) {
+        self.heard = None;
+        self.quiet = false;
+    }
+
+    /// Whether its VM is to be taken to stand still from now on.
+    pub fn falls_quiet(&self, now: Duration) -> bool {
+        let silent = |at: Duration| now.saturating_sub(at) >= QUIET_TIME;
+        self.listed && !self.quiet && self.heard.is_some_and(silent)
+    }
+
     /// Takes the outcome of an attempt into the averages.
     pub fn learn(&mut self, ok: bool) {
         let sample = if ok { 0.0 } else { 1.0 };
--- a/crates/stair-fleet/src/view.rs
+++ b/crates/stair-fleet/src/view.rs
@@ -234,6 +234,30 @@
         self.reads_at(addr, now + backlog);
     }
 
+    /// Takes in that the agent at an address has said something.
+    pub fn heard_at(&mut self, addr: SocketAddr, now: Duration) {
+        if let Some((key, _)) = self.at(addr) {
+            self.get_mut(key).hear(now);
+        }
+    }
+
+    /// Takes in that the agent at an address has gone and its VM has not.
+    pub fn agent_gone_at(&mut self, addr: SocketAddr) {
+        let here = self.seen.iter_mut().filter(|s| s.target.addr == addr);
+        here.for_each(Seen::agent_gone);
+    }
+
+    /// Marks the targets whose VMs have fallen quiet, and returns their ids.
+    pub fn mark_quiet(&mut self, now: Duration) -> Vec<Box<str>> {
+        let quiet = self.seen.iter_mut().filter(|s| s.falls_quiet(now));
+        quiet
+            .map(|s| {
+                s.quiet = true;
+                s.target.id.clone()
+            })
+            .collect()
+    }
+
     /// Takes in until when the engine at an address has prompts to read.
     pub fn reads_at(&mut self, addr: SocketAddr, until: Duration) {
         if let Some((key, _)) = self.at(addr) {
--- a/crates/stair-relay/src/context.rs
+++ b/crates/stair-relay/src/context.rs
@@ -78,6 +78,8 @@
     pub page: Page,
     /// Notified at each change of the state.
     pub changed: Notify,
+    /// Told when a target's VM is found to stand still.
+    pub quiet: Notify,
     /// Who watches the store: this entry, or one that it follows.
     pub follow: Follow,
     started: Instant,
@@ -149,6 +151,7 @@
             settings,
             page: Page::default(),
             changed: Notify::new(),
+            quiet: Notify::new(),
             follow: Follow::default(),
             started: Instant::now(),
             ends_at: watch::Sender::new(None),
@@ -235,6 +238,17 @@
         }
     }
 
+    /// Waits until a target's VM is found to stand still.
+    pub async fn falls_quiet(&self, key: TargetKey) {
+        loop {
+            let told = self.quiet.notified();
+            if self.state().view.get(key).quiet {
+                return;
+            }
+            told.await;
+        }
+    }
+
     /// Sets the gauges to what is so now.
     pub fn gauges(&self) {
         let now = self.now();
--- a/crates/stair-relay/src/links.rs
+++ b/crates/stair-relay/src/links.rs
@@ -15,6 +15,7 @@
         ToAgent,
         ToEntry, //
     },
+    seen::QUIET_TIME,
     target::State as TargetState,
 };
 use stair_telemetry::event::Line;
@@ -63,6 +64,9 @@
 /// Time between heartbeats.
 const HEARTBEAT: Duration = Duration::from_millis(1000);
 
+/// Pause between looks for VMs that stand still.
+const LOOK_EVERY: Duration = Duration::from_millis(200);
+
 /// Messages waiting for one agent.
 const QUEUE: usize = 64;
 
@@ -91,6 +95,34 @@
     }
 }
 
+/// Finds out which VMs stand still, for as long as the process runs.
+///
+/// A target on such a VM takes connections and answers nothing. Its requests would wait until their clients
+/// leave, and new ones would join them for as long as the list has it: three heartbeats.
+pub async fn look_for_quiet(cx: Arc<Context>) {
+    let mut looked = Instant::now();
+    let mut trusted_from = Instant::now();
+    loop {
+        sleep(LOOK_EVERY).await;
+        let late = looked.elapsed() >= LOOK_EVERY * 3;
+        looked = Instant::now();
+        if late {
+            // This process has stood still itself; what agents said meanwhile is still to be read.
+            trusted_from = looked + QUIET_TIME;
+        }
+        if looked < trusted_from {
+            continue;
+        }
+        let quiet = cx.state().view.mark_quiet(cx.now());
+        for id in &quiet {
+            Line::failure("target.quiet").text("target", id).write();
+        }
+        if !quiet.is_empty() {
+            cx.quiet.notify_waiters();
+        }
+    }
+}
+
 /// Engines without a link.
 fn missing(cx: &Context) -> Vec<SocketAddr> {
     let state = cx.state();
@@ -112,18 +144,24 @@
 
 async fn run(cx: Arc<Context>, engine: SocketAddr, mut rx: mpsc::Receiver<ToAgent>) {
     let agent = SocketAddr::new(engine.ip(), cx.settings.agent_port);
-    let mut up = false;
     while listed(&cx, engine) {
-        if let Ok(Ok(stream)) = timeout(CONNECT_TIME, TcpStream::connect(agent)).await {
-            Line::new("agent.linked").show("engine", engine).write();
-            up = true;
-            speak(&cx, engine, stream, &mut rx).await;
-        }
-        if up {
-            Line::failure("agent.lost").show("engine", engine).write();
+        match timeout(CONNECT_TIME, TcpStream::connect(agent)).await {
+            Ok(Ok(stream)) => {
+                Line::new("agent.linked").show("engine", engine).write();
+                let ended = speak(&cx, engine, stream, &mut rx).await;
+                Line::failure("agent.lost")
+                    .show("engine", engine)
+                    .show("why", format_args!("{ended:?}"))
+                    .write();
+                forget(&cx, engine);
+                if ended == Ended::Closed {
+                    cx.state().view.agent_gone_at(engine);
+                }
+            }
+            // Its VM answers and no agent is there.
+            Ok(Err(_)) => cx.state().view.agent_gone_at(engine),
+            Err(_) => {}
         }
-        up = false;
-        forget(&cx, engine);
         while rx.try_recv().is_ok() {}
         sleep(PAUSE).await;
     }
@@ -149,37 +187,51 @@
     state.view.unreport(engine);
 }
 
+/// How a link has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Ended {
+    /// The agent's side was closed or reset: its process has ended, and its VM runs.
+    Closed,
+    /// Nothing came, or nothing could be written, for too long.
+    Silent,
+}
+
 async fn speak(
     cx: &Arc<Context>,
     engine: SocketAddr,
     stream: TcpStream,
     rx: &mut mpsc::Receiver<ToAgent>,
-) {
+) -> Ended {
     // Without it a message waits for the acknowledgement of the one before; it still arrives.
     let _ = stream.set_nodelay(true);
     let (r, w) = stream.into_split();
     tokio::select! {
-        () = hear(cx, engine, r) => {}
-        () = tell(cx, engine, w, rx) => {}
+        ended = hear(cx, engine, r) => ended,
+        () = tell(cx, engine, w, rx) => Ended::Silent,
     }
 }
 
-async fn hear(cx: &Arc<Context>, engine: SocketAddr, mut r: OwnedReadHalf) {
-    while let Ok(Ok(msg)) = timeout(SILENCE, frame::read_message(&mut r)).await {
+async fn hear(cx: &Arc<Context>, engine: SocketAddr, mut r: OwnedReadHalf) -> Ended {
+    loop {
+        let msg = match timeout(SILENCE, frame::read_message(&mut r)).await {
+            Ok(Ok(msg)) => msg,
+            Ok(Err(_)) => return Ended::Closed,
+            Err(_) => return Ended::Silent,
+        };
+        let now = cx.now();
+        cx.state().view.heard_at(engine, now);
         match msg {
             ToEntry::Holds(holds) => {
-                let now = cx.now();
                 cx.state().view.holds_at(engine, *holds, now);
             }
             ToEntry::Load(load) => {
-                let now = cx.now();
                 cx.state().view.load_at(engine, *load, now);
             }
             ToEntry::Done { seq, outcome } => {
                 let waiting = {
                     let mut state = cx.state();
                     let Some(i) = state.agent(engine) else {
-                        return;
+                        return Ended::Closed;
                     };
                     let list = &mut state.agents[i].waiting;
                     let found = list.iter().position(|(s, _)| *s == seq);
@@ -191,12 +243,12 @@
             ToEntry::Turn { seq, answer } => {
                 let mut state = cx.state();
                 let Some(i) = state.agent(engine) else {
-                    return;
+                    return Ended::Closed;
                 };
                 let list = &mut state.agents[i].turns;
                 let found = list.iter().position(|(s, _)| *s == seq);
                 let asked = found.map(|i| list.swap_remove(i).1);
-                let until = cx.now() + answer.backlog;
+                let until = now + answer.backlog;
                 state.view.reads_at(engine, until);
                 drop(state);
                 // The request that asked may have been given up.
@@ -204,7 +256,6 @@
             }
             ToEntry::Former(id) => hear_former(cx, engine, id),
             ToEntry::Peers(peers) => {
-                let now = cx.now();
                 let mut state = cx.state();
                 if let Some(i) = state.agent(engine) {
                     state.agents[i].entries = peers.entries;
--- a/crates/stair-relay/src/relay.rs
+++ b/crates/stair-relay/src/relay.rs
@@ -161,6 +161,11 @@
         }
     }
 
+    /// Whether the attempt that is under way may be given up for another target.
+    pub fn may_be_left(&self, job: &Job) -> bool {
+        job.route.repeatable() && self.ran + 1 < job.route.attempts
+    }
+
     /// Whether another target may be tried after an attempt that may have run.
     pub fn may_run_again(&self, job: &Job) -> bool {
         job.route.repeatable() && self.ran < job.route.attempts
@@ -276,7 +281,11 @@
     let begun = Instant::now();
     let req = job.request(&picked.id, after_event);
     let until = attempt_until(job, tried);
-    let outcome = attempt::send(picked.addr, req, &job.meta.id, until).await;
+    let sent = attempt::send(picked.addr, req, &job.meta.id, until);
+    let outcome = tokio::select! {
+        outcome = sent => outcome,
+        () = cx.falls_quiet(picked.flight.key()), if tried.may_be_left(job) => attempt::Outcome::Late,
+    };
     note(cx, job, tried, picked, &outcome, begun);
     outcome
 }
@@ -293,8 +302,7 @@
 
 /// When an attempt is given up for another: a repeatable request is not left to a target that hangs.
 fn attempt_until(job: &Job, tried: &Tried) -> Instant {
-    let last = tried.ran + 1 >= job.route.attempts || !job.route.repeatable();
-    if last || job.route.objective.is_zero() {
+    if !tried.may_be_left(job) || job.route.objective.is_zero() {
         return job.deadline;
     }
     (Instant::now() + job.route.objective * HUNG_AFTER).min(job.deadline)
--- a/crates/stair-relay/src/stream.rs
+++ b/crates/stair-relay/src/stream.rs
@@ -99,7 +99,11 @@
         split: Splitter::default(),
     };
     let until = first_until(job, tried);
-    let first = match source.next(until).await {
+    let next = tokio::select! {
+        next = source.next(until) => next,
+        () = cx.falls_quiet(key), if tried.may_run_again(job) => Next::Late,
+    };
+    let first = match next {
         Next::Event(e) => Some(e),
         Next::End => None,
         Next::Broken(e) => {
@@ -133,6 +137,7 @@
         first: job.received.elapsed(),
         longest_pause: Duration::ZERO,
         passed_at: Instant::now(),
+        left_for_quiet: None,
         tx,
     };
     tokio::spawn(pump.run(source, first));
@@ -179,6 +184,9 @@
     first: Duration,
     longest_pause: Duration,
     passed_at: Instant,
+    /// The last target whose VM was found to stand still; another one is looked for at once, and after that
+    /// as for any silent target.
+    left_for_quiet: Option<TargetKey>,
     tx: mpsc::Sender<Option<Bytes>>,
 }
 
@@ -268,15 +276,21 @@
     async fn hear(&mut self, source: &mut Source) -> Heard {
         let (cx, job, tx) = (self.cx.clone(), self.job.clone(), self.tx.clone());
         let until = self.pause_until();
+        let key = source.flight.key();
+        let may_leave = until < job.deadline && self.left_for_quiet != Some(key);
         let next = tokio::select! {
             next = source.next(until) => next,
+            () = cx.falls_quiet(key), if may_leave => {
+                self.left_for_quiet = Some(key);
+                Next::Late
+            }
             () = tx.closed() => return Heard::ClientGone,
         };
         if !matches!(next, Next::Late) || Instant::now() >= job.deadline {
             return Heard::Next(next);
         }
         let mut left_out = self.tried.keys.clone();
-        left_out.push(source.flight.key());
+        left_out.push(key);
         tokio::select! {
             next = source.next(job.deadline) => Heard::Next(next),
             place = place_beside(&cx, &job, &left_out, self.last) => {
