relay, sidecar: a declaration is told to an agent that asks for it

Cause: each entry told each agent what its engine's service declares, at every version: 430 models of some forty bytes, 18,540 links, by arithmetic 0.4 GB between data centres a version, and as much to decode on a fifth of a core. Now an agent that hears of a newer version asks one entry for it, and another one after 300 ms.

--- a/crates/stair-fleet/src/msg.rs
+++ b/crates/stair-fleet/src/msg.rs
@@ -24,7 +24,8 @@
 pub enum ToAgent {
     /// Who speaks, and how far its knowledge goes; sent first and when it changes.
     Hello(Known),
-    /// What the engine's service declares, with the version of the catalogue that says so.
+    /// The answer to [`ToEntry::Declare`]: what the engine's service declares, with the version of the
+    /// catalogue that says so.
     Engine {
         /// The catalogue's version.
         version: u64,
@@ -130,6 +131,9 @@
     Former(Box<str>),
     /// What the entry needs to know of the others that this agent hears.
     Peers(Box<Peers>),
+    /// Asks for what the engine's service declares. A declaration names every model; told by each entry to
+    /// each agent, those of one change would take more than all else that they say in a minute.
+    Declare,
 }
 
 /// What one entry needs to know of the others. Not their whole list: it changes with each of them
--- a/crates/stair-fleet/src/target.rs
+++ b/crates/stair-fleet/src/target.rs
@@ -33,6 +33,31 @@
     pub holds: Holds,
 }
 
+impl Target {
+    /// Whether two words of a target differ in nothing but what it holds.
+    pub fn is_same_but_for_holds(&self, other: &Self) -> bool {
+        let Self {
+            id,
+            started,
+            service,
+            addr,
+            data_centre,
+            slots,
+            state,
+            cold,
+            holds: _,
+        } = self;
+        *id == other.id
+            && *started == other.started
+            && *service == other.service
+            && *addr == other.addr
+            && *data_centre == other.data_centre
+            && *slots == other.slots
+            && *state == other.state
+            && *cold == other.cold
+    }
+}
+
 /// Whether a target takes new requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum State {
--- a/crates/stair-relay/src/know.rs
+++ b/crates/stair-relay/src/know.rs
@@ -321,13 +321,8 @@
             return Weight::Major;
         };
         let known = view.all().find(|(_, s)| s.target.id == new.id);
-        let holds_alone = known.is_some_and(|(_, s)| {
-            let same = Target {
-                holds: s.target.holds.clone(),
-                ..(**new).clone()
-            };
-            s.missing_until.is_none() && same == s.target
-        });
+        let holds_alone = known
+            .is_some_and(|(_, s)| s.missing_until.is_none() && s.target.is_same_but_for_holds(new));
         match holds_alone {
             true => Weight::Minor,
             false => Weight::Major,
--- a/crates/stair-relay/src/links.rs
+++ b/crates/stair-relay/src/links.rs
@@ -255,6 +255,7 @@
                 asked.map(|tx| tx.send(answer));
             }
             ToEntry::Former(id) => hear_former(cx, engine, id),
+            ToEntry::Declare => declare(cx, engine),
             ToEntry::Peers(peers) => {
                 let mut state = cx.state();
                 if let Some(i) = state.agent(engine) {
@@ -266,6 +267,24 @@
     }
 }
 
+/// Tells an agent what its engine's service declares.
+fn declare(cx: &Context, engine: SocketAddr) {
+    let state = cx.state();
+    let (Some(i), Some(catalogue)) = (state.agent(engine), &state.catalogue) else {
+        return;
+    };
+    let service = state.view.at(engine).map(|(_, s)| &*s.target.service);
+    let decl = service.and_then(|s| catalogue.service(s)?.engine.clone());
+    if let Some(engine) = decl {
+        let msg = ToAgent::Engine {
+            version: catalogue.version,
+            engine,
+        };
+        // A full queue is a link that does not move; its agent asks another entry.
+        let _ = state.agents[i].tx.try_send(msg);
+    }
+}
+
 fn hear_former(cx: &Context, engine: SocketAddr, id: Box<str>) {
     Line::new("target.former")
         .text("target", &id)
@@ -282,7 +301,6 @@
 #[derive(Default)]
 struct Told {
     known: Option<Known>,
-    catalogue: u64,
     /// The target's id and the start of its life.
     life: Option<(Box<str>, Option<u64>)>,
     spoke: Option<Instant>,
@@ -341,23 +359,14 @@
         .view
         .at(engine)
         .filter(|(_, s)| s.target.state == TargetState::Ready)
-        .map(|(_, s)| s.target.clone());
-    if let (Some(target), Some(catalogue)) = (target, state.catalogue.clone()) {
-        let (id, service) = (target.id, target.service);
-        let life = Some((id.clone(), target.started));
+        .map(|(_, s)| (s.target.id.clone(), s.target.started));
+    if let Some((id, started)) = target {
+        let life = Some((id.clone(), started));
         if told.life != life {
             let revision = state.view.revision;
             out.push(ToAgent::Instance { id, revision });
             told.life = life;
         }
-        let decl = catalogue.service(&service).and_then(|s| s.engine.clone());
-        if let Some(decl) = decl.filter(|_| catalogue.version > told.catalogue) {
-            told.catalogue = catalogue.version;
-            out.push(ToAgent::Engine {
-                version: catalogue.version,
-                engine: decl,
-            });
-        }
     }
     let used = state.take_used(engine, false);
     if !used.is_empty() {
--- a/crates/stair-sidecar/src/process.rs
+++ b/crates/stair-sidecar/src/process.rs
@@ -196,6 +196,8 @@
     /// The last life that the engine said it is not.
     former: Option<Box<str>>,
     declared: u64,
+    /// When an entry was asked for a newer declaration.
+    asked_declared: Option<Instant>,
     misses: u32,
     told_holds: Option<Holds>,
     told_load: Option<(Load, Instant)>,
@@ -220,6 +222,7 @@
             instance: None,
             former: None,
             declared: 0,
+            asked_declared: None,
             misses: 0,
             told_holds: None,
             told_load: None,
--- a/crates/stair-sidecar/src/process/hear.rs
+++ b/crates/stair-sidecar/src/process/hear.rs
@@ -46,18 +46,23 @@
         match msg {
             ToAgent::Hello(known) => {
                 let lags = self.lag.hear(&known, now);
+                let newer = known.catalogue > self.declared;
                 if let Some(link) = self.links.iter_mut().find(|l| l.key == key) {
                     link.known = Some(known);
                 }
                 if lags {
                     self.tell_ahead(key);
                 }
+                if newer {
+                    self.ask_declared(key);
+                }
             }
             ToAgent::Engine { version, engine } if version >= self.declared => {
                 if version > self.declared {
                     Line::new("declared").num("version", version).write();
                 }
                 self.declared = version;
+                self.asked_declared = None;
                 self.desk.declare(engine);
             }
             // An entry that lags sends what is no longer in force.
--- a/crates/stair-sidecar/src/process/tell.rs
+++ b/crates/stair-sidecar/src/process/tell.rs
@@ -23,6 +23,9 @@
 /// Pause between reports without a change; entries take three missed ones for a dead agent.
 const REPORT_EVERY: Duration = Duration::from_millis(900);
 
+/// Time for an entry to answer what its agent asks of it; after that another one is asked.
+const DECLARE_TIME: Duration = Duration::from_millis(300);
+
 /// Pause between reports of changed load alone.
 const LOAD_EVERY: Duration = Duration::from_millis(200);
 
@@ -58,6 +61,19 @@
         let _ = link.tx.try_send(ToEntry::Peers(Box::new(peers)));
     }
 
+    /// Asks an entry that knows a newer declaration for it, unless another one has been asked just now.
+    pub(super) fn ask_declared(&mut self, key: LinkKey) {
+        let due = |at: Instant| at.elapsed() >= DECLARE_TIME;
+        if !self.asked_declared.is_none_or(due) {
+            return;
+        }
+        let link = self.links.iter().find(|l| l.key == key);
+        // A full queue belongs to an entry that does not read; the next one that speaks is asked.
+        if link.is_some_and(|l| l.tx.try_send(ToEntry::Declare).is_ok()) {
+            self.asked_declared = Some(Instant::now());
+        }
+    }
+
     fn all_known(&self) -> Vec<Known> {
         self.links.iter().filter_map(|l| l.known.clone()).collect()
     }
