relay: the store is asked less often the longer it is down; comments without figures

Cause: a refused call is charged like others. Now the pause after a failed call doubles from 300 ms to 1.2 s, so that what changed is known within two seconds of its return.

--- a/crates/stair-fleet/src/balance.rs
+++ b/crates/stair-fleet/src/balance.rs
@@ -3,8 +3,8 @@
 //! The load it answers: a few models get most of the requests, which ones changes within seconds,
 //! and engines crash and come back empty. Requests beside each other on one engine delay each
 //! other: every prompt that is read stalls the streams that run there. A choice that looks at one
-//! model at a time leaves engines empty beside others with eight requests a second, where two in
-//! five of the long streams pause for longer than promised (measured on one day of 52 engines).
+//! model at a time leaves engines empty beside others whose long streams pause for longer than
+//! promised.
 //!
 //! The fleet's strain is the number of requests that wait at a time: at an engine of whose time
 //! prompts take a part `w`, each waits for half of what is beside it, `w * w / 2` in all, each model's
@@ -26,9 +26,7 @@
     wake, //
 };
 
-/// Strain of a model without a replica, for each request a second: the seconds that a swap takes. This and
-/// the figures below were set for prompts of 9,190 tokens by requests a second, whose square counted; they
-/// are the same at the 0.22 s that such a prompt takes (a square of one is then 0.024 requests that wait).
+/// Strain of a model without a replica, for each request a second: the seconds that a swap takes.
 const ABSENT_PER_S: f64 = 1.0;
 
 /// The least strain of a model without a replica: a request in ten seconds.
@@ -38,8 +36,8 @@
 /// engine's time reaches it with an empty second one.
 const MARGIN_FREE: f64 = 0.02;
 
-/// The same when models make way. Rates are averages over two seconds: ten requests a second are measured
-/// as eight to twelve, and without a margin such moves would be undone by the next look.
+/// The same when models make way. Rates are averages over two seconds and waver by a fifth; without a
+/// margin such moves would be undone by the next look.
 const MARGIN_VICTIMS: f64 = 0.125;
 
 /// The same for a load from the weight store, which is priced and takes as long as demand stays with
--- a/crates/stair-fleet/src/fetch.rs
+++ b/crates/stair-fleet/src/fetch.rs
@@ -3,8 +3,7 @@
 //! The load it answers: engines that crash, are replaced, or see demand move, so that many models
 //! are to come from the weight store together. Beyond a number that nobody declares, loads slow each
 //! other down in proportion: four at once then all end when the last of four in a row would, and the
-//! most urgent model comes four times as late (measured on five days of 52 engines: 78.5% of the
-//! prompts with the shortest objective in time with four at once, 81.2% with one).
+//! most urgent model comes four times as late.
 //!
 //! So the number is found out: from loads under way that are late, and from what agents tell of the
 //! last load that ended at their engines, how many times its declared time it took and how many ran
@@ -31,8 +30,8 @@
 /// The same where it is slower. The weight store itself bounds it then, and others would share that.
 const FIRST_BY_STORE: usize = 1;
 
-/// What an engine's link takes, in MB a second: 100 Gbit/s, less a fifth for protocols. An
-/// assumption about the hardware that only decides until loads have ended.
+/// What an engine's link takes, in MB a second: 100 Gbit/s, less a fifth for protocols. It only decides
+/// until loads have ended.
 const LINK_MB_PER_S: f64 = 10_000.0;
 
 /// Loads, of those that are of use at once, that are only begun for a request which waits for one. Were
@@ -111,7 +110,7 @@
 /// All VMs come back together after a power cut. What engines have on their disks is told by their
 /// agents, within half a second or so; an entry that does not wait for it has rare models fetched
 /// from the weight store although a copy is a second away, and the store is busy with those for
-/// eight seconds while the busy models need it (seen on one day: the worst ten seconds of it).
+/// eight seconds while the busy models need it.
 pub fn unheard(view: &View, service: &str, now: Duration) -> bool {
     let mut open = view.of(service).filter(|(_, s)| s.open(now)).peekable();
     let none = open.peek().is_none();
--- a/crates/stair-fleet/src/reading.rs
+++ b/crates/stair-fleet/src/reading.rs
@@ -27,13 +27,11 @@
     Serialize, //
 };
 
-/// Prompt tokens that an engine reads in a millisecond, until its prompts have told better. The
-/// engines in use read 25 to 35 of long prompts.
+/// Prompt tokens that an engine reads in a millisecond, until its prompts have told better.
 const FIRST_RATE: f64 = 33.0;
 
 /// The least and the most that is believed of a rate, in tokens a millisecond. A model of a tenth of the usual
-/// work is read faster, but prompts let through at 400 fill an engine with streams (measured on 25 days of
-/// 18 engines: 4.95% of all requests not served instead of 4.60%).
+/// work is read faster still, but prompts let through at that rate fill an engine with streams.
 const RATES: RangeInclusive<f64> = 10.0..=60.0;
 
 /// The least and the most that one sample says of a rate, as a part of what is believed.
@@ -48,11 +46,11 @@
 const RATE_SMOOTH: f64 = 0.15;
 
 /// Time to read below which a prompt says nothing of the rate: what its engine takes for the first event
-/// beside reading differs by some milliseconds. 2,500 tokens at the first rate.
+/// beside reading differs by some milliseconds.
 const SAMPLE_TIME: Duration = Duration::from_millis(75);
 
 /// Part by which the time for a first event beside reading is taken for longer with each prompt, so that
-/// a load that lasts shows: it doubles in 700 prompts. An assumption.
+/// a load that lasts shows: it doubles in 700 prompts.
 const FIRST_DRIFT: f64 = 0.001;
 
 /// Part of an engine's time that may go to prompts in the long run. The rest goes to the streams'
--- a/crates/stair-fleet/src/spread.rs
+++ b/crates/stair-fleet/src/spread.rs
@@ -22,9 +22,9 @@
     wake, //
 };
 
-/// Of the loads from the weight store that are made ahead, how many may be for models that are hardly asked for. When engines are lost with the
-/// only copies of several rare models, a busy model that moves to new engines would otherwise wait
-/// for all of those (measured on one day: seven seconds at ten requests a second an engine).
+/// Of the loads from the weight store that are made ahead, how many may be for models that are hardly asked
+/// for. When engines are lost with the only copies of several rare models, a busy model that moves to new
+/// engines would otherwise wait for all of those.
 const AHEAD_RARE: usize = 1;
 
 /// Requests a second up to which an engine counts as idle: a load keeps it from taking orders for
--- a/crates/stair-fleet/src/wake.rs
+++ b/crates/stair-fleet/src/wake.rs
@@ -32,15 +32,13 @@
 };
 
 /// Time until an engine that unloads a model takes its next order: it waits for the model's streams
-/// to end, which took 4.8 s at a busy one (measured on one day of a fleet of 52).
+/// to end.
 pub const UNLOAD_TIME: Duration = Duration::from_millis(3000);
 
 /// What a stream of usual length that is in flight has left on average, in milliseconds.
 const STREAM_LEFT_MS: f64 = 700.0;
 
-/// Part of an engine's time that one replica's prompts may take without its streams stalling: the 1.25 prompts
-/// a second of 9,190 tokens that it was set by, at 0.22 s each, which is what four fifths of such a prompt
-/// take at 33 tokens a millisecond.
+/// Part of an engine's time that one replica's prompts may take without its streams stalling.
 pub const REPLICA_WORK: f64 = 0.28;
 
 /// Cost of the last replica of a model that is hardly asked for, in milliseconds. Its next request
@@ -51,8 +49,7 @@
 const LAST_MS_PER_S: f64 = 600.0;
 
 /// Cost of a replica for each engine's whole time by which those that stay are overloaded then, in
-/// milliseconds: 400 for each of the 4.5 prompts of that length that an engine reads in a second, which
-/// then wait for each other. An assumption.
+/// milliseconds: its prompts then wait for each other.
 const CROWD_MS: f64 = 1800.0;
 
 /// Cost of a replica that can be spared.
@@ -158,8 +155,7 @@
     work: f64,
     replicas: u32,
     /// The replica that may be spared, with its lot: of several the one with the greatest. Two entries that
-    /// each took another one for spare at the same moment would leave none (seen: all requests for a
-    /// model with 22 a second refused for four seconds).
+    /// each took another one for spare at the same moment would leave none.
     spare: Option<(u64, TargetKey)>,
 }
 
--- a/crates/stair-relay/src/admit.rs
+++ b/crates/stair-relay/src/admit.rs
@@ -62,8 +62,8 @@
 /// second, and another entry may answer at once.
 const STARTING_COME_BACK: Duration = Duration::from_millis(300);
 
-/// Time that a stream may need, for an entry that stops. An assumption, not measured: with eight
-/// seconds to stop, it lets streams in for three. One taken later would be cut by the end of the
+/// Time that a stream may need, for an entry that stops. With eight seconds to
+/// stop, it lets streams in for three. One taken later would be cut by the end of the
 /// process, after it has run.
 const STREAM_TIME: Duration = Duration::from_millis(4600);
 
--- a/crates/stair-relay/src/know.rs
+++ b/crates/stair-relay/src/know.rs
@@ -55,10 +55,13 @@
 const FOLLOWED_TARGETS_TIME: Duration = Duration::from_millis(500);
 const FOLLOWED_CATALOGUE_TIME: Duration = Duration::from_millis(1000);
 
-/// Pause after a failed call. The store answers many entries; when it comes back, what changed
-/// meanwhile is due within two seconds.
+/// Pause after a failed call; after each further one in a row twice as long. Refused calls are charged like
+/// others, and every entry makes them while the store is down.
 const PAUSE: Duration = Duration::from_millis(300);
 
+/// Longest pause. When the store comes back, what changed meanwhile is due within two seconds.
+const MAX_PAUSE: Duration = Duration::from_millis(1200);
+
 /// Pause between watches of the targets that bring changes. Engines announce each model that comes
 /// or goes, tens of times a second in a fleet of twenty; without the pause each is a priced call.
 /// What changes is due within two seconds.
@@ -80,8 +83,7 @@
 ///
 /// They are listed and not read one by one: a list says the store's revision, from which a watch finds its
 /// history. The revision of their own last change can be older than any history that is kept, and a watch
-/// from there would be refused over and over (seen: 5 calls a second of each entry, 170 lines of a store
-/// lost and regained in twenty seconds of a recorded day).
+/// from there would be refused over and over.
 pub async fn follow_catalogue(cx: Arc<Context>) {
     let mut health = Health::new("catalogue");
     loop {
@@ -100,7 +102,7 @@
             }
             Err(e) => health.failed(&e),
         }
-        sleep(PAUSE).await;
+        sleep(health.pause()).await;
     }
 }
 
@@ -183,7 +185,7 @@
             }
             Err(e) => health.failed(&e),
         }
-        sleep(PAUSE).await;
+        sleep(health.pause()).await;
     }
 }
 
@@ -389,17 +391,18 @@
 /// Says once when the store is lost and once when it is regained.
 struct Health {
     part: &'static str,
-    away: bool,
+    /// Calls in a row that have failed.
+    failures: u32,
 }
 
 impl Health {
     fn new(part: &'static str) -> Self {
-        Self { part, away: false }
+        Self { part, failures: 0 }
     }
 
     /// Returns whether it was away.
     fn ok(&mut self) -> bool {
-        let was = std::mem::take(&mut self.away);
+        let was = std::mem::take(&mut self.failures) > 0;
         if was {
             Line::failure("store.regained")
                 .text("part", self.part)
@@ -409,12 +412,19 @@
     }
 
     fn failed(&mut self, e: &Error) {
-        if !self.away {
+        if self.failures == 0 {
             Line::failure("store.lost")
                 .text("part", self.part)
                 .show("error", e)
                 .write();
         }
-        self.away = true;
+        self.failures = self.failures.saturating_add(1);
+    }
+
+    /// How long to wait before the next call.
+    fn pause(&self) -> Duration {
+        // Beyond a few doublings the bound decides.
+        let doublings = self.failures.saturating_sub(1).min(4);
+        (PAUSE * 2_u32.pow(doublings)).min(MAX_PAUSE)
     }
 }
--- a/crates/stair-relay/src/links.rs
+++ b/crates/stair-relay/src/links.rs
@@ -55,7 +55,7 @@
 const TICK: Duration = Duration::from_millis(250);
 
 /// Links up to which that pause holds; with more it grows in proportion, so that an entry on a
-/// tenth of a core does not spend it on looks (measured: 184 a second with 46 links).
+/// tenth of a core does not spend it on looks.
 const TICK_LINKS: u32 = 16;
 
 /// Longest pause; agents take an entry for gone after several of them.
--- a/crates/stair-relay/src/relay.rs
+++ b/crates/stair-relay/src/relay.rs
@@ -56,7 +56,7 @@
 
 /// Time before its client leaves at which a request that waits for a target is refused. Told as late as
 /// the client leaves, it would not learn that its request has not run, nor when to come back. A round trip
-/// of some milliseconds and the longest pause of a busy entry, an assumption.
+/// of some milliseconds and the longest pause of a busy entry.
 const REFUSAL_TIME: Duration = Duration::from_millis(150);
 
 /// When to come back after the targets refused: their queues drain in some hundred milliseconds.
--- a/crates/stair-relay/src/stream.rs
+++ b/crates/stair-relay/src/stream.rs
@@ -56,7 +56,7 @@
 
 /// A client leaves a stream after a pause that follows from its route; after this part of it another target
 /// is looked for. An engine that is merely busy, or reads a request anew after it ran out of memory, is
-/// heard again before that (seen: 0.4 s of 2 s), and the rest is enough to go on elsewhere.
+/// heard again before that, and the rest is enough to go on elsewhere.
 const HUNG_PART: u32 = 2;
 
 /// Time for the first event of a repeatable request for which a target is not taken for hung.
--- a/crates/stair-sidecar/src/desk.rs
+++ b/crates/stair-sidecar/src/desk.rs
@@ -44,8 +44,8 @@
 /// asking again at once would be refused again.
 const CONFLICT_PAUSE: Duration = Duration::from_millis(120);
 
-/// Time after which an order that was not answered is not carried out any more. Operators speak of seconds;
-/// twice as long as any that was seen is an assumption.
+/// Time after which an order that was not answered is not carried out any more. Operators speak of
+/// seconds.
 const LATE_ORDER_TIME: Duration = Duration::from_secs(10);
 
 /// Time in which what an engine held before it crashed is brought back, each model after the other. Later
--- a/crates/stair-sidecar/src/process/hear.rs
+++ b/crates/stair-sidecar/src/process/hear.rs
@@ -111,7 +111,7 @@
     /// Takes in that the engine has said it is not this life, to an entry or to this agent.
     ///
     /// The refusal need not name the life that is there instead. Ordering on for the one before
-    /// would be refused for as long as entries ask (measured: 546 refusals in 14 s at one engine);
+    /// would be refused for as long as entries ask;
     /// without a life the entries are told at once that this engine takes no orders.
     pub(super) fn hear_former(&mut self, id: Box<str>) {
         if self.former.as_ref() == Some(&id) {
--- a/crates/stair-sidecar/src/process/tell.rs
+++ b/crates/stair-sidecar/src/process/tell.rs
@@ -29,9 +29,8 @@
 /// Pause between reports of changed load alone.
 const LOAD_EVERY: Duration = Duration::from_millis(200);
 
-/// The same for each link: with thirty entries a change is told every 600 ms, so that telling does
-/// not take more of the VM than ordering (measured: 0.7 GB between data centres in 45 s with 46
-/// agents and 25 entries at 200 ms).
+/// The same for each link: with thirty entries a change is told every 600 ms, so that telling does not take
+/// more of the VM than ordering.
 const LOAD_EVERY_LINK: Duration = Duration::from_millis(20);
 
 impl Agent {
--- a/crates/stair-sidecar/src/uses.rs
+++ b/crates/stair-sidecar/src/uses.rs
@@ -54,9 +54,8 @@
     /// Notes a prompt that takes so much of the engine's time, and whether it has its turn.
     ///
     /// One that found no turn counts as use as well. Were only those counted that are sent, a crowded
-    /// replica would look as busy as it can serve, never busier, and its model would get no further one
-    /// (seen on one day: 40 prompts in seven seconds at one replica, 24 sent). One that has its turn is on
-    /// its way, and its model is not dropped under it.
+    /// replica would look as busy as it can serve, never busier, and its model would get no further
+    /// one. One that has its turn is on its way, and its model is not dropped under it.
     pub fn prompt(&mut self, model: &str, booked: bool, work: Duration, now: Duration) {
         let entry = self.entry(model, now);
         entry.work += work.as_secs_f64() / RATE_TIME_S;
