--- a/crates/stair-relay/src/follow.rs
+++ b/crates/stair-relay/src/follow.rs
@@ -46,11 +46,12 @@
 };
 
 use crate::{
-    context::Context,
-    know::{
-        self,
-        TargetChange, //
+    change::{
+        TargetChange,
+        Weight, //
     },
+    context::Context,
+    know,
     peers::{
         Ask,
         Question, //
@@ -90,15 +91,6 @@
     Targets,
 }
 
-/// How soon a change of the list has to be known.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Weight {
-    /// It decides whether a target gets requests.
-    Major,
-    /// It is about what a target holds.
-    Minor,
-}
-
 /// What has changed, for the connections of followers.
 #[derive(Debug, Clone)]
 pub enum News {
--- a/crates/stair-relay/src/know.rs
+++ b/crates/stair-relay/src/know.rs
@@ -1,8 +1,10 @@
 //! Watches the store: what operators declare, and the targets.
 //!
 //! One entry of a data centre watches for the others there, which hear from it by [`follow`](crate::follow);
-//! each of them watches by itself for as long as it hears nothing. Versions only rise: an answer that is older than what is known, from a store that serves stale
-//! data or from a peer that lags, changes nothing.
+//! each of them watches by itself for as long as it hears nothing.
+//!
+//! Versions only rise: an answer that is older than what is known, from a store that serves stale data or
+//! from a peer that lags, changes nothing.
 
 use std::{
     sync::Arc,
@@ -18,17 +20,10 @@
     },
     target,
 };
-use serde::{
-    Deserialize,
-    Serialize, //
-};
 use stair_fleet::{
     Catalogue,
     Target,
-    view::{
-        Listed,
-        View, //
-    }, //
+    view::Listed, //
 };
 use stair_platform::Error;
 use stair_telemetry::event::Line;
@@ -38,11 +33,14 @@
 };
 
 use crate::{
+    change::{
+        self,
+        TargetChange, //
+    },
     context::Context,
     follow::{
         News,
-        Part,
-        Weight, //
+        Part, //
     }, //
 };
 
@@ -50,9 +48,11 @@
 /// the age of what is known; each call is priced.
 const WATCH_TIME: Duration = Duration::from_millis(3000);
 
-/// The same of an entry that others follow. They hear nothing new while its connection is silent, and what
-/// is new is due with them within two seconds too.
+/// The same for the targets at an entry that others follow. They hear nothing new while its connection is
+/// silent, and what is new is due with them within two seconds too.
 const FOLLOWED_TARGETS_TIME: Duration = Duration::from_millis(500);
+
+/// The same for what operators declare, which has no pause after a change.
 const FOLLOWED_CATALOGUE_TIME: Duration = Duration::from_millis(1000);
 
 /// Pause after a failed call; after each further one in a row twice as long. Refused calls are charged like
@@ -207,26 +207,13 @@
         // Changes between pages are seen again by a watch from the first page's revision.
         revision.get_or_insert(page.revision);
         after = page.objects.last().map(|o| o.name.clone());
-        targets.extend(page.objects.iter().filter_map(decode));
+        targets.extend(page.objects.iter().filter_map(change::decode));
         if !page.more || after.is_none() {
             return Ok((targets, revision.unwrap_or(0)));
         }
     }
 }
 
-fn decode(object: &Object) -> Option<Target> {
-    match target::decode(&object.name, &object.spec) {
-        Ok(target) => Some(target),
-        Err(e) => {
-            Line::failure("target.unreadable")
-                .text("target", &object.name)
-                .show("error", e)
-                .write();
-            None
-        }
-    }
-}
-
 /// Takes a whole list in. After the store was away, what is missing may only be late.
 fn apply_targets(cx: &Context, targets: Vec<Target>, revision: u64, was_away: bool) {
     let now = cx.now();
@@ -282,7 +269,8 @@
         match store.watch(target::KIND, since, wait).await {
             Ok(news) => {
                 health.ok();
-                let changes: Vec<TargetChange> = news.changes.into_iter().map(change).collect();
+                let changes: Vec<TargetChange> =
+                    news.changes.into_iter().map(TargetChange::from).collect();
                 let any = !changes.is_empty();
                 take_changes(cx, changes, news.revision);
                 if any {
@@ -298,52 +286,6 @@
     }
 }
 
-/// A change of the list of targets.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub enum TargetChange {
-    /// What a target announces.
-    Put(Box<Target>),
-    /// The target of this id has left the list.
-    Removed(Box<str>),
-}
-
-impl TargetChange {
-    /// The target's id.
-    pub fn id(&self) -> &str {
-        match self {
-            Self::Put(target) => &target.id,
-            Self::Removed(id) => id,
-        }
-    }
-
-    /// Whether more than what the target holds differs from what is known of it. That changes many times a
-    /// second, and the target's agent tells it.
-    fn weight(&self, view: &View) -> Weight {
-        let Self::Put(new) = self else {
-            return Weight::Major;
-        };
-        let known = view.all().find(|(_, s)| s.target.id == new.id);
-        let holds_alone = known
-            .is_some_and(|(_, s)| s.missing_until.is_none() && s.target.is_same_but_for_holds(new));
-        match holds_alone {
-            true => Weight::Minor,
-            false => Weight::Major,
-        }
-    }
-}
-
-fn change(change: Change) -> TargetChange {
-    match change {
-        Change::Removed(id) => TargetChange::Removed(id),
-        Change::Put(object) => match decode(&object) {
-            Some(target) => TargetChange::Put(Box::new(target)),
-            // Another writer has put itself in the target's place. Whether the target still takes
-            // requests is not known until it announces itself again.
-            None => TargetChange::Removed(object.name),
-        },
-    }
-}
-
 /// Takes changes of the list in, from the store or from a peer that watches it, up to a revision.
 pub fn take_changes(cx: &Context, changes: Vec<TargetChange>, revision: u64) {
     let mut lines = Vec::new();
--- a/crates/stair-relay/src/lib.rs
+++ b/crates/stair-relay/src/lib.rs
@@ -7,7 +7,7 @@
 //! [`refuse`] makes the entry's own answers.
 //!
 //! What the entry knows: [`know`] watches the store, [`follow`] hears it from the one entry of the data
-//! centre that watches for all, [`links`] hears the agents, [`peers`] asks other
+//! centre that watches for all, [`change`] is what they hear, [`links`] hears the agents, [`peers`] asks other
 //! entries when the store does not answer, [`ahead`] has models loaded before they are asked for.
 //! [`context`] holds it all, [`dump`] shows it to the operator, [`process`] starts and stops.
 #![deny(missing_docs)]
@@ -16,6 +16,7 @@
 pub mod admit;
 pub mod ahead;
 pub mod attempt;
+pub mod change;
 pub mod context;
 pub mod dump;
 pub mod failures;
