relay, sidecar: questions to an agent without a link have no time to wait; who watches is told until it is sent

Cause: dropped what waits for an agent only after a link had been up, where before it did so after each try to open one. A request for an adapter at an engine whose agent is dead then waited for each question's whole time. Second, by reading: an entry whose queue was full counted as told of the others, and was told again only when something changed, though the comment said otherwise; it would not have followed anybody meanwhile. No test plays a full queue. Third: any error of a connection counted as an agent that has gone; only a refused one says that its VM runs (a process out of descriptors would have taken a standing VM for sound).

--- a/crates/stair-relay/src/follow.rs
+++ b/crates/stair-relay/src/follow.rs
@@ -148,7 +148,7 @@
     }
 
     /// Waits until this entry has to watch the store itself.
-    pub async fn unless_followed(&self) {
+    pub async fn until_alone(&self) {
         // The sender lives as long as this.
         let _ = self.follows.subscribe().wait_for(|f| !*f).await;
     }
--- a/crates/stair-relay/src/know.rs
+++ b/crates/stair-relay/src/know.rs
@@ -87,7 +87,7 @@
 pub async fn follow_catalogue(cx: Arc<Context>) {
     let mut health = Health::new("catalogue");
     loop {
-        cx.follow.unless_followed().await;
+        cx.follow.until_alone().await;
         let store = cx.store();
         let begun = Instant::now();
         let page = store.list(catalogue::KIND, None).await;
@@ -175,7 +175,7 @@
     let mut health = Health::new("targets");
     loop {
         cx.declared().await;
-        cx.follow.unless_followed().await;
+        cx.follow.until_alone().await;
         let store = cx.store();
         match list_targets(&cx, &store).await {
             Ok((targets, revision)) => {
@@ -262,7 +262,7 @@
 /// Watches for as long as the store answers. What a peer has told meanwhile is not asked for again.
 async fn watch_targets(cx: &Context, store: &Store, health: &mut Health) {
     loop {
-        cx.follow.unless_followed().await;
+        cx.follow.until_alone().await;
         let since = cx.state().view.revision;
         let wait = cx.follow.wait(WATCH_TIME, FOLLOWED_TARGETS_TIME);
         cx.follow.expects(Part::Targets, wait);
--- a/crates/stair-relay/src/links.rs
+++ b/crates/stair-relay/src/links.rs
@@ -4,6 +4,7 @@
 //! opened anew: its connection may have fallen silent.
 
 use std::{
+    io::ErrorKind,
     net::SocketAddr,
     sync::Arc,
     time::Duration, //
@@ -67,6 +68,9 @@
 /// Pause between looks for VMs that stand still.
 const LOOK_EVERY: Duration = Duration::from_millis(200);
 
+/// A look that comes so late says that this process has stood still itself.
+const LATE_LOOK: Duration = Duration::from_millis(600);
+
 /// Messages waiting for one agent.
 const QUEUE: usize = 64;
 
@@ -104,10 +108,10 @@
     let mut trusted_from = Instant::now();
     loop {
         sleep(LOOK_EVERY).await;
-        let late = looked.elapsed() >= LOOK_EVERY * 3;
+        let late = looked.elapsed() >= LATE_LOOK;
         looked = Instant::now();
         if late {
-            // This process has stood still itself; what agents said meanwhile is still to be read.
+            // What agents said meanwhile is still to be read.
             trusted_from = looked + QUIET_TIME;
         }
         if looked < trusted_from {
@@ -153,15 +157,19 @@
                     .show("engine", engine)
                     .show("why", format_args!("{ended:?}"))
                     .write();
-                forget(&cx, engine);
                 if ended == Ended::Closed {
                     cx.state().view.agent_gone_at(engine);
                 }
             }
             // Its VM answers and no agent is there.
-            Ok(Err(_)) => cx.state().view.agent_gone_at(engine),
-            Err(_) => {}
+            Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => {
+                cx.state().view.agent_gone_at(engine);
+            }
+            // No sign of the VM, or this process is out of descriptors.
+            Ok(Err(_)) | Err(_) => {}
         }
+        // Also when no link came up: what was asked meanwhile would wait for its whole time.
+        forget(&cx, engine);
         while rx.try_recv().is_ok() {}
         sleep(PAUSE).await;
     }
--- a/crates/stair-sidecar/src/process/tell.rs
+++ b/crates/stair-sidecar/src/process/tell.rs
@@ -42,9 +42,12 @@
             let Some(own) = &link.known else { continue };
             let peers = fleet.peers(own);
             if link.told_peers.as_ref() != Some(&peers) {
-                link.told_peers = Some(peers.clone());
-                // A full queue belongs to an entry that does not read; it is told again.
-                let _ = link.tx.try_send(ToEntry::Peers(Box::new(peers)));
+                let told = link.tx.try_send(ToEntry::Peers(Box::new(peers.clone())));
+                // A full queue belongs to an entry that reads slowly. It is told again: one that never hears
+                // who watches would watch by itself for as long as it runs.
+                if told.is_ok() {
+                    link.told_peers = Some(peers);
+                }
             }
         }
     }
@@ -56,7 +59,7 @@
             return;
         };
         let peers = Peers::of(own, &self.all_known());
-        // As above.
+        // A full queue belongs to an entry that reads slowly; its next word has it told again.
         let _ = link.tx.try_send(ToEntry::Peers(Box::new(peers)));
     }
 
