relay, fleet: clients of requests at standing VMs are told before they leave

Now a question that an agent leaves open while its heartbeat is overdue marks the target at once, and where a request was given to a standing VM and has no event, its client is told right before it leaves that it may have run. No further target is tried after that moment.

--- a/crates/stair-fleet/src/seen.rs
+++ b/crates/stair-fleet/src/seen.rs
@@ -32,6 +32,10 @@
 /// 900 ms; one whose process has ended closes its connections, and is no sign of a VM that stands still.
 pub const QUIET_TIME: Duration = Duration::from_millis(1250);
 
+/// Time without a word after which an agent's heartbeat is overdue. If it leaves a question open as well, its
+/// VM is taken to stand still without waiting any longer.
+pub const OVERDUE_TIME: Duration = Duration::from_millis(1000);
+
 /// Weight of the newest sample in the averages; a change shows after about five requests.
 const SMOOTH: f64 = 0.2;
 
@@ -204,10 +208,12 @@
         self.quiet = false;
     }
 
-    /// Whether its VM is to be taken to stand still from now on.
-    pub fn falls_quiet(&self, now: Duration) -> bool {
-        let silent = |at: Duration| now.saturating_sub(at) >= QUIET_TIME;
-        self.listed && !self.quiet && self.heard.is_some_and(silent)
+    /// Takes its VM to stand still if its agent has said nothing for so long; whether that is new.
+    pub fn mark_quiet(&mut self, after: Duration, now: Duration) -> bool {
+        let silent = |at: Duration| now.saturating_sub(at) >= after;
+        let falls = self.listed && !self.quiet && self.heard.is_some_and(silent);
+        self.quiet |= falls;
+        falls
     }
 
     /// Takes the outcome of an attempt into the averages.
--- a/crates/stair-fleet/src/view.rs
+++ b/crates/stair-fleet/src/view.rs
@@ -16,7 +16,10 @@
 };
 
 use crate::{
-    seen::Seen,
+    seen::{
+        QUIET_TIME,
+        Seen, //
+    },
     target::{
         Holds,
         Load,
@@ -249,13 +252,12 @@
 
     /// Marks the targets whose VMs have fallen quiet, and returns their ids.
     pub fn mark_quiet(&mut self, now: Duration) -> Vec<Box<str>> {
-        let quiet = self.seen.iter_mut().filter(|s| s.falls_quiet(now));
-        quiet
-            .map(|s| {
-                s.quiet = true;
-                s.target.id.clone()
-            })
-            .collect()
+        let all = self.seen.iter_mut();
+        let quiet = all.filter_map(|s| {
+            let falls = s.mark_quiet(QUIET_TIME, now);
+            falls.then(|| s.target.id.clone())
+        });
+        quiet.collect()
     }
 
     /// Takes in until when the engine at an address has prompts to read.
--- a/crates/stair-relay/src/context.rs
+++ b/crates/stair-relay/src/context.rs
@@ -43,9 +43,13 @@
         Ask,
         Read, //
     },
+    seen::OVERDUE_TIME,
     view::TargetKey, //
 };
-use stair_telemetry::page::Page;
+use stair_telemetry::{
+    event::Line,
+    page::Page, //
+};
 use tokio::{
     sync::{
         Notify,
@@ -238,11 +242,36 @@
         }
     }
 
-    /// Waits until a target's VM is found to stand still.
-    pub async fn falls_quiet(&self, key: TargetKey) {
+    /// Takes in that an agent has not answered a question in time. Whether its VM is taken to stand still.
+    pub fn unanswered(&self, key: TargetKey) -> bool {
+        let now = self.now();
+        let (falls, quiet, id) = {
+            let mut state = self.state();
+            let seen = state.view.get_mut(key);
+            let falls = seen.mark_quiet(OVERDUE_TIME, now);
+            (falls, seen.quiet, seen.target.id.clone())
+        };
+        if falls {
+            self.are_quiet(&[id]);
+        }
+        quiet
+    }
+
+    /// Tells of targets whose VMs were found to stand still.
+    pub fn are_quiet(&self, ids: &[Box<str>]) {
+        for id in ids {
+            Line::failure("target.quiet").text("target", id).write();
+        }
+        if !ids.is_empty() {
+            self.quiet.notify_waiters();
+        }
+    }
+
+    /// Waits until the VM of one of these targets is found to stand still.
+    pub async fn fall_quiet(&self, keys: &[TargetKey]) {
         loop {
             let told = self.quiet.notified();
-            if self.state().view.get(key).quiet {
+            if keys.iter().any(|k| self.state().view.get(*k).quiet) {
                 return;
             }
             told.await;
--- a/crates/stair-relay/src/links.rs
+++ b/crates/stair-relay/src/links.rs
@@ -118,12 +118,7 @@
             continue;
         }
         let quiet = cx.state().view.mark_quiet(cx.now());
-        for id in &quiet {
-            Line::failure("target.quiet").text("target", id).write();
-        }
-        if !quiet.is_empty() {
-            cx.quiet.notify_waiters();
-        }
+        cx.are_quiet(&quiet);
     }
 }
 
--- a/crates/stair-relay/src/relay.rs
+++ b/crates/stair-relay/src/relay.rs
@@ -24,7 +24,10 @@
     full, //
 };
 use stair_telemetry::event::Line;
-use tokio::time::Instant;
+use tokio::time::{
+    Instant,
+    sleep_until, //
+};
 
 use crate::{
     admit::{
@@ -204,9 +207,7 @@
                 }
             },
             attempt::Outcome::NotSent(_) | attempt::Outcome::NotRun { .. } => Reason::Refused,
-            attempt::Outcome::Late | attempt::Outcome::Lost(_)
-                if !tried.may_run_again(&job) || Instant::now() >= job.deadline =>
-            {
+            attempt::Outcome::Late | attempt::Outcome::Lost(_) if !tried.may_run_again(&job) => {
                 let late = matches!(outcome, attempt::Outcome::Late);
                 let reason = if late { Reason::Late } else { Reason::Lost };
                 return Err(Refusal::may_have_run(reason));
@@ -214,6 +215,9 @@
             attempt::Outcome::Late => Reason::Late,
             attempt::Outcome::Lost(_) => Reason::Lost,
         };
+        if tried.ran > 0 && Instant::now() >= pick_until(&job, None) {
+            return Err(give_up(tried, retry, REFUSED_COME_BACK));
+        }
         let paid = std::mem::take(&mut tried.paid) || tried.sent == 0;
         if tried.sent >= MAX_SENDS || !(paid || cx.may_retry(&job.service)) {
             return Err(give_up(tried, retry, REFUSED_COME_BACK));
@@ -282,17 +286,45 @@
     let req = job.request(&picked.id, after_event);
     let until = attempt_until(job, tried);
     let sent = attempt::send(picked.addr, req, &job.meta.id, until);
+    let (key, leaves) = (picked.flight.key(), pick_until(job, after_event));
+    let gone = given_up(cx, &tried.keys, key, tried.may_be_left(job), leaves);
     let outcome = tokio::select! {
         outcome = sent => outcome,
-        () = cx.falls_quiet(picked.flight.key()), if tried.may_be_left(job) => attempt::Outcome::Late,
+        () = gone => attempt::Outcome::Late,
     };
     note(cx, job, tried, picked, &outcome, begun);
     outcome
 }
 
+/// Waits until an attempt is given up for a VM that stands still.
+///
+/// What may be tried elsewhere is, at once. The rest waits for the VM to go on, but not longer than its client:
+/// one that leaves a stream knows nothing of what became of its request, and a standing engine cannot take the
+/// close either, so that it would run on for nobody. Right before, the client is told that it may have run.
+///
+/// `before` were tried before the target `key`; a run at one of them may go on as well.
+pub async fn given_up(
+    cx: &Context,
+    before: &[TargetKey],
+    key: TargetKey,
+    elsewhere: bool,
+    client_leaves: Instant,
+) {
+    let own = [key];
+    let all = [before, &own].concat();
+    let told = async {
+        sleep_until(client_leaves).await;
+        cx.fall_quiet(&all).await;
+    };
+    tokio::select! {
+        () = cx.fall_quiet(&own), if elsewhere => {}
+        () = told => {}
+    }
+}
+
 /// When no target is looked for any longer. A request that waited on would find its client gone;
 /// one that is refused before may come back to a model that is there by then.
-fn pick_until(job: &Job, after_event: Option<u64>) -> Instant {
+pub fn pick_until(job: &Job, after_event: Option<u64>) -> Instant {
     if !job.route.stream || after_event.is_some() {
         return job.deadline;
     }
--- a/crates/stair-relay/src/stream.rs
+++ b/crates/stair-relay/src/stream.rs
@@ -99,9 +99,11 @@
         split: Splitter::default(),
     };
     let until = first_until(job, tried);
+    let leaves = relay::pick_until(job, None);
+    let gone = relay::given_up(cx, &tried.keys, key, tried.may_run_again(job), leaves);
     let next = tokio::select! {
         next = source.next(until) => next,
-        () = cx.falls_quiet(key), if tried.may_run_again(job) => Next::Late,
+        () = gone => Next::Late,
     };
     let first = match next {
         Next::Event(e) => Some(e),
@@ -278,9 +280,10 @@
         let until = self.pause_until();
         let key = source.flight.key();
         let may_leave = until < job.deadline && self.left_for_quiet != Some(key);
+        let own = [key];
         let next = tokio::select! {
             next = source.next(until) => next,
-            () = cx.falls_quiet(key), if may_leave => {
+            () = cx.fall_quiet(&own), if may_leave => {
                 self.left_for_quiet = Some(key);
                 Next::Late
             }
--- a/crates/stair-relay/src/turn.rs
+++ b/crates/stair-relay/src/turn.rs
@@ -96,6 +96,9 @@
         return Turn::Now(Prompt::default());
     };
     let Ok(Ok(answer)) = timeout(TURN_TIME, rx).await else {
+        if cx.unanswered(key) {
+            return Turn::Later;
+        }
         // A sound engine is used also when its agent is silent.
         return Turn::Now(Prompt::default());
     };
