relay, platform, fleet: a key decides whose request it is, and a withdrawn key is refused

Targets are told the workspace and never the key, on retries and resumed streams too; the workspace's rank goes before the route's. Entries pass digests on to each other, never keys. An entry that hears no news of declarations answers 503 for a key that it does not know, and goes on with those it knows: a withdrawn key let in for some seconds was weighed against paying clients refused for as long. Errors about workspaces name a place in the list and nothing that was read; keys in a decoded configuration are overwritten. Not cleared: receive buffers of the HTTP library.

--- a/crates/stair-fleet/src/catalogue.rs
+++ b/crates/stair-fleet/src/catalogue.rs
@@ -7,7 +7,10 @@
     Serialize, //
 };
 
-use crate::target::Copy;
+use crate::{
+    target::Copy,
+    workspace::Workspaces, //
+};
 
 /// Everything that operators declare.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -20,6 +23,8 @@
     pub services: Vec<Service>,
     /// Bounds of what clients may send.
     pub limits: Limits,
+    /// Who may send requests; `None` lets everyone.
+    pub workspaces: Option<Workspaces>,
 }
 
 /// What a route's requests may be done with when an attempt fails.
@@ -54,6 +59,8 @@
     pub gap: Option<Duration>,
     /// 0 is served first.
     pub rank: u8,
+    /// Whether requests need no key where workspaces are declared.
+    pub anonymous: bool,
     /// Where requests go: services with their weights, never empty.
     pub to: Vec<Share>,
     /// The number of targets that one request may be sent to.
@@ -173,12 +180,25 @@
             .find(|r| path.starts_with(&*r.prefix))
     }
 
-    /// The shortest objective of a route that may go to a service and has a lower rank than this one.
+    /// The shortest objective of a route that may go to a service with requests of a lower rank than this.
     pub fn more_urgent(&self, service: &str, rank: u8) -> Option<Duration> {
-        let before = self.routes_to(service).filter(|r| r.rank < rank);
+        let urgent = |r: &&Route| self.first_rank(r) < rank;
+        let before = self.routes_to(service).filter(urgent);
         before.map(|r| r.objective).min()
     }
 
+    /// The most urgent rank that a request on a route may have.
+    fn first_rank(&self, route: &Route) -> u8 {
+        let of_workspaces = match &self.workspaces {
+            Some(workspaces) => workspaces.first_rank(route.rank),
+            None => route.rank,
+        };
+        match route.anonymous {
+            true => of_workspaces.min(route.rank),
+            false => of_workspaces,
+        }
+    }
+
     /// The shortest pause between events that a route which may go to a service promises.
     pub fn shortest_pause(&self, service: &str) -> Option<Duration> {
         self.routes_to(service).filter_map(|r| r.gap).min()
--- a/crates/stair-fleet/src/lib.rs
+++ b/crates/stair-fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`Duration`](std::time::Duration) since the start of the process.
 //!
 //! - [`catalogue`]: routes, services and models that operators declare, and the choice of a route.
+//! - [`workspace`]: who a request is for, and what its workspace may ask for.
 //! - [`target`]: what a target announces, and what its agent reports of it.
 //! - [`view`]: all that one entry knows of the targets, with the age of each part.
 //! - [`seen`]: one target as an entry knows it.
@@ -38,6 +39,7 @@
 pub mod target;
 pub mod view;
 pub mod wake;
+pub mod workspace;
 
 pub use catalogue::Catalogue;
 pub use target::Target;
--- a/crates/stair-fleet/tests/route.rs
+++ b/crates/stair-fleet/tests/route.rs
@@ -24,6 +24,7 @@
         objective: Duration::from_millis(300),
         gap: None,
         rank: 0,
+        anonymous: false,
         to: to.iter().map(share).collect(),
         attempts: 1,
     }
--- a/crates/stair-relay/src/admit.rs
+++ b/crates/stair-relay/src/admit.rs
@@ -46,11 +46,15 @@
 };
 
 use crate::{
+    authorize,
     context::{
         Context,
         Serving, //
     },
-    job::Job,
+    job::{
+        Job,
+        rank, //
+    },
     refuse::{
         LEAVING_COME_BACK,
         Reason,
@@ -74,7 +78,8 @@
 ///
 /// # Errors
 ///
-/// The refusal of one that is malformed, for no route, or comes too late to be served here.
+/// The refusal of one that is malformed, for no route, without a key that is in force, or comes too late to be
+/// served here.
 pub async fn admit(
     cx: &Arc<Context>,
     req: Request<Incoming>,
@@ -91,6 +96,7 @@
     let route = find(&catalogue, &head.uri, &head.headers)
         .ok_or(Refusal::not_run(Reason::NoRoute, None))?
         .clone();
+    let workspace = authorize::authorize(cx, &catalogue, &route, &head.headers)?.cloned();
     if let Some(left) = cx.ends_in() {
         let needed = if route.stream {
             STREAM_TIME
@@ -110,11 +116,15 @@
     let service: Box<str> = route.pick(point).into();
     let mut headers = head.headers;
     strip(&mut headers);
+    if catalogue.workspaces.is_some() {
+        request::strip_key(&mut headers);
+    }
     cx.count_request(&service);
     Line::new("request")
         .text("id", &meta.id)
         .text("route", &route.name)
         .text("service", &service)
+        .text("workspace", workspace.as_ref().map_or("", |w| &*w.name))
         .text("model", meta.model.as_deref().unwrap_or(""))
         .text("adapter", meta.adapter.as_deref().unwrap_or(""))
         .num("prompt_tokens", meta.prompt_tokens)
@@ -126,10 +136,11 @@
     Ok(Job {
         shared: shared(&meta),
         parts: parts(&meta),
-        more_urgent: catalogue.more_urgent(&service, route.rank),
+        more_urgent: catalogue.more_urgent(&service, rank(&route, workspace.as_ref())),
         pause: catalogue.shortest_pause(&service),
         meta,
         route,
+        workspace,
         service,
         catalogue,
         received,
--- a/crates/stair-relay/src/follow.rs
+++ b/crates/stair-relay/src/follow.rs
@@ -204,6 +204,13 @@
         self.tell(News::Changes(told.into(), revision));
     }
 
+    /// Whether what operators declared lately is known here: the store's word on it, or that of the entry that
+    /// is followed, is on time.
+    pub fn is_current(&self) -> bool {
+        let due = self.state().on_time[Part::Catalogue as usize];
+        self.follows() || due.is_some_and(|t| Instant::now() < t)
+    }
+
     /// Whether others may rely on what this entry knows.
     fn vouches(&self) -> bool {
         let now = Instant::now();
--- a/crates/stair-relay/src/job.rs
+++ b/crates/stair-relay/src/job.rs
@@ -27,7 +27,8 @@
         Engine,
         Route, //
     },
-    reading::Part, //
+    reading::Part,
+    workspace::Workspace, //
 };
 use tokio::time::Instant;
 
@@ -43,6 +44,8 @@
     pub meta: Meta,
     /// Its route, as the catalogue had it when the request came.
     pub route: Route,
+    /// The workspace that it is for, where workspaces are declared.
+    pub workspace: Option<Workspace>,
     /// The service that was picked.
     pub service: Box<str>,
     /// The catalogue that was in force when the request came.
@@ -76,17 +79,23 @@
         self.catalogue.service(&self.service)?.engine.as_ref()
     }
 
+    /// How urgent it is, 0 first: its workspace's rank goes before its route's.
+    pub fn rank(&self) -> u8 {
+        rank(&self.route, self.workspace.as_ref())
+    }
+
     /// Makes the request for one attempt.
     pub fn request(&self, instance: &str, after_event: Option<u64>) -> Request<Full<Bytes>> {
         let mut headers = self.headers.clone();
         let rank = self
             .engine()
             .is_some()
-            .then(|| FIRST_RANK.saturating_add(self.route.rank).min(9));
+            .then(|| FIRST_RANK.saturating_add(self.rank()).min(9));
         let attempt = Attempt {
             instance,
             left: self.deadline.saturating_duration_since(Instant::now()),
             rank,
+            workspace: self.workspace.as_ref().map(|w| &*w.name),
             after_event,
         };
         request::encode(&mut headers, &attempt);
@@ -101,3 +110,8 @@
         req
     }
 }
+
+/// The rank of a request on a route for a workspace.
+pub(crate) fn rank(route: &Route, workspace: Option<&Workspace>) -> u8 {
+    workspace.and_then(|w| w.rank).unwrap_or(route.rank)
+}
--- a/crates/stair-relay/src/know.rs
+++ b/crates/stair-relay/src/know.rs
@@ -19,6 +19,7 @@
         Store, //
     },
     target,
+    workspace, //
 };
 use stair_fleet::{
     Catalogue,
@@ -95,7 +96,7 @@
         match page {
             Ok(page) => {
                 health.ok();
-                let objects = page.objects.iter();
+                let objects = page.objects.into_iter();
                 let found = objects.filter(|o| *o.name == *catalogue::NAME);
                 found.for_each(|o| take_catalogue(&cx, o));
                 watch_catalogue(&cx, &store, page.revision, &mut health).await;
@@ -114,7 +115,7 @@
             Ok(news) => {
                 health.ok();
                 since = news.revision;
-                for change in &news.changes {
+                for change in news.changes {
                     if let Change::Put(object) = change
                         && *object.name == *catalogue::NAME
                     {
@@ -137,8 +138,10 @@
     health.failed(e);
 }
 
-fn take_catalogue(cx: &Context, object: &Object) {
-    match catalogue::decode(&object.spec) {
+fn take_catalogue(cx: &Context, mut object: Object) {
+    let decoded = catalogue::decode(&object.spec);
+    workspace::wipe_keys(&mut object.spec);
+    match decoded {
         Ok(new) => apply_catalogue(cx, new, "store"),
         // The last good one stays in force.
         Err(e) => Line::failure("catalogue.unreadable")
--- a/crates/stair-relay/src/refuse.rs
+++ b/crates/stair-relay/src/refuse.rs
@@ -10,7 +10,8 @@
         CONTENT_TYPE,
         HeaderName,
         HeaderValue,
-        RETRY_AFTER, //
+        RETRY_AFTER,
+        WWW_AUTHENTICATE, //
     }, //
 };
 use serde_json::json;
@@ -34,6 +35,14 @@
     Leaving,
     /// No route has this host and path.
     NoRoute,
+    /// The request has no key, and its route needs one.
+    NoKey,
+    /// It has two keys, or one that cannot be a key.
+    BadKey,
+    /// Its key belongs to no workspace.
+    UnknownKey,
+    /// Its key is not known here, and newer declarations may be in force elsewhere.
+    Behind,
     /// The request is malformed.
     Malformed,
     /// The body is larger than allowed.
@@ -57,6 +66,10 @@
             Self::Starting => "starting",
             Self::Leaving => "leaving",
             Self::NoRoute => "no-route",
+            Self::NoKey => "no-key",
+            Self::BadKey => "bad-key",
+            Self::UnknownKey => "unknown-key",
+            Self::Behind => "behind",
             Self::Malformed => "malformed",
             Self::TooLarge => "too-large",
             Self::TooSlow => "too-slow",
@@ -70,10 +83,11 @@
     fn status(self, verdict: Verdict) -> StatusCode {
         match self {
             Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::NoKey | Self::BadKey | Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::TooSlow => StatusCode::REQUEST_TIMEOUT,
-            Self::Starting | Self::Leaving | Self::NoTarget | Self::Refused => {
+            Self::Starting | Self::Leaving | Self::Behind | Self::NoTarget | Self::Refused => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::Late if verdict == Verdict::NotRun => StatusCode::SERVICE_UNAVAILABLE,
@@ -126,7 +140,8 @@
             "verdict": self.verdict.as_str(),
         }});
         let mut resp = Response::new(full(body.to_string()));
-        *resp.status_mut() = self.status();
+        let status = self.status();
+        *resp.status_mut() = status;
         let headers = resp.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         let verdict = HeaderValue::from_static(self.verdict.as_str());
@@ -137,6 +152,9 @@
                 headers.insert(RETRY_AFTER, value);
             }
         }
+        if status == StatusCode::UNAUTHORIZED {
+            headers.insert(WWW_AUTHENTICATE, HeaderValue::from_static("ApiKey"));
+        }
         // The rest of such a request must not be taken for the next one.
         if matches!(
             self.reason,
--- a/crates/stair-types/src/lib.rs
+++ b/crates/stair-types/src/lib.rs
@@ -1,5 +1,6 @@
 //! Names, identifiers and verdicts that every part of dandelionstair shares.
 //!
+//! - [`key`]: digests of API keys.
 //! - [`names`]: checked names of models, adapters, targets, tiers and so on.
 //! - [`ids`]: numbers that order or identify things.
 //! - [`rendezvous`]: who is responsible for a key.
@@ -8,6 +9,7 @@
 #![forbid(unsafe_code)]
 
 pub mod ids;
+pub mod key;
 pub mod names;
 pub mod rendezvous;
 pub mod verdict;
@@ -23,6 +25,7 @@
     TargetKey,
     TierRank, //
 };
+pub use key::KeyDigest;
 pub use names::{
     AdapterName,
     CallerName,
