relay, sidecar, fleet: a workspace gets what its allowance says, counted by one agent

Now one agent counts a workspace for all entries: the first that answers by rendezvous hash over the engines, asked over the links that are there, one question and one answer a request. Its token bucket lets through rate and burst and one request more; a new process, or one that stands in, begins with nothing saved, so that restarts and takeovers cannot exceed the bound. Entries' restarts lose nothing. While no agent answers an entry lets its own part through. A request waits up to a quarter of its objective for tokens; beyond that 429 at once with the time at which its tokens are there, spread over the refused ones. What has not run is given back; a request that costs under a fiftieth of the burst does not wait for the answer.

--- a/crates/stair-fleet/src/msg.rs
+++ b/crates/stair-fleet/src/msg.rs
@@ -11,6 +11,7 @@
 };
 
 use crate::{
+    allowance,
     catalogue::Engine,
     reading,
     target::{
@@ -56,6 +57,20 @@
     Used(Vec<Used>),
     /// How long the prompts took whose first events came since it last said so.
     Read(Vec<reading::Read>),
+    /// Asks for a part of a workspace's allowance.
+    Allow {
+        /// Names the question on this connection.
+        seq: u64,
+        /// The request.
+        ask: allowance::Ask,
+    },
+    /// Gives back what a request has cost that was not run.
+    GiveBack {
+        /// The workspace.
+        workspace: Box<str>,
+        /// The units.
+        cost: f64,
+    },
 }
 
 /// How far an entry's knowledge goes.
@@ -125,6 +140,13 @@
         /// What came of it.
         answer: reading::Answer,
     },
+    /// The answer to a [`ToAgent::Allow`].
+    Allowed {
+        /// The question.
+        seq: u64,
+        /// What came of it.
+        answer: allowance::Answer,
+    },
     /// The last life that the engine has said it is not; all entries stop using it at once. After a
     /// power cut the store's list has the dead lives for some seconds, and each entry would find out
     /// by requests of its own, a few of which use up its share of the retries.
--- a/crates/stair-relay/src/admit.rs
+++ b/crates/stair-relay/src/admit.rs
@@ -46,7 +46,7 @@
 };
 
 use crate::{
-    authorize,
+    allowance, authorize,
     context::{
         Context,
         Serving, //
@@ -112,6 +112,18 @@
     let wait = meta.patience.unwrap_or(route.timeout).min(route.timeout);
     let deadline = received + wait;
     let body = read_body(body, &head.headers, catalogue.limits.body_bytes, deadline).await?;
+    let grant = match &workspace {
+        Some(workspace) => {
+            let opts = allowance::Options {
+                id: &meta.id,
+                version: catalogue.version,
+                tokens: meta.prompt_tokens.saturating_add(meta.answer_tokens),
+                objective: route.objective,
+            };
+            allowance::take(cx, workspace, &opts).await?
+        }
+        None => None,
+    };
     let point = xxh3_64(meta.id.as_bytes()) as f64 / u64::MAX as f64;
     let service: Box<str> = route.pick(point).into();
     let mut headers = head.headers;
@@ -141,6 +153,7 @@
         meta,
         route,
         workspace,
+        grant,
         service,
         catalogue,
         received,
--- /dev/null
+++ b/crates/stair-relay/src/allowance.rs
@@ -0,0 +1,392 @@
+//! Takes what a request costs from its workspace's allowance.
+//!
+//! One agent counts a workspace for all entries: the first that answers, in an order on which all entries
+//! agree. While none answers, an entry lets through its own part.
+//!
+//! Invariant: a request is counted once, however many targets it is sent to, and not at all if it has surely
+//! not run.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+    },
+    time::Duration,
+};
+
+use stair_fleet::{
+    allowance::{
+        Answer,
+        Ask,
+        Bucket,
+        share, //
+    },
+    msg::ToAgent,
+    workspace::{
+        Allowance,
+        Workspace, //
+    },
+};
+use stair_telemetry::event::Line;
+use stair_types::rendezvous;
+use tokio::{
+    sync::oneshot,
+    time::{
+        sleep,
+        timeout, //
+    },
+};
+
+use crate::{
+    context::{
+        Context,
+        State, //
+    },
+    refuse::{
+        Reason,
+        Refusal, //
+    },
+};
+
+/// Time for an agent to answer: a round trip and the longest pause of a busy VM.
+const ANSWER_TIME: Duration = Duration::from_millis(100);
+
+/// Time for which an agent that has not answered is not asked.
+const SKIP_TIME: Duration = Duration::from_millis(1000);
+
+/// Agents that one request asks at most.
+const MAX_ASKED: usize = 2;
+
+/// The part of its objective that a request may wait for its allowance; the rest is for serving it.
+const WAIT_PART: u32 = 4;
+
+/// A request that costs less than this part of its workspace's burst does not wait for the answer.
+const SMALL_PART: f64 = 1.0 / 50.0;
+
+/// Time for which the choice of an agent is kept.
+const CHOICE_TIME: Duration = Duration::from_millis(250);
+
+/// What an entry keeps of workspaces' allowances.
+#[derive(Default)]
+pub struct Allowances {
+    /// Who counts each workspace, sorted by workspace.
+    counters: Vec<(Box<str>, Counter)>,
+    /// Until when each workspace owes, sorted by workspace.
+    owing: Vec<(Box<str>, Duration)>,
+    /// This entry's own parts, sorted by workspace.
+    shares: Vec<(Box<str>, Bucket)>,
+    /// Questions that wait for their answer.
+    open: Vec<Open>,
+}
+
+/// The agent that counts a workspace.
+#[derive(Debug, Clone, Copy)]
+struct Counter {
+    engine: SocketAddr,
+    /// Whether another one would be asked if it answered.
+    stand_in: bool,
+    until: Duration,
+}
+
+struct Open {
+    seq: u64,
+    engine: SocketAddr,
+    workspace: Box<str>,
+    cost: f64,
+    /// `None` for a request that did not wait.
+    tx: Option<oneshot::Sender<Answer>>,
+}
+
+/// Who counted a request.
+#[derive(Debug, Clone, Copy)]
+enum CountedBy {
+    Agent(SocketAddr),
+    /// This entry, from its own part.
+    Entry,
+}
+
+/// What one request has taken; given back when dropped, unless the request was sent.
+pub struct Grant {
+    cx: Arc<Context>,
+    workspace: Box<str>,
+    cost: f64,
+    by: CountedBy,
+    sent: AtomicBool,
+}
+
+impl Grant {
+    /// Notes whether the request may have run.
+    pub fn note_sent(&self, sent: bool) {
+        self.sent.store(sent, Ordering::Relaxed);
+    }
+}
+
+impl Drop for Grant {
+    fn drop(&mut self) {
+        if self.sent.load(Ordering::Relaxed) {
+            return;
+        }
+        let now = self.cx.now();
+        let mut state = self.cx.state();
+        match self.by {
+            CountedBy::Agent(engine) => state.give_back(engine, &self.workspace, self.cost),
+            CountedBy::Entry => {
+                let shares = &mut state.allowances.shares;
+                if let Ok(i) = position(shares, &self.workspace) {
+                    shares[i].1.give_back(self.cost, now);
+                }
+            }
+        }
+    }
+}
+
+/// A request that takes from its workspace's allowance.
+pub(crate) struct Options<'a> {
+    /// Its id.
+    pub(crate) id: &'a str,
+    /// The version of the catalogue in force.
+    pub(crate) version: u64,
+    /// The tokens of its prompt and of its answer at most.
+    pub(crate) tokens: u64,
+    /// The time within which its client is promised an answer.
+    pub(crate) objective: Duration,
+}
+
+/// Takes what a request costs; `None` where its workspace has no limit.
+///
+/// # Errors
+///
+/// The refusal of a request that its workspace's allowance has no room for.
+pub(crate) async fn take(
+    cx: &Arc<Context>,
+    workspace: &Workspace,
+    opts: &Options<'_>,
+) -> Result<Option<Grant>, Refusal> {
+    let Some(allowance) = workspace.allowance else {
+        return Ok(None);
+    };
+    let cost = allowance.unit.cost(opts.tokens);
+    let mut ask = Ask {
+        workspace: workspace.name.clone(),
+        version: opts.version,
+        allowance,
+        cost,
+        limit: opts.objective / WAIT_PART,
+        passed: false,
+        stand_in: false,
+    };
+    let small = cost <= allowance.burst * SMALL_PART;
+    ask.passed = small && !cx.state().allowances.owes(&ask.workspace, cx.now());
+    let (answer, by) = match ask_agents(cx, &mut ask).await {
+        Some(both) => both,
+        None => (take_share(cx, &ask), CountedBy::Entry),
+    };
+    count(cx, &answer, by);
+    if !answer.granted {
+        Line::failure("allowance.refused")
+            .text("id", opts.id)
+            .text("workspace", &ask.workspace)
+            .num("cost", cost as i64)
+            .show("by", format_args!("{by:?}"))
+            .ms("come_back_ms", answer.wait)
+            .write();
+        let come_back = Some(answer.wait);
+        return Err(Refusal::not_run(Reason::OverAllowance, come_back));
+    }
+    let grant = Grant {
+        cx: cx.clone(),
+        workspace: ask.workspace,
+        cost,
+        by,
+        sent: AtomicBool::new(false),
+    };
+    // A request that does not wait has nothing to do with what its workspace owes.
+    if !ask.passed && !answer.wait.is_zero() {
+        sleep(answer.wait).await;
+    }
+    Ok(Some(grant))
+}
+
+fn count(cx: &Context, answer: &Answer, by: CountedBy) {
+    let by = match by {
+        CountedBy::Agent(_) => "agent",
+        CountedBy::Entry => "entry",
+    };
+    let outcome = if answer.granted { "granted" } else { "refused" };
+    let labels = [("by", by), ("outcome", outcome)];
+    cx.page.count("allowances_total", &labels, 1);
+}
+
+async fn ask_agents(cx: &Arc<Context>, ask: &mut Ask) -> Option<(Answer, CountedBy)> {
+    for _ in 0..MAX_ASKED {
+        let now = cx.now();
+        let (engine, rx) = cx.state().ask_allowance(ask, now)?;
+        let by = CountedBy::Agent(engine);
+        let Some(rx) = rx else {
+            let answer = Answer {
+                granted: true,
+                wait: Duration::ZERO,
+            };
+            return Some((answer, by));
+        };
+        if let Ok(Ok(answer)) = timeout(ANSWER_TIME, rx).await {
+            return Some((answer, by));
+        }
+        Line::failure("allowance.unanswered")
+            .text("workspace", &ask.workspace)
+            .show("engine", engine)
+            .write();
+        cx.state().skip_counter(engine, cx.now() + SKIP_TIME);
+    }
+    None
+}
+
+/// Takes from this entry's own part.
+fn take_share(cx: &Context, ask: &Ask) -> Answer {
+    let now = cx.now();
+    let entries = cx.entries();
+    let part: Allowance = share(ask.allowance, entries);
+    let mut state = cx.state();
+    let shares = &mut state.allowances.shares;
+    let i = position(shares, &ask.workspace).unwrap_or_else(|i| {
+        shares.insert(i, (ask.workspace.clone(), Bucket::new(part, now)));
+        i
+    });
+    let bucket = &mut shares[i].1;
+    bucket.set(part, now);
+    bucket.spend(ask.cost, ask.limit, now)
+}
+
+/// Takes in an agent's answer.
+pub(crate) fn answered(cx: &Context, engine: SocketAddr, seq: u64, answer: Answer) {
+    let now = cx.now();
+    let mut state = cx.state();
+    let open = &mut state.allowances.open;
+    let Some(i) = open.iter().position(|o| o.engine == engine && o.seq == seq) else {
+        return;
+    };
+    let one = open.swap_remove(i);
+    state
+        .allowances
+        .note_wait(&one.workspace, now + answer.wait);
+    let unheard = one.tx.is_some_and(|tx| tx.send(answer).is_err());
+    if unheard && answer.granted {
+        state.give_back(engine, &one.workspace, one.cost);
+    }
+}
+
+impl Allowances {
+    /// Drops the questions to an agent whose link has ended, and all choices.
+    pub(crate) fn link_ended(&mut self, engine: SocketAddr) {
+        self.open.retain(|o| o.engine != engine);
+        self.counters.clear();
+    }
+
+    /// Drops all choices: another agent may come first now.
+    pub(crate) fn link_began(&mut self) {
+        self.counters.clear();
+    }
+
+    fn owes(&self, workspace: &str, now: Duration) -> bool {
+        position(&self.owing, workspace).is_ok_and(|i| now < self.owing[i].1)
+    }
+
+    fn note_wait(&mut self, workspace: &str, until: Duration) {
+        match position(&self.owing, workspace) {
+            Ok(i) => self.owing[i].1 = until,
+            Err(i) => self.owing.insert(i, (workspace.into(), until)),
+        }
+    }
+}
+
+impl State {
+    /// Asks the agent that counts a workspace. The receiver is missing for a request that does not wait.
+    fn ask_allowance(
+        &mut self,
+        ask: &mut Ask,
+        now: Duration,
+    ) -> Option<(SocketAddr, Option<oneshot::Receiver<Answer>>)> {
+        let counter = self.counter(&ask.workspace, now)?;
+        ask.stand_in = counter.stand_in;
+        let seq = self.next_seq();
+        let i = self.agent(counter.engine)?;
+        let msg = ToAgent::Allow {
+            seq,
+            ask: ask.clone(),
+        };
+        self.agents[i].tx.try_send(msg).ok()?;
+        let (tx, rx) = match ask.passed {
+            true => (None, None),
+            false => {
+                let (tx, rx) = oneshot::channel();
+                (Some(tx), Some(rx))
+            }
+        };
+        self.allowances.open.push(Open {
+            seq,
+            engine: counter.engine,
+            workspace: ask.workspace.clone(),
+            cost: ask.cost,
+            tx,
+        });
+        Some((counter.engine, rx))
+    }
+
+    fn counter(&mut self, workspace: &str, now: Duration) -> Option<Counter> {
+        let found = position(&self.allowances.counters, workspace);
+        if let Ok(i) = found
+            && now < self.allowances.counters[i].1.until
+        {
+            return Some(self.allowances.counters[i].1);
+        }
+        let counter = self.choose_counter(workspace, now)?;
+        let counters = &mut self.allowances.counters;
+        match found {
+            Ok(i) => counters[i].1 = counter,
+            Err(i) => counters.insert(i, (workspace.into(), counter)),
+        }
+        Some(counter)
+    }
+
+    fn choose_counter(&self, workspace: &str, now: Duration) -> Option<Counter> {
+        let weight = |i: &usize| rendezvous::weight(workspace, &self.agents[*i].name);
+        let all = 0..self.agents.len();
+        let first = all.clone().max_by_key(weight)?;
+        let answers = |i: &usize| {
+            let link = &self.agents[*i];
+            link.linked && link.skipped_until <= now
+        };
+        let chosen = all.filter(answers).max_by_key(weight)?;
+        Some(Counter {
+            engine: self.agents[chosen].engine,
+            stand_in: chosen != first,
+            until: now + CHOICE_TIME,
+        })
+    }
+
+    fn skip_counter(&mut self, engine: SocketAddr, until: Duration) {
+        if let Some(i) = self.agent(engine) {
+            self.agents[i].skipped_until = until;
+        }
+        self.allowances.counters.clear();
+    }
+
+    fn give_back(&self, engine: SocketAddr, workspace: &str, cost: f64) {
+        if let Some(i) = self.agent(engine) {
+            let msg = ToAgent::GiveBack {
+                workspace: workspace.into(),
+                cost,
+            };
+            // An agent that does not read is asked no more, and what it counts with it.
+            let _ = self.agents[i].tx.try_send(msg);
+        }
+    }
+}
+
+fn position<T>(list: &[(Box<str>, T)], workspace: &str) -> Result<usize, usize> {
+    list.binary_search_by(|(name, _)| (**name).cmp(workspace))
+}
--- a/crates/stair-relay/src/context.rs
+++ b/crates/stair-relay/src/context.rs
@@ -64,6 +64,7 @@
 };
 
 use crate::{
+    allowance::Allowances,
     follow::Follow,
     job::Job, //
 };
@@ -112,6 +113,8 @@
     pub agents: Vec<AgentLink>,
     /// What an agent said last of the other entries, and when.
     pub peers: Option<(Peers, Duration)>,
+    /// Allowances of workspaces.
+    pub allowances: Allowances,
     budgets: Vec<(Box<str>, Budget)>,
     use_of: Vec<UseAt>,
     next_seq: u64,
@@ -121,6 +124,12 @@
 pub struct AgentLink {
     /// The engine's address.
     pub engine: SocketAddr,
+    /// The same as a text, by which entries agree on an order of agents.
+    pub name: Box<str>,
+    /// Whether the link is up.
+    pub linked: bool,
+    /// Until when the agent is not asked about allowances, as it has not answered.
+    pub skipped_until: Duration,
     /// Messages to the agent.
     pub tx: mpsc::Sender<ToAgent>,
     /// Entries that the agent hears, as it said last; 0 before it has.
@@ -351,15 +360,20 @@
 
     fn budget_options(&self, state: &State) -> budget::Options {
         let retries = self.live().retries;
-        let heard = state.agents.iter().map(|a| a.entries);
         budget::Options {
             ratio: retries.ratio,
             extra: retries.extra,
             window: Duration::from_millis(retries.window_ms.into()),
-            entries: budget::entries(retries.entries, heard),
+            entries: state.entries(retries.entries),
         }
     }
 
+    /// The number of entries that share what holds for all of them together.
+    pub fn entries(&self) -> u32 {
+        let expected = self.live().retries.entries;
+        self.state().entries(expected)
+    }
+
     /// Tells the agent at an address that its engine has said it is not this life.
     pub fn tell_former(&self, engine: SocketAddr, id: Box<str>) {
         let state = self.state();
@@ -372,8 +386,7 @@
     /// Asks the agent of an engine for a model or adapter. `None` when there is no link.
     pub fn want(self: &Arc<Self>, engine: SocketAddr, mut want: Want) -> Option<Wanted> {
         let mut state = self.state();
-        state.next_seq += 1;
-        want.seq = state.next_seq;
+        want.seq = state.next_seq();
         let i = state.agent(engine)?;
         let link = &mut state.agents[i];
         let seq = want.seq;
@@ -418,8 +431,7 @@
     /// Asks the agent of an engine for a prompt's turn. `None` when there is no link.
     pub fn turn(&self, engine: SocketAddr, ask: Ask) -> Option<oneshot::Receiver<Answer>> {
         let mut state = self.state();
-        state.next_seq += 1;
-        let seq = state.next_seq;
+        let seq = state.next_seq();
         let i = state.agent(engine)?;
         let link = &mut state.agents[i];
         link.tx.try_send(ToAgent::Turn { seq, ask }).ok()?;
@@ -430,6 +442,17 @@
 }
 
 impl State {
+    /// A number for the next question to an agent.
+    pub fn next_seq(&mut self) -> u64 {
+        self.next_seq += 1;
+        self.next_seq
+    }
+
+    fn entries(&self, expected: u32) -> u32 {
+        let heard = self.agents.iter().map(|a| a.entries);
+        budget::entries(expected, heard)
+    }
+
     /// Takes from the list what engines have said they are not: the store may list it for some time.
     pub fn drop_former(&mut self) {
         for id in self.agents.iter().filter_map(|a| a.former.as_ref()) {
--- a/crates/stair-relay/src/job.rs
+++ b/crates/stair-relay/src/job.rs
@@ -32,7 +32,10 @@
 };
 use tokio::time::Instant;
 
-use crate::context::Serving;
+use crate::{
+    allowance::Grant,
+    context::Serving, //
+};
 
 /// Rank of a route whose requests go first, at the engine, which has 0 to 9 and takes 5 for those
 /// that name none.
@@ -46,6 +49,8 @@
     pub route: Route,
     /// The workspace that it is for, where workspaces are declared.
     pub workspace: Option<Workspace>,
+    /// What it has taken from its workspace's allowance.
+    pub grant: Option<Grant>,
     /// The service that was picked.
     pub service: Box<str>,
     /// The catalogue that was in force when the request came.
@@ -84,6 +89,13 @@
         rank(&self.route, self.workspace.as_ref())
     }
 
+    /// Notes whether it may have run.
+    pub fn note_sent(&self, sent: bool) {
+        if let Some(grant) = &self.grant {
+            grant.note_sent(sent);
+        }
+    }
+
     /// Makes the request for one attempt.
     pub fn request(&self, instance: &str, after_event: Option<u64>) -> Request<Full<Bytes>> {
         let mut headers = self.headers.clone();
--- a/crates/stair-relay/src/lib.rs
+++ b/crates/stair-relay/src/lib.rs
@@ -1,6 +1,7 @@
 //! The entry in front of targets that announce themselves in the store.
 //!
-//! A request's way: [`serve`] takes it, [`admit`] finds its route, [`authorize`] its workspace; as a [`job`], [`relay`]
+//! A request's way: [`serve`] takes it, [`admit`] finds its route, [`authorize`] its workspace, whose
+//! [`allowance`] it takes from; as a [`job`], [`relay`]
 //! brings it to a target: [`pick`] chooses one, [`waken`] has its model loaded, [`turn`] waits until its
 //! prompt may be sent, [`attempt`] sends it there once, [`failures`] keeps what targets failed until it is
 //! known what that is put down to, [`stream`] passes the events of a stream on and resumes it elsewhere,
@@ -15,6 +16,7 @@
 
 pub mod admit;
 pub mod ahead;
+pub mod allowance;
 pub mod attempt;
 pub mod authorize;
 pub mod change;
--- a/crates/stair-relay/src/links.rs
+++ b/crates/stair-relay/src/links.rs
@@ -38,9 +38,12 @@
     },
 };
 
-use crate::context::{
-    AgentLink,
-    Context, //
+use crate::{
+    allowance,
+    context::{
+        AgentLink,
+        Context, //
+    },
 };
 
 /// Time to open a link; within a region it takes milliseconds.
@@ -82,6 +85,9 @@
             let (tx, rx) = mpsc::channel(QUEUE);
             let link = AgentLink {
                 engine,
+                name: engine.to_string().into(),
+                linked: false,
+                skipped_until: Duration::ZERO,
                 tx,
                 entries: 0,
                 former: None,
@@ -147,6 +153,7 @@
         match timeout(CONNECT_TIME, TcpStream::connect(agent)).await {
             Ok(Ok(stream)) => {
                 Line::new("agent.linked").show("engine", engine).write();
+                begin(&cx, engine);
                 let ended = speak(&cx, engine, stream, &mut rx).await;
                 Line::failure("agent.lost")
                     .show("engine", engine)
@@ -179,14 +186,24 @@
     state.view.all().any(|(_, s)| s.target.addr == engine)
 }
 
+fn begin(cx: &Context, engine: SocketAddr) {
+    let mut state = cx.state();
+    if let Some(i) = state.agent(engine) {
+        state.agents[i].linked = true;
+    }
+    state.allowances.link_began();
+}
+
 /// Drops what the agent said and the questions that wait for it.
 fn forget(cx: &Context, engine: SocketAddr) {
     let mut state = cx.state();
     if let Some(i) = state.agent(engine) {
+        state.agents[i].linked = false;
         state.agents[i].waiting.clear();
         state.agents[i].turns.clear();
         state.agents[i].read.clear();
     }
+    state.allowances.link_ended(engine);
     state.view.unreport(engine);
 }
 
@@ -257,6 +274,7 @@
                 // The request that asked may have been given up.
                 asked.map(|tx| tx.send(answer));
             }
+            ToEntry::Allowed { seq, answer } => allowance::answered(cx, engine, seq, answer),
             ToEntry::Former(id) => hear_former(cx, engine, id),
             ToEntry::Declare => declare(cx, engine),
             ToEntry::Peers(peers) => {
--- a/crates/stair-relay/src/refuse.rs
+++ b/crates/stair-relay/src/refuse.rs
@@ -43,6 +43,8 @@
     UnknownKey,
     /// Its key is not known here, and newer declarations may be in force elsewhere.
     Behind,
+    /// Its workspace has used its allowance up.
+    OverAllowance,
     /// The request is malformed.
     Malformed,
     /// The body is larger than allowed.
@@ -70,6 +72,7 @@
             Self::BadKey => "bad-key",
             Self::UnknownKey => "unknown-key",
             Self::Behind => "behind",
+            Self::OverAllowance => "over-allowance",
             Self::Malformed => "malformed",
             Self::TooLarge => "too-large",
             Self::TooSlow => "too-slow",
@@ -84,6 +87,7 @@
         match self {
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey | Self::BadKey | Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::OverAllowance => StatusCode::TOO_MANY_REQUESTS,
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::TooSlow => StatusCode::REQUEST_TIMEOUT,
--- a/crates/stair-relay/src/relay.rs
+++ b/crates/stair-relay/src/relay.rs
@@ -283,6 +283,7 @@
     after_event: Option<u64>,
 ) -> attempt::Outcome {
     let begun = Instant::now();
+    job.note_sent(true);
     let req = job.request(&picked.id, after_event);
     let until = attempt_until(job, tried);
     let sent = attempt::send(picked.addr, req, &job.meta.id, until);
@@ -293,6 +294,7 @@
         () = gone => attempt::Outcome::Late,
     };
     note(cx, job, tried, picked, &outcome, begun);
+    job.note_sent(tried.ran > 0);
     outcome
 }
 
--- a/crates/stair-sidecar/src/lib.rs
+++ b/crates/stair-sidecar/src/lib.rs
@@ -3,6 +3,7 @@
 //! It alone orders its engine. Requests do not pass through it: entries send them straight to the
 //! engine, so that a dead agent costs no sound engine.
 //!
+//! - [`allowances`]: counts the allowances of workspaces for all entries.
 //! - [`desk`]: what the engine holds, what is asked for, and the next order; without input or output.
 //! - [`engine`]: readings of the engine and orders to it.
 //! - [`fence`]: raises the fencing token in the store.
@@ -12,6 +13,7 @@
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
+pub mod allowances;
 pub mod desk;
 pub mod engine;
 pub mod fence;
--- a/crates/stair-sidecar/src/links.rs
+++ b/crates/stair-sidecar/src/links.rs
@@ -2,8 +2,13 @@
 //!
 //! They are in the clear: VMs have neither disk nor keys, and what comes over them can at most make
 //! the engine load or drop models. docs/design/on-platform.md weighs the ways.
+//!
+//! Allowances are answered here: a question about one must not wait for the engine.
 
-use std::time::Duration;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use stair_fleet::msg::{
     ToAgent,
@@ -26,6 +31,7 @@
 };
 
 use crate::{
+    allowances::Allowances,
     process::dump::Dump,
     uses::LinkKey, //
 };
@@ -53,13 +59,22 @@
 }
 
 /// Accepts links until the receiver of events is gone.
-pub async fn accept(listener: TcpListener, events: mpsc::Sender<Event>) {
+pub async fn accept(
+    listener: TcpListener,
+    events: mpsc::Sender<Event>,
+    allowances: Arc<Allowances>,
+) {
     let mut next = 0;
     while !events.is_closed() {
         match listener.accept().await {
             Ok((stream, _)) => {
                 next += 1;
-                tokio::spawn(serve(stream, LinkKey(next), events.clone()));
+                tokio::spawn(serve(
+                    stream,
+                    LinkKey(next),
+                    events.clone(),
+                    allowances.clone(),
+                ));
             }
             // Out of descriptors, for instance: accepting again at once would spin.
             Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
@@ -67,24 +82,48 @@
     }
 }
 
-async fn serve(stream: TcpStream, key: LinkKey, events: mpsc::Sender<Event>) {
+async fn serve(
+    stream: TcpStream,
+    key: LinkKey,
+    events: mpsc::Sender<Event>,
+    allowances: Arc<Allowances>,
+) {
     // Without it a message waits for the acknowledgement of the one before; it still arrives.
     let _ = stream.set_nodelay(true);
     let (r, w) = stream.into_split();
     let (tx, rx) = mpsc::channel(QUEUE);
-    if events.send(Event::Opened(key, tx)).await.is_err() {
+    if events.send(Event::Opened(key, tx.clone())).await.is_err() {
         return;
     }
     tokio::select! {
-        () = read(r, key, &events) => {}
+        () = read(r, key, &events, &allowances, &tx) => {}
         () = write(w, rx) => {}
     }
     // The main loop is gone when this fails, and with it all that the link was for.
     let _ = events.send(Event::Closed(key)).await;
 }
 
-async fn read(mut r: OwnedReadHalf, key: LinkKey, events: &mpsc::Sender<Event>) {
+async fn read(
+    mut r: OwnedReadHalf,
+    key: LinkKey,
+    events: &mpsc::Sender<Event>,
+    allowances: &Allowances,
+    tx: &mpsc::Sender<ToEntry>,
+) {
     while let Ok(Ok(msg)) = timeout(SILENCE, frame::read_message(&mut r)).await {
+        let msg = match msg {
+            ToAgent::Allow { seq, ask } => {
+                let answer = allowances.ask(&ask);
+                // An entry that does not read asks another agent.
+                let _ = tx.try_send(ToEntry::Allowed { seq, answer });
+                continue;
+            }
+            ToAgent::GiveBack { workspace, cost } => {
+                allowances.give_back(&workspace, cost);
+                continue;
+            }
+            msg => msg,
+        };
         if events.send(Event::Message(key, msg)).await.is_err() {
             return;
         }
--- a/crates/stair-sidecar/src/process.rs
+++ b/crates/stair-sidecar/src/process.rs
@@ -53,6 +53,7 @@
 };
 
 use crate::{
+    allowances::Allowances,
     desk::{
         self,
         Asker,
@@ -134,13 +135,14 @@
             dump: move || ask_dump(events.clone()),
         };
         tasks.spawn(observe::serve(self.metrics, never, opts));
-        tasks.spawn(links::accept(self.inner, tx));
+        let allowances = Arc::new(Allowances::new(page.clone()));
+        tasks.spawn(links::accept(self.inner, tx, allowances.clone()));
         let (fence_tx, fence_rx) = mpsc::channel(1);
         Line::new("agent.started")
             .text("name", &self.settings.name)
             .show("engine", self.settings.engine)
             .write();
-        let mut agent = Agent::new(self.settings, page, fence_tx);
+        let mut agent = Agent::new(self.settings, page, allowances, fence_tx);
         agent.raise_fence();
         agent.run(rx, fence_rx, reloads, stop).await;
         Line::new("agent.stopped").write();
@@ -202,10 +204,16 @@
     told_holds: Option<Holds>,
     told_load: Option<(Load, Instant)>,
     page: Arc<Page>,
+    allowances: Arc<Allowances>,
 }
 
 impl Agent {
-    fn new(settings: SidecarSettings, page: Arc<Page>, fence_tx: mpsc::Sender<u64>) -> Self {
+    fn new(
+        settings: SidecarSettings,
+        page: Arc<Page>,
+        allowances: Arc<Allowances>,
+        fence_tx: mpsc::Sender<u64>,
+    ) -> Self {
         Self {
             engine: Engine::new(settings.engine),
             store: Store::new(settings.store),
@@ -227,6 +235,7 @@
             told_holds: None,
             told_load: None,
             page,
+            allowances,
         }
     }
 
--- a/crates/stair-sidecar/src/process/dump.rs
+++ b/crates/stair-sidecar/src/process/dump.rs
@@ -4,6 +4,7 @@
 
 use serde::Serialize;
 use stair_fleet::{
+    allowance::Ledger,
     msg::Known,
     reading::Rate,
     target::{
@@ -36,6 +37,8 @@
     rates: Vec<Rate>,
     /// Wants that wait, those ahead of requests among them.
     wants: usize,
+    /// What is left of the allowances that are counted here.
+    allowances: Ledger,
     /// Entries that are linked, with how far each one's knowledge goes.
     entries: Vec<Option<Known>>,
 }
@@ -56,6 +59,7 @@
             load: self.load(),
             rates: self.turns.rates().to_vec(),
             wants: self.desk.wants(),
+            allowances: self.allowances.ledger(),
             entries: self.links.iter().map(|l| l.known.clone()).collect(),
         }
     }
--- a/crates/stair-sidecar/src/process/hear.rs
+++ b/crates/stair-sidecar/src/process/hear.rs
@@ -105,6 +105,8 @@
             }
             ToAgent::Used(list) => self.desk.used(key, &list, now),
             ToAgent::Read(list) => list.iter().for_each(|r| self.turns.learn(r)),
+            // Answered by the link itself.
+            ToAgent::Allow { .. } | ToAgent::GiveBack { .. } => {}
         }
     }
 
