relay, fleet, sidecar: load requests, their controller and usage by the field's terms

Want, Wanted, Desk and Uses become LoadRequest, PendingLoad, Controller and Usage, with their files, locals and tests. Event names in logs and the messages' bytes stay.

--- a/crates/stair-fleet/src/balance.rs
+++ b/crates/stair-fleet/src/balance.rs
@@ -221,7 +221,7 @@
             let holds = node.seen.holds(self.now);
             for (m, decl) in self.engine.models.iter().enumerate() {
                 let from = holds.copy(&decl.name);
-                if from == Copy::Store || !self.wants(m) {
+                if from == Copy::Store || !self.needs_replica(m) {
                     continue;
                 }
                 best = better(best, self.at(m, n, from, MARGIN_FREE, MARGIN_VICTIMS));
@@ -232,7 +232,9 @@
 
     /// The best move from the weight store, among the busiest models and the idlest engines.
     fn fetch(&self, opts: &Options<'_>) -> Option<Move> {
-        let mut models: Vec<usize> = (0..self.models.len()).filter(|m| self.wants(*m)).collect();
+        let mut models: Vec<usize> = (0..self.models.len())
+            .filter(|m| self.needs_replica(*m))
+            .collect();
         models.sort_by(|a, b| {
             let share = |m: &usize| self.models[*m].share();
             share(b).total_cmp(&share(a))
@@ -259,7 +261,7 @@
     }
 
     /// Whether a further replica of a model could be worth anything.
-    fn wants(&self, model: usize) -> bool {
+    fn needs_replica(&self, model: usize) -> bool {
         let demand = &self.models[model];
         let alone = demand.share();
         // The most that a move can take off: an engine with nothing else to do takes half of it.
--- a/crates/stair-fleet/src/msg.rs
+++ b/crates/stair-fleet/src/msg.rs
@@ -43,8 +43,8 @@
     /// A life that the engine has said it is not.
     Former(Box<str>),
     /// Asks for a model or an adapter.
-    Want(Want),
-    /// Takes a [`Want`] back: nobody waits for it any more.
+    LoadRequest(LoadRequest),
+    /// Takes a [`LoadRequest`] back: nobody waits for it any more.
     Cancel(u64),
     /// Asks for a prompt's turn.
     Turn {
@@ -90,7 +90,7 @@
 
 /// Asks for a model, or for an adapter of a model that is there.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Want {
+pub struct LoadRequest {
     /// Names the question on this connection.
     pub seq: u64,
     /// The model.
@@ -102,7 +102,7 @@
     /// How many loads run together with this one, itself among them, if it may come from the weight
     /// store; `None` if it may not.
     pub fetch: Option<u32>,
-    /// Whether no request waits for it yet; such a want gives way to all others.
+    /// Whether no request waits for it yet; such a request gives way to all others.
     pub ahead: bool,
     /// Time after which it is of no use.
     pub of_use: Duration,
@@ -126,7 +126,7 @@
     Holds(Box<Holds>),
     /// The rest of what the agent knows of it; sent when it changes and as a heartbeat.
     Load(Box<Load>),
-    /// The answer to a [`Want`].
+    /// The answer to a [`LoadRequest`].
     Done {
         /// The question.
         seq: u64,
@@ -248,7 +248,7 @@
     }
 }
 
-/// What came of a [`Want`].
+/// What came of a [`LoadRequest`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// The model, and the adapter if one was asked for, can run now.
--- a/crates/stair-relay/src/ahead.rs
+++ b/crates/stair-relay/src/ahead.rs
@@ -15,7 +15,7 @@
 use crate::{
     context::{
         Context,
-        Wanted, //
+        PendingLoad, //
     },
     waken, //
 };
@@ -32,11 +32,11 @@
 
 /// Looks for loads worth making, for as long as the process runs.
 pub async fn keep(cx: Arc<Context>) {
-    let mut asked: Vec<(Asked, Wanted)> = Vec::new();
+    let mut asked: Vec<(Asked, PendingLoad)> = Vec::new();
     loop {
         sleep(EVERY).await;
         // An engine is asked for one load at a time.
-        asked.retain_mut(|(_, wanted)| wanted.is_open());
+        asked.retain_mut(|(_, pending)| pending.is_open());
         if !leads(&cx) {
             continue;
         }
@@ -55,7 +55,7 @@
                 .num("cost_ms", place.cost_ms as i64)
                 .num("gain_1000", (gain.unwrap_or_default() * 1000.0) as i64)
                 .write();
-            let Some(wanted) = waken::ask(&cx, &model, &place, AHEAD_TIME, true) else {
+            let Some(pending) = waken::ask(&cx, &model, &place, AHEAD_TIME, true) else {
                 break;
             };
             asked.push((
@@ -63,7 +63,7 @@
                     key: place.key,
                     model,
                 },
-                wanted,
+                pending,
             ));
         }
     }
--- a/crates/stair-relay/src/context.rs
+++ b/crates/stair-relay/src/context.rs
@@ -1,7 +1,7 @@
 //! What all parts of one entry share.
 
 mod flight;
-mod wanted;
+mod pending_load;
 
 use std::{
     net::SocketAddr,
@@ -32,11 +32,11 @@
     },
     msg::{
         Known,
+        LoadRequest, //
         Outcome,
         Peers,
         ToAgent,
         Used,
-        Want, //
     },
     reading::{
         Answer,
@@ -73,7 +73,7 @@
     Flight,
     Serving, //
 };
-pub use wanted::Wanted;
+pub use pending_load::PendingLoad;
 
 /// One entry.
 pub struct Context {
@@ -384,16 +384,20 @@
     }
 
     /// Asks the agent of an engine for a model or adapter. `None` when there is no link.
-    pub fn want(self: &Arc<Self>, engine: SocketAddr, mut want: Want) -> Option<Wanted> {
+    pub fn request_load(
+        self: &Arc<Self>,
+        engine: SocketAddr,
+        mut req: LoadRequest,
+    ) -> Option<PendingLoad> {
         let mut state = self.state();
-        want.seq = state.next_seq();
+        req.seq = state.next_seq();
         let i = state.agent(engine)?;
         let link = &mut state.agents[i];
-        let seq = want.seq;
-        link.tx.try_send(ToAgent::Want(want)).ok()?;
+        let seq = req.seq;
+        link.tx.try_send(ToAgent::LoadRequest(req)).ok()?;
         let (tx, rx) = oneshot::channel();
         link.waiting.push((seq, tx));
-        Some(Wanted {
+        Some(PendingLoad {
             cx: self.clone(),
             engine,
             seq,
--- a/crates/stair-relay/src/context/wanted.rs
+++ b/crates/stair-relay/src/context/pending_load.rs
@@ -17,7 +17,7 @@
 use super::Context;
 
 /// A model or adapter that was asked for. Dropped before its answer, it is taken back.
-pub struct Wanted {
+pub struct PendingLoad {
     pub(super) cx: Arc<Context>,
     pub(super) engine: SocketAddr,
     pub(super) seq: u64,
@@ -26,7 +26,7 @@
     pub(super) open: bool,
 }
 
-impl Wanted {
+impl PendingLoad {
     /// Waits for what comes of it; may be given up and waited for again.
     ///
     /// # Errors
@@ -50,7 +50,7 @@
     }
 }
 
-impl Drop for Wanted {
+impl Drop for PendingLoad {
     fn drop(&mut self) {
         if self.open {
             self.cx.cancel(self.engine, self.seq);
--- a/crates/stair-relay/src/dump.rs
+++ b/crates/stair-relay/src/dump.rs
@@ -60,7 +60,7 @@
 struct AgentDump {
     engine: std::net::SocketAddr,
     entries: u32,
-    wants_waiting: usize,
+    loads_waiting: usize,
     turns_waiting: usize,
 }
 
@@ -119,7 +119,7 @@
     AgentDump {
         engine: link.engine,
         entries: link.entries,
-        wants_waiting: link.waiting.len(),
+        loads_waiting: link.waiting.len(),
         turns_waiting: link.turns.len(),
     }
 }
--- a/crates/stair-relay/src/pick.rs
+++ b/crates/stair-relay/src/pick.rs
@@ -10,7 +10,7 @@
     choose,
     msg::{
         self,
-        Want, //
+        LoadRequest, //
     },
     overload::{
         Decision,
@@ -255,8 +255,8 @@
     {
         log_wake(job, model, place, "beside");
         // The next report tells what came of it.
-        if let Some(mut wanted) = ask(cx, model, place, BESIDE_TIME, true) {
-            wanted.stand();
+        if let Some(mut pending) = ask(cx, model, place, BESIDE_TIME, true) {
+            pending.stand();
         }
     }
 }
@@ -350,7 +350,7 @@
         }
         seen.target.addr
     };
-    let want = Want {
+    let req = LoadRequest {
         seq: 0,
         model: model.clone(),
         adapter: Some(adapter.clone()),
@@ -360,11 +360,11 @@
         of_use: ADAPTER_TIME,
     };
     let begun = Instant::now();
-    let Some(mut wanted) = cx.want(addr, want) else {
+    let Some(mut pending) = cx.request_load(addr, req) else {
         return false;
     };
     let until = until.min(begun + ADAPTER_TIME);
-    let outcome = timeout_at(until, wanted.outcome()).await;
+    let outcome = timeout_at(until, pending.outcome()).await;
     Line::new("adapter")
         .text("id", &job.meta.id)
         .text("adapter", adapter)
--- a/crates/stair-relay/src/waken.rs
+++ b/crates/stair-relay/src/waken.rs
@@ -10,7 +10,7 @@
     fetch,
     msg::{
         self,
-        Want, //
+        LoadRequest, //
     },
     target::{
         Copy,
@@ -33,7 +33,7 @@
 use crate::{
     context::{
         Context,
-        Wanted, //
+        PendingLoad, //
     },
     job::Job,
     pick::{
@@ -105,16 +105,16 @@
     let late = begun + at.ready_in + RUN_TIME > until;
     let waits = until.saturating_duration_since(begun);
     let of_use = at.ready_in.max(waits + COME_BACK) + RETURN_TIME;
-    let Some(mut wanted) = ask(cx, model, at, of_use, false) else {
+    let Some(mut pending) = ask(cx, model, at, of_use, false) else {
         return Woken::Refused(at.key);
     };
     log_wake(job, model, at, "needed");
     if late {
         // It is to be there when the client returns.
-        wanted.stand();
+        pending.stand();
         return Woken::TooLate(at.ready_in);
     }
-    let outcome = match wait_woken(cx, job, &mut wanted, refused, until).await {
+    let outcome = match wait_woken(cx, job, &mut pending, refused, until).await {
         Some(outcome) => outcome,
         None => {
             Line::new("woken.elsewhere")
@@ -142,25 +142,25 @@
     }
 }
 
-/// Waits for the answer to a want. `None` as soon as another engine can run the request: one that
+/// Waits for the answer to a load request. `None` as soon as another engine can run the request: one that
 /// unloads a model first may keep it waiting for as long as that model's streams last, while a
 /// further replica has come elsewhere.
 async fn wait_woken(
     cx: &Arc<Context>,
     job: &Job,
-    wanted: &mut Wanted,
+    pending: &mut PendingLoad,
     refused: &[TargetKey],
     until: Instant,
 ) -> Option<Result<msg::Outcome, RecvError>> {
     loop {
         let look = Instant::now() + LOOK_EVERY;
-        if let Ok(outcome) = timeout_at(look.min(until), wanted.outcome()).await {
+        if let Ok(outcome) = timeout_at(look.min(until), pending.outcome()).await {
             return Some(outcome);
         }
         if Instant::now() >= until {
             // As if the agent had failed: the request is refused, and the model is to be there when its
             // client returns.
-            wanted.stand();
+            pending.stand();
             return Some(Ok(msg::Outcome::Failed));
         }
         if ready(cx, job, refused, false).is_some() {
@@ -195,14 +195,14 @@
     at: &wake::Outcome,
     of_use: Duration,
     ahead: bool,
-) -> Option<Wanted> {
+) -> Option<PendingLoad> {
     let (addr, together) = {
         let state = cx.state();
         let target = &state.view.get(at.key).target;
         let others = fetch::under_way(&state.view, &target.service, cx.now());
         (target.addr, u32::try_from(others + 1).unwrap_or(u32::MAX))
     };
-    let want = Want {
+    let req = LoadRequest {
         seq: 0,
         model: model.into(),
         adapter: None,
@@ -211,7 +211,7 @@
         ahead,
         of_use,
     };
-    let wanted = cx.want(addr, want)?;
+    let pending = cx.request_load(addr, req)?;
     let from = [("from", source(at.from))];
     cx.page.count("loads_asked_total", &from, 1);
     let mut state = cx.state();
@@ -225,7 +225,7 @@
             times: 0.0,
         });
     }
-    Some(wanted)
+    Some(pending)
 }
 
 /// Writes the line of a model that is asked for.
--- a/crates/stair-sidecar/src/desk.rs
+++ b/crates/stair-sidecar/src/controller.rs
@@ -1,6 +1,6 @@
 //! What the engine holds, what entries ask for, and the next order.
 //!
-//! Pure: readings, wants and replies come in, orders and outcomes go out, time is passed in.
+//! Pure: readings, load requests and replies come in, orders and outcomes go out, time is passed in.
 //!
 //! Invariants: an order is planned on the newest reading and names its sequence, so one that the
 //! engine carries out late or twice is refused by it; the weights that an engine would hold after
@@ -9,7 +9,7 @@
 //! carried out at the same count; until then, or until it is too late for that, it takes its room.
 
 mod plan;
-mod tell;
+mod report;
 
 use std::time::Duration;
 
@@ -20,9 +20,9 @@
 use stair_fleet::{
     catalogue::Engine,
     msg::{
+        LoadRequest, //
         Outcome,
         Used,
-        Want, //
     },
     target::{
         Copy,
@@ -30,9 +30,9 @@
     },
 };
 
-use crate::uses::{
+use crate::usage::{
     LinkKey,
-    Uses,
+    Usage,
     key, //
 };
 
@@ -76,7 +76,7 @@
 
 struct Pending {
     asker: Asker,
-    want: Want,
+    req: LoadRequest,
     since: Duration,
     /// Whether the engine has refused the order for it.
     failed: bool,
@@ -102,15 +102,15 @@
 
 /// The state of one engine and of what is asked of it.
 #[derive(Default)]
-pub struct Desk {
+pub struct Controller {
     decl: Option<Engine>,
     reading: Option<Reading>,
     /// When the engine's present life started, by its own clock, where it says so.
     started: Option<u64>,
     alive: bool,
-    wants: Vec<Pending>,
+    load_requests: Vec<Pending>,
     doing: Option<Doing>,
-    uses: Uses,
+    usage: Usage,
     /// Adapters, as `MODEL/NAME`, that make way once their requests have ended, and until when they
     /// count as doing so.
     dropping: Vec<(Box<str>, Duration)>,
@@ -141,7 +141,7 @@
     pub fetch_window: Duration,
 }
 
-impl Desk {
+impl Controller {
     /// Makes one that knows nothing yet.
     pub fn new(opts: Options) -> Self {
         Self {
@@ -161,21 +161,21 @@
     }
 
     /// Whether anything is asked for.
-    pub fn wanted(&self) -> bool {
-        !self.wants.is_empty()
+    pub fn has_load_requests(&self) -> bool {
+        !self.load_requests.is_empty()
     }
 
     /// Counts what is asked for and not answered.
-    pub fn wants(&self) -> usize {
-        self.wants.len()
+    pub fn load_requests(&self) -> usize {
+        self.load_requests.len()
     }
 
     /// Takes a question in.
-    pub fn want(&mut self, asker: Asker, want: Want, now: Duration) {
-        self.uses.wanted(&want, now);
-        self.wants.push(Pending {
+    pub fn request_load(&mut self, asker: Asker, req: LoadRequest, now: Duration) {
+        self.usage.note_request(&req, now);
+        self.load_requests.push(Pending {
             asker,
-            want,
+            req,
             since: now,
             failed: false,
         });
@@ -186,12 +186,12 @@
     /// A request that found the model elsewhere, or whose client left, would otherwise still have it
     /// loaded here, in the place of one that is in use.
     pub fn cancel(&mut self, asker: Asker) {
-        self.wants.retain(|p| p.asker != asker);
+        self.load_requests.retain(|p| p.asker != asker);
     }
 
     /// Takes in what an entry has sent to the engine.
     pub fn used(&mut self, link: LinkKey, list: &[Used], now: Duration) {
-        self.uses.take(link, list, now);
+        self.usage.take(link, list, now);
     }
 
     /// Whether a model gets no new requests here: it makes way.
@@ -203,13 +203,13 @@
 
     /// Takes in a prompt that takes so long to be read, and whether it has its turn and is on its way.
     pub fn prompt(&mut self, model: &str, booked: bool, work: Duration, now: Duration) {
-        self.uses.prompt(model, booked, work, now);
+        self.usage.prompt(model, booked, work, now);
     }
 
     /// Forgets a connection.
     pub fn gone(&mut self, link: LinkKey) {
-        self.wants.retain(|p| p.asker.link != link);
-        self.uses.forget(link);
+        self.load_requests.retain(|p| p.asker.link != link);
+        self.usage.forget(link);
     }
 
     /// Takes a reading of the engine in, `None` when it does not answer. Whether the engine has started
@@ -265,7 +265,7 @@
         if !reading.holds.models.is_empty() {
             return;
         }
-        let rate = |m: &str| self.uses.rate(m, now);
+        let rate = |m: &str| self.usage.rate(m, now);
         let held = before.holds.models.iter().map(|h| &h.name);
         let mut lost: Vec<Box<str>> = held.filter(|m| rate(m) > 0.0).cloned().collect();
         lost.sort_by(|a, b| rate(b).total_cmp(&rate(a)));
@@ -274,7 +274,7 @@
                 link: LinkKey::OWN,
                 seq: 0,
             };
-            let want = Want {
+            let req = LoadRequest {
                 seq: 0,
                 model,
                 adapter: None,
@@ -283,9 +283,9 @@
                 ahead: true,
                 of_use: RESTORE_TIME,
             };
-            self.wants.push(Pending {
+            self.load_requests.push(Pending {
                 asker,
-                want,
+                req,
                 since: now,
                 failed: false,
             });
@@ -318,13 +318,16 @@
                 if step.load && from == Copy::Store {
                     self.fetch_began = Some(now);
                 }
-                let mut asked = self.wants.iter().filter(|p| p.want.model == step.model);
+                let mut asked = self
+                    .load_requests
+                    .iter()
+                    .filter(|p| p.req.model == step.model);
                 self.doing = Some(Doing {
                     load: step.load,
                     model: step.model.clone(),
                     from,
                     since: now,
-                    together: asked.find_map(|p| p.want.fetch).unwrap_or(1),
+                    together: asked.find_map(|p| p.req.fetch).unwrap_or(1),
                     until: now + self.load_time(&step.model, from),
                 });
             }
@@ -350,38 +353,38 @@
     }
 
     fn fail(&mut self, step: &Step) {
-        for p in &mut self.wants {
-            p.failed |= p.want.model == step.model;
+        for p in &mut self.load_requests {
+            p.failed |= p.req.model == step.model;
         }
     }
 
-    /// Answers the wants that can be answered by what is known now.
+    /// Answers the load requests that can be answered by what is known now.
     pub fn settle(&mut self, control: bool, now: Duration) -> Vec<(Asker, Outcome)> {
         let mut out = Vec::new();
-        let wants = std::mem::take(&mut self.wants);
-        for p in wants {
+        let load_requests = std::mem::take(&mut self.load_requests);
+        for p in load_requests {
             match self.outcome(&p, control, now) {
                 Some(outcome) => {
                     if outcome == Outcome::Ready {
                         // The request that asked is only now on its way.
-                        self.uses.wanted(&p.want, now);
+                        self.usage.note_request(&p.req, now);
                     }
                     out.push((p.asker, outcome));
                 }
-                None => self.wants.push(p),
+                None => self.load_requests.push(p),
             }
         }
-        if self.wants.is_empty() {
+        if self.load_requests.is_empty() {
             self.leaving.clear();
         }
         out
     }
 
     fn outcome(&self, p: &Pending, control: bool, now: Duration) -> Option<Outcome> {
-        if self.ready(&p.want) {
+        if self.ready(&p.req) {
             return Some(Outcome::Ready);
         }
-        if p.failed || now.saturating_sub(p.since) > p.want.of_use {
+        if p.failed || now.saturating_sub(p.since) > p.req.of_use {
             return Some(Outcome::Failed);
         }
         if !control || !self.alive || self.reading.is_none() || self.decl.is_none() {
@@ -389,25 +392,25 @@
             let own = p.asker.link == LinkKey::OWN;
             return (!own).then_some(Outcome::NoControl);
         }
-        if self.loads(&p.want.model) {
+        if self.loads(&p.req.model) {
             return None;
         }
-        if p.want.fetch.is_none()
-            && !self.holds(&p.want.model)
-            && self.copy(&p.want.model) == Copy::Store
+        if p.req.fetch.is_none()
+            && !self.holds(&p.req.model)
+            && self.copy(&p.req.model) == Copy::Store
         {
             return Some(Outcome::StoreBusy);
         }
         None
     }
 
-    fn ready(&self, want: &Want) -> bool {
+    fn ready(&self, req: &LoadRequest) -> bool {
         let held = self
             .reading
             .as_ref()
-            .and_then(|r| r.holds.model(&want.model));
-        let leaving = self.is_leaving(&want.model);
-        match (held, &want.adapter) {
+            .and_then(|r| r.holds.model(&req.model));
+        let leaving = self.is_leaving(&req.model);
+        match (held, &req.adapter) {
             (Some(_), None) => !leaving,
             (Some(held), Some(a)) => !leaving && held.adapters.iter().any(|x| x == a),
             (None, _) => false,
--- a/crates/stair-sidecar/src/desk/plan.rs
+++ b/crates/stair-sidecar/src/controller/plan.rs
@@ -9,11 +9,11 @@
 
 use super::{
     Asker,
-    Desk,
+    Controller,
     Pending,
     Step, //
 };
-use crate::uses::{
+use crate::usage::{
     LinkKey,
     key, //
 };
@@ -31,7 +31,7 @@
 /// A model that is asked for and not there.
 struct Absent<'a> {
     model: &'a str,
-    /// The oldest want for it.
+    /// The oldest request for it.
     oldest: usize,
     /// Requests that wait for it.
     waiting: usize,
@@ -49,8 +49,8 @@
 /// Time that a load is taken to need at least, in seconds, as one from host memory does.
 const LEAST_LOAD_S: f64 = 0.1;
 
-impl Desk {
-    /// Returns the next order, if one is to be given now. Wants that nothing can be done for are
+impl Controller {
+    /// Returns the next order, if one is to be given now. Load requests that nothing can be done for are
     /// answered through `refused`.
     pub fn next(&mut self, refused: &mut Vec<(Asker, Outcome)>, now: Duration) -> Option<Step> {
         // An engine takes no order of any kind while a model comes or goes.
@@ -64,13 +64,13 @@
         let mut hopeless = Vec::new();
         let mut step = None;
         for i in self.models_to_load(now) {
-            match self.make_way(&self.wants[i], &before, now) {
+            match self.make_way(&self.load_requests[i], &before, now) {
                 Room::Now(next) => {
                     step = Some(next);
                     break;
                 }
                 Room::Later(None) => {}
-                // One at a time: the next want may need no more room than this one makes.
+                // One at a time: the next request may need no more room than this one makes.
                 Room::Later(Some(victim)) if self.leaving.is_empty() => {
                     self.leaving.push(victim);
                 }
@@ -80,7 +80,7 @@
         }
         hopeless.sort_unstable();
         for i in hopeless.into_iter().rev() {
-            let p = self.wants.remove(i);
+            let p = self.load_requests.remove(i);
             refused.push((p.asker, Outcome::NoRoom));
         }
         step
@@ -89,12 +89,12 @@
     /// The models that are asked for and not there, by name.
     fn absent(&self) -> Vec<Absent<'_>> {
         let mut out: Vec<Absent<'_>> = Vec::new();
-        for (i, p) in self.wants.iter().enumerate() {
-            let model = &*p.want.model;
+        for (i, p) in self.load_requests.iter().enumerate() {
+            let model = &*p.req.model;
             if self.holds(model) {
                 continue;
             }
-            let waiting = usize::from(!p.want.ahead);
+            let waiting = usize::from(!p.req.ahead);
             match out.binary_search_by(|a| a.model.cmp(model)) {
                 Ok(at) => out[at].waiting += waiting,
                 Err(at) => {
@@ -113,7 +113,7 @@
         out
     }
 
-    /// The oldest want for each model to load, as they go: the most requests served for the time that the
+    /// The oldest load request for each model to load, as they go: the most requests served for the time that the
     /// load takes first, of those that are equal the oldest; last what no request waits for.
     fn models_to_load(&self, now: Duration) -> Vec<usize> {
         let may_fetch = self
@@ -142,11 +142,11 @@
     /// victim with requests in flight gets no new ones first, and the order is given when they have
     /// ended; meanwhile the engine takes the orders that need no such wait.
     fn make_way(&self, pending: &Pending, leaving: &[Box<str>], now: Duration) -> Room {
-        let want = &pending.want;
+        let req = &pending.req;
         let (Some(decl), Some(reading)) = (&self.decl, &self.reading) else {
             return Room::Never;
         };
-        let Some(model) = decl.model(&want.model) else {
+        let Some(model) = decl.model(&req.model) else {
             return Room::Never;
         };
         let needed = model.weights_mb;
@@ -161,25 +161,25 @@
             planned_on: reading.sequence,
         };
         if needed <= free {
-            return Room::Now(step(true, &want.model));
+            return Room::Now(step(true, &req.model));
         }
         if pending.asker.link == LinkKey::OWN {
             // What entries have asked for since is missed more.
             return Room::Never;
         }
-        let idle = |v: &str| self.uses.in_flight(v) == 0 && self.uses.settled(v, now);
-        let named = want.victims.iter().map(|v| &**v);
+        let idle = |v: &str| self.usage.in_flight(v) == 0 && self.usage.settled(v, now);
+        let named = req.victims.iter().map(|v| &**v);
         let named = named.filter(|v| reading.holds.model(v).is_some());
         // The entry's view can be a second old; what it named may be gone, then the least used
         // ones make way.
         let mut others: Vec<&str> = reading.holds.models.iter().map(|h| &*h.name).collect();
-        others.sort_by(|a, b| self.uses.rate(a, now).total_cmp(&self.uses.rate(b, now)));
+        others.sort_by(|a, b| self.usage.rate(a, now).total_cmp(&self.usage.rate(b, now)));
         if let Some(victim) = named.clone().chain(others).find(|v| idle(v)) {
             return Room::Now(step(false, victim));
         }
         let mut busy = named.filter(|v| {
             let begun = leaving.iter().any(|m| **m == **v);
-            begun || want.ahead || self.uses.settled(v, now)
+            begun || req.ahead || self.usage.settled(v, now)
         });
         Room::Later(busy.next().map(Into::into))
     }
@@ -187,12 +187,12 @@
     fn next_adapter(&self, now: Duration) -> Option<Step> {
         let decl = self.decl.as_ref()?;
         let reading = self.reading.as_ref()?;
-        let (model, adapter) = self.wants.iter().find_map(|p| {
-            let adapter = p.want.adapter.as_ref()?;
-            let held = reading.holds.model(&p.want.model)?;
-            let key = key(&p.want.model, Some(adapter));
+        let (model, adapter) = self.load_requests.iter().find_map(|p| {
+            let adapter = p.req.adapter.as_ref()?;
+            let held = reading.holds.model(&p.req.model)?;
+            let key = key(&p.req.model, Some(adapter));
             let there = held.adapters.contains(adapter) || reading.pending.contains(&key);
-            (!there).then_some((&p.want.model, adapter))
+            (!there).then_some((&p.req.model, adapter))
         })?;
         let count: usize = reading.holds.models.iter().map(|h| h.adapters.len()).sum();
         let slots = decl.adapter_slots as usize;
@@ -224,9 +224,9 @@
         let name = |(m, a): &(Box<str>, Box<str>)| key(m, Some(a));
         all.filter(|one| {
             let name = name(one);
-            self.uses.in_flight(&name) == 0 && self.uses.settled(&name, now)
+            self.usage.in_flight(&name) == 0 && self.usage.settled(&name, now)
         })
-        .min_by_key(|one| self.uses.last_wanted(&name(one)))
+        .min_by_key(|one| self.usage.last_request(&name(one)))
     }
 
     /// Memory taken by what the engine holds and by adapters on their way to it.
--- a/crates/stair-sidecar/src/desk/tell.rs
+++ b/crates/stair-sidecar/src/controller/report.rs
@@ -10,8 +10,8 @@
     Usage, //
 };
 
-use super::Desk;
-use crate::uses::key;
+use super::Controller;
+use crate::usage::key;
 
 /// Time for which entries are told how long a load from the weight store took. Others use the store
 /// too, so that what was so for some minutes need not stay so.
@@ -20,7 +20,7 @@
 /// Rate below which use is not told: one request in several minutes.
 const LEAST_PER_S: f32 = 0.005;
 
-impl Desk {
+impl Controller {
     /// Tokens that the engine's memory has room for; 0 when it has not been read.
     pub fn memory_tokens(&self) -> u64 {
         self.reading.as_ref().map_or(0, |r| r.total_tokens)
@@ -54,9 +54,9 @@
             .iter()
             .map(|h| Usage {
                 model: h.name.clone(),
-                in_flight: self.uses.in_flight(&h.name),
-                per_s: self.uses.rate(&h.name, now) as f32,
-                work: self.uses.work(&h.name, now) as f32,
+                in_flight: self.usage.in_flight(&h.name),
+                per_s: self.usage.rate(&h.name, now) as f32,
+                work: self.usage.work(&h.name, now) as f32,
             })
             .filter(|u| u.in_flight > 0 || u.per_s > LEAST_PER_S)
             .collect();
@@ -90,7 +90,7 @@
         };
         let in_use = |model: &str, adapter: &str| {
             let name = key(model, Some(adapter));
-            self.uses.in_flight(&name) > 0
+            self.usage.in_flight(&name) > 0
         };
         let held = reading.holds.models.iter();
         let used: usize = held
--- a/crates/stair-sidecar/src/lib.rs
+++ b/crates/stair-sidecar/src/lib.rs
@@ -4,19 +4,19 @@
 //! engine, so that a dead agent costs no sound engine.
 //!
 //! - [`allowances`]: counts the allowances of workspaces for all entries.
-//! - [`desk`]: what the engine holds, what is asked for, and the next order; without input or output.
+//! - [`controller`]: what the engine holds, what is asked for, and the next order; without input or output.
 //! - [`engine`]: readings of the engine and orders to it.
 //! - [`fence`]: raises the fencing token in the store.
 //! - [`links`]: the connections of entries.
-//! - [`uses`]: how much each model and adapter is used, by all entries.
+//! - [`usage`]: how much each model and adapter is used, by all entries.
 //! - [`process`]: start, main loop, stop.
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
 pub mod allowances;
-pub mod desk;
+pub mod controller;
 pub mod engine;
 pub mod fence;
 pub mod links;
 pub mod process;
-pub mod uses;
+pub mod usage;
--- a/crates/stair-sidecar/src/links.rs
+++ b/crates/stair-sidecar/src/links.rs
@@ -33,7 +33,7 @@
 use crate::{
     allowances::Allowances,
     process::dump::Dump,
-    uses::LinkKey, //
+    usage::LinkKey, //
 };
 
 /// Messages waiting for one entry. A report replaces the ones before it, so an entry that reads
--- a/crates/stair-sidecar/src/process.rs
+++ b/crates/stair-sidecar/src/process.rs
@@ -54,10 +54,10 @@
 
 use crate::{
     allowances::Allowances,
-    desk::{
+    controller::{
         self,
         Asker,
-        Desk,
+        Controller,
         Step, //
     },
     engine::Engine,
@@ -66,7 +66,7 @@
         self,
         Event, //
     },
-    uses::LinkKey,
+    usage::LinkKey,
 };
 
 /// Pause between readings while nothing is asked for. Reports are at most this old.
@@ -187,7 +187,7 @@
     started: Instant,
     engine: Engine,
     store: Store,
-    desk: Desk,
+    controller: Controller,
     turns: Turns,
     links: Vec<Link>,
     lag: Lag,
@@ -218,7 +218,7 @@
             engine: Engine::new(settings.engine),
             store: Store::new(settings.store),
             started: Instant::now(),
-            desk: Desk::new(desk::Options {
+            controller: Controller::new(controller::Options {
                 fetch_window: Duration::from_millis(settings.fetch_window_ms.into()),
             }),
             settings,
@@ -269,7 +269,7 @@
                 () = stopped(&mut stop) => return,
             }
             self.work().await;
-            let busy = self.desk.busy() || self.desk.wanted();
+            let busy = self.controller.busy() || self.controller.has_load_requests();
             let pause = if busy { READ_EVERY_BUSY } else { READ_EVERY };
             let latest = Instant::now() + pause;
             if read_at <= Instant::now() || read_at > latest {
@@ -295,7 +295,7 @@
                     self.learn_instance(id, revision);
                 }
                 let started = reading.started.unwrap_or(0);
-                if self.desk.read(Some(reading), self.now()) {
+                if self.controller.read(Some(reading), self.now()) {
                     Line::failure("engine.restarted")
                         .num("started_ms", started)
                         .write();
@@ -307,7 +307,7 @@
                 self.misses += 1;
                 if self.misses == MISSES {
                     Line::failure("engine.lost").show("error", e).write();
-                    self.desk.read(None, self.now());
+                    self.controller.read(None, self.now());
                 }
             }
         }
@@ -317,13 +317,13 @@
     async fn work(&mut self) {
         loop {
             let control = self.fence.is_some() && self.instance.is_some();
-            let settled = self.desk.settle(control, self.now());
+            let settled = self.controller.settle(control, self.now());
             self.answer(settled);
-            if !control || !self.desk.wanted() {
+            if !control || !self.controller.has_load_requests() {
                 return;
             }
             let mut refused = Vec::new();
-            let step = self.desk.next(&mut refused, self.now());
+            let step = self.controller.next(&mut refused, self.now());
             self.answer(refused);
             let Some(step) = step else { return };
             if !self.order(&step).await {
@@ -377,7 +377,7 @@
             self.fence = None;
             self.raise_fence();
         }
-        self.desk.replied(step, reply, self.now());
+        self.controller.replied(step, reply, self.now());
         self.read().await;
         use platform_adapter::engine::Reply::{
             Accepted,
--- a/crates/stair-sidecar/src/process/dump.rs
+++ b/crates/stair-sidecar/src/process/dump.rs
@@ -35,8 +35,8 @@
     load: Load,
     /// How fast the engine reads prompts, as far as they have told.
     rates: Vec<Rate>,
-    /// Wants that wait, those ahead of requests among them.
-    wants: usize,
+    /// Load requests that wait, prefetches among them.
+    load_requests: usize,
     /// What is left of the allowances that are counted here.
     allowances: Ledger,
     /// Entries that are linked, with how far each one's knowledge goes.
@@ -55,10 +55,10 @@
             fence: self.fence,
             declared: self.declared,
             misses: self.misses,
-            holds: self.desk.held(),
+            holds: self.controller.held(),
             load: self.load(),
             rates: self.turns.rates().to_vec(),
-            wants: self.desk.wants(),
+            load_requests: self.controller.load_requests(),
             allowances: self.allowances.ledger(),
             entries: self.links.iter().map(|l| l.known.clone()).collect(),
         }
--- a/crates/stair-sidecar/src/process/hear.rs
+++ b/crates/stair-sidecar/src/process/hear.rs
@@ -14,9 +14,9 @@
     Link, //
 };
 use crate::{
-    desk::Asker,
+    controller::Asker,
     links::Event,
-    uses::LinkKey, //
+    usage::LinkKey, //
 };
 
 impl Agent {
@@ -33,7 +33,7 @@
             }
             Event::Closed(key) => {
                 self.links.retain(|l| l.key != key);
-                self.desk.gone(key);
+                self.controller.gone(key);
             }
             Event::Message(key, msg) => self.hear(key, msg),
             // Whoever asked may have gone.
@@ -63,7 +63,7 @@
                 }
                 self.declared = version;
                 self.asked_declared = None;
-                self.desk.declare(engine);
+                self.controller.declare(engine);
             }
             // An entry that lags sends what is no longer in force.
             ToAgent::Engine { .. } => {}
@@ -75,35 +75,36 @@
                 self.tell_all(key);
             }
             ToAgent::Former(id) => self.hear_former(id),
-            ToAgent::Want(want) => {
-                let seq = want.seq;
+            ToAgent::LoadRequest(req) => {
+                let seq = req.seq;
                 Line::new("want")
-                    .text("model", &want.model)
-                    .text("adapter", want.adapter.as_deref().unwrap_or(""))
-                    .num("fetch", want.fetch.unwrap_or(0))
+                    .text("model", &req.model)
+                    .text("adapter", req.adapter.as_deref().unwrap_or(""))
+                    .num("fetch", req.fetch.unwrap_or(0))
                     .write();
-                self.desk.want(Asker { link: key, seq }, want, now);
+                self.controller
+                    .request_load(Asker { link: key, seq }, req, now);
             }
             ToAgent::Cancel(seq) => {
                 Line::new("want.taken_back").num("seq", seq).write();
-                self.desk.cancel(Asker { link: key, seq });
+                self.controller.cancel(Asker { link: key, seq });
             }
             ToAgent::Turn { seq, ask } => {
-                let answer = if self.desk.is_leaving(&ask.model) {
+                let answer = if self.controller.is_leaving(&ask.model) {
                     Answer::leaving(&ask)
                 } else {
-                    self.turns.ask(&ask, self.desk.memory_tokens(), now)
+                    self.turns.ask(&ask, self.controller.memory_tokens(), now)
                 };
                 // One that asks again has been counted.
                 if answer.booked || ask.first {
                     let work = self.turns.work(&ask, answer.kept);
-                    self.desk.prompt(&ask.model, answer.booked, work, now);
+                    self.controller.prompt(&ask.model, answer.booked, work, now);
                 }
                 let link = self.links.iter().find(|l| l.key == key);
                 // An entry that does not read goes without its turn.
                 link.map(|l| l.tx.try_send(ToEntry::Turn { seq, answer }));
             }
-            ToAgent::Used(list) => self.desk.used(key, &list, now),
+            ToAgent::Used(list) => self.controller.used(key, &list, now),
             ToAgent::Read(list) => list.iter().for_each(|r| self.turns.learn(r)),
             // Answered by the link itself.
             ToAgent::Allow { .. } | ToAgent::GiveBack { .. } => {}
--- a/crates/stair-sidecar/src/process/tell.rs
+++ b/crates/stair-sidecar/src/process/tell.rs
@@ -18,7 +18,7 @@
 use tokio::time::Instant;
 
 use super::Agent;
-use crate::uses::LinkKey;
+use crate::usage::LinkKey;
 
 /// Pause between reports without a change; entries take three missed ones for a dead agent.
 const REPORT_EVERY: Duration = Duration::from_millis(900);
@@ -82,7 +82,7 @@
 
     /// Tells what is new, or the load as a heartbeat.
     pub(super) fn publish(&mut self) {
-        let holds = self.desk.held();
+        let holds = self.controller.held();
         if self.told_holds.as_ref() != Some(&holds) {
             log_holds(&holds);
             let before = self.told_holds.iter().flat_map(|h| &h.models);
@@ -109,7 +109,7 @@
         let now = self.now();
         Load {
             backlog: self.turns.backlog(now),
-            ..self.desk.load(now)
+            ..self.controller.load(now)
         }
     }
 
@@ -141,7 +141,7 @@
         let Some(link) = self.links.iter().find(|l| l.key == key) else {
             return;
         };
-        let holds = ToEntry::Holds(Box::new(self.desk.held()));
+        let holds = ToEntry::Holds(Box::new(self.controller.held()));
         let load = ToEntry::Load(Box::new(self.load()));
         let former = self.former.clone().map(ToEntry::Former);
         for msg in [holds, load].into_iter().chain(former) {
--- a/crates/stair-sidecar/src/uses.rs
+++ b/crates/stair-sidecar/src/usage.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use stair_fleet::msg::{
+    LoadRequest, //
     Used,
-    Want, //
 };
 
 /// Time constant of the request rates, in seconds: demand moves between models within six.
@@ -33,22 +33,22 @@
     /// In flight by connection.
     in_flight: Vec<(LinkKey, u32)>,
     /// When it was last asked for.
-    wanted: Option<Duration>,
+    requested: Option<Duration>,
 }
 
 /// Use of all of them.
 #[derive(Default)]
-pub struct Uses {
+pub struct Usage {
     /// Sorted by name.
     list: Vec<Use>,
 }
 
-impl Uses {
-    /// Notes that a model, and its adapter if the want names one, was asked for.
-    pub fn wanted(&mut self, want: &Want, now: Duration) {
-        self.entry(&want.model, now).wanted = Some(now);
-        let name = key(&want.model, want.adapter.as_deref());
-        self.entry(&name, now).wanted = Some(now);
+impl Usage {
+    /// Notes that a model, and its adapter if the load request names one, was asked for.
+    pub fn note_request(&mut self, req: &LoadRequest, now: Duration) {
+        self.entry(&req.model, now).requested = Some(now);
+        let name = key(&req.model, req.adapter.as_deref());
+        self.entry(&name, now).requested = Some(now);
     }
 
     /// Notes a prompt that takes so much of the engine's time, and whether it has its turn.
@@ -60,7 +60,7 @@
         let entry = self.entry(model, now);
         entry.work += work.as_secs_f64() / RATE_TIME_S;
         if booked {
-            entry.wanted = Some(now);
+            entry.requested = Some(now);
         } else {
             entry.per_s += 1.0 / RATE_TIME_S;
         }
@@ -91,13 +91,13 @@
         self.list
             .iter()
             .filter(|u| *u.name == *name || u.name.starts_with(&prefix))
-            .filter_map(|u| u.wanted)
+            .filter_map(|u| u.requested)
             .all(|at| now.saturating_sub(at) > SETTLE_TIME)
     }
 
     /// When it was last asked for.
-    pub fn last_wanted(&self, name: &str) -> Option<Duration> {
-        self.find(name)?.wanted
+    pub fn last_request(&self, name: &str) -> Option<Duration> {
+        self.find(name)?.requested
     }
 
     /// Requests in flight.
@@ -131,7 +131,7 @@
                     work: 0.0,
                     at: now,
                     in_flight: Vec::new(),
-                    wanted: None,
+                    requested: None,
                 };
                 self.list.insert(i, new);
                 i
--- a/crates/stair-sidecar/tests/load.rs
+++ b/crates/stair-sidecar/tests/load.rs
@@ -22,9 +22,9 @@
         Model, //
     },
     msg::{
+        LoadRequest, //
         Outcome,
         Used,
-        Want, //
     },
     target::{
         Copy,
@@ -36,12 +36,12 @@
     wake, //
 };
 use stair_sidecar::{
-    desk::{
+    controller::{
         Asker,
-        Desk,
+        Controller,
         Step, //
     },
-    uses::LinkKey,
+    usage::LinkKey,
 };
 
 const SERVICE: &str = "engines";
@@ -84,7 +84,7 @@
 
 /// One engine with its agent.
 struct Engine {
-    desk: Desk,
+    controller: Controller,
     holds: Holds,
     sequence: u64,
     doing: Option<(Step, Duration)>,
@@ -104,10 +104,10 @@
             ..Holds::default()
         };
         holds.sort();
-        let mut desk = Desk::default();
-        desk.declare(decl());
+        let mut controller = Controller::default();
+        controller.declare(decl());
         Self {
-            desk,
+            controller,
             holds,
             sequence: 0,
             doing: None,
@@ -133,7 +133,7 @@
             }
             self.holds.sort();
         }
-        self.desk.read(
+        self.controller.read(
             Some(Reading {
                 holds: self.holds.clone(),
                 sequence: self.sequence,
@@ -145,15 +145,15 @@
     }
 
     fn order(&mut self, now: Duration) -> Vec<(Asker, Outcome)> {
-        let mut out = self.desk.settle(true, now);
-        if let Some(step) = self.desk.next(&mut out, now) {
+        let mut out = self.controller.settle(true, now);
+        if let Some(step) = self.controller.next(&mut out, now) {
             self.sequence += 1;
             let takes = match (step.load, self.holds.copy(&step.model)) {
                 (false, _) => Duration::ZERO,
                 (true, copy) => decl().model(&step.model).expect("declared").load_time(copy),
             };
             self.doing = Some((step.clone(), now + takes));
-            self.desk.replied(&step, Some(Reply::Accepted), now);
+            self.controller.replied(&step, Some(Reply::Accepted), now);
         }
         out
     }
@@ -171,7 +171,7 @@
             list.extend(self.holds.models.iter().map(|h| self.used(&h.name, entry)));
             list.sort_by(|a, b| a.model.cmp(&b.model));
             list.dedup_by(|a, b| a.model == b.model);
-            self.desk.used(LinkKey(entry as u64), &list, now);
+            self.controller.used(LinkKey(entry as u64), &list, now);
         }
         self.sent.clear();
     }
@@ -255,8 +255,8 @@
             engine.tell_used(now);
             for view in &mut self.views {
                 let addr = view.get(self.keys[n]).target.addr;
-                view.holds_at(addr, engine.desk.held(), now);
-                view.load_at(addr, engine.desk.load(now), now);
+                view.holds_at(addr, engine.controller.held(), now);
+                view.load_at(addr, engine.controller.load(now), now);
             }
         }
     }
@@ -294,7 +294,7 @@
     fn serve(&mut self, w: &mut Waiting, now: Duration) -> bool {
         let holds = |n: &usize| {
             let engine = &self.engines[*n];
-            engine.holds.model(&w.model).is_some() && !engine.desk.is_leaving(&w.model)
+            engine.holds.model(&w.model).is_some() && !engine.controller.is_leaving(&w.model)
         };
         let crowd = |n: &usize| self.engines[*n].streams.len();
         if let Some(n) = (0..ENGINES).filter(holds).min_by_key(crowd) {
@@ -304,7 +304,7 @@
                 .streams
                 .push((w.model.clone(), w.entry, now + w.stream));
             engine.sent.push((w.model.clone(), w.entry));
-            engine.desk.prompt(&w.model, true, TICK, now);
+            engine.controller.prompt(&w.model, true, TICK, now);
             match now - w.since <= OBJECTIVE {
                 true => self.got.in_time += 1,
                 false => self.got.late += 1,
@@ -317,7 +317,7 @@
                 Ok(at) => {
                     self.seq += 1;
                     let n = self.keys.iter().position(|k| *k == at.key).expect("known");
-                    let want = Want {
+                    let req = LoadRequest {
                         seq: self.seq,
                         model: w.model.clone(),
                         adapter: None,
@@ -330,7 +330,7 @@
                         link: LinkKey(w.entry as u64),
                         seq: self.seq,
                     };
-                    self.engines[n].desk.want(asker, want, now);
+                    self.engines[n].controller.request_load(asker, req, now);
                     w.asked = Some((n, self.seq));
                 }
                 Err(_) => w.refused.clear(),
@@ -341,7 +341,7 @@
 
     fn take_back(&mut self, w: &Waiting) {
         if let Some((n, seq)) = w.asked {
-            self.engines[n].desk.cancel(Asker {
+            self.engines[n].controller.cancel(Asker {
                 link: LinkKey(w.entry as u64),
                 seq,
             });
@@ -390,7 +390,7 @@
 /// models that are pushed out are asked for again at once.
 ///
 /// In time, seeds 1 to 4: 97.3, 99.0, 98.6 and 99.0% of all requests, with 156 to 193 orders; without spare
-/// replicas, wants taken back and put in order, waits for room and models that leave before they go 92.0,
+/// replicas, load requests taken back and put in order, waits for room and models that leave before they go 92.0,
 /// 94.2, 90.4 and 96.6%, with 233 to 293 orders. The aim is nineteen of twenty.
 #[test]
 fn swaps_in_time() {
--- a/crates/stair-sidecar/tests/random.rs
+++ b/crates/stair-sidecar/tests/random.rs
@@ -15,20 +15,20 @@
         Engine as Decl,
         Model, //
     },
-    msg::Want,
+    msg::LoadRequest,
     target::{
         Held,
         Holds, //
     },
 };
 use stair_sidecar::{
-    desk::{
+    controller::{
         Asker,
-        Desk,
+        Controller,
         Options,
         Step, //
     },
-    uses::LinkKey,
+    usage::LinkKey,
 };
 
 const MODELS: [(&str, f64); 4] = [
@@ -44,7 +44,7 @@
 
 #[derive(Debug, Clone)]
 enum Event {
-    Want(usize, Option<usize>),
+    LoadRequest(usize, Option<usize>),
     /// The agent reads the engine, which has finished its order or not.
     Read(bool),
     /// The answer to the next order is lost; whether the engine carries it out all the same.
@@ -55,7 +55,7 @@
 
 fn event() -> impl Strategy<Value = Event> {
     prop_oneof![
-        4 => (0..MODELS.len(), proptest::option::of(0..3usize)).prop_map(|(m, a)| Event::Want(m, a)),
+        4 => (0..MODELS.len(), proptest::option::of(0..3usize)).prop_map(|(m, a)| Event::LoadRequest(m, a)),
         5 => any::<bool>().prop_map(Event::Read),
         1 => any::<bool>().prop_map(Event::Lose),
         1 => Just(Event::Crash),
@@ -169,17 +169,17 @@
     /// loads from the weight store begin within the window.
     #[test]
     fn never_beyond_the_engine(events in vec(event(), 1..120)) {
-        let mut desk = Desk::new(Options { fetch_window: WINDOW });
+        let mut controller = Controller::new(Options { fetch_window: WINDOW });
         let mut engine = Engine::default();
-        desk.declare(decl());
+        controller.declare(decl());
         let mut now = Duration::from_secs(1);
         let mut lost = None;
         let mut fetched: Option<Duration> = None;
         for (seq, event) in events.into_iter().enumerate() {
             match event {
-                Event::Want(m, a) => {
+                Event::LoadRequest(m, a) => {
                     let asker = Asker { link: LinkKey(1), seq: seq as u64 };
-                    let want = Want {
+                    let req = LoadRequest {
                         seq: seq as u64,
                         model: MODELS[m].0.into(),
                         adapter: a.map(|a| format!("a{a}").into()),
@@ -188,17 +188,17 @@
                         ahead: false,
                         of_use: Duration::from_secs(14),
                     };
-                    desk.want(asker, want, now);
+                    controller.request_load(asker, req, now);
                 }
                 Event::Read(done) => {
-                    desk.read(Some(engine.reading(done)), now);
+                    controller.read(Some(engine.reading(done)), now);
                 }
                 Event::Lose(done) => lost = Some(done),
                 Event::Crash => engine.crash(),
                 Event::Pass(ms) => now += Duration::from_millis(ms),
             }
-            desk.settle(true, now);
-            let Some(step) = desk.next(&mut Vec::new(), now) else { continue };
+            controller.settle(true, now);
+            let Some(step) = controller.next(&mut Vec::new(), now) else { continue };
             let fetches = step.load
                 && step.adapter.is_none()
                 && !engine.holds.on_disk.contains(&step.model);
@@ -210,7 +210,7 @@
                 }
                 Some(false) => None,
             };
-            desk.replied(&step, reply, now);
+            controller.replied(&step, reply, now);
             let (mb, adapters) = engine.used();
             prop_assert!(mb <= WEIGHTS_MB, "{mb} MB after {step:?}");
             prop_assert!(adapters <= ADAPTER_SLOTS as usize, "{adapters} after {step:?}");
