relay, fleet: cold starts and loads by the field's terms

The module wake becomes cold_start in stair-fleet and load in stair-relay; Woken, SendAndWake and their like become Loaded, SendAndLoad. Event names in logs stay. No behaviour changed.

--- a/crates/stair-fleet/src/balance.rs
+++ b/crates/stair-fleet/src/balance.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     catalogue::Engine,
+    cold_start, //
     seen::Seen,
     spread::Asked,
     target::Copy,
@@ -23,7 +24,6 @@
         TargetKey,
         View, //
     },
-    wake, //
 };
 
 /// Strain of a model without a replica, for each request a second: the seconds that a swap takes.
@@ -130,7 +130,7 @@
     pub model: Box<str>,
     /// Where it is to be loaded. Its cost is the time until it is ready alone: what the models that
     /// make way are missed is in the gain.
-    pub place: wake::Outcome,
+    pub place: cold_start::Outcome,
     /// What decided: strain that the move takes off, in requests that wait at a time.
     pub gain: f64,
 }
@@ -148,7 +148,7 @@
     let decl = &engine.models[best.model];
     let ready_in = decl.load_time(best.from);
     let name = |m: &usize| engine.models[*m].name.clone();
-    let place = wake::Outcome {
+    let place = cold_start::Outcome {
         key: plan.nodes[best.node].key,
         from: best.from,
         ready_in,
@@ -204,7 +204,7 @@
         for node in &mut nodes {
             node.work = node.models.iter().map(|m| models[*m].share()).sum();
         }
-        let room_mb = engine.weights_mb - wake::adapters_mb(engine);
+        let room_mb = engine.weights_mb - cold_start::adapters_mb(engine);
         Self {
             engine,
             nodes,
@@ -243,7 +243,7 @@
             .filter(|n| self.nodes[*n].free)
             .filter(|n| {
                 let seen = self.nodes[*n].seen;
-                !wake::has_last_copy(opts.view, opts.service, seen, self.now)
+                !cold_start::has_last_copy(opts.view, opts.service, seen, self.now)
             })
             .collect();
         nodes.sort_by(|a, b| {
--- a/crates/stair-fleet/src/lib.rs
+++ b/crates/stair-fleet/src/lib.rs
@@ -10,7 +10,7 @@
 //! - [`view`]: all that one entry knows of the targets, with the age of each part.
 //! - [`seen`]: one target as an entry knows it.
 //! - [`choose`]: the target for a request among those that can run it now.
-//! - [`wake`]: the target that loads a model, and what makes room for it there.
+//! - [`cold_start`]: the target that loads a model, and what makes room for it there.
 //! - [`overload`]: what to do with a request whose best target is slow.
 //! - [`spread`]: the next load to make before a request asks for it.
 //! - [`balance`]: which model gets a further replica, and whose replicas make way for it.
@@ -30,6 +30,7 @@
 pub mod budget;
 pub mod catalogue;
 pub mod choose;
+pub mod cold_start;
 pub mod events;
 pub mod fetch;
 pub mod lag;
@@ -40,7 +41,6 @@
 pub mod spread;
 pub mod target;
 pub mod view;
-pub mod wake;
 pub mod workspace;
 
 pub use catalogue::Catalogue;
--- a/crates/stair-fleet/src/overload.rs
+++ b/crates/stair-fleet/src/overload.rs
@@ -1,4 +1,4 @@
-//! What to do with a request whose best target is slow: send it, wake a further replica, refuse it.
+//! What to do with a request whose best target is slow: send it, load a further replica, refuse it.
 //!
 //! The load it answers: a fleet that comes back empty, or a model whose demand rises faster than its
 //! replicas. All requests would queue at the one replica that is there and most would time out,
@@ -8,13 +8,13 @@
 
 use crate::{
     choose,
-    wake, //
+    cold_start, //
 };
 
 /// Part of the objective up to which a target counts as fast enough.
 const FAST_PART: f64 = 0.5;
 
-/// Cost up to which a replica is woken beside a slow target, in milliseconds: a load from a copy
+/// Cost up to which a replica is loaded beside a slow target, in milliseconds: a load from a copy
 /// and a victim that can be spared.
 const BESIDE_MS: f64 = 2500.0;
 
@@ -30,10 +30,10 @@
 pub enum Decision {
     /// Send it to the target.
     Send,
-    /// Send it, and have a further replica woken for those that follow.
-    SendAndWake,
-    /// Have a replica woken and wait for it.
-    Wake,
+    /// Send it, and have a further replica loaded for those that follow.
+    SendAndLoad,
+    /// Have a replica loaded and wait for it.
+    Load,
     /// Nothing can run it in time.
     Refuse,
 }
@@ -43,16 +43,16 @@
     best.wait_ms <= FAST_PART * objective.as_secs_f64() * 1000.0
 }
 
-/// Decides by the best target and the best place to wake a replica, each if there is one.
+/// Decides by the best target and the best place to load a replica, each if there is one.
 pub fn decide(
     best: Option<&choose::Outcome>,
-    place: Option<&wake::Outcome>,
+    place: Option<&cold_start::Outcome>,
     objective: Duration,
     left: Duration,
 ) -> Decision {
     let ms = |t: Duration| t.as_secs_f64() * 1000.0;
     let Some(best) = best else {
-        return Decision::Wake;
+        return Decision::Load;
     };
     if is_fast(best, objective) {
         return Decision::Send;
@@ -67,10 +67,10 @@
     };
     let ready = ms(place.ready_in);
     if ready < (1.0 - SAVED_PART) * best.wait_ms && ready < ms(left) {
-        return Decision::Wake;
+        return Decision::Load;
     }
     if place.cost_ms <= BESIDE_MS {
-        return Decision::SendAndWake;
+        return Decision::SendAndLoad;
     }
     Decision::Send
 }
--- a/crates/stair-fleet/src/spread.rs
+++ b/crates/stair-fleet/src/spread.rs
@@ -9,6 +9,7 @@
 use crate::{
     balance,
     catalogue::Engine,
+    cold_start, //
     fetch,
     seen::Seen,
     target::{
@@ -19,7 +20,6 @@
         TargetKey,
         View, //
     },
-    wake, //
 };
 
 /// Of the loads from the weight store that are made ahead, how many may be for models that are hardly asked
@@ -46,7 +46,7 @@
     /// The model.
     pub model: Box<str>,
     /// Where it is to be loaded.
-    pub place: wake::Outcome,
+    pub place: cold_start::Outcome,
     /// What it takes off the fleet's strain, where that decided; see [`balance`].
     pub gain: Option<f64>,
 }
@@ -98,7 +98,7 @@
 
 impl Look<'_> {
     fn place(&self, model: &str) -> Option<Outcome> {
-        let place = wake::choose(
+        let place = cold_start::choose(
             self.view,
             self.service,
             self.engine,
@@ -216,7 +216,7 @@
             let found = look.place(&m.name)?;
             let further = found.place.victims.is_empty() && found.place.from == Copy::Store;
             let engine = self.view.get(found.place.key);
-            let last = wake::has_last_copy(self.view, self.service, engine, self.now);
+            let last = cold_start::has_last_copy(self.view, self.service, engine, self.now);
             (further && !last).then_some(found)
         })
     }
--- a/crates/stair-fleet/tests/balance.rs
+++ b/crates/stair-fleet/tests/balance.rs
@@ -5,12 +5,12 @@
 use stair_fleet::{
     View,
     balance,
+    cold_start, //
     target::{
         Copy,
         Report, //
     },
     view::TargetKey,
-    wake, //
 };
 use support::{
     NOW,
@@ -22,11 +22,11 @@
     used, //
 };
 
-fn next(view: &View) -> Option<(Box<str>, wake::Outcome)> {
+fn next(view: &View) -> Option<(Box<str>, cold_start::Outcome)> {
     find(view, true)
 }
 
-fn find(view: &View, store: bool) -> Option<(Box<str>, wake::Outcome)> {
+fn find(view: &View, store: bool) -> Option<(Box<str>, cold_start::Outcome)> {
     let opts = balance::Options {
         view,
         service: SERVICE,
--- a/crates/stair-fleet/tests/wake.rs
+++ b/crates/stair-fleet/tests/cold_start.rs
@@ -3,6 +3,11 @@
 mod support;
 
 use stair_fleet::{
+    cold_start::{
+        Error,
+        choose,
+        find, //
+    },
     overload::{
         Decision,
         decide, //
@@ -12,11 +17,6 @@
         Copy,
         Loading, //
     },
-    wake::{
-        Error,
-        choose,
-        find, //
-    },
 };
 use support::{
     NOW,
@@ -188,7 +188,7 @@
 
 /// A fleet comes back empty and the first replica of a busy model gets all of its requests. Before,
 /// all queued there until their deadlines; now those that would wait long have a further replica
-/// woken, and what cannot be served in time is told so at once.
+/// loaded, and what cannot be served in time is told so at once.
 #[test]
 fn slow_target_wakes_another() {
     let mut crowded = report(&["a"], &["a"]);
@@ -198,7 +198,7 @@
     let place = choose(&view, SERVICE, &engine(), "a", &[keys[0]], NOW);
     let objective = ms(800);
     let decision = decide(Some(&best), place.as_ref(), objective, ms(5000));
-    assert_eq!(decision, Decision::Wake);
+    assert_eq!(decision, Decision::Load);
     let alone = decide(Some(&best), None, objective, ms(5000));
     assert_eq!(alone, Decision::Send);
     let hopeless = decide(Some(&best), None, objective, ms(1000));
--- a/crates/stair-relay/src/ahead.rs
+++ b/crates/stair-relay/src/ahead.rs
@@ -17,7 +17,7 @@
         Context,
         PendingLoad, //
     },
-    waken, //
+    load, //
 };
 
 /// Pause between looks. A load from a copy takes half a second.
@@ -55,7 +55,7 @@
                 .num("cost_ms", place.cost_ms as i64)
                 .num("gain_1000", (gain.unwrap_or_default() * 1000.0) as i64)
                 .write();
-            let Some(pending) = waken::ask(&cx, &model, &place, AHEAD_TIME, true) else {
+            let Some(pending) = load::ask(&cx, &model, &place, AHEAD_TIME, true) else {
                 break;
             };
             asked.push((
--- a/crates/stair-relay/src/waken.rs
+++ b/crates/stair-relay/src/load.rs
@@ -7,6 +7,7 @@
 
 use stair_fleet::{
     catalogue::Engine,
+    cold_start, //
     fetch,
     msg::{
         self,
@@ -18,7 +19,6 @@
         Loading, //
     },
     view::TargetKey,
-    wake, //
 };
 use stair_telemetry::event::Line;
 use tokio::{
@@ -49,7 +49,7 @@
 const RETURN_TIME: Duration = Duration::from_millis(1000);
 
 /// What came of a try to have a model loaded.
-pub enum Woken {
+pub enum Loaded {
     /// An engine has it.
     Ready,
     /// Some time has passed; it is worth to look again.
@@ -64,21 +64,21 @@
 
 /// Finds a place for a model, has it loaded there and waits for it until `until`. Engines in
 /// `refused` are left out.
-pub async fn wake(
+pub async fn load(
     cx: &Arc<Context>,
     job: &Job,
     model: &str,
     engine: &Engine,
     refused: &[TargetKey],
     until: Instant,
-) -> Woken {
+) -> Loaded {
     let found = {
         let state = cx.state();
         let now = cx.now();
-        wake::find(&state.view, &job.service, engine, model, refused, now)
+        cold_start::find(&state.view, &job.service, engine, model, refused, now)
     };
     match found {
-        Ok(at) => wake_at(cx, job, &at, refused, until).await,
+        Ok(at) => load_at(cx, job, &at, refused, until).await,
         Err(e) => {
             Line::new("wake.nowhere")
                 .text("id", &job.meta.id)
@@ -90,31 +90,31 @@
     }
 }
 
-/// Has the request's model woken at a place and waits for it.
-pub async fn wake_at(
+/// Has the request's model loaded at a place and waits for it.
+pub async fn load_at(
     cx: &Arc<Context>,
     job: &Job,
-    at: &wake::Outcome,
+    at: &cold_start::Outcome,
     refused: &[TargetKey],
     until: Instant,
-) -> Woken {
+) -> Loaded {
     let Some(model) = job.meta.model.as_deref() else {
-        return Woken::Nowhere;
+        return Loaded::Nowhere;
     };
     let begun = Instant::now();
     let late = begun + at.ready_in + RUN_TIME > until;
     let waits = until.saturating_duration_since(begun);
     let of_use = at.ready_in.max(waits + COME_BACK) + RETURN_TIME;
     let Some(mut pending) = ask(cx, model, at, of_use, false) else {
-        return Woken::Refused(at.key);
+        return Loaded::Refused(at.key);
     };
-    log_wake(job, model, at, "needed");
+    log_load(job, model, at, "needed");
     if late {
         // It is to be there when the client returns.
         pending.stand();
-        return Woken::TooLate(at.ready_in);
+        return Loaded::TooLate(at.ready_in);
     }
-    let outcome = match wait_woken(cx, job, &mut pending, refused, until).await {
+    let outcome = match wait_loaded(cx, job, &mut pending, refused, until).await {
         Some(outcome) => outcome,
         None => {
             Line::new("woken.elsewhere")
@@ -122,7 +122,7 @@
                 .text("model", model)
                 .ms("took_ms", begun.elapsed())
                 .write();
-            return Woken::Ready;
+            return Loaded::Ready;
         }
     };
     Line::new("woken")
@@ -136,16 +136,16 @@
     match outcome {
         Ok(msg::Outcome::Ready) => {
             settled(cx, model, at.key);
-            Woken::Ready
+            Loaded::Ready
         }
-        _ => Woken::Refused(at.key),
+        _ => Loaded::Refused(at.key),
     }
 }
 
 /// Waits for the answer to a load request. `None` as soon as another engine can run the request: one that
 /// unloads a model first may keep it waiting for as long as that model's streams last, while a
 /// further replica has come elsewhere.
-async fn wait_woken(
+async fn wait_loaded(
     cx: &Arc<Context>,
     job: &Job,
     pending: &mut PendingLoad,
@@ -170,21 +170,26 @@
 }
 
 /// Waits for a load from the weight store to end, if one after it would still come in time.
-async fn wait_for_store(engine: &Engine, model: &str, why: wake::Error, until: Instant) -> Woken {
+async fn wait_for_store(
+    engine: &Engine,
+    model: &str,
+    why: cold_start::Error,
+    until: Instant,
+) -> Loaded {
     let load = engine.model(model).map_or(COME_BACK, |m| m.from_store);
     match why {
-        wake::Error::Nowhere => return Woken::Nowhere,
-        wake::Error::Unheard => {
+        cold_start::Error::Nowhere => return Loaded::Nowhere,
+        cold_start::Error::Unheard => {
             sleep(LOOK_EVERY).await;
-            return Woken::Waited;
+            return Loaded::Waited;
         }
-        wake::Error::StoreBusy => {}
+        cold_start::Error::StoreBusy => {}
     }
     if Instant::now() + load + RUN_TIME > until {
-        return Woken::TooLate(load);
+        return Loaded::TooLate(load);
     }
     sleep(LOOK_EVERY).await;
-    Woken::Waited
+    Loaded::Waited
 }
 
 /// Asks an engine's agent for a model, and notes it as loading there until the next report says
@@ -192,7 +197,7 @@
 pub fn ask(
     cx: &Arc<Context>,
     model: &str,
-    at: &wake::Outcome,
+    at: &cold_start::Outcome,
     of_use: Duration,
     ahead: bool,
 ) -> Option<PendingLoad> {
@@ -229,7 +234,7 @@
 }
 
 /// Writes the line of a model that is asked for.
-pub fn log_wake(job: &Job, model: &str, at: &wake::Outcome, why: &str) {
+pub fn log_load(job: &Job, model: &str, at: &cold_start::Outcome, why: &str) {
     Line::new("wake")
         .text("id", &job.meta.id)
         .text("model", model)
--- a/crates/stair-relay/src/pick.rs
+++ b/crates/stair-relay/src/pick.rs
@@ -1,4 +1,4 @@
-//! Chooses a target for a request, or has one woken and waits for it.
+//! Chooses a target for a request, or has one loaded and waits for it.
 
 use std::{
     net::SocketAddr,
@@ -7,7 +7,7 @@
 };
 
 use stair_fleet::{
-    choose,
+    choose, cold_start,
     msg::{
         self,
         LoadRequest, //
@@ -19,7 +19,6 @@
     },
     target::Copy,
     view::TargetKey,
-    wake,
 };
 use stair_telemetry::event::Line;
 use tokio::time::{
@@ -34,19 +33,19 @@
         Flight, //
     },
     job::Job,
+    load::{
+        Loaded,
+        ask,
+        load,
+        load_at, //
+        log_load,
+    },
     turn::{
         self,
         Prompt,
         Turn,
         turn, //
     },
-    waken::{
-        Woken,
-        ask,
-        log_wake,
-        wake,
-        wake_at, //
-    },
 };
 
 /// Time for an agent to bring an adapter. It takes some milliseconds; when many come at once, or
@@ -128,7 +127,7 @@
         let decision = decide(best.as_ref(), place.as_ref(), objective, left);
         let step = match (decision, best) {
             (Decision::Send, Some(at)) => send(cx, job, at, &mut looks).await,
-            (Decision::SendAndWake, Some(at)) => {
+            (Decision::SendAndLoad, Some(at)) => {
                 beside(cx, job, place.as_ref(), &mut looks);
                 send(cx, job, at, &mut looks).await
             }
@@ -136,27 +135,27 @@
                 let come_back = Duration::from_secs_f64(at.wait_ms / 1000.0).saturating_sub(left);
                 return Err(Nowhere::after(come_back));
             }
-            _ => Step::Wake,
+            _ => Step::Load,
         };
-        let woken = match step {
+        let loaded = match step {
             Step::Go(picked) => return Ok(picked),
             Step::Again => None,
             Step::Crowded(wait) => match &place {
-                Some(place) => Some(wake_at(cx, job, place, &left_out, until).await),
+                Some(place) => Some(load_at(cx, job, place, &left_out, until).await),
                 None => return Err(Nowhere::after(wait)),
             },
-            Step::Wake => match job.model_of_engine() {
-                Some((model, engine)) => Some(wake(cx, job, model, engine, &left_out, until).await),
+            Step::Load => match job.model_of_engine() {
+                Some((model, engine)) => Some(load(cx, job, model, engine, &left_out, until).await),
                 None => break,
             },
         };
-        match woken {
-            None | Some(Woken::Ready) => {}
+        match loaded {
+            None | Some(Loaded::Ready) => {}
             // Bounded by the deadline.
-            Some(Woken::Waited) => continue,
-            Some(Woken::Refused(key)) => looks.refused.push(key),
-            Some(Woken::TooLate(come_back)) => return Err(Nowhere { come_back }),
-            Some(Woken::Nowhere) => break,
+            Some(Loaded::Waited) => continue,
+            Some(Loaded::Refused(key)) => looks.refused.push(key),
+            Some(Loaded::TooLate(come_back)) => return Err(Nowhere { come_back }),
+            Some(Loaded::Nowhere) => break,
         }
         turns += 1;
     }
@@ -198,7 +197,7 @@
     refused: Vec<TargetKey>,
     /// What the next turn is asked for with.
     turn: turn::Options,
-    /// Whether a replica was woken beside a crowded one.
+    /// Whether a further replica was requested.
     beside: bool,
 }
 
@@ -224,7 +223,7 @@
     /// The turn would come too late everywhere.
     Crowded(Duration),
     /// No target can run it now.
-    Wake,
+    Load,
 }
 
 /// Has the adapter and the turn at a target, as far as possible.
@@ -248,12 +247,12 @@
     }
 }
 
-/// Has a further replica woken for the requests that follow, once for each request.
-fn beside(cx: &Arc<Context>, job: &Job, place: Option<&wake::Outcome>, looks: &mut Looks) {
+/// Has a further replica loaded for the requests that follow, once for each request.
+fn beside(cx: &Arc<Context>, job: &Job, place: Option<&cold_start::Outcome>, looks: &mut Looks) {
     if let (Some(place), Some(model)) = (place, &job.meta.model)
         && !std::mem::replace(&mut looks.beside, true)
     {
-        log_wake(job, model, place, "beside");
+        log_load(job, model, place, "beside");
         // The next report tells what came of it.
         if let Some(mut pending) = ask(cx, model, place, BESIDE_TIME, true) {
             pending.stand();
@@ -262,11 +261,11 @@
 }
 
 /// The place for a further replica of a model whose best target is slow.
-fn place(cx: &Arc<Context>, job: &Job, left_out: &[TargetKey]) -> Option<wake::Outcome> {
+fn place(cx: &Arc<Context>, job: &Job, left_out: &[TargetKey]) -> Option<cold_start::Outcome> {
     let (model, engine) = job.model_of_engine()?;
     let state = cx.state();
     let now = cx.now();
-    let at = wake::choose(&state.view, &job.service, engine, model, left_out, now)?;
+    let at = cold_start::choose(&state.view, &job.service, engine, model, left_out, now)?;
     (at.from != Copy::Store).then_some(at)
 }
 
--- a/crates/stair-sidecar/tests/load.rs
+++ b/crates/stair-sidecar/tests/load.rs
@@ -21,6 +21,7 @@
         Engine as Decl,
         Model, //
     },
+    cold_start, //
     msg::{
         LoadRequest, //
         Outcome,
@@ -33,7 +34,6 @@
         State, //
     },
     view::TargetKey,
-    wake, //
 };
 use stair_sidecar::{
     controller::{
@@ -313,7 +313,7 @@
         }
         if w.asked.is_none() {
             let view = &self.views[w.entry];
-            match wake::find(view, SERVICE, &decl(), &w.model, &w.refused, now) {
+            match cold_start::find(view, SERVICE, &decl(), &w.model, &w.refused, now) {
                 Ok(at) => {
                     self.seq += 1;
                     let n = self.keys.iter().position(|k| *k == at.key).expect("known");
