relay, fleet, sidecar: prompts are admitted to prefill slots

The turn of a prompt becomes the reservation of a prefill slot: modules reading and turn are both prefill now, Turns is prefill::Schedule, ToAgent::Turn is ToAgent::Prefill. Event and metric names stay. No behaviour changed.

--- a/crates/stair-fleet/src/lib.rs
+++ b/crates/stair-fleet/src/lib.rs
@@ -15,7 +15,7 @@
 //! - [`spread`]: the next load to make before a request asks for it.
 //! - [`balance`]: which model gets a further replica, and whose replicas make way for it.
 //! - [`fetch`]: how many loads from the weight store are of use at once.
-//! - [`reading`]: when a prompt may be sent to an engine.
+//! - [`prefill`]: when a prompt may be sent to an engine.
 //! - [`blame`]: which targets a failure is put down to.
 //! - [`budget`]: one entry's share of the retries that all entries may make together.
 //! - [`events`]: whole events out of a stream's bytes.
@@ -36,7 +36,7 @@
 pub mod lag;
 pub mod msg;
 pub mod overload;
-pub mod reading;
+pub mod prefill;
 pub mod seen;
 pub mod spread;
 pub mod target;
--- a/crates/stair-fleet/src/msg.rs
+++ b/crates/stair-fleet/src/msg.rs
@@ -13,7 +13,7 @@
 use crate::{
     allowance,
     catalogue::Engine,
-    reading,
+    prefill,
     target::{
         Holds,
         Load, //
@@ -46,17 +46,17 @@
     LoadRequest(LoadRequest),
     /// Takes a [`LoadRequest`] back: nobody waits for it any more.
     Cancel(u64),
-    /// Asks for a prompt's turn.
-    Turn {
+    /// Asks for a prompt's prefill slot.
+    Prefill {
         /// Names the question on this connection.
         seq: u64,
         /// The prompt.
-        ask: reading::Ask,
+        ask: prefill::Ask,
     },
     /// What the entry has sent to the engine since it last said so.
     Used(Vec<Used>),
     /// How long the prompts took whose first events came since it last said so.
-    Read(Vec<reading::Read>),
+    Read(Vec<prefill::Read>),
     /// Asks for a part of a workspace's allowance.
     Allow {
         /// Names the question on this connection.
@@ -133,12 +133,12 @@
         /// What came of it.
         outcome: Outcome,
     },
-    /// The answer to a [`ToAgent::Turn`].
-    Turn {
+    /// The answer to a [`ToAgent::Prefill`].
+    Prefill {
         /// The question.
         seq: u64,
         /// What came of it.
-        answer: reading::Answer,
+        answer: prefill::Answer,
     },
     /// The answer to a [`ToAgent::Allow`].
     Allowed {
--- a/crates/stair-fleet/src/reading.rs
+++ b/crates/stair-fleet/src/prefill.rs
@@ -5,7 +5,7 @@
 //! four or five steps, so prompts that come one after the other stall all streams; ten a second
 //! starve them until their clients leave. How many come is known to nobody but the engine's agent:
 //! reports are some hundred milliseconds old and many entries choose at once. So each prompt asks
-//! the agent for its turn, which costs a round trip of one to three milliseconds.
+//! the agent for its slot, which costs a round trip of one to three milliseconds.
 //!
 //! Prompts are read in bursts with pauses between them. A burst is shorter than the pause between events
 //! that clients are promised, and in the time after it every stream makes an event, however many tokens
@@ -86,7 +86,7 @@
     pub tokens: u32,
 }
 
-/// A prompt that asks for its turn.
+/// A prompt that asks for its slot.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ask {
     /// The model.
@@ -101,28 +101,28 @@
     pub spare: Option<Duration>,
     /// The shortest pause between events that clients of the engine's streams are promised.
     pub pause: Option<Duration>,
-    /// Whether the request has not asked for a turn before.
+    /// Whether the request has not asked for a slot before.
     pub first: bool,
 }
 
 /// What came of it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Answer {
-    /// Whether the turn is booked; else the wait would be longer than is of use.
+    /// Whether the slot is booked; else the wait would be longer than is of use.
     pub booked: bool,
-    /// The wait until the turn.
+    /// The wait until the slot.
     pub wait: Duration,
     /// Time for which the engine has prompts to read, this one among them if it is booked.
     pub backlog: Duration,
     /// Tokens of the prompt that the engine is taken to have kept.
     pub kept: u32,
-    /// Time that the engine takes at its full rate from the turn on until the prompt is read, with the
+    /// Time that the engine takes at its full rate from the slot on until the prompt is read, with the
     /// prompts before it.
     pub reads: Duration,
 }
 
 impl Answer {
-    /// No turn, as the prompt's model makes way. The wait is longer than is of use, so that the prompt goes
+    /// No slot, as the prompt's model makes way. The wait is longer than is of use, so that the prompt goes
     /// elsewhere, and short enough to tell a client when to come back: by then another engine has it.
     pub fn leaving(ask: &Ask) -> Self {
         Self {
@@ -135,7 +135,7 @@
     }
 }
 
-/// How long an engine took over a prompt whose turn had come.
+/// How long an engine took over a prompt whose slot had come.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Read {
     /// The model.
@@ -165,9 +165,9 @@
     first_ms: f64,
 }
 
-/// The turns at one engine.
+/// The prefill slots of one engine.
 #[derive(Default)]
-pub struct Turns {
+pub struct Schedule {
     /// Sorted by model.
     rates: Vec<Rate>,
     last: Burst,
@@ -176,7 +176,7 @@
     kept_tokens: u64,
 }
 
-impl Turns {
+impl Schedule {
     /// Forgets all prompts: the engine has begun a new life. Its hardware is the same.
     pub fn clear(&mut self) {
         *self = Self {
@@ -247,14 +247,14 @@
         duration(self.last.until - ms(now))
     }
 
-    /// Gives a prompt its turn, if the wait is of use. `memory` is the engine's, in tokens.
+    /// Gives a prompt its slot, if the wait is of use. `memory` is the engine's, in tokens.
     pub fn ask(&mut self, ask: &Ask, memory: u64, now: Duration) -> Answer {
         let kept = self.kept_of(ask);
         let cost = ms(self.work(ask, kept));
         let burst = self.place(cost, ask.pause.unwrap_or(USUAL_PAUSE), now);
         let sent = burst.from.max(ms(now));
         let wait = duration(sent - ms(now));
-        // One that would keep a more urgent one from its turn waits until nothing is before it.
+        // One that would keep a more urgent one from its slot waits until nothing is before it.
         let next = duration(burst.until + burst.rest() - ms(now));
         let crowds = ask.spare.is_some_and(|spare| next > spare) && !wait.is_zero();
         let booked = wait <= ask.limit && !crowds;
--- a/crates/stair-fleet/src/view.rs
+++ b/crates/stair-fleet/src/view.rs
@@ -31,7 +31,7 @@
 
 /// Names a target in one [`View`] for as long as the process runs.
 ///
-/// The slot of one that has left is used again. A request may have waited for a turn meanwhile, and by
+/// The slot of one that has left is used again. A request may have waited for a slot meanwhile, and by
 /// the slot alone it would go to whatever target has it now, of another service too.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TargetKey {
--- a/crates/stair-fleet/tests/reading.rs
+++ b/crates/stair-fleet/tests/prefill.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use stair_fleet::reading::{
+use stair_fleet::prefill::{
     Answer,
     Ask,
     Part,
     Read,
-    Turns, //
+    Schedule, //
 };
 
 const MEMORY: u64 = 250_000;
@@ -38,8 +38,8 @@
     }
 }
 
-fn ask(turns: &mut Turns, head: u64, own: u64, now: Duration) -> Answer {
-    turns.ask(&prompt(head, own), MEMORY, now)
+fn ask(prefills: &mut Schedule, head: u64, own: u64, now: Duration) -> Answer {
+    prefills.ask(&prompt(head, own), MEMORY, now)
 }
 
 /// Ten prompts with different heads come at once to an engine where streams run. Sent at once they
@@ -47,10 +47,10 @@
 /// is let through than the engine reads in that time and the streams can bear.
 #[test]
 fn burst_of_prompts() {
-    let mut turns = Turns::default();
+    let mut prefills = Schedule::default();
     let mut sent: Vec<(Duration, u64)> = Vec::new();
     for n in 0..10 {
-        let answer = ask(&mut turns, n, 100 + n, ms(0));
+        let answer = ask(&mut prefills, n, 100 + n, ms(0));
         assert!(answer.booked);
         sent.push((answer.wait, 9200));
     }
@@ -66,9 +66,9 @@
 /// Prompts a second or so apart go at once.
 #[test]
 fn no_wait_without_load() {
-    let mut turns = Turns::default();
+    let mut prefills = Schedule::default();
     for n in 0..20 {
-        let answer = ask(&mut turns, n, 100 + n, ms(800 * n));
+        let answer = ask(&mut prefills, n, 100 + n, ms(800 * n));
         assert_eq!((answer.booked, answer.wait), (true, ms(0)));
     }
 }
@@ -76,99 +76,99 @@
 /// Prompts with a head that the engine has read need a third of the time; more of them go.
 #[test]
 fn kept_heads_are_cheap() {
-    let mut turns = Turns::default();
-    ask(&mut turns, 1, 100, ms(0));
-    let same = ask(&mut turns, 1, 101, ms(1000));
+    let mut prefills = Schedule::default();
+    ask(&mut prefills, 1, 100, ms(0));
+    let same = ask(&mut prefills, 1, 101, ms(1000));
     assert_eq!(same.kept, 6300);
-    let again = ask(&mut turns, 1, 101, ms(2000));
+    let again = ask(&mut prefills, 1, 101, ms(2000));
     assert_eq!(again.kept, 9200);
-    let other = ask(&mut turns, 2, 102, ms(3000));
+    let other = ask(&mut prefills, 2, 102, ms(3000));
     assert_eq!(other.kept, 0);
     // A part is of no use without those before it.
     let mut broken = prompt(3, 101);
     broken.tokens = 9200;
-    assert_eq!(turns.ask(&broken, MEMORY, ms(4000)).kept, 0);
+    assert_eq!(prefills.ask(&broken, MEMORY, ms(4000)).kept, 0);
 }
 
 /// The engine unloads a model or restarts: what it had read is gone. Prompts that were taken for kept
 /// would be let through three times as fast as they can be read.
 #[test]
 fn kept_until_unloaded() {
-    let mut turns = Turns::default();
-    ask(&mut turns, 1, 100, ms(0));
-    turns.unloaded("b");
-    assert_eq!(ask(&mut turns, 1, 101, ms(1000)).kept, 6300);
-    turns.unloaded("a");
-    assert_eq!(ask(&mut turns, 1, 101, ms(2000)).kept, 0);
-    turns.clear();
-    assert_eq!(ask(&mut turns, 1, 101, ms(3000)).kept, 0);
+    let mut prefills = Schedule::default();
+    ask(&mut prefills, 1, 100, ms(0));
+    prefills.unloaded("b");
+    assert_eq!(ask(&mut prefills, 1, 101, ms(1000)).kept, 6300);
+    prefills.unloaded("a");
+    assert_eq!(ask(&mut prefills, 1, 101, ms(2000)).kept, 0);
+    prefills.clear();
+    assert_eq!(ask(&mut prefills, 1, 101, ms(3000)).kept, 0);
 }
 
 /// Memory is bounded: the heads used least lately are taken for gone.
 #[test]
 fn least_used_yield() {
-    let mut turns = Turns::default();
+    let mut prefills = Schedule::default();
     for n in 0..100 {
-        ask(&mut turns, n, 1000 + n, ms(1000 * n));
+        ask(&mut prefills, n, 1000 + n, ms(1000 * n));
     }
-    assert_eq!(ask(&mut turns, 99, 1, ms(101_000)).kept, 6300);
-    assert_eq!(ask(&mut turns, 0, 2, ms(102_000)).kept, 0);
+    assert_eq!(ask(&mut prefills, 99, 1, ms(101_000)).kept, 6300);
+    assert_eq!(ask(&mut prefills, 0, 2, ms(102_000)).kept, 0);
 }
 
-/// A prompt whose turn would come too late is told so at once, takes nobody's turn, and can go
+/// A prompt whose turn would come too late is told so at once, takes nobody's slot, and can go
 /// elsewhere while there is time.
 #[test]
 fn too_late_is_not_booked() {
-    let mut turns = Turns::default();
+    let mut prefills = Schedule::default();
     for n in 0..5 {
-        ask(&mut turns, n, 100 + n, ms(0));
+        ask(&mut prefills, n, 100 + n, ms(0));
     }
-    let backlog = turns.backlog(ms(0));
+    let backlog = prefills.backlog(ms(0));
     let mut late = prompt(7, 107);
     late.limit = ms(300);
-    let answer = turns.ask(&late, MEMORY, ms(0));
+    let answer = prefills.ask(&late, MEMORY, ms(0));
     assert!(!answer.booked && answer.wait > ms(300));
-    assert_eq!(turns.backlog(ms(0)), backlog);
+    assert_eq!(prefills.backlog(ms(0)), backlog);
     late.limit = answer.wait;
-    assert!(turns.ask(&late, MEMORY, ms(0)).booked);
+    assert!(prefills.ask(&late, MEMORY, ms(0)).booked);
 }
 
-/// A long prompt of a less urgent route is read, and four more of them ask for their turns. An urgent one comes
-/// that can wait for 600 ms. Had one of the others booked the next turn, which is within what it may book for,
+/// A long prompt of a less urgent route is read, and four more of them ask for their slots. An urgent one comes
+/// that can wait for 600 ms. Had one of the others booked the next slot, which is within what it may book for,
 /// the urgent one would be refused and the other one served.
 #[test]
 fn less_urgent_leaves_room() {
-    let mut turns = Turns::default();
+    let mut prefills = Schedule::default();
     let calm = |n| Ask {
         limit: ms(400),
         spare: Some(ms(600)),
         pause: Some(ms(400)),
         ..prompt(n, 100 + n)
     };
-    assert!(turns.ask(&calm(0), MEMORY, ms(1000)).booked);
+    assert!(prefills.ask(&calm(0), MEMORY, ms(1000)).booked);
     for n in 1..5 {
-        assert!(!turns.ask(&calm(n), MEMORY, ms(1001)).booked);
+        assert!(!prefills.ask(&calm(n), MEMORY, ms(1001)).booked);
     }
     let urgent = Ask {
         limit: ms(590),
         pause: Some(ms(400)),
         ..prompt(9, 109)
     };
-    assert!(turns.ask(&urgent, MEMORY, ms(1010)).booked);
+    assert!(prefills.ask(&urgent, MEMORY, ms(1010)).booked);
     // With nothing before it, one goes however long it is.
-    assert!(turns.ask(&calm(5), MEMORY, ms(3000)).booked);
+    assert!(prefills.ask(&calm(5), MEMORY, ms(3000)).booked);
 }
 
 /// A prompt longer than what may be read on end goes once nothing is before it; it must not wait for
 /// ever.
 #[test]
 fn longer_than_a_burst() {
-    let mut turns = Turns::default();
+    let mut prefills = Schedule::default();
     let mut long = prompt(1, 100);
     long.tokens = 30_000;
-    let answer = turns.ask(&long, MEMORY, ms(0));
+    let answer = prefills.ask(&long, MEMORY, ms(0));
     assert_eq!((answer.booked, answer.wait), (true, ms(0)));
-    let next = turns.ask(&long, MEMORY, ms(0));
+    let next = prefills.ask(&long, MEMORY, ms(0));
     assert!(next.booked && next.wait < ms(1300), "{next:?}");
 }
 
@@ -177,13 +177,13 @@
 /// were let through, the queue grew to seconds, and none of the later ones was.
 #[test]
 fn overload_keeps_some_on_time() {
-    let mut turns = Turns::default();
+    let mut prefills = Schedule::default();
     let mut booked = 0;
     for n in 0..120 {
         let mut one = prompt(n % 6, 1000 + n);
         one.limit = ms(400);
         let now = ms(n * 1000 / 12);
-        let answer = turns.ask(&one, MEMORY, now);
+        let answer = prefills.ask(&one, MEMORY, now);
         if answer.booked {
             booked += 1;
             assert!(answer.backlog < ms(1000), "{answer:?}");
@@ -245,7 +245,7 @@
 /// A prompt of 9,200 tokens every 300 ms, more than any engine reads, beside a stream whose events
 /// have four tokens and are promised every 600 ms. The first half is for learning.
 fn minute(tokens_per_ms: f64, learns: bool) -> Minute {
-    let mut turns = Turns::default();
+    let mut prefills = Schedule::default();
     let mut engine = Engine {
         tokens_per_ms,
         now: 0.0,
@@ -268,7 +268,7 @@
                     limit: ms(800),
                     ..prompt(1000 + u64::from(next), 2000 + u64::from(next))
                 };
-                let answer = turns.ask(&prompt, MEMORY, now);
+                let answer = prefills.ask(&prompt, MEMORY, now);
                 if answer.booked {
                     engine.prompts.push(Sent {
                         at_ms: (now + answer.wait).as_secs_f64() * 1000.0,
@@ -281,7 +281,7 @@
             let read = engine.step();
             read.into_iter()
                 .filter(|_| learns)
-                .for_each(|r| turns.learn(&r));
+                .for_each(|r| prefills.learn(&r));
         }
         if counts {
             out.events += 1;
@@ -315,7 +315,7 @@
 /// every wave although the engine is idle for half of the time.
 #[test]
 fn long_events_beside_waves() {
-    let mut turns = Turns::default();
+    let mut prefills = Schedule::default();
     let mut engine = Engine {
         tokens_per_ms: 36.0,
         now: 0.0,
@@ -335,7 +335,7 @@
                 tokens: 3000,
                 ..prompt(0, 0)
             };
-            let answer = turns.ask(&one, MEMORY, begun);
+            let answer = prefills.ask(&one, MEMORY, begun);
             last = answer.wait;
             engine.prompts.push(Sent {
                 at_ms: (begun + answer.wait).as_secs_f64() * 1000.0,
@@ -358,12 +358,12 @@
 /// Short prompts say nothing of the rate: the way there takes as long as reading them.
 #[test]
 fn short_prompts_tell_nothing() {
-    let mut turns = Turns::default();
-    let before = turns.rate("a");
+    let mut prefills = Schedule::default();
+    let before = prefills.rate("a");
     for _ in 0..50 {
-        turns.learn(&read("a", 24, 60));
+        prefills.learn(&read("a", 24, 60));
     }
-    assert_eq!(turns.rate("a"), before);
+    assert_eq!(prefills.rate("a"), before);
 }
 
 fn read(model: &str, reads: u64, took: u64) -> Read {
@@ -376,18 +376,18 @@
 
 /// A small model is read faster than a large one. Short prompts come in numbers, so that each waits for
 /// those before it, and the first event takes 60 ms beside reading. At one rate for all models, and with
-/// that time counted as reading, prompts that the engine could read would find no turn.
+/// that time counted as reading, prompts that the engine could read would find no slot.
 #[test]
 fn small_models_are_read_faster() {
-    let mut turns = Turns::default();
-    turns.learn(&read("small", 10, 60));
-    turns.learn(&read("large", 10, 60));
+    let mut prefills = Schedule::default();
+    prefills.learn(&read("small", 10, 60));
+    prefills.learn(&read("large", 10, 60));
     for _ in 0..40 {
-        turns.learn(&read("small", 150, 60 + 100));
-        turns.learn(&read("large", 150, 60 + 150));
+        prefills.learn(&read("small", 150, 60 + 100));
+        prefills.learn(&read("large", 150, 60 + 150));
     }
-    assert!(turns.rate("small") > 1.4 * turns.rate("large"));
-    assert!((30.0..36.0).contains(&turns.rate("large")));
+    assert!(prefills.rate("small") > 1.4 * prefills.rate("large"));
+    assert!((30.0..36.0).contains(&prefills.rate("large")));
 }
 
 /// One prompt in three has been read by the engine without its agent knowing: another life of the agent sent
@@ -395,15 +395,15 @@
 /// come half as fast again as they can be read, and streams would pause beside them.
 #[test]
 fn kept_unknown_to_the_agent() {
-    let mut turns = Turns::default();
-    turns.learn(&read("a", 100, 20));
+    let mut prefills = Schedule::default();
+    prefills.learn(&read("a", 100, 20));
     for n in 0..300 {
         // 6,600 tokens, of which the engine reads 33 in a millisecond.
-        let reads = 6600.0 / turns.rate("a");
+        let reads = 6600.0 / prefills.rate("a");
         let took = if n % 3 == 0 { 25 } else { 20 + 200 };
-        turns.learn(&read("a", reads as u64, took));
+        prefills.learn(&read("a", reads as u64, took));
     }
-    let rate = turns.rate("a");
+    let rate = prefills.rate("a");
     assert!((25.0..=38.0).contains(&rate), "{rate} tokens a millisecond");
 }
 
@@ -411,16 +411,16 @@
 /// second would take three, and all streams would stall until their clients leave.
 #[test]
 fn engine_turns_slow() {
-    let mut turns = Turns::default();
-    turns.learn(&read("a", 100, 20));
+    let mut prefills = Schedule::default();
+    prefills.learn(&read("a", 100, 20));
     for _ in 0..20 {
-        let reads = 6600.0 / turns.rate("a");
-        turns.learn(&read("a", reads as u64, 20 + 600));
+        let reads = 6600.0 / prefills.rate("a");
+        prefills.learn(&read("a", reads as u64, 20 + 600));
     }
-    assert!(turns.rate("a") < 14.0, "{}", turns.rate("a"));
+    assert!(prefills.rate("a") < 14.0, "{}", prefills.rate("a"));
 }
 
-/// A prompt asks for its turn at an engine whose model makes way. It is to go elsewhere; told a wait of a
+/// A prompt asks for its slot at an engine whose model makes way. It is to go elsewhere; told a wait of a
 /// minute, the request that finds no other engine would tell its client to come back after that, while
 /// its model is there again within a second.
 #[test]
--- a/crates/stair-fleet/tests/random.rs
+++ b/crates/stair-fleet/tests/random.rs
@@ -14,11 +14,11 @@
         Budget,
         Options, //
     },
-    reading::{
+    prefill::{
         Ask,
         Part,
         Read,
-        Turns, //
+        Schedule, //
     },
 };
 use support::{
@@ -170,11 +170,11 @@
         asks in vec((0..300u64, 200..12_000u32, 0..6u64), 1..120),
         took in vec(100..900u64, 1..40),
     ) {
-        let mut turns = Turns::default();
+        let mut prefills = Schedule::default();
         let mut now = ms(0);
         let mut sent: Vec<(Duration, u32)> = Vec::new();
         for took in took {
-            turns.learn(&Read {
+            prefills.learn(&Read {
                 model: "a".into(),
                 reads: ms(270),
                 took: ms(took),
@@ -191,8 +191,8 @@
                 pause: None,
                 first: true,
             };
-            let answer = turns.ask(&ask, 250_000, now);
-            let own = f64::from(tokens - answer.kept) / turns.rate("a") / 1000.0;
+            let answer = prefills.ask(&ask, 250_000, now);
+            let own = f64::from(tokens - answer.kept) / prefills.rate("a") / 1000.0;
             prop_assert!(answer.reads.as_secs_f64() >= own - 1e-6);
             if answer.booked {
                 prop_assert!(answer.wait <= ask.limit);
@@ -202,7 +202,7 @@
         for (from, _) in &sent {
             let within = |at: &Duration| *at >= *from && *at < *from + ms(500);
             let tokens: u32 = sent.iter().filter(|s| within(&s.0)).map(|s| s.1).sum();
-            let bound = turns.rate("a") * (425.0 + 500.0) + 12_000.0;
+            let bound = prefills.rate("a") * (425.0 + 500.0) + 12_000.0;
             prop_assert!(f64::from(tokens) <= bound, "{tokens} of {bound}");
         }
     }
--- a/crates/stair-fleet/tests/view.rs
+++ b/crates/stair-fleet/tests/view.rs
@@ -181,7 +181,7 @@
     assert_eq!(view.all().count(), 0);
 }
 
-/// A request waits for its turn at an engine, which leaves. A target of another service comes and gets
+/// A request waits for its slot at an engine, which leaves. A target of another service comes and gets
 /// its slot. Sent by the old key, a prompt would run at a service that its route does not name.
 #[test]
 fn slot_used_again() {
--- a/crates/stair-relay/src/admit.rs
+++ b/crates/stair-relay/src/admit.rs
@@ -33,7 +33,7 @@
 use stair_fleet::{
     Catalogue,
     catalogue::Route,
-    reading::Part, //
+    prefill::Part, //
 };
 use stair_telemetry::event::Line;
 use tokio::time::{
--- a/crates/stair-relay/src/context.rs
+++ b/crates/stair-relay/src/context.rs
@@ -38,7 +38,7 @@
         ToAgent,
         Used,
     },
-    reading::{
+    prefill::{
         Answer,
         Ask,
         Read, //
@@ -140,8 +140,8 @@
     pub read: Vec<Read>,
     /// Questions that wait for their answer.
     pub waiting: Vec<(u64, oneshot::Sender<Outcome>)>,
-    /// Prompts that wait to be told their turn.
-    pub turns: Vec<(u64, oneshot::Sender<Answer>)>,
+    /// Prompts that wait to be told their slot.
+    pub reservations: Vec<(u64, oneshot::Sender<Answer>)>,
 }
 
 /// Use of a model, or an adapter as `MODEL/NAME`, at one engine by this entry.
@@ -432,15 +432,15 @@
         }
     }
 
-    /// Asks the agent of an engine for a prompt's turn. `None` when there is no link.
-    pub fn turn(&self, engine: SocketAddr, ask: Ask) -> Option<oneshot::Receiver<Answer>> {
+    /// Asks the agent of an engine for a prompt's prefill slot. `None` when there is no link.
+    pub fn reserve(&self, engine: SocketAddr, ask: Ask) -> Option<oneshot::Receiver<Answer>> {
         let mut state = self.state();
         let seq = state.next_seq();
         let i = state.agent(engine)?;
         let link = &mut state.agents[i];
-        link.tx.try_send(ToAgent::Turn { seq, ask }).ok()?;
+        link.tx.try_send(ToAgent::Prefill { seq, ask }).ok()?;
         let (tx, rx) = oneshot::channel();
-        link.turns.push((seq, tx));
+        link.reservations.push((seq, tx));
         Some(rx)
     }
 }
--- a/crates/stair-relay/src/dump.rs
+++ b/crates/stair-relay/src/dump.rs
@@ -61,7 +61,7 @@
     engine: std::net::SocketAddr,
     entries: u32,
     loads_waiting: usize,
-    turns_waiting: usize,
+    prefills_waiting: usize,
 }
 
 /// Retries for one service.
@@ -120,7 +120,7 @@
         engine: link.engine,
         entries: link.entries,
         loads_waiting: link.waiting.len(),
-        turns_waiting: link.turns.len(),
+        prefills_waiting: link.reservations.len(),
     }
 }
 
--- a/crates/stair-relay/src/job.rs
+++ b/crates/stair-relay/src/job.rs
@@ -27,7 +27,7 @@
         Engine,
         Route, //
     },
-    reading::Part,
+    prefill::Part,
     workspace::Workspace, //
 };
 use tokio::time::Instant;
--- a/crates/stair-relay/src/lib.rs
+++ b/crates/stair-relay/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A request's way: [`serve`] takes it, [`admit`] finds its route, [`authorize`] its workspace, whose
 //! [`allowance`] it takes from; as a [`job`], [`relay`]
-//! brings it to a target: [`pick`] chooses one, [`load`] has its model loaded, [`turn`] waits until its
+//! brings it to a target: [`pick`] chooses one, [`load`] has its model loaded, [`prefill`] waits until its
 //! prompt may be sent, [`attempt`] sends it there once, [`failures`] keeps what targets failed until it is
 //! known what that is put down to, [`stream`] passes the events of a stream on and resumes it elsewhere,
 //! [`refuse`] makes the entry's own answers.
@@ -30,9 +30,9 @@
 pub mod load;
 pub mod peers;
 pub mod pick;
+pub mod prefill;
 pub mod process;
 pub mod refuse;
 pub mod relay;
 pub mod serve;
 pub mod stream;
-pub mod turn;
--- a/crates/stair-relay/src/links.rs
+++ b/crates/stair-relay/src/links.rs
@@ -93,7 +93,7 @@
                 former: None,
                 read: Vec::new(),
                 waiting: Vec::new(),
-                turns: Vec::new(),
+                reservations: Vec::new(),
             };
             let mut state = cx.state();
             if let Err(i) = state.agents.binary_search_by_key(&engine, |a| a.engine) {
@@ -200,7 +200,7 @@
     if let Some(i) = state.agent(engine) {
         state.agents[i].linked = false;
         state.agents[i].waiting.clear();
-        state.agents[i].turns.clear();
+        state.agents[i].reservations.clear();
         state.agents[i].read.clear();
     }
     state.allowances.link_ended(engine);
@@ -260,12 +260,12 @@
                 // The request that asked may have been given up.
                 waiting.map(|tx| tx.send(outcome));
             }
-            ToEntry::Turn { seq, answer } => {
+            ToEntry::Prefill { seq, answer } => {
                 let mut state = cx.state();
                 let Some(i) = state.agent(engine) else {
                     return Ended::Closed;
                 };
-                let list = &mut state.agents[i].turns;
+                let list = &mut state.agents[i].reservations;
                 let found = list.iter().position(|(s, _)| *s == seq);
                 let asked = found.map(|i| list.swap_remove(i).1);
                 let until = now + answer.backlog;
--- a/crates/stair-relay/src/pick.rs
+++ b/crates/stair-relay/src/pick.rs
@@ -40,11 +40,11 @@
         load_at, //
         log_load,
     },
-    turn::{
+    prefill::{
         self,
         Prompt,
-        Turn,
-        turn, //
+        Reservation,
+        reserve, //
     },
 };
 
@@ -64,7 +64,7 @@
 
 /// How often one request may look for a target anew, lest it turn for ever between agents that
 /// refuse it.
-const MAX_TURNS: u32 = 12;
+const MAX_ROUNDS: u32 = 12;
 
 /// Pause between looks whether the weight store is free, or another engine has the model: a
 /// twentieth of a load from the store.
@@ -73,7 +73,7 @@
 /// Engines that may fail to bring the request's adapter before one is sent to all the same.
 const MAX_REFUSED: usize = 2;
 
-/// Engines that may tell a prompt that its turn would come too late before a late answer is taken:
+/// Engines that may tell a prompt that its slot would come too late before a late answer is taken:
 /// their reports lag behind by some hundred milliseconds, their answers do not.
 pub(crate) const MAX_FULL: u32 = 2;
 
@@ -113,8 +113,8 @@
     until: Instant,
 ) -> Result<Picked, Nowhere> {
     let mut looks = Looks::new(since, until);
-    let mut turns = 0;
-    while turns < MAX_TURNS && Instant::now() < until {
+    let mut rounds = 0;
+    while rounds < MAX_ROUNDS && Instant::now() < until {
         let best = ready(cx, job, tried, false);
         let mut left_out = looks.refused.clone();
         left_out.extend_from_slice(tried);
@@ -157,7 +157,7 @@
             Some(Loaded::TooLate(come_back)) => return Err(Nowhere { come_back }),
             Some(Loaded::Nowhere) => break,
         }
-        turns += 1;
+        rounds += 1;
     }
     last_resort(cx, job, tried, &looks).await
 }
@@ -172,14 +172,16 @@
     let Some(at) = ready(cx, job, tried, true) else {
         return Err(Nowhere::after(Duration::ZERO));
     };
-    let opts = turn::Options {
+    let opts = prefill::Options {
         full: MAX_FULL,
-        ..looks.turn
+        ..looks.reservation
     };
-    match turn(cx, job, at.key, &opts).await {
-        Turn::Now(prompt) => go(cx, job, at, prompt, true).ok_or(Nowhere::after(Duration::ZERO)),
-        Turn::Later => Err(Nowhere::after(Duration::ZERO)),
-        Turn::Full(wait) => Err(Nowhere::after(wait)),
+    match reserve(cx, job, at.key, &opts).await {
+        Reservation::Now(prompt) => {
+            go(cx, job, at, prompt, true).ok_or(Nowhere::after(Duration::ZERO))
+        }
+        Reservation::Later => Err(Nowhere::after(Duration::ZERO)),
+        Reservation::Full(wait) => Err(Nowhere::after(wait)),
     }
 }
 
@@ -195,8 +197,8 @@
 struct Looks {
     /// Engines that would not load what is needed.
     refused: Vec<TargetKey>,
-    /// What the next turn is asked for with.
-    turn: turn::Options,
+    /// What the next slot is asked for with.
+    reservation: prefill::Options,
     /// Whether a further replica was requested.
     beside: bool,
 }
@@ -205,7 +207,7 @@
     fn new(since: Instant, until: Instant) -> Self {
         Self {
             refused: Vec::new(),
-            turn: turn::Options {
+            reservation: prefill::Options {
                 since,
                 until,
                 full: 0,
@@ -220,28 +222,28 @@
     Go(Picked),
     /// Look again: something is known now that was not.
     Again,
-    /// The turn would come too late everywhere.
+    /// The slot would come too late everywhere.
     Crowded(Duration),
     /// No target can run it now.
     Load,
 }
 
-/// Has the adapter and the turn at a target, as far as possible.
+/// Has the adapter and the slot at a target, as far as possible.
 async fn send(cx: &Arc<Context>, job: &Job, at: choose::Outcome, looks: &mut Looks) -> Step {
-    if !adapter(cx, job, at.key, looks.turn.until).await {
+    if !adapter(cx, job, at.key, looks.reservation.until).await {
         looks.refused.push(at.key);
         if looks.refused.len() <= MAX_REFUSED {
             return Step::Again;
         }
     }
-    let opts = looks.turn;
-    looks.turn.first = false;
-    match turn(cx, job, at.key, &opts).await {
-        Turn::Now(prompt) => go(cx, job, at, prompt, false).map_or(Step::Again, Step::Go),
-        Turn::Later => Step::Again,
-        Turn::Full(wait) if opts.full >= MAX_FULL => Step::Crowded(wait),
-        Turn::Full(_) => {
-            looks.turn.full += 1;
+    let opts = looks.reservation;
+    looks.reservation.first = false;
+    match reserve(cx, job, at.key, &opts).await {
+        Reservation::Now(prompt) => go(cx, job, at, prompt, false).map_or(Step::Again, Step::Go),
+        Reservation::Later => Step::Again,
+        Reservation::Full(wait) if opts.full >= MAX_FULL => Step::Crowded(wait),
+        Reservation::Full(_) => {
+            looks.reservation.full += 1;
             Step::Again
         }
     }
@@ -289,7 +291,7 @@
     choose::choose(&cx.state().view, &opts, cx.now())
 }
 
-/// Returns where the request goes, unless the target has left while an adapter or a turn was waited for:
+/// Returns where the request goes, unless the target has left while an adapter or a slot was waited for:
 /// what is sent to it after that is lost.
 fn go(
     cx: &Arc<Context>,
--- a/crates/stair-relay/src/turn.rs
+++ b/crates/stair-relay/src/prefill.rs
@@ -6,7 +6,7 @@
 };
 
 use stair_fleet::{
-    reading::Ask,
+    prefill::Ask,
     view::TargetKey, //
 };
 use stair_telemetry::event::Line;
@@ -26,20 +26,20 @@
     },
 };
 
-/// The longest wait that a less urgent prompt books a turn for. It has more time than the urgent ones,
+/// The longest wait that a less urgent prompt books a slot for. It has more time than the urgent ones,
 /// so that it would otherwise fill the queue up to where those find it too long: of two kinds at one
 /// crowded engine the less urgent was served and the urgent one refused. As long as the urgent ones
 /// with the shortest objective, 800 ms, can wait; it asks again until its own time is up.
 const YIELD_TIME: Duration = Duration::from_millis(400);
 
-/// Time for an agent to tell a turn: a round trip of three milliseconds and its own wake-up.
-const TURN_TIME: Duration = Duration::from_millis(150);
+/// Time for an agent to tell a slot: a round trip of three milliseconds and its own wake-up.
+const RESERVE_TIME: Duration = Duration::from_millis(150);
 
 /// Objectives after which an answer is too late to make others wait for it.
 const LATE_TIMES: u32 = 2;
 
 /// What a prompt may do.
-pub enum Turn {
+pub enum Reservation {
     /// The prompt may be sent.
     Now(Prompt),
     /// Others go first; there is time to look again.
@@ -57,25 +57,25 @@
     pub reads: Duration,
 }
 
-/// What a turn is asked for with.
+/// What a slot is asked for with.
 #[derive(Debug, Clone, Copy)]
 pub struct Options {
     /// When the time began in which the route promises an event: the request came, or its stream
     /// broke. A stream that goes on elsewhere has passed the time of its first event long ago, and
     /// would be cut wherever anything is before it.
     pub since: Instant,
-    /// When no turn is of use any longer.
+    /// When no slot is of use any longer.
     pub until: Instant,
-    /// Engines that have told too late a turn.
+    /// Engines that have told too late a slot.
     pub full: u32,
-    /// Whether the request has not asked for a turn before.
+    /// Whether the request has not asked for a slot before.
     pub first: bool,
 }
 
-/// Waits for the prompt's turn at a target, as far as its agent can be reached.
-pub async fn turn(cx: &Arc<Context>, job: &Job, key: TargetKey, opts: &Options) -> Turn {
+/// Waits for the prompt's prefill slot at a target, as far as its agent can be reached.
+pub async fn reserve(cx: &Arc<Context>, job: &Job, key: TargetKey, opts: &Options) -> Reservation {
     let Some((model, _)) = job.model_of_engine() else {
-        return Turn::Now(Prompt::default());
+        return Reservation::Now(Prompt::default());
     };
     let addr = cx.state().view.get(key).target.addr;
     let of_use = of_use(job, opts);
@@ -93,15 +93,15 @@
         pause: job.pause,
         first: opts.first,
     };
-    let Some(rx) = cx.turn(addr, ask) else {
-        return Turn::Now(Prompt::default());
+    let Some(rx) = cx.reserve(addr, ask) else {
+        return Reservation::Now(Prompt::default());
     };
-    let Ok(Ok(answer)) = timeout(TURN_TIME, rx).await else {
+    let Ok(Ok(answer)) = timeout(RESERVE_TIME, rx).await else {
         if cx.unanswered(key) {
-            return Turn::Later;
+            return Reservation::Later;
         }
         // A sound engine is used also when its agent is silent.
-        return Turn::Now(Prompt::default());
+        return Reservation::Now(Prompt::default());
     };
     cx.page.time("turn_wait_ms", &[], answer.wait);
     if !answer.booked {
@@ -114,26 +114,26 @@
             .write();
         if answer.wait <= of_use {
             sleep(LOOK_EVERY).await;
-            return Turn::Later;
+            return Reservation::Later;
         }
-        return Turn::Full(answer.wait);
+        return Reservation::Full(answer.wait);
     }
     // A timer takes up to a millisecond also when there is nothing to wait for.
     if !answer.wait.is_zero() {
         sleep(answer.wait).await;
     }
-    Turn::Now(Prompt {
+    Reservation::Now(Prompt {
         kept: answer.kept,
         reads: answer.reads,
     })
 }
 
-/// The longest wait for a turn after which a request is not too late.
+/// The longest wait for a slot after which a request is not too late.
 fn late_wait(objective: Duration) -> Duration {
     (objective * LATE_TIMES).saturating_sub(RUN_TIME)
 }
 
-/// The longest wait for a turn that is of use: at first one after which the answer is on time, then
+/// The longest wait for a slot that is of use: at first one after which the answer is on time, then
 /// one after which it is not too late.
 fn of_use(job: &Job, opts: &Options) -> Duration {
     let times = if opts.full < MAX_FULL { 1 } else { LATE_TIMES };
--- a/crates/stair-sidecar/src/controller.rs
+++ b/crates/stair-sidecar/src/controller.rs
@@ -201,7 +201,7 @@
         ordered || self.leaving.iter().any(|m| **m == *model)
     }
 
-    /// Takes in a prompt that takes so long to be read, and whether it has its turn and is on its way.
+    /// Takes in a prompt that takes so long to be read, and whether it has its slot and is on its way.
     pub fn prompt(&mut self, model: &str, booked: bool, work: Duration, now: Duration) {
         self.usage.prompt(model, booked, work, now);
     }
--- a/crates/stair-sidecar/src/process.rs
+++ b/crates/stair-sidecar/src/process.rs
@@ -27,7 +27,7 @@
         Peers,
         ToEntry, //
     },
-    reading::Turns,
+    prefill::Schedule,
     target::{
         Holds,
         Load, //
@@ -188,7 +188,7 @@
     engine: Engine,
     store: Store,
     controller: Controller,
-    turns: Turns,
+    prefills: Schedule,
     links: Vec<Link>,
     lag: Lag,
     fence: Option<u64>,
@@ -222,7 +222,7 @@
                 fetch_window: Duration::from_millis(settings.fetch_window_ms.into()),
             }),
             settings,
-            turns: Turns::default(),
+            prefills: Schedule::default(),
             links: Vec::new(),
             lag: Lag::default(),
             fence: None,
@@ -300,7 +300,7 @@
                         .num("started_ms", started)
                         .write();
                     // It has read no prompts yet.
-                    self.turns.clear();
+                    self.prefills.clear();
                 }
             }
             Err(e) => {
--- a/crates/stair-sidecar/src/process/dump.rs
+++ b/crates/stair-sidecar/src/process/dump.rs
@@ -6,7 +6,7 @@
 use stair_fleet::{
     allowance::Ledger,
     msg::Known,
-    reading::Rate,
+    prefill::Rate,
     target::{
         Holds,
         Load, //
@@ -57,7 +57,7 @@
             misses: self.misses,
             holds: self.controller.held(),
             load: self.load(),
-            rates: self.turns.rates().to_vec(),
+            rates: self.prefills.rates().to_vec(),
             load_requests: self.controller.load_requests(),
             allowances: self.allowances.ledger(),
             entries: self.links.iter().map(|l| l.known.clone()).collect(),
--- a/crates/stair-sidecar/src/process/hear.rs
+++ b/crates/stair-sidecar/src/process/hear.rs
@@ -5,7 +5,7 @@
         ToAgent,
         ToEntry, //
     },
-    reading::Answer,
+    prefill::Answer,
 };
 use stair_telemetry::event::Line;
 
@@ -89,23 +89,24 @@
                 Line::new("want.taken_back").num("seq", seq).write();
                 self.controller.cancel(Asker { link: key, seq });
             }
-            ToAgent::Turn { seq, ask } => {
+            ToAgent::Prefill { seq, ask } => {
                 let answer = if self.controller.is_leaving(&ask.model) {
                     Answer::leaving(&ask)
                 } else {
-                    self.turns.ask(&ask, self.controller.memory_tokens(), now)
+                    self.prefills
+                        .ask(&ask, self.controller.memory_tokens(), now)
                 };
                 // One that asks again has been counted.
                 if answer.booked || ask.first {
-                    let work = self.turns.work(&ask, answer.kept);
+                    let work = self.prefills.work(&ask, answer.kept);
                     self.controller.prompt(&ask.model, answer.booked, work, now);
                 }
                 let link = self.links.iter().find(|l| l.key == key);
-                // An entry that does not read goes without its turn.
-                link.map(|l| l.tx.try_send(ToEntry::Turn { seq, answer }));
+                // An entry that does not read goes without its slot.
+                link.map(|l| l.tx.try_send(ToEntry::Prefill { seq, answer }));
             }
             ToAgent::Used(list) => self.controller.used(key, &list, now),
-            ToAgent::Read(list) => list.iter().for_each(|r| self.turns.learn(r)),
+            ToAgent::Read(list) => list.iter().for_each(|r| self.prefills.learn(r)),
             // Answered by the link itself.
             ToAgent::Allow { .. } | ToAgent::GiveBack { .. } => {}
         }
@@ -141,7 +142,7 @@
                     .text("id", &id)
                     .num("revision", revision)
                     .write();
-                self.turns.clear();
+                self.prefills.clear();
             }
             self.instance = Some((id, revision));
         }
--- a/crates/stair-sidecar/src/process/tell.rs
+++ b/crates/stair-sidecar/src/process/tell.rs
@@ -87,7 +87,7 @@
             log_holds(&holds);
             let before = self.told_holds.iter().flat_map(|h| &h.models);
             for gone in before.filter(|h| holds.model(&h.name).is_none()) {
-                self.turns.unloaded(&gone.name);
+                self.prefills.unloaded(&gone.name);
             }
             self.tell(&ToEntry::Holds(Box::new(holds.clone())));
             self.told_holds = Some(holds);
@@ -108,7 +108,7 @@
     pub(super) fn load(&self) -> Load {
         let now = self.now();
         Load {
-            backlog: self.turns.backlog(now),
+            backlog: self.prefills.backlog(now),
             ..self.controller.load(now)
         }
     }
--- a/crates/stair-sidecar/src/usage.rs
+++ b/crates/stair-sidecar/src/usage.rs
@@ -51,11 +51,11 @@
         self.entry(&name, now).requested = Some(now);
     }
 
-    /// Notes a prompt that takes so much of the engine's time, and whether it has its turn.
+    /// Notes a prompt that takes so much of the engine's time, and whether it has its slot.
     ///
-    /// One that found no turn counts as use as well. Were only those counted that are sent, a crowded
+    /// One that found no slot counts as use as well. Were only those counted that are sent, a crowded
     /// replica would look as busy as it can serve, never busier, and its model would get no further
-    /// one. One that has its turn is on its way, and its model is not dropped under it.
+    /// one. One that has its slot is on its way, and its model is not dropped under it.
     pub fn prompt(&mut self, model: &str, booked: bool, work: Duration, now: Duration) {
         let entry = self.entry(model, now);
         entry.work += work.as_secs_f64() / RATE_TIME_S;
