relay, fleet, sidecar: publish, receive and replication state by the field's terms

tell, told, hear, heard and know become publish, transmit, broadcast, receive, observe and replicate by what each does; Known becomes ReplicationState. Event names and the messages' bytes stay. No behaviour changed.

--- a/crates/stair-fleet/src/budget.rs
+++ b/crates/stair-fleet/src/budget.rs
@@ -32,13 +32,13 @@
 const SHARES_PER_ENTRY: u32 = 2;
 
 /// Returns the number of entries that share `extra`: as many as the settings say, more when an agent
-/// hears of more. `heard` is what each agent says; the largest counts, as an agent that is cut off
+/// hears of more. `counts` is what each agent says; the largest counts, as an agent that is cut off
 /// from most entries would have the rest take too large a share.
-pub fn entries<I>(settings: u32, heard: I) -> u32
+pub fn entries<I>(settings: u32, counts: I) -> u32
 where
     I: IntoIterator<Item = u32>,
 {
-    let most = heard.into_iter().max().unwrap_or(0);
+    let most = counts.into_iter().max().unwrap_or(0);
     settings.max(most.saturating_mul(SHARES_PER_ENTRY))
 }
 
--- a/crates/stair-fleet/src/cold_start.rs
+++ b/crates/stair-fleet/src/cold_start.rs
@@ -112,7 +112,7 @@
     let places = look.places(tried);
     let any = !places.is_empty();
     look.best(places).ok_or_else(|| {
-        if fetch::unheard(view, service, now) {
+        if fetch::unreported(view, service, now) {
             Error::Unheard
         } else if any {
             Error::StoreBusy
@@ -220,7 +220,7 @@
         let store_free = LazyCell::new(|| {
             let at_once = fetch::at_once(view, self.service, self.engine, now);
             fetch::under_way(view, self.service, now) < at_once
-                && !fetch::unheard(view, self.service, now)
+                && !fetch::unreported(view, self.service, now)
         });
         let near = |o: &Outcome| o.from != Copy::Store || view.get(o.key).coming(self.model, now);
         places
--- a/crates/stair-fleet/src/fetch.rs
+++ b/crates/stair-fleet/src/fetch.rs
@@ -111,7 +111,7 @@
 /// agents, within half a second or so; an entry that does not wait for it has rare models fetched
 /// from the weight store although a copy is a second away, and the store is busy with those for
 /// eight seconds while the busy models need it.
-pub fn unheard(view: &View, service: &str, now: Duration) -> bool {
+pub fn unreported(view: &View, service: &str, now: Duration) -> bool {
     let mut open = view.of(service).filter(|(_, s)| s.open(now)).peekable();
     let none = open.peek().is_none();
     now < HEARD_TIME && (none || open.any(|(_, s)| s.fresh(now).is_none()))
--- a/crates/stair-fleet/src/lag.rs
+++ b/crates/stair-fleet/src/lag.rs
@@ -10,7 +10,7 @@
     time::Duration, //
 };
 
-use crate::msg::Known;
+use crate::msg::ReplicationState;
 
 /// Time after which every entry that hears its source has what another one has said: a watch brings news
 /// within 600 ms, and what is new is due within two seconds.
@@ -35,7 +35,7 @@
 
 impl Lag {
     /// Takes in the word of an entry, and tells whether that entry lags.
-    pub fn hear(&mut self, known: &Known, now: Duration) -> bool {
+    pub fn observe(&mut self, known: &ReplicationState, now: Duration) -> bool {
         while let Some((_, newest)) = self
             .rises
             .pop_front_if(|(at, _)| now.saturating_sub(*at) >= LAG_TIME)
--- a/crates/stair-fleet/src/msg.rs
+++ b/crates/stair-fleet/src/msg.rs
@@ -24,7 +24,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum ToAgent {
     /// Who speaks, and how far its knowledge goes; sent first and when it changes.
-    Hello(Known),
+    Hello(ReplicationState),
     /// The answer to [`ToEntry::Declare`]: what the engine's service declares, with the version of the
     /// catalogue that says so.
     Engine {
@@ -75,7 +75,7 @@
 
 /// How far an entry's knowledge goes.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Known {
+pub struct ReplicationState {
     /// The entry's name.
     pub entry: Box<str>,
     /// Its data centre.
@@ -170,7 +170,7 @@
     /// least name, which may be the one told.
     pub watcher: Option<Peer>,
     /// The others that are ahead of the one told, by catalogue or by targets; at most two.
-    pub ahead: Vec<Known>,
+    pub ahead: Vec<ReplicationState>,
 }
 
 /// An entry that other entries can ask.
@@ -184,7 +184,7 @@
 
 impl Peers {
     /// Picks what the entry `own` needs to know out of what all entries say; `all` has `own` too.
-    pub fn of(own: &Known, all: &[Known]) -> Self {
+    pub fn of(own: &ReplicationState, all: &[ReplicationState]) -> Self {
         let newest = all
             .iter()
             .filter(|k| k.catalogue > own.catalogue)
@@ -193,7 +193,8 @@
             .iter()
             .filter(|k| k.targets > own.targets)
             .max_by_key(|k| k.targets);
-        let mut ahead: Vec<Known> = newest.into_iter().chain(freshest).cloned().collect();
+        let mut ahead: Vec<ReplicationState> =
+            newest.into_iter().chain(freshest).cloned().collect();
         ahead.dedup();
         Self {
             ahead,
@@ -215,7 +216,7 @@
 
 impl Fleet {
     /// Takes in what all entries say.
-    pub fn of(all: &[Known]) -> Self {
+    pub fn of(all: &[ReplicationState]) -> Self {
         let mut watchers: Vec<(Box<str>, Peer)> = Vec::new();
         for known in all {
             let peer = Peer {
@@ -236,7 +237,7 @@
     }
 
     /// What one of them needs to know, but for those ahead of it.
-    pub fn peers(&self, own: &Known) -> Peers {
+    pub fn peers(&self, own: &ReplicationState) -> Peers {
         let near = |(dc, _): &(Box<str>, Peer)| dc.cmp(&own.data_centre);
         let watcher = self.watchers.binary_search_by(near).ok();
         Peers {
--- a/crates/stair-fleet/src/prefill.rs
+++ b/crates/stair-fleet/src/prefill.rs
@@ -188,7 +188,7 @@
     /// Takes in how long the engine took to read a prompt and those before it.
     pub fn learn(&mut self, read: &Read) {
         let took = ms(read.took);
-        let rate = self.known(&read.model);
+        let rate = self.rate_of(&read.model);
         rate.first_ms = took.min(rate.first_ms * (1.0 + FIRST_DRIFT));
         if read.reads < SAMPLE_TIME {
             return;
@@ -220,7 +220,7 @@
         &self.rates
     }
 
-    fn known(&mut self, model: &str) -> &mut Rate {
+    fn rate_of(&mut self, model: &str) -> &mut Rate {
         let i = match self.rates.binary_search_by(|r| (*r.model).cmp(model)) {
             Ok(i) => i,
             Err(i) => {
--- a/crates/stair-fleet/src/seen.rs
+++ b/crates/stair-fleet/src/seen.rs
@@ -51,7 +51,7 @@
     /// Its agent's last report, and when it came.
     pub report: Option<(Report, Duration)>,
     /// When its agent was last heard; `None` when none is linked, or it has closed the link.
-    pub heard: Option<Duration>,
+    pub last_message: Option<Duration>,
     /// Whether its VM is taken to stand still.
     pub quiet: bool,
     /// Left out until then.
@@ -85,7 +85,7 @@
             old_words_since: None,
             missing_until: None,
             report: None,
-            heard: None,
+            last_message: None,
             quiet: false,
             suspect_until: Duration::ZERO,
             in_flight: 0,
@@ -197,21 +197,21 @@
     }
 
     /// Takes in that its agent has said something.
-    pub fn hear(&mut self, now: Duration) {
-        self.heard = Some(now);
+    pub fn note_message(&mut self, now: Duration) {
+        self.last_message = Some(now);
         self.quiet = false;
     }
 
     /// Takes in that its agent has gone and its VM has not: the connection was closed or refused.
     pub fn agent_gone(&mut self) {
-        self.heard = None;
+        self.last_message = None;
         self.quiet = false;
     }
 
     /// Takes its VM to stand still if its agent has said nothing for so long; whether that is new.
     pub fn mark_quiet(&mut self, after: Duration, now: Duration) -> bool {
         let silent = |at: Duration| now.saturating_sub(at) >= after;
-        let falls = self.listed && !self.quiet && self.heard.is_some_and(silent);
+        let falls = self.listed && !self.quiet && self.last_message.is_some_and(silent);
         self.quiet |= falls;
         falls
     }
--- a/crates/stair-fleet/src/spread.rs
+++ b/crates/stair-fleet/src/spread.rs
@@ -132,7 +132,7 @@
             left_alone: &self.left_alone,
             store: self.store_loads()
                 < fetch::ahead(self.view, self.service, self.engine, self.now)
-                && !self.unheard(),
+                && !self.unreported(),
         };
         let found = balance::next(&opts, self.now)?;
         Some(Outcome {
@@ -153,8 +153,8 @@
         fetch::under_way(self.view, self.service, self.now) + asked.count()
     }
 
-    fn unheard(&self) -> bool {
-        fetch::unheard(self.view, self.service, self.now)
+    fn unreported(&self) -> bool {
+        fetch::unreported(self.view, self.service, self.now)
     }
 
     /// Engines that hold the model or have a copy of it.
@@ -168,7 +168,7 @@
 
     /// A model that no engine holds, nor has a copy of.
     fn missing(&self) -> Option<Outcome> {
-        if self.store_loads() >= AHEAD_RARE || self.unheard() {
+        if self.store_loads() >= AHEAD_RARE || self.unreported() {
             return None;
         }
         let mut models = self.engine.models.iter();
@@ -194,7 +194,7 @@
     /// replace others come without copies and would stand idle; when demand moves to a model with
     /// one copy, or its engine is lost, its requests wait for the weight store.
     fn single(&self) -> Option<Outcome> {
-        if self.store_loads() >= AHEAD_RARE || self.unheard() {
+        if self.store_loads() >= AHEAD_RARE || self.unreported() {
             return None;
         }
         let busy = |s: &Seen| {
--- a/crates/stair-fleet/src/view.rs
+++ b/crates/stair-fleet/src/view.rs
@@ -238,9 +238,9 @@
     }
 
     /// Takes in that the agent at an address has said something.
-    pub fn heard_at(&mut self, addr: SocketAddr, now: Duration) {
+    pub fn message_at(&mut self, addr: SocketAddr, now: Duration) {
         if let Some((key, _)) = self.at(addr) {
-            self.get_mut(key).hear(now);
+            self.get_mut(key).note_message(now);
         }
     }
 
@@ -323,8 +323,8 @@
     /// get requests after its word that it leaves. With targets of services that are not declared here:
     /// the peer may have newer declarations, and would take those for gone.
     pub fn list(&self, now: Duration) -> Vec<Listed> {
-        let told = |s: &&Seen| s.listed && s.missing_until.is_none_or(|t| now < t);
-        let all = self.seen.iter().filter(told);
+        let published = |s: &&Seen| s.listed && s.missing_until.is_none_or(|t| now < t);
+        let all = self.seen.iter().filter(published);
         all.map(|s| Listed {
             target: s.target.clone(),
             missing_for: s.missing_until.map(|t| t.saturating_sub(now)),
--- a/crates/stair-fleet/tests/lag.rs
+++ b/crates/stair-fleet/tests/lag.rs
@@ -5,13 +5,13 @@
 use stair_fleet::{
     lag::Lag,
     msg::{
-        Known,
         Peers, //
+        ReplicationState,
     },
 };
 
-fn known(entry: &str, data_centre: &str, targets: u64) -> Known {
-    Known {
+fn known(entry: &str, data_centre: &str, targets: u64) -> ReplicationState {
+    ReplicationState {
         entry: entry.into(),
         data_centre: data_centre.into(),
         peer: ([127, 0, 0, 1], 1).into(),
@@ -36,7 +36,7 @@
             // Watches bring news at their own moments, at most 600 ms old.
             let behind = n * 37 % 600;
             let word = known(&format!("e{n}"), "a", at.saturating_sub(behind) * 60 / 1000);
-            assert!(!lag.hear(&word, ms(at)), "e{n} at {at} ms");
+            assert!(!lag.observe(&word, ms(at)), "e{n} at {at} ms");
         }
     }
 }
@@ -48,9 +48,9 @@
     let mut lag = Lag::default();
     let mut noticed = None;
     for at in (0..4000_u64).step_by(10) {
-        lag.hear(&known("sound", "a", at), ms(at));
+        lag.observe(&known("sound", "a", at), ms(at));
         let stuck = known("stuck", "a", at.min(1000));
-        if at % 500 == 0 && lag.hear(&stuck, ms(at)) {
+        if at % 500 == 0 && lag.observe(&stuck, ms(at)) {
             noticed.get_or_insert(at);
         }
     }
@@ -67,7 +67,7 @@
         known("c", "a", 3),
         known("e", "b", 4),
     ];
-    let watcher = |own: &Known| Peers::of(own, &all).watcher.map(|p| p.entry);
+    let watcher = |own: &ReplicationState| Peers::of(own, &all).watcher.map(|p| p.entry);
     let found: Vec<_> = all.iter().map(|k| watcher(k).expect("one")).collect();
     assert_eq!(found, ["c".into(), "b".into(), "c".into(), "b".into()]);
 }
--- a/crates/stair-fleet/tests/view.rs
+++ b/crates/stair-fleet/tests/view.rs
@@ -6,8 +6,8 @@
     Target,
     View,
     msg::{
-        Known,
         Peers, //
+        ReplicationState,
     },
     target::State, //
 };
@@ -101,7 +101,7 @@
 /// other; those that are level are told nothing but who has the least name.
 #[test]
 fn told_of_those_ahead() {
-    let known = |entry: &str, catalogue, targets| Known {
+    let known = |entry: &str, catalogue, targets| ReplicationState {
         entry: entry.into(),
         data_centre: "a".into(),
         peer: addr(0),
--- a/crates/stair-relay/src/allowance.rs
+++ b/crates/stair-relay/src/allowance.rs
@@ -273,8 +273,8 @@
     state
         .allowances
         .note_wait(&one.workspace, now + answer.wait);
-    let unheard = one.tx.is_some_and(|tx| tx.send(answer).is_err());
-    if unheard && answer.granted {
+    let unused = one.tx.is_some_and(|tx| tx.send(answer).is_err());
+    if unused && answer.granted {
         state.give_back(engine, &one.workspace, one.cost);
     }
 }
--- a/crates/stair-relay/src/context.rs
+++ b/crates/stair-relay/src/context.rs
@@ -31,10 +31,10 @@
         Budget, //
     },
     msg::{
-        Known,
         LoadRequest, //
         Outcome,
         Peers,
+        ReplicationState,
         ToAgent,
         Used,
     },
@@ -279,11 +279,11 @@
     /// Waits until the VM of one of these targets is found to stand still.
     pub async fn fall_quiet(&self, keys: &[TargetKey]) {
         loop {
-            let told = self.quiet.notified();
+            let notified = self.quiet.notified();
             if keys.iter().any(|k| self.state().view.get(*k).quiet) {
                 return;
             }
-            told.await;
+            notified.await;
         }
     }
 
@@ -310,9 +310,9 @@
     }
 
     /// How far this entry's knowledge goes.
-    pub fn known(&self) -> Known {
+    pub fn replication_state(&self) -> ReplicationState {
         let state = self.state();
-        Known {
+        ReplicationState {
             entry: self.settings.name.clone(),
             data_centre: self.settings.data_centre.as_str().into(),
             peer: self.settings.inner,
@@ -375,7 +375,7 @@
     }
 
     /// Tells the agent at an address that its engine has said it is not this life.
-    pub fn tell_former(&self, engine: SocketAddr, id: Box<str>) {
+    pub fn report_former(&self, engine: SocketAddr, id: Box<str>) {
         let state = self.state();
         if let Some(i) = state.agent(engine) {
             // An agent that does not read finds out by its own orders.
@@ -453,8 +453,8 @@
     }
 
     fn entries(&self, expected: u32) -> u32 {
-        let heard = self.agents.iter().map(|a| a.entries);
-        budget::entries(expected, heard)
+        let counts = self.agents.iter().map(|a| a.entries);
+        budget::entries(expected, counts)
     }
 
     /// Takes from the list what engines have said they are not: the store may list it for some time.
--- a/crates/stair-relay/src/follow.rs
+++ b/crates/stair-relay/src/follow.rs
@@ -51,11 +51,11 @@
         Weight, //
     },
     context::Context,
-    know,
     peers::{
         Ask,
         Question, //
     },
+    replicate,
 };
 
 /// Time to open a connection to the entry that watches.
@@ -104,7 +104,7 @@
 
 /// What an entry tells those that follow it.
 #[derive(Debug, Serialize, Deserialize)]
-enum Told {
+enum Update {
     Catalogue(Catalogue),
     Whole(Vec<Listed>, u64),
     Changes(Vec<TargetChange>, u64),
@@ -173,7 +173,7 @@
     }
 
     /// Tells followers.
-    pub fn tell(&self, news: News) {
+    pub fn publish(&self, news: News) {
         // Nobody follows when this fails.
         let _ = self.news.send(news);
     }
@@ -188,20 +188,20 @@
             state.minor.clear();
             return;
         }
-        let mut told = Vec::new();
+        let mut update = Vec::new();
         for (change, weight) in changes {
             state.minor.retain(|c| c.id() != change.id());
             match weight {
-                Weight::Major => told.push(change),
+                Weight::Major => update.push(change),
                 Weight::Minor => state.minor.push(change),
             }
         }
         if state.minor_told.elapsed() >= HOLDS_EVERY {
             state.minor_told = Instant::now();
-            told.append(&mut state.minor);
+            update.append(&mut state.minor);
         }
         drop(state);
-        self.tell(News::Changes(told.into(), revision));
+        self.publish(News::Changes(update.into(), revision));
     }
 
     /// Whether what operators declared lately is known here: the store's word on it, or that of the entry that
@@ -227,11 +227,11 @@
 pub async fn keep(cx: Arc<Context>) {
     loop {
         if let Some(peer) = watcher(&cx) {
-            let heard = hear(&cx, &peer).await;
+            let ended = receive(&cx, &peer).await;
             if cx.follow.follows.send_replace(false) {
                 Line::failure("follow.ended")
                     .text("peer", &peer.entry)
-                    .show("why", heard)
+                    .show("why", ended)
                     .write();
             }
         }
@@ -260,11 +260,11 @@
 }
 
 /// Takes in what a peer tells, until it tells nothing more.
-async fn hear(cx: &Arc<Context>, peer: &Peer) -> Ended {
+async fn receive(cx: &Arc<Context>, peer: &Peer) -> Ended {
     let Ok(Ok(mut stream)) = timeout(CONNECT_TIME, TcpStream::connect(peer.addr)).await else {
         return Ended::NotOpened;
     };
-    let own = cx.known();
+    let own = cx.replication_state();
     let question = Question::Follow(Ask {
         catalogue: own.catalogue,
         targets: own.targets,
@@ -273,16 +273,18 @@
         return e.into();
     }
     loop {
-        let told = match timeout(SILENCE, frame::read_message(&mut stream)).await {
-            Ok(Ok(told)) => told,
+        let update = match timeout(SILENCE, frame::read_message(&mut stream)).await {
+            Ok(Ok(update)) => update,
             Ok(Err(e)) => return e.into(),
             Err(_) => return Ended::Silent,
         };
-        match told {
-            Told::Catalogue(catalogue) => know::apply_catalogue(cx, catalogue, &peer.entry),
-            Told::Whole(list, revision) => know::apply_listed(cx, list, revision, &peer.entry),
-            Told::Changes(changes, revision) => know::take_changes(cx, changes, revision),
-            Told::Alive => {}
+        match update {
+            Update::Catalogue(catalogue) => replicate::apply_catalogue(cx, catalogue, &peer.entry),
+            Update::Whole(list, revision) => {
+                replicate::apply_listed(cx, list, revision, &peer.entry)
+            }
+            Update::Changes(changes, revision) => replicate::take_changes(cx, changes, revision),
+            Update::Alive => {}
         }
         if !cx.follow.follows.send_replace(true) {
             Line::failure("follow").text("peer", &peer.entry).write();
@@ -296,17 +298,17 @@
     let mut news = cx.follow.news.subscribe();
     let mut next = first(cx, ask);
     loop {
-        for told in next {
-            if !cx.follow.vouches() || !write(&mut w, &told).await {
+        for update in next {
+            if !cx.follow.vouches() || !write(&mut w, &update).await {
                 return;
             }
         }
         next = match timeout(HEARTBEAT, news.recv()).await {
-            Err(_) => vec![Told::Alive],
+            Err(_) => vec![Update::Alive],
             Ok(Ok(News::Catalogue)) => catalogue(cx, 0).into_iter().collect(),
             Ok(Ok(News::Whole)) => vec![whole(cx)],
             Ok(Ok(News::Changes(changes, revision))) => {
-                vec![Told::Changes(changes.to_vec(), revision)]
+                vec![Update::Changes(changes.to_vec(), revision)]
             }
             // It has missed some, and begins anew.
             Ok(Err(_)) => return,
@@ -314,29 +316,29 @@
     }
 }
 
-fn first(cx: &Context, ask: &Ask) -> Vec<Told> {
-    let mut out: Vec<Told> = catalogue(cx, ask.catalogue).into_iter().collect();
+fn first(cx: &Context, ask: &Ask) -> Vec<Update> {
+    let mut out: Vec<Update> = catalogue(cx, ask.catalogue).into_iter().collect();
     if cx.state().view.revision > ask.targets {
         out.push(whole(cx));
     }
-    out.push(Told::Alive);
+    out.push(Update::Alive);
     out
 }
 
-fn catalogue(cx: &Context, known: u64) -> Option<Told> {
+fn catalogue(cx: &Context, known: u64) -> Option<Update> {
     let state = cx.state();
     let newer = state.catalogue.as_ref().filter(|c| c.version > known)?;
-    Some(Told::Catalogue((**newer).clone()))
+    Some(Update::Catalogue((**newer).clone()))
 }
 
-fn whole(cx: &Context) -> Told {
+fn whole(cx: &Context) -> Update {
     let state = cx.state();
-    Told::Whole(state.view.list(cx.now()), state.view.revision)
+    Update::Whole(state.view.list(cx.now()), state.view.revision)
 }
 
-async fn write(w: &mut OwnedWriteHalf, told: &Told) -> bool {
+async fn write(w: &mut OwnedWriteHalf, update: &Update) -> bool {
     matches!(
-        timeout(SILENCE, frame::write_message(w, told)).await,
+        timeout(SILENCE, frame::write_message(w, update)).await,
         Ok(Ok(()))
     )
 }
--- a/crates/stair-relay/src/lib.rs
+++ b/crates/stair-relay/src/lib.rs
@@ -7,7 +7,7 @@
 //! known what that is put down to, [`stream`] passes the events of a stream on and resumes it elsewhere,
 //! [`refuse`] makes the entry's own answers.
 //!
-//! What the entry knows: [`know`] watches the store, [`follow`] hears it from the one entry of the data
+//! What the entry knows: [`replicate`] watches the store, [`follow`] hears it from the one entry of the data
 //! centre that watches for all, [`change`] is what they hear, [`links`] hears the agents, [`peers`] asks other
 //! entries when the store does not answer, [`ahead`] has models loaded before they are asked for.
 //! [`context`] holds it all, [`dump`] shows it to the operator, [`process`] starts and stops.
@@ -25,7 +25,6 @@
 pub mod failures;
 pub mod follow;
 pub mod job;
-pub mod know;
 pub mod links;
 pub mod load;
 pub mod peers;
@@ -34,5 +33,6 @@
 pub mod process;
 pub mod refuse;
 pub mod relay;
+pub mod replicate;
 pub mod serve;
 pub mod stream;
--- a/crates/stair-relay/src/links.rs
+++ b/crates/stair-relay/src/links.rs
@@ -12,7 +12,7 @@
 
 use stair_fleet::{
     msg::{
-        Known,
+        ReplicationState,
         ToAgent,
         ToEntry, //
     },
@@ -226,12 +226,12 @@
     let _ = stream.set_nodelay(true);
     let (r, w) = stream.into_split();
     tokio::select! {
-        ended = hear(cx, engine, r) => ended,
-        () = tell(cx, engine, w, rx) => Ended::Silent,
+        ended = receive(cx, engine, r) => ended,
+        () = transmit(cx, engine, w, rx) => Ended::Silent,
     }
 }
 
-async fn hear(cx: &Arc<Context>, engine: SocketAddr, mut r: OwnedReadHalf) -> Ended {
+async fn receive(cx: &Arc<Context>, engine: SocketAddr, mut r: OwnedReadHalf) -> Ended {
     loop {
         let msg = match timeout(SILENCE, frame::read_message(&mut r)).await {
             Ok(Ok(msg)) => msg,
@@ -239,7 +239,7 @@
             Err(_) => return Ended::Silent,
         };
         let now = cx.now();
-        cx.state().view.heard_at(engine, now);
+        cx.state().view.message_at(engine, now);
         match msg {
             ToEntry::Holds(holds) => {
                 cx.state().view.holds_at(engine, *holds, now);
@@ -275,7 +275,7 @@
                 asked.map(|tx| tx.send(answer));
             }
             ToEntry::Allowed { seq, answer } => allowance::answered(cx, engine, seq, answer),
-            ToEntry::Former(id) => hear_former(cx, engine, id),
+            ToEntry::Former(id) => receive_former(cx, engine, id),
             ToEntry::Declare => declare(cx, engine),
             ToEntry::Peers(peers) => {
                 let mut state = cx.state();
@@ -306,7 +306,7 @@
     }
 }
 
-fn hear_former(cx: &Context, engine: SocketAddr, id: Box<str>) {
+fn receive_former(cx: &Context, engine: SocketAddr, id: Box<str>) {
     Line::new("target.former")
         .text("target", &id)
         .show("engine", engine)
@@ -320,20 +320,20 @@
 
 /// What an agent has been told on this link.
 #[derive(Default)]
-struct Told {
-    known: Option<Known>,
+struct Sent {
+    known: Option<ReplicationState>,
     /// The target's id and the start of its life.
     life: Option<(Box<str>, Option<u64>)>,
     spoke: Option<Instant>,
 }
 
-async fn tell(
+async fn transmit(
     cx: &Arc<Context>,
     engine: SocketAddr,
     mut w: OwnedWriteHalf,
     rx: &mut mpsc::Receiver<ToAgent>,
 ) {
-    let mut told = Told::default();
+    let mut sent = Sent::default();
     let mut next = Instant::now();
     let whole = cx.state().take_used(engine, true);
     if !whole.is_empty() && !write(&mut w, &ToAgent::Used(whole)).await {
@@ -349,7 +349,7 @@
             }
             () = sleep_until(next) => {
                 next = Instant::now() + tick(cx);
-                for msg in news(cx, engine, &mut told) {
+                for msg in news(cx, engine, &mut sent) {
                     if !write(&mut w, &msg).await {
                         return;
                     }
@@ -364,15 +364,15 @@
     (TICK * links / TICK_LINKS).clamp(TICK, MAX_TICK)
 }
 
-fn news(cx: &Context, engine: SocketAddr, told: &mut Told) -> Vec<ToAgent> {
+fn news(cx: &Context, engine: SocketAddr, sent: &mut Sent) -> Vec<ToAgent> {
     let mut out = Vec::new();
-    let known = cx.known();
-    let due = told.spoke.is_none_or(|t| t.elapsed() >= HEARTBEAT);
+    let known = cx.replication_state();
+    let due = sent.spoke.is_none_or(|t| t.elapsed() >= HEARTBEAT);
     // The list of targets changes several times a second; that can wait for the heartbeat.
-    let news = told.known.as_ref().map(|k| k.catalogue) != Some(known.catalogue);
+    let news = sent.known.as_ref().map(|k| k.catalogue) != Some(known.catalogue);
     if news || due {
-        told.spoke = Some(Instant::now());
-        told.known = Some(known.clone());
+        sent.spoke = Some(Instant::now());
+        sent.known = Some(known.clone());
         out.push(ToAgent::Hello(known));
     }
     let mut state = cx.state();
@@ -383,10 +383,10 @@
         .map(|(_, s)| (s.target.id.clone(), s.target.started));
     if let Some((id, started)) = target {
         let life = Some((id.clone(), started));
-        if told.life != life {
+        if sent.life != life {
             let revision = state.view.revision;
             out.push(ToAgent::Instance { id, revision });
-            told.life = life;
+            sent.life = life;
         }
     }
     let used = state.take_used(engine, false);
--- a/crates/stair-relay/src/peers.rs
+++ b/crates/stair-relay/src/peers.rs
@@ -14,7 +14,7 @@
 };
 use stair_fleet::{
     Catalogue,
-    msg::Known,
+    msg::ReplicationState,
     view::Listed, //
 };
 use stair_telemetry::event::Line;
@@ -33,7 +33,7 @@
 use crate::{
     context::Context,
     follow,
-    know, //
+    replicate, //
 };
 
 /// Pause between looks at what the others know.
@@ -74,7 +74,7 @@
 pub async fn follow(cx: Arc<Context>) {
     loop {
         sleep(EVERY).await;
-        let own = cx.known();
+        let own = cx.replication_state();
         let Some(peer) = ahead(&cx, &own) else {
             continue;
         };
@@ -92,17 +92,17 @@
     }
 }
 
-fn ahead(cx: &Context, own: &Known) -> Option<Known> {
+fn ahead(cx: &Context, own: &ReplicationState) -> Option<ReplicationState> {
     let state = cx.state();
     let (peers, at) = state.peers.as_ref()?;
     if cx.now().saturating_sub(*at) > SAID_TIME {
         return None;
     }
-    let better = |p: &&Known| p.catalogue > own.catalogue || p.targets > own.targets;
+    let better = |p: &&ReplicationState| p.catalogue > own.catalogue || p.targets > own.targets;
     peers.ahead.iter().find(better).cloned()
 }
 
-async fn ask(peer: &Known, own: &Known) -> Result<Answer, frame::Error> {
+async fn ask(peer: &ReplicationState, own: &ReplicationState) -> Result<Answer, frame::Error> {
     let mut stream = TcpStream::connect(peer.peer).await?;
     let question = Question::Once(Ask {
         catalogue: own.catalogue,
@@ -112,7 +112,7 @@
     frame::read_message(&mut stream).await
 }
 
-fn take(cx: &Context, peer: &Known, answer: Answer) {
+fn take(cx: &Context, peer: &ReplicationState, answer: Answer) {
     Line::new("peer")
         .text("peer", &peer.entry)
         .num(
@@ -122,10 +122,10 @@
         .num("targets", answer.targets.as_ref().map_or(0, |t| t.1))
         .write();
     if let Some(catalogue) = answer.catalogue {
-        know::apply_catalogue(cx, catalogue, &peer.entry);
+        replicate::apply_catalogue(cx, catalogue, &peer.entry);
     }
     if let Some((targets, revision)) = answer.targets {
-        know::apply_listed(cx, targets, revision, &peer.entry);
+        replicate::apply_listed(cx, targets, revision, &peer.entry);
     }
 }
 
--- a/crates/stair-relay/src/process.rs
+++ b/crates/stair-relay/src/process.rs
@@ -23,9 +23,9 @@
     ahead,
     context::Context,
     follow,
-    know,
     links,
     peers,
+    replicate,
     serve, //
 };
 
@@ -87,8 +87,8 @@
         let cx = Arc::new(Context::new(self.settings));
         let mut tasks = JoinSet::new();
         let (_end, never) = watch::channel(false);
-        tasks.spawn(know::follow_catalogue(cx.clone()));
-        tasks.spawn(know::follow_targets(cx.clone()));
+        tasks.spawn(replicate::follow_catalogue(cx.clone()));
+        tasks.spawn(replicate::follow_targets(cx.clone()));
         tasks.spawn(follow_settings(cx.clone(), reloads));
         tasks.spawn(links::keep(cx.clone()));
         tasks.spawn(links::look_for_quiet(cx.clone()));
--- a/crates/stair-relay/src/relay.rs
+++ b/crates/stair-relay/src/relay.rs
@@ -314,13 +314,13 @@
 ) {
     let own = [key];
     let all = [before, &own].concat();
-    let told = async {
+    let noted = async {
         sleep_until(client_leaves).await;
         cx.fall_quiet(&all).await;
     };
     tokio::select! {
         () = cx.fall_quiet(&own), if elsewhere => {}
-        () = told => {}
+        () = noted => {}
     }
 }
 
@@ -409,7 +409,7 @@
         tried.failures.served();
     }
     if let Some(engine) = former {
-        cx.tell_former(engine, picked.id.clone());
+        cx.report_former(engine, picked.id.clone());
     }
     let line = match outcome {
         Outcome::Head(live) if live.head.status.is_success() => Line::new("attempt"),
--- a/crates/stair-relay/src/know.rs
+++ b/crates/stair-relay/src/replicate.rs
@@ -169,7 +169,7 @@
         .write();
     let gauge = i64::try_from(version).unwrap_or(i64::MAX);
     cx.page.gauge("catalogue_version", &[], gauge);
-    cx.follow.tell(News::Catalogue);
+    cx.follow.publish(News::Catalogue);
     cx.changed.notify_waiters();
 }
 
@@ -258,7 +258,7 @@
         .num("count", count)
         .text("source", source)
         .write();
-    cx.follow.tell(News::Whole);
+    cx.follow.publish(News::Whole);
     cx.changed.notify_waiters();
 }
 
--- a/crates/stair-relay/src/stream.rs
+++ b/crates/stair-relay/src/stream.rs
@@ -193,7 +193,7 @@
 }
 
 /// What came while a stream's target was listened to.
-enum Heard {
+enum Received {
     Next(Next),
     /// Silence, and no other target takes the stream.
     Nothing,
@@ -249,18 +249,18 @@
         }
         let mut source = source;
         loop {
-            let (why, place) = match self.hear(&mut source).await {
-                Heard::Next(Next::Event(event)) => match self.pass(event).await {
+            let (why, place) = match self.receive(&mut source).await {
+                Received::Next(Next::Event(event)) => match self.pass(event).await {
                     None => continue,
                     Some(ended) => return ended,
                 },
-                Heard::Next(Next::End) => return Ended::Complete,
-                Heard::Next(Next::Broken(e)) => (e, None),
-                Heard::Next(Next::Late) => ("no event in time".into(), None),
+                Received::Next(Next::End) => return Ended::Complete,
+                Received::Next(Next::Broken(e)) => (e, None),
+                Received::Next(Next::Late) => ("no event in time".into(), None),
                 // It is left to its target, which may only be busy.
-                Heard::Nothing => continue,
-                Heard::Elsewhere(place) => ("no event in time".into(), Some(place)),
-                Heard::ClientGone => return Ended::ClientGone,
+                Received::Nothing => continue,
+                Received::Elsewhere(place) => ("no event in time".into(), Some(place)),
+                Received::ClientGone => return Ended::ClientGone,
             };
             let key = source.flight.key();
             log_break(&self.job, "", self.last, &why);
@@ -275,7 +275,7 @@
     }
 
     /// Waits for the target; after a long silence also for another one that would take the stream.
-    async fn hear(&mut self, source: &mut Source) -> Heard {
+    async fn receive(&mut self, source: &mut Source) -> Received {
         let (cx, job, tx) = (self.cx.clone(), self.job.clone(), self.tx.clone());
         let until = self.pause_until();
         let key = source.flight.key();
@@ -287,19 +287,19 @@
                 self.left_for_quiet = Some(key);
                 Next::Late
             }
-            () = tx.closed() => return Heard::ClientGone,
+            () = tx.closed() => return Received::ClientGone,
         };
         if !matches!(next, Next::Late) || Instant::now() >= job.deadline {
-            return Heard::Next(next);
+            return Received::Next(next);
         }
         let mut left_out = self.tried.keys.clone();
         left_out.push(key);
         tokio::select! {
-            next = source.next(job.deadline) => Heard::Next(next),
+            next = source.next(job.deadline) => Received::Next(next),
             place = place_beside(&cx, &job, &left_out, self.last) => {
-                place.map_or(Heard::Nothing, Heard::Elsewhere)
+                place.map_or(Received::Nothing, Received::Elsewhere)
             }
-            () = tx.closed() => Heard::ClientGone,
+            () = tx.closed() => Received::ClientGone,
         }
     }
 
--- a/crates/stair-sidecar/src/process.rs
+++ b/crates/stair-sidecar/src/process.rs
@@ -1,8 +1,8 @@
 //! Start, main loop, stop.
 
 pub(crate) mod dump;
-mod hear;
-mod tell;
+mod publish;
+mod receive;
 
 use std::{
     sync::Arc,
@@ -22,9 +22,9 @@
 use stair_fleet::{
     lag::Lag,
     msg::{
-        Known,
         Outcome,
         Peers,
+        ReplicationState,
         ToEntry, //
     },
     prefill::Schedule,
@@ -177,9 +177,9 @@
 struct Link {
     key: LinkKey,
     tx: mpsc::Sender<ToEntry>,
-    known: Option<Known>,
+    known: Option<ReplicationState>,
     /// What it has been told of the other entries, without those that are ahead of it.
-    told_peers: Option<Peers>,
+    published_peers: Option<Peers>,
 }
 
 struct Agent {
@@ -201,8 +201,8 @@
     /// When an entry was asked for a newer declaration.
     asked_declared: Option<Instant>,
     misses: u32,
-    told_holds: Option<Holds>,
-    told_load: Option<(Load, Instant)>,
+    published_holds: Option<Holds>,
+    published_load: Option<(Load, Instant)>,
     page: Arc<Page>,
     allowances: Arc<Allowances>,
 }
@@ -232,8 +232,8 @@
             declared: 0,
             asked_declared: None,
             misses: 0,
-            told_holds: None,
-            told_load: None,
+            published_holds: None,
+            published_load: None,
             page,
             allowances,
         }
@@ -278,7 +278,7 @@
             self.publish();
             if peers_at.elapsed() >= PEERS_EVERY {
                 peers_at = Instant::now();
-                self.tell_peers();
+                self.publish_peers();
             }
         }
     }
@@ -355,7 +355,7 @@
             self.learn_instance(id, revision);
         }
         if matches!(reply, Ok(platform_adapter::engine::Reply::OtherInstance)) {
-            self.hear_former(order.instance.clone());
+            self.receive_former(order.instance.clone());
         }
         let said = match &reply {
             Ok(reply) => format!("{reply:?}"),
--- a/crates/stair-sidecar/src/process/dump.rs
+++ b/crates/stair-sidecar/src/process/dump.rs
@@ -5,7 +5,7 @@
 use serde::Serialize;
 use stair_fleet::{
     allowance::Ledger,
-    msg::Known,
+    msg::ReplicationState,
     prefill::Rate,
     target::{
         Holds,
@@ -40,7 +40,7 @@
     /// What is left of the allowances that are counted here.
     allowances: Ledger,
     /// Entries that are linked, with how far each one's knowledge goes.
-    entries: Vec<Option<Known>>,
+    entries: Vec<Option<ReplicationState>>,
 }
 
 impl Agent {
--- a/crates/stair-sidecar/src/process/tell.rs
+++ b/crates/stair-sidecar/src/process/publish.rs
@@ -5,8 +5,8 @@
 use stair_fleet::{
     msg::{
         Fleet,
-        Known,
         Peers,
+        ReplicationState,
         ToEntry, //
     },
     target::{
@@ -36,29 +36,29 @@
 impl Agent {
     /// Tells entries of the others when the least name, their number or who watches the store for them
     /// changes.
-    pub(super) fn tell_peers(&mut self) {
-        let fleet = Fleet::of(&self.all_known());
+    pub(super) fn publish_peers(&mut self) {
+        let fleet = Fleet::of(&self.replication_states());
         for link in &mut self.links {
             let Some(own) = &link.known else { continue };
             let peers = fleet.peers(own);
-            if link.told_peers.as_ref() != Some(&peers) {
-                let told = link.tx.try_send(ToEntry::Peers(Box::new(peers.clone())));
+            if link.published_peers.as_ref() != Some(&peers) {
+                let sent = link.tx.try_send(ToEntry::Peers(Box::new(peers.clone())));
                 // A full queue belongs to an entry that reads slowly. It is told again: one that never hears
                 // who watches would watch by itself for as long as it runs.
-                if told.is_ok() {
-                    link.told_peers = Some(peers);
+                if sent.is_ok() {
+                    link.published_peers = Some(peers);
                 }
             }
         }
     }
 
     /// Tells an entry that lags who is ahead of it.
-    pub(super) fn tell_ahead(&self, key: LinkKey) {
+    pub(super) fn publish_newer(&self, key: LinkKey) {
         let link = self.links.iter().find(|l| l.key == key);
         let Some((link, own)) = link.and_then(|l| Some((l, l.known.as_ref()?))) else {
             return;
         };
-        let peers = Peers::of(own, &self.all_known());
+        let peers = Peers::of(own, &self.replication_states());
         // A full queue belongs to an entry that reads slowly; its next word has it told again.
         let _ = link.tx.try_send(ToEntry::Peers(Box::new(peers)));
     }
@@ -76,32 +76,32 @@
         }
     }
 
-    fn all_known(&self) -> Vec<Known> {
+    fn replication_states(&self) -> Vec<ReplicationState> {
         self.links.iter().filter_map(|l| l.known.clone()).collect()
     }
 
     /// Tells what is new, or the load as a heartbeat.
     pub(super) fn publish(&mut self) {
         let holds = self.controller.held();
-        if self.told_holds.as_ref() != Some(&holds) {
+        if self.published_holds.as_ref() != Some(&holds) {
             log_holds(&holds);
-            let before = self.told_holds.iter().flat_map(|h| &h.models);
+            let before = self.published_holds.iter().flat_map(|h| &h.models);
             for gone in before.filter(|h| holds.model(&h.name).is_none()) {
                 self.prefills.unloaded(&gone.name);
             }
-            self.tell(&ToEntry::Holds(Box::new(holds.clone())));
-            self.told_holds = Some(holds);
+            self.broadcast(&ToEntry::Holds(Box::new(holds.clone())));
+            self.published_holds = Some(holds);
         }
         let load = self.load();
         if self.load_is_due(&load) {
-            let before = self.told_load.as_ref().map(|(l, _)| &l.leaving);
+            let before = self.published_load.as_ref().map(|(l, _)| &l.leaving);
             if before.is_some_and(|b| *b != load.leaving) {
                 Line::new("leaving")
                     .text("models", &load.leaving.join(" "))
                     .write();
             }
-            self.tell(&ToEntry::Load(Box::new(load.clone())));
-            self.told_load = Some((load, Instant::now()));
+            self.broadcast(&ToEntry::Load(Box::new(load.clone())));
+            self.published_load = Some((load, Instant::now()));
         }
     }
 
@@ -114,7 +114,7 @@
     }
 
     fn load_is_due(&self, load: &Load) -> bool {
-        let Some((last, at)) = &self.told_load else {
+        let Some((last, at)) = &self.published_load else {
             return true;
         };
         let orders = |l: &Load| {
@@ -137,7 +137,7 @@
     }
 
     /// Tells one entry all that there is.
-    pub(super) fn tell_all(&self, key: LinkKey) {
+    pub(super) fn publish_all(&self, key: LinkKey) {
         let Some(link) = self.links.iter().find(|l| l.key == key) else {
             return;
         };
@@ -151,7 +151,7 @@
         }
     }
 
-    pub(super) fn tell(&self, msg: &ToEntry) {
+    pub(super) fn broadcast(&self, msg: &ToEntry) {
         for link in &self.links {
             if link.tx.try_send(msg.clone()).is_err() {
                 // The entry does not read. Its link ends by itself, and the next one begins with
--- a/crates/stair-sidecar/src/process/hear.rs
+++ b/crates/stair-sidecar/src/process/receive.rs
@@ -27,31 +27,31 @@
                     key,
                     tx,
                     known: None,
-                    told_peers: None,
+                    published_peers: None,
                 });
-                self.tell_all(key);
+                self.publish_all(key);
             }
             Event::Closed(key) => {
                 self.links.retain(|l| l.key != key);
                 self.controller.gone(key);
             }
-            Event::Message(key, msg) => self.hear(key, msg),
+            Event::Message(key, msg) => self.receive(key, msg),
             // Whoever asked may have gone.
             Event::Dump(tx) => drop(tx.send(self.dump())),
         }
     }
 
-    fn hear(&mut self, key: LinkKey, msg: ToAgent) {
+    fn receive(&mut self, key: LinkKey, msg: ToAgent) {
         let now = self.now();
         match msg {
             ToAgent::Hello(known) => {
-                let lags = self.lag.hear(&known, now);
+                let lags = self.lag.observe(&known, now);
                 let newer = known.catalogue > self.declared;
                 if let Some(link) = self.links.iter_mut().find(|l| l.key == key) {
                     link.known = Some(known);
                 }
                 if lags {
-                    self.tell_ahead(key);
+                    self.publish_newer(key);
                 }
                 if newer {
                     self.ask_declared(key);
@@ -72,9 +72,9 @@
                 // The entry begins with this life and knows nothing of what it holds: what was told
                 // before it knew of this life counted for the one before, and a model on the disk
                 // would be fetched from the weight store.
-                self.tell_all(key);
+                self.publish_all(key);
             }
-            ToAgent::Former(id) => self.hear_former(id),
+            ToAgent::Former(id) => self.receive_former(id),
             ToAgent::LoadRequest(req) => {
                 let seq = req.seq;
                 Line::new("want")
@@ -117,7 +117,7 @@
     /// The refusal need not name the life that is there instead. Ordering on for the one before
     /// would be refused for as long as entries ask;
     /// without a life the entries are told at once that this engine takes no orders.
-    pub(super) fn hear_former(&mut self, id: Box<str>) {
+    pub(super) fn receive_former(&mut self, id: Box<str>) {
         if self.former.as_ref() == Some(&id) {
             return;
         }
@@ -126,7 +126,7 @@
             self.instance = None;
         }
         self.former = Some(id.clone());
-        self.tell(&ToEntry::Former(id));
+        self.broadcast(&ToEntry::Former(id));
     }
 
     pub(super) fn learn_instance(&mut self, id: Box<str>, revision: u64) {
