relay, fleet, sidecar: prefetch, further replicas and outliers by the field's terms

ahead, spread, beside, blame and strain become prefetch, request_replica, outlier and expected queue. Event names, counters and the messages' bytes stay, so that logs of before and after are read by the same tools. No behaviour changed.

--- a/crates/stair-fleet/src/balance.rs
+++ b/crates/stair-fleet/src/balance.rs
@@ -6,10 +6,10 @@
 //! model at a time leaves engines empty beside others whose long streams pause for longer than
 //! promised.
 //!
-//! The fleet's strain is the number of requests that wait at a time: at an engine of whose time
+//! The fleet's expected queue is the number of requests that wait at a time: at an engine of whose time
 //! prompts take a part `w`, each waits for half of what is beside it, `w * w / 2` in all, each model's
 //! demand split equally over its replicas; and the requests of a model without a replica wait for a
-//! swap. A move is worth what it takes off the strain. Each move lowers the strain by a margin, so
+//! swap. A move is worth what it takes off the queue. Each move lowers the queue by a margin, so
 //! under steady demand the moves come to an end and no two of them undo each other.
 
 use std::time::Duration;
@@ -17,8 +17,8 @@
 use crate::{
     catalogue::Engine,
     cold_start, //
+    prefetch::Asked,
     seen::Seen,
-    spread::Asked,
     target::Copy,
     view::{
         TargetKey,
@@ -29,7 +29,7 @@
 /// Strain of a model without a replica, for each request a second: the seconds that a swap takes.
 const ABSENT_PER_S: f64 = 1.0;
 
-/// The least strain of a model without a replica: a request in ten seconds.
+/// The least queue of a model without a replica: a request in ten seconds.
 const ABSENT: f64 = 0.1;
 
 /// Strain that a move has to take off when nothing makes way. A model whose prompts take 0.28 of one
@@ -131,11 +131,11 @@
     /// Where it is to be loaded. Its cost is the time until it is ready alone: what the models that
     /// make way are missed is in the gain.
     pub place: cold_start::Outcome,
-    /// What decided: strain that the move takes off, in requests that wait at a time.
+    /// What decided: what the move takes off, in requests that wait at a time.
     pub gain: f64,
 }
 
-/// Finds the move that takes the most off the fleet's strain, if one is worth its load.
+/// Finds the move that takes the most off the fleet's expected queue, if one is worth its load.
 pub fn next(opts: &Options<'_>, now: Duration) -> Option<Outcome> {
     let engine = opts.engine;
     let plan = Plan::new(opts, now);
@@ -315,7 +315,7 @@
         best
     }
 
-    /// What a move takes off the strain.
+    /// What a move takes off the queue.
     fn gain(&self, model: usize, node: usize, victims: &[usize]) -> f64 {
         let mut changes: Vec<(usize, f64)> = Vec::new();
         let demand = &self.models[model];
--- a/crates/stair-fleet/src/fetch.rs
+++ b/crates/stair-fleet/src/fetch.rs
@@ -82,7 +82,7 @@
 }
 
 /// Loads that may run at once without a request that waits for one of them to end, at least one.
-pub fn ahead(view: &View, service: &str, engine: &Engine, now: Duration) -> usize {
+pub fn prefetches(view: &View, service: &str, engine: &Engine, now: Duration) -> usize {
     let at_once = at_once(view, service, engine, now);
     at_once.saturating_sub(KEPT_FREE).max(1)
 }
--- a/crates/stair-fleet/src/lib.rs
+++ b/crates/stair-fleet/src/lib.rs
@@ -12,11 +12,11 @@
 //! - [`choose`]: the target for a request among those that can run it now.
 //! - [`cold_start`]: the target that loads a model, and what makes room for it there.
 //! - [`overload`]: what to do with a request whose best target is slow.
-//! - [`spread`]: the next load to make before a request asks for it.
+//! - [`prefetch`]: the next load to make before a request asks for it.
 //! - [`balance`]: which model gets a further replica, and whose replicas make way for it.
 //! - [`fetch`]: how many loads from the weight store are of use at once.
 //! - [`prefill`]: when a prompt may be sent to an engine.
-//! - [`blame`]: which targets a failure is put down to.
+//! - [`outlier`]: which targets a failure is put down to.
 //! - [`budget`]: one entry's share of the retries that all entries may make together.
 //! - [`events`]: whole events out of a stream's bytes.
 //! - [`lag`]: which entries lag behind what the others know.
@@ -26,7 +26,6 @@
 
 pub mod allowance;
 pub mod balance;
-pub mod blame;
 pub mod budget;
 pub mod catalogue;
 pub mod choose;
@@ -35,10 +34,11 @@
 pub mod fetch;
 pub mod lag;
 pub mod msg;
+pub mod outlier;
 pub mod overload;
+pub mod prefetch;
 pub mod prefill;
 pub mod seen;
-pub mod spread;
 pub mod target;
 pub mod view;
 pub mod workspace;
--- a/crates/stair-fleet/src/msg.rs
+++ b/crates/stair-fleet/src/msg.rs
@@ -103,7 +103,7 @@
     /// store; `None` if it may not.
     pub fetch: Option<u32>,
     /// Whether no request waits for it yet; such a request gives way to all others.
-    pub ahead: bool,
+    pub prefetch: bool,
     /// Time after which it is of no use.
     pub of_use: Duration,
 }
@@ -170,7 +170,7 @@
     /// least name, which may be the one told.
     pub watcher: Option<Peer>,
     /// The others that are ahead of the one told, by catalogue or by targets; at most two.
-    pub ahead: Vec<ReplicationState>,
+    pub newer: Vec<ReplicationState>,
 }
 
 /// An entry that other entries can ask.
@@ -193,11 +193,11 @@
             .iter()
             .filter(|k| k.targets > own.targets)
             .max_by_key(|k| k.targets);
-        let mut ahead: Vec<ReplicationState> =
+        let mut newer: Vec<ReplicationState> =
             newest.into_iter().chain(freshest).cloned().collect();
-        ahead.dedup();
+        newer.dedup();
         Self {
-            ahead,
+            newer,
             ..Fleet::of(all).peers(own)
         }
     }
@@ -244,7 +244,7 @@
             least: self.least.clone().unwrap_or_else(|| own.entry.clone()),
             entries: self.entries,
             watcher: watcher.map(|i| self.watchers[i].1.clone()),
-            ahead: Vec::new(),
+            newer: Vec::new(),
         }
     }
 }
--- a/crates/stair-fleet/src/blame.rs
+++ b/crates/stair-fleet/src/outlier.rs
@@ -19,7 +19,7 @@
 /// Returns the targets that the failures are put down to: those that failed what another served, and
 /// one that failed alone, as nothing speaks for it. What several failed and none served is put down
 /// to the request.
-pub fn blame<'a>(opts: &Options<'a>) -> &'a [TargetKey] {
+pub fn outliers<'a>(opts: &Options<'a>) -> &'a [TargetKey] {
     if opts.served || opts.failed.len() == 1 {
         opts.failed
     } else {
--- a/crates/stair-fleet/src/spread.rs
+++ b/crates/stair-fleet/src/prefetch.rs
@@ -25,7 +25,7 @@
 /// Of the loads from the weight store that are made ahead, how many may be for models that are hardly asked
 /// for. When engines are lost with the only copies of several rare models, a busy model that moves to new
 /// engines would otherwise wait for all of those.
-const AHEAD_RARE: usize = 1;
+const PREFETCH_RARE: usize = 1;
 
 /// Requests a second up to which an engine counts as idle: a load keeps it from taking orders for
 /// adapters for six seconds.
@@ -47,7 +47,7 @@
     pub model: Box<str>,
     /// Where it is to be loaded.
     pub place: cold_start::Outcome,
-    /// What it takes off the fleet's strain, where that decided; see [`balance`].
+    /// What it takes off the fleet's expected queue, where that decided; see [`balance`].
     pub gain: Option<f64>,
 }
 
@@ -131,7 +131,7 @@
             asked: self.asked,
             left_alone: &self.left_alone,
             store: self.store_loads()
-                < fetch::ahead(self.view, self.service, self.engine, self.now)
+                < fetch::prefetches(self.view, self.service, self.engine, self.now)
                 && !self.unreported(),
         };
         let found = balance::next(&opts, self.now)?;
@@ -168,7 +168,7 @@
 
     /// A model that no engine holds, nor has a copy of.
     fn missing(&self) -> Option<Outcome> {
-        if self.store_loads() >= AHEAD_RARE || self.unreported() {
+        if self.store_loads() >= PREFETCH_RARE || self.unreported() {
             return None;
         }
         let mut models = self.engine.models.iter();
@@ -194,7 +194,7 @@
     /// replace others come without copies and would stand idle; when demand moves to a model with
     /// one copy, or its engine is lost, its requests wait for the weight store.
     fn single(&self) -> Option<Outcome> {
-        if self.store_loads() >= AHEAD_RARE || self.unreported() {
+        if self.store_loads() >= PREFETCH_RARE || self.unreported() {
             return None;
         }
         let busy = |s: &Seen| {
--- a/crates/stair-fleet/tests/cold_start.rs
+++ b/crates/stair-fleet/tests/cold_start.rs
@@ -12,7 +12,7 @@
         Decision,
         decide, //
     },
-    spread,
+    prefetch,
     target::{
         Copy,
         Loading, //
@@ -149,25 +149,25 @@
         report(&["b"], &["a", "b"]),
         report(&["c", "d"], &["e"]),
     ]);
-    let spread::Outcome {
+    let prefetch::Outcome {
         model, place: at, ..
-    } = spread::next(&view, SERVICE, &engine(), &[], NOW).expect("a load");
+    } = prefetch::next(&view, SERVICE, &engine(), &[], NOW).expect("a load");
     // "f" has no copy anywhere and comes first, from the weight store.
     assert_eq!((&*model, at.from), ("f", Copy::Store));
     let known = fleet(vec![
         report(&["b"], &["a", "b", "f"]),
         report(&["c", "d"], &["e"]),
     ]);
-    let spread::Outcome {
+    let prefetch::Outcome {
         model, place: at, ..
-    } = spread::next(&known.0, SERVICE, &engine(), &[], NOW).expect("a load");
+    } = prefetch::next(&known.0, SERVICE, &engine(), &[], NOW).expect("a load");
     assert_eq!((&*model, at.key), ("a", known.1[0]));
     assert!(at.victims.is_empty());
-    let asked = spread::Asked {
+    let asked = prefetch::Asked {
         key: known.1[0],
         model: "a".into(),
     };
-    let none = spread::next(&known.0, SERVICE, &engine(), &[asked], NOW);
+    let none = prefetch::next(&known.0, SERVICE, &engine(), &[asked], NOW);
     assert_eq!(none, None, "an engine that was asked is left alone");
     assert_eq!(keys.len(), 2);
 }
@@ -180,9 +180,9 @@
     let other = report(&["c", "d"], &["a", "c", "d"]);
     let third = report(&["e", "f"], &["e", "f"]);
     let (view, keys) = fleet(vec![hot, other, third]);
-    let spread::Outcome {
+    let prefetch::Outcome {
         model, place: at, ..
-    } = spread::next(&view, SERVICE, &engine(), &[], NOW).expect("a load");
+    } = prefetch::next(&view, SERVICE, &engine(), &[], NOW).expect("a load");
     assert_eq!((&*model, at.key, at.from), ("a", keys[1], Copy::Disk));
 }
 
@@ -233,12 +233,12 @@
         used(report(&["a"], &all), "a", 9.0, 9),
         report(&["b"], &["b"]),
     ]);
-    let spread::Outcome {
+    let prefetch::Outcome {
         model, place: at, ..
-    } = spread::next(&view, SERVICE, &engine(), &[], NOW).expect("a load");
+    } = prefetch::next(&view, SERVICE, &engine(), &[], NOW).expect("a load");
     assert_eq!((&*model, at.key, at.from), ("a", keys[1], Copy::Store));
-    let asked = spread::Asked { key: at.key, model };
-    let then = spread::next(&view, SERVICE, &engine(), &[asked], NOW);
+    let asked = prefetch::Asked { key: at.key, model };
+    let then = prefetch::next(&view, SERVICE, &engine(), &[asked], NOW);
     let fetched = then.filter(|o| o.place.from == Copy::Store);
     assert_eq!(fetched, None, "the one engine is asked, the other is busy");
 }
@@ -252,12 +252,12 @@
         report(&["a"], &["a", "b", "c", "d", "e"]),
         report(&["b"], &["a", "b", "c", "d", "e"]),
     ]);
-    let spread::Outcome {
+    let prefetch::Outcome {
         model, place: at, ..
-    } = spread::next(&view, SERVICE, &engine(), &[], NOW).expect("a load");
+    } = prefetch::next(&view, SERVICE, &engine(), &[], NOW).expect("a load");
     assert_eq!((&*model, at.from), ("f", Copy::Store));
-    let asked = spread::Asked { key: at.key, model };
-    let then = spread::next(&view, SERVICE, &engine(), &[asked], NOW);
+    let asked = prefetch::Asked { key: at.key, model };
+    let then = prefetch::next(&view, SERVICE, &engine(), &[asked], NOW);
     let again = then.filter(|o| *o.model == *"f");
     assert_eq!(again, None);
 }
@@ -276,16 +276,16 @@
         report(&[], &[]),
     ]);
     // "f" is in the memory of the third and on the disk of the first.
-    assert_eq!(spread::next(&view, SERVICE, &engine(), &[], NOW), None);
+    assert_eq!(prefetch::next(&view, SERVICE, &engine(), &[], NOW), None);
     let (view, _) = fleet(vec![
         report(&["a", "b"], &most),
         report(&["c", "d"], &most),
         report(&["e", "f"], &["f"]),
         report(&[], &[]),
     ]);
-    let spread::Outcome {
+    let prefetch::Outcome {
         model, place: at, ..
-    } = spread::next(&view, SERVICE, &engine(), &[], NOW).expect("a load");
+    } = prefetch::next(&view, SERVICE, &engine(), &[], NOW).expect("a load");
     assert_eq!((&*model, at.key, at.from), ("f", keys[3], Copy::Store));
 }
 
@@ -303,7 +303,7 @@
     view.load_at(support::addr(0), report(&[], &[]).load, young);
     let found = find(&view, SERVICE, &engine(), "a", &[], young);
     assert_eq!(found, Err(Error::Unheard));
-    assert_eq!(spread::next(&view, SERVICE, &engine(), &[], young), None);
+    assert_eq!(prefetch::next(&view, SERVICE, &engine(), &[], young), None);
     let older = ms(2600);
     let found = find(&view, SERVICE, &engine(), "a", &[], older).expect("a place");
     assert_eq!((found.key, found.from), (keys[0], Copy::Store));
--- a/crates/stair-fleet/tests/fetch.rs
+++ b/crates/stair-fleet/tests/fetch.rs
@@ -102,7 +102,7 @@
 /// One of the loads that are of use is left for a request that waits for it.
 #[test]
 fn one_is_kept_free() {
-    let ahead = |engine: &Engine| fetch::ahead(&View::default(), SERVICE, engine, NOW);
+    let ahead = |engine: &Engine| fetch::prefetches(&View::default(), SERVICE, engine, NOW);
     assert_eq!(ahead(&by_link()), 3);
     assert_eq!(ahead(&by_store()), 1);
 }
--- a/crates/stair-fleet/tests/blame.rs
+++ b/crates/stair-fleet/tests/outlier.rs
@@ -4,14 +4,14 @@
 
 use stair_fleet::{
     View,
-    blame::{
-        Options,
-        blame, //
-    },
     choose::{
         self,
         choose, //
     },
+    outlier::{
+        Options,
+        outliers, //
+    },
     view::TargetKey,
 };
 use support::{
@@ -60,7 +60,7 @@
             failed: &failed,
             served: false,
         };
-        for key in blame(&opts) {
+        for key in outliers(&opts) {
             view.get_mut(*key).learn(false);
         }
     }
@@ -73,7 +73,7 @@
     let (_, keys) = lookups();
     let failed = &keys[..1];
     assert_eq!(
-        blame(&Options {
+        outliers(&Options {
             failed,
             served: true
         }),
@@ -81,7 +81,7 @@
     );
     let both = &keys[..2];
     assert_eq!(
-        blame(&Options {
+        outliers(&Options {
             failed: both,
             served: true
         }),
@@ -95,7 +95,7 @@
     let (_, keys) = lookups();
     let failed = &keys[..1];
     assert_eq!(
-        blame(&Options {
+        outliers(&Options {
             failed,
             served: false
         }),
--- a/crates/stair-fleet/tests/view.rs
+++ b/crates/stair-fleet/tests/view.rs
@@ -111,10 +111,10 @@
     let all = vec![known("b", 7, 90), known("a", 5, 40), known("c", 7, 91)];
     let behind = Peers::of(&all[1], &all);
     assert_eq!(&*behind.least, "a");
-    let names: Vec<&str> = behind.ahead.iter().map(|k| &*k.entry).collect();
+    let names: Vec<&str> = behind.newer.iter().map(|k| &*k.entry).collect();
     assert!(names.contains(&"c"), "{names:?}");
     assert!(names.len() <= 2);
-    assert!(Peers::of(&all[2], &all).ahead.is_empty());
+    assert!(Peers::of(&all[2], &all).newer.is_empty());
 }
 
 /// A target leaves while one entry is cut off from the store. The entry gets the list from a peer.
--- a/crates/stair-relay/src/failures.rs
+++ b/crates/stair-relay/src/failures.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 
 use stair_fleet::{
-    blame::{
+    outlier::{
         self,
-        blame, //
+        outliers, //
     },
     view::TargetKey, //
 };
@@ -52,19 +52,19 @@
         if failed.is_empty() {
             return;
         }
-        let blamed = blame(&blame::Options {
+        let outliers = outliers(&outlier::Options {
             failed: &failed,
             served,
         });
         let mut state = self.cx.state();
-        for key in blamed {
+        for key in outliers {
             state.view.get_mut(*key).learn(false);
         }
         drop(state);
         Line::new("failures")
             .text("id", &self.id)
             .num("failed", failed.len() as i64)
-            .num("put_down", blamed.len() as i64)
+            .num("put_down", outliers.len() as i64)
             .flag("served", served)
             .write();
     }
--- a/crates/stair-relay/src/lib.rs
+++ b/crates/stair-relay/src/lib.rs
@@ -9,13 +9,12 @@
 //!
 //! What the entry knows: [`replicate`] watches the store, [`follow`] hears it from the one entry of the data
 //! centre that watches for all, [`change`] is what they hear, [`links`] hears the agents, [`peers`] asks other
-//! entries when the store does not answer, [`ahead`] has models loaded before they are asked for.
+//! entries when the store does not answer, [`prefetch`] has models loaded before they are asked for.
 //! [`context`] holds it all, [`dump`] shows it to the operator, [`process`] starts and stops.
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
 pub mod admit;
-pub mod ahead;
 pub mod allowance;
 pub mod attempt;
 pub mod authorize;
@@ -29,6 +28,7 @@
 pub mod load;
 pub mod peers;
 pub mod pick;
+pub mod prefetch;
 pub mod prefill;
 pub mod process;
 pub mod refuse;
--- a/crates/stair-relay/src/load.rs
+++ b/crates/stair-relay/src/load.rs
@@ -199,7 +199,7 @@
     model: &str,
     at: &cold_start::Outcome,
     of_use: Duration,
-    ahead: bool,
+    prefetch: bool,
 ) -> Option<PendingLoad> {
     let (addr, together) = {
         let state = cx.state();
@@ -213,7 +213,7 @@
         adapter: None,
         victims: at.victims.clone(),
         fetch: (at.from == Copy::Store).then_some(together),
-        ahead,
+        prefetch,
         of_use,
     };
     let pending = cx.request_load(addr, req)?;
--- a/crates/stair-relay/src/peers.rs
+++ b/crates/stair-relay/src/peers.rs
@@ -75,7 +75,7 @@
     loop {
         sleep(EVERY).await;
         let own = cx.replication_state();
-        let Some(peer) = ahead(&cx, &own) else {
+        let Some(peer) = newer_peer(&cx, &own) else {
             continue;
         };
         match timeout(ANSWER_TIME, ask(&peer, &own)).await {
@@ -92,14 +92,14 @@
     }
 }
 
-fn ahead(cx: &Context, own: &ReplicationState) -> Option<ReplicationState> {
+fn newer_peer(cx: &Context, own: &ReplicationState) -> Option<ReplicationState> {
     let state = cx.state();
     let (peers, at) = state.peers.as_ref()?;
     if cx.now().saturating_sub(*at) > SAID_TIME {
         return None;
     }
     let better = |p: &&ReplicationState| p.catalogue > own.catalogue || p.targets > own.targets;
-    peers.ahead.iter().find(better).cloned()
+    peers.newer.iter().find(better).cloned()
 }
 
 async fn ask(peer: &ReplicationState, own: &ReplicationState) -> Result<Answer, frame::Error> {
--- a/crates/stair-relay/src/pick.rs
+++ b/crates/stair-relay/src/pick.rs
@@ -53,7 +53,7 @@
 const ADAPTER_TIME: Duration = Duration::from_millis(1500);
 
 /// Time for which a replica beside a slow one is of use: as long as the requests wait that made it slow.
-const BESIDE_TIME: Duration = Duration::from_secs(2);
+const REPLICA_TIME: Duration = Duration::from_secs(2);
 
 /// Time that is left for the run itself when a load is waited for: a prompt of usual length is read
 /// in a quarter of a second.
@@ -128,7 +128,7 @@
         let step = match (decision, best) {
             (Decision::Send, Some(at)) => send(cx, job, at, &mut looks).await,
             (Decision::SendAndLoad, Some(at)) => {
-                beside(cx, job, place.as_ref(), &mut looks);
+                request_replica(cx, job, place.as_ref(), &mut looks);
                 send(cx, job, at, &mut looks).await
             }
             (Decision::Refuse, Some(at)) => {
@@ -200,7 +200,7 @@
     /// What the next slot is asked for with.
     reservation: prefill::Options,
     /// Whether a further replica was requested.
-    beside: bool,
+    replica_requested: bool,
 }
 
 impl Looks {
@@ -213,7 +213,7 @@
                 full: 0,
                 first: true,
             },
-            beside: false,
+            replica_requested: false,
         }
     }
 }
@@ -250,13 +250,18 @@
 }
 
 /// Has a further replica loaded for the requests that follow, once for each request.
-fn beside(cx: &Arc<Context>, job: &Job, place: Option<&cold_start::Outcome>, looks: &mut Looks) {
+fn request_replica(
+    cx: &Arc<Context>,
+    job: &Job,
+    place: Option<&cold_start::Outcome>,
+    looks: &mut Looks,
+) {
     if let (Some(place), Some(model)) = (place, &job.meta.model)
-        && !std::mem::replace(&mut looks.beside, true)
+        && !std::mem::replace(&mut looks.replica_requested, true)
     {
         log_load(job, model, place, "beside");
         // The next report tells what came of it.
-        if let Some(mut pending) = ask(cx, model, place, BESIDE_TIME, true) {
+        if let Some(mut pending) = ask(cx, model, place, REPLICA_TIME, true) {
             pending.stand();
         }
     }
@@ -357,7 +362,7 @@
         adapter: Some(adapter.clone()),
         victims: Vec::new(),
         fetch: None,
-        ahead: false,
+        prefetch: false,
         of_use: ADAPTER_TIME,
     };
     let begun = Instant::now();
--- a/crates/stair-relay/src/ahead.rs
+++ b/crates/stair-relay/src/prefetch.rs
@@ -5,7 +5,7 @@
     time::Duration, //
 };
 
-use stair_fleet::spread::{
+use stair_fleet::prefetch::{
     self,
     Asked, //
 };
@@ -25,7 +25,7 @@
 
 /// Time for which a load that no request waits for is of use. Longer than one from a weight store that
 /// is shared by twice as many loads as run at full speed.
-const AHEAD_TIME: Duration = Duration::from_secs(14);
+const PREFETCH_TIME: Duration = Duration::from_secs(14);
 
 /// Loads asked for in one look.
 const AT_ONCE: usize = 4;
@@ -45,7 +45,7 @@
             let Some(found) = next(&cx, &list) else {
                 break;
             };
-            let spread::Outcome { model, place, gain } = found;
+            let prefetch::Outcome { model, place, gain } = found;
             let target = cx.state().view.get(place.key).target.id.clone();
             Line::new("ahead")
                 .text("model", &model)
@@ -55,7 +55,7 @@
                 .num("cost_ms", place.cost_ms as i64)
                 .num("gain_1000", (gain.unwrap_or_default() * 1000.0) as i64)
                 .write();
-            let Some(pending) = load::ask(&cx, &model, &place, AHEAD_TIME, true) else {
+            let Some(pending) = load::ask(&cx, &model, &place, PREFETCH_TIME, true) else {
                 break;
             };
             asked.push((
@@ -76,12 +76,12 @@
     peers.is_none_or(|(p, _)| p.least >= cx.settings.name)
 }
 
-fn next(cx: &Context, asked: &[Asked]) -> Option<spread::Outcome> {
+fn next(cx: &Context, asked: &[Asked]) -> Option<prefetch::Outcome> {
     let state = cx.state();
     let catalogue = state.catalogue.as_ref()?;
     let mut engines = catalogue
         .services
         .iter()
         .filter_map(|s| Some((&s.name, s.engine.as_ref()?)));
-    engines.find_map(|(name, engine)| spread::next(&state.view, name, engine, asked, cx.now()))
+    engines.find_map(|(name, engine)| prefetch::next(&state.view, name, engine, asked, cx.now()))
 }
--- a/crates/stair-relay/src/process.rs
+++ b/crates/stair-relay/src/process.rs
@@ -20,11 +20,11 @@
 };
 
 use crate::{
-    ahead,
     context::Context,
     follow,
     links,
     peers,
+    prefetch,
     replicate,
     serve, //
 };
@@ -95,7 +95,7 @@
         tasks.spawn(peers::serve(cx.clone(), self.inner));
         tasks.spawn(peers::follow(cx.clone()));
         tasks.spawn(follow::keep(cx.clone()));
-        tasks.spawn(ahead::keep(cx.clone()));
+        tasks.spawn(prefetch::keep(cx.clone()));
         tasks.spawn(serve::readiness(cx.clone(), self.ready, never.clone()));
         tasks.spawn(serve::metrics(cx.clone(), self.metrics, never));
         tasks.spawn(serve::clients(cx.clone(), self.clients));
--- a/crates/stair-relay/src/stream.rs
+++ b/crates/stair-relay/src/stream.rs
@@ -296,7 +296,7 @@
         left_out.push(key);
         tokio::select! {
             next = source.next(job.deadline) => Received::Next(next),
-            place = place_beside(&cx, &job, &left_out, self.last) => {
+            place = place_elsewhere(&cx, &job, &left_out, self.last) => {
                 place.map_or(Received::Nothing, Received::Elsewhere)
             }
             () = tx.closed() => Received::ClientGone,
@@ -385,7 +385,7 @@
 ///
 /// A client whose answer is cut for a silence has nothing; were the stream given up before it is known
 /// that another target takes it, that would happen wherever all are busy.
-async fn place_beside(
+async fn place_elsewhere(
     cx: &Arc<Context>,
     job: &Job,
     left_out: &[TargetKey],
--- a/crates/stair-sidecar/src/controller.rs
+++ b/crates/stair-sidecar/src/controller.rs
@@ -280,7 +280,7 @@
                 adapter: None,
                 victims: Vec::new(),
                 fetch: None,
-                ahead: true,
+                prefetch: true,
                 of_use: RESTORE_TIME,
             };
             self.load_requests.push(Pending {
--- a/crates/stair-sidecar/src/controller/plan.rs
+++ b/crates/stair-sidecar/src/controller/plan.rs
@@ -94,7 +94,7 @@
             if self.holds(model) {
                 continue;
             }
-            let waiting = usize::from(!p.req.ahead);
+            let waiting = usize::from(!p.req.prefetch);
             match out.binary_search_by(|a| a.model.cmp(model)) {
                 Ok(at) => out[at].waiting += waiting,
                 Err(at) => {
@@ -179,7 +179,7 @@
         }
         let mut busy = named.filter(|v| {
             let begun = leaving.iter().any(|m| **m == **v);
-            begun || req.ahead || self.usage.settled(v, now)
+            begun || req.prefetch || self.usage.settled(v, now)
         });
         Room::Later(busy.next().map(Into::into))
     }
--- a/crates/stair-sidecar/tests/controller.rs
+++ b/crates/stair-sidecar/tests/controller.rs
@@ -78,7 +78,7 @@
         adapter: adapter.map(Into::into),
         victims: Vec::new(),
         fetch: None,
-        ahead: false,
+        prefetch: false,
         of_use: Duration::from_secs(14),
     }
 }
@@ -245,12 +245,12 @@
 #[test]
 fn ahead_gives_way() {
     let mut controller = controller(&[("a", &[])]);
-    let ahead = LoadRequest {
-        ahead: true,
+    let prefetch = LoadRequest {
+        prefetch: true,
         of_use: Duration::from_secs(14),
         ..req("b", None)
     };
-    controller.request_load(asker(1), ahead, ms(0));
+    controller.request_load(asker(1), prefetch, ms(0));
     controller.request_load(asker(2), req("c", None), ms(1));
     assert_eq!(next(&mut controller, ms(1)), Some(step(true, "c", None, 1)));
     assert_eq!(controller.load(ms(1)).to_load, ms(1600));
--- a/crates/stair-sidecar/tests/load.rs
+++ b/crates/stair-sidecar/tests/load.rs
@@ -323,7 +323,7 @@
                         adapter: None,
                         victims: at.victims,
                         fetch: (at.from == Copy::Store).then_some(1),
-                        ahead: false,
+                        prefetch: false,
                         of_use: PATIENCE - (now - w.since),
                     };
                     let asker = Asker {
--- a/crates/stair-sidecar/tests/random.rs
+++ b/crates/stair-sidecar/tests/random.rs
@@ -185,7 +185,7 @@
                         adapter: a.map(|a| format!("a{a}").into()),
                         victims: Vec::new(),
                         fetch: Some(1),
-                        ahead: false,
+                        prefetch: false,
                         of_use: Duration::from_secs(14),
                     };
                     controller.request_load(asker, req, now);
