--- a/crates/stair-fleet/src/allowance.rs
+++ b/crates/stair-fleet/src/allowance.rs
@@ -1,10 +1,9 @@
-//! What is left of a workspace's allowance, counted in one place for all entries.
+//! Token buckets for the allowances of workspaces, shared by all entries.
 //!
-//! The load it answers: a workspace that asks for several times its usual through many entries, each of which
-//! sees a few of its requests a second. Equal shares of the entries would refuse one that its workspace has
-//! paid for wherever they come unevenly.
+//! Load: one workspace sends several times its usual rate through many entries, each of which sees a few requests a
+//! second, so that equal shares per entry would reject requests within the allowance.
 //!
-//! Invariant: within any time `t` a [`Bucket`] lets through at most `per_s * t + burst` and one request.
+//! Invariant: within any time `t` a [`Bucket`] admits at most `per_s * t + burst` and one request.
 
 use std::time::Duration;
 
--- a/crates/stair-fleet/src/balance.rs
+++ b/crates/stair-fleet/src/balance.rs
@@ -1,22 +1,16 @@
-//! Which model gets a further replica, and whose replicas make way for it.
+//! Chooses the model that gets a further replica, and the replicas that are evicted for it.
 //!
-//! The load it answers: a few models get most of the requests, which ones changes within seconds,
-//! and engines crash and come back empty. Requests beside each other on one engine delay each
-//! other: every prompt that is read stalls the streams that run there. A choice that looks at one
-//! model at a time leaves engines empty beside others whose long streams pause for longer than
-//! promised.
+//! Load: demand for a few models moves within seconds, and prompts on one engine delay the streams beside them. Moves
+//! minimise the expected number of waiting requests: `w * w / 2` at an engine that spends a part `w` of its time on
+//! prefill, and a swap for each request of a model without a replica.
 //!
-//! The fleet's expected queue is the number of requests that wait at a time: at an engine of whose time
-//! prompts take a part `w`, each waits for half of what is beside it, `w * w / 2` in all, each model's
-//! demand split equally over its replicas; and the requests of a model without a replica wait for a
-//! swap. A move is worth what it takes off the queue. Each move lowers the queue by a margin, so
-//! under steady demand the moves come to an end and no two of them undo each other.
+//! Invariant: each move lowers that number by a margin, so moves end under steady demand and never undo each other.
 
 use std::time::Duration;
 
 use crate::{
     catalogue::Engine,
-    cold_start, //
+    cold_start,
     prefetch::Asked,
     seen::Seen,
     target::Copy,
@@ -26,33 +20,28 @@
     },
 };
 
-/// Strain of a model without a replica, for each request a second: the seconds that a swap takes.
+/// Expected queue of a model without a replica, per request a second: the seconds of a swap.
 const ABSENT_PER_S: f64 = 1.0;
 
-/// The least queue of a model without a replica: a request in ten seconds.
+/// The least expected queue of a model without a replica.
 const ABSENT: f64 = 0.1;
 
-/// Strain that a move has to take off when nothing makes way. A model whose prompts take 0.28 of one
-/// engine's time reaches it with an empty second one.
+/// The least gain of a move that evicts nothing, in waiting requests.
 const MARGIN_FREE: f64 = 0.02;
 
-/// The same when models make way. Rates are averages over two seconds and waver by a fifth; without a
-/// margin such moves would be undone by the next look.
+/// The same with evictions. Rates waver, and without a margin the next look would undo the move.
 const MARGIN_VICTIMS: f64 = 0.125;
 
-/// The same for a load from the weight store, which is priced and takes as long as demand stays with
-/// a model.
+/// The same for a load from the weight store, which lasts about as long as demand stays.
 const MARGIN_STORE: f64 = 0.2;
 
-/// Part of a move's gain that is left when a victim has requests in flight: its engine neither takes
-/// an order nor new requests for it until they have ended, three seconds or so of the six to eight for
-/// which demand stays with a model.
+/// Part of the gain that is left when a victim has requests in flight: its engine takes no order until they end.
 const BUSY_PART: f64 = 0.5;
 
-/// Models, those with the busiest replicas, that a load from the weight store is weighed for.
+/// Models considered for a load from the weight store: those with the busiest replicas.
 const STORE_MODELS: usize = 3;
 
-/// Engines, those with the least to do, that such a load is weighed at.
+/// Engines considered for such a load: those with the least to do.
 const STORE_ENGINES: usize = 8;
 
 /// One engine.
--- a/crates/stair-fleet/src/budget.rs
+++ b/crates/stair-fleet/src/budget.rs
@@ -1,10 +1,7 @@
-//! One entry's share of the retries that all entries may make together.
+//! One entry's share of the retry budget.
 //!
-//! The load it answers: targets that fail or refuse many requests at once while every entry sends
-//! each failure on as new work. All entries together may make `ratio` times the requests plus
-//! `extra` retries in a window. Each keeps to `ratio` of its own requests and to an equal part of
-//! `extra`, so the sum holds without a call for each retry, also when entries cannot see each
-//! other.
+//! Load: targets fail or reject many requests at once, and retries would multiply them. An entry keeps to `ratio` of
+//! its own requests and an equal share of `extra`, so the sum over all entries holds without coordination.
 
 use std::{
     collections::VecDeque,
--- a/crates/stair-fleet/src/choose.rs
+++ b/crates/stair-fleet/src/choose.rs
@@ -1,10 +1,8 @@
-//! The target for a request among those that can run it now.
+//! Chooses the target for a request among those that can run it now.
 //!
-//! The load it answers: a few replicas of a busy model, each with its own cache of prompts read
-//! before, and reports that are some hundred milliseconds old. Each candidate gets the time until
-//! its first event as far as it can be told, and the shortest wins. Requests that share the head
-//! of a prompt agree on one replica by rendezvous hashing, which needs no word between entries;
-//! the saving counts as time, so a replica whose queue costs more than reading anew is passed by.
+//! Load: several replicas of a busy model, each with its own prefix cache, and reports that lag. The shortest estimated
+//! time to the first event wins; requests with a common prefix prefer one replica by rendezvous hashing, as far as the
+//! cached prefix saves more time than its queue costs.
 
 use std::time::Duration;
 
@@ -18,18 +16,16 @@
     }, //
 };
 
-/// Prompt tokens that an engine reads in a millisecond, for estimates. A little under the rate of
-/// the engines in use, so that queues are not taken for shorter than they are.
+/// Prefill rate for estimates, in prompt tokens a millisecond.
 const READ_TOKENS_PER_MS: f64 = 36.0;
 
-/// Delay that one running request adds to another's first event, in milliseconds: each step reads
-/// pieces of prompts between the tokens of the others.
+/// Delay that a running request adds to another's first event, in milliseconds.
 const RUNNING_MS: f64 = 3.0;
 
-/// Delay that one waiting request adds, in milliseconds: half a prompt of usual length.
+/// Delay that a queued request adds, in milliseconds: half the prefill of a usual prompt.
 const QUEUED_MS: f64 = 120.0;
 
-/// Cost of an adapter that has to be fetched first, in milliseconds, with the word to the agent.
+/// Cost of an adapter that has to be fetched first, in milliseconds.
 const ADAPTER_MS: f64 = 30.0;
 
 /// Cost of an adapter where all places are in use, in milliseconds: the rest of a usual stream.
@@ -38,12 +34,10 @@
 /// Cost of another data centre, in milliseconds.
 const DISTANCE_MS: f64 = 3.0;
 
-/// Cost of a target that fails every attempt, in milliseconds; one that fails some costs its
-/// share. More than any queue, yet finite: with no other target it is still tried.
+/// Cost of a target that fails every attempt, in milliseconds. Finite, so that it is tried when there is no other.
 const FAILING_MS: f64 = 2000.0;
 
-/// Estimates that differ by less than this count as equal, in milliseconds: a target further away
-/// can still be chosen.
+/// Estimates that differ by less count as equal, in milliseconds, so that distant targets are chosen as well.
 const EQUAL_MS: f64 = 6.0;
 
 /// What is to be placed.
--- a/crates/stair-fleet/src/cold_start.rs
+++ b/crates/stair-fleet/src/cold_start.rs
@@ -1,11 +1,8 @@
-//! The target that loads a model, and what makes room for it there.
+//! Chooses the engine that loads a model, and the models that are evicted for it.
 //!
-//! The load it answers: many models that are asked for rarely, two or three in an engine's memory
-//! at once, copies of several more in its host memory and on its disk. Bringing a model back from
-//! such a copy takes under a second, from the weight store several, so the place is chosen by the
-//! time until the model can run, plus what the models that make way will be missed. All entries
-//! see about the same reports and break ties by hash, so that they mostly choose alike and the
-//! agent loads once.
+//! Load: many rarely used models, of which an engine holds two or three, with copies of others in host memory and on
+//! disk. The cost of a place is the time until the model can run plus the eviction cost. Entries break ties by hash, so
+//! that they mostly agree and the agent loads once.
 
 use std::{
     cell::LazyCell,
@@ -31,32 +28,29 @@
     },
 };
 
-/// Time until an engine that unloads a model takes its next order: it waits for the model's streams
-/// to end.
+/// Time until an engine that unloads a model takes its next order: the model's streams end first.
 pub const UNLOAD_TIME: Duration = Duration::from_millis(3000);
 
-/// What a stream of usual length that is in flight has left on average, in milliseconds.
+/// Average remaining time of a stream in flight, in milliseconds.
 const STREAM_LEFT_MS: f64 = 700.0;
 
-/// Part of an engine's time that one replica's prompts may take without its streams stalling.
+/// Part of an engine's time that one replica's prefill may take without stalling its streams.
 pub const REPLICA_WORK: f64 = 0.28;
 
-/// Cost of the last replica of a model that is hardly asked for, in milliseconds. Its next request
-/// waits for a swap of under a second, which most are promised less than.
+/// Eviction cost of the last replica of a model without demand, in milliseconds: its next request waits for a swap.
 const LAST_MS: f64 = 60.0;
 
 /// Added to it for each request a second.
 const LAST_MS_PER_S: f64 = 600.0;
 
-/// Cost of a replica for each engine's whole time by which those that stay are overloaded then, in
-/// milliseconds: its prompts then wait for each other.
+/// Eviction cost of a replica for each whole engine by which the others are overloaded then, in milliseconds.
 const CROWD_MS: f64 = 1800.0;
 
-/// Cost of a replica that can be spared.
+/// Eviction cost of a replica that can be spared, in milliseconds.
 const SPARE_MS: f64 = 20.0;
 
-/// Cost of a load for each second that it takes and each request a second at models with adapters
-/// there: an engine takes no order for an adapter meanwhile.
+/// Cost of a load for each second and each request a second for adapters there, in milliseconds: an engine that
+/// loads takes no adapter orders.
 const BLOCKED_MS: f64 = 60.0;
 
 /// Part of an engine's weights memory that adapters need.
@@ -362,9 +356,7 @@
 
 /// The wait for the requests in flight at the models that make way, until the last of them has ended.
 ///
-/// The longest of several streams of unequal length: with `n` of them the average times the sum of
-/// 1/1 to 1/n. Taken for the average however many there are, a load that was expected after 0.8 s
-/// came after four, at an engine whose victim had eight streams, while others were free.
+/// The expected maximum of `n` exponential times: their mean times the sum of 1/1 to 1/n.
 fn busy_time<'a, I>(victims: I, report: &Report) -> Duration
 where
     I: IntoIterator<Item = &'a str>,
--- a/crates/stair-fleet/src/fetch.rs
+++ b/crates/stair-fleet/src/fetch.rs
@@ -1,14 +1,8 @@
-//! How many loads from the weight store are of use at once.
+//! Limits concurrent loads from the weight store.
 //!
-//! The load it answers: engines that crash, are replaced, or see demand move, so that many models
-//! are to come from the weight store together. Beyond a number that nobody declares, loads slow each
-//! other down in proportion: four at once then all end when the last of four in a row would, and the
-//! most urgent model comes four times as late.
-//!
-//! So the number is found out: from loads under way that are late, and from what agents tell of the
-//! last load that ended at their engines, how many times its declared time it took and how many ran
-//! when it began. Each entry works the number out anew from the reports of all agents, so that one
-//! that has just started knows as much as the others.
+//! Load: crashes, replacements or moving demand need many models from the weight store at once. Beyond an undeclared
+//! concurrency loads slow each other down, and the most urgent one comes late. The limit is derived from the reported
+//! durations of loads, so that an entry which has just started knows it as well.
 
 use std::time::Duration;
 
@@ -21,33 +15,28 @@
         Copy,
         Fetched, //
     },
-    view::View,
+    view::View, //
 };
 
-/// Loads at once as long as no load has told better, where one is as fast as an engine's link.
+/// Concurrent loads until one has ended, if a load is as fast as an engine's link.
 const FIRST_BY_LINK: usize = 4;
 
-/// The same where it is slower. The weight store itself bounds it then, and others would share that.
+/// The same if it is slower: the weight store is the limit then, and others would share it.
 const FIRST_BY_STORE: usize = 1;
 
-/// What an engine's link takes, in MB a second: 100 Gbit/s, less a fifth for protocols. It only decides
-/// until loads have ended.
+/// Throughput of an engine's link, in MB a second.
 const LINK_MB_PER_S: f64 = 10_000.0;
 
-/// Loads, of those that are of use at once, that are only begun for a request which waits for one. Were
-/// all taken by loads ahead of requests, it would wait for one of those to end first.
+/// Concurrent loads that are kept free for requests that wait for one.
 const KEPT_FREE: usize = 1;
 
-/// Number up to which loads that kept their declared time let twice as many begin; beyond it, one
-/// more. The weight stores in use run one to four at full speed.
+/// Concurrency up to which loads that kept their declared time allow twice as many; beyond it, one more.
 const DOUBLES_UP_TO: usize = 2;
 
-/// Part of the declared time beyond which a load was slowed by others. Agents see the end of a load
-/// up to 40 ms late, and one beside four others at a store for four takes 1.25 times as long.
+/// Part of the declared time beyond which a load was slowed by others.
 const SLOWED: f32 = 1.15;
 
-/// Age up to which an entry waits for the reports of all engines before it has a model fetched from
-/// the weight store. Links to agents are up within a second; one that stays silent is cut off.
+/// Age up to which an entry waits for the reports of all engines before it loads from the weight store.
 const HEARD_TIME: Duration = Duration::from_millis(2500);
 
 /// Loads that are of use at once, at least one.
@@ -107,10 +96,8 @@
 
 /// Whether an entry that has just started still lacks the report of an engine, or knows of none.
 ///
-/// All VMs come back together after a power cut. What engines have on their disks is told by their
-/// agents, within half a second or so; an entry that does not wait for it has rare models fetched
-/// from the weight store although a copy is a second away, and the store is busy with those for
-/// eight seconds while the busy models need it.
+/// After a power cut agents report copies on disk a moment later. An entry that does not wait for them would keep
+/// the weight store busy with models that need not come from there.
 pub fn unreported(view: &View, service: &str, now: Duration) -> bool {
     let mut open = view.of(service).filter(|(_, s)| s.open(now)).peekable();
     let none = open.peek().is_none();
--- a/crates/stair-fleet/src/lag.rs
+++ b/crates/stair-fleet/src/lag.rs
@@ -1,9 +1,7 @@
-//! Which entries lag behind what the others know.
+//! Finds entries whose replication state lags.
 //!
-//! The load it answers: many entries, each of which says how far its knowledge goes once a second or so.
-//! Comparing their last words would find every entry behind some other at nearly any moment, by the age of
-//! its word alone, and each would fetch a whole list from a peer that it does not need. So the word of an
-//! entry is judged at the moment it comes, by what others had said some time before.
+//! Load: many entries that report their state about once a second. Reports differ by their age alone, so a report is
+//! compared on arrival with what others had reported some time before.
 
 use std::{
     collections::VecDeque,
@@ -12,8 +10,7 @@
 
 use crate::msg::ReplicationState;
 
-/// Time after which every entry that hears its source has what another one has said: a watch brings news
-/// within 600 ms, and what is new is due within two seconds.
+/// Time after which an entry that receives its source has what another one has reported.
 const LAG_TIME: Duration = Duration::from_millis(900);
 
 /// How far the knowledge of all entries goes.
--- a/crates/stair-fleet/src/msg.rs
+++ b/crates/stair-fleet/src/msg.rs
@@ -57,6 +57,8 @@
     Used(Vec<Used>),
     /// How long the prompts took whose first events came since it last said so.
     Read(Vec<prefill::Read>),
+    /// Requests for a model were rejected since no engine could load it in time.
+    Unserved(Box<str>),
     /// Asks for a part of a workspace's allowance.
     Allow {
         /// Names the question on this connection.
--- a/crates/stair-fleet/src/outlier.rs
+++ b/crates/stair-fleet/src/outlier.rs
@@ -1,9 +1,7 @@
-//! Which targets a failure is put down to.
+//! Decides which targets a failure counts against.
 //!
-//! The load it answers: some requests fail wherever they run, after their full work (seven in a
-//! hundred of the repeatable lookups of the deployments in use). Put down to the targets, each such
-//! request made two sound ones look as if they failed a fifth of their requests, and sent the
-//! requests of others to the rest of them.
+//! Load: some requests fail on every target. Counted against the targets, they would make sound ones look faulty and
+//! move load away from them.
 
 use crate::view::TargetKey;
 
--- a/crates/stair-fleet/src/overload.rs
+++ b/crates/stair-fleet/src/overload.rs
@@ -11,18 +11,16 @@
     cold_start, //
 };
 
-/// Part of the objective up to which a target counts as fast enough.
+/// Part of the objective up to which a target is fast enough.
 const FAST_PART: f64 = 0.5;
 
-/// Cost up to which a replica is loaded beside a slow target, in milliseconds: a load from a copy
-/// and a victim that can be spared.
-const BESIDE_MS: f64 = 2500.0;
+/// Cost up to which a further replica is loaded for a slow target, in milliseconds.
+const REPLICA_MS: f64 = 2500.0;
 
-/// A request waits for a replica instead of a target if it saves this part of the wait.
+/// A request waits for a replica instead of a target if that saves this part of the wait.
 const SAVED_PART: f64 = 0.3;
 
-/// Part of the time left beyond which the wait at a target is taken for hopeless. Above one, since
-/// the estimate is rough and an answer that might come is not to be refused.
+/// Part of the remaining time beyond which the wait at a target is hopeless. Above one, as the estimate is rough.
 const HOPELESS_PART: f64 = 1.2;
 
 /// What to do.
@@ -69,7 +67,7 @@
     if ready < (1.0 - SAVED_PART) * best.wait_ms && ready < ms(left) {
         return Decision::Load;
     }
-    if place.cost_ms <= BESIDE_MS {
+    if place.cost_ms <= REPLICA_MS {
         return Decision::SendAndLoad;
     }
     Decision::Send
--- a/crates/stair-fleet/src/prefetch.rs
+++ b/crates/stair-fleet/src/prefetch.rs
@@ -9,8 +9,7 @@
 use crate::{
     balance,
     catalogue::Engine,
-    cold_start, //
-    fetch,
+    cold_start, fetch,
     seen::Seen,
     target::{
         Copy,
@@ -22,13 +21,10 @@
     },
 };
 
-/// Of the loads from the weight store that are made ahead, how many may be for models that are hardly asked
-/// for. When engines are lost with the only copies of several rare models, a busy model that moves to new
-/// engines would otherwise wait for all of those.
+/// Concurrent prefetches from the weight store for models with hardly any demand. Busy models would wait for them.
 const PREFETCH_RARE: usize = 1;
 
-/// Requests a second up to which an engine counts as idle: a load keeps it from taking orders for
-/// adapters for six seconds.
+/// Requests a second up to which an engine is idle.
 const IDLE_PER_S: f32 = 0.5;
 
 /// A load that was asked for and need not have shown in a report yet.
@@ -81,7 +77,8 @@
         left_alone,
         now,
     };
-    look.crowded()
+    look.unserved()
+        .or_else(|| look.crowded())
         .or_else(|| look.missing())
         .or_else(|| look.absent())
         .or_else(|| look.single())
@@ -166,13 +163,49 @@
         self.view.of(self.service).filter(near).count()
     }
 
-    /// A model that no engine holds, nor has a copy of.
+    /// The missing model with the most rejected requests. They come back to the same rejection until it is loaded.
+    fn unserved(&self) -> Option<Outcome> {
+        let at_once = fetch::at_once(self.view, self.service, self.engine, self.now);
+        if self.store_loads() >= at_once || self.unreported() {
+            return None;
+        }
+        let mut demands = self.demands();
+        demands.sort_by(|a, b| b.1.total_cmp(&a.1));
+        let mut missing = demands.iter().filter(|(model, _)| self.is_missing(model));
+        missing.find_map(|(model, _)| self.place(model))
+    }
+
+    /// Rejected requests a second for each declared model that has any.
+    fn demands(&self) -> Vec<(&str, f32)> {
+        let mut out: Vec<(&str, f32)> = Vec::new();
+        let reports = self.view.of(self.service);
+        let reports = reports.filter_map(|(_, s)| s.fresh(self.now));
+        for demand in reports.flat_map(|r| &r.load.unserved) {
+            let Some(model) = self.engine.model(&demand.model) else {
+                continue;
+            };
+            match out.iter_mut().find(|(name, _)| **name == *model.name) {
+                Some((_, per_s)) => *per_s += demand.per_s,
+                None => out.push((&model.name, demand.per_s)),
+            }
+        }
+        out
+    }
+
+    /// Whether no engine holds a model, nor has a copy of it, nor is expected back with one.
+    fn is_missing(&self, model: &str) -> bool {
+        let within = self.engine.model(model).map(|m| m.from_store);
+        let within = within.unwrap_or_default();
+        self.copies(model) == 0 && !self.view.may_return(self.service, model, within, self.now)
+    }
+
+    /// A missing model.
     fn missing(&self) -> Option<Outcome> {
         if self.store_loads() >= PREFETCH_RARE || self.unreported() {
             return None;
         }
         let mut models = self.engine.models.iter();
-        let model = models.find(|m| self.copies(&m.name) == 0)?;
+        let model = models.find(|m| self.is_missing(&m.name))?;
         self.place(&model.name)
     }
 
--- a/crates/stair-fleet/src/prefill.rs
+++ b/crates/stair-fleet/src/prefill.rs
@@ -1,21 +1,11 @@
-//! When a prompt may be sent to an engine, so that the streams which run there keep their pace.
+//! Schedules the prefill of prompts on one engine.
 //!
-//! The load it answers: an engine reads prompts between the tokens of its streams, four thousand
-//! tokens a step. A step that reads takes over 100 ms instead of five, and an event of a stream needs
-//! four or five steps, so prompts that come one after the other stall all streams; ten a second
-//! starve them until their clients leave. How many come is known to nobody but the engine's agent:
-//! reports are some hundred milliseconds old and many entries choose at once. So each prompt asks
-//! the agent for its slot, which costs a round trip of one to three milliseconds.
+//! Load: an engine reads prompts between the tokens of its streams, and prompts in a row stall all of them. Only the
+//! engine's agent sees all prompts, so each prompt reserves a slot there before it is sent.
 //!
-//! Prompts are read in bursts with pauses between them. A burst is shorter than the pause between events
-//! that clients are promised, and in the time after it every stream makes an event, however many tokens
-//! an event holds. A turn is booked when it is given and never given back, so that nothing depends on a
-//! message that may be lost.
-//!
-//! Engines of one service differ in speed, and a third of them read a quarter slower; models differ more,
-//! a small one is read four times as fast. At one rate for all, the streams of the slow ones stall beside
-//! prompts while the others could read more. So the rate of each model at each engine follows how long
-//! its prompts took to be read.
+//! Prompts are read in bursts that are shorter than the promised pause between events, with breaks in which each stream
+//! makes an event. A reservation is never returned, so no lost message can block a slot. The prefill rate is learned
+//! for each model at each engine.
 
 use std::{
     ops::RangeInclusive,
@@ -27,54 +17,46 @@
     Serialize, //
 };
 
-/// Prompt tokens that an engine reads in a millisecond, until its prompts have told better.
+/// Prefill rate until samples have come, in prompt tokens a millisecond.
 const FIRST_RATE: f64 = 33.0;
 
-/// The least and the most that is believed of a rate, in tokens a millisecond. A model of a tenth of the usual
-/// work is read faster still, but prompts let through at that rate fill an engine with streams.
+/// Bounds of a learned rate, in tokens a millisecond. Prompts admitted at a higher rate fill an engine with
+/// streams.
 const RATES: RangeInclusive<f64> = 10.0..=60.0;
 
-/// The least and the most that one sample says of a rate, as a part of what is believed.
-///
-/// A prompt that the engine had kept without its agent knowing is read in no time, whatever the rate. Were
-/// such samples believed as they are, a few of them would have prompts sent half as fast again as they can
-/// be read, and every stream beside them would pause. A sample far below comes from a VM that stood still or
-/// a link that lost a packet as well as from an engine that has turned slow, which has to show sooner.
+/// Bounds of one sample, as parts of the learned rate. A prompt in the cache that the agent does not know of reads
+/// in no time; a lost packet makes one look slow.
 const SAMPLES: RangeInclusive<f64> = 0.5..=1.2;
 
-/// Weight of the newest sample in the rate; a change shows after about seven prompts.
+/// Weight of the newest sample in the rate.
 const RATE_SMOOTH: f64 = 0.15;
 
-/// Time to read below which a prompt says nothing of the rate: what its engine takes for the first event
-/// beside reading differs by some milliseconds.
+/// Least prefill time of a sample: below it the time to the first event varies by other causes.
 const SAMPLE_TIME: Duration = Duration::from_millis(75);
 
-/// Part by which the time for a first event beside reading is taken for longer with each prompt, so that
-/// a load that lasts shows: it doubles in 700 prompts.
+/// Part by which the least time beside prefill grows with each prompt, so that lasting load shows.
 const FIRST_DRIFT: f64 = 0.001;
 
-/// Part of an engine's time that may go to prompts in the long run. The rest goes to the streams'
-/// tokens, so that a stream of 300 tokens ends within 8 s beside any number of prompts.
+/// Part of an engine's time that prefill may take in the long run. The rest is for the tokens of streams, so that
+/// they end.
 const READ_PART: f64 = 0.82;
 
-/// Part of the promised pause between events for which prompts may be read without a break. The rest is for
-/// the event after it, and for the way to the client.
+/// Part of the promised pause between events that one burst may take. The rest is for the event after it.
 const BURST_PART: f64 = 0.7;
 
-/// The promised pause where no route says one.
+/// The promised pause where no route declares one.
 const USUAL_PAUSE: Duration = Duration::from_millis(600);
 
-/// The least time between two bursts, in milliseconds: a stream makes ten tokens in it.
+/// The least time between two bursts, in milliseconds.
 const LEAST_BREAK_MS: f64 = 60.0;
 
-/// Time in which a model that makes way at one engine is brought to another from a copy: half a second for
-/// the load, and as long until its room is free.
+/// Time to load a model from a copy at another engine, with the time to make room.
 const SWAP_TIME: Duration = Duration::from_millis(1000);
 
-/// Part of the engine's memory that kept prompts are taken to have. The rest belongs to what runs.
+/// Part of the engine's memory that the prefix cache is assumed to have.
 const KEPT_PART: f64 = 0.6;
 
-/// Tokens that each prompt costs beside its own: its first step and the end of its last block.
+/// Cost of a prompt beside its tokens, in tokens.
 const EACH_TOKENS: f64 = 150.0;
 
 /// A prompt up to the end of one of its parts.
--- a/crates/stair-fleet/src/seen.rs
+++ b/crates/stair-fleet/src/seen.rs
@@ -12,31 +12,24 @@
     Target, //
 };
 
-/// Age up to which a report goes before the list. Agents report every second at least, so three
-/// missed ones mean that the link is dead or the agent stands still.
+/// Age up to which a report goes before the list: three heartbeats of an agent.
 pub const REPORT_FRESH: Duration = Duration::from_secs(3);
 
-/// Time for which a target that failed a connection or fell silent is left out. Twice the time
-/// that a crashed process takes to come back; a target that is sound again loses little by it.
+/// Time for which a target that failed a connection or fell silent is left out.
 pub const SUSPECT_TIME: Duration = Duration::from_millis(1500);
 
-/// Time for which words of an earlier life are dropped while none of the later one comes.
-///
-/// An old word can be written to the list late, by the target itself or by the store; the target writes
-/// over it at its next heartbeat, 1.2 s later. One whose clock was set back between two lives would
-/// look old for ever, and would get no requests; after three heartbeats without a word of the other
-/// life its word is taken.
+/// Time for which announcements of an earlier life are dropped while none of the later one comes: three heartbeats
+/// of a target. After it the clock was set back between the lives.
 pub const OLD_WORDS_TIME: Duration = Duration::from_millis(3600);
 
-/// Time without a word of a target's agent after which its VM is taken to stand still. Agents report every
-/// 900 ms; one whose process has ended closes its connections, and is no sign of a VM that stands still.
+/// Time without a message of a target's agent after which its VM is taken to stand still. An agent that ends closes
+/// its connections.
 pub const QUIET_TIME: Duration = Duration::from_millis(1250);
 
-/// Time without a word after which an agent's heartbeat is overdue. If it leaves a question open as well, its
-/// VM is taken to stand still without waiting any longer.
+/// Time after which an agent's heartbeat is overdue; an unanswered request then marks the VM at once.
 pub const OVERDUE_TIME: Duration = Duration::from_millis(1000);
 
-/// Weight of the newest sample in the averages; a change shows after about five requests.
+/// Weight of the newest sample in the averages.
 const SMOOTH: f64 = 0.2;
 
 /// One target as an entry knows it.
@@ -66,6 +59,8 @@
     pub failing: f64,
     /// Time to the answer's head or first event lately beyond what was expected, in milliseconds.
     pub delay_ms: f64,
+    /// What it held when it left without a word, and when its agent last spoke.
+    pub(crate) left_with: Option<(Holds, Duration)>,
     /// Whether its service is declared. An announcement of another one was written by a stranger, and
     /// its address can be that of a sound target.
     pub(crate) declared: bool,
@@ -80,6 +75,7 @@
         Self {
             target,
             serial,
+            left_with: None,
             listed: true,
             declared: true,
             old_words_since: None,
@@ -193,7 +189,19 @@
     /// Notes that the target is gone.
     pub fn leave(&mut self) {
         self.listed = false;
-        self.report = None;
+        let report = self.report.take();
+        if self.target.state == State::Ready {
+            self.left_with = report.map(|(r, at)| (r.holds, at));
+        }
+    }
+
+    /// Whether it is down with a copy of a model, so that the model may soon be there again.
+    pub(crate) fn is_down_with(&self, model: &str, now: Duration) -> bool {
+        let holds = match &self.report {
+            Some((report, _)) => &report.holds,
+            None => &self.target.holds,
+        };
+        self.target.state == State::Ready && !self.open(now) && holds.has_copy(model)
     }
 
     /// Takes in that its agent has said something.
--- a/crates/stair-fleet/src/target.rs
+++ b/crates/stair-fleet/src/target.rs
@@ -117,6 +117,11 @@
         }
     }
 
+    /// Whether a model is there, ready to run or as a copy.
+    pub fn has_copy(&self, name: &str) -> bool {
+        self.model(name).is_some() || self.copy(name) != Copy::Store
+    }
+
     /// Puts all lists in the order that lookups rely on.
     pub fn sort(&mut self) {
         self.models.sort_by(|a, b| a.name.cmp(&b.name));
@@ -169,6 +174,17 @@
     pub free_adapters: u32,
     /// Use of what it holds, by all entries, sorted by model.
     pub usage: Vec<Usage>,
+    /// Demand for models that no engine could load in time, of those that this agent counts.
+    pub unserved: Vec<Demand>,
+}
+
+/// Requests for a model.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Demand {
+    /// The model.
+    pub model: Box<str>,
+    /// Requests a second lately.
+    pub per_s: f32,
 }
 
 /// A load under way.
--- a/crates/stair-fleet/src/view.rs
+++ b/crates/stair-fleet/src/view.rs
@@ -1,9 +1,7 @@
 //! All that one entry knows of the targets, with the age of each part.
 //!
-//! Three sources, each with its own age: the list in the store, the reports of agents, and what
-//! the entry saw of its own requests. A report goes before the list while its link is up, since
-//! the list is seconds old; when the agent is silent the list is what is left, and a sound engine
-//! whose agent died is still used.
+//! Sources: the list in the store, reports of agents, and the entry's own requests. A report goes before the list while
+//! its link is up; without one the list decides, so that a sound engine with a dead agent is still used.
 
 use std::{
     net::SocketAddr,
@@ -63,6 +61,9 @@
     pub revision: u64,
 }
 
+/// Time for which it is kept what a target held when it left.
+const LEFT_TIME: Duration = Duration::from_secs(15);
+
 impl Default for View {
     fn default() -> Self {
         Self {
@@ -144,7 +145,7 @@
             former => {
                 former.into_iter().for_each(|i| self.seen[i].leave());
                 self.end_missing_at(target.addr);
-                self.slot(&target)
+                self.slot(&target, now)
             }
         };
         let declared = self.is_declared(&target.service);
@@ -169,13 +170,17 @@
     ///
     /// A slot of a target that is gone and has nothing in flight is used again, so that a process that
     /// sees many replacements does not grow.
-    fn slot(&mut self, target: &Target) -> usize {
+    fn slot(&mut self, target: &Target, now: Duration) -> usize {
         if let Some(i) = self.seen.iter().position(|s| s.is_life(target)) {
             return i;
         }
         self.serial += 1;
         let new = Seen::new(target.clone(), self.serial);
-        let free = |s: &Seen| !s.listed && s.in_flight == 0 && s.report.is_none();
+        let left = |s: &Seen| {
+            let at = s.left_with.as_ref().map(|(_, at)| *at);
+            at.is_none_or(|at| now.saturating_sub(at) >= LEFT_TIME)
+        };
+        let free = |s: &Seen| !s.listed && s.in_flight == 0 && s.report.is_none() && left(s);
         if let Some(i) = self.seen.iter().position(free) {
             self.seen[i] = new;
             return i;
@@ -208,6 +213,26 @@
         self.seen.iter_mut().filter(missing).for_each(Seen::leave);
     }
 
+    /// Whether an engine that is down, or has left without a word within a time, has a copy of a model. Engines
+    /// that crash come back with what is on their disks.
+    pub fn may_return(&self, service: &str, model: &str, within: Duration, now: Duration) -> bool {
+        let of_service = self.seen.iter().filter(|s| *s.target.service == *service);
+        let mut down = of_service.filter(|s| match &s.left_with {
+            _ if s.listed => s.declared && s.is_down_with(model, now),
+            Some((holds, at)) => {
+                let lately = now.saturating_sub(*at) < within;
+                lately && holds.has_copy(model) && !self.is_back(s.target.addr, now)
+            }
+            None => false,
+        });
+        down.next().is_some()
+    }
+
+    /// Whether a target at an address has told what it holds.
+    fn is_back(&self, addr: SocketAddr, now: Duration) -> bool {
+        self.at(addr).is_some_and(|(_, s)| s.fresh(now).is_some())
+    }
+
     /// Finds the target that is at an address now: of several lives the newest one that the list
     /// has, since the one before stays on it until its heartbeats have been missed.
     pub fn at(&self, addr: SocketAddr) -> Option<(TargetKey, &Seen)> {
--- a/crates/stair-fleet/tests/balance.rs
+++ b/crates/stair-fleet/tests/balance.rs
@@ -5,12 +5,12 @@
 use stair_fleet::{
     View,
     balance,
-    cold_start, //
+    cold_start,
     target::{
         Copy,
         Report, //
     },
-    view::TargetKey,
+    view::TargetKey, //
 };
 use support::{
     NOW,
--- a/crates/stair-fleet/tests/lag.rs
+++ b/crates/stair-fleet/tests/lag.rs
@@ -5,8 +5,8 @@
 use stair_fleet::{
     lag::Lag,
     msg::{
-        Peers, //
-        ReplicationState,
+        Peers,
+        ReplicationState, //
     },
 };
 
--- a/crates/stair-fleet/tests/outlier.rs
+++ b/crates/stair-fleet/tests/outlier.rs
@@ -12,7 +12,7 @@
         Options,
         outliers, //
     },
-    view::TargetKey,
+    view::TargetKey, //
 };
 use support::{
     NOW,
--- a/crates/stair-fleet/tests/support/mod.rs
+++ b/crates/stair-fleet/tests/support/mod.rs
@@ -7,7 +7,8 @@
 };
 
 use stair_fleet::{
-    Target, View,
+    Target,
+    View,
     catalogue::{
         Engine,
         Model, //
@@ -23,7 +24,7 @@
         State,
         Usage, //
     },
-    view::TargetKey,
+    view::TargetKey, //
 };
 
 pub(crate) const NOW: Duration = Duration::from_secs(100);
--- a/crates/stair-fleet/tests/view.rs
+++ b/crates/stair-fleet/tests/view.rs
@@ -6,8 +6,8 @@
     Target,
     View,
     msg::{
-        Peers, //
-        ReplicationState,
+        Peers,
+        ReplicationState, //
     },
     target::State, //
 };
@@ -286,3 +286,38 @@
     cut.replace_by_peers(peer.list(NOW), 2, NOW);
     assert!(cut.get(key).open(NOW));
 }
+
+/// A model whose only engine is down may soon be there again; one whose engine has left for good, or is back
+/// without it, is not waited for.
+#[test]
+fn engines_that_may_return() {
+    let within = ms(6000);
+    let (mut view, keys) = fleet(vec![report(&["a"], &["b"])]);
+    let returns = |view: &View, model: &str, now| view.may_return(SERVICE, model, within, now);
+    assert!(!returns(&view, "a", NOW));
+    view.get_mut(keys[0]).suspect_until = NOW + ms(500);
+    assert!(returns(&view, "a", NOW) && returns(&view, "b", NOW));
+    assert!(!returns(&view, "c", NOW));
+    view.remove("t0");
+    assert!(returns(&view, "b", NOW + ms(3000)));
+    assert!(!returns(&view, "b", NOW + ms(9000)));
+    let mut next = target(1, SERVICE);
+    next.addr = addr(0);
+    view.put(next, NOW);
+    assert!(
+        returns(&view, "b", NOW),
+        "it has not told yet what it holds"
+    );
+    tell(&mut view, 0, report(&[], &["c"]));
+    assert!(!returns(&view, "b", NOW));
+}
+
+#[test]
+fn leaving_engine_does_not_return() {
+    let (mut view, _) = fleet(vec![report(&["a"], &[])]);
+    let mut leaves = target(0, SERVICE);
+    leaves.state = State::Draining(None);
+    view.put(leaves, NOW);
+    view.remove("t0");
+    assert!(!view.may_return(SERVICE, "a", ms(6000), NOW));
+}
--- a/crates/stair-relay/src/admit.rs
+++ b/crates/stair-relay/src/admit.rs
@@ -62,13 +62,10 @@
     },
 };
 
-/// When to come back to an entry that knows no catalogue yet: it asks the store several times a
-/// second, and another entry may answer at once.
+/// Retry-After of an entry without declarations; another entry may answer at once.
 const STARTING_COME_BACK: Duration = Duration::from_millis(300);
 
-/// Time that a stream may need, for an entry that stops. With eight seconds to
-/// stop, it lets streams in for three. One taken later would be cut by the end of the
-/// process, after it has run.
+/// Time that a stream may need. A stopping entry with less left rejects it: the end of the process would cut it.
 const STREAM_TIME: Duration = Duration::from_millis(4600);
 
 /// The same for other requests.
--- a/crates/stair-relay/src/allowance.rs
+++ b/crates/stair-relay/src/allowance.rs
@@ -1,10 +1,9 @@
-//! Takes what a request costs from its workspace's allowance.
+//! Takes the cost of a request from the allowance of its workspace.
 //!
-//! One agent counts a workspace for all entries: the first that answers, in an order on which all entries
-//! agree. While none answers, an entry lets through its own part.
+//! One agent counts a workspace for all entries: the first that answers, in an order on which all entries agree. While
+//! none answers, an entry admits its own share.
 //!
-//! Invariant: a request is counted once, however many targets it is sent to, and not at all if it has surely
-//! not run.
+//! Invariant: a request is counted once, however many targets it is sent to, and not at all if it has not run.
 
 use std::{
     net::SocketAddr,
@@ -336,6 +335,16 @@
         Some((counter.engine, rx))
     }
 
+    /// Has a rejected request counted for a model that no engine could load in time.
+    pub(crate) fn count_unserved(&mut self, model: &str, now: Duration) {
+        let engine = self.counter(model, now).map(|c| c.engine);
+        if let Some(i) = engine.and_then(|e| self.agent(e)) {
+            // Lost with a full queue, it is one of many.
+            let _ = self.agents[i].tx.try_send(ToAgent::Unserved(model.into()));
+        }
+    }
+
+    /// The agent that counts under a name, on which all entries agree.
     fn counter(&mut self, workspace: &str, now: Duration) -> Option<Counter> {
         let found = position(&self.allowances.counters, workspace);
         if let Ok(i) = found
--- a/crates/stair-relay/src/attempt.rs
+++ b/crates/stair-relay/src/attempt.rs
@@ -1,9 +1,7 @@
 //! Sends a request to a target once.
 //!
-//! Each attempt has a connection of its own. A kept one could have fallen silent, could be closed
-//! by the target as the request crosses, or could bring a late answer of the request before; each
-//! leaves open whether the request ran, and one that must not run twice is then lost. A new
-//! connection costs a round trip of at most three milliseconds.
+//! Each attempt has a connection of its own. On a kept one a lost or crossed answer would leave open whether the request
+//! has run.
 
 use std::{
     net::SocketAddr,
@@ -36,8 +34,7 @@
     },
 };
 
-/// Time to open a connection. Within a region it takes under ten milliseconds; one lost packet is
-/// sent again after a second, and by then another target has taken the request.
+/// Time to open a connection. A lost packet is sent again after a second; another target is faster.
 const CONNECT_TIME: Duration = Duration::from_millis(500);
 
 /// Longest head of a target's answer.
--- a/crates/stair-relay/src/failures.rs
+++ b/crates/stair-relay/src/failures.rs
@@ -16,11 +16,7 @@
     job::Job, //
 };
 
-/// The failures of one request that are not put down yet.
-///
-/// They are at the latest when this is dropped: with the answer, with the stream, or with the request of
-/// a client that left. One that was forgotten would have a failing target get its full share for as long
-/// as it is there.
+/// The failures of one request that do not count against a target yet. They do at the latest when this is dropped.
 pub struct Failures {
     cx: Arc<Context>,
     id: Box<str>,
--- a/crates/stair-relay/src/follow.rs
+++ b/crates/stair-relay/src/follow.rs
@@ -1,12 +1,10 @@
-//! One entry of a data centre watches the store, and the others there follow it.
+//! Replicates the store's changes from the one entry of the data centre that watches it.
 //!
-//! The load it answers: a hundred entries that each watch a list which changes many times a second. Every
-//! answer is a call of the store, the same for all of them.
+//! Load: many entries that would each watch a list which changes many times a second.
 //!
-//! Who watches is told by agents: the entry with the least name in the data centre. The others open a
-//! connection to it and hear what it hears; one that hears nothing for [`SILENCE`] watches by itself until
-//! it follows again, so that nobody is left behind by a peer that stops, stands still or is cut off. An entry
-//! is followed only while it vouches for what it knows: its own calls to the store are answered in time.
+//! Agents name the watcher: the entry with the least name in the data centre. A follower that receives nothing for
+//! a while watches by itself until it can follow again. A watcher serves followers only while its own calls to the
+//! store are answered in time.
 
 use std::{
     sync::{
@@ -61,8 +59,7 @@
 /// Time to open a connection to the entry that watches.
 const CONNECT_TIME: Duration = Duration::from_millis(500);
 
-/// Time without a word after which it is not followed any longer: three heartbeats. With the pauses of its
-/// own watch, what is new comes within two seconds also when it stops.
+/// Time without a message after which a watcher is not followed any longer: three heartbeats.
 const SILENCE: Duration = Duration::from_millis(750);
 
 /// Pause between heartbeats while there is nothing to tell.
@@ -71,15 +68,13 @@
 /// Pause before an entry is followed again.
 const PAUSE: Duration = Duration::from_millis(1000);
 
-/// Time beyond a watch's own within which the store has to answer it, for its entry to vouch for what it
-/// knows.
+/// Time beyond that of a watch within which the store has to answer it.
 const VOUCH_TIME: Duration = Duration::from_millis(300);
 
-/// Pause between words of what targets hold. Their agents tell that at once; the list stands in for an agent
-/// that is silent.
+/// Pause between reports of what targets hold, which their agents report at once.
 const HOLDS_EVERY: Duration = Duration::from_millis(4000);
 
-/// Words that wait for one follower; one that has missed some is told everything again.
+/// Changes that wait for one follower; one that has missed some begins anew.
 const QUEUE: usize = 64;
 
 /// What an entry watches.
--- a/crates/stair-relay/src/job.rs
+++ b/crates/stair-relay/src/job.rs
@@ -37,8 +37,7 @@
     context::Serving, //
 };
 
-/// Rank of a route whose requests go first, at the engine, which has 0 to 9 and takes 5 for those
-/// that name none.
+/// The engine's rank of the most urgent requests, of 0 to 9.
 const FIRST_RANK: u8 = 3;
 
 /// One request on its way.
--- a/crates/stair-relay/src/lib.rs
+++ b/crates/stair-relay/src/lib.rs
@@ -1,16 +1,15 @@
 //! The entry in front of targets that announce themselves in the store.
 //!
-//! A request's way: [`serve`] takes it, [`admit`] finds its route, [`authorize`] its workspace, whose
-//! [`allowance`] it takes from; as a [`job`], [`relay`]
-//! brings it to a target: [`pick`] chooses one, [`load`] has its model loaded, [`prefill`] waits until its
-//! prompt may be sent, [`attempt`] sends it there once, [`failures`] keeps what targets failed until it is
-//! known what that is put down to, [`stream`] passes the events of a stream on and resumes it elsewhere,
-//! [`refuse`] makes the entry's own answers.
+//! The path of a request: [`serve`] accepts it, [`admit`] finds its route, [`authorize`] its workspace, [`allowance`]
+//! charges it. As a [`job`] it goes through [`relay`]: [`pick`] chooses a target, [`load`] has the model loaded there,
+//! [`outage`] waits for an engine that is down, [`prefill`] reserves a prefill slot, [`attempt`] sends it, [`stream`]
+//! passes events and resumes. [`failures`] counts failures of targets, [`refuse`] makes the entry's own answers.
 //!
-//! What the entry knows: [`replicate`] watches the store, [`follow`] hears it from the one entry of the data
-//! centre that watches for all, [`change`] is what they hear, [`links`] hears the agents, [`peers`] asks other
-//! entries when the store does not answer, [`prefetch`] has models loaded before they are asked for.
-//! [`context`] holds it all, [`dump`] shows it to the operator, [`process`] starts and stops.
+//! Replicated state: [`replicate`] watches the store, [`follow`] the entry that watches for the data centre, [`change`]
+//! is what they exchange, [`peers`] asks other entries when the store does not answer.
+//!
+//! Agents: [`links`] holds the connections, [`prefetch`] has models loaded before they are requested.
+//! [`context`] holds the state of all, [`dump`] shows it, [`process`] starts and stops.
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
@@ -26,6 +25,7 @@
 pub mod job;
 pub mod links;
 pub mod load;
+pub mod outage;
 pub mod peers;
 pub mod pick;
 pub mod prefetch;
--- a/crates/stair-relay/src/links.rs
+++ b/crates/stair-relay/src/links.rs
@@ -46,20 +46,19 @@
     },
 };
 
-/// Time to open a link; within a region it takes milliseconds.
+/// Time to open a link.
 const CONNECT_TIME: Duration = Duration::from_millis(500);
 
 /// Pause before a link is opened anew.
 const PAUSE: Duration = Duration::from_millis(400);
 
-/// Time without a message after which a link is taken for dead; agents report every second.
+/// Time without a message after which a link is dead; agents report every second.
 const SILENCE: Duration = Duration::from_millis(2500);
 
-/// Pause between looks at what an agent has not been told yet.
+/// Pause between looks for what is to be sent to an agent.
 const TICK: Duration = Duration::from_millis(250);
 
-/// Links up to which that pause holds; with more it grows in proportion, so that an entry on a
-/// tenth of a core does not spend it on looks.
+/// Links up to which that pause holds. It grows in proportion beyond, to bound the processor time of small VMs.
 const TICK_LINKS: u32 = 16;
 
 /// Longest pause; agents take an entry for gone after several of them.
@@ -71,7 +70,7 @@
 /// Pause between looks for VMs that stand still.
 const LOOK_EVERY: Duration = Duration::from_millis(200);
 
-/// A look that comes so late says that this process has stood still itself.
+/// A look that comes so late shows that this process has stood still itself.
 const LATE_LOOK: Duration = Duration::from_millis(600);
 
 /// Messages waiting for one agent.
--- a/crates/stair-relay/src/load.rs
+++ b/crates/stair-relay/src/load.rs
@@ -36,6 +36,7 @@
         PendingLoad, //
     },
     job::Job,
+    outage,
     pick::{
         COME_BACK,
         LOOK_EVERY,
@@ -44,8 +45,7 @@
     },
 };
 
-/// Time that a refused client may take to return beyond what it was told: it opens a new connection, and
-/// one lost packet is sent again after a second.
+/// Time that a rejected client may return later than told; a lost packet is sent again after a second.
 const RETURN_TIME: Duration = Duration::from_millis(1000);
 
 /// What came of a try to have a model loaded.
@@ -58,18 +58,21 @@
     Refused(TargetKey),
     /// It would come too late; when to come back.
     TooLate(Duration),
+    /// It would come too late, and an engine that is down may be back with it before.
+    Down,
     /// No engine can load it.
     Nowhere,
 }
 
 /// Finds a place for a model, has it loaded there and waits for it until `until`. Engines in
-/// `refused` are left out.
+/// `refused` are left out. Until `held_until` an engine that is down may be waited for instead.
 pub async fn load(
     cx: &Arc<Context>,
     job: &Job,
     model: &str,
     engine: &Engine,
     refused: &[TargetKey],
+    held_until: Instant,
     until: Instant,
 ) -> Loaded {
     let found = {
@@ -78,7 +81,7 @@
         cold_start::find(&state.view, &job.service, engine, model, refused, now)
     };
     match found {
-        Ok(at) => load_at(cx, job, &at, refused, until).await,
+        Ok(at) => load_at(cx, job, &at, refused, held_until, until).await,
         Err(e) => {
             Line::new("wake.nowhere")
                 .text("id", &job.meta.id)
@@ -96,6 +99,7 @@
     job: &Job,
     at: &cold_start::Outcome,
     refused: &[TargetKey],
+    held_until: Instant,
     until: Instant,
 ) -> Loaded {
     let Some(model) = job.meta.model.as_deref() else {
@@ -103,6 +107,10 @@
     };
     let begun = Instant::now();
     let late = begun + at.ready_in + RUN_TIME > until;
+    // A load that comes too late for this request anyway keeps the weight store from others.
+    if late && at.from == Copy::Store && begun < held_until && outage::is_expected(cx, job) {
+        return Loaded::Down;
+    }
     let waits = until.saturating_duration_since(begun);
     let of_use = at.ready_in.max(waits + COME_BACK) + RETURN_TIME;
     let Some(mut pending) = ask(cx, model, at, of_use, false) else {
--- a/crates/stair-relay/src/pick.rs
+++ b/crates/stair-relay/src/pick.rs
@@ -40,6 +40,7 @@
         load_at, //
         log_load,
     },
+    outage,
     prefill::{
         self,
         Prompt,
@@ -48,33 +49,31 @@
     },
 };
 
-/// Time for an agent to bring an adapter. It takes some milliseconds; when many come at once, or
-/// one slot after another has to be freed, some hundred.
+/// Time for an agent to bring an adapter, which may have to wait for a place.
 const ADAPTER_TIME: Duration = Duration::from_millis(1500);
 
-/// Time for which a replica beside a slow one is of use: as long as the requests wait that made it slow.
+/// Time for which a further replica is of use: as long as requests wait for the slow one.
 const REPLICA_TIME: Duration = Duration::from_secs(2);
 
-/// Time that is left for the run itself when a load is waited for: a prompt of usual length is read
-/// in a quarter of a second.
+/// Time that is left for the run itself when a load is waited for.
 pub(crate) const RUN_TIME: Duration = Duration::from_millis(400);
 
-/// When to come back if nothing says when a target will be free.
+/// Retry-After if nothing says when a target will be free.
 pub(crate) const COME_BACK: Duration = Duration::from_millis(700);
 
-/// How often one request may look for a target anew, lest it turn for ever between agents that
-/// refuse it.
+/// Rounds in which one request may look for a target, lest it go on for ever between agents that refuse it.
 const MAX_ROUNDS: u32 = 12;
 
-/// Pause between looks whether the weight store is free, or another engine has the model: a
-/// twentieth of a load from the store.
+/// The part of its time that a request waits for an engine that is down; the rest is for its client's return.
+const HELD_PART: u32 = 2;
+
+/// Pause between looks for a target.
 pub(crate) const LOOK_EVERY: Duration = Duration::from_millis(300);
 
 /// Engines that may fail to bring the request's adapter before one is sent to all the same.
 const MAX_REFUSED: usize = 2;
 
-/// Engines that may tell a prompt that its slot would come too late before a late answer is taken:
-/// their reports lag behind by some hundred milliseconds, their answers do not.
+/// Engines that may refuse a prefill slot before a late answer is taken: reports lag behind answers.
 pub(crate) const MAX_FULL: u32 = 2;
 
 /// Where a request goes.
@@ -113,6 +112,7 @@
     until: Instant,
 ) -> Result<Picked, Nowhere> {
     let mut looks = Looks::new(since, until);
+    let held_until = since + until.saturating_duration_since(since) / HELD_PART;
     let mut rounds = 0;
     while rounds < MAX_ROUNDS && Instant::now() < until {
         let best = ready(cx, job, tried, false);
@@ -141,11 +141,13 @@
             Step::Go(picked) => return Ok(picked),
             Step::Again => None,
             Step::Crowded(wait) => match &place {
-                Some(place) => Some(load_at(cx, job, place, &left_out, until).await),
+                Some(place) => Some(load_at(cx, job, place, &left_out, held_until, until).await),
                 None => return Err(Nowhere::after(wait)),
             },
             Step::Load => match job.model_of_engine() {
-                Some((model, engine)) => Some(load(cx, job, model, engine, &left_out, until).await),
+                Some((model, engine)) => {
+                    Some(load(cx, job, model, engine, &left_out, held_until, until).await)
+                }
                 None => break,
             },
         };
@@ -154,14 +156,33 @@
             // Bounded by the deadline.
             Some(Loaded::Waited) => continue,
             Some(Loaded::Refused(key)) => looks.refused.push(key),
-            Some(Loaded::TooLate(come_back)) => return Err(Nowhere { come_back }),
-            Some(Loaded::Nowhere) => break,
+            Some(Loaded::Down) => {
+                outage::wait(cx, job, tried, held_until).await;
+            }
+            Some(Loaded::TooLate(come_back)) => {
+                if !outage::wait(cx, job, tried, held_until).await {
+                    count_unserved(cx, job);
+                    return Err(Nowhere { come_back });
+                }
+            }
+            Some(Loaded::Nowhere) => {
+                if !outage::wait(cx, job, tried, held_until).await {
+                    break;
+                }
+            }
         }
         rounds += 1;
     }
     last_resort(cx, job, tried, &looks).await
 }
 
+fn count_unserved(cx: &Context, job: &Job) {
+    if let Some((model, _)) = job.model_of_engine() {
+        let now = cx.now();
+        cx.state().count_unserved(model, now);
+    }
+}
+
 /// A target under suspicion is better than none.
 async fn last_resort(
     cx: &Arc<Context>,
@@ -268,7 +289,11 @@
 }
 
 /// The place for a further replica of a model whose best target is slow.
-fn place(cx: &Arc<Context>, job: &Job, left_out: &[TargetKey]) -> Option<cold_start::Outcome> {
+pub(crate) fn place(
+    cx: &Arc<Context>,
+    job: &Job,
+    left_out: &[TargetKey],
+) -> Option<cold_start::Outcome> {
     let (model, engine) = job.model_of_engine()?;
     let state = cx.state();
     let now = cx.now();
--- a/crates/stair-relay/src/prefetch.rs
+++ b/crates/stair-relay/src/prefetch.rs
@@ -20,14 +20,13 @@
     load, //
 };
 
-/// Pause between looks. A load from a copy takes half a second.
+/// Pause between looks.
 const EVERY: Duration = Duration::from_millis(300);
 
-/// Time for which a load that no request waits for is of use. Longer than one from a weight store that
-/// is shared by twice as many loads as run at full speed.
+/// Time for which a prefetch is of use, longer than a load from a shared weight store.
 const PREFETCH_TIME: Duration = Duration::from_secs(14);
 
-/// Loads asked for in one look.
+/// Loads requested in one look.
 const AT_ONCE: usize = 4;
 
 /// Looks for loads worth making, for as long as the process runs.
--- a/crates/stair-relay/src/prefill.rs
+++ b/crates/stair-relay/src/prefill.rs
@@ -26,13 +26,11 @@
     },
 };
 
-/// The longest wait that a less urgent prompt books a slot for. It has more time than the urgent ones,
-/// so that it would otherwise fill the queue up to where those find it too long: of two kinds at one
-/// crowded engine the less urgent was served and the urgent one refused. As long as the urgent ones
-/// with the shortest objective, 800 ms, can wait; it asks again until its own time is up.
+/// The longest wait that a less urgent prompt reserves a slot for. With more, it would fill the queue beyond what
+/// urgent ones can wait; it asks again until its own time is up.
 const YIELD_TIME: Duration = Duration::from_millis(400);
 
-/// Time for an agent to tell a slot: a round trip of three milliseconds and its own wake-up.
+/// Time for an agent to answer: a round trip and the longest pause of a busy VM.
 const RESERVE_TIME: Duration = Duration::from_millis(150);
 
 /// Objectives after which an answer is too late to make others wait for it.
--- a/crates/stair-relay/src/process.rs
+++ b/crates/stair-relay/src/process.rs
@@ -32,8 +32,7 @@
 /// Time before the kill by which the process has ended on its own.
 const END_BEFORE_KILL: Duration = Duration::from_millis(400);
 
-/// Time from the stop's beginning for which the listener stays: the balancer notices after two
-/// misses a second apart, and sends new connections until then.
+/// Time for which a stopping entry still accepts connections: the balancer notices after two misses.
 const LISTEN_ON: Duration = Duration::from_millis(3500);
 
 /// Pause between looks whether all requests have been answered.
--- a/crates/stair-relay/src/relay.rs
+++ b/crates/stair-relay/src/relay.rs
@@ -53,23 +53,21 @@
     stream,
 };
 
-/// Time before the process's end at which requests that still wait for a target are refused; enough
-/// for their refusals to reach the clients.
+/// Time before the process's end at which waiting requests are rejected, for the rejections to arrive.
 const LAST_REFUSALS: Duration = Duration::from_millis(500);
 
-/// Time before its client leaves at which a request that waits for a target is refused. Told as late as
-/// the client leaves, it would not learn that its request has not run, nor when to come back. A round trip
-/// of some milliseconds and the longest pause of a busy entry.
+/// Time before its client leaves at which a waiting request is rejected: a round trip and the longest pause of a
+/// busy entry. Later, the client would not learn that it has not run.
 const REFUSAL_TIME: Duration = Duration::from_millis(150);
 
-/// When to come back after the targets refused: their queues drain in some hundred milliseconds.
+/// Retry-After when all targets were full.
 const REFUSED_COME_BACK: Duration = Duration::from_millis(500);
 
 /// Targets that one request is sent to at most while each says that it has not run it.
 const MAX_SENDS: usize = 4;
 
-/// A repeatable request that has waited so many times its objective for one target is tried at
-/// another: most targets that take this long have hung.
+/// A repeatable request is tried at another target after so many objectives: most targets that take longer have
+/// hung.
 const HUNG_AFTER: u32 = 3;
 
 /// Serves one request.
@@ -300,9 +298,8 @@
 
 /// Waits until an attempt is given up for a VM that stands still.
 ///
-/// What may be tried elsewhere is, at once. The rest waits for the VM to go on, but not longer than its client:
-/// one that leaves a stream knows nothing of what became of its request, and a standing engine cannot take the
-/// close either, so that it would run on for nobody. Right before, the client is told that it may have run.
+/// What may run elsewhere is given up at once. The rest waits until right before its client leaves, and is then
+/// answered that it may have run: a VM that stands still cannot take the client's close.
 ///
 /// `before` were tried before the target `key`; a run at one of them may go on as well.
 pub async fn given_up(
--- a/crates/stair-relay/src/replicate.rs
+++ b/crates/stair-relay/src/replicate.rs
@@ -1,10 +1,9 @@
-//! Watches the store: what operators declare, and the targets.
+//! Replicates declarations and the list of targets from the store.
 //!
-//! One entry of a data centre watches for the others there, which hear from it by [`follow`](crate::follow);
-//! each of them watches by itself for as long as it hears nothing.
+//! One entry of a data centre watches the store, the others [`follow`](crate::follow) it; an entry that receives nothing
+//! watches by itself.
 //!
-//! Versions only rise: an answer that is older than what is known, from a store that serves stale data or
-//! from a peer that lags, changes nothing.
+//! Invariant: versions only rise; an older answer of a stale store or a lagging peer changes nothing.
 
 use std::{
     sync::Arc,
@@ -45,46 +44,38 @@
     }, //
 };
 
-/// How long a watch waits. One whose connection fell silent is noticed by its end, so this bounds
-/// the age of what is known; each call is priced.
+/// Time of a watch. Its end shows a silent connection, so it bounds the age of the state; each call is charged.
 const WATCH_TIME: Duration = Duration::from_millis(3000);
 
-/// The same for the targets at an entry that others follow. They hear nothing new while its connection is
-/// silent, and what is new is due with them within two seconds too.
+/// The same for the targets at an entry that others follow.
 const FOLLOWED_TARGETS_TIME: Duration = Duration::from_millis(500);
 
-/// The same for what operators declare, which has no pause after a change.
+/// The same for declarations, which have no pause after a change.
 const FOLLOWED_CATALOGUE_TIME: Duration = Duration::from_millis(1000);
 
-/// Pause after a failed call; after each further one in a row twice as long. Refused calls are charged like
-/// others, and every entry makes them while the store is down.
+/// Pause after a failed call, doubled with each further one. Rejected calls are charged too.
 const PAUSE: Duration = Duration::from_millis(300);
 
-/// Longest pause. When the store comes back, what changed meanwhile is due within two seconds.
+/// Longest pause: changes are due within two seconds after the store is back.
 const MAX_PAUSE: Duration = Duration::from_millis(1200);
 
-/// Pause between watches of the targets that bring changes. Engines announce each model that comes
-/// or goes, tens of times a second in a fleet of twenty; without the pause each is a priced call.
-/// What changes is due within two seconds.
+/// Pause between watches of the targets that bring changes, which come many times a second.
 const GATHER: Duration = Duration::from_millis(600);
 
-/// The same while the process is young. After a power cut all targets announce their next lives
-/// within some seconds, and requests for those before are refused.
+/// The same while the process is young: after a power cut all targets announce new lives.
 const GATHER_YOUNG: Duration = Duration::from_millis(150);
 
-/// Age up to which a process is young: three heartbeats of a target, which its former life stays on
-/// the list for, and the start.
+/// Age up to which a process is young: three heartbeats of a target and its start.
 const YOUNG: Duration = Duration::from_secs(5);
 
-/// Time for which a target that is missing after the store was away is still used: it announces
-/// itself again within two seconds if it lives.
+/// Time for which a target that is missing after the store was away is still used; a live one announces itself
+/// within two seconds.
 pub const MISSING_TIME: Duration = Duration::from_millis(1900);
 
 /// Follows the declarations for as long as the process runs.
 ///
-/// They are listed and not read one by one: a list says the store's revision, from which a watch finds its
-/// history. The revision of their own last change can be older than any history that is kept, and a watch
-/// from there would be refused over and over.
+/// A list names the store's revision, from which a watch can start; the revision of the object itself may be older
+/// than the history that the store keeps.
 pub async fn follow_catalogue(cx: Arc<Context>) {
     let mut health = Health::new("catalogue");
     loop {
--- a/crates/stair-relay/src/stream.rs
+++ b/crates/stair-relay/src/stream.rs
@@ -1,9 +1,7 @@
-//! Passes the events of a stream on, and resumes it at another target.
+//! Passes the events of a stream to the client, and resumes it at another target.
 //!
-//! Only whole events are passed on, each once and in order, and the client's answer ends complete
-//! only when a target ended its own so. A stream that breaks is gone on with elsewhere after its
-//! last event where its route allows it, within one answer; any other is cut so that the client
-//! sees it.
+//! Invariants: only whole events are passed, each once and in order; the client's answer is complete only if a target
+//! completed it. A stream that breaks is resumed after its last event where its route allows it, and otherwise cut.
 
 use std::{
     sync::Arc,
--- a/crates/stair-sidecar/src/controller.rs
+++ b/crates/stair-sidecar/src/controller.rs
@@ -1,12 +1,8 @@
-//! What the engine holds, what entries ask for, and the next order.
+//! What the engine holds, which loads are requested, and the next order. No I/O; time is passed in.
 //!
-//! Pure: readings, load requests and replies come in, orders and outcomes go out, time is passed in.
-//!
-//! Invariants: an order is planned on the newest reading and names its sequence, so one that the
-//! engine carries out late or twice is refused by it; the weights that an engine would hold after
-//! an order never exceed its memory, since an engine that is ordered beyond it crashes. An engine that
-//! starts again counts its orders anew, so a load that its former life left unanswered could still be
-//! carried out at the same count; until then, or until it is too late for that, it takes its room.
+//! Invariants: an order names the sequence of the newest reading, so the engine rejects it when it comes late or twice;
+//! the weights after an order never exceed the engine's memory. A load that a former life of the engine left unanswered
+//! may still be carried out, and takes its room until that is no longer possible.
 
 mod plan;
 mod report;
@@ -111,6 +107,8 @@
     load_requests: Vec<Pending>,
     doing: Option<Doing>,
     usage: Usage,
+    /// Rejected requests for models that no engine could load in time.
+    unserved: Usage,
     /// Adapters, as `MODEL/NAME`, that make way once their requests have ended, and until when they
     /// count as doing so.
     dropping: Vec<(Box<str>, Duration)>,
@@ -134,10 +132,8 @@
 pub struct Options {
     /// An engine begins one load from the weight store in such a time at most.
     ///
-    /// The weight store bounds the loads that begin in this time over all engines, also while their
-    /// agents and the entries cannot see each other. A load that takes longer than this keeps to the
-    /// bound by itself; an engine that crashes in one and comes back, or that loads faster, would
-    /// begin the next at once.
+    /// The weight store limits the loads that begin in this time over all engines, also while agents are cut off
+    /// from each other. An engine that crashes in a load, or loads faster, would begin the next at once.
     pub fetch_window: Duration,
 }
 
@@ -194,6 +190,11 @@
         self.usage.take(link, list, now);
     }
 
+    /// Counts a rejected request for a model that no engine could load in time.
+    pub fn count_unserved(&mut self, model: &str, now: Duration) {
+        self.unserved.count(model, now);
+    }
+
     /// Whether a model gets no new requests here: it makes way.
     pub fn is_leaving(&self, model: &str) -> bool {
         let unloading = self.doing.as_ref().filter(|d| !d.load);
--- a/crates/stair-sidecar/src/controller/report.rs
+++ b/crates/stair-sidecar/src/controller/report.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use stair_fleet::target::{
+    Demand,
     Fetched,
     Holds,
     Load,
@@ -75,9 +76,18 @@
             leaving,
             free_adapters: self.free_adapters(),
             usage,
+            unserved: self.unserved(now),
         }
     }
 
+    fn unserved(&self, now: Duration) -> Vec<Demand> {
+        let rates = self.unserved.rates(now).map(|(model, per_s)| Demand {
+            model: model.into(),
+            per_s: per_s as f32,
+        });
+        rates.filter(|d| d.per_s > LEAST_PER_S).collect()
+    }
+
     fn fetched(&self, now: Duration) -> Option<Fetched> {
         let fresh = |at: Duration| now.saturating_sub(at) < FETCHED_TIME;
         self.fetched.filter(|(_, at)| fresh(*at)).map(|(f, _)| f)
--- a/crates/stair-sidecar/src/process/receive.rs
+++ b/crates/stair-sidecar/src/process/receive.rs
@@ -105,6 +105,7 @@
                 // An entry that does not read goes without its slot.
                 link.map(|l| l.tx.try_send(ToEntry::Prefill { seq, answer }));
             }
+            ToAgent::Unserved(model) => self.controller.count_unserved(&model, now),
             ToAgent::Used(list) => self.controller.used(key, &list, now),
             ToAgent::Read(list) => list.iter().for_each(|r| self.prefills.learn(r)),
             // Answered by the link itself.
@@ -114,9 +115,8 @@
 
     /// Takes in that the engine has said it is not this life, to an entry or to this agent.
     ///
-    /// The refusal need not name the life that is there instead. Ordering on for the one before
-    /// would be refused for as long as entries ask;
-    /// without a life the entries are told at once that this engine takes no orders.
+    /// The refusal need not name the present life. Until that is known, entries are told that the engine takes no
+    /// orders.
     pub(super) fn receive_former(&mut self, id: Box<str>) {
         if self.former.as_ref() == Some(&id) {
             return;
--- a/crates/stair-sidecar/src/usage.rs
+++ b/crates/stair-sidecar/src/usage.rs
@@ -53,9 +53,8 @@
 
     /// Notes a prompt that takes so much of the engine's time, and whether it has its slot.
     ///
-    /// One that found no slot counts as use as well. Were only those counted that are sent, a crowded
-    /// replica would look as busy as it can serve, never busier, and its model would get no further
-    /// one. One that has its slot is on its way, and its model is not dropped under it.
+    /// A rejected prompt counts as demand, or a saturated model would get no further replica. An admitted one is on
+    /// its way, and its model is not evicted under it.
     pub fn prompt(&mut self, model: &str, booked: bool, work: Duration, now: Duration) {
         let entry = self.entry(model, now);
         entry.work += work.as_secs_f64() / RATE_TIME_S;
@@ -78,6 +77,16 @@
         }
     }
 
+    /// Counts a request for a model.
+    pub fn count(&mut self, model: &str, now: Duration) {
+        self.entry(model, now).per_s += 1.0 / RATE_TIME_S;
+    }
+
+    /// Requests a second lately for each name.
+    pub fn rates(&self, now: Duration) -> impl Iterator<Item = (&str, f64)> {
+        self.list.iter().map(move |u| (&*u.name, u.rate(now)))
+    }
+
     /// Forgets a connection.
     pub fn forget(&mut self, link: LinkKey) {
         for entry in &mut self.list {
