--- a/crates/stair-relay/src/context.rs
+++ b/crates/stair-relay/src/context.rs
@@ -1,7 +1,10 @@
 //! What all parts of one entry share.
 
+mod agents;
 mod flight;
 mod pending_load;
+mod retries;
+mod usage;
 
 use std::{
     net::SocketAddr,
@@ -26,21 +29,15 @@
 use stair_fleet::{
     Catalogue,
     View,
-    budget::{
-        self,
-        Budget, //
-    },
+    budget::Budget,
     msg::{
-        LoadRequest, //
         Outcome,
         Peers,
         ReplicationState,
-        ToAgent,
-        Used,
+        ToAgent, //
     },
     prefill::{
         Answer,
-        Ask,
         Read, //
     },
     seen::OVERDUE_TIME,
@@ -65,8 +62,7 @@
 
 use crate::{
     allowance::Allowances,
-    follow::Follow,
-    job::Job, //
+    follow::Follow, //
 };
 
 pub use flight::{
@@ -74,6 +70,7 @@
     Serving, //
 };
 pub use pending_load::PendingLoad;
+use usage::UseAt;
 
 /// One entry.
 pub struct Context {
@@ -144,13 +141,6 @@
     pub reservations: Vec<(u64, oneshot::Sender<Answer>)>,
 }
 
-/// Use of a model, or an adapter as `MODEL/NAME`, at one engine by this entry.
-struct UseAt {
-    engine: SocketAddr,
-    used: Used,
-    told_in_flight: u32,
-}
-
 impl Context {
     /// Makes the context of an entry that knows nothing yet.
     pub fn new(settings: GatewaySettings) -> Self {
@@ -320,129 +310,6 @@
             targets: state.view.revision,
         }
     }
-
-    /// Counts a request for a service.
-    pub fn count_request(&self, service: &str) {
-        let now = self.now();
-        let mut state = self.state();
-        let i = self.budget(&mut state, service);
-        state.budgets[i].1.request(now);
-    }
-
-    /// Takes a retry from this entry's share of the budget, and tells whether it may be made.
-    pub fn may_retry(&self, service: &str) -> bool {
-        let now = self.now();
-        let allowed = {
-            let mut state = self.state();
-            let i = self.budget(&mut state, service);
-            let opts = self.budget_options(&state);
-            let budget = &mut state.budgets[i].1;
-            budget.set_options(opts);
-            budget.try_retry(now)
-        };
-        let outcome = if allowed { "made" } else { "refused" };
-        self.page.count("retries_total", &[("outcome", outcome)], 1);
-        allowed
-    }
-
-    /// Finds the retries of a service. What bounds them is looked up for a retry, and not for each
-    /// request: it is the largest word of all agents.
-    fn budget(&self, state: &mut State, service: &str) -> usize {
-        let found = state
-            .budgets
-            .binary_search_by(|(name, _)| (**name).cmp(service));
-        found.unwrap_or_else(|i| {
-            let budget = Budget::new(self.budget_options(state));
-            state.budgets.insert(i, (service.into(), budget));
-            i
-        })
-    }
-
-    fn budget_options(&self, state: &State) -> budget::Options {
-        let retries = self.live().retries;
-        budget::Options {
-            ratio: retries.ratio,
-            extra: retries.extra,
-            window: Duration::from_millis(retries.window_ms.into()),
-            entries: state.entries(retries.entries),
-        }
-    }
-
-    /// The number of entries that share what holds for all of them together.
-    pub fn entries(&self) -> u32 {
-        let expected = self.live().retries.entries;
-        self.state().entries(expected)
-    }
-
-    /// Tells the agent at an address that its engine has said it is not this life.
-    pub fn report_former(&self, engine: SocketAddr, id: Box<str>) {
-        let state = self.state();
-        if let Some(i) = state.agent(engine) {
-            // An agent that does not read finds out by its own orders.
-            let _ = state.agents[i].tx.try_send(ToAgent::Former(id));
-        }
-    }
-
-    /// Asks the agent of an engine for a model or adapter. `None` when there is no link.
-    pub fn request_load(
-        self: &Arc<Self>,
-        engine: SocketAddr,
-        mut req: LoadRequest,
-    ) -> Option<PendingLoad> {
-        let mut state = self.state();
-        req.seq = state.next_seq();
-        let i = state.agent(engine)?;
-        let link = &mut state.agents[i];
-        let seq = req.seq;
-        link.tx.try_send(ToAgent::LoadRequest(req)).ok()?;
-        let (tx, rx) = oneshot::channel();
-        link.waiting.push((seq, tx));
-        Some(PendingLoad {
-            cx: self.clone(),
-            engine,
-            seq,
-            rx,
-            open: true,
-        })
-    }
-
-    fn cancel(&self, engine: SocketAddr, seq: u64) {
-        let mut state = self.state();
-        if let Some(i) = state.agent(engine) {
-            let link = &mut state.agents[i];
-            link.waiting.retain(|(s, _)| *s != seq);
-            // An agent that does not read forgets it when the link ends.
-            let _ = link.tx.try_send(ToAgent::Cancel(seq));
-        }
-    }
-
-    /// Takes in how long an engine took until the first event of a prompt, for its agent.
-    pub fn was_read(&self, key: TargetKey, job: &Job, reads: Duration, took: Duration) {
-        let Some((model, _)) = job.model_of_engine().filter(|_| !reads.is_zero()) else {
-            return;
-        };
-        let mut state = self.state();
-        let engine = state.view.get(key).target.addr;
-        if let Some(i) = state.agent(engine) {
-            state.agents[i].read.push(Read {
-                model: model.into(),
-                reads,
-                took,
-            });
-        }
-    }
-
-    /// Asks the agent of an engine for a prompt's prefill slot. `None` when there is no link.
-    pub fn reserve(&self, engine: SocketAddr, ask: Ask) -> Option<oneshot::Receiver<Answer>> {
-        let mut state = self.state();
-        let seq = state.next_seq();
-        let i = state.agent(engine)?;
-        let link = &mut state.agents[i];
-        link.tx.try_send(ToAgent::Prefill { seq, ask }).ok()?;
-        let (tx, rx) = oneshot::channel();
-        link.reservations.push((seq, tx));
-        Some(rx)
-    }
 }
 
 impl State {
@@ -452,11 +319,6 @@
         self.next_seq
     }
 
-    fn entries(&self, expected: u32) -> u32 {
-        let counts = self.agents.iter().map(|a| a.entries);
-        budget::entries(expected, counts)
-    }
-
     /// Takes from the list what engines have said they are not: the store may list it for some time.
     pub fn drop_former(&mut self) {
         for id in self.agents.iter().filter_map(|a| a.former.as_ref()) {
@@ -468,63 +330,4 @@
     pub fn agent(&self, engine: SocketAddr) -> Option<usize> {
         self.agents.binary_search_by_key(&engine, |a| a.engine).ok()
     }
-
-    /// The retries of each service.
-    pub fn budgets(&self) -> impl Iterator<Item = (&str, &Budget)> {
-        self.budgets.iter().map(|(service, b)| (&**service, b))
-    }
-
-    /// Notes that a request goes to an engine.
-    fn use_begins(&mut self, engine: SocketAddr, name: &str) {
-        let found = self
-            .use_of
-            .iter_mut()
-            .find(|u| u.engine == engine && *u.used.model == *name);
-        if let Some(u) = found {
-            u.used.sent += 1;
-            u.used.in_flight += 1;
-            return;
-        }
-        self.use_of.push(UseAt {
-            engine,
-            used: Used {
-                model: name.into(),
-                sent: 1,
-                in_flight: 1,
-            },
-            told_in_flight: 0,
-        });
-    }
-
-    fn use_ends(&mut self, engine: SocketAddr, name: &str) {
-        let found = self
-            .use_of
-            .iter_mut()
-            .find(|u| u.engine == engine && *u.used.model == *name);
-        if let Some(u) = found {
-            u.used.in_flight = u.used.in_flight.saturating_sub(1);
-        }
-    }
-
-    /// Takes how long prompts took to be read at an engine since its agent was told.
-    pub fn take_read(&mut self, engine: SocketAddr) -> Vec<Read> {
-        let i = self.agent(engine);
-        i.map_or_else(Vec::new, |i| std::mem::take(&mut self.agents[i].read))
-    }
-
-    /// Takes what an engine's agent has not been told yet; all of it for a new link.
-    pub fn take_used(&mut self, engine: SocketAddr, whole: bool) -> Vec<Used> {
-        let mut out = Vec::new();
-        for u in self.use_of.iter_mut().filter(|u| u.engine == engine) {
-            let news = u.used.sent > 0 || u.used.in_flight != u.told_in_flight;
-            if news || whole {
-                out.push(u.used.clone());
-                u.used.sent = 0;
-                u.told_in_flight = u.used.in_flight;
-            }
-        }
-        let idle = |u: &UseAt| u.used.in_flight == 0 && u.told_in_flight == 0 && u.used.sent == 0;
-        self.use_of.retain(|u| u.engine != engine || !idle(u));
-        out
-    }
 }
--- /dev/null
+++ b/crates/stair-relay/src/context/retries.rs
@@ -0,0 +1,80 @@
+//! This entry's share of the retry budget.
+
+use std::time::Duration;
+
+use stair_fleet::budget::{
+    self,
+    Budget, //
+};
+
+use super::{
+    Context,
+    State, //
+};
+
+impl Context {
+    /// Counts a request for a service.
+    pub fn count_request(&self, service: &str) {
+        let now = self.now();
+        let mut state = self.state();
+        let i = self.budget(&mut state, service);
+        state.budgets[i].1.request(now);
+    }
+
+    /// Takes a retry from this entry's share of the budget, and tells whether it may be made.
+    pub fn may_retry(&self, service: &str) -> bool {
+        let now = self.now();
+        let allowed = {
+            let mut state = self.state();
+            let i = self.budget(&mut state, service);
+            let opts = self.budget_options(&state);
+            let budget = &mut state.budgets[i].1;
+            budget.set_options(opts);
+            budget.try_retry(now)
+        };
+        let outcome = if allowed { "made" } else { "refused" };
+        self.page.count("retries_total", &[("outcome", outcome)], 1);
+        allowed
+    }
+
+    /// Finds the retries of a service. What bounds them is looked up for a retry, and not for each
+    /// request: it is the largest word of all agents.
+    fn budget(&self, state: &mut State, service: &str) -> usize {
+        let found = state
+            .budgets
+            .binary_search_by(|(name, _)| (**name).cmp(service));
+        found.unwrap_or_else(|i| {
+            let budget = Budget::new(self.budget_options(state));
+            state.budgets.insert(i, (service.into(), budget));
+            i
+        })
+    }
+
+    fn budget_options(&self, state: &State) -> budget::Options {
+        let retries = self.live().retries;
+        budget::Options {
+            ratio: retries.ratio,
+            extra: retries.extra,
+            window: Duration::from_millis(retries.window_ms.into()),
+            entries: state.entries(retries.entries),
+        }
+    }
+
+    /// The number of entries that share what holds for all of them together.
+    pub fn entries(&self) -> u32 {
+        let expected = self.live().retries.entries;
+        self.state().entries(expected)
+    }
+}
+
+impl State {
+    fn entries(&self, expected: u32) -> u32 {
+        let counts = self.agents.iter().map(|a| a.entries);
+        budget::entries(expected, counts)
+    }
+
+    /// The retries of each service.
+    pub fn budgets(&self) -> impl Iterator<Item = (&str, &Budget)> {
+        self.budgets.iter().map(|(service, b)| (&**service, b))
+    }
+}
