--- a/crates/stair-relay/src/allowance.rs
+++ b/crates/stair-relay/src/allowance.rs
@@ -31,7 +31,6 @@
     },
 };
 use stair_telemetry::event::Line;
-use stair_types::rendezvous;
 use tokio::{
     sync::oneshot,
     time::{
@@ -66,14 +65,9 @@
 /// A request that costs less than this part of its workspace's burst does not wait for the answer.
 const SMALL_PART: f64 = 1.0 / 50.0;
 
-/// Time for which the choice of an agent is kept.
-const CHOICE_TIME: Duration = Duration::from_millis(250);
-
 /// What an entry keeps of workspaces' allowances.
 #[derive(Default)]
 pub struct Allowances {
-    /// Who counts each workspace, sorted by workspace.
-    counters: Vec<(Box<str>, Counter)>,
     /// Until when each workspace owes, sorted by workspace.
     owing: Vec<(Box<str>, Duration)>,
     /// This entry's own parts, sorted by workspace.
@@ -82,15 +76,6 @@
     open: Vec<Open>,
 }
 
-/// The agent that counts a workspace.
-#[derive(Debug, Clone, Copy)]
-struct Counter {
-    engine: SocketAddr,
-    /// Whether another one would be asked if it answered.
-    stand_in: bool,
-    until: Duration,
-}
-
 struct Open {
     seq: u64,
     engine: SocketAddr,
@@ -239,7 +224,7 @@
             .text("workspace", &ask.workspace)
             .show("engine", engine)
             .write();
-        cx.state().skip_counter(engine, cx.now() + SKIP_TIME);
+        cx.state().skip_home(engine, cx.now() + SKIP_TIME);
     }
     None
 }
@@ -279,15 +264,9 @@
 }
 
 impl Allowances {
-    /// Drops the questions to an agent whose link has ended, and all choices.
+    /// Drops the questions to an agent whose link has ended.
     pub(crate) fn link_ended(&mut self, engine: SocketAddr) {
         self.open.retain(|o| o.engine != engine);
-        self.counters.clear();
-    }
-
-    /// Drops all choices: another agent may come first now.
-    pub(crate) fn link_began(&mut self) {
-        self.counters.clear();
     }
 
     fn owes(&self, workspace: &str, now: Duration) -> bool {
@@ -309,10 +288,10 @@
         ask: &mut Ask,
         now: Duration,
     ) -> Option<(SocketAddr, Option<oneshot::Receiver<Answer>>)> {
-        let counter = self.counter(&ask.workspace, now)?;
-        ask.stand_in = counter.stand_in;
+        let home = self.home(&ask.workspace, now)?;
+        ask.stand_in = home.stand_in;
         let seq = self.next_seq();
-        let i = self.agent(counter.engine)?;
+        let i = self.agent(home.engine)?;
         let msg = ToAgent::Allow {
             seq,
             ask: ask.clone(),
@@ -327,61 +306,12 @@
         };
         self.allowances.open.push(Open {
             seq,
-            engine: counter.engine,
+            engine: home.engine,
             workspace: ask.workspace.clone(),
             cost: ask.cost,
             tx,
         });
-        Some((counter.engine, rx))
-    }
-
-    /// Has a rejected request counted for a model that no engine could load in time.
-    pub(crate) fn count_unserved(&mut self, model: &str, now: Duration) {
-        let engine = self.counter(model, now).map(|c| c.engine);
-        if let Some(i) = engine.and_then(|e| self.agent(e)) {
-            // Lost with a full queue, it is one of many.
-            let _ = self.agents[i].tx.try_send(ToAgent::Unserved(model.into()));
-        }
-    }
-
-    /// The agent that counts under a name, on which all entries agree.
-    fn counter(&mut self, workspace: &str, now: Duration) -> Option<Counter> {
-        let found = position(&self.allowances.counters, workspace);
-        if let Ok(i) = found
-            && now < self.allowances.counters[i].1.until
-        {
-            return Some(self.allowances.counters[i].1);
-        }
-        let counter = self.choose_counter(workspace, now)?;
-        let counters = &mut self.allowances.counters;
-        match found {
-            Ok(i) => counters[i].1 = counter,
-            Err(i) => counters.insert(i, (workspace.into(), counter)),
-        }
-        Some(counter)
-    }
-
-    fn choose_counter(&self, workspace: &str, now: Duration) -> Option<Counter> {
-        let weight = |i: &usize| rendezvous::weight(workspace, &self.agents[*i].name);
-        let all = 0..self.agents.len();
-        let first = all.clone().max_by_key(weight)?;
-        let answers = |i: &usize| {
-            let link = &self.agents[*i];
-            link.linked && link.skipped_until <= now
-        };
-        let chosen = all.filter(answers).max_by_key(weight)?;
-        Some(Counter {
-            engine: self.agents[chosen].engine,
-            stand_in: chosen != first,
-            until: now + CHOICE_TIME,
-        })
-    }
-
-    fn skip_counter(&mut self, engine: SocketAddr, until: Duration) {
-        if let Some(i) = self.agent(engine) {
-            self.agents[i].skipped_until = until;
-        }
-        self.allowances.counters.clear();
+        Some((home.engine, rx))
     }
 
     fn give_back(&self, engine: SocketAddr, workspace: &str, cost: f64) {
--- a/crates/stair-relay/src/context.rs
+++ b/crates/stair-relay/src/context.rs
@@ -62,7 +62,8 @@
 
 use crate::{
     allowance::Allowances,
-    follow::Follow, //
+    follow::Follow,
+    home::Homes, //
 };
 
 pub use flight::{
@@ -112,6 +113,8 @@
     pub peers: Option<(Peers, Duration)>,
     /// Allowances of workspaces.
     pub allowances: Allowances,
+    /// The agents that count for all entries.
+    pub homes: Homes,
     budgets: Vec<(Box<str>, Budget)>,
     use_of: Vec<UseAt>,
     next_seq: u64,
--- a/crates/stair-relay/src/lib.rs
+++ b/crates/stair-relay/src/lib.rs
@@ -8,7 +8,8 @@
 //! Replicated state: [`replicate`] watches the store, [`follow`] the entry that watches for the data centre, [`change`]
 //! is what they exchange, [`peers`] asks other entries when the store does not answer.
 //!
-//! Agents: [`links`] holds the connections, [`prefetch`] has models loaded before they are requested.
+//! Agents: [`links`] holds the connections, [`home`] chooses the agent that counts for all entries, [`prefetch`] has
+//! models loaded before they are requested.
 //! [`context`] holds the state of all, [`dump`] shows it, [`process`] starts and stops.
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
@@ -22,6 +23,7 @@
 pub mod dump;
 pub mod failures;
 pub mod follow;
+pub mod home;
 pub mod job;
 pub mod links;
 pub mod load;
--- a/crates/stair-relay/src/links.rs
+++ b/crates/stair-relay/src/links.rs
@@ -190,7 +190,7 @@
     if let Some(i) = state.agent(engine) {
         state.agents[i].linked = true;
     }
-    state.allowances.link_began();
+    state.homes.clear();
 }
 
 /// Drops what the agent said and the questions that wait for it.
@@ -202,6 +202,7 @@
         state.agents[i].reservations.clear();
         state.agents[i].read.clear();
     }
+    state.homes.clear();
     state.allowances.link_ended(engine);
     state.view.unreport(engine);
 }
