--- a/crates/stair-entry/src/traffic/auth.rs
+++ b/crates/stair-entry/src/traffic/auth.rs
@@ -4,13 +4,10 @@
     HeaderMap,
     header::AUTHORIZATION, //
 };
-use sha2::{
-    Digest,
-    Sha256, //
-};
 use stair_config::Catalogue;
 use stair_types::{
     CallerName,
+    KeyDigest,
     Reason,
     TierName,
     TierRank, //
@@ -36,7 +33,7 @@
         .and_then(bearer)
         .ok_or_else(|| unauthorized("send your key as 'Authorization: Bearer KEY'"))?;
     let caller = catalogue
-        .caller(&hex_sha256(&[key.as_bytes()]))
+        .caller(&KeyDigest::of(key.as_bytes()).hex())
         .ok_or_else(|| unauthorized("the key is unknown"))?;
     let tier = catalogue
         .tier(&caller.tier)
@@ -54,13 +51,3 @@
     let key = key.trim();
     (scheme.eq_ignore_ascii_case("bearer") && !key.is_empty()).then_some(key)
 }
-
-/// Returns the SHA-256 of the parts one after the other, in lower-case hexadecimal.
-pub(super) fn hex_sha256(parts: &[&[u8]]) -> String {
-    let mut hash = Sha256::new();
-    for part in parts {
-        hash.update(part);
-    }
-    let digest = hash.finalize();
-    digest.iter().map(|b| format!("{b:02x}")).collect()
-}
--- a/crates/stair-entry/src/traffic/claim.rs
+++ b/crates/stair-entry/src/traffic/claim.rs
@@ -21,6 +21,7 @@
     },
 };
 
+use stair_config::chunks::sha256_hex;
 use stair_platform::{
     Claim,
     ClaimShard,
@@ -38,7 +39,6 @@
 };
 
 use super::{
-    auth::hex_sha256,
     exchange::Exchange,
     request::Request,
     shard::{
@@ -325,7 +325,7 @@
 /// The separator cannot be part of a caller's name, so no two pairs give the same text.
 fn key(req: &Request) -> Box<str> {
     let key = req.idempotency_key.as_deref().unwrap_or("");
-    hex_sha256(&[req.caller.as_str().as_bytes(), b"/", key.as_bytes()]).into()
+    sha256_hex(format!("{}/{key}", req.caller.as_str()).as_bytes())
 }
 
 fn shard_of(key: &str) -> usize {
--- a/crates/stair-sidecar/tests/controller.rs
+++ b/crates/stair-sidecar/tests/controller.rs
@@ -91,14 +91,14 @@
 }
 
 fn controller(models: &[(&str, &[&str])]) -> Controller {
-    let mut controller = Controller::default();
-    controller.declare(decl());
-    controller.read(Some(reading(1, models)), ms(0));
-    controller
+    let mut ctl = Controller::default();
+    ctl.declare(decl());
+    ctl.read(Some(reading(1, models)), ms(0));
+    ctl
 }
 
-fn next(controller: &mut Controller, now: Duration) -> Option<Step> {
-    controller.next(&mut Vec::new(), now)
+fn next(ctl: &mut Controller, now: Duration) -> Option<Step> {
+    ctl.next(&mut Vec::new(), now)
 }
 
 fn step(load: bool, model: &str, adapter: Option<&str>, planned_on: u64) -> Step {
@@ -112,21 +112,18 @@
 
 #[test]
 fn room_is_made_first() {
-    let mut controller = controller(&[("a", &[]), ("b", &[])]);
-    controller.used(LinkKey(2), &[used("a", 3, 1)], ms(0));
-    controller.request_load(asker(1), req("c", None), ms(2000));
-    let first = next(&mut controller, ms(2000));
+    let mut ctl = controller(&[("a", &[]), ("b", &[])]);
+    ctl.used(LinkKey(2), &[used("a", 3, 1)], ms(0));
+    ctl.request_load(asker(1), req("c", None), ms(2000));
+    let first = next(&mut ctl, ms(2000));
     assert_eq!(first, Some(step(false, "b", None, 1)), "the idle one goes");
     let first = first.expect("a step");
-    controller.replied(&first, Some(Reply::Accepted), ms(2000));
-    assert_eq!(next(&mut controller, ms(2010)), None, "one order at a time");
-    controller.read(Some(reading(2, &[("a", &[])])), ms(2100));
-    assert_eq!(
-        next(&mut controller, ms(2100)),
-        Some(step(true, "c", None, 2))
-    );
-    controller.read(Some(reading(3, &[("a", &[]), ("c", &[])])), ms(3000));
-    let settled = controller.settle(true, ms(3000));
+    ctl.replied(&first, Some(Reply::Accepted), ms(2000));
+    assert_eq!(next(&mut ctl, ms(2010)), None, "one order at a time");
+    ctl.read(Some(reading(2, &[("a", &[])])), ms(2100));
+    assert_eq!(next(&mut ctl, ms(2100)), Some(step(true, "c", None, 2)));
+    ctl.read(Some(reading(3, &[("a", &[]), ("c", &[])])), ms(3000));
+    let settled = ctl.settle(true, ms(3000));
     assert_eq!(settled, vec![(asker(1), Outcome::Ready)]);
 }
 
@@ -143,89 +140,79 @@
 /// waited would run.
 #[test]
 fn settles_before_it_goes() {
-    let mut controller = controller(&[("a", &[]), ("b", &[])]);
-    controller.request_load(asker(1), req("a", None), ms(5000));
-    controller.request_load(asker(2), req("b", None), ms(5000));
-    assert_eq!(controller.settle(true, ms(5000)).len(), 2);
-    controller.request_load(asker(3), req("c", None), ms(5010));
+    let mut ctl = controller(&[("a", &[]), ("b", &[])]);
+    ctl.request_load(asker(1), req("a", None), ms(5000));
+    ctl.request_load(asker(2), req("b", None), ms(5000));
+    assert_eq!(ctl.settle(true, ms(5000)).len(), 2);
+    ctl.request_load(asker(3), req("c", None), ms(5010));
     let mut refused = Vec::new();
-    assert_eq!(controller.next(&mut refused, ms(5010)), None);
-    assert_eq!(
-        (refused, controller.load_requests()),
-        (vec![], 1),
-        "it waits"
-    );
-    assert!(next(&mut controller, ms(6000)).is_some());
+    assert_eq!(ctl.next(&mut refused, ms(5010)), None);
+    assert_eq!((refused, ctl.load_requests()), (vec![], 1), "it waits");
+    assert!(next(&mut ctl, ms(6000)).is_some());
 }
 
 /// An engine takes no order of any kind while a model comes or goes. Ordering an adapter meanwhile
 /// was refused hundreds of times a second, each a priced call.
 #[test]
 fn nothing_while_busy() {
-    let mut controller = controller(&[("a", &[])]);
-    controller.request_load(asker(1), req("c", None), ms(0));
-    let load = next(&mut controller, ms(0)).expect("a load");
-    controller.replied(&load, Some(Reply::Accepted), ms(0));
-    controller.request_load(asker(2), req("a", Some("x")), ms(10));
-    assert_eq!(next(&mut controller, ms(10)), None);
+    let mut ctl = controller(&[("a", &[])]);
+    ctl.request_load(asker(1), req("c", None), ms(0));
+    let load = next(&mut ctl, ms(0)).expect("a load");
+    ctl.replied(&load, Some(Reply::Accepted), ms(0));
+    ctl.request_load(asker(2), req("a", Some("x")), ms(10));
+    assert_eq!(next(&mut ctl, ms(10)), None);
     let mut busy = reading(2, &[("a", &[])]);
     busy.busy = true;
-    controller.read(Some(busy), ms(100));
-    assert_eq!(next(&mut controller, ms(100)), None);
-    controller.read(Some(reading(2, &[("a", &[]), ("c", &[])])), ms(900));
-    assert_eq!(
-        next(&mut controller, ms(900)),
-        Some(step(true, "a", Some("x"), 2))
-    );
+    ctl.read(Some(busy), ms(100));
+    assert_eq!(next(&mut ctl, ms(100)), None);
+    ctl.read(Some(reading(2, &[("a", &[]), ("c", &[])])), ms(900));
+    assert_eq!(next(&mut ctl, ms(900)), Some(step(true, "a", Some("x"), 2)));
 }
 
 /// An adapter that is still in use makes way only when its requests have ended. Ordered away again
 /// and again, or another one with it, the engine would lose more than it has to.
 #[test]
 fn one_adapter_makes_way() {
-    let mut controller = controller(&[("a", &["x", "y"])]);
-    controller.request_load(asker(1), req("a", Some("z")), ms(0));
-    let drop = next(&mut controller, ms(0)).expect("room is made");
+    let mut ctl = controller(&[("a", &["x", "y"])]);
+    ctl.request_load(asker(1), req("a", Some("z")), ms(0));
+    let drop = next(&mut ctl, ms(0)).expect("room is made");
     assert!(!drop.load && drop.adapter.is_some());
-    controller.replied(&drop, Some(Reply::Accepted), ms(0));
-    controller.read(Some(reading(2, &[("a", &["x", "y"])])), ms(40));
-    assert_eq!(next(&mut controller, ms(40)), None, "it is on its way out");
-    controller.read(Some(reading(2, &[("a", &["y"])])), ms(80));
-    assert_eq!(
-        next(&mut controller, ms(80)),
-        Some(step(true, "a", Some("z"), 2))
-    );
+    ctl.replied(&drop, Some(Reply::Accepted), ms(0));
+    ctl.read(Some(reading(2, &[("a", &["x", "y"])])), ms(40));
+    assert_eq!(next(&mut ctl, ms(40)), None, "it is on its way out");
+    ctl.read(Some(reading(2, &[("a", &["y"])])), ms(80));
+    assert_eq!(next(&mut ctl, ms(80)), Some(step(true, "a", Some("z"), 2)));
 }
 
 /// The engine refuses since another order came first. Asking again at once would be refused again.
 #[test]
 fn pause_after_conflict() {
-    let mut controller = controller(&[("a", &[])]);
-    controller.request_load(asker(1), req("b", None), ms(0));
-    let load = next(&mut controller, ms(0)).expect("a load");
-    controller.replied(&load, Some(Reply::Conflict), ms(0));
-    assert_eq!(next(&mut controller, ms(50)), None);
-    assert!(next(&mut controller, ms(200)).is_some());
+    let mut ctl = controller(&[("a", &[])]);
+    ctl.request_load(asker(1), req("b", None), ms(0));
+    let load = next(&mut ctl, ms(0)).expect("a load");
+    ctl.replied(&load, Some(Reply::Conflict), ms(0));
+    assert_eq!(next(&mut ctl, ms(50)), None);
+    assert!(next(&mut ctl, ms(200)).is_some());
 }
 
 /// The answer to an order is lost. The same order is given again, planned on the same state, so
 /// that the engine carries out one of the two at most.
 #[test]
 fn same_plan_after_silence() {
-    let mut controller = controller(&[("a", &[])]);
-    controller.request_load(asker(1), req("b", None), ms(0));
-    let first = next(&mut controller, ms(0)).expect("a load");
-    controller.replied(&first, None, ms(400));
-    assert_eq!(next(&mut controller, ms(400)), Some(first));
+    let mut ctl = controller(&[("a", &[])]);
+    ctl.request_load(asker(1), req("b", None), ms(0));
+    let first = next(&mut ctl, ms(0)).expect("a load");
+    ctl.replied(&first, None, ms(400));
+    assert_eq!(next(&mut ctl, ms(400)), Some(first));
 }
 
 /// Without a fencing token the agent may not order; whoever asks is told so at once.
 #[test]
 fn no_control() {
-    let mut controller = controller(&[("a", &[])]);
-    controller.request_load(asker(1), req("b", None), ms(0));
-    controller.request_load(asker(2), req("a", None), ms(0));
-    let settled = controller.settle(false, ms(0));
+    let mut ctl = controller(&[("a", &[])]);
+    ctl.request_load(asker(1), req("b", None), ms(0));
+    ctl.request_load(asker(2), req("a", None), ms(0));
+    let settled = ctl.settle(false, ms(0));
     assert!(settled.contains(&(asker(1), Outcome::NoControl)));
     assert!(settled.contains(&(asker(2), Outcome::Ready)));
 }
@@ -233,10 +220,10 @@
 /// Only the weight store has the model and the entry has not allowed a load from there.
 #[test]
 fn store_needs_leave() {
-    let mut controller = controller(&[("a", &[])]);
-    controller.request_load(asker(1), req("d", None), ms(0));
+    let mut ctl = controller(&[("a", &[])]);
+    ctl.request_load(asker(1), req("d", None), ms(0));
     assert_eq!(
-        controller.settle(true, ms(0)),
+        ctl.settle(true, ms(0)),
         vec![(asker(1), Outcome::StoreBusy)]
     );
 }
@@ -244,27 +231,27 @@
 /// A load request that no client waits for stands behind one that a request waits for.
 #[test]
 fn ahead_gives_way() {
-    let mut controller = controller(&[("a", &[])]);
+    let mut ctl = controller(&[("a", &[])]);
     let prefetch = LoadRequest {
         prefetch: true,
         of_use: Duration::from_secs(14),
         ..req("b", None)
     };
-    controller.request_load(asker(1), prefetch, ms(0));
-    controller.request_load(asker(2), req("c", None), ms(1));
-    assert_eq!(next(&mut controller, ms(1)), Some(step(true, "c", None, 1)));
-    assert_eq!(controller.load(ms(1)).to_load, ms(1600));
+    ctl.request_load(asker(1), prefetch, ms(0));
+    ctl.request_load(asker(2), req("c", None), ms(1));
+    assert_eq!(next(&mut ctl, ms(1)), Some(step(true, "c", None, 1)));
+    assert_eq!(ctl.load(ms(1)).to_load, ms(1600));
 }
 
 /// An entry's link is gone: nobody waits for its load requests, and its requests count no more.
 #[test]
 fn forgets_a_link() {
-    let mut controller = controller(&[("a", &[])]);
-    controller.request_load(asker(1), req("b", None), ms(0));
-    controller.used(LinkKey(1), &[used("a", 1, 5)], ms(0));
-    controller.gone(LinkKey(1));
-    assert!(!controller.has_load_requests());
-    let load = controller.load(ms(0));
+    let mut ctl = controller(&[("a", &[])]);
+    ctl.request_load(asker(1), req("b", None), ms(0));
+    ctl.used(LinkKey(1), &[used("a", 1, 5)], ms(0));
+    ctl.gone(LinkKey(1));
+    assert!(!ctl.has_load_requests());
+    let load = ctl.load(ms(0));
     assert!(load.usage.iter().all(|u| u.in_flight == 0));
 }
 
@@ -272,7 +259,7 @@
 /// refused. What is told as its use has to show all ten, or no further replica is made.
 #[test]
 fn refused_prompts_count() {
-    let mut controller = controller(&[("m1", &[])]);
+    let mut ctl = controller(&[("m1", &[])]);
     let used = |sent| {
         vec![Used {
             model: "m1".into(),
@@ -283,54 +270,50 @@
     for n in 0..40 {
         let now = ms(100 * n);
         if n % 10 < 4 {
-            controller.used(LinkKey(1), &used(1), now);
+            ctl.used(LinkKey(1), &used(1), now);
         } else {
-            controller.prompt("m1", false, ms(20), now);
+            ctl.prompt("m1", false, ms(20), now);
         }
     }
-    let load = controller.load(ms(4000));
+    let load = ctl.load(ms(4000));
     let per_s = load.usage("m1").expect("used").per_s;
     assert!((7.0..13.0).contains(&per_s), "{per_s}");
 }
 
 /// A controller whose engine has no copy of model "d", which has been asked for beside two other loads.
 fn fetching(opts: Options) -> Controller {
-    let mut controller = Controller::new(opts);
-    controller.declare(decl());
-    controller.read(Some(reading(1, &[])), ms(0));
+    let mut ctl = Controller::new(opts);
+    ctl.declare(decl());
+    ctl.read(Some(reading(1, &[])), ms(0));
     let fetch = LoadRequest {
         fetch: Some(3),
         ..req("d", None)
     };
-    controller.request_load(asker(1), fetch, ms(0));
-    let load = next(&mut controller, ms(0)).expect("a load");
-    controller.replied(&load, Some(Reply::Accepted), ms(0));
+    ctl.request_load(asker(1), fetch, ms(0));
+    let load = next(&mut ctl, ms(0)).expect("a load");
+    ctl.replied(&load, Some(Reply::Accepted), ms(0));
     let mut busy = reading(2, &[]);
     busy.busy = true;
-    controller.read(Some(busy), ms(40));
-    controller
+    ctl.read(Some(busy), ms(40));
+    ctl
 }
 
 /// Loads that run together slow each other down at the weight store, which nobody can tell but those
 /// whose loads take longer than declared.
 #[test]
 fn tells_how_long_a_fetch_took() {
-    let mut controller = fetching(Options::default());
-    let load = controller.load(ms(9000));
+    let mut ctl = fetching(Options::default());
+    let load = ctl.load(ms(9000));
     let times = load.loading.expect("under way").times;
     assert!((1.49..1.51).contains(&times), "{times}");
     assert_eq!(load.fetched, None);
-    controller.read(Some(reading(3, &[("d", &[])])), ms(12_000));
+    ctl.read(Some(reading(3, &[("d", &[])])), ms(12_000));
     let took = Fetched {
         together: 3,
         times: 2.0,
     };
-    assert_eq!(controller.load(ms(12_000)).fetched, Some(took));
-    assert_eq!(
-        controller.load(ms(200_000)).fetched,
-        None,
-        "others use it too"
-    );
+    assert_eq!(ctl.load(ms(12_000)).fetched, Some(took));
+    assert_eq!(ctl.load(ms(200_000)).fetched, None, "others use it too");
 }
 
 /// The engine crashes in a load and comes back at once. Its models are fetched anew; were each crash
@@ -341,18 +324,15 @@
     let opts = Options {
         fetch_window: ms(5000),
     };
-    let mut controller = fetching(opts);
-    controller.read(Some(reading(0, &[])), ms(1000));
-    assert_eq!(next(&mut controller, ms(1000)), None);
-    controller.request_load(asker(2), req("a", None), ms(1000));
-    let near = next(&mut controller, ms(1000));
+    let mut ctl = fetching(opts);
+    ctl.read(Some(reading(0, &[])), ms(1000));
+    assert_eq!(next(&mut ctl, ms(1000)), None);
+    ctl.request_load(asker(2), req("a", None), ms(1000));
+    let near = next(&mut ctl, ms(1000));
     assert_eq!(near, Some(step(true, "a", None, 0)), "copies may be used");
-    controller.read(Some(reading(1, &[("a", &[])])), ms(2000));
-    assert_eq!(next(&mut controller, ms(4999)), None);
-    assert_eq!(
-        next(&mut controller, ms(5000)),
-        Some(step(true, "d", None, 1))
-    );
+    ctl.read(Some(reading(1, &[("a", &[])])), ms(2000));
+    assert_eq!(next(&mut ctl, ms(4999)), None);
+    assert_eq!(next(&mut ctl, ms(5000)), Some(step(true, "d", None, 1)));
 }
 
 /// An engine crashes in a load from the weight store and does not come back. Were the load told on,
@@ -360,10 +340,10 @@
 /// would not be fetched.
 #[test]
 fn crash_ends_a_fetch() {
-    let mut controller = fetching(Options::default());
-    assert!(controller.load(ms(2000)).loading.is_some());
-    controller.read(None, ms(2000));
-    let load = controller.load(ms(9000));
+    let mut ctl = fetching(Options::default());
+    assert!(ctl.load(ms(2000)).loading.is_some());
+    ctl.read(None, ms(2000));
+    let load = ctl.load(ms(9000));
     assert_eq!((load.loading, load.fetched), (None, None));
 }
 
@@ -372,30 +352,24 @@
 /// be more than the engine holds, and it would crash.
 #[test]
 fn late_load_of_a_former_life() {
-    let mut controller = controller(&[("a", &[])]);
+    let mut ctl = controller(&[("a", &[])]);
     let life = |started, sequence, models: &[(&str, &[&str])]| Reading {
         started: Some(started),
         ..reading(sequence, models)
     };
-    controller.read(Some(life(10, 1, &[])), ms(0));
-    controller.request_load(asker(1), req("b", None), ms(0));
-    let lost = next(&mut controller, ms(0)).expect("a load");
+    ctl.read(Some(life(10, 1, &[])), ms(0));
+    ctl.request_load(asker(1), req("b", None), ms(0));
+    let lost = next(&mut ctl, ms(0)).expect("a load");
     assert_eq!(lost, step(true, "b", None, 1));
-    controller.replied(&lost, None, ms(400));
-    controller.gone(LinkKey(1));
-    controller.read(Some(life(20, 1, &[("a", &[])])), ms(500));
-    controller.request_load(asker(2), req("c", None), ms(500));
+    ctl.replied(&lost, None, ms(400));
+    ctl.gone(LinkKey(1));
+    ctl.read(Some(life(20, 1, &[("a", &[])])), ms(500));
+    ctl.request_load(asker(2), req("c", None), ms(500));
     // With "a" there and "b" perhaps to come, "a" has to make way first.
-    assert_eq!(
-        next(&mut controller, ms(1500)),
-        Some(step(false, "a", None, 1))
-    );
+    assert_eq!(next(&mut ctl, ms(1500)), Some(step(false, "a", None, 1)));
     // Once the count is past it, the lost load is refused by the engine.
-    controller.read(Some(life(20, 2, &[("a", &[])])), ms(1600));
-    assert_eq!(
-        next(&mut controller, ms(1600)),
-        Some(step(true, "c", None, 2))
-    );
+    ctl.read(Some(life(20, 2, &[("a", &[])])), ms(1600));
+    assert_eq!(next(&mut ctl, ms(1600)), Some(step(true, "c", None, 2)));
 }
 
 /// What has to make way has a stream in flight, and an engine takes no order until a model that it
@@ -403,55 +377,49 @@
 /// So the model gets no new requests first, and goes when its stream has ended.
 #[test]
 fn leaves_before_it_goes() {
-    let mut controller = controller(&[("a", &[]), ("b", &[])]);
-    controller.used(LinkKey(1), &[used("a", 1, 1), used("b", 9, 9)], ms(0));
+    let mut ctl = controller(&[("a", &[]), ("b", &[])]);
+    ctl.used(LinkKey(1), &[used("a", 1, 1), used("b", 9, 9)], ms(0));
     let mut has_load_requests = req("c", None);
     has_load_requests.victims = vec!["a".into()];
-    controller.request_load(asker(1), has_load_requests, ms(1000));
-    assert_eq!(next(&mut controller, ms(1000)), None);
-    assert!(controller.is_leaving("a") && !controller.is_leaving("b"));
-    assert_eq!(controller.load(ms(1000)).leaving, vec!["a".into()]);
-    controller.request_load(asker(2), req("b", Some("x")), ms(1010));
+    ctl.request_load(asker(1), has_load_requests, ms(1000));
+    assert_eq!(next(&mut ctl, ms(1000)), None);
+    assert!(ctl.is_leaving("a") && !ctl.is_leaving("b"));
+    assert_eq!(ctl.load(ms(1000)).leaving, vec!["a".into()]);
+    ctl.request_load(asker(2), req("b", Some("x")), ms(1010));
     assert_eq!(
-        next(&mut controller, ms(1010)),
+        next(&mut ctl, ms(1010)),
         Some(step(true, "b", Some("x"), 1))
     );
-    controller.cancel(asker(2));
-    controller.used(LinkKey(1), &[used("a", 0, 0)], ms(1500));
-    assert_eq!(
-        next(&mut controller, ms(1500)),
-        Some(step(false, "a", None, 1))
-    );
+    ctl.cancel(asker(2));
+    ctl.used(LinkKey(1), &[used("a", 0, 0)], ms(1500));
+    assert_eq!(next(&mut ctl, ms(1500)), Some(step(false, "a", None, 1)));
 }
 
 /// The request that a model was to make way for has found its model elsewhere. The load that nobody
 /// waits for any more would push out what is in use.
 #[test]
 fn taken_back() {
-    let mut controller = controller(&[("a", &[]), ("b", &[])]);
-    controller.used(LinkKey(1), &[used("a", 1, 1), used("b", 1, 1)], ms(0));
+    let mut ctl = controller(&[("a", &[]), ("b", &[])]);
+    ctl.used(LinkKey(1), &[used("a", 1, 1), used("b", 1, 1)], ms(0));
     let mut has_load_requests = req("c", None);
     has_load_requests.victims = vec!["a".into()];
-    controller.request_load(asker(1), has_load_requests, ms(1000));
-    assert_eq!(next(&mut controller, ms(1000)), None);
-    controller.cancel(asker(1));
-    controller.settle(true, ms(1010));
-    assert!(!controller.is_leaving("a") && !controller.has_load_requests());
+    ctl.request_load(asker(1), has_load_requests, ms(1000));
+    assert_eq!(next(&mut ctl, ms(1000)), None);
+    ctl.cancel(asker(1));
+    ctl.settle(true, ms(1010));
+    assert!(!ctl.is_leaving("a") && !ctl.has_load_requests());
 }
 
 /// Many requests wait for one model and one for another that was asked for before it. One after the
 /// other, the many wait for the load of the one as well.
 #[test]
 fn most_requests_first() {
-    let mut controller = controller(&[]);
-    controller.request_load(asker(1), req("a", None), ms(0));
+    let mut ctl = controller(&[]);
+    ctl.request_load(asker(1), req("a", None), ms(0));
     for seq in 2..6 {
-        controller.request_load(asker(seq), req("b", None), ms(seq));
+        ctl.request_load(asker(seq), req("b", None), ms(seq));
     }
-    assert_eq!(
-        next(&mut controller, ms(10)),
-        Some(step(true, "b", None, 1))
-    );
+    assert_eq!(next(&mut ctl, ms(10)), Some(step(true, "b", None, 1)));
 }
 
 /// An engine refuses an order by its fencing token and starts again before it is read. What was read of it
@@ -459,23 +427,20 @@
 /// load that the life before left unanswered could come on top of a full engine.
 #[test]
 fn restart_after_a_refusal() {
-    let mut controller = controller(&[]);
+    let mut ctl = controller(&[]);
     let life = |started, sequence| Reading {
         started: Some(started),
         ..reading(sequence, &[("a", &[])])
     };
-    controller.read(Some(life(10, 3)), ms(0));
-    controller.request_load(asker(1), req("b", None), ms(0));
-    let lost = next(&mut controller, ms(0)).expect("a load");
-    controller.replied(&lost, None, ms(400));
-    controller.replied(&lost, Some(Reply::Fenced), ms(500));
-    assert!(controller.read(Some(life(20, 3)), ms(600)));
-    controller.cancel(asker(1));
-    controller.request_load(asker(2), req("c", None), ms(600));
-    assert_eq!(
-        next(&mut controller, ms(1500)),
-        Some(step(false, "a", None, 3))
-    );
+    ctl.read(Some(life(10, 3)), ms(0));
+    ctl.request_load(asker(1), req("b", None), ms(0));
+    let lost = next(&mut ctl, ms(0)).expect("a load");
+    ctl.replied(&lost, None, ms(400));
+    ctl.replied(&lost, Some(Reply::Fenced), ms(500));
+    assert!(ctl.read(Some(life(20, 3)), ms(600)));
+    ctl.cancel(asker(1));
+    ctl.request_load(asker(2), req("c", None), ms(600));
+    assert_eq!(next(&mut ctl, ms(1500)), Some(step(false, "a", None, 3)));
 }
 
 /// An engine crashes with the only replica of a busy model and comes back empty, with its disk. Entries ask it
@@ -483,47 +448,41 @@
 /// first. All that time the busy model's requests are refused.
 #[test]
 fn brings_back_what_was_used() {
-    let mut controller = controller(&[("a", &[]), ("b", &[])]);
-    controller.used(LinkKey(2), &[used("a", 3, 1), used("b", 40, 9)], ms(0));
-    controller.read(None, ms(1000));
-    assert_eq!(next(&mut controller, ms(1000)), None);
-    controller.read(Some(reading(0, &[])), ms(4000));
+    let mut ctl = controller(&[("a", &[]), ("b", &[])]);
+    ctl.used(LinkKey(2), &[used("a", 3, 1), used("b", 40, 9)], ms(0));
+    ctl.read(None, ms(1000));
+    assert_eq!(next(&mut ctl, ms(1000)), None);
+    ctl.read(Some(reading(0, &[])), ms(4000));
     assert!(
-        controller.settle(false, ms(4000)).is_empty(),
+        ctl.settle(false, ms(4000)).is_empty(),
         "it waits for a life"
     );
-    let first = next(&mut controller, ms(4000)).expect("a load");
+    let first = next(&mut ctl, ms(4000)).expect("a load");
     assert_eq!(first, step(true, "b", None, 0), "the busier one first");
-    controller.replied(&first, Some(Reply::Accepted), ms(4000));
-    controller.read(Some(reading(1, &[("b", &[])])), ms(4800));
-    controller.settle(true, ms(4800));
-    assert_eq!(
-        next(&mut controller, ms(4800)),
-        Some(step(true, "a", None, 1))
-    );
+    ctl.replied(&first, Some(Reply::Accepted), ms(4000));
+    ctl.read(Some(reading(1, &[("b", &[])])), ms(4800));
+    ctl.settle(true, ms(4800));
+    assert_eq!(next(&mut ctl, ms(4800)), Some(step(true, "a", None, 1)));
 }
 
 /// What requests ask for meanwhile goes first, and nothing makes way for what was there before.
 #[test]
 fn what_is_asked_for_goes_first() {
-    let mut controller = controller(&[("a", &[]), ("b", &[])]);
-    controller.used(LinkKey(2), &[used("a", 3, 0), used("b", 2, 0)], ms(0));
-    controller.read(None, ms(1000));
-    controller.read(Some(reading(0, &[])), ms(4000));
-    controller.request_load(asker(1), req("c", None), ms(4000));
-    let first = next(&mut controller, ms(4000)).expect("a load");
+    let mut ctl = controller(&[("a", &[]), ("b", &[])]);
+    ctl.used(LinkKey(2), &[used("a", 3, 0), used("b", 2, 0)], ms(0));
+    ctl.read(None, ms(1000));
+    ctl.read(Some(reading(0, &[])), ms(4000));
+    ctl.request_load(asker(1), req("c", None), ms(4000));
+    let first = next(&mut ctl, ms(4000)).expect("a load");
     assert_eq!(first, step(true, "c", None, 0));
-    controller.replied(&first, Some(Reply::Accepted), ms(4000));
-    controller.read(Some(reading(1, &[("c", &[])])), ms(4800));
-    controller.settle(true, ms(4800));
-    let second = next(&mut controller, ms(4800)).expect("a load");
+    ctl.replied(&first, Some(Reply::Accepted), ms(4000));
+    ctl.read(Some(reading(1, &[("c", &[])])), ms(4800));
+    ctl.settle(true, ms(4800));
+    let second = next(&mut ctl, ms(4800)).expect("a load");
     assert_eq!(second, step(true, "a", None, 1));
-    controller.replied(&second, Some(Reply::Accepted), ms(4800));
-    controller.read(Some(reading(2, &[("a", &[]), ("c", &[])])), ms(5600));
-    controller.settle(true, ms(5600));
-    assert_eq!(next(&mut controller, ms(5600)), None);
-    assert!(
-        !controller.has_load_requests(),
-        "there is no room for the rest"
-    );
+    ctl.replied(&second, Some(Reply::Accepted), ms(4800));
+    ctl.read(Some(reading(2, &[("a", &[]), ("c", &[])])), ms(5600));
+    ctl.settle(true, ms(5600));
+    assert_eq!(next(&mut ctl, ms(5600)), None);
+    assert!(!ctl.has_load_requests(), "there is no room for the rest");
 }
