relay: refusals by reason in a counter, workspaces in the state dump

An engineer could count answers by status but not why they were refused, and the dump said nothing of workspaces: now refusals_total{reason}, the number of declared workspaces and those that owe. Tests: keys::who_gets_in counts reasons and reads the dump.

--- a/crates/stair-relay/src/allowance.rs
+++ b/crates/stair-relay/src/allowance.rs
@@ -269,6 +269,12 @@
         self.open.retain(|o| o.engine != engine);
     }
 
+    /// Workspaces that owe, and for how long yet.
+    pub(crate) fn owing(&self, now: Duration) -> impl Iterator<Item = (&str, Duration)> {
+        let owing = self.owing.iter().filter(move |(_, until)| now < *until);
+        owing.map(move |(name, until)| (&**name, until.saturating_sub(now)))
+    }
+
     fn owes(&self, workspace: &str, now: Duration) -> bool {
         position(&self.owing, workspace).is_ok_and(|i| now < self.owing[i].1)
     }
--- a/crates/stair-relay/src/dump.rs
+++ b/crates/stair-relay/src/dump.rs
@@ -13,7 +13,8 @@
 
 use crate::context::{
     AgentLink,
-    Context, //
+    Context,
+    State, //
 };
 
 /// Everything that an entry knows and is doing. Times are in milliseconds.
@@ -24,6 +25,10 @@
     stopping: bool,
     /// The version of the catalogue in force, 0 for none.
     catalogue: u64,
+    /// Declared workspaces; without them requests need no key.
+    workspaces: Option<usize>,
+    /// Workspaces that have used their allowances up, and for how long yet, by the last answers.
+    owing: Vec<(Box<str>, u64)>,
     /// The store's revision up to which the list of targets is complete, 0 for none.
     targets_revision: u64,
     targets: Vec<TargetDump>,
@@ -82,6 +87,12 @@
         up_ms: ms(now),
         stopping: cx.draining(),
         catalogue: state.catalogue.as_ref().map_or(0, |c| c.version),
+        workspaces: workspaces(&state),
+        owing: state
+            .allowances
+            .owing(now)
+            .map(|(name, left)| (name.into(), ms(left)))
+            .collect(),
         targets_revision: state.view.revision,
         targets: state.view.all().map(|(_, s)| target(s, now)).collect(),
         agents: state.agents.iter().map(agent).collect(),
@@ -99,6 +110,11 @@
     }
 }
 
+fn workspaces(state: &State) -> Option<usize> {
+    let catalogue = state.catalogue.as_ref()?;
+    Some(catalogue.workspaces.as_ref()?.all().len())
+}
+
 fn target(seen: &Seen, now: Duration) -> TargetDump {
     let report = seen.report.as_ref();
     TargetDump {
--- a/crates/stair-relay/src/relay.rs
+++ b/crates/stair-relay/src/relay.rs
@@ -90,6 +90,8 @@
                 .ms("took_ms", received.elapsed())
                 .ms("come_back_ms", refusal.come_back.unwrap_or_default())
                 .write();
+            let labels = [("reason", refusal.reason.as_str())];
+            cx.page.count("refusals_total", &labels, 1);
             refusal.response()
         }
     };
