relay: which requests were on a target when it ended, with a name for their contents

A request now has a fingerprint, a digest of caller, method, host, path and body; it is taken only when a request was cut, so the usual path pays nothing. Decides nothing yet.

--- a/crates/stair-relay/src/admit.rs
+++ b/crates/stair-relay/src/admit.rs
@@ -1,7 +1,11 @@
 //! Reads a request, checks it, and finds its route.
 
 use std::{
-    sync::Arc,
+    net::IpAddr,
+    sync::{
+        Arc,
+        OnceLock, //
+    },
     time::Duration, //
 };
 
@@ -80,6 +84,7 @@
 pub async fn admit(
     cx: &Arc<Context>,
     req: Request<Incoming>,
+    peer: IpAddr,
     received: Instant,
 ) -> Result<Job, Refusal> {
     let serving = Serving::begin(cx.clone());
@@ -155,6 +160,8 @@
         catalogue,
         received,
         deadline,
+        peer,
+        fingerprint: OnceLock::new(),
         method: head.method,
         uri: head.uri,
         headers,
--- a/crates/stair-relay/src/context.rs
+++ b/crates/stair-relay/src/context.rs
@@ -62,6 +62,7 @@
 
 use crate::{
     allowance::Allowances,
+    crash::Crashes,
     follow::Follow,
     home::Homes, //
 };
@@ -115,6 +116,7 @@
     pub allowances: Allowances,
     /// The agents that count for all entries.
     pub homes: Homes,
+    pub(crate) crashes: Crashes,
     budgets: Vec<(Box<str>, Budget)>,
     use_of: Vec<UseAt>,
     next_seq: u64,
--- a/crates/stair-relay/src/job.rs
+++ b/crates/stair-relay/src/job.rs
@@ -1,8 +1,12 @@
 //! One request on its way, and the request of each attempt.
 
 use std::{
-    sync::Arc,
-    time::Duration, //
+    net::IpAddr,
+    sync::{
+        Arc,
+        OnceLock, //
+    },
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -13,6 +17,7 @@
     Request,
     header::{
         CONTENT_LENGTH,
+        HOST,
         HeaderValue, //
     }, //
 };
@@ -30,6 +35,13 @@
     prefill::Part,
     workspace::Workspace, //
 };
+use stair_types::{
+    Fingerprint,
+    fingerprint::{
+        Caller,
+        Contents, //
+    },
+};
 use tokio::time::Instant;
 
 use crate::{
@@ -66,6 +78,10 @@
     pub received: Instant,
     /// When it has to be answered.
     pub deadline: Instant,
+    /// The client's address.
+    pub(crate) peer: IpAddr,
+    /// Taken when it is first needed.
+    pub(crate) fingerprint: OnceLock<Fingerprint>,
     pub(crate) method: Method,
     pub(crate) uri: hyper::Uri,
     pub(crate) headers: HeaderMap,
@@ -88,6 +104,35 @@
         rank(&self.route, self.workspace.as_ref())
     }
 
+    /// What identifies it among all requests; its repeats have the same.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        *self
+            .fingerprint
+            .get_or_init(|| self.contents().fingerprint())
+    }
+
+    fn contents(&self) -> Contents<'_> {
+        let caller = match &self.workspace {
+            Some(workspace) => Caller::Workspace(&workspace.name),
+            None => Caller::Address(self.peer),
+        };
+        let host = match self.uri.authority() {
+            Some(authority) => authority.as_str().as_bytes(),
+            None => self
+                .headers
+                .get(HOST)
+                .map_or(&[][..], HeaderValue::as_bytes),
+        };
+        let path = self.uri.path_and_query();
+        Contents {
+            caller,
+            method: self.method.as_str(),
+            host,
+            path: path.map_or("", |p| p.as_str()),
+            body: &self.body,
+        }
+    }
+
     /// Notes whether it may have run.
     pub fn note_sent(&self, sent: bool) {
         if let Some(grant) = &self.grant {
--- a/crates/stair-relay/src/lib.rs
+++ b/crates/stair-relay/src/lib.rs
@@ -3,7 +3,8 @@
 //! The path of a request: [`serve`] accepts it, [`admit`] finds its route, [`authorize`] its workspace, [`allowance`]
 //! charges it. As a [`job`] it goes through [`relay`]: [`pick`] chooses a target, [`load`] has the model loaded there,
 //! [`outage`] waits for an engine that is down, [`prefill`] reserves a prefill slot, [`attempt`] sends it, [`stream`]
-//! passes events and resumes. [`failures`] counts failures of targets, [`refuse`] makes the entry's own answers.
+//! passes events and resumes. [`failures`] counts failures of targets, [`crash`] finds out which requests were on a target
+//! that ended, [`refuse`] makes the entry's own answers.
 //!
 //! Replicated state: [`replicate`] watches the store, [`follow`] the entry that watches for the data centre, [`change`]
 //! is what they exchange, [`peers`] asks other entries when the store does not answer.
@@ -20,6 +21,7 @@
 pub mod authorize;
 pub mod change;
 pub mod context;
+mod crash;
 pub mod dump;
 pub mod failures;
 pub mod follow;
--- a/crates/stair-relay/src/relay.rs
+++ b/crates/stair-relay/src/relay.rs
@@ -5,6 +5,7 @@
 //! every further target draws on the shared retry budget.
 
 use std::{
+    net::IpAddr,
     sync::Arc,
     time::Duration, //
 };
@@ -39,6 +40,7 @@
         Live, //
     },
     context::Context,
+    crash,
     failures::Failures,
     job::Job,
     pick::{
@@ -70,12 +72,12 @@
 /// hung.
 const HUNG_AFTER: u32 = 3;
 
-/// Serves one request.
-pub async fn serve(cx: Arc<Context>, req: Request<Incoming>) -> Response<Body> {
+/// Serves one request of the client at an address.
+pub async fn serve(cx: Arc<Context>, req: Request<Incoming>, peer: IpAddr) -> Response<Body> {
     let received = Instant::now();
     let id = Meta::decode(req.headers()).id;
     let mut waiting = Waiting::begin(&cx, &id, received);
-    let result = match admit(&cx, req, received).await {
+    let result = match admit(&cx, req, peer, received).await {
         Ok(job) => run(&cx, Arc::new(job)).await,
         Err(refusal) => Err(refusal),
     };
@@ -343,7 +345,7 @@
 
 /// Takes the outcome of an attempt into what is known of the target.
 fn note(
-    cx: &Context,
+    cx: &Arc<Context>,
     job: &Job,
     tried: &mut Tried,
     picked: &Picked,
@@ -404,6 +406,9 @@
         }
     }
     drop(state);
+    if matches!(outcome, Outcome::Lost(_) | Outcome::Late) {
+        crash::note_cut(cx, job, key);
+    }
     if matches!(outcome, Outcome::Head(live) if !live.head.status.is_server_error()) {
         tried.failures.served();
     }
@@ -449,6 +454,7 @@
         Ok(body) => body,
         Err(e) => {
             tried.keys.push(key);
+            crash::note_cut(cx, job, key);
             Line::failure("cut")
                 .text("id", &job.meta.id)
                 .text("error", &e)
--- a/crates/stair-relay/src/serve.rs
+++ b/crates/stair-relay/src/serve.rs
@@ -2,6 +2,7 @@
 
 use std::{
     convert::Infallible,
+    net::IpAddr,
     sync::Arc,
     time::Duration, //
 };
@@ -67,10 +68,10 @@
             return;
         };
         match listener.accept().await {
-            Ok((stream, _)) => {
+            Ok((stream, peer)) => {
                 let cx = cx.clone();
                 tokio::spawn(async move {
-                    connection(cx, stream).await;
+                    connection(cx, stream, peer.ip()).await;
                     drop(slot);
                 });
             }
@@ -80,7 +81,7 @@
     }
 }
 
-async fn connection(cx: Arc<Context>, stream: TcpStream) {
+async fn connection(cx: Arc<Context>, stream: TcpStream, peer: IpAddr) {
     // Without it a small answer may wait some milliseconds; it still arrives.
     let _ = stream.set_nodelay(true);
     let limits = cx
@@ -92,7 +93,7 @@
     let head_time = limits.idle_time.max(limits.head_time) + IDLE_SLACK;
     let service = service_fn(move |req| {
         let cx = cx.clone();
-        async move { Ok::<_, Infallible>(answer(cx, req).await) }
+        async move { Ok::<_, Infallible>(answer(cx, req, peer).await) }
     });
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -103,8 +104,8 @@
     let _ = conn.await;
 }
 
-async fn answer(cx: Arc<Context>, req: Request<Incoming>) -> Response<Body> {
-    let mut resp = relay::serve(cx.clone(), req).await;
+async fn answer(cx: Arc<Context>, req: Request<Incoming>, peer: IpAddr) -> Response<Body> {
+    let mut resp = relay::serve(cx.clone(), req, peer).await;
     if cx.draining() {
         let close = HeaderValue::from_static("close");
         resp.headers_mut().insert(CONNECTION, close);
--- a/crates/stair-relay/src/stream.rs
+++ b/crates/stair-relay/src/stream.rs
@@ -40,6 +40,7 @@
         Context,
         Flight, //
     },
+    crash,
     job::Job,
     pick::Picked,
     refuse::Reason,
@@ -108,11 +109,13 @@
         Next::End => None,
         Next::Broken(e) => {
             tried.keys.push(key);
+            crash::note_cut(cx, job, key);
             log_break(job, &picked.id, None, &e);
             return Err(Reason::Lost);
         }
         Next::Late => {
             tried.keys.push(key);
+            crash::note_cut(cx, job, key);
             log_break(job, &picked.id, None, "no first event in time");
             return Err(Reason::Late);
         }
@@ -261,6 +264,7 @@
                 Received::ClientGone => return Ended::ClientGone,
             };
             let key = source.flight.key();
+            crash::note_cut(&self.cx, &self.job, key);
             log_break(&self.job, "", self.last, &why);
             // The engine stops when its connection closes, so that the two runs do not overlap.
             drop(source);
--- a/crates/stair-types/src/lib.rs
+++ b/crates/stair-types/src/lib.rs
@@ -1,5 +1,6 @@
 //! Names, identifiers and verdicts that every part of dandelionstair shares.
 //!
+//! - [`fingerprint`]: what identifies a request that comes again.
 //! - [`key`]: digests of API keys.
 //! - [`names`]: checked names of models, adapters, targets, tiers and so on.
 //! - [`ids`]: numbers that order or identify things.
@@ -8,12 +9,14 @@
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
+pub mod fingerprint;
 pub mod ids;
 pub mod key;
 pub mod names;
 pub mod rendezvous;
 pub mod verdict;
 
+pub use fingerprint::Fingerprint;
 pub use ids::{
     ApplyId,
     ConfigVersion,
--- /dev/null
+++ b/crates/stair-types/tests/fingerprint.rs
@@ -0,0 +1,99 @@
+//! Which requests are taken for repeats of one another.
+
+use std::net::IpAddr;
+
+use stair_types::fingerprint::{
+    Caller,
+    Contents, //
+};
+
+const REQUEST: Contents<'static> = Contents {
+    caller: Caller::Workspace("w1"),
+    method: "POST",
+    host: b"words.example",
+    path: "/model/1?page=3",
+    body: b"prompt",
+};
+
+/// Two requests that differ in any part.
+#[test]
+fn every_part_counts() {
+    let addr: IpAddr = "10.0.0.1".parse().expect("an address");
+    let others = [
+        Contents {
+            caller: Caller::Workspace("w2"),
+            ..REQUEST
+        },
+        Contents {
+            caller: Caller::Address(addr),
+            ..REQUEST
+        },
+        Contents {
+            method: "PUT",
+            ..REQUEST
+        },
+        Contents {
+            host: b"other.example",
+            ..REQUEST
+        },
+        Contents {
+            path: "/model/1",
+            ..REQUEST
+        },
+        Contents {
+            body: b"tpromp",
+            ..REQUEST
+        },
+    ];
+    for other in others {
+        assert_ne!(other.fingerprint(), REQUEST.fingerprint(), "{other:?}");
+    }
+    assert_eq!(REQUEST.fingerprint(), REQUEST.fingerprint());
+}
+
+/// A body of the same length has the same outline: only the fingerprint tells them apart.
+#[test]
+fn outline_is_cheap() {
+    let other = Contents {
+        body: b"tpromp",
+        ..REQUEST
+    };
+    assert_eq!(other.outline(), REQUEST.outline());
+    assert_eq!(REQUEST.fingerprint().outline(), REQUEST.outline());
+}
+
+/// Bytes that move from one part to the next make another request.
+#[test]
+fn parts_do_not_run_together() {
+    let one = Contents {
+        host: b"ab",
+        path: "c",
+        ..REQUEST
+    };
+    let other = Contents {
+        host: b"a",
+        path: "bc",
+        ..REQUEST
+    };
+    assert_ne!(one.fingerprint(), other.fingerprint());
+    assert_ne!(one.outline(), other.outline());
+}
+
+/// Neither the body nor the caller can be read in logs.
+#[test]
+fn nothing_is_shown() {
+    let shown = format!("{} {0:?}", REQUEST.fingerprint());
+    assert!(!shown.contains("w1") && !shown.contains("prompt"));
+}
+
+/// An address counts as one however the socket writes it.
+#[test]
+fn mapped_address() {
+    let plain: IpAddr = "10.0.0.1".parse().expect("an address");
+    let mapped: IpAddr = "::ffff:10.0.0.1".parse().expect("an address");
+    let of = |addr| Contents {
+        caller: Caller::Address(addr),
+        ..REQUEST
+    };
+    assert_eq!(of(plain).fingerprint(), of(mapped).fingerprint());
+}
