relay, sidecar, fleet: a request that ends the targets that run it is quarantined

Cause: each try of a client has an id of its own, nothing knew a request by its contents, and entries told each other nothing of crashes, so that each try was placed like a new one.

An entry finds which of its requests were on a target that ended and reports their fingerprints to three agents, chosen by rendezvous over those linked (to a ledger of its own while none is). A ledger blames the requests of one end together: two points for one that was alone or the only one blamed before, one where that is shared, none beside one blamed before, never two when targets ended together without it. From three points a request runs apart from other suspects, one at a target and one of itself, by an agent's permission: requests that share their targets with the deadly one are told apart by that, and whatever answer comes whole clears its request. At five it is refused at once by all entries, not run, with the time left (60 s, then 5 min, 1 h). Entries and agents tell each other what they know when a link begins.

Why it works: the deadly request has its points at the third crash when alone on a target or the only one there that was blamed, at the fifth at the latest; retries after it are refused before a target is chosen, also within one try.

--- a/crates/stair-fleet/src/lib.rs
+++ b/crates/stair-fleet/src/lib.rs
@@ -17,6 +17,7 @@
 //! - [`fetch`]: how many loads from the weight store are of use at once.
 //! - [`prefill`]: when a prompt may be sent to an engine.
 //! - [`outlier`]: which targets a failure is put down to.
+//! - [`quarantine`]: which request ends the targets that run it.
 //! - [`budget`]: one entry's share of the retries that all entries may make together.
 //! - [`events`]: whole events out of a stream's bytes.
 //! - [`lag`]: which entries lag behind what the others know.
@@ -38,6 +39,7 @@
 pub mod overload;
 pub mod prefetch;
 pub mod prefill;
+pub mod quarantine;
 pub mod seen;
 pub mod target;
 pub mod view;
--- a/crates/stair-fleet/src/msg.rs
+++ b/crates/stair-fleet/src/msg.rs
@@ -14,6 +14,10 @@
     allowance,
     catalogue::Engine,
     prefill,
+    quarantine::{
+        ToLedger,
+        ToWatchlist, //
+    },
     target::{
         Holds,
         Load, //
@@ -73,6 +77,8 @@
         /// The units.
         cost: f64,
     },
+    /// About requests that end the targets that run them.
+    Quarantine(ToLedger),
 }
 
 /// How far an entry's knowledge goes.
@@ -158,6 +164,8 @@
     /// Asks for what the engine's service declares. A declaration names every model; told by each entry to
     /// each agent, those of one change would take more than all else that they say in a minute.
     Declare,
+    /// About requests that end the targets that run them.
+    Quarantine(ToWatchlist),
 }
 
 /// What one entry needs to know of the others. Not their whole list: it changes with each of them
--- a/crates/stair-relay/src/admit.rs
+++ b/crates/stair-relay/src/admit.rs
@@ -50,7 +50,11 @@
 };
 
 use crate::{
-    allowance, authorize,
+    allowance::{
+        self,
+        Grant, //
+    },
+    authorize,
     context::{
         Context,
         Serving, //
@@ -59,6 +63,7 @@
         Job,
         rank, //
     },
+    quarantine,
     refuse::{
         LEAVING_COME_BACK,
         Reason,
@@ -114,18 +119,6 @@
     let wait = meta.patience.unwrap_or(route.timeout).min(route.timeout);
     let deadline = received + wait;
     let body = read_body(body, &head.headers, catalogue.limits.body_bytes, deadline).await?;
-    let grant = match &workspace {
-        Some(workspace) => {
-            let opts = allowance::Options {
-                id: &meta.id,
-                version: catalogue.version,
-                tokens: meta.prompt_tokens.saturating_add(meta.answer_tokens),
-                objective: route.objective,
-            };
-            allowance::take(cx, workspace, &opts).await?
-        }
-        None => None,
-    };
     let point = xxh3_64(meta.id.as_bytes()) as f64 / u64::MAX as f64;
     let service: Box<str> = route.pick(point).into();
     let mut headers = head.headers;
@@ -133,21 +126,7 @@
     if catalogue.workspaces.is_some() {
         request::strip_key(&mut headers);
     }
-    cx.count_request(&service);
-    Line::new("request")
-        .text("id", &meta.id)
-        .text("route", &route.name)
-        .text("service", &service)
-        .text("workspace", workspace.as_ref().map_or("", |w| &*w.name))
-        .text("model", meta.model.as_deref().unwrap_or(""))
-        .text("adapter", meta.adapter.as_deref().unwrap_or(""))
-        .num("prompt_tokens", meta.prompt_tokens)
-        .num("catalogue", catalogue.version)
-        .ms("patience_ms", wait)
-        .ms("objective_ms", route.objective)
-        .ms("gap_ms", route.gap.unwrap_or_default())
-        .write();
-    Ok(Job {
+    let mut job = Job {
         shared: shared(&meta),
         parts: parts(&meta),
         more_urgent: catalogue.more_urgent(&service, rank(&route, workspace.as_ref())),
@@ -155,7 +134,7 @@
         meta,
         route,
         workspace,
-        grant,
+        grant: None,
         service,
         catalogue,
         received,
@@ -167,7 +146,45 @@
         headers,
         body,
         _serving: serving,
-    })
+    };
+    quarantine::admit(cx, &job)?;
+    job.grant = take_allowance(cx, &job).await?;
+    cx.count_request(&job.service);
+    log(&job, wait);
+    Ok(job)
+}
+
+async fn take_allowance(cx: &Arc<Context>, job: &Job) -> Result<Option<Grant>, Refusal> {
+    let Some(workspace) = &job.workspace else {
+        return Ok(None);
+    };
+    let opts = allowance::Options {
+        id: &job.meta.id,
+        version: job.catalogue.version,
+        tokens: job
+            .meta
+            .prompt_tokens
+            .saturating_add(job.meta.answer_tokens),
+        objective: job.route.objective,
+    };
+    allowance::take(cx, workspace, &opts).await
+}
+
+fn log(job: &Job, wait: Duration) {
+    let (meta, route) = (&job.meta, &job.route);
+    Line::new("request")
+        .text("id", &meta.id)
+        .text("route", &route.name)
+        .text("service", &job.service)
+        .text("workspace", job.workspace.as_ref().map_or("", |w| &*w.name))
+        .text("model", meta.model.as_deref().unwrap_or(""))
+        .text("adapter", meta.adapter.as_deref().unwrap_or(""))
+        .num("prompt_tokens", meta.prompt_tokens)
+        .num("catalogue", job.catalogue.version)
+        .ms("patience_ms", wait)
+        .ms("objective_ms", route.objective)
+        .ms("gap_ms", route.gap.unwrap_or_default())
+        .write();
 }
 
 /// Refuses what different readers could understand differently: one hop would take the rest of such
--- a/crates/stair-relay/src/context.rs
+++ b/crates/stair-relay/src/context.rs
@@ -64,7 +64,8 @@
     allowance::Allowances,
     crash::Crashes,
     follow::Follow,
-    home::Homes, //
+    home::Homes,
+    quarantine::Quarantine, //
 };
 
 pub use flight::{
@@ -116,7 +117,10 @@
     pub allowances: Allowances,
     /// The agents that count for all entries.
     pub homes: Homes,
+    /// Requests that were cut lately.
     pub(crate) crashes: Crashes,
+    /// Requests that end targets.
+    pub(crate) quarantine: Quarantine,
     budgets: Vec<(Box<str>, Budget)>,
     use_of: Vec<UseAt>,
     next_seq: u64,
--- a/crates/stair-relay/src/context/flight.rs
+++ b/crates/stair-relay/src/context/flight.rs
@@ -11,6 +11,7 @@
 use stair_fleet::view::TargetKey;
 
 use super::Context;
+use crate::quarantine::Trial;
 
 /// One request in flight at a target; it counts until this is dropped.
 pub struct Flight {
@@ -19,6 +20,8 @@
     engine: SocketAddr,
     names: Vec<Box<str>>,
     unread: u64,
+    /// Dropped with the flight, which ends the trial.
+    _trial: Option<Box<Trial>>,
 }
 
 impl Flight {
@@ -51,9 +54,15 @@
             engine,
             names,
             unread: tokens,
+            _trial: None,
         }
     }
 
+    /// Has the trial of a suspect end with the flight.
+    pub(crate) fn set_trial(&mut self, trial: Option<Trial>) {
+        self._trial = trial.map(Box::new);
+    }
+
     /// The target.
     pub fn key(&self) -> TargetKey {
         self.key
--- a/crates/stair-relay/src/crash.rs
+++ b/crates/stair-relay/src/crash.rs
@@ -10,6 +10,7 @@
 };
 
 use stair_fleet::{
+    quarantine::Crash,
     seen::Seen,
     target::State as TargetState,
     view::TargetKey, //
@@ -28,7 +29,8 @@
 
 use crate::{
     context::Context,
-    job::Job, //
+    job::Job,
+    quarantine, //
 };
 
 /// When the target's address is tried after a cut; the second time is for one that closes its connections first.
@@ -183,7 +185,7 @@
 }
 
 /// Tells which requests were on a target that has ended.
-fn report(cx: &Context, life: &Life, addr: SocketAddr) {
+fn report(cx: &Arc<Context>, life: &Life, addr: SocketAddr) {
     let runs = cx.state().crashes.take_ended(life);
     let names: Vec<String> = runs.iter().map(Fingerprint::to_string).collect();
     Line::failure("target.crashed")
@@ -194,4 +196,9 @@
         .write();
     cx.page.count("target_crashes_total", &[], 1);
     cx.page.count("crashed_runs_total", &[], runs.len() as u64);
+    let life = match life.started {
+        Some(started) => format!("{}@{started}", life.id).into(),
+        None => life.id.clone(),
+    };
+    quarantine::report(cx, Crash { life, runs });
 }
--- a/crates/stair-relay/src/dump.rs
+++ b/crates/stair-relay/src/dump.rs
@@ -7,6 +7,10 @@
     Target,
     budget,
     msg::Peers,
+    quarantine::{
+        Notice,
+        Standing, //
+    },
     seen::Seen, //
     target::Report,
 };
@@ -39,6 +43,8 @@
     follows: bool,
     requests_in_flight: usize,
     retries: Vec<RetriesDump>,
+    /// Requests that are suspected to end targets, or quarantined.
+    quarantine: Vec<QuarantineDump>,
 }
 
 /// One target.
@@ -77,6 +83,15 @@
     options: budget::Options,
 }
 
+/// One request that is suspected to end targets.
+#[derive(Debug, Clone, Serialize)]
+struct QuarantineDump {
+    /// As in the logs.
+    fingerprint: String,
+    /// How much longer it is not run; 0 for a suspect.
+    held_for_ms: u64,
+}
+
 /// Takes the state as it is now.
 pub fn dump(cx: &Context) -> Dump {
     let now = cx.now();
@@ -107,9 +122,22 @@
                 options: budget.options(),
             })
             .collect(),
+        quarantine: quarantine(&state, now),
     }
 }
 
+fn quarantine(state: &State, now: Duration) -> Vec<QuarantineDump> {
+    let known = state.quarantine.watchlist.notices(now);
+    let one = |n: &Notice| QuarantineDump {
+        fingerprint: n.fingerprint.to_string(),
+        held_for_ms: match n.standing {
+            Standing::Quarantined(left) => ms(left),
+            Standing::Suspect | Standing::Cleared => 0,
+        },
+    };
+    known.iter().map(one).collect()
+}
+
 fn workspaces(state: &State) -> Option<usize> {
     let catalogue = state.catalogue.as_ref()?;
     Some(catalogue.workspaces.as_ref()?.all().len())
--- a/crates/stair-relay/src/job.rs
+++ b/crates/stair-relay/src/job.rs
@@ -39,7 +39,8 @@
     Fingerprint,
     fingerprint::{
         Caller,
-        Contents, //
+        Contents,
+        Outline, //
     },
 };
 use tokio::time::Instant;
@@ -111,6 +112,11 @@
             .get_or_init(|| self.contents().fingerprint())
     }
 
+    /// A hash of all but the body's bytes.
+    pub(crate) fn outline(&self) -> Outline {
+        self.contents().outline()
+    }
+
     fn contents(&self) -> Contents<'_> {
         let caller = match &self.workspace {
             Some(workspace) => Caller::Workspace(&workspace.name),
--- a/crates/stair-relay/src/lib.rs
+++ b/crates/stair-relay/src/lib.rs
@@ -4,7 +4,7 @@
 //! charges it. As a [`job`] it goes through [`relay`]: [`pick`] chooses a target, [`load`] has the model loaded there,
 //! [`outage`] waits for an engine that is down, [`prefill`] reserves a prefill slot, [`attempt`] sends it, [`stream`]
 //! passes events and resumes. [`failures`] counts failures of targets, [`crash`] finds out which requests were on a target
-//! that ended, [`refuse`] makes the entry's own answers.
+//! that ended, [`quarantine`] keeps those from targets that end them, [`refuse`] makes the entry's own answers.
 //!
 //! Replicated state: [`replicate`] watches the store, [`follow`] the entry that watches for the data centre, [`change`]
 //! is what they exchange, [`peers`] asks other entries when the store does not answer.
@@ -35,6 +35,7 @@
 pub mod prefetch;
 pub mod prefill;
 pub mod process;
+mod quarantine;
 pub mod refuse;
 pub mod relay;
 pub mod replicate;
--- a/crates/stair-relay/src/links.rs
+++ b/crates/stair-relay/src/links.rs
@@ -44,6 +44,7 @@
         AgentLink,
         Context, //
     },
+    quarantine,
 };
 
 /// Time to open a link.
@@ -191,6 +192,8 @@
         state.agents[i].linked = true;
     }
     state.homes.clear();
+    drop(state);
+    quarantine::link_began(cx, engine);
 }
 
 /// Drops what the agent said and the questions that wait for it.
@@ -204,6 +207,7 @@
     }
     state.homes.clear();
     state.allowances.link_ended(engine);
+    state.quarantine.link_ended(engine);
     state.view.unreport(engine);
 }
 
@@ -277,6 +281,7 @@
             ToEntry::Allowed { seq, answer } => allowance::answered(cx, engine, seq, answer),
             ToEntry::Former(id) => receive_former(cx, engine, id),
             ToEntry::Declare => declare(cx, engine),
+            ToEntry::Quarantine(msg) => quarantine::receive(cx, engine, msg),
             ToEntry::Peers(peers) => {
                 let mut state = cx.state();
                 if let Some(i) = state.agent(engine) {
--- a/crates/stair-relay/src/refuse.rs
+++ b/crates/stair-relay/src/refuse.rs
@@ -45,6 +45,8 @@
     Behind,
     /// Its workspace has used its allowance up.
     OverAllowance,
+    /// It has ended the targets that ran it.
+    Quarantined,
     /// The request is malformed.
     Malformed,
     /// The body is larger than allowed.
@@ -73,6 +75,7 @@
             Self::UnknownKey => "unknown-key",
             Self::Behind => "behind",
             Self::OverAllowance => "over-allowance",
+            Self::Quarantined => "quarantined",
             Self::Malformed => "malformed",
             Self::TooLarge => "too-large",
             Self::TooSlow => "too-slow",
@@ -91,9 +94,12 @@
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::TooSlow => StatusCode::REQUEST_TIMEOUT,
-            Self::Starting | Self::Leaving | Self::Behind | Self::NoTarget | Self::Refused => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::Starting
+            | Self::Leaving
+            | Self::Behind
+            | Self::Quarantined
+            | Self::NoTarget
+            | Self::Refused => StatusCode::SERVICE_UNAVAILABLE,
             Self::Late if verdict == Verdict::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::Late => StatusCode::GATEWAY_TIMEOUT,
             Self::Lost => StatusCode::BAD_GATEWAY,
--- a/crates/stair-relay/src/relay.rs
+++ b/crates/stair-relay/src/relay.rs
@@ -27,6 +27,7 @@
 use stair_telemetry::event::Line;
 use tokio::time::{
     Instant,
+    sleep,
     sleep_until, //
 };
 
@@ -47,6 +48,10 @@
         self,
         Picked, //
     },
+    quarantine::{
+        self,
+        Gate, //
+    },
     refuse::{
         LEAVING_COME_BACK,
         Reason,
@@ -65,6 +70,9 @@
 /// Retry-After when all targets were full.
 const REFUSED_COME_BACK: Duration = Duration::from_millis(500);
 
+/// Pause before a suspect asks again whether it may run.
+const TRIAL_PAUSE: Duration = Duration::from_millis(100);
+
 /// Targets that one request is sent to at most while each says that it has not run it.
 const MAX_SENDS: usize = 4;
 
@@ -196,7 +204,7 @@
     loop {
         let (picked, outcome) = match once(cx, &job, tried, None).await {
             Ok(both) => both,
-            Err(come_back) => return Err(give_up(tried, Reason::NoTarget, come_back)),
+            Err(e) => return Err(give_up(tried, e.reason, e.come_back)),
         };
         let retry = match outcome {
             attempt::Outcome::Head(live) => match answer(cx, &job, picked, live, tried).await {
@@ -238,17 +246,42 @@
     Refusal::may_have_run(reason)
 }
 
+/// No target gets the request.
+#[derive(Debug, Clone, Copy)]
+pub struct NotPlaced {
+    /// Why.
+    pub reason: Reason,
+    /// When to come back.
+    pub come_back: Duration,
+}
+
+impl NotPlaced {
+    fn no_target(come_back: Duration) -> Self {
+        Self {
+            reason: Reason::NoTarget,
+            come_back,
+        }
+    }
+
+    fn quarantined(come_back: Duration) -> Self {
+        Self {
+            reason: Reason::Quarantined,
+            come_back,
+        }
+    }
+}
+
 /// Picks a target and sends the request there once.
 ///
 /// # Errors
 ///
-/// When to come back, if no target can run it in time.
+/// [`NotPlaced`] if no target can run it in time, or none may.
 pub async fn once(
     cx: &Arc<Context>,
     job: &Job,
     tried: &mut Tried,
     after_event: Option<u64>,
-) -> Result<(Picked, attempt::Outcome), Duration> {
+) -> Result<(Picked, attempt::Outcome), NotPlaced> {
     let picked = place(cx, job, &tried.keys, after_event).await?;
     let outcome = send(cx, job, tried, &picked, after_event).await;
     Ok((picked, outcome))
@@ -258,21 +291,49 @@
 ///
 /// # Errors
 ///
-/// When to come back, if no target can run it in time.
+/// [`NotPlaced`] if no target can run it in time, or none may.
 pub async fn place(
     cx: &Arc<Context>,
     job: &Job,
     left_out: &[TargetKey],
     after_event: Option<u64>,
-) -> Result<Picked, Duration> {
+) -> Result<Picked, NotPlaced> {
     let since = after_event.map_or(job.received, |_| Instant::now());
     let until = pick_until(job, after_event);
     tokio::select! {
-        picked = pick::pick(cx, job, left_out, since, until) => {
-            picked.map_err(|nowhere| nowhere.come_back)
-        }
+        picked = pick_permitted(cx, job, left_out, since, until) => picked,
         // A request that waits for a model when the process ends would get no answer at all.
-        () = cx.ending(LAST_REFUSALS) => Err(LEAVING_COME_BACK),
+        () = cx.ending(LAST_REFUSALS) => Err(NotPlaced::no_target(LEAVING_COME_BACK)),
+    }
+}
+
+/// Picks a target at which the request may run now.
+async fn pick_permitted(
+    cx: &Arc<Context>,
+    job: &Job,
+    left_out: &[TargetKey],
+    since: Instant,
+    until: Instant,
+) -> Result<Picked, NotPlaced> {
+    loop {
+        if let Some(left) = quarantine::held(cx, job) {
+            return Err(NotPlaced::quarantined(left));
+        }
+        let picked = pick::pick(cx, job, left_out, since, until).await;
+        let mut picked = picked.map_err(|nowhere| NotPlaced::no_target(nowhere.come_back))?;
+        match quarantine::gate(cx, job, &picked.id).await {
+            Gate::Open(trial) => {
+                picked.flight.set_trial(trial);
+                return Ok(picked);
+            }
+            Gate::Closed(left) => return Err(NotPlaced::quarantined(left)),
+            Gate::Busy if Instant::now() + TRIAL_PAUSE >= until => {
+                return Err(NotPlaced::no_target(REFUSED_COME_BACK));
+            }
+            Gate::Busy => {}
+        }
+        drop(picked);
+        sleep(TRIAL_PAUSE).await;
     }
 }
 
@@ -470,6 +531,7 @@
         tried.failure = Some(response(&live.head, full(body)));
         return Answered::Failed(Reason::Lost);
     }
+    quarantine::survived(cx, job);
     Line::new("answered")
         .text("id", &job.meta.id)
         .num("status", live.head.status.as_u16())
--- a/crates/stair-relay/src/stream.rs
+++ b/crates/stair-relay/src/stream.rs
@@ -43,6 +43,7 @@
     crash,
     job::Job,
     pick::Picked,
+    quarantine,
     refuse::Reason,
     relay::{
         self,
@@ -236,6 +237,7 @@
         let pause = self.longest_pause;
         self.cx.page.time("longest_pause_ms", &[], pause);
         if matches!(ended, Ended::Complete) {
+            quarantine::survived(&self.cx, &self.job);
             // A client that is gone by now has no use for the end.
             let _ = self.tx.send(None).await;
         }
--- a/crates/stair-sidecar/src/lib.rs
+++ b/crates/stair-sidecar/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`engine`]: readings of the engine and orders to it.
 //! - [`fence`]: raises the fencing token in the store.
 //! - [`links`]: the connections of entries.
+//! - [`quarantine`]: requests that end the targets that run them, for all entries.
 //! - [`usage`]: how much each model and adapter is used, by all entries.
 //! - [`process`]: start, main loop, stop.
 #![deny(missing_docs)]
@@ -19,4 +20,5 @@
 pub mod fence;
 pub mod links;
 pub mod process;
+pub mod quarantine;
 pub mod usage;
--- a/crates/stair-sidecar/src/links.rs
+++ b/crates/stair-sidecar/src/links.rs
@@ -3,7 +3,7 @@
 //! They are in the clear: VMs have neither disk nor keys, and what comes over them can at most make
 //! the engine load or drop models. docs/design/on-platform.md weighs the ways.
 //!
-//! Allowances are answered here: a question about one must not wait for the engine.
+//! Allowances and quarantine are answered here: a question about them must not wait for the engine.
 
 use std::{
     sync::Arc,
@@ -33,6 +33,7 @@
 use crate::{
     allowances::Allowances,
     process::dump::Dump,
+    quarantine::Quarantine,
     usage::LinkKey, //
 };
 
@@ -58,23 +59,24 @@
     Dump(oneshot::Sender<Dump>),
 }
 
+/// What is answered without the main loop.
+#[derive(Clone)]
+pub struct Ledgers {
+    /// Allowances of workspaces.
+    pub allowances: Arc<Allowances>,
+    /// Requests that end their targets.
+    pub quarantine: Arc<Quarantine>,
+}
+
 /// Accepts links until the receiver of events is gone.
-pub async fn accept(
-    listener: TcpListener,
-    events: mpsc::Sender<Event>,
-    allowances: Arc<Allowances>,
-) {
+pub async fn accept(listener: TcpListener, events: mpsc::Sender<Event>, ledgers: Ledgers) {
     let mut next = 0;
     while !events.is_closed() {
         match listener.accept().await {
             Ok((stream, _)) => {
                 next += 1;
-                tokio::spawn(serve(
-                    stream,
-                    LinkKey(next),
-                    events.clone(),
-                    allowances.clone(),
-                ));
+                let key = LinkKey(next);
+                tokio::spawn(serve(stream, key, events.clone(), ledgers.clone()));
             }
             // Out of descriptors, for instance: accepting again at once would spin.
             Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
@@ -82,12 +84,7 @@
     }
 }
 
-async fn serve(
-    stream: TcpStream,
-    key: LinkKey,
-    events: mpsc::Sender<Event>,
-    allowances: Arc<Allowances>,
-) {
+async fn serve(stream: TcpStream, key: LinkKey, events: mpsc::Sender<Event>, ledgers: Ledgers) {
     // Without it a message waits for the acknowledgement of the one before; it still arrives.
     let _ = stream.set_nodelay(true);
     let (r, w) = stream.into_split();
@@ -95,10 +92,12 @@
     if events.send(Event::Opened(key, tx.clone())).await.is_err() {
         return;
     }
+    ledgers.quarantine.opened(key, tx.clone());
     tokio::select! {
-        () = read(r, key, &events, &allowances, &tx) => {}
+        () = read(r, key, &events, &ledgers, &tx) => {}
         () = write(w, rx) => {}
     }
+    ledgers.quarantine.closed(key);
     // The main loop is gone when this fails, and with it all that the link was for.
     let _ = events.send(Event::Closed(key)).await;
 }
@@ -107,19 +106,23 @@
     mut r: OwnedReadHalf,
     key: LinkKey,
     events: &mpsc::Sender<Event>,
-    allowances: &Allowances,
+    ledgers: &Ledgers,
     tx: &mpsc::Sender<ToEntry>,
 ) {
     while let Ok(Ok(msg)) = timeout(SILENCE, frame::read_message(&mut r)).await {
         let msg = match msg {
             ToAgent::Allow { seq, ask } => {
-                let answer = allowances.ask(&ask);
+                let answer = ledgers.allowances.ask(&ask);
                 // An entry that does not read asks another agent.
                 let _ = tx.try_send(ToEntry::Allowed { seq, answer });
                 continue;
             }
             ToAgent::GiveBack { workspace, cost } => {
-                allowances.give_back(&workspace, cost);
+                ledgers.allowances.give_back(&workspace, cost);
+                continue;
+            }
+            ToAgent::Quarantine(msg) => {
+                ledgers.quarantine.receive(key, msg, tx);
                 continue;
             }
             msg => msg,
--- a/crates/stair-sidecar/src/process.rs
+++ b/crates/stair-sidecar/src/process.rs
@@ -64,8 +64,10 @@
     fence,
     links::{
         self,
-        Event, //
+        Event,
+        Ledgers, //
     },
+    quarantine::Quarantine,
     usage::LinkKey,
 };
 
@@ -135,14 +137,17 @@
             dump: move || ask_dump(events.clone()),
         };
         tasks.spawn(observe::serve(self.metrics, never, opts));
-        let allowances = Arc::new(Allowances::new(page.clone()));
-        tasks.spawn(links::accept(self.inner, tx, allowances.clone()));
+        let ledgers = Ledgers {
+            allowances: Arc::new(Allowances::new(page.clone())),
+            quarantine: Arc::new(Quarantine::new(page.clone())),
+        };
+        tasks.spawn(links::accept(self.inner, tx, ledgers.clone()));
         let (fence_tx, fence_rx) = mpsc::channel(1);
         Line::new("agent.started")
             .text("name", &self.settings.name)
             .show("engine", self.settings.engine)
             .write();
-        let mut agent = Agent::new(self.settings, page, allowances, fence_tx);
+        let mut agent = Agent::new(self.settings, page, ledgers, fence_tx);
         agent.raise_fence();
         agent.run(rx, fence_rx, reloads, stop).await;
         Line::new("agent.stopped").write();
@@ -204,14 +209,14 @@
     published_holds: Option<Holds>,
     published_load: Option<(Load, Instant)>,
     page: Arc<Page>,
-    allowances: Arc<Allowances>,
+    ledgers: Ledgers,
 }
 
 impl Agent {
     fn new(
         settings: SidecarSettings,
         page: Arc<Page>,
-        allowances: Arc<Allowances>,
+        ledgers: Ledgers,
         fence_tx: mpsc::Sender<u64>,
     ) -> Self {
         Self {
@@ -235,7 +240,7 @@
             published_holds: None,
             published_load: None,
             page,
-            allowances,
+            ledgers,
         }
     }
 
--- a/crates/stair-sidecar/src/process/dump.rs
+++ b/crates/stair-sidecar/src/process/dump.rs
@@ -7,6 +7,7 @@
     allowance::Ledger,
     msg::ReplicationState,
     prefill::Rate,
+    quarantine,
     target::{
         Holds,
         Load, //
@@ -39,6 +40,8 @@
     load_requests: usize,
     /// What is left of the allowances that are counted here.
     allowances: Ledger,
+    /// Requests that are blamed for the ends of targets.
+    quarantine: Vec<quarantine::Record>,
     /// Entries that are linked, with how far each one's knowledge goes.
     entries: Vec<Option<ReplicationState>>,
 }
@@ -59,7 +62,8 @@
             load: self.load(),
             rates: self.prefills.rates().to_vec(),
             load_requests: self.controller.load_requests(),
-            allowances: self.allowances.ledger(),
+            allowances: self.ledgers.allowances.ledger(),
+            quarantine: self.ledgers.quarantine.ledger().records().to_vec(),
             entries: self.links.iter().map(|l| l.known.clone()).collect(),
         }
     }
--- a/crates/stair-sidecar/src/process/receive.rs
+++ b/crates/stair-sidecar/src/process/receive.rs
@@ -109,7 +109,7 @@
             ToAgent::Used(list) => self.controller.used(key, &list, now),
             ToAgent::Read(list) => list.iter().for_each(|r| self.prefills.learn(r)),
             // Answered by the link itself.
-            ToAgent::Allow { .. } | ToAgent::GiveBack { .. } => {}
+            ToAgent::Allow { .. } | ToAgent::GiveBack { .. } | ToAgent::Quarantine(_) => {}
         }
     }
 
--- /dev/null
+++ b/crates/stair-sidecar/src/quarantine.rs
@@ -0,0 +1,176 @@
+//! Keeps the ledger of requests that end the targets that run them, for all entries.
+//!
+//! Entries report to a few agents; see [`quarantine`](stair_fleet::quarantine) for what follows from their reports.
+
+use std::{
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::Duration,
+};
+
+use stair_fleet::{
+    msg::ToEntry,
+    quarantine::{
+        Ledger,
+        Notice,
+        SETTLE_TIME,
+        Standing,
+        ToLedger,
+        ToWatchlist, //
+    },
+};
+use stair_telemetry::{
+    event::Line,
+    page::Page, //
+};
+use tokio::{
+    sync::mpsc,
+    time::{
+        Instant,
+        sleep, //
+    },
+};
+
+use crate::usage::LinkKey;
+
+/// The ledger of this agent.
+pub struct Quarantine {
+    started: Instant,
+    page: Arc<Page>,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Default)]
+struct Inner {
+    ledger: Ledger,
+    links: Vec<(LinkKey, mpsc::Sender<ToEntry>)>,
+}
+
+impl Quarantine {
+    /// Makes it with nothing known.
+    pub fn new(page: Arc<Page>) -> Self {
+        Self {
+            started: Instant::now(),
+            page,
+            inner: Mutex::default(),
+        }
+    }
+
+    /// Tells an entry all that is known, and from then on what is new.
+    pub fn opened(&self, key: LinkKey, tx: mpsc::Sender<ToEntry>) {
+        let now = self.now();
+        let mut inner = self.lock();
+        let known = inner.ledger.notices(now);
+        if !known.is_empty() {
+            self.tell(&tx, &known);
+        }
+        inner.links.push((key, tx));
+    }
+
+    /// Takes in that the link of an entry has ended.
+    pub fn closed(&self, key: LinkKey) {
+        let now = self.now();
+        let mut inner = self.lock();
+        inner.links.retain(|(k, _)| *k != key);
+        inner.ledger.owner_gone(key.0, now);
+    }
+
+    /// Takes in what an entry says; `tx` goes to that entry.
+    pub fn receive(self: &Arc<Self>, key: LinkKey, msg: ToLedger, tx: &mpsc::Sender<ToEntry>) {
+        let now = self.now();
+        match msg {
+            ToLedger::Crashed(crash) => {
+                self.lock().ledger.report(&crash, now);
+                let own = self.clone();
+                tokio::spawn(async move {
+                    sleep(SETTLE_TIME).await;
+                    own.settle();
+                });
+            }
+            ToLedger::Survived(fingerprint) => {
+                let mut inner = self.lock();
+                if inner.ledger.survived(fingerprint) {
+                    let notice = Notice {
+                        fingerprint,
+                        standing: Standing::Cleared,
+                    };
+                    self.publish(&inner, &[notice]);
+                }
+            }
+            ToLedger::Known(list) => {
+                let mut inner = self.lock();
+                let new: Vec<Notice> = list
+                    .iter()
+                    .filter_map(|n| inner.ledger.merge(n, now))
+                    .collect();
+                self.publish(&inner, &new);
+            }
+            ToLedger::Trial {
+                seq,
+                fingerprint,
+                target,
+            } => {
+                let mut inner = self.lock();
+                let granted = inner.ledger.begin_trial(fingerprint, &target, key.0, now);
+                let answer = ToEntry::Quarantine(ToWatchlist::Trial { seq, granted });
+                // An entry that does not read runs the request without the answer.
+                let _ = tx.try_send(answer);
+            }
+            ToLedger::TrialEnded(fingerprint) => self.lock().ledger.end_trial(fingerprint, now),
+        }
+    }
+
+    /// The ledger as it is now.
+    pub fn ledger(&self) -> Ledger {
+        self.lock().ledger.clone()
+    }
+
+    fn settle(&self) {
+        let now = self.now();
+        let mut inner = self.lock();
+        let new = inner.ledger.settle(now);
+        self.publish(&inner, &new);
+    }
+
+    fn publish(&self, inner: &Inner, new: &[Notice]) {
+        if new.is_empty() {
+            return;
+        }
+        for notice in new {
+            Line::failure("quarantine.judged")
+                .show("fingerprint", notice.fingerprint)
+                .show("standing", format_args!("{:?}", notice.standing))
+                .write();
+            let standing = match notice.standing {
+                Standing::Suspect => "suspect",
+                Standing::Quarantined(_) => "quarantined",
+                Standing::Cleared => "cleared",
+            };
+            self.page
+                .count("quarantine_total", &[("standing", standing)], 1);
+        }
+        for (_, tx) in &inner.links {
+            self.tell(tx, new);
+        }
+    }
+
+    fn tell(&self, tx: &mpsc::Sender<ToEntry>, list: &[Notice]) {
+        let msg = ToEntry::Quarantine(ToWatchlist::Known(list.to_vec()));
+        // An entry that does not read is told all when its next link begins.
+        if tx.try_send(msg).is_err() {
+            self.page.count("untold_total", &[], 1);
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
