--- a/crates/stair-relay/src/admit.rs
+++ b/crates/stair-relay/src/admit.rs
@@ -1,7 +1,6 @@
 //! Reads a request, checks it, and finds its route.
 
 use std::{
-    net::IpAddr,
     sync::{
         Arc,
         OnceLock, //
@@ -89,7 +88,6 @@
 pub async fn admit(
     cx: &Arc<Context>,
     req: Request<Incoming>,
-    peer: IpAddr,
     received: Instant,
 ) -> Result<Job, Refusal> {
     let serving = Serving::begin(cx.clone());
@@ -139,7 +137,6 @@
         catalogue,
         received,
         deadline,
-        peer,
         fingerprint: OnceLock::new(),
         method: head.method,
         uri: head.uri,
--- a/crates/stair-relay/src/job.rs
+++ b/crates/stair-relay/src/job.rs
@@ -1,7 +1,6 @@
 //! One request on its way, and the request of each attempt.
 
 use std::{
-    net::IpAddr,
     sync::{
         Arc,
         OnceLock, //
@@ -38,7 +37,6 @@
 use stair_types::{
     Fingerprint,
     fingerprint::{
-        Caller,
         Contents,
         Outline, //
     },
@@ -79,8 +77,6 @@
     pub received: Instant,
     /// When it has to be answered.
     pub deadline: Instant,
-    /// The client's address.
-    pub(crate) peer: IpAddr,
     /// Taken when it is first needed.
     pub(crate) fingerprint: OnceLock<Fingerprint>,
     pub(crate) method: Method,
@@ -118,10 +114,6 @@
     }
 
     fn contents(&self) -> Contents<'_> {
-        let caller = match &self.workspace {
-            Some(workspace) => Caller::Workspace(&workspace.name),
-            None => Caller::Address(self.peer),
-        };
         let host = match self.uri.authority() {
             Some(authority) => authority.as_str().as_bytes(),
             None => self
@@ -131,7 +123,7 @@
         };
         let path = self.uri.path_and_query();
         Contents {
-            caller,
+            workspace: self.workspace.as_ref().map(|w| &*w.name),
             method: self.method.as_str(),
             host,
             path: path.map_or("", |p| p.as_str()),
--- a/crates/stair-relay/src/relay.rs
+++ b/crates/stair-relay/src/relay.rs
@@ -5,7 +5,6 @@
 //! every further target draws on the shared retry budget.
 
 use std::{
-    net::IpAddr,
     sync::Arc,
     time::Duration, //
 };
@@ -80,12 +79,12 @@
 /// hung.
 const HUNG_AFTER: u32 = 3;
 
-/// Serves one request of the client at an address.
-pub async fn serve(cx: Arc<Context>, req: Request<Incoming>, peer: IpAddr) -> Response<Body> {
+/// Serves one request.
+pub async fn serve(cx: Arc<Context>, req: Request<Incoming>) -> Response<Body> {
     let received = Instant::now();
     let id = Meta::decode(req.headers()).id;
     let mut waiting = Waiting::begin(&cx, &id, received);
-    let result = match admit(&cx, req, peer, received).await {
+    let result = match admit(&cx, req, received).await {
         Ok(job) => run(&cx, Arc::new(job)).await,
         Err(refusal) => Err(refusal),
     };
--- a/crates/stair-relay/src/serve.rs
+++ b/crates/stair-relay/src/serve.rs
@@ -2,7 +2,6 @@
 
 use std::{
     convert::Infallible,
-    net::IpAddr,
     sync::Arc,
     time::Duration, //
 };
@@ -68,10 +67,10 @@
             return;
         };
         match listener.accept().await {
-            Ok((stream, peer)) => {
+            Ok((stream, _)) => {
                 let cx = cx.clone();
                 tokio::spawn(async move {
-                    connection(cx, stream, peer.ip()).await;
+                    connection(cx, stream).await;
                     drop(slot);
                 });
             }
@@ -81,7 +80,7 @@
     }
 }
 
-async fn connection(cx: Arc<Context>, stream: TcpStream, peer: IpAddr) {
+async fn connection(cx: Arc<Context>, stream: TcpStream) {
     // Without it a small answer may wait some milliseconds; it still arrives.
     let _ = stream.set_nodelay(true);
     let limits = cx
@@ -93,7 +92,7 @@
     let head_time = limits.idle_time.max(limits.head_time) + IDLE_SLACK;
     let service = service_fn(move |req| {
         let cx = cx.clone();
-        async move { Ok::<_, Infallible>(answer(cx, req, peer).await) }
+        async move { Ok::<_, Infallible>(answer(cx, req).await) }
     });
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -104,8 +103,8 @@
     let _ = conn.await;
 }
 
-async fn answer(cx: Arc<Context>, req: Request<Incoming>, peer: IpAddr) -> Response<Body> {
-    let mut resp = relay::serve(cx.clone(), req, peer).await;
+async fn answer(cx: Arc<Context>, req: Request<Incoming>) -> Response<Body> {
+    let mut resp = relay::serve(cx.clone(), req).await;
     if cx.draining() {
         let close = HeaderValue::from_static("close");
         resp.headers_mut().insert(CONNECTION, close);
--- a/crates/stair-types/src/fingerprint.rs
+++ b/crates/stair-types/src/fingerprint.rs
@@ -1,11 +1,9 @@
 //! What identifies a request that comes again.
 //!
-//! Each try of a client has another id. Its repeats have the same caller, method, host, path and body.
+//! Each try of a client has another id. Its repeats have the same caller, method, host, path and body. A caller is
+//! known by the workspace of its key; addresses change with the proxies and the data centre that a try comes by.
 
-use std::{
-    fmt,
-    net::IpAddr, //
-};
+use std::fmt;
 
 use serde::{
     Deserialize,
@@ -20,20 +18,11 @@
 /// Bytes of the digest that are kept.
 const LEN: usize = 16;
 
-/// Who sent a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Caller<'a> {
-    /// The workspace of its key.
-    Workspace(&'a str),
-    /// The address of a client without a key.
-    Address(IpAddr),
-}
-
 /// What repeats of a request have in common.
 #[derive(Debug, Clone, Copy)]
 pub struct Contents<'a> {
-    /// Who sent it.
-    pub caller: Caller<'a>,
+    /// The workspace that it is for, where keys are needed.
+    pub workspace: Option<&'a str>,
     /// Its method.
     pub method: &'a str,
     /// The host that it asks for.
@@ -86,16 +75,8 @@
             sink(&bytes.len().to_le_bytes());
             sink(bytes);
         };
-        match self.caller {
-            Caller::Workspace(name) => {
-                part(b"workspace");
-                part(name.as_bytes());
-            }
-            Caller::Address(addr) => {
-                part(b"address");
-                part(addr.to_canonical().to_string().as_bytes());
-            }
-        }
+        part(&[u8::from(self.workspace.is_some())]);
+        part(self.workspace.unwrap_or_default().as_bytes());
         part(self.method.as_bytes());
         part(self.host);
         part(self.path.as_bytes());
