relay: a request whose client leaves is found beside its target's end too

A client that leaves 15 ms after it has sent a deadly request left nothing to blame: the work on a request is dropped with its client, before the connection to the target is cut. Its target is now watched for 1.5 s, by the list and by its agent's word that it is dead, without a connection of its own; a target that is tried for another request is found sooner.

--- a/crates/stair-relay/src/crash.rs
+++ b/crates/stair-relay/src/crash.rs
@@ -1,7 +1,8 @@
 //! Finds out which requests were on a target when it ended.
 //!
 //! A connection that is cut does not tell whether its target has ended. A target has ended when its address refuses
-//! connections, or when the store's list lacks it although it has not said that it leaves.
+//! connections, when its agent finds it dead, or when the store's list lacks it although it has not said that it leaves.
+//! A client that leaves tells nothing at all: the target is watched for a moment.
 
 use std::{
     net::SocketAddr,
@@ -48,6 +49,9 @@
 /// Time after a cut in which its target may be found to have ended: three heartbeats, and the store's word of it.
 const WATCH_TIME: Duration = Duration::from_secs(6);
 
+/// The same after a client has left: its request hardly ends a target that has stood that long.
+const LEFT_TIME: Duration = Duration::from_millis(1500);
+
 /// Cut requests that are kept of one target; it runs no more at once.
 const MAX_RUNS: usize = 512;
 
@@ -78,26 +82,36 @@
     runs: Vec<Run>,
     /// Whether the target is known to have ended.
     ended: bool,
+    /// Whether its address is tried.
+    probed: bool,
+    /// Until when it is watched.
+    until: Instant,
 }
 
 impl Crashes {
-    /// Adds a cut request, and tells whether it is the first at its target.
-    fn add(&mut self, life: &Life, run: Run) -> bool {
+    /// Adds a request, and tells whether its target has to be watched for it.
+    fn add(&mut self, life: &Life, run: Run, how: How) -> bool {
         let found = self.cuts.iter().position(|c| c.life == *life);
-        let first = found.is_none();
         let i = found.unwrap_or_else(|| {
             self.cuts.push(Cuts {
                 life: life.clone(),
                 runs: Vec::new(),
                 ended: false,
+                probed: false,
+                until: Instant::now(),
             });
             self.cuts.len() - 1
         });
-        let runs = &mut self.cuts[i].runs;
-        if runs.len() < MAX_RUNS {
-            runs.push(run);
+        let cuts = &mut self.cuts[i];
+        if cuts.runs.len() < MAX_RUNS {
+            cuts.runs.push(run);
         }
-        first
+        cuts.until = cuts.until.max(Instant::now() + how.watch_time());
+        let first = match how {
+            How::Cut => !std::mem::replace(&mut cuts.probed, true),
+            How::Left => found.is_none(),
+        };
+        first && !cuts.ended
     }
 
     /// Takes what was cut at a target that has ended, from now on too.
@@ -113,14 +127,69 @@
         self.cuts.iter().any(|c| c.life == *life && c.ended)
     }
 
-    fn forget(&mut self, life: &Life) {
-        self.cuts.retain(|c| c.life != *life);
+    fn forget_old(&mut self) {
+        let now = Instant::now();
+        self.cuts.retain(|c| now < c.until);
+    }
+}
+
+/// How a request has ended that may have ended its target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum How {
+    /// Its connection was cut, or its answer was late.
+    Cut,
+    /// Its client has left.
+    Left,
+}
+
+impl How {
+    fn watch_time(self) -> Duration {
+        match self {
+            Self::Cut => WATCH_TIME,
+            Self::Left => LEFT_TIME,
+        }
+    }
+}
+
+/// A request at a target that has not answered yet. Dropped before that, its client has left.
+pub(crate) struct Unanswered<'a> {
+    cx: &'a Arc<Context>,
+    job: &'a Job,
+    key: TargetKey,
+    answered: bool,
+}
+
+impl<'a> Unanswered<'a> {
+    pub(crate) fn new(cx: &'a Arc<Context>, job: &'a Job, key: TargetKey) -> Self {
+        Self {
+            cx,
+            job,
+            key,
+            answered: false,
+        }
+    }
+
+    /// Notes that the target has answered, or will not.
+    pub(crate) fn ended(mut self) {
+        self.answered = true;
+    }
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        if !self.answered {
+            note(self.cx, self.job, self.key, None, How::Left);
+        }
     }
 }
 
 /// Notes that a request was cut, or got no answer in time, at a target that may have ended.
 /// Its answer began at `begun`, if it did.
 pub(crate) fn note_cut(cx: &Arc<Context>, job: &Job, key: TargetKey, begun: Option<Instant>) {
+    note(cx, job, key, begun, How::Cut);
+}
+
+fn note(cx: &Arc<Context>, job: &Job, key: TargetKey, begun: Option<Instant>, how: How) {
     let run = Run {
         fingerprint: job.fingerprint(),
         established: begun.is_some_and(|t| t.elapsed() >= ESTABLISHED_TIME),
@@ -134,11 +203,15 @@
             return;
         }
         let (life, addr) = (Life::of(seen), seen.target.addr);
-        let first = state.crashes.add(&life, run);
+        let first = state.crashes.add(&life, run, how);
         let ended = state.crashes.has_ended(&life);
         (life, addr, first, ended)
     };
-    Line::failure("run.cut")
+    let event = match how {
+        How::Cut => "run.cut",
+        How::Left => "run.left",
+    };
+    Line::failure(event)
         .text("id", &job.meta.id)
         .text("target", &life.id)
         .show("fingerprint", run.fingerprint)
@@ -148,19 +221,21 @@
     if ended {
         report(cx, &life, addr);
     } else if first {
-        tokio::spawn(watch(cx.clone(), life, addr));
+        tokio::spawn(watch(cx.clone(), life, addr, how));
     }
 }
 
-/// Watches a target at which a request was cut.
-async fn watch(cx: Arc<Context>, life: Life, addr: SocketAddr) {
+/// Watches a target that a request may have ended.
+async fn watch(cx: Arc<Context>, life: Life, addr: SocketAddr, how: How) {
     let begun = Instant::now();
-    if is_refused(addr, begun).await || leaves_list(&cx, &life, begun).await {
+    let until = begun + how.watch_time();
+    let refused = how == How::Cut && is_refused(addr, begun).await;
+    if refused || is_lost(&cx, &life, until).await {
         report(&cx, &life, addr);
     }
-    // Cuts that come later are still reported.
-    sleep_until(begun + WATCH_TIME).await;
-    cx.state().crashes.forget(&life);
+    // Requests that come later are still reported.
+    sleep_until(until).await;
+    cx.state().crashes.forget_old();
 }
 
 /// Whether the target's address refuses connections.
@@ -177,16 +252,23 @@
     false
 }
 
-/// Waits until the list lacks the target. Returns false when it says that it leaves, or stays for too long.
-async fn leaves_list(cx: &Context, life: &Life, begun: Instant) -> bool {
-    while begun.elapsed() < WATCH_TIME {
+/// Waits until the list lacks the target or its agent finds it dead. Returns false when it says that it leaves, or
+/// stays until then.
+async fn is_lost(cx: &Context, life: &Life, until: Instant) -> bool {
+    while Instant::now() < until {
         {
+            let now = cx.now();
             let state = cx.state();
             let found = state.view.all().find(|(_, s)| Life::of(s) == *life);
-            match found.map(|(_, s)| s.target.state) {
-                None => return true,
-                Some(TargetState::Draining(_)) => return false,
-                Some(TargetState::Ready) => {}
+            let Some((_, seen)) = found else {
+                return true;
+            };
+            match seen.target.state {
+                TargetState::Draining(_) => return false,
+                TargetState::Ready if seen.fresh(now).is_some_and(|r| !r.load.alive) => {
+                    return true;
+                }
+                TargetState::Ready => {}
             }
         }
         sleep(LOOK_EVERY).await;
--- a/crates/stair-relay/src/relay.rs
+++ b/crates/stair-relay/src/relay.rs
@@ -352,10 +352,12 @@
     let sent = attempt::send(picked.addr, req, &job.meta.id, until);
     let (key, leaves) = (picked.flight.key(), pick_until(job, after_event));
     let gone = given_up(cx, &tried.keys, key, tried.may_be_left(job), leaves);
+    let unanswered = crash::Unanswered::new(cx, job, key);
     let outcome = tokio::select! {
         outcome = sent => outcome,
         () = gone => attempt::Outcome::Late,
     };
+    unanswered.ended();
     note(cx, job, tried, picked, &outcome, begun);
     job.note_sent(tried.ran > 0);
     outcome
--- a/crates/stair-relay/src/stream.rs
+++ b/crates/stair-relay/src/stream.rs
@@ -104,10 +104,12 @@
     let until = first_until(job, tried);
     let leaves = relay::pick_until(job, None);
     let gone = relay::given_up(cx, &tried.keys, key, tried.may_run_again(job), leaves);
+    let unanswered = crash::Unanswered::new(cx, job, key);
     let next = tokio::select! {
         next = source.next(until) => next,
         () = gone => Next::Late,
     };
+    unanswered.ended();
     let first = match next {
         Next::Event(e) => Some(e),
         Next::End => None,
