relay: a suspect waits at its target, and no request is hashed while none is watched

A suspect that another run kept waiting looked for a target again every 100 ms, and each look reserved a prefill slot that was never used; it now waits at the target that was chosen for a second, and looks again if that has left. While nothing is suspected no request's outline is taken.

--- a/crates/stair-fleet/src/quarantine/watchlist.rs
+++ b/crates/stair-fleet/src/quarantine/watchlist.rs
@@ -32,6 +32,11 @@
 }
 
 impl Watchlist {
+    /// Whether no request is watched.
+    pub fn is_empty(&self) -> bool {
+        self.list.is_empty()
+    }
+
     /// Whether a request with such an outline may be watched.
     pub fn has_outline(&self, outline: Outline) -> bool {
         let key = |w: &Watched| w.fingerprint.outline();
--- a/crates/stair-relay/src/context.rs
+++ b/crates/stair-relay/src/context.rs
@@ -265,6 +265,12 @@
         quiet
     }
 
+    /// Whether a target takes requests by its own word.
+    pub(crate) fn takes(&self, key: TargetKey) -> bool {
+        let now = self.now();
+        self.state().view.get(key).takes(true, now)
+    }
+
     /// Tells of targets whose VMs were found to stand still.
     pub fn are_quiet(&self, ids: &[Box<str>]) {
         for id in ids {
--- a/crates/stair-relay/src/quarantine.rs
+++ b/crates/stair-relay/src/quarantine.rs
@@ -109,6 +109,9 @@
 
 /// What is known of a request; `None` for an ordinary one.
 pub(crate) fn standing(cx: &Context, job: &Job) -> Option<Standing> {
+    if cx.state().quarantine.watchlist.is_empty() {
+        return None;
+    }
     let outline = job.outline();
     if !cx.state().quarantine.watchlist.has_outline(outline) {
         return None;
--- a/crates/stair-relay/src/relay.rs
+++ b/crates/stair-relay/src/relay.rs
@@ -72,6 +72,9 @@
 /// Pause before a suspect asks again whether it may run.
 const TRIAL_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time that a suspect waits at one target. Each look for another reserves a prefill slot there.
+const TRIAL_WAIT: Duration = Duration::from_millis(1000);
+
 /// Targets that one request is sent to at most while each says that it has not run it.
 const MAX_SENDS: usize = 4;
 
@@ -319,20 +322,40 @@
             return Err(NotPlaced::quarantined(left));
         }
         let picked = pick::pick(cx, job, left_out, since, until).await;
-        let mut picked = picked.map_err(|nowhere| NotPlaced::no_target(nowhere.come_back))?;
+        let picked = picked.map_err(|nowhere| NotPlaced::no_target(nowhere.come_back))?;
+        if let Some(picked) = permit(cx, job, picked, until).await? {
+            return Ok(picked);
+        }
+    }
+}
+
+/// Waits until the request may run at a target; `None` when it is better to look for another.
+async fn permit(
+    cx: &Arc<Context>,
+    job: &Job,
+    mut picked: Picked,
+    until: Instant,
+) -> Result<Option<Picked>, NotPlaced> {
+    let look_on = Instant::now() + TRIAL_WAIT;
+    loop {
         match quarantine::gate(cx, job, &picked.id).await {
+            // The target may have left meanwhile.
+            Gate::Open(_) if !cx.takes(picked.flight.key()) => return Ok(None),
             Gate::Open(trial) => {
                 job.note_trial(trial.is_some());
                 picked.flight.set_trial(trial);
-                return Ok(picked);
+                return Ok(Some(picked));
             }
             Gate::Closed(left) => return Err(NotPlaced::quarantined(left)),
-            Gate::Busy if Instant::now() + TRIAL_PAUSE >= until => {
-                return Err(NotPlaced::no_target(REFUSED_COME_BACK));
-            }
             Gate::Busy => {}
         }
-        drop(picked);
+        let next = Instant::now() + TRIAL_PAUSE;
+        if next >= until {
+            return Err(NotPlaced::no_target(REFUSED_COME_BACK));
+        }
+        if next >= look_on {
+            return Ok(None);
+        }
         sleep(TRIAL_PAUSE).await;
     }
 }
