--- a/crates/dandelionstair/tests/promises/main.rs
+++ b/crates/dandelionstair/tests/promises/main.rs
@@ -7,6 +7,7 @@
 mod at_most_once;
 mod configuration;
 mod crowded;
+mod deadly;
 mod fuzz;
 mod in_time;
 mod leaving;
