--- a/crates/stair-relay/src/lib.rs
+++ b/crates/stair-relay/src/lib.rs
@@ -1,10 +1,11 @@
 //! The entry in front of targets that announce themselves in the store.
 //!
 //! The path of a request: [`serve`] accepts it, [`admit`] finds its route, [`authorize`] its workspace, [`allowance`]
-//! charges it. As a [`job`] it goes through [`relay`]: [`pick`] chooses a target, [`load`] has the model loaded there,
-//! [`outage`] waits for an engine that is down, [`prefill`] reserves a prefill slot, [`attempt`] sends it, [`stream`]
-//! passes events and resumes. [`failures`] counts failures of targets, [`crash`] finds out which requests were on a target
-//! that ended, [`quarantine`] keeps those from targets that end them, [`refuse`] makes the entry's own answers.
+//! charges it. As a [`job`] it goes through [`relay`]: [`place`] finds a target where it may run, [`pick`] chooses that,
+//! [`load`] has the model loaded there, [`outage`] waits for an engine that is down, [`prefill`] reserves a prefill
+//! slot, [`attempt`] sends it, [`stream`] passes events and resumes. [`failures`] counts failures of targets, `crash`
+//! finds out which requests were on a target that ended, `quarantine` keeps those from targets that end them, [`refuse`]
+//! makes the entry's own answers.
 //!
 //! Replicated state: [`replicate`] watches the store, [`follow`] the entry that watches for the data centre, [`change`]
 //! is what they exchange, [`peers`] asks other entries when the store does not answer.
@@ -32,6 +33,7 @@
 pub mod outage;
 pub mod peers;
 pub mod pick;
+pub mod place;
 pub mod prefetch;
 pub mod prefill;
 pub mod process;
--- a/crates/stair-relay/src/quarantine.rs
+++ b/crates/stair-relay/src/quarantine.rs
@@ -40,6 +40,7 @@
 
 use crate::{
     context::{
+        AgentLink,
         Context,
         State, //
     },
@@ -305,7 +306,7 @@
 impl State {
     /// The engines whose agents keep the ledgers, best first.
     fn ledgers(&self, now: Duration) -> Vec<SocketAddr> {
-        let answers = |a: &&crate::context::AgentLink| a.linked && a.skipped_until <= now;
+        let answers = |a: &&AgentLink| a.linked && a.skipped_until <= now;
         let linked: Vec<_> = self.agents.iter().filter(answers).collect();
         let ranked = rendezvous::ranked(LEDGER_KEY, linked.iter().map(|a| &*a.name));
         let first = ranked.into_iter().take(LEDGERS);
--- a/crates/stair-relay/src/stream.rs
+++ b/crates/stair-relay/src/stream.rs
@@ -43,7 +43,7 @@
     crash,
     job::Job,
     pick::Picked,
-    quarantine,
+    place, quarantine,
     refuse::Reason,
     relay::{
         self,
@@ -102,7 +102,7 @@
         split: Splitter::default(),
     };
     let until = first_until(job, tried);
-    let leaves = relay::pick_until(job, None);
+    let leaves = place::pick_until(job, None);
     let gone = relay::given_up(cx, &tried.keys, key, tried.may_run_again(job), leaves);
     let unanswered = crash::Unanswered::new(cx, job, key);
     let next = tokio::select! {
@@ -401,7 +401,7 @@
     left_out: &[TargetKey],
     last: Option<u64>,
 ) -> Option<Picked> {
-    let picked = relay::place(cx, job, left_out, last).await.ok()?;
+    let picked = place::place(cx, job, left_out, last).await.ok()?;
     cx.may_retry(&job.service).then_some(picked)
 }
 
