--- a/crates/stair-fleet/src/quarantine.rs
+++ b/crates/stair-fleet/src/quarantine.rs
@@ -4,10 +4,11 @@
 //! on the same targets, which are sent again too; targets that crash by themselves, often many at once.
 //!
 //! A [`Ledger`] blames the requests that were on a target when it ended, less where they had run for some time or
-//! where other targets ended with it. Blame adds up until the request survives a run. At [`SUSPECT_BLAME`] a request is a suspect, and
-//! runs only where no other suspect runs: the next crash then tells them apart. At [`QUARANTINE_BLAME`] it is not run
-//! for a while, if it was the most blamed on a target that ended while it ran apart; all crashes that it was on are then
-//! put down to it alone.
+//! where other targets ended with it. Blame adds up until the request survives a run.
+//!
+//! At [`SUSPECT_BLAME`] a request is a suspect: it goes on trial, which is a run where no other suspect runs, and the
+//! next crash tells them apart. At [`QUARANTINE_BLAME`] it is not run for a while, if it was the most blamed on a target
+//! that ended during its trial. All crashes that it was on are then put down to it alone.
 //!
 //! Invariants: no request is quarantined before its third crash, nor for crashes that it shared with other suspects
 //! alone; a request that survives a run owes nothing.
@@ -69,7 +70,7 @@
     pub fingerprint: Fingerprint,
     /// Whether its answer had begun [`ESTABLISHED_TIME`] before.
     pub established: bool,
-    /// Whether it ran as a suspect, apart from others.
+    /// Whether that was a trial.
     pub on_trial: bool,
 }
 
--- a/crates/stair-fleet/src/quarantine/crashes.rs
+++ b/crates/stair-fleet/src/quarantine/crashes.rs
@@ -128,7 +128,7 @@
         on.map(|e| self.share(e, run)).sum()
     }
 
-    /// The crashes on which a request ran apart from other suspects, and that have no other cause in sight.
+    /// The crashes during trials of a request that have no other cause in sight.
     pub(super) fn on_trial<'a>(&'a self, run: &'a Fingerprint) -> impl Iterator<Item = &'a Ended> {
         let on = self.list.iter().filter(|e| e.counts_for(run));
         let apart = on.filter(|e| e.find(run).is_ok_and(|i| e.runs[i].on_trial));
@@ -143,8 +143,7 @@
         }
     }
 
-    /// Whether another target ended about then on which the request was not, nor any suspect apart from others, which
-    /// would explain it.
+    /// Whether another target ended about then on which the request was not, nor any trial, which would explain it.
     fn coincides(&self, ended: &Ended, run: &Fingerprint) -> bool {
         let near = |other: &&Ended| other.at.abs_diff(ended.at) <= COINCIDENCE;
         let others = self.list.iter().filter(near);
--- a/crates/stair-fleet/src/quarantine/ledger.rs
+++ b/crates/stair-fleet/src/quarantine/ledger.rs
@@ -97,7 +97,7 @@
         kept + self.crashes.blame(run)
     }
 
-    /// Whether a target ended while the request ran apart, and no other is blamed as much that was there.
+    /// Whether a target ended during a trial of the request, and no other is blamed as much that was there.
     fn is_convicted(&self, run: &Fingerprint) -> bool {
         let blame = |other: &Fingerprint| self.blame(other);
         self.crashes.on_trial(run).any(|c| c.is_led_by(run, blame))
--- a/crates/stair-fleet/src/quarantine/trials.rs
+++ b/crates/stair-fleet/src/quarantine/trials.rs
@@ -1,4 +1,4 @@
-//! Runs of suspects: one of each request, and one at each target.
+//! Runs of suspects: one of each request at a time, and one at each target.
 
 use std::time::Duration;
 
--- a/crates/stair-relay/src/job.rs
+++ b/crates/stair-relay/src/job.rs
@@ -112,12 +112,12 @@
             .get_or_init(|| self.contents().fingerprint())
     }
 
-    /// Notes whether its next attempt runs as a suspect, apart from others.
+    /// Notes whether its next attempt is a trial.
     pub(crate) fn note_trial(&self, on_trial: bool) {
         self.on_trial.store(on_trial, Ordering::Relaxed);
     }
 
-    /// Whether its last attempt ran as a suspect.
+    /// Whether its last attempt was a trial.
     pub(crate) fn is_on_trial(&self) -> bool {
         self.on_trial.load(Ordering::Relaxed)
     }
