--- a/crates/stair-agent/src/refuse.rs
+++ b/crates/stair-agent/src/refuse.rs
@@ -106,7 +106,6 @@
     }
 }
 
-/// Says that the agent takes no more work.
 /// When a caller may come back after the engine was found down, in milliseconds: a process beside
 /// it starts it again in some seconds.
 const LOST_MS: u32 = 2_000;
@@ -115,6 +114,7 @@
     Refusal::not_run(Reason::TargetFailed, LOST_MS, "the engine does not answer")
 }
 
+/// Says that the agent takes no more work.
 pub(crate) fn leaving() -> Refusal {
     Refusal::not_run(Reason::Leaving, LEAVING_MS, "the target is leaving")
 }
--- a/crates/stair-fleet/src/workspace.rs
+++ b/crates/stair-fleet/src/workspace.rs
@@ -125,12 +125,6 @@
         &self.list
     }
 
-    /// Finds a workspace by name.
-    pub fn by_name(&self, name: &str) -> Option<&Workspace> {
-        let i = self.list.binary_search_by(|w| (*w.name).cmp(name)).ok()?;
-        Some(&self.list[i])
-    }
-
     /// The most urgent rank that a request may have on a route with this rank.
     pub fn first_rank(&self, of_route: u8) -> u8 {
         let unranked = self.any_unranked.then_some(of_route);
