entry, agent: log which requests ran on a target when it crashed

The agent now probes its target after an interrupted or cancelled run, counts crashes, and after `Refused` sends the number of the crash (`Crashed`, a new last variant: an agent or entry of an older build ends the stream as before). The entry logs the crash with the request's id and fingerprint and counts `crashed_runs`. An agent that ended itself shows in the view by a newer incarnation. The probe of an address is shared with the relay.

--- a/crates/stair-agent/src/control.rs
+++ b/crates/stair-agent/src/control.rs
@@ -50,6 +50,7 @@
 
 use crate::{
     assignment::InForce,
+    crash::CrashWatch,
     items::Items,
     memory_pressure::MemoryPressure,
     msg::{
@@ -162,6 +163,8 @@
     pub(crate) unconfirmed: UnconfirmedOrders,
     /// Since when the engine has not replied to requests for its inventory.
     pub(crate) unresponsive_since: Option<Duration>,
+    /// Finds crashes of the target.
+    pub(crate) crashes: Arc<CrashWatch>,
     /// The graceful stop has begun.
     pub(crate) draining: bool,
     /// The state of this VM on the platform's list.
@@ -225,6 +228,7 @@
         Self {
             me,
             started_at: Instant::now(),
+            crashes: CrashWatch::new(args.client.addr()),
             in_force: args.in_force.clone(),
             ledger: args.ledger.clone(),
             args,
--- a/crates/stair-agent/src/lib.rs
+++ b/crates/stair-agent/src/lib.rs
@@ -16,6 +16,7 @@
 mod bootstrap;
 mod control;
 mod control_links;
+mod crash;
 mod engine;
 mod incarnation;
 mod links;
--- a/crates/stair-agent/src/offers.rs
+++ b/crates/stair-agent/src/offers.rs
@@ -254,7 +254,12 @@
                 return finish(&mut tx).await;
             }
             ResponsePart::Refused(refusal) => {
-                return refuse(&mut tx, refusal, shared.load(true)).await;
+                let load = shared.load(true);
+                frame::write_message(&mut tx, &FromAgent::Refused { refusal, load }).await?;
+                if let Some(crash) = response.crash().await {
+                    frame::write_message(&mut tx, &FromAgent::Crashed { crash }).await?;
+                }
+                return finish(&mut tx).await;
             }
             ResponsePart::Unavailable => {
                 let message = "these bytes of the answer are no longer kept";
--- a/crates/stair-agent/src/responses.rs
+++ b/crates/stair-agent/src/responses.rs
@@ -38,6 +38,14 @@
     Refused(Refusal),
 }
 
+/// Whether the target survived a run that has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Aftermath {
+    Unknown,
+    Survived,
+    Crashed { crash: u64 },
+}
+
 /// The next part of a response for its reader.
 #[derive(Debug)]
 pub(crate) enum ResponsePart {
@@ -76,6 +84,7 @@
     changed: watch::Sender<u64>,
     attached: watch::Sender<bool>,
     cancelled: watch::Sender<bool>,
+    aftermath: watch::Sender<Aftermath>,
     readers: ReaderCount,
 }
 
@@ -97,6 +106,7 @@
             changed: watch::Sender::new(0),
             attached: watch::Sender::new(false),
             cancelled: watch::Sender::new(false),
+            aftermath: watch::Sender::new(Aftermath::Unknown),
             readers,
         })
     }
@@ -198,6 +208,25 @@
         let _ = self.cancelled.subscribe().wait_for(|c| *c).await;
     }
 
+    /// Records the number of the crash that the target had during the run, or that it had none.
+    pub(crate) fn set_crash(&self, crash: Option<u64>) {
+        self.aftermath.send_replace(match crash {
+            Some(crash) => Aftermath::Crashed { crash },
+            None => Aftermath::Survived,
+        });
+    }
+
+    /// Waits until it is known whether the target crashed during the run, and returns the number of
+    /// the crash.
+    pub(crate) async fn crash(&self) -> Option<u64> {
+        let mut aftermath = self.aftermath.subscribe();
+        let known = aftermath.wait_for(|a| *a != Aftermath::Unknown).await;
+        match known.as_deref() {
+            Ok(Aftermath::Crashed { crash }) => Some(*crash),
+            Ok(Aftermath::Unknown | Aftermath::Survived) | Err(_) => None,
+        }
+    }
+
     fn notify(&self) {
         self.changed.send_modify(|n| *n += 1);
     }
--- a/crates/stair-agent/src/run.rs
+++ b/crates/stair-agent/src/run.rs
@@ -19,6 +19,10 @@
     Client,
     client::Error as HttpError, //
 };
+use stair_telemetry::{
+    Part,
+    warn, //
+};
 use stair_types::{
     FencingToken,
     Reason,
@@ -32,6 +36,7 @@
 use tokio::time::Instant;
 
 use crate::{
+    crash::CrashWatch,
     msg::Msg,
     responses::{
         Head,
@@ -56,6 +61,7 @@
     pub(crate) time_left: Duration,
     pub(crate) response: Arc<Response>,
     pub(crate) client: Client,
+    pub(crate) crashes: Arc<CrashWatch>,
     pub(crate) incarnation: FencingToken,
     pub(crate) limits: AgentLimits,
     pub(crate) is_engine: bool,
@@ -77,6 +83,8 @@
     let began = Instant::now();
     let (id, response, control) = (job.offer.id, job.response.clone(), job.control.clone());
     let time_left = job.time_left;
+    let crashes = job.crashes.clone();
+    let crashes_before = crashes.count();
     let abort = |reason, message: &str| {
         Err(Failed {
             refusal: Refusal::may_have_run(reason, 0, message),
@@ -95,6 +103,8 @@
     let run_ms = u32::try_from(run.as_millis()).unwrap_or(u32::MAX);
     let complete = result.is_ok();
     let suspect = result.as_ref().is_err_and(|f| f.suspect);
+    let may_have_run = |f: &Failed| f.refusal.verdict == Verdict::MayHaveRun;
+    let interrupted = result.as_ref().is_err_and(may_have_run);
     response.end(match result {
         Ok(()) => RunOutcome::Complete { run_ms },
         Err(e) => RunOutcome::Refused(e.refusal),
@@ -105,6 +115,14 @@
         complete,
         suspect,
     });
+    let crash = match interrupted {
+        true => crashes.next_crash(crashes_before).await,
+        false => None,
+    };
+    if let Some(crash) = crash {
+        warn!(Part::Engine, "request {id} was running at crash {crash}");
+    }
+    response.set_crash(crash);
     tokio::select! {
         () = response.abandoned(ttl) => {}
         () = response.cancelled() => {}
--- a/crates/stair-agent/src/slots.rs
+++ b/crates/stair-agent/src/slots.rs
@@ -106,6 +106,7 @@
             body: unstarted.body,
             response: response.clone(),
             client: self.args.client.clone(),
+            crashes: self.crashes.clone(),
             incarnation: self.args.incarnation,
             limits: self.args.limits.clone(),
             is_engine: self.args.engine.is_some(),
--- a/crates/stair-agent/tests/common/entry.rs
+++ b/crates/stair-agent/tests/common/entry.rs
@@ -265,6 +265,9 @@
                 Frame::Message(FromAgent::Refused { refusal, .. }) => {
                     return Outcome::Refused(refusal);
                 }
+                Frame::Message(FromAgent::Crashed { .. }) => {
+                    panic!("a crash is reported after the refusal");
+                }
                 Frame::Message(FromAgent::End { .. }) => {
                     let status = status_now;
                     return Outcome::Response { status, body };
--- a/crates/stair-entry/src/traffic/claim.rs
+++ b/crates/stair-entry/src/traffic/claim.rs
@@ -153,7 +153,7 @@
             key: key(req),
             request: req.id,
             target: exchange.target.name.clone(),
-            incarnation: exchange.incarnation,
+            incarnation: exchange.incarnation(),
             expires_s: now_s() + CLAIM_TTL.as_secs(),
         };
         let (tx, rx) = oneshot::channel();
--- a/crates/stair-entry/src/traffic/dispatch.rs
+++ b/crates/stair-entry/src/traffic/dispatch.rs
@@ -1,7 +1,10 @@
 //! Tries one target after another until one responds or another attempt would be wrong.
 
 use std::{
-    sync::PoisonError,
+    sync::{
+        Arc,
+        PoisonError, //
+    },
     time::Duration, //
 };
 
@@ -44,7 +47,7 @@
 /// Fails with the refusal of the last target, or with an earlier one that allows a sooner retry.
 pub(super) async fn dispatch<S>(
     cx: &Cx<S>,
-    req: &Request,
+    req: &Arc<Request>,
     caller: &mut Caller,
     progress: &mut Progress,
 ) -> Result<(), Refusal>
@@ -169,7 +172,7 @@
 
 async fn attempt<S>(
     cx: &Cx<S>,
-    req: &Request,
+    req: &Arc<Request>,
     id: RequestId,
     target: &Chosen,
     caller: &mut Caller,
--- a/crates/stair-entry/src/traffic/mod.rs
+++ b/crates/stair-entry/src/traffic/mod.rs
@@ -17,6 +17,8 @@
 //!   starts it once. A claim of a request that never ran is replaced (`abandoned`).
 //! - `response`: forwards the response to the `caller`.
 //! - `resume`: continues a started request after its link broke.
+//! - `crash`: finds out which requests were running on a target when it crashed.
+//! - `quarantine`: requests that end the targets that run them.
 //! - `refuse`: refusals, with their verdict and retry time.
 //! - `models`, `dump`: the list of models for callers, and the state dump for operators.
 
@@ -28,12 +30,14 @@
 mod caller;
 mod choose;
 mod claim;
+mod crash;
 mod dispatch;
 mod dump;
 mod exchange;
 mod headers;
 mod models;
 mod offer;
+mod quarantine;
 mod refuse;
 mod request;
 mod response;
@@ -98,6 +102,7 @@
     targets: targets::Targets,
     retries: Mutex<retry::Budget>,
     refusals: refuse::Counts,
+    quarantine: Arc<quarantine::Quarantine>,
     metrics: Metrics,
     draining: AtomicBool,
 }
@@ -149,6 +154,7 @@
         store: S,
         metrics: Metrics,
     ) -> Self {
+        let quarantine = quarantine::Quarantine::new(view.clone(), metrics.clone());
         Self {
             cx: Arc::new(Cx {
                 view,
@@ -160,6 +166,7 @@
                 targets: targets::Targets::default(),
                 retries: Mutex::new(retry::Budget::new(retry::Options::default())),
                 refusals: refuse::Counts::default(),
+                quarantine: Arc::new(quarantine),
                 metrics,
                 draining: AtomicBool::new(false),
             }),
--- a/crates/stair-entry/src/traffic/offer.rs
+++ b/crates/stair-entry/src/traffic/offer.rs
@@ -1,6 +1,9 @@
 //! Offers a request to an agent.
 
-use std::time::Duration;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use stair_types::{
     Reason,
@@ -25,6 +28,7 @@
 use super::{
     Cx,
     choose::Chosen,
+    crash::TrackedRun,
     exchange::Exchange,
     refuse::millis,
     request::Request,
@@ -47,7 +51,7 @@
 /// Fails when the agent cannot be reached or refuses.
 pub(super) async fn offer<S>(
     cx: &Cx<S>,
-    req: &Request,
+    req: &Arc<Request>,
     id: RequestId,
     target: &Chosen,
     progress: &mut Progress,
@@ -56,10 +60,19 @@
         || Refusal::not_run(Reason::NoTarget, RETRY_MS, "the target cannot be reached");
     let link = cx.pool.get(target.link).await;
     let link = link.map_err(|_| unreachable())?;
-    let opened = Exchange::open(id, target, &link).await;
+    let run = TrackedRun::new(
+        cx.quarantine.clone(),
+        req.clone(),
+        target.name.clone(),
+        target.token,
+    );
+    let opened = Exchange::open(id, target, &link, run).await;
     let mut exchange = opened.map_err(|_| unreachable())?;
     // From here on the agent may run a request that needs no `Start`.
     progress.started = req.starts_when_ready();
+    if progress.started {
+        exchange.start();
+    }
     match timeout(QUEUED_TIMEOUT, queue(req, &mut exchange)).await {
         Ok(Ok(())) => Ok(exchange),
         Ok(Err(refusal)) if progress.started && refusal.reason == Reason::LinkLost => {
@@ -93,7 +106,7 @@
     exchange.send_body(&req.body).await.map_err(link_lost)?;
     match exchange.read().await {
         Ok(Frame::Message(FromAgent::Queued { incarnation, load })) => {
-            exchange.incarnation = incarnation;
+            exchange.set_incarnation(incarnation);
             record_load(req, &exchange.target, load);
             Ok(())
         }
--- a/crates/stair-entry/src/traffic/response.rs
+++ b/crates/stair-entry/src/traffic/response.rs
@@ -80,6 +80,7 @@
             offset,
         }) => {
             record_latency(cx, req, exchange, caller);
+            exchange.begin_response();
             if offset != *received {
                 // With bytes missing or repeated the caller would get a corrupt response that looks
                 // complete.
@@ -98,7 +99,7 @@
         }
         Frame::Message(FromAgent::Refused { refusal, load }) => {
             offer::record_load(req, &exchange.target, load);
-            exchange.finish();
+            exchange.finish_refused(&refusal);
             return Err(refusal);
         }
         Frame::Message(FromAgent::Queued { load, .. }) => {
@@ -106,6 +107,9 @@
         }
         // An agent that starts the request without `Start` sends `Ready` too.
         Frame::Message(FromAgent::Ready) => exchange.started_at = Some(Instant::now()),
+        Frame::Message(FromAgent::Crashed { .. }) => {
+            return Err(malformed("a crash was reported before the refusal"));
+        }
     }
     Ok(ForwardState::Open)
 }
--- a/crates/stair-entry/src/traffic/resume.rs
+++ b/crates/stair-entry/src/traffic/resume.rs
@@ -94,7 +94,7 @@
 ) -> anyhow::Result<()> {
     let link = cx.pool.get(exchange.target.link).await?;
     exchange.reopen(&link).await?;
-    let incarnation = exchange.incarnation;
+    let incarnation = exchange.incarnation();
     let resume = ToAgent::Resume {
         id: exchange.id,
         offset: received,
@@ -111,7 +111,7 @@
     let at = view
         .targets
         .binary_search_by(|t| t.name.cmp(&exchange.target.name));
-    at.is_ok_and(|i| view.targets[i].token > exchange.incarnation)
+    at.is_ok_and(|i| view.targets[i].token > exchange.incarnation())
 }
 
 fn lost(message: &str) -> Refusal {
--- a/crates/stair-entry/src/traffic/run.rs
+++ b/crates/stair-entry/src/traffic/run.rs
@@ -54,11 +54,11 @@
     S: ObjectStore,
 {
     let (caller, receiver) = caller::pair(&cx.limits, req.id);
-    tokio::spawn(run(cx, req, admitted, caller));
+    tokio::spawn(run(cx, Arc::new(req), admitted, caller));
     receiver.response().await
 }
 
-async fn run<S>(cx: Arc<Cx<S>>, req: Request, admitted: Admitted, mut caller: Caller)
+async fn run<S>(cx: Arc<Cx<S>>, req: Arc<Request>, admitted: Admitted, mut caller: Caller)
 where
     S: ObjectStore,
 {
--- a/crates/stair-entry/src/traffic/start.rs
+++ b/crates/stair-entry/src/traffic/start.rs
@@ -54,6 +54,7 @@
     // `Start` may have been sent even if this write fails. From here on only the agent knows
     // whether the request runs, and a resume finds out.
     progress.started = true;
+    exchange.start();
     let _ = exchange.send(&ToAgent::Start).await;
     exchange.started_at = Some(Instant::now());
     Ok(())
--- a/crates/stair-http/src/lib.rs
+++ b/crates/stair-http/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`client`]: a connection pool for one address; it never reuses a connection whose state is
 //!   unknown.
 //! - [`server`]: a listener with a connection limit and graceful shutdown.
+//! - [`probe`]: whether a server has ended.
 //! - [`body`]: channel-fed bodies, and reading with limits on size and time.
 //! - [`error`]: error responses of the API, with the verdict and the time after which to retry.
 #![deny(missing_docs)]
@@ -11,6 +12,7 @@
 pub mod body;
 pub mod client;
 pub mod error;
+pub mod probe;
 pub mod server;
 
 pub use body::Body;
--- a/crates/stair-relay/src/crash.rs
+++ b/crates/stair-relay/src/crash.rs
@@ -21,15 +21,12 @@
     target_state::TargetState,
     view::TargetKey, //
 };
+use stair_http::probe;
 use stair_telemetry::event::Line;
-use tokio::{
-    net::TcpStream,
-    time::{
-        Instant,
-        sleep,
-        sleep_until,
-        timeout, //
-    },
+use tokio::time::{
+    Instant,
+    sleep,
+    sleep_until, //
 };
 
 use crate::{
@@ -42,9 +39,6 @@
 /// that closes its connections before its listener.
 const PROBE_DELAYS: [Duration; 2] = [Duration::from_millis(20), Duration::from_millis(250)];
 
-/// Limit for the address to refuse a connection.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Interval of the checks of the list.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -262,10 +256,7 @@
 async fn is_refused(addr: SocketAddr, begun: Instant) -> bool {
     for at in PROBE_DELAYS {
         sleep_until(begun + at).await;
-        let refused = |e: &std::io::Error| e.kind() == std::io::ErrorKind::ConnectionRefused;
-        if let Ok(Err(e)) = timeout(PROBE_TIMEOUT, TcpStream::connect(addr)).await
-            && refused(&e)
-        {
+        if probe::is_refused(addr).await {
             return true;
         }
     }
--- a/crates/stair-telemetry/src/metrics.rs
+++ b/crates/stair-telemetry/src/metrics.rs
@@ -191,6 +191,11 @@
         self.count("refusals", 1, &tags);
     }
 
+    /// Counts a request that was running on a target when it crashed.
+    pub fn crashed_run(&self) {
+        self.count("crashed_runs", 1, &[]);
+    }
+
     /// Reports the number of requests of a tier that wait in this process.
     pub fn queue_length(&self, tier: &TierName, waiting: u64) {
         if let Some(client) = &self.client {
--- a/crates/stair-wire/src/request.rs
+++ b/crates/stair-wire/src/request.rs
@@ -4,7 +4,8 @@
 //! request's body; or it is [`ToAgent::Resume`] or [`ToAgent::Withdraw`]. To an offer the agent
 //! replies with [`FromAgent::Queued`] at once, with [`FromAgent::Ready`] later, and after
 //! [`ToAgent::Start`] with the response: [`FromAgent::Head`], body frames, [`FromAgent::End`].
-//! [`FromAgent::Refused`] may replace any of these and is final.
+//! [`FromAgent::Refused`] may replace any of these and is final, but that after a run without a
+//! complete response [`FromAgent::Crashed`] may follow it.
 //!
 //! The agent runs nothing before `Start` arrives, so an offer whose link broke before `Start` was
 //! sent has certainly not run. Only [`Offer::start_when_ready`] waives this.
@@ -167,4 +168,11 @@
         /// The agent's load.
         load: Load,
     },
+    /// The target crashed during the run, or shortly after the run was cancelled. Sent after
+    /// [`FromAgent::Refused`].
+    Crashed {
+        /// Number of crashes that this incarnation of the agent has found, including this one. All
+        /// runs that one crash interrupted have the same number.
+        crash: u64,
+    },
 }
