entry, agent: quarantine requests that end their targets

Entry and agent bound the runs of an id only, and a client's next attempt is a new id; and one id ended two engines, since dispatch sent a repeatable request to target after target without a bound. Ruled out: engines that end by themselves (each crash has this request on it).

Change: the ledger, the watchlist and the standings of stair-fleet serve this way too. Agents keep ledgers (`ToAgent::Ledger`, a stream on a link of its own), entries report crashes to three of them by the same rendezvous order as relays do, run suspects on trial only, and refuse quarantined requests before they are dispatched (503, `quarantined`, not run, the time left). What a message does to a ledger (`Ledger::receive`), the choice of ledgers and the times of trials moved to stair-fleet; sidecar and relay use them from there. One request may run at two targets at most, until it is judged.

--- a/crates/dandelionstair/tests/promises/main.rs
+++ b/crates/dandelionstair/tests/promises/main.rs
@@ -15,6 +15,7 @@
 mod not_run;
 mod path;
 mod planned_stop;
+mod quarantine;
 mod replica_races;
 mod replicas;
 mod silent_links;
--- a/crates/stair-agent/src/dump.rs
+++ b/crates/stair-agent/src/dump.rs
@@ -1,6 +1,7 @@
 //! The state dump of an agent for the operator.
 
 use serde::Serialize;
+use stair_fleet::quarantine::Record;
 use stair_state::Ledger;
 use stair_types::{
     ConfigVersion,
@@ -50,6 +51,8 @@
     pub leaving: bool,
     /// Number of entries that the agent knows.
     pub entries: usize,
+    /// Requests that are suspected of crashing targets, or quarantined for it.
+    pub quarantine: Vec<Record>,
 }
 
 impl Core {
@@ -71,6 +74,7 @@
             runs: self.runs.len(),
             leaving: self.draining,
             entries: self.args.entries.borrow().len(),
+            quarantine: self.args.ledger_keeper.records(),
         }
     }
 }
--- a/crates/stair-agent/src/links.rs
+++ b/crates/stair-agent/src/links.rs
@@ -52,8 +52,8 @@
         link.allow_streams(streams.min(MAX_STREAMS) as u32);
         let counted = OpenStream::of(&shared);
         tokio::spawn(async move {
-            let _open = (mark, counted);
-            if let Err(e) = stream(&shared, tx, rx).await {
+            let _open = mark;
+            if let Err(e) = stream(&shared, counted, tx, rx).await {
                 stair_telemetry::debug!(Part::Links, "a stream ended: {e}");
             }
         });
@@ -76,7 +76,13 @@
     }
 }
 
-async fn stream(shared: &Shared, tx: SendStream, mut rx: RecvStream) -> Result<(), frame::Error> {
+/// Serves a stream. `counted` is held for streams that a graceful stop has to wait for.
+async fn stream(
+    shared: &Shared,
+    counted: OpenStream,
+    tx: SendStream,
+    mut rx: RecvStream,
+) -> Result<(), frame::Error> {
     let first = frame::read_message(&mut rx);
     match timeout(FIRST_FRAME_TIMEOUT, first).await {
         Ok(Ok(ToAgent::Offer(offer))) => offers::serve(shared, tx, rx, offer).await,
@@ -88,6 +94,11 @@
         Ok(Ok(ToAgent::Withdraw { id, incarnation })) => {
             resume::withdraw(shared, tx, id, incarnation).await
         }
+        Ok(Ok(ToAgent::Ledger)) => {
+            // The entry never ends this stream by itself.
+            drop(counted);
+            shared.ledger_keeper.serve(tx, rx).await
+        }
         Ok(Ok(_)) | Err(_) => Ok(()),
         Ok(Err(e)) => Err(e),
     }
--- a/crates/stair-agent/src/msg.rs
+++ b/crates/stair-agent/src/msg.rs
@@ -52,6 +52,7 @@
         OrderOutcome,
         Source, //
     },
+    quarantine::LedgerKeeper,
     responses::Response,
 };
 
@@ -155,4 +156,5 @@
     pub(crate) published: Published,
     pub(crate) entries: watch::Receiver<Vec<EntryAddress>>,
     pub(crate) pool: Pool,
+    pub(crate) ledger_keeper: Arc<LedgerKeeper>,
 }
--- a/crates/stair-agent/src/offers.rs
+++ b/crates/stair-agent/src/offers.rs
@@ -39,6 +39,7 @@
         Msg,
         OfferEvent, //
     },
+    quarantine::LedgerKeeper,
     responses::{
         Response,
         ResponsePart, //
@@ -61,6 +62,7 @@
     pub(crate) control: ActorRef<Msg>,
     pub(crate) incarnation: FencingToken,
     pub(crate) load: watch::Receiver<Load>,
+    pub(crate) ledger_keeper: Arc<LedgerKeeper>,
     /// Number of open request streams.
     pub(crate) streams: watch::Sender<usize>,
 }
--- a/crates/stair-agent/src/start.rs
+++ b/crates/stair-agent/src/start.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    sync::Arc,
     time::Duration, //
 };
 
@@ -74,7 +75,8 @@
         Published, //
     },
     offers::Shared,
-    operator, //
+    operator,
+    quarantine::LedgerKeeper, //
 };
 
 /// Timeout of opening a link to an entry.
@@ -189,6 +191,7 @@
             busy: watch::Sender::new(0),
             fatal: watch::Sender::new(None),
         };
+        let ledger_keeper = Arc::new(LedgerKeeper::new(metrics.clone()));
         let control = spawn_control(Arguments {
             name: settings.name.clone(),
             incarnation,
@@ -203,6 +206,7 @@
             published: published.clone(),
             entries: entries.subscribe(),
             pool: Pool::new(dialer.clone(), Probing::CONTROL),
+            ledger_keeper: ledger_keeper.clone(),
         })
         .await?;
         let cx = control_links::Context::new(
@@ -217,6 +221,7 @@
             control: control.clone(),
             incarnation,
             load: published.load.subscribe(),
+            ledger_keeper,
             streams: watch::Sender::new(0),
         };
         let (stop, stopping) = watch::channel(false);
--- a/crates/stair-entry/src/traffic/accept.rs
+++ b/crates/stair-entry/src/traffic/accept.rs
@@ -112,6 +112,7 @@
         return Ok(models::response(&view.catalogue));
     }
     let (req, admitted) = request::receive(cx, &view, id, received, route, &identity, req).await?;
+    cx.quarantine.admit(&req)?;
     Ok(run::spawn(cx.clone(), req, admitted).await)
 }
 
--- a/crates/stair-entry/src/traffic/crash.rs
+++ b/crates/stair-entry/src/traffic/crash.rs
@@ -8,7 +8,10 @@
     time::Duration, //
 };
 
-use stair_fleet::quarantine::ESTABLISHED_DURATION;
+use stair_fleet::quarantine::{
+    ESTABLISHED_DURATION,
+    Run, //
+};
 use stair_link::RecvStream;
 use stair_types::{
     FencingToken,
@@ -29,8 +32,11 @@
 use crate::View;
 
 use super::{
+    Cx,
+    choose::Chosen,
     quarantine::{
         Quarantine,
+        Trial,
         fingerprint, //
     },
     request::Request,
@@ -46,8 +52,10 @@
 /// A run of a request at one target.
 pub(super) struct TrackedRun {
     quarantine: Arc<Quarantine>,
+    view: watch::Receiver<Arc<View>>,
     req: Arc<Request>,
     target: TargetName,
+    trial: Option<Trial>,
     /// The agent's incarnation.
     token: FencingToken,
     /// Whether the agent may have started the request.
@@ -57,17 +65,19 @@
 }
 
 impl TrackedRun {
-    pub(super) fn new(
-        quarantine: Arc<Quarantine>,
+    pub(super) fn new<S>(
+        cx: &Cx<S>,
         req: Arc<Request>,
-        target: TargetName,
-        token: FencingToken,
+        target: &Chosen,
+        trial: Option<Trial>,
     ) -> Self {
         Self {
-            quarantine,
+            quarantine: cx.quarantine.clone(),
+            view: cx.view.clone(),
             req,
-            target,
-            token,
+            target: target.name.clone(),
+            trial,
+            token: target.token,
             started: false,
             begun: None,
         }
@@ -98,20 +108,26 @@
             .is_some_and(|t| t.elapsed() >= ESTABLISHED_DURATION);
         let Self {
             quarantine,
+            view,
             req,
             target,
+            // The trial lasts until the crash is reported.
+            trial,
             token,
             ..
         } = self;
-        let (id, fingerprint) = (req.id, fingerprint(&req));
+        let id = req.id;
+        let run = Run {
+            fingerprint: fingerprint(&req),
+            established,
+            on_trial: trial.is_some(),
+        };
         // The body is not kept while the target is watched.
         drop(req);
         let crash = match timeout(REPORT_TIMEOUT, read_crash(&mut rx)).await {
             Ok(Aftermath::Crashed { crash }) => Some(Some(crash)),
             Ok(Aftermath::Survived) if !link_lost => None,
-            Ok(_) | Err(_) => is_lost(quarantine.view(), &target, token)
-                .await
-                .then_some(None),
+            Ok(_) | Err(_) => is_lost(view, &target, token).await.then_some(None),
         };
         let Some(crash) = crash else {
             return;
@@ -120,7 +136,7 @@
             Some(n) => format!("{target}@{token}/{n}"),
             None => format!("{target}@{token}"),
         };
-        quarantine.report(id, fingerprint, incarnation.into(), established);
+        quarantine.report(id, incarnation.into(), run);
     }
 }
 
--- a/crates/stair-entry/src/traffic/dispatch.rs
+++ b/crates/stair-entry/src/traffic/dispatch.rs
@@ -30,6 +30,10 @@
         Chosen, //
     },
     offer,
+    quarantine::{
+        Permit,
+        Trial, //
+    },
     request::Request,
     response,
     run::Progress,
@@ -40,6 +44,10 @@
 /// agent of a replaced VM appears in the view.
 const NO_TARGET_RETRY_MS: u32 = 2_000;
 
+/// Targets that may run one request. Each of them may have ended under it, and the ledgers judge a
+/// crash only after some time.
+const MAX_RUNS: usize = 2;
+
 /// Runs a request at the first target that accepts it and forwards the response.
 ///
 /// # Errors
@@ -57,6 +65,7 @@
     count_request(cx);
     let mut tried = Attempts::default();
     let mut last: Option<Refusal> = None;
+    let mut runs = 0;
     loop {
         let next = choose::next(cx, req, &tried.names).or_else(|| {
             let again = tried.retry_lost();
@@ -69,13 +78,18 @@
         let Some(target) = next else {
             return Err(last.unwrap_or_else(no_target));
         };
+        let trial = match cx.quarantine.permit(req, &target.name).await {
+            Permit::Granted(trial) => trial,
+            Permit::Busy => continue,
+            Permit::Quarantined(refusal) => return Err(refusal),
+        };
         if let Some(refusal) = last.take_if(|_| !may_retry(cx)) {
             return Err(refusal);
         }
         tried.names.push(target.name.clone());
         progress.admitted.set_phase(Phase::Waiting);
         let id = tried.offer_id(req.id);
-        let Err(refusal) = attempt(cx, req, id, &target, caller, progress).await else {
+        let Err(refusal) = attempt(cx, req, id, &target, trial, caller, progress).await else {
             return Ok(());
         };
         record_refusal(cx, &target, &refusal);
@@ -83,7 +97,8 @@
         // After `Start` the request counts as run unless the agent's verdict is `NotRun`.
         progress.started = false;
         progress.earlier_may_have_run |= refusal.verdict != Verdict::NotRun;
-        if caller.head_sent() || !may_try_another(req, &refusal) {
+        runs += usize::from(refusal.verdict != Verdict::NotRun);
+        if caller.head_sent() || runs >= MAX_RUNS || !may_try_another(req, &refusal) {
             return Err(refusal);
         }
         caller.discard();
@@ -175,6 +190,7 @@
     req: &Arc<Request>,
     id: RequestId,
     target: &Chosen,
+    trial: Option<Trial>,
     caller: &mut Caller,
     progress: &mut Progress,
 ) -> Result<(), Refusal>
@@ -182,7 +198,7 @@
     S: ObjectStore,
 {
     let _in_flight = target.target.begin_request();
-    let mut exchange = offer::offer(cx, req, id, target, progress).await?;
+    let mut exchange = offer::offer(cx, req, id, target, trial, progress).await?;
     if !progress.started {
         start::start(cx, req, &mut exchange, progress).await?;
     }
@@ -199,7 +215,8 @@
         | Reason::Unknown
         | Reason::DeadlinePassed
         | Reason::Duplicate
-        | Reason::PlatformDown => false,
+        | Reason::PlatformDown
+        | Reason::Quarantined => false,
         Reason::WouldMissDeadline
         | Reason::QueueFull
         | Reason::Displaced
--- a/crates/stair-entry/src/traffic/dump.rs
+++ b/crates/stair-entry/src/traffic/dump.rs
@@ -7,6 +7,7 @@
 use super::{
     Cx,
     admit,
+    quarantine,
     refuse,
     targets, //
 };
@@ -21,6 +22,8 @@
     claims_pending: usize,
     retries_left: u64,
     targets: Vec<targets::TargetDump>,
+    quarantine: Vec<quarantine::Watched>,
+    ledgers: Vec<Box<str>>,
 }
 
 pub(super) fn dump<S>(cx: &Cx<S>) -> serde_json::Value {
@@ -34,6 +37,8 @@
         claims_pending: cx.claims.pending(),
         retries_left: retries.available(),
         targets: cx.targets.snapshot(),
+        quarantine: cx.quarantine.watched(),
+        ledgers: cx.quarantine.ledgers(),
     };
     serde_json::to_value(dump).unwrap_or_default()
 }
--- a/crates/stair-entry/src/traffic/mod.rs
+++ b/crates/stair-entry/src/traffic/mod.rs
@@ -18,7 +18,8 @@
 //! - `response`: forwards the response to the `caller`.
 //! - `resume`: continues a started request after its link broke.
 //! - `crash`: finds out which requests were running on a target when it crashed.
-//! - `quarantine`: requests that end the targets that run them.
+//! - `quarantine`: withholds requests that end the targets that run them; `ledger_links`: its streams
+//!   to the agents that keep ledgers of crashes.
 //! - `refuse`: refusals, with their verdict and retry time.
 //! - `models`, `dump`: the list of models for callers, and the state dump for operators.
 
@@ -35,6 +36,7 @@
 mod dump;
 mod exchange;
 mod headers;
+mod ledger_links;
 mod models;
 mod offer;
 mod quarantine;
@@ -154,7 +156,7 @@
         store: S,
         metrics: Metrics,
     ) -> Self {
-        let quarantine = quarantine::Quarantine::new(view.clone(), metrics.clone());
+        let quarantine = quarantine::Quarantine::new(metrics.clone());
         Self {
             cx: Arc::new(Cx {
                 view,
@@ -175,7 +177,17 @@
 
     /// Serves callers until `stop` turns true and the requests served by then have finished.
     pub async fn serve(&self, listener: TcpListener, stop: watch::Receiver<bool>) {
-        accept::serve(self.cx.clone(), listener, stop).await;
+        let cx = &self.cx;
+        let links = ledger_links::run(
+            cx.quarantine.clone(),
+            cx.pool.dialer().clone(),
+            cx.view.clone(),
+        );
+        tokio::select! {
+            () = accept::serve(cx.clone(), listener, stop) => {}
+            // Callers are served also without the view's sender.
+            () = async { links.await; std::future::pending().await } => {}
+        }
     }
 
     /// Refuses new requests from now on. Requests in the entry are finished.
--- a/crates/stair-entry/src/traffic/offer.rs
+++ b/crates/stair-entry/src/traffic/offer.rs
@@ -30,6 +30,7 @@
     choose::Chosen,
     crash::TrackedRun,
     exchange::Exchange,
+    quarantine::Trial,
     refuse::millis,
     request::Request,
     resume,
@@ -54,18 +55,14 @@
     req: &Arc<Request>,
     id: RequestId,
     target: &Chosen,
+    trial: Option<Trial>,
     progress: &mut Progress,
 ) -> Result<Exchange, Refusal> {
     let unreachable =
         || Refusal::not_run(Reason::NoTarget, RETRY_MS, "the target cannot be reached");
     let link = cx.pool.get(target.link).await;
     let link = link.map_err(|_| unreachable())?;
-    let run = TrackedRun::new(
-        cx.quarantine.clone(),
-        req.clone(),
-        target.name.clone(),
-        target.token,
-    );
+    let run = TrackedRun::new(cx, req.clone(), target, trial);
     let opened = Exchange::open(id, target, &link, run).await;
     let mut exchange = opened.map_err(|_| unreachable())?;
     // From here on the agent may run a request that needs no `Start`.
--- a/crates/stair-entry/src/traffic/response.rs
+++ b/crates/stair-entry/src/traffic/response.rs
@@ -94,6 +94,7 @@
             total_bytes, load, ..
         }) => {
             offer::record_load(req, &exchange.target, load);
+            cx.quarantine.survived(req);
             exchange.finish();
             return end(caller, *received, total_bytes);
         }
--- a/crates/stair-entry/tests/support/agent.rs
+++ b/crates/stair-entry/tests/support/agent.rs
@@ -130,6 +130,9 @@
             let Ok(first) = frame::read_message::<_, ToAgent>(&mut rx).await else {
                 return;
             };
+            if first == ToAgent::Ledger {
+                return;
+            }
             if let ToAgent::Withdraw { .. } = first {
                 // The scripts run each request that is offered, so a withdrawal comes too late.
                 let refusal = Refusal::may_have_run(Reason::Duplicate, 0, "it has started");
--- a/crates/stair-fleet/src/quarantine.rs
+++ b/crates/stair-fleet/src/quarantine.rs
@@ -20,6 +20,7 @@
 
 mod crashes;
 mod ledger;
+mod ledger_messages;
 mod trials;
 mod watchlist;
 
@@ -29,12 +30,16 @@
     Deserialize,
     Serialize, //
 };
-use stair_types::Fingerprint;
+use stair_types::{
+    Fingerprint,
+    rendezvous, //
+};
 
 pub use ledger::{
     Ledger,
     Record, //
 };
+pub use ledger_messages::Effects;
 pub use watchlist::Watchlist;
 
 /// Blame from which a request runs apart from other suspects: more than one crash adds.
@@ -60,6 +65,36 @@
     Duration::from_secs(3600),
 ];
 
+/// Number of agents that keep a ledger: two may be lost at once.
+const LEDGERS: usize = 3;
+
+/// The key by which rendezvous hashing orders agents; the first ones keep a ledger.
+const LEDGER_KEY: &str = "quarantine";
+
+/// Limit for a ledger's reply to a request for a trial: a round trip and the longest pause of a busy
+/// VM.
+pub const REPLY_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Time for which an agent that has not replied is not used.
+pub const SKIP_DURATION: Duration = Duration::from_millis(1000);
+
+/// Interval in which a suspect requests a trial.
+pub const TRIAL_RETRY_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time that a suspect waits at one target before another one is selected. It is not shorter, as a
+/// selection may reserve a prefill slot.
+pub const TRIAL_WAIT: Duration = Duration::from_millis(1000);
+
+/// Chooses the agents that keep a ledger, by the indices of `names`, in their common order.
+pub fn choose_ledgers<'a, I>(names: I) -> Vec<usize>
+where
+    I: IntoIterator<Item = &'a str>,
+{
+    let mut ranked = rendezvous::ranked(LEDGER_KEY, names);
+    ranked.truncate(LEDGERS);
+    ranked
+}
+
 /// One entry's report of a target's crash.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash {
@@ -92,6 +127,17 @@
     Cleared,
 }
 
+impl Standing {
+    /// Returns the text used in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Suspect => "suspect",
+            Self::Quarantined(_) => "quarantined",
+            Self::Cleared => "cleared",
+        }
+    }
+}
+
 /// The standing of one request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Notice {
--- a/crates/stair-http/src/error.rs
+++ b/crates/stair-http/src/error.rs
@@ -55,7 +55,8 @@
         | Reason::NotGranted
         | Reason::LoadFailed
         | Reason::PlatformDown
-        | Reason::Withdrawn => StatusCode::SERVICE_UNAVAILABLE,
+        | Reason::Withdrawn
+        | Reason::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
 
--- a/crates/stair-relay/src/assign.rs
+++ b/crates/stair-relay/src/assign.rs
@@ -5,7 +5,13 @@
     time::Duration, //
 };
 
-use stair_fleet::view::TargetKey;
+use stair_fleet::{
+    quarantine::{
+        TRIAL_RETRY_INTERVAL,
+        TRIAL_WAIT, //
+    },
+    view::TargetKey,
+};
 use tokio::time::{
     Instant,
     sleep, //
@@ -36,13 +42,6 @@
 /// of a busy entry. With a later rejection the client would not learn that the request has not run.
 const CLIENT_REFUSAL_MARGIN: Duration = Duration::from_millis(150);
 
-/// Interval in which a suspect requests a trial.
-const TRIAL_RETRY_INTERVAL: Duration = Duration::from_millis(100);
-
-/// Time that a suspect waits at one target before another one is selected. It is not shorter, as each selection
-/// reserves a prefill slot.
-const TRIAL_TIMEOUT: Duration = Duration::from_millis(1000);
-
 /// The request is not assigned to a target.
 #[derive(Debug, Clone, Copy)]
 pub struct NotAssigned {
@@ -115,7 +114,7 @@
     mut selected: Selected,
     until: Instant,
 ) -> Result<Option<Selected>, NotAssigned> {
-    let reselect_at = Instant::now() + TRIAL_TIMEOUT;
+    let reselect_at = Instant::now() + TRIAL_WAIT;
     loop {
         match quarantine::gate(cx, job, &selected.id).await {
             // The target may have announced its shutdown meanwhile.
--- a/crates/stair-relay/src/quarantine.rs
+++ b/crates/stair-relay/src/quarantine.rs
@@ -19,18 +19,18 @@
         Crash,
         Ledger,
         Notice,
+        REPLY_TIMEOUT,
         SETTLE_DELAY,
+        SKIP_DURATION,
         Standing,
         ToLedger,
         ToWatchlist,
-        Watchlist, //
+        Watchlist,
+        choose_ledgers, //
     },
 };
 use stair_telemetry::event::Line;
-use stair_types::{
-    Fingerprint,
-    rendezvous, //
-};
+use stair_types::Fingerprint;
 use tokio::{
     sync::oneshot,
     time::{
@@ -52,18 +52,6 @@
     },
 };
 
-/// Number of agents that keep a ledger: two may be lost at once.
-const LEDGERS: usize = 3;
-
-/// The key by which rendezvous hashing orders agents; the first ones keep a ledger.
-const LEDGER_KEY: &str = "quarantine";
-
-/// Limit for an agent's reply: a round trip and the longest pause of a busy VM.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(100);
-
-/// Time for which an agent that has not replied is not used.
-const SKIP_DURATION: Duration = Duration::from_millis(1000);
-
 /// The state that an entry keeps about requests that end targets.
 #[derive(Default)]
 pub(crate) struct Quarantine {
@@ -314,9 +302,8 @@
     fn ledgers(&self, now: Duration) -> Vec<SocketAddr> {
         let is_available = |a: &&AgentLink| a.linked && a.skipped_until <= now;
         let linked: Vec<_> = self.agents.iter().filter(is_available).collect();
-        let ranked = rendezvous::ranked(LEDGER_KEY, linked.iter().map(|a| &*a.name));
-        let first = ranked.into_iter().take(LEDGERS);
-        first.map(|i| linked[i].engine).collect()
+        let chosen = choose_ledgers(linked.iter().map(|a| &*a.name));
+        chosen.into_iter().map(|i| linked[i].engine).collect()
     }
 
     fn send_to_ledger(&self, engine: SocketAddr, msg: ToLedger) {
--- a/crates/stair-sidecar/src/quarantine.rs
+++ b/crates/stair-sidecar/src/quarantine.rs
@@ -18,7 +18,6 @@
         Ledger,
         Notice,
         SETTLE_DELAY,
-        Standing,
         ToLedger,
         ToWatchlist, //
     },
@@ -82,45 +81,20 @@
     /// Handles a message of an entry; `tx` sends to that entry.
     pub fn receive(self: &Arc<Self>, key: LinkKey, msg: ToLedger, tx: &mpsc::Sender<ToEntry>) {
         let now = self.now();
-        match msg {
-            ToLedger::Crashed(crash) => {
-                self.lock().ledger.report(&crash, now);
-                let own = self.clone();
-                tokio::spawn(async move {
-                    sleep(SETTLE_DELAY).await;
-                    own.settle();
-                });
-            }
-            ToLedger::Survived(fingerprint) => {
-                let mut inner = self.lock();
-                if inner.ledger.survived(fingerprint) {
-                    let notice = Notice {
-                        fingerprint,
-                        standing: Standing::Cleared,
-                    };
-                    self.publish(&inner, &[notice]);
-                }
-            }
-            ToLedger::Known(list) => {
-                let mut inner = self.lock();
-                let new: Vec<Notice> = list
-                    .iter()
-                    .filter_map(|n| inner.ledger.merge(n, now))
-                    .collect();
-                self.publish(&inner, &new);
-            }
-            ToLedger::Trial {
-                seq,
-                fingerprint,
-                target,
-            } => {
-                let mut inner = self.lock();
-                let granted = inner.ledger.begin_trial(fingerprint, &target, key.0, now);
-                let reply = ToEntry::Quarantine(ToWatchlist::Trial { seq, granted });
-                // An entry that does not read runs the request without the reply.
-                let _ = tx.try_send(reply);
-            }
-            ToLedger::TrialEnded(fingerprint) => self.lock().ledger.end_trial(fingerprint, now),
+        let mut inner = self.lock();
+        let effects = inner.ledger.receive(key.0, msg, now);
+        self.publish(&inner, &effects.notices);
+        drop(inner);
+        if let Some(reply) = effects.reply {
+            // An entry that does not read runs the request without the reply.
+            let _ = tx.try_send(ToEntry::Quarantine(reply));
+        }
+        if effects.settle {
+            let own = self.clone();
+            tokio::spawn(async move {
+                sleep(SETTLE_DELAY).await;
+                own.settle();
+            });
         }
     }
 
@@ -147,11 +121,7 @@
                 .show("fingerprint", notice.fingerprint)
                 .show("standing", format_args!("{:?}", notice.standing))
                 .write();
-            let standing = match notice.standing {
-                Standing::Suspect => "suspect",
-                Standing::Quarantined(_) => "quarantined",
-                Standing::Cleared => "cleared",
-            };
+            let standing = notice.standing.as_str();
             self.page
                 .count("quarantine_total", &[("standing", standing)], 1);
         }
--- a/crates/stair-telemetry/src/metrics.rs
+++ b/crates/stair-telemetry/src/metrics.rs
@@ -196,6 +196,11 @@
         self.count("crashed_runs", 1, &[]);
     }
 
+    /// Counts a request whose standing changed, on an agent that keeps a ledger of crashes.
+    pub fn quarantine(&self, standing: &'static str) {
+        self.count("quarantine", 1, &[("standing", standing)]);
+    }
+
     /// Reports the number of requests of a tier that wait in this process.
     pub fn queue_length(&self, tier: &TierName, waiting: u64) {
         if let Some(client) = &self.client {
--- a/crates/stair-types/src/verdict.rs
+++ b/crates/stair-types/src/verdict.rs
@@ -68,6 +68,8 @@
     PlatformDown,
     /// The caller or the entry withdrew the request.
     Withdrawn,
+    /// Targets crashed each time they ran the request.
+    Quarantined,
 }
 
 impl Reason {
@@ -90,6 +92,7 @@
             Self::Duplicate => "duplicate",
             Self::PlatformDown => "platform-down",
             Self::Withdrawn => "withdrawn",
+            Self::Quarantined => "quarantined",
         }
     }
 }
--- a/crates/stair-wire/src/request.rs
+++ b/crates/stair-wire/src/request.rs
@@ -1,8 +1,8 @@
 //! One request, on one bidirectional stream that the entry opens.
 //!
 //! The first frame of the entry is [`ToAgent::Offer`], followed by one body frame with the
-//! request's body; or it is [`ToAgent::Resume`] or [`ToAgent::Withdraw`]. To an offer the agent
-//! replies with [`FromAgent::Queued`] at once, with [`FromAgent::Ready`] later, and after
+//! request's body; or it is [`ToAgent::Resume`], [`ToAgent::Withdraw`] or [`ToAgent::Ledger`]. To an
+//! offer the agent replies with [`FromAgent::Queued`] at once, with [`FromAgent::Ready`] later, and after
 //! [`ToAgent::Start`] with the response: [`FromAgent::Head`], body frames, [`FromAgent::End`].
 //! [`FromAgent::Refused`] may replace any of these and is final, but that after a run without a
 //! complete response [`FromAgent::Crashed`] may follow it.
@@ -113,6 +113,9 @@
         /// The agent's incarnation to which the request was offered.
         incarnation: FencingToken,
     },
+    /// Opens a stream to the agent's ledger of crashes. The entry sends
+    /// `stair_fleet::quarantine::ToLedger` from then on, and the agent `ToWatchlist`.
+    Ledger,
 }
 
 /// The load of an agent. Its replies carry the load; there is no separate load report.
