fleet: judge a contested trial by the crashes that follow it

Cause: a trial keeps other suspects away, but not a deadly request that is no suspect yet, and the verdict did not wait for what that one did next. Ruled out: lost or late reports (the model has none), and too little blame (the ones wrongly refused had three or four crashes, like a deadly one).

Change, in the ledger, so for both ways of serving: a trial beside other requests is judged 0.9 s after its crash, in which the suspect does not run anyway, and convicts only if no other request there is within one crash's blame of it. While targets without the suspect crash together, two trials are needed. Crashes from before a quarantine do not convict again. Ledgers settle twice a report (SETTLE_DELAYS), and before a trial begins.

--- a/crates/stair-entry/src/traffic/quarantine.rs
+++ b/crates/stair-entry/src/traffic/quarantine.rs
@@ -24,7 +24,7 @@
     Notice,
     REPLY_TIMEOUT,
     Run,
-    SETTLE_DELAY,
+    SETTLE_DELAYS,
     SKIP_DURATION,
     Standing,
     TRIAL_RETRY_INTERVAL,
@@ -58,6 +58,7 @@
     time::{
         Instant,
         sleep,
+        sleep_until,
         timeout, //
     },
 };
@@ -282,10 +283,13 @@
         drop(state);
         let own = self.clone();
         tokio::spawn(async move {
-            sleep(SETTLE_DELAY).await;
-            let now = own.now();
-            let notices = own.lock().own.settle(now);
-            own.apply(&notices);
+            let reported = Instant::now();
+            for delay in SETTLE_DELAYS {
+                sleep_until(reported + delay).await;
+                let now = own.now();
+                let notices = own.lock().own.settle(now);
+                own.apply(&notices);
+            }
         });
     }
 
--- a/crates/stair-fleet/src/quarantine.rs
+++ b/crates/stair-fleet/src/quarantine.rs
@@ -11,7 +11,12 @@
 //! At [`SUSPECT_BLAME`] a request becomes a suspect. It then runs on trial, that is on a target
 //! where no other suspect runs, so that the next crash tells the suspects apart. At
 //! [`QUARANTINE_BLAME`] it is quarantined if it was the most blamed one on a target that crashed
-//! during its trial. All crashes that it was on are then attributed to it alone.
+//! during its trial, by more than one crash. All crashes that it was on are then attributed to it
+//! alone.
+//!
+//! Beside a trial run requests without blame, and one of them may be the cause. Such a trial is
+//! judged after [`CONTESTED_DELAY`], when the next crashes of that request are known. While targets
+//! without the suspect crash together, one more trial is needed.
 //!
 //! # Invariants
 //!
@@ -52,6 +57,13 @@
 /// by then.
 pub const SETTLE_DELAY: Duration = Duration::from_millis(300);
 
+/// Time from the first report of a crash until its trial is judged although other requests were on
+/// the target. The suspect does not run again before.
+pub const CONTESTED_DELAY: Duration = Duration::from_millis(900);
+
+/// Times from a report at which [`Ledger::settle`] has to be called.
+pub const SETTLE_DELAYS: [Duration; 2] = [SETTLE_DELAY, CONTESTED_DELAY];
+
 /// Time after which a running request is unlikely to be the cause of its target's crash.
 pub const ESTABLISHED_DURATION: Duration = Duration::from_millis(500);
 
--- a/crates/stair-fleet/src/quarantine/crashes.rs
+++ b/crates/stair-fleet/src/quarantine/crashes.rs
@@ -6,6 +6,7 @@
 
 use super::{
     BLAME_TTL,
+    CONTESTED_DELAY,
     Crash,
     Run, //
 };
@@ -20,6 +21,13 @@
 /// Time between crashes of targets up to which they may share a cause.
 const COINCIDENCE_WINDOW: Duration = Duration::from_millis(50);
 
+/// Time around a crash in which other targets that crash together show that targets end for other
+/// reasons, too.
+const UNREST_WINDOW: Duration = Duration::from_secs(10);
+
+/// Time for which the crash of a trial is judged again, as later crashes may explain it.
+const REVIEW_WINDOW: Duration = Duration::from_secs(5);
+
 /// Limit of remembered crashes.
 const MAX_CRASHES: usize = 512;
 
@@ -57,14 +65,27 @@
         self.find(run).is_ok()
     }
 
-    /// Whether a request has more blame than each other request that was on the target.
-    pub(super) fn is_most_blamed<F>(&self, run: &Fingerprint, blame: F) -> bool
+    /// Whether a request has more blame than each other request that was on the target, by more than
+    /// one crash.
+    fn is_most_blamed<F>(&self, run: &Fingerprint, blame: F) -> bool
     where
         F: Fn(&Fingerprint) -> u32,
     {
         let blame_of_run = blame(run);
         let mut others = self.runs.iter().map(|r| &r.fingerprint);
-        others.all(|other| other == run || blame(other) < blame_of_run)
+        others.all(|other| other == run || blame(other) + FULL_BLAME < blame_of_run)
+    }
+
+    /// Whether the crash has been known for long enough. If other requests were on the target, their
+    /// next runs may show that one of them is the cause.
+    fn is_decided(&self, now: Duration) -> bool {
+        let is_contested = self.attributed_to.is_none() && self.runs.len() > 1;
+        !is_contested || now.saturating_sub(self.at) >= CONTESTED_DELAY
+    }
+
+    fn trial(&self) -> Option<Fingerprint> {
+        let run = self.runs.iter().find(|r| r.on_trial)?;
+        Some(run.fingerprint)
     }
 
     fn counts_for(&self, run: &Fingerprint) -> bool {
@@ -113,7 +134,8 @@
         }
     }
 
-    /// Takes the requests of the unjudged crashes whose first reports are at least `after` old.
+    /// Takes the requests of the unjudged crashes whose first reports are at least `after` old. The
+    /// requests of recent trials are judged again.
     pub(super) fn take_unjudged(&mut self, after: Duration, now: Duration) -> Vec<Fingerprint> {
         let due = |e: &&mut CrashRecord| e.unjudged && now.saturating_sub(e.at) >= after;
         let mut runs = Vec::new();
@@ -121,6 +143,9 @@
             crash.unjudged = false;
             runs.extend(crash.runs.iter().map(|r| r.fingerprint));
         }
+        let is_recent = |e: &&CrashRecord| now.saturating_sub(e.at) < REVIEW_WINDOW;
+        let recent = self.list.iter().filter(is_recent);
+        runs.extend(recent.filter_map(CrashRecord::trial));
         runs.sort_unstable();
         runs.dedup();
         runs
@@ -132,14 +157,26 @@
         on.map(|e| self.blame_for(e, run)).sum()
     }
 
-    /// The crashes during trials of a request that have no other visible cause.
-    pub(super) fn on_trial<'a>(
-        &'a self,
-        run: &'a Fingerprint,
-    ) -> impl Iterator<Item = &'a CrashRecord> {
+    /// Whether crashes during trials of a request have no other visible cause, and no other request
+    /// on the same targets has as much blame. In unrest two such crashes are needed, but one is
+    /// enough after an earlier quarantine, whose crashes do not count.
+    pub(super) fn convict<F>(
+        &self,
+        run: &Fingerprint,
+        quarantined_at: Option<Duration>,
+        now: Duration,
+        blame: F,
+    ) -> bool
+    where
+        F: Fn(&Fingerprint) -> u32,
+    {
         let on = self.list.iter().filter(|e| e.counts_for(run));
+        let on = on.filter(|e| quarantined_at.is_none_or(|t| e.at > t));
         let on_trial = on.filter(|e| e.find(run).is_ok_and(|i| e.runs[i].on_trial));
-        on_trial.filter(|e| !self.coincides(e, run))
+        let decided = on_trial.filter(|e| e.is_decided(now) && !self.coincides(e, run));
+        let convicting: Vec<_> = decided.filter(|e| e.is_most_blamed(run, &blame)).collect();
+        let needed = if quarantined_at.is_some() { 1 } else { 2 };
+        convicting.len() >= needed || convicting.iter().any(|e| !self.is_in_unrest(e, run))
     }
 
     fn blame_for(&self, crash: &CrashRecord, run: &Fingerprint) -> u32 {
@@ -159,6 +196,19 @@
         others.any(|other| !other.has(run) && !other.runs.iter().any(|r| r.on_trial))
     }
 
+    /// Whether targets without the request crashed together some time before or after a crash, for
+    /// no known cause.
+    fn is_in_unrest(&self, crash: &CrashRecord, run: &Fingerprint) -> bool {
+        let is_unexplained = |e: &&CrashRecord| e.attributed_to.is_none() && !e.has(run);
+        let others = self.list.iter().filter(is_unexplained).map(|e| e.at);
+        let mut near: Vec<_> = others
+            .filter(|at| at.abs_diff(crash.at) < UNREST_WINDOW)
+            .collect();
+        near.sort_unstable();
+        near.windows(2)
+            .any(|pair| pair[1] - pair[0] <= COINCIDENCE_WINDOW)
+    }
+
     /// Attributes the crashes that a request was on to it.
     pub(super) fn attribute_to(&mut self, run: &Fingerprint) {
         for crash in &mut self.list {
--- a/crates/stair-fleet/src/quarantine/ledger.rs
+++ b/crates/stair-fleet/src/quarantine/ledger.rs
@@ -31,6 +31,8 @@
     records: Vec<Record>,
     crashes: Crashes,
     trials: Trials,
+    /// Changed standings that have not been returned yet.
+    changed: Vec<Notice>,
 }
 
 /// A request that is a suspect or quarantined.
@@ -43,6 +45,9 @@
     retained_blame: u32,
     /// When it was last judged a suspect.
     at: Duration,
+    /// When it was last quarantined.
+    #[serde(skip)]
+    quarantined_at: Option<Duration>,
     /// End of the quarantine.
     #[serde(rename = "held_until")]
     quarantined_until: Option<Duration>,
@@ -58,7 +63,7 @@
     }
 
     /// Judges the requests of all crashes that every entry has had the time to report. Returns the
-    /// changed standings.
+    /// changed standings. It has to be called after each of [`SETTLE_DELAYS`](super::SETTLE_DELAYS).
     pub fn settle(&mut self, now: Duration) -> Vec<Notice> {
         self.records.retain(|r| r.is_current(now));
         let runs = self.crashes.take_unjudged(SETTLE_DELAY, now);
@@ -71,33 +76,41 @@
         // The most blamed first: the crashes that are attributed to it do not count against the
         // others.
         others.sort_by_cached_key(|run| std::cmp::Reverse(self.blame(run)));
-        others
-            .into_iter()
-            .filter_map(|run| self.judge(run, now))
-            .collect()
+        for run in others {
+            self.judge(run, now);
+        }
+        self.take_changed()
+    }
+
+    /// Takes the standings that have changed.
+    pub(super) fn take_changed(&mut self) -> Vec<Notice> {
+        std::mem::take(&mut self.changed)
     }
 
-    fn judge(&mut self, run: Fingerprint, now: Duration) -> Option<Notice> {
+    fn judge(&mut self, run: Fingerprint, now: Duration) {
         let blame = self.blame(&run);
         if blame < SUSPECT_BLAME {
-            return None;
+            return;
         }
-        let convicted = blame >= QUARANTINE_BLAME && self.is_convicted(&run);
+        let convicted = blame >= QUARANTINE_BLAME && self.is_convicted(&run, now);
         let known = self.find(&run).is_ok();
         let i = self.record(run, now);
         let record = &mut self.records[i];
         record.at = now;
         if !convicted {
-            return (!known).then(|| record.notice(now));
+            let notice = record.notice(now);
+            self.changed.extend((!known).then_some(notice));
+            return;
         }
         let duration =
             QUARANTINE_DURATIONS[record.quarantine_count.min(QUARANTINE_DURATIONS.len() - 1)];
+        record.quarantined_at = Some(now);
         record.quarantined_until = Some(now + duration);
         record.quarantine_count += 1;
         record.retained_blame = RETAINED_BLAME;
         let notice = record.notice(now);
+        self.changed.push(notice);
         self.crashes.attribute_to(&run);
-        Some(notice)
     }
 
     /// The total blame of a request.
@@ -106,13 +119,12 @@
         retained + self.crashes.blame(run)
     }
 
-    /// Whether a target crashed during a trial of the request, and no other request there has as
-    /// much blame.
-    fn is_convicted(&self, run: &Fingerprint) -> bool {
+    /// Whether the crashes during trials of the request suffice for a quarantine.
+    fn is_convicted(&self, run: &Fingerprint, now: Duration) -> bool {
+        let record = self.find(run).ok().map(|i| &self.records[i]);
+        let quarantined_at = record.and_then(|r| r.quarantined_at);
         let blame = |other: &Fingerprint| self.blame(other);
-        self.crashes
-            .on_trial(run)
-            .any(|c| c.is_most_blamed(run, blame))
+        self.crashes.convict(run, quarantined_at, now, blame)
     }
 
     /// Records that a request has survived a run. Returns whether it had a record.
@@ -135,6 +147,7 @@
         let Standing::Quarantined(left) = notice.standing else {
             return (!known).then_some(*notice);
         };
+        record.quarantined_at = Some(now);
         record.quarantined_until = record.quarantined_until.max(Some(now + left));
         record.quarantine_count = record.quarantine_count.max(1);
         record.retained_blame = RETAINED_BLAME;
@@ -150,7 +163,16 @@
         owner: u64,
         now: Duration,
     ) -> bool {
-        !self.is_quarantined(&run, now) && self.trials.begin(run, target, owner, now)
+        if !self.trials.is_free(&run, target, now) {
+            return false;
+        }
+        // Its last trial may have been contested until now.
+        self.judge(run, now);
+        if self.is_quarantined(&run, now) {
+            return false;
+        }
+        self.trials.begin(run, target, owner, now);
+        true
     }
 
     /// Records that a trial has ended.
@@ -196,6 +218,7 @@
             fingerprint: run,
             retained_blame: 0,
             at: now,
+            quarantined_at: None,
             quarantined_until: None,
             quarantine_count: 0,
         };
--- a/crates/stair-fleet/src/quarantine/ledger_messages.rs
+++ b/crates/stair-fleet/src/quarantine/ledger_messages.rs
@@ -17,7 +17,8 @@
     pub reply: Option<ToWatchlist>,
     /// Changed standings, which all entries receive.
     pub notices: Vec<Notice>,
-    /// Whether [`Ledger::settle`] has to be called after [`SETTLE_DELAY`](super::SETTLE_DELAY).
+    /// Whether [`Ledger::settle`] has to be called after each of
+    /// [`SETTLE_DELAYS`](super::SETTLE_DELAYS).
     pub settle: bool,
 }
 
@@ -49,6 +50,7 @@
             } => {
                 let granted = self.begin_trial(fingerprint, &target, owner, now);
                 effects.reply = Some(ToWatchlist::Trial { seq, granted });
+                effects.notices = self.take_changed();
             }
             ToLedger::TrialEnded(fingerprint) => self.end_trial(fingerprint, now),
         }
--- a/crates/stair-fleet/src/quarantine/trials.rs
+++ b/crates/stair-fleet/src/quarantine/trials.rs
@@ -8,7 +8,7 @@
 const TRIAL_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Time after a trial's end during which the same request waits, so that a crash can be reported
-/// and judged.
+/// and judged, also a contested one.
 const VERDICT_DELAY: Duration = Duration::from_millis(1200);
 
 /// Limit of concurrent trials; further suspects wait.
@@ -31,26 +31,32 @@
 }
 
 impl Trials {
-    /// Begins a trial, unless the request already runs or the target has another trial.
+    /// Whether a trial may begin: the request runs in no other one, and the target has no other one.
+    pub(super) fn is_free(
+        &mut self,
+        fingerprint: &Fingerprint,
+        target: &str,
+        now: Duration,
+    ) -> bool {
+        self.list.retain(|t| now < t.until);
+        let taken = |t: &Trial| t.fingerprint == *fingerprint || *t.target == *target;
+        self.list.len() < MAX_TRIALS && !self.list.iter().any(taken)
+    }
+
+    /// Begins a trial that is free.
     pub(super) fn begin(
         &mut self,
         fingerprint: Fingerprint,
         target: &str,
         owner: u64,
         now: Duration,
-    ) -> bool {
-        self.list.retain(|t| now < t.until);
-        let taken = |t: &Trial| t.fingerprint == fingerprint || *t.target == *target;
-        if self.list.len() >= MAX_TRIALS || self.list.iter().any(taken) {
-            return false;
-        }
+    ) {
         self.list.push(Trial {
             fingerprint,
             target: target.into(),
             owner,
             until: now + TRIAL_TIMEOUT,
         });
-        true
     }
 
     /// Records the end of a trial, whatever its result.
--- a/crates/stair-fleet/tests/quarantine.rs
+++ b/crates/stair-fleet/tests/quarantine.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use stair_fleet::quarantine::{
+    CONTESTED_DELAY,
     Crash,
     Ledger,
     Notice,
@@ -77,6 +78,12 @@
         self.ledger.settle(self.now)
     }
 
+    /// Judges contested trials again.
+    fn settle_contested(&mut self) -> Vec<Notice> {
+        self.now += CONTESTED_DELAY - SETTLE_DELAY;
+        self.ledger.settle(self.now)
+    }
+
     /// Reports and judges a crash of a target with these requests, some time after all others.
     fn crash(&mut self, runs: &[usize]) -> Vec<Notice> {
         self.now += BEYOND_COINCIDENCE;
@@ -114,6 +121,7 @@
         let others: Vec<usize> = (10 * n + 10..10 * n + 18).collect();
         fixture.crash(&[&[1], &others[..]].concat());
     }
+    fixture.settle_contested();
     assert!(fixture.is_quarantined(1));
     let others = (10..38).filter(|n| fixture.standing(*n).is_some());
     assert_eq!(others.count(), 0);
@@ -140,6 +148,42 @@
     assert_eq!(fixture.standing(2), None);
 }
 
+/// The third crash of an ordinary request is its trial's, beside a deadly request that has no blame
+/// yet: the next crashes of that one must explain it before the trial is judged.
+#[test]
+fn trial_beside_unknown_cause() {
+    let mut fixture = Fixture::default();
+    fixture.crash(&[1, 2]);
+    fixture.crash(&[1, 3]);
+    assert_eq!(fixture.standing(1), Some(Standing::Suspect));
+    fixture.crash(&[1, 4, 5]);
+    assert!(!fixture.is_quarantined(1));
+    fixture.now += SETTLE_DELAY;
+    fixture.report_crash(&[4, 6]);
+    fixture.settle();
+    fixture.settle_contested();
+    assert!(!fixture.is_quarantined(1));
+    assert!(!fixture.is_quarantined(4));
+}
+
+/// While targets crash together for other reasons, one crash during a trial proves nothing.
+#[test]
+fn trial_in_unrest() {
+    let mut fixture = Fixture::default();
+    for series in 0..3 {
+        fixture.now += BEYOND_COINCIDENCE;
+        for n in 0..3 {
+            fixture.report_crash(&[n, 100 * series + n + 10]);
+        }
+        fixture.settle();
+    }
+    fixture.crash(&[1]);
+    fixture.settle_contested();
+    assert!(!fixture.is_quarantined(1));
+    fixture.crash(&[1]);
+    assert!(fixture.is_quarantined(1));
+}
+
 /// A request crashes its targets only after it has run for a while, so it takes more crashes.
 #[test]
 fn late_in_its_run() {
--- a/crates/stair-fleet/tests/quarantine_load.rs
+++ b/crates/stair-fleet/tests/quarantine_load.rs
@@ -53,6 +53,8 @@
     deadly: usize,
     /// Pause between series of crashes, of five targets each.
     series: Option<Duration>,
+    /// Targets with the busy model.
+    replicas: usize,
 }
 
 /// The counts of a simulation.
@@ -352,9 +354,10 @@
     /// The least busy target with the model.
     fn choose(&self, client: &Client) -> Option<usize> {
         let replicas = match client.busy_model {
-            true => 0..REPLICAS,
+            true => 0..self.load.replicas,
             false => {
-                let first = REPLICAS + client.request % (TARGETS - REPLICAS - 1);
+                let replicas = self.load.replicas;
+                let first = replicas + client.request % (TARGETS - replicas - 1);
                 first..first + 2
             }
         };
@@ -385,6 +388,7 @@
     seed: 0,
     deadly: 0,
     series: None,
+    replicas: REPLICAS,
 };
 
 /// Limit of late runs of a deadly request.
@@ -408,6 +412,60 @@
     assert_eq!(all.wrongly_refused, 0);
 }
 
+/// Two to eight deadly requests, and other numbers of replicas.
+#[test]
+fn several_deadly_requests() {
+    for (deadly, replicas) in [
+        (3, 6),
+        (6, 6),
+        (8, 6),
+        (2, 2),
+        (4, 2),
+        (2, 3),
+        (4, 3),
+        (4, 9),
+    ] {
+        let all = simulate_seeds(Load {
+            deadly,
+            replicas,
+            ..LOAD
+        });
+        assert!(all.late <= MAX_RETRIES);
+        assert_eq!(all.wrongly_refused, 0);
+    }
+}
+
+/// Seeds at which the round of crashes gives an ordinary request more blame than its cause.
+#[test]
+fn seeds_with_hidden_cause() {
+    for (deadly, replicas, seed) in [(4, 3, 48), (4, 3, 138), (4, 4, 120), (8, 6, 191)] {
+        let load = Load {
+            deadly,
+            replicas,
+            seed,
+            ..LOAD
+        };
+        let one = Simulation::new(load).simulate();
+        println!("{load:?}: {one:?}");
+        assert!(one.late <= MAX_RETRIES);
+        assert_eq!(one.wrongly_refused, 0);
+    }
+}
+
+/// Four deadly requests beside series of crashes.
+#[test]
+fn four_deadly_amid_series() {
+    for pause in [1000, 2000, 4000] {
+        let all = simulate_seeds(Load {
+            deadly: 4,
+            series: Some(Duration::from_millis(pause)),
+            ..LOAD
+        });
+        assert!(all.late <= MAX_RETRIES);
+        assert_eq!(all.wrongly_refused, 0);
+    }
+}
+
 /// A quarter of the targets crash together, repeatedly.
 #[test]
 fn series() {
--- a/crates/stair-relay/src/quarantine.rs
+++ b/crates/stair-relay/src/quarantine.rs
@@ -20,7 +20,7 @@
         Ledger,
         Notice,
         REPLY_TIMEOUT,
-        SETTLE_DELAY,
+        SETTLE_DELAYS,
         SKIP_DURATION,
         Standing,
         ToLedger,
@@ -34,7 +34,8 @@
 use tokio::{
     sync::oneshot,
     time::{
-        sleep,
+        Instant,
+        sleep_until,
         timeout, //
     },
 };
@@ -225,10 +226,13 @@
     drop(state);
     let cx = cx.clone();
     tokio::spawn(async move {
-        sleep(SETTLE_DELAY).await;
-        let now = cx.now();
-        let new = cx.state().quarantine.own.settle(now);
-        apply(&cx, &new);
+        let reported = Instant::now();
+        for delay in SETTLE_DELAYS {
+            sleep_until(reported + delay).await;
+            let now = cx.now();
+            let new = cx.state().quarantine.own.settle(now);
+            apply(&cx, &new);
+        }
     });
 }
 
--- a/crates/stair-sidecar/src/quarantine.rs
+++ b/crates/stair-sidecar/src/quarantine.rs
@@ -17,7 +17,7 @@
     quarantine::{
         Ledger,
         Notice,
-        SETTLE_DELAY,
+        SETTLE_DELAYS,
         ToLedger,
         ToWatchlist, //
     },
@@ -30,7 +30,7 @@
     sync::mpsc,
     time::{
         Instant,
-        sleep, //
+        sleep_until, //
     },
 };
 
@@ -92,8 +92,11 @@
         if effects.settle {
             let own = self.clone();
             tokio::spawn(async move {
-                sleep(SETTLE_DELAY).await;
-                own.settle();
+                let reported = Instant::now();
+                for delay in SETTLE_DELAYS {
+                    sleep_until(reported + delay).await;
+                    own.settle();
+                }
             });
         }
     }
