fleet: a crash during a trial counts in full, however late it comes

Found on the way to the neighbours of four_deadly_requests: deadly requests that crash their targets 600 to 1,000 ms after the start, once the response has begun, are stopped too late.

Cause: a crash counts half for a request that had run for 500 ms, since then it is rarely the cause, and that held for trials as well. So such a request needed six crashes, each trial giving one of the six it needs. In a trial the other suspects run elsewhere, and the time it has run says little.

Change: blame is reduced for such runs only without a trial.

--- a/crates/stair-fleet/src/quarantine.rs
+++ b/crates/stair-fleet/src/quarantine.rs
@@ -5,7 +5,7 @@
 //! by themselves, often many at once.
 //!
 //! A [`Ledger`] blames the requests that were on a target when it crashed. A request gets less
-//! blame if it had run for some time or if other targets crashed at the same moment. Blame adds up
+//! blame if it had run for some time without a trial, or if other targets crashed at the same moment. Blame adds up
 //! until the request survives a run.
 //!
 //! At [`SUSPECT_BLAME`] a request becomes a suspect. It then runs on trial, that is on a target
--- a/crates/stair-fleet/src/quarantine/crashes.rs
+++ b/crates/stair-fleet/src/quarantine/crashes.rs
@@ -14,8 +14,8 @@
 /// Blame for a crash.
 const FULL_BLAME: u32 = 2;
 
-/// Blame of a request that had run for some time, or for a crash that may share its cause with
-/// others.
+/// Blame of a request that had run for some time without a trial, or for a crash that may share its
+/// cause with others.
 const REDUCED_BLAME: u32 = 1;
 
 /// Time between crashes of targets up to which they may share a cause.
@@ -180,8 +180,10 @@
     }
 
     fn blame_for(&self, crash: &CrashRecord, run: &Fingerprint) -> u32 {
-        let established = crash.find(run).is_ok_and(|i| crash.runs[i].established);
-        match established || self.coincides(crash, run) {
+        // The other suspects run elsewhere during a trial, however long it lasts.
+        let is_discounted = |r: &Run| r.established && !r.on_trial;
+        let discounted = crash.find(run).is_ok_and(|i| is_discounted(&crash.runs[i]));
+        match discounted || self.coincides(crash, run) {
             true => REDUCED_BLAME,
             false => FULL_BLAME,
         }
