agent: withhold loads that end the engine

Cause: failed loads are delayed (0.5 s, doubled to 5 s) but never given up, and a load that failed and one that took the engine down are the same to the agent.

Change: the agent looks whether the engine crashed when an order to load got no or half a reply. A new version is not affected. Adapters go the same way. The bound is three crashes a holder: agents do not tell each other.

--- a/crates/dandelionstair/tests/promises/quarantine.rs
+++ b/crates/dandelionstair/tests/promises/quarantine.rs
@@ -5,7 +5,10 @@
     Instant, //
 };
 
-use stair_standin::recorder::Run;
+use stair_standin::recorder::{
+    Recorder,
+    Run, //
+};
 use tokio::{
     task::JoinSet,
     time::sleep, //
@@ -94,22 +97,30 @@
     run.marker.starts_with(DEADLY)
 }
 
-/// Ends each engine that begins to run a deadly request, for as long as it is awaited.
-async fn end_engines(world: &World, crashes: Option<Duration>) {
-    let mut seen = world.recorder.runs(is_deadly).len();
+/// Targets of deadly runs, and when they began.
+fn deadly_runs(recorder: &Recorder) -> Vec<(Box<str>, Instant)> {
+    let runs = recorder.runs(is_deadly).into_iter();
+    runs.map(|r| (r.target, r.started)).collect()
+}
+
+/// Ends each engine that begins deadly work, for as long as it is awaited.
+async fn end_engines<F>(world: &World, crashes: Option<Duration>, deadly: F)
+where
+    F: Fn(&Recorder) -> Vec<(Box<str>, Instant)>,
+{
+    let mut seen = deadly(&world.recorder).len();
     let mut changes: Vec<(Instant, usize, Change)> = Vec::new();
     let mut next_crash = crashes.map(|pause| Instant::now() + pause);
     let mut crashed = 0;
     loop {
-        let runs = world.recorder.runs(is_deadly);
-        for run in &runs[seen..] {
-            let n = run.target.trim_start_matches("engine-").parse::<usize>();
-            let engine = n.expect("the engine's number");
+        let begun = deadly(&world.recorder);
+        for (target, started) in &begun[seen..] {
+            let engine = world.agent_of(target);
             if !changes.iter().any(|(_, e, _)| *e == engine) {
-                changes.push((run.started + DEATH_TIME, engine, Change::End));
+                changes.push((*started + DEATH_TIME, engine, Change::End));
             }
         }
-        seen = runs.len();
+        seen = begun.len();
         if let (Some(at), Some(pause)) = (next_crash, crashes)
             && at <= Instant::now()
         {
@@ -210,7 +221,7 @@
         }
     };
     tokio::select! {
-        () = end_engines(world, load.crashes) => {}
+        () = end_engines(world, load.crashes, deadly_runs) => {}
         () = sent => {}
     }
     for n in 0..load.deadly {
@@ -332,7 +343,7 @@
         }
     };
     tokio::select! {
-        () = end_engines(&world, None) => {}
+        () = end_engines(&world, None, deadly_runs) => {}
         () = leaving => {}
     }
     check_runs(&world, 0);
@@ -361,3 +372,38 @@
     }
     check_runs(&world, 0);
 }
+
+// The load of a model ends its engine each time, and callers ask for the model again and again.
+#[tokio::test(flavor = "multi_thread")]
+async fn deadly_load_at_agents() {
+    let world = World::start(Options {
+        engines: 3,
+        models: vec![ModelSpec::new("deadly", 3), ModelSpec::new("m", 3)],
+        ..Options::default()
+    })
+    .await;
+    let callers = callers(&world);
+    let loads = |r: &Recorder| {
+        let loads = r.loads("deadly").into_iter();
+        loads.map(|l| (l.target, l.started)).collect()
+    };
+    let asking = async {
+        let begun = Instant::now();
+        let mut n = 0;
+        while begun.elapsed() < DURATION * 2 {
+            n += 1;
+            let ask = Ask::completion("deadly", &format!("ask-{n}"), 10);
+            let ask = ask.within(Duration::from_secs(2));
+            callers[n % callers.len()].ask(&ask).await;
+            sleep(Duration::from_millis(100)).await;
+        }
+    };
+    tokio::select! {
+        () = end_engines(&world, None, loads) => {}
+        () = asking => {}
+    }
+    let loads = world.recorder.loads("deadly");
+    let known = loads.get(2).expect("three crashes").started + CONTACT_TIME;
+    let late = loads.iter().filter(|l| l.started > known).count();
+    assert!(late <= MAX_RETRIES, "{late} of {}", loads.len());
+}
--- a/crates/stair-agent/src/admit.rs
+++ b/crates/stair-agent/src/admit.rs
@@ -64,7 +64,10 @@
         let checked = match (self.refuses_work(), self.engine_is_down()) {
             (true, _) => Err(draining_refusal()),
             (false, true) => Err(engine_down_refusal()),
-            (false, false) => self.item_of(&offer.work),
+            (false, false) => self.item_of(&offer.work).and_then(|item| {
+                item.as_ref().map_or(Ok(()), |i| self.check_load(i))?;
+                Ok(item)
+            }),
         };
         let item = checked.as_ref().ok().cloned().flatten();
         let unstarted = Unstarted {
--- a/crates/stair-agent/src/control.rs
+++ b/crates/stair-agent/src/control.rs
@@ -52,6 +52,7 @@
     assignment::InForce,
     crash::CrashWatch,
     items::Items,
+    load_quarantine::LoadCrashes,
     memory_pressure::MemoryPressure,
     msg::{
         AgentReport,
@@ -145,6 +146,7 @@
     /// Time of the last use of each item. Sorted by item.
     pub(crate) last_used: Vec<(Item, Duration)>,
     pub(crate) failures: Vec<Failure>,
+    pub(crate) load_crashes: Vec<LoadCrashes>,
     /// Loads in progress, with their start times.
     pub(crate) loading: Vec<(Item, Duration)>,
     pub(crate) keep_alive: KeepAlive,
@@ -246,6 +248,7 @@
             buffered_bytes: 0,
             last_used: Vec::new(),
             failures: Vec::new(),
+            load_crashes: Vec::new(),
             loading: Vec::new(),
             on_demand: Vec::new(),
             keep_alive,
@@ -313,6 +316,7 @@
                 source,
                 took,
             } => self.load_ended(&item, outcome, source, took),
+            Msg::LoadCrashed { item, version } => self.load_crashed(&item, &version),
             Msg::UnloadEnded { item, outcome } => self.unload_ended(&item, outcome),
             Msg::Inventory(inventory) => self.inventory_received(inventory),
             Msg::Tick => {
--- a/crates/stair-agent/src/lib.rs
+++ b/crates/stair-agent/src/lib.rs
@@ -21,6 +21,7 @@
 mod engine;
 mod incarnation;
 mod links;
+mod load_quarantine;
 mod load_slot;
 mod loads;
 mod lock;
--- a/crates/stair-agent/src/loads.rs
+++ b/crates/stair-agent/src/loads.rs
@@ -32,7 +32,7 @@
 };
 
 /// Returns the declared version and memory, in MiB, of an item that may be loaded.
-fn declared<'a>(in_force: &'a InForce, item: &Item) -> Option<(&'a str, u32)> {
+pub(crate) fn declared<'a>(in_force: &'a InForce, item: &Item) -> Option<(&'a str, u32)> {
     let model: &Model = in_force.servable_model(&item.model)?;
     match &item.adapter {
         None => Some((&model.version, model.memory_mib)),
@@ -209,6 +209,9 @@
             return self.try_load(&base(item), rank, deadline);
         }
         let now = self.now();
+        if self.check_load(item).is_err() {
+            return true;
+        }
         let retries_later = |f: &Failure| f.item == *item && f.retry_at > now;
         if self.failures.iter().any(retries_later) {
             return true;
--- a/crates/stair-agent/src/msg.rs
+++ b/crates/stair-agent/src/msg.rs
@@ -94,6 +94,11 @@
         source: Option<Source>,
         took: Duration,
     },
+    /// The engine crashed during a load, which has ended.
+    LoadCrashed {
+        item: Item,
+        version: Box<str>,
+    },
     UnloadEnded {
         item: Item,
         outcome: OrderOutcome,
--- a/crates/stair-agent/src/orders.rs
+++ b/crates/stair-agent/src/orders.rs
@@ -63,18 +63,27 @@
         };
         let entries = self.args.entries.borrow().clone();
         let (me, item, pool) = (self.me.clone(), item.clone(), self.args.pool.clone());
+        let crashes = self.crashes.clone();
         tokio::spawn(async move {
             let slot = load_slot::acquire(&pool, &entries, request).await;
             let began = Instant::now();
+            let crashes_before = crashes.count();
             let (outcome, source) = engine.load(&item, &version, memory_mib).await;
             drop(slot);
             let took = began.elapsed();
             let _ = me.send_message(Msg::LoadEnded {
-                item,
+                item: item.clone(),
                 outcome,
                 source,
                 took,
             });
+            let is_lost = matches!(
+                outcome,
+                OrderOutcome::NoReply | OrderOutcome::Reply(Answer::Lost)
+            );
+            if is_lost && crashes.next_crash(crashes_before).await.is_some() {
+                let _ = me.send_message(Msg::LoadCrashed { item, version });
+            }
         });
     }
 
@@ -119,6 +128,7 @@
         if outcome == OrderOutcome::Reply(Answer::Done) {
             self.items.observe_load(item, took);
             self.failures.retain(|f| f.item != *item);
+            self.load_crashes.retain(|c| c.item != *item);
             self.record_use(Some(item));
             let key = self.items.key(Some(item));
             self.keep_alive.finished(key, self.now());
