sidecar: a failing test of a load that ends its engine

Seen in the code: `Controller::read(None)` drops the order in progress and keeps no count of it, and `restore` requests the lost models again.

--- a/crates/stair-sidecar/tests/controller.rs
+++ b/crates/stair-sidecar/tests/controller.rs
@@ -496,3 +496,41 @@
     assert_eq!(next(&mut ctl, ms(5600)), None);
     assert!(!ctl.has_load_requests(), "no capacity for the rest");
 }
+
+/// A load ends the engine each time, and is requested again and again.
+#[test]
+fn deadly_load_at_sidecars() {
+    const CONTACT_TIME: Duration = Duration::from_secs(3);
+    let mut ctl = controller(&[]);
+    let mut begun = Vec::new();
+    let mut back = Some(ms(0));
+    for step in 1..3000 {
+        let now = ms(10 * step);
+        if step % 50 == 0 {
+            ctl.request_load(id(step), req("a", None), now);
+        }
+        ctl.resolve(true, now);
+        match back {
+            Some(at) if now < at => ctl.read(None, now),
+            Some(_) => {
+                back = None;
+                let started = Some(step);
+                let sequence = begun.len() as u64 + 1;
+                let reading = Reading {
+                    started,
+                    ..reading(sequence, &[])
+                };
+                ctl.read(Some(reading), now)
+            }
+            None => false,
+        };
+        if let Some(order) = next(&mut ctl, now) {
+            ctl.replied(&order, Some(Reply::Accepted), now);
+            begun.push(now);
+            back = Some(now + ms(300));
+        }
+    }
+    let known = begun[2] + CONTACT_TIME;
+    let late = begun.iter().filter(|t| **t > known).count();
+    assert!(late <= 3, "{late} of {}", begun.len());
+}
