docs of the quarantine: name what a pronoun stood for

Two comments read a second time by a newcomer: which requests run beside a trial, and what the limit of runs counts.

--- a/crates/stair-entry/src/traffic/dispatch.rs
+++ b/crates/stair-entry/src/traffic/dispatch.rs
@@ -44,8 +44,8 @@
 /// agent of a replaced VM appears in the view.
 const NO_TARGET_RETRY_MS: u32 = 2_000;
 
-/// Targets that may run one request. Each of them may have ended under it, and the ledgers judge a
-/// crash only after some time.
+/// Limit of targets that may have run one request. The request may crash each of them, and the
+/// ledgers judge a crash only after some time.
 const MAX_RUNS: usize = 2;
 
 /// Runs a request at the first target that accepts it and forwards the response.
--- a/crates/stair-fleet/src/quarantine.rs
+++ b/crates/stair-fleet/src/quarantine.rs
@@ -14,9 +14,9 @@
 //! during its trial, by more than one crash. All crashes that it was on are then attributed to it
 //! alone.
 //!
-//! Beside a trial run requests without blame, and one of them may be the cause. Such a trial is
-//! judged after [`CONTESTED_DELAY`], when the next crashes of that request are known. While targets
-//! without the suspect crash together, one more trial is needed.
+//! Ordinary requests run on the target of a trial too, and one of them may have caused the crash.
+//! Such a trial is judged only after [`CONTESTED_DELAY`], when the later crashes of these requests
+//! are known. While other targets crash together, a second trial is needed.
 //!
 //! # Invariants
 //!
