relay: log and count the limits that targets name

The incident's logs cannot tell whether entries see a limit at all: no line and no metric has it. The header Server-Limit is decoded in the adapter (a decimal number; the lowest of several values; a malformed one is ignored with a line), and each entry logs and counts a limit named, changed, lifted or malformed. Nothing is decided by it yet.

--- a/crates/stair-fleet/src/lib.rs
+++ b/crates/stair-fleet/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`catalogue`]: declared routes, services and models, and the choice of a route.
 //! - [`workspace`]: workspaces, their keys and their quotas.
 //! - [`quota`]: token buckets for the quotas of workspaces.
+//! - [`rate_limit`]: limits that targets name for all entries together.
 //! - [`target`]: what a target announces and what its agent reports.
 //! - [`target_state`]: what an entry knows of one target.
 //! - [`view`]: what an entry knows of all targets.
@@ -41,6 +42,7 @@
 pub mod prefill;
 pub mod quarantine;
 pub mod quota;
+pub mod rate_limit;
 pub mod target;
 pub mod target_state;
 pub mod view;
--- a/crates/stair-fleet/src/target_state.rs
+++ b/crates/stair-fleet/src/target_state.rs
@@ -5,11 +5,14 @@
     time::Duration, //
 };
 
-use crate::target::{
-    Inventory,
-    Report,
-    State,
-    Target, //
+use crate::{
+    rate_limit::Rate,
+    target::{
+        Inventory,
+        Report,
+        State,
+        Target, //
+    },
 };
 
 /// Age below which a report takes precedence over the list: three heartbeats of an agent.
@@ -34,6 +37,15 @@
 /// Weight of the newest sample in the moving averages.
 const SAMPLE_WEIGHT: f64 = 0.2;
 
+/// A limit that a target has named.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct KnownLimit {
+    /// Requests per second of all entries together.
+    pub rate: Rate,
+    /// When it was learnt.
+    pub since: Duration,
+}
+
 /// What an entry knows of one incarnation of a target.
 #[derive(Debug, Clone)]
 pub struct TargetState {
@@ -62,6 +74,8 @@
     /// Moving average of the time to the response's head or first event beyond the expected time,
     /// in milliseconds.
     pub delay_ms: f64,
+    /// The limit that the target has named.
+    pub limit: Option<KnownLimit>,
     /// The inventory of a target that was removed without draining, and the time of its last
     /// report.
     pub(crate) last_inventory: Option<(Inventory, Duration)>,
@@ -93,6 +107,7 @@
             prefill_until: Duration::ZERO,
             failing: 0.0,
             delay_ms: 0.0,
+            limit: None,
         }
     }
 
--- a/crates/stair-relay/src/attempt.rs
+++ b/crates/stair-relay/src/attempt.rs
@@ -24,6 +24,7 @@
     self,
     ResponseKind, //
 };
+use stair_fleet::rate_limit::Rate;
 use tokio::{
     net::TcpStream,
     task::JoinHandle,
@@ -43,6 +44,23 @@
 /// Largest response body that is buffered as a whole, in bytes.
 const MAX_BODY_BYTES: usize = 16 << 20;
 
+/// The outcome of an attempt, and what the response states about its target's limit.
+pub struct Sent {
+    /// The outcome.
+    pub outcome: Outcome,
+    /// The limit of the selected target by the response; `None` if no response of it arrived.
+    pub limit: Option<Result<Option<Rate>, platform_adapter::Error>>,
+}
+
+impl From<Outcome> for Sent {
+    fn from(outcome: Outcome) -> Self {
+        Self {
+            outcome,
+            limit: None,
+        }
+    }
+}
+
 /// The outcome of an attempt.
 pub enum Outcome {
     /// Nothing was sent; the error.
@@ -82,16 +100,11 @@
 }
 
 /// Sends `req`, which has the id `id`, and waits for the head of the response until `until`.
-pub async fn send(
-    addr: SocketAddr,
-    req: Request<Full<Bytes>>,
-    id: &str,
-    until: Instant,
-) -> Outcome {
+pub async fn send(addr: SocketAddr, req: Request<Full<Bytes>>, id: &str, until: Instant) -> Sent {
     let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await {
         Ok(Ok(stream)) => stream,
-        Ok(Err(e)) => return Outcome::NotSent(e.to_string().into()),
-        Err(_) => return Outcome::NotSent("no connection in time".into()),
+        Ok(Err(e)) => return Outcome::NotSent(e.to_string().into()).into(),
+        Err(_) => return Outcome::NotSent("no connection in time".into()).into(),
     };
     // Only a latency option: a small request may wait some milliseconds without it.
     let _ = stream.set_nodelay(true);
@@ -101,18 +114,34 @@
         .await;
     let (mut tx, driver) = match handshake {
         Ok(both) => both,
-        Err(e) => return Outcome::NotSent(e.to_string().into()),
+        Err(e) => return Outcome::NotSent(e.to_string().into()).into(),
     };
     let conn = Conn(tokio::spawn(async move {
         // An error of the connection reaches the request or the body as well.
         let _ = driver.await;
     }));
     match timeout_at(until, tx.try_send_request(req)).await {
-        Err(_) => Outcome::Late,
-        Ok(Ok(resp)) => classify(resp, conn, id),
+        Err(_) => Outcome::Late.into(),
+        Ok(Ok(resp)) => {
+            let limit = response::limit(resp.headers());
+            let outcome = classify(resp, conn, id);
+            // Another target or another incarnation responded.
+            let is_other = matches!(
+                outcome,
+                Outcome::Lost(_)
+                    | Outcome::NotRun {
+                        misdirected: true,
+                        ..
+                    }
+            );
+            Sent {
+                limit: (!is_other).then_some(limit),
+                outcome,
+            }
+        }
         Ok(Err(mut e)) => match e.take_message() {
-            Some(_) => Outcome::NotSent(e.into_error().to_string().into()),
-            None => Outcome::Lost(e.into_error().to_string().into()),
+            Some(_) => Outcome::NotSent(e.into_error().to_string().into()).into(),
+            None => Outcome::Lost(e.into_error().to_string().into()).into(),
         },
     }
 }
--- a/crates/stair-relay/src/relay.rs
+++ b/crates/stair-relay/src/relay.rs
@@ -47,7 +47,7 @@
     crash,
     failures::Failures,
     job::Job,
-    quarantine,
+    limit, quarantine,
     refuse::{
         Reason,
         Refusal, //
@@ -274,11 +274,15 @@
         client_leaves,
     );
     let unanswered = crash::UnansweredRun::new(cx, job, key);
-    let outcome = tokio::select! {
-        outcome = sent => outcome,
-        () = abandoned => attempt::Outcome::Late,
+    let sent = tokio::select! {
+        sent = sent => sent,
+        () = abandoned => attempt::Outcome::Late.into(),
     };
     unanswered.finish();
+    if let Some(stated) = sent.limit {
+        limit::observe(cx, key, stated);
+    }
+    let outcome = sent.outcome;
     record_outcome(cx, job, attempts, selected, &outcome, begun);
     job.set_may_have_run(attempts.ran > 0);
     outcome
