relay, sidecar: one agent counts each limited target for all senders

What callers saw: nothing yet, but an engine in need got 45 requests in 4 s where its limit of 1 a second allows 11, and would have been the next to fail. Cause: nothing acted on the limit, and what a target can take was known to each sender by itself only. The readings of the engine's agent (16 in 4 s) alone broke the rule. Fix: stair-fleet::rate_limit decides; the engine's own agent, or the owner of a plain target, counts. A sender gets a permit for each request, retry, resumed stream and trial; the agent counts its readings and orders on the same limit. Statements are ordered by stamps in permits, not by clocks, so that an older response cannot lift or raise a limit. A request waits at most for its objective, urgent ones first; other replicas and loads elsewhere go first, and a refusal names the time at which the limit allows the request. While no agent replies an entry grants from its share. Evidence: limit_all_entries, unchanged but for its four cases at once, failed before with 45 or 46 in 4 s (allowed 5, 8, 11, 17) and passes; 968 of 968 requests served.

--- a/crates/stair-fleet/src/balance.rs
+++ b/crates/stair-fleet/src/balance.rs
@@ -198,7 +198,7 @@
             targets.push(TargetLoad {
                 key,
                 state,
-                can_load: idle && !opts.excluded.contains(&key),
+                can_load: idle && state.limit.is_none() && !opts.excluded.contains(&key),
                 models: here,
                 prefill_fraction: 0.0,
             });
--- a/crates/stair-fleet/src/choose.rs
+++ b/crates/stair-fleet/src/choose.rs
@@ -113,6 +113,7 @@
     if *s.target.data_centre != *opts.data_centre {
         ms += DISTANCE_MS;
     }
+    ms += s.limit_wait(now).as_secs_f64() * 1000.0;
     let Some(model) = opts.model else {
         // A plain service: the estimate depends on how many slots this entry's own requests use.
         let slots = f64::from(s.target.slots.max(1));
--- a/crates/stair-fleet/src/cold_start.rs
+++ b/crates/stair-fleet/src/cold_start.rs
@@ -224,12 +224,19 @@
     }
 
     /// All placements except at the engines that were tried.
+    /// Engines with a limit are used only if there are no others.
     fn candidates(&self, tried: &[TargetKey]) -> Vec<Outcome> {
-        self.view
+        let mut out: Vec<Outcome> = self
+            .view
             .of(self.service)
             .filter(|(key, s)| s.is_available(self.now) && !tried.contains(key))
             .filter_map(|(key, s)| self.cost_at(key, s))
-            .collect()
+            .collect();
+        let is_limited = |o: &Outcome| self.view.get(o.key).limit.is_some();
+        if !out.iter().all(is_limited) {
+            out.retain(|o| !is_limited(o));
+        }
+        out
     }
 
     /// The cheapest placement. One that needs the weight store counts only if a load from there may
--- a/crates/stair-fleet/src/msg.rs
+++ b/crates/stair-fleet/src/msg.rs
@@ -21,6 +21,7 @@
         ToWatchlist, //
     },
     quota,
+    rate_limit,
     target::{
         Inventory,
         Load, //
@@ -89,6 +90,8 @@
     },
     /// About requests that crash the targets that run them.
     Quarantine(ToLedger),
+    /// About limits that targets name.
+    Limit(rate_limit::ToLedger),
 }
 
 /// The versions that an entry has of replicated data.
@@ -186,6 +189,8 @@
     DeclarationRequest,
     /// About requests that crash the targets that run them.
     Quarantine(ToWatchlist),
+    /// About limits that targets name.
+    Limit(rate_limit::ToSender),
 }
 
 /// What one entry, the receiver, needs to know of the other entries. Their whole list would be too
--- a/crates/stair-fleet/src/rate_limit/rate.rs
+++ b/crates/stair-fleet/src/rate_limit/rate.rs
@@ -25,6 +25,10 @@
     pub fn per_s(self) -> f64 {
         self.0
     }
+
+    pub(super) fn divided_by(self, n: u32) -> Self {
+        Self(self.0 / f64::from(n.max(1)))
+    }
 }
 
 impl TryFrom<f64> for Rate {
--- a/crates/stair-fleet/src/target_state.rs
+++ b/crates/stair-fleet/src/target_state.rs
@@ -6,7 +6,10 @@
 };
 
 use crate::{
-    rate_limit::Rate,
+    rate_limit::{
+        Rate,
+        Source, //
+    },
     target::{
         Inventory,
         Report,
@@ -40,10 +43,16 @@
 /// A limit that a target has named.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct KnownLimit {
-    /// Requests per second of all entries together.
+    /// Requests per second of all entries and agents together.
     pub rate: Rate,
+    /// The epoch of the process that stated it last; `None` if this entry has learnt it by itself.
+    pub epoch: Option<u64>,
+    /// Where it was learnt.
+    pub source: Source,
     /// When it was learnt.
     pub since: Duration,
+    /// When the target may get its next request, by the last reply.
+    pub free_at: Duration,
 }
 
 /// What an entry knows of one incarnation of a target.
@@ -163,6 +172,12 @@
         }
     }
 
+    /// Time until the target may get another request under its limit.
+    pub fn limit_wait(&self, now: Duration) -> Duration {
+        let limit = self.limit.as_ref();
+        limit.map_or(Duration::ZERO, |l| l.free_at.saturating_sub(now))
+    }
+
     /// Whether the model is loaded at the target and is not about to be unloaded.
     pub fn can_run(&self, model: &str, now: Duration) -> bool {
         let report = self.fresh_report(now);
--- a/crates/stair-relay/src/assign.rs
+++ b/crates/stair-relay/src/assign.rs
@@ -31,6 +31,7 @@
     relay::REFUSED_RETRY_AFTER,
     select::{
         self,
+        NoTarget,
         Selected, //
     },
 };
@@ -67,6 +68,15 @@
     }
 }
 
+impl From<NoTarget> for NotAssigned {
+    fn from(e: NoTarget) -> Self {
+        Self {
+            reason: e.reason,
+            retry_after: e.retry_after,
+        }
+    }
+}
+
 /// Assigns the request to a target that is not in `excluded`.
 ///
 /// # Errors
@@ -100,7 +110,7 @@
             return Err(NotAssigned::quarantined(left));
         }
         let selected = select::select(cx, job, excluded, since, until).await;
-        let selected = selected.map_err(|e| NotAssigned::no_target(e.retry_after))?;
+        let selected = selected.map_err(NotAssigned::from)?;
         if let Some(selected) = permit(cx, job, selected, until).await? {
             return Ok(selected);
         }
--- a/crates/stair-relay/src/context.rs
+++ b/crates/stair-relay/src/context.rs
@@ -63,6 +63,7 @@
 use crate::{
     crash::Crashes,
     follow::Follow,
+    limit::Limits,
     owner::Owners,
     quarantine::Quarantine, //
     quota::Quotas,
@@ -115,6 +116,8 @@
     pub peers: Option<(Peers, Duration)>,
     /// Quotas of workspaces.
     pub quotas: Quotas,
+    /// Permits for targets that have named a limit.
+    pub limits: Limits,
     /// The agents that count for all entries, by the name that they own.
     pub owners: Owners,
     /// Runs that were interrupted recently, by target.
@@ -314,6 +317,7 @@
             .all()
             .filter(|(_, s)| s.fresh_report(now).is_some())
             .count();
+        let limited = state.view.all().filter(|(_, s)| s.limit.is_some()).count();
         drop(state);
         let set = |name, n: usize| {
             self.page
@@ -322,6 +326,7 @@
         set("targets_listed", listed);
         set("targets_open", open);
         set("targets_reported", reported);
+        set("targets_limited", limited);
         set("requests_in_flight", self.serving());
     }
 
--- a/crates/stair-relay/src/dump.rs
+++ b/crates/stair-relay/src/dump.rs
@@ -64,6 +64,20 @@
     delay_ms: f64,
     report: Option<Report>,
     report_age_ms: Option<u64>,
+    /// The limit that the target has named.
+    limit: Option<LimitDump>,
+}
+
+/// The limit of one target.
+#[derive(Debug, Clone, Serialize)]
+struct LimitDump {
+    per_s: f64,
+    source: &'static str,
+    age_ms: u64,
+    /// The remaining time until the target may get its next request, by the last reply.
+    free_in_ms: u64,
+    /// The epoch of the process that stated it last.
+    epoch: Option<u64>,
 }
 
 /// The link to one agent.
@@ -158,6 +172,13 @@
         delay_ms: target_state.delay_ms,
         report: report.map(|(r, _)| r.clone()),
         report_age_ms: report.map(|(_, at)| ms(now.saturating_sub(*at))),
+        limit: target_state.limit.map(|l| LimitDump {
+            per_s: l.rate.per_s(),
+            source: l.source.as_str(),
+            age_ms: ms(now.saturating_sub(l.since)),
+            free_in_ms: ms(l.free_at.saturating_sub(now)),
+            epoch: l.epoch,
+        }),
     }
 }
 
--- a/crates/stair-relay/src/lib.rs
+++ b/crates/stair-relay/src/lib.rs
@@ -5,7 +5,7 @@
 //! there on. [`assign`] selects a target where it may run now: [`select`] compares the targets, [`load`] has
 //! the model loaded, [`outage`] waits for an engine that is down, and [`prefill`] reserves a prefill slot.
 //! [`attempt`] sends the request to the target; [`stream`] forwards events and resumes broken streams.
-//! `limit` applies the limits that targets name. [`failures`] counts the failures of targets, `crash` determines which requests ran on a target that ended,
+//! [`limit`] keeps the limits that targets name. [`failures`] counts the failures of targets, `crash` determines which requests ran on a target that ended,
 //! `quarantine` withholds requests that end targets, and [`refuse`] builds the responses that the entry makes
 //! itself.
 //!
@@ -32,7 +32,7 @@
 pub mod failures;
 pub mod follow;
 pub mod job;
-mod limit;
+pub mod limit;
 pub mod links;
 pub mod load;
 pub mod outage;
--- a/crates/stair-relay/src/limit.rs
+++ b/crates/stair-relay/src/limit.rs
@@ -1,52 +1,539 @@
-//! The limits that targets name in their responses.
+//! Keeps the limits that targets name for all entries and agents together.
+//!
+//! One agent counts each limited target: an engine's own agent, or the [`owner`](crate::owner) of a
+//! plain target. While it does not reply, an entry grants permits from its own share of the limit.
+//! [`rate_limit`](stair_fleet::rate_limit) defines the decisions.
+//!
+//! Invariant: nothing is sent to a target whose limit is known here without a permit, and a permit is
+//! used once.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+    },
+    time::Duration, //
+};
 
 use platform_adapter::Error;
 use stair_fleet::{
-    rate_limit::Rate,
-    view::TargetKey, //
+    msg::ToAgent,
+    rate_limit::{
+        Known,
+        Ledger,
+        REPLY_TIMEOUT,
+        Rate,
+        Reply,
+        SKIP_DURATION,
+        Source,
+        Stamp,
+        Statement,
+        ToLedger,
+        ToSender,
+        share, //
+    },
+    target_state::KnownLimit,
+    view::TargetKey,
 };
 use stair_telemetry::event::Line;
+use tokio::{
+    sync::mpsc,
+    time::{
+        Instant,
+        sleep,
+        timeout, //
+    },
+};
+
+use crate::{
+    context::{
+        Context,
+        State, //
+    },
+    job::Job,
+};
+
+/// The state that an entry keeps beside the limits themselves, which are in the view.
+pub struct Limits {
+    /// Counts the entry's own shares.
+    own: Ledger,
+    /// Requests that wait for a reply.
+    pending: Vec<PendingRequest>,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            // Differs from the epochs of all agents.
+            own: Ledger::new(rand::random()),
+            pending: Vec::new(),
+        }
+    }
+}
+
+impl Limits {
+    /// Drops the requests to an agent whose link has ended.
+    pub(crate) fn link_ended(&mut self, engine: SocketAddr) {
+        self.pending.retain(|o| o.engine != engine);
+    }
+}
+
+struct PendingRequest {
+    seq: u64,
+    engine: SocketAddr,
+    tx: mpsc::Sender<Progress>,
+}
+
+/// What an agent has replied so far.
+enum Progress {
+    Queued,
+    Done(Reply),
+}
+
+/// Where a permit was counted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CountedBy {
+    Agent(SocketAddr),
+    /// At this entry, from its own share.
+    Entry,
+}
+
+/// The permit to send one request to a limited target; returned on drop unless it was used.
+pub struct Permit {
+    cx: Arc<Context>,
+    target: Box<str>,
+    by: CountedBy,
+    stamp: Stamp,
+    used: AtomicBool,
+}
+
+impl Permit {
+    /// Records that the request is sent.
+    pub(crate) fn set_used(&self) {
+        self.used.store(true, Ordering::Relaxed);
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        if !self.used.load(Ordering::Relaxed) {
+            let msg = ToLedger::Unused {
+                target: self.target.clone(),
+            };
+            let now = self.cx.now();
+            self.cx.state().send_to_limiter(self.by, msg, now);
+        }
+    }
+}
+
+/// Whether a request may be sent to a target.
+pub(crate) enum Permission {
+    /// It may, with a permit if the target has a limit.
+    Granted(Option<Box<Permit>>),
+    /// The limit does not allow it in time; the time after which it may.
+    Refused(Duration),
+}
 
-use crate::context::Context;
+/// The request to an agent; withdrawn on drop.
+struct Waiting<'a> {
+    cx: &'a Context,
+    engine: SocketAddr,
+    target: &'a str,
+    seq: u64,
+    is_done: bool,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if self.is_done {
+            return;
+        }
+        let mut state = self.cx.state();
+        let (engine, seq) = (self.engine, self.seq);
+        let pending = &mut state.limits.pending;
+        pending.retain(|o| o.engine != engine || o.seq != seq);
+        let msg = ToLedger::Cancel {
+            target: self.target.into(),
+            seq,
+        };
+        let now = self.cx.now();
+        state.send_to_limiter(CountedBy::Agent(engine), msg, now);
+    }
+}
 
-/// Applies what a target's response states about its limit.
-pub(crate) fn observe(cx: &Context, key: TargetKey, stated: Result<Option<Rate>, Error>) {
+/// Requests a permit for one attempt at a target, and waits for it for at most `max_wait`.
+pub(crate) async fn request(
+    cx: &Arc<Context>,
+    job: &Job,
+    key: TargetKey,
+    max_wait: Duration,
+) -> Permission {
+    let begun = Instant::now();
+    let Some((target, known)) = known_limit(cx, key) else {
+        return Permission::Granted(None);
+    };
+    let (reply, by) = match request_from_agent(cx, job, key, &target, known, max_wait).await {
+        Some(both) => both,
+        None => {
+            let reply = request_share(cx, &target, known, max_wait).await;
+            (reply, CountedBy::Entry)
+        }
+    };
+    record_reply(cx, key, &reply, by);
+    let waited = begun.elapsed();
+    let Some(stamp) = reply.granted else {
+        Line::failure("limit.refused")
+            .text("id", &job.meta.id)
+            .text("target", &target)
+            .show("per_s", known.rate)
+            .show("by", format_args!("{by:?}"))
+            .ms("come_back_ms", reply.wait)
+            .ms("took_ms", waited)
+            .write();
+        return Permission::Refused(reply.wait);
+    };
+    Line::new("limit.granted")
+        .text("id", &job.meta.id)
+        .text("target", &target)
+        .show("per_s", known.rate)
+        .show("by", format_args!("{by:?}"))
+        .ms("took_ms", waited)
+        .write();
+    Permission::Granted(Some(Box::new(Permit {
+        cx: cx.clone(),
+        target,
+        by,
+        stamp,
+        used: AtomicBool::new(false),
+    })))
+}
+
+fn known_limit(cx: &Context, key: TargetKey) -> Option<(Box<str>, Known)> {
+    let state = cx.state();
+    let target_state = state.view.get(key);
+    let limit = target_state.limit?;
+    let known = Known {
+        rate: limit.rate,
+        epoch: limit.epoch,
+    };
+    Some((target_state.target.id.clone(), known))
+}
+
+/// Counts the reply, and records when the target may get its next request.
+fn record_reply(cx: &Context, key: TargetKey, reply: &Reply, by: CountedBy) {
     let now = cx.now();
     let mut state = cx.state();
-    let target_state = state.view.get_mut(key);
-    let id = target_state.target.id.clone();
+    if let Some(limit) = &mut state.view.get_mut(key).limit {
+        limit.free_at = now + reply.wait;
+    }
+    drop(state);
+    let by = match by {
+        CountedBy::Agent(_) => "agent",
+        CountedBy::Entry => "entry",
+    };
+    let outcome = if reply.granted.is_some() {
+        "granted"
+    } else {
+        "refused"
+    };
+    let labels = [("by", by), ("outcome", outcome)];
+    cx.page.count("permits_total", &labels, 1);
+}
+
+/// Requests a permit from the agent that counts the target; `None` when it does not reply.
+async fn request_from_agent(
+    cx: &Arc<Context>,
+    job: &Job,
+    key: TargetKey,
+    target: &str,
+    known: Known,
+    max_wait: Duration,
+) -> Option<(Reply, CountedBy)> {
+    let (engine, seq, mut rx) = {
+        let now = cx.now();
+        let mut state = cx.state();
+        let CountedBy::Agent(engine) = state.counted_by(key, now) else {
+            return None;
+        };
+        let seq = state.next_seq();
+        let msg = ToLedger::Request {
+            seq,
+            target: target.into(),
+            rank: job.rank(),
+            max_wait,
+            known,
+        };
+        if !state.send_to_limiter(CountedBy::Agent(engine), msg, now) {
+            return None;
+        }
+        // The request is acknowledged once and then replied to.
+        let (tx, rx) = mpsc::channel(2);
+        state
+            .limits
+            .pending
+            .push(PendingRequest { seq, engine, tx });
+        (engine, seq, rx)
+    };
+    let mut waiting = Waiting {
+        cx,
+        engine,
+        target,
+        seq,
+        is_done: false,
+    };
+    let by = CountedBy::Agent(engine);
+    let mut limit = REPLY_TIMEOUT;
+    loop {
+        match timeout(limit, rx.recv()).await {
+            Ok(Some(Progress::Done(reply))) => {
+                waiting.is_done = true;
+                return Some((reply, by));
+            }
+            Ok(Some(Progress::Queued)) => limit = max_wait + REPLY_TIMEOUT,
+            Ok(None) | Err(_) => break,
+        }
+    }
+    Line::failure("limit.unanswered")
+        .text("id", &job.meta.id)
+        .text("target", target)
+        .show("engine", engine)
+        .write();
+    let until = cx.now() + SKIP_DURATION;
+    cx.state().skip_agent(engine, until);
+    None
+}
+
+/// Grants a permit from this entry's own share of the limit.
+async fn request_share(cx: &Context, target: &str, known: Known, max_wait: Duration) -> Reply {
+    let own_share = share(known.rate, cx.entries());
+    let try_now = || {
+        let now = cx.now();
+        let mut state = cx.state();
+        let limiter = state.limits.own.limiter(target, now);
+        limiter.set_share(own_share, now);
+        limiter.request_now(now)
+    };
+    let reply = try_now();
+    if reply.granted.is_some() || reply.wait > max_wait {
+        return reply;
+    }
+    sleep(reply.wait).await;
+    try_now()
+}
+
+/// Applies what a target's response states about its limit. `permit` is the one for the request.
+pub(crate) fn observe(
+    cx: &Context,
+    key: TargetKey,
+    stated: Result<Option<Rate>, Error>,
+    permit: Option<&Permit>,
+) {
+    let now = cx.now();
+    let mut state = cx.state();
+    let target: Box<str> = state.view.get(key).target.id.clone();
+    let known = state.view.get(key).limit;
     let rate = match stated {
         Ok(rate) => rate,
         Err(e) => {
             drop(state);
             Line::failure("limit.malformed")
-                .text("target", &id)
+                .text("target", &target)
                 .show("error", e)
                 .write();
             cx.page.count("limits_total", &[("change", "malformed")], 1);
             return;
         }
     };
-    let known = target_state.limit;
-    if known.map(|l| l.rate) == rate {
+    if rate.is_none() && (known.is_none() || permit.is_none()) {
+        return;
+    }
+    let statement = Statement {
+        rate,
+        stamp: permit.map(|p| p.stamp),
+        source: Source::Response,
+    };
+    let by = permit.map_or_else(|| state.counted_by(key, now), |p| p.by);
+    let msg = ToLedger::Stated {
+        target: target.clone(),
+        statement,
+    };
+    state.send_to_limiter(by, msg, now);
+    let change = match (rate, known) {
+        // The agent decides whether a limit is lifted or raised, since it knows what has arrived.
+        (Some(rate), None) => Some(Some(rate)),
+        (Some(rate), Some(l)) if rate < l.rate => Some(Some(rate)),
+        (_, Some(_)) if by == CountedBy::Entry => {
+            let lifted = state.limits.own.limiter(&target, now).rate().is_none();
+            (lifted || rate.is_some_and(|r| known.is_some_and(|l| r != l.rate))).then_some(rate)
+        }
+        _ => None,
+    };
+    drop(state);
+    if let Some(rate) = change {
+        apply(cx, key, rate, None, Source::Response);
+    }
+}
+
+/// Sets a target's limit as this entry knows it, and logs the change.
+fn apply(cx: &Context, key: TargetKey, rate: Option<Rate>, epoch: Option<u64>, source: Source) {
+    let now = cx.now();
+    let mut state = cx.state();
+    let target_state = state.view.get_mut(key);
+    let target = target_state.target.id.clone();
+    let before = target_state.limit;
+    if before.map(|l| l.rate) == rate {
+        if let Some(limit) = &mut target_state.limit {
+            limit.epoch = epoch.or(limit.epoch);
+        }
         return;
     }
-    target_state.limit =
-        rate.map(|rate| stair_fleet::target_state::KnownLimit { rate, since: now });
+    target_state.limit = rate.map(|rate| KnownLimit {
+        rate,
+        epoch,
+        source,
+        since: now,
+        free_at: before.map_or(Duration::ZERO, |l| l.free_at),
+    });
     drop(state);
-    let change = match (known, rate) {
+    let change = match (before, rate) {
         (None, _) => "named",
         (Some(_), Some(_)) => "changed",
         (Some(_), None) => "lifted",
     };
-    let age = known.map_or_else(Default::default, |l| now.saturating_sub(l.since));
-    let text = rate.map_or_else(|| "none".to_owned(), |r| r.to_string());
+    let age = before.map_or(Duration::ZERO, |l| now.saturating_sub(l.since));
+    let text = rate.map(|r| r.to_string());
     Line::failure("limit")
-        .text("target", &id)
+        .text("target", &target)
         .text("change", change)
-        .text("per_s", &text)
-        .text("source", "response")
+        .text("per_s", text.as_deref().unwrap_or("none"))
+        .text("source", source.as_str())
         .ms("age_ms", age)
         .write();
     cx.page.count("limits_total", &[("change", change)], 1);
 }
+
+/// Handles a message of an agent.
+pub(crate) fn receive(cx: &Context, engine: SocketAddr, msg: ToSender) {
+    match msg {
+        ToSender::Queued { seq, .. } => {
+            let state = cx.state();
+            let pending = &state.limits.pending;
+            let found = pending.iter().find(|o| o.engine == engine && o.seq == seq);
+            // The channel has capacity for both messages of a request.
+            found.map(|o| o.tx.try_send(Progress::Queued));
+        }
+        ToSender::Reply { seq, reply } => receive_reply(cx, engine, seq, reply),
+        ToSender::All { epoch, limits } => receive_all(cx, engine, epoch, &limits),
+        ToSender::Changed {
+            epoch,
+            target,
+            rate,
+        } => {
+            let key = counted_at(cx, engine)
+                .into_iter()
+                .find(|(_, id, _)| *id == target);
+            if let Some((key, _, _)) = key {
+                apply(cx, key, rate, Some(epoch), Source::Process);
+            }
+        }
+    }
+}
+
+fn receive_reply(cx: &Context, engine: SocketAddr, seq: u64, reply: Reply) {
+    let mut state = cx.state();
+    let pending = &mut state.limits.pending;
+    let found = pending
+        .iter()
+        .position(|o| o.engine == engine && o.seq == seq);
+    // A request that has been dropped has withdrawn itself. If the grant and the withdrawal cross,
+    // the permit is lost, and the target gets one request less.
+    if let Some(i) = found {
+        let _ = pending.swap_remove(i).tx.try_send(Progress::Done(reply));
+    }
+}
+
+/// Applies the limits that an agent knows when its link begins, and tells it those that it does not
+/// know.
+fn receive_all(cx: &Context, engine: SocketAddr, epoch: u64, limits: &[(Box<str>, Rate)]) {
+    let mut unknown = Vec::new();
+    for (key, target, known) in counted_at(cx, engine) {
+        let at = limits.binary_search_by(|(t, _)| (**t).cmp(&*target));
+        match (at, known) {
+            (Ok(i), _) => apply(cx, key, Some(limits[i].1), Some(epoch), Source::Process),
+            (Err(_), Some(l)) if l.epoch == Some(epoch) => {
+                apply(cx, key, None, Some(epoch), Source::Process);
+            }
+            (Err(_), Some(l)) => {
+                let known = Known {
+                    rate: l.rate,
+                    epoch: l.epoch,
+                };
+                unknown.push((target, known));
+            }
+            (Err(_), None) => {}
+        }
+    }
+    if !unknown.is_empty() {
+        let now = cx.now();
+        let msg = ToLedger::Known(unknown);
+        cx.state()
+            .send_to_limiter(CountedBy::Agent(engine), msg, now);
+    }
+}
+
+/// The targets that the agent of an engine counts, with their ids and limits.
+fn counted_at(cx: &Context, engine: SocketAddr) -> Vec<(TargetKey, Box<str>, Option<KnownLimit>)> {
+    let now = cx.now();
+    let mut state = cx.state();
+    let all: Vec<_> = state
+        .view
+        .all()
+        .map(|(key, s)| (key, s.target.id.clone(), s.limit))
+        .collect();
+    let by = CountedBy::Agent(engine);
+    all.into_iter()
+        .filter(|(key, _, _)| state.counted_by(*key, now) == by)
+        .collect()
+}
+
+impl State {
+    /// Who counts a target: its own agent if it is an engine, else the owner of its id. An agent that
+    /// does not reply is replaced by the entry itself.
+    fn counted_by(&mut self, key: TargetKey, now: Duration) -> CountedBy {
+        let target = &self.view.get(key).target;
+        let (addr, id) = (target.addr, target.id.clone());
+        if let Some(i) = self.agent(addr) {
+            let link = &self.agents[i];
+            return match link.linked && link.skipped_until <= now {
+                true => CountedBy::Agent(addr),
+                false => CountedBy::Entry,
+            };
+        }
+        match self.owner(&id, now) {
+            Some(owner) if !owner.stand_in => CountedBy::Agent(owner.engine),
+            _ => CountedBy::Entry,
+        }
+    }
+
+    /// Sends a message to the process that counts. Returns whether it was sent.
+    fn send_to_limiter(&mut self, to: CountedBy, msg: ToLedger, now: Duration) -> bool {
+        match to {
+            CountedBy::Entry => {
+                // Its own requests are not queued, so no reply follows.
+                self.limits.own.receive(0, msg, now);
+                true
+            }
+            CountedBy::Agent(engine) => match self.agent(engine) {
+                Some(i) => {
+                    let tx = &self.agents[i].tx;
+                    tx.try_send(ToAgent::Limit(msg)).is_ok()
+                }
+                None => false,
+            },
+        }
+    }
+}
--- a/crates/stair-relay/src/links.rs
+++ b/crates/stair-relay/src/links.rs
@@ -43,7 +43,9 @@
         AgentLink,
         Context, //
     },
-    quarantine, quota,
+    limit,
+    quarantine,
+    quota, //
 };
 
 /// Limit for opening a link.
@@ -210,6 +212,7 @@
     state.owners.clear();
     state.quotas.link_ended(engine);
     state.quarantine.link_ended(engine);
+    state.limits.link_ended(engine);
     state.view.drop_report_at(engine);
 }
 
@@ -284,6 +287,7 @@
             ToEntry::StaleIncarnation(id) => receive_stale_incarnation(cx, engine, id),
             ToEntry::DeclarationRequest => declare(cx, engine),
             ToEntry::Quarantine(msg) => quarantine::receive(cx, engine, msg),
+            ToEntry::Limit(msg) => limit::receive(cx, engine, msg),
             ToEntry::Peers(peers) => {
                 let mut state = cx.state();
                 if let Some(i) = state.agent(engine) {
--- a/crates/stair-relay/src/refuse.rs
+++ b/crates/stair-relay/src/refuse.rs
@@ -55,6 +55,8 @@
     TooSlow,
     /// No target can run it before its deadline.
     NoTarget,
+    /// The limits of the targets that can run it do not allow it in time.
+    TargetLimit,
     /// All targets that were tried refused the request.
     Refused,
     /// The target did not respond before the deadline.
@@ -80,6 +82,7 @@
             Self::TooLarge => "too-large",
             Self::TooSlow => "too-slow",
             Self::NoTarget => "no-target",
+            Self::TargetLimit => "target-limit",
             Self::Refused => "refused",
             Self::Late => "late",
             Self::Lost => "lost",
@@ -99,6 +102,7 @@
             | Self::Lagging
             | Self::Quarantined
             | Self::NoTarget
+            | Self::TargetLimit
             | Self::Refused => StatusCode::SERVICE_UNAVAILABLE,
             Self::Late if verdict == Verdict::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::Late => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/stair-relay/src/relay.rs
+++ b/crates/stair-relay/src/relay.rs
@@ -259,6 +259,9 @@
 ) -> attempt::Outcome {
     let begun = Instant::now();
     job.set_may_have_run(true);
+    if let Some(permit) = &selected.permit {
+        permit.set_used();
+    }
     let req = job.request(&selected.id, after_event);
     let until = attempt_deadline(job, attempts);
     let sent = attempt::send(selected.addr, req, &job.meta.id, until);
@@ -280,7 +283,7 @@
     };
     unanswered.finish();
     if let Some(stated) = sent.limit {
-        limit::observe(cx, key, stated);
+        limit::observe(cx, key, stated, selected.permit.as_deref());
     }
     let outcome = sent.outcome;
     record_outcome(cx, job, attempts, selected, &outcome, begun);
@@ -370,6 +373,8 @@
                 None => target_state.record_attempt(false),
             }
         }
+        // A target at its limit is not a failing one.
+        Outcome::NotRun { .. } if target_state.limit.is_some() => {}
         Outcome::NotRun { .. } => target_state.record_attempt(false),
         Outcome::Lost(_) | Outcome::Late => {
             attempts.ran += 1;
--- a/crates/stair-relay/src/select.rs
+++ b/crates/stair-relay/src/select.rs
@@ -33,6 +33,11 @@
         InFlight, //
     },
     job::Job,
+    limit::{
+        self,
+        Permission,
+        Permit, //
+    },
     load::{
         Loaded,
         load,
@@ -47,6 +52,7 @@
         Reservation,
         reserve, //
     },
+    refuse::Reason,
 };
 
 /// Limit for an agent to load an adapter, which may have to wait for free memory.
@@ -58,6 +64,9 @@
 /// Time reserved for the run itself while a request waits for a load or a prefill slot.
 pub(crate) const RUN_DURATION: Duration = Duration::from_millis(400);
 
+/// A request waits at a target that it tries first for the longest useful wait for a permit, divided by this.
+const FIRST_PERMIT_DIVISOR: u32 = 8;
+
 /// Retry-After when it is unknown when a target will be free.
 pub(crate) const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(700);
 
@@ -90,12 +99,16 @@
     pub wait_ms: f64,
     /// Estimated time until the target has finished the prefill; 0 if unknown.
     pub reads: Duration,
+    /// The permit to send the request, if the target has a limit.
+    pub permit: Option<Box<Permit>>,
     /// Time of the selection, right before the request is sent.
     pub selected_at: Instant,
 }
 
 /// No target can run the request in time.
 pub struct NoTarget {
+    /// The reason for the refusal.
+    pub reason: Reason,
     /// The delay after which a retry may succeed.
     pub retry_after: Duration,
 }
@@ -134,6 +147,10 @@
                 prepare(cx, job, at, &mut search).await
             }
             (Decision::Refuse, Some(at)) => {
+                let limit_wait = cx.state().view.get(at.key).limit_wait(cx.now());
+                if limit_wait > left {
+                    return Err(NoTarget::limited(limit_wait));
+                }
                 let retry_after = Duration::from_secs_f64(at.wait_ms / 1000.0).saturating_sub(left);
                 return Err(NoTarget::after(retry_after));
             }
@@ -148,6 +165,15 @@
                 }
                 None => return Err(NoTarget::after(wait)),
             },
+            Step::LimitTooLow(wait) => {
+                let placement = placement.or_else(|| replica_placement(cx, job, &excluded));
+                match placement.filter(|p| p.ready_in < left) {
+                    Some(placement) => {
+                        Some(load_at(cx, job, &placement, &excluded, outage_until, until).await)
+                    }
+                    None => return Err(NoTarget::limited(wait)),
+                }
+            }
             Step::Load => match job.model_of_engine() {
                 Some((model, engine)) => {
                     Some(load(cx, job, model, engine, &excluded, outage_until, until).await)
@@ -166,7 +192,10 @@
             Some(Loaded::TooLate(retry_after)) => {
                 if !outage::wait_for_return(cx, job, tried, outage_until).await {
                     count_unserved(cx, job);
-                    return Err(NoTarget { retry_after });
+                    return Err(NoTarget {
+                        reason: Reason::NoTarget,
+                        retry_after,
+                    });
                 }
             }
             Some(Loaded::NoCapacity) => {
@@ -197,13 +226,18 @@
     let Some(at) = find_ready(cx, job, tried, true) else {
         return Err(NoTarget::after(Duration::ZERO));
     };
+    let max_wait = limit_wait(job, &search.reservation);
+    let permit = match limit::request(cx, job, at.key, max_wait).await {
+        Permission::Granted(permit) => permit,
+        Permission::Refused(wait) => return Err(NoTarget::limited(wait)),
+    };
     let opts = prefill::Options {
         full: MAX_FULL,
         ..search.reservation
     };
     match reserve(cx, job, at.key, &opts).await {
         Reservation::Granted(prompt) => {
-            dispatch(cx, job, at, prompt, true).ok_or(NoTarget::after(Duration::ZERO))
+            dispatch(cx, job, at, prompt, permit, true).ok_or(NoTarget::after(Duration::ZERO))
         }
         Reservation::Retry => Err(NoTarget::after(Duration::ZERO)),
         Reservation::Full(wait) => Err(NoTarget::after(wait)),
@@ -213,15 +247,36 @@
 impl NoTarget {
     fn after(retry_after: Duration) -> Self {
         Self {
+            reason: Reason::NoTarget,
             retry_after: retry_after.max(DEFAULT_RETRY_AFTER),
         }
     }
+
+    fn limited(retry_after: Duration) -> Self {
+        Self {
+            reason: Reason::TargetLimit,
+            retry_after,
+        }
+    }
+}
+
+/// The longest wait for a permit with which the response is on time.
+fn limit_wait(job: &Job, opts: &prefill::Options) -> Duration {
+    let end = opts.until.min(opts.since + job.route.objective);
+    let run = match job.model_of_engine() {
+        Some(_) => RUN_DURATION,
+        None => Duration::ZERO,
+    };
+    end.saturating_duration_since(Instant::now())
+        .saturating_sub(run)
 }
 
 /// The state of the search for a target.
 struct Search {
     /// Engines that refused to load the model or the adapter.
     refused: Vec<TargetKey>,
+    /// Targets whose limits did not allow the request at once.
+    limited: Vec<TargetKey>,
     /// The options of the next request for a prefill slot.
     reservation: prefill::Options,
     /// Whether another replica was requested.
@@ -232,6 +287,7 @@
     fn new(since: Instant, until: Instant) -> Self {
         Self {
             refused: Vec::new(),
+            limited: Vec::new(),
             reservation: prefill::Options {
                 since,
                 until,
@@ -249,12 +305,43 @@
     Retry,
     /// No engine has a prefill slot in time; the wait at the last one tried.
     SlotTooLate(Duration),
+    /// The limits of the best targets do not allow the request in time; the wait at the last one.
+    LimitTooLow(Duration),
     /// No target can run the request now, so the model has to be loaded.
     Load,
 }
 
-/// Has the adapter loaded and a prefill slot reserved at a target, if its agent can be reached.
+/// Requests a permit for a target. Other targets go first: the request waits only for one that is the
+/// best although its limit did not allow the request at once.
+async fn request_permit(
+    cx: &Arc<Context>,
+    job: &Job,
+    key: TargetKey,
+    search: &mut Search,
+) -> Result<Option<Box<Permit>>, Step> {
+    let is_first = !search.limited.contains(&key);
+    let max_wait = limit_wait(job, &search.reservation);
+    let max_wait = match is_first {
+        true => max_wait / FIRST_PERMIT_DIVISOR,
+        false => max_wait,
+    };
+    match limit::request(cx, job, key, max_wait).await {
+        Permission::Granted(permit) => Ok(permit),
+        Permission::Refused(_) if is_first => {
+            search.limited.push(key);
+            Err(Step::Retry)
+        }
+        Permission::Refused(wait) => Err(Step::LimitTooLow(wait)),
+    }
+}
+
+/// Has a permit granted, the adapter loaded and a prefill slot reserved at a target, if its agent can be
+/// reached.
 async fn prepare(cx: &Arc<Context>, job: &Job, at: choose::Outcome, search: &mut Search) -> Step {
+    let permit = match request_permit(cx, job, at.key, search).await {
+        Ok(permit) => permit,
+        Err(step) => return step,
+    };
     if !ensure_adapter(cx, job, at.key, search.reservation.until).await {
         search.refused.push(at.key);
         if search.refused.len() <= MAX_REFUSED {
@@ -265,7 +352,7 @@
     search.reservation.first = false;
     match reserve(cx, job, at.key, &opts).await {
         Reservation::Granted(prompt) => {
-            dispatch(cx, job, at, prompt, false).map_or(Step::Retry, Step::Selected)
+            dispatch(cx, job, at, prompt, permit, false).map_or(Step::Retry, Step::Selected)
         }
         Reservation::Retry => Step::Retry,
         Reservation::Full(wait) if opts.full >= MAX_FULL => Step::SlotTooLate(wait),
@@ -335,6 +422,7 @@
     job: &Job,
     at: choose::Outcome,
     prompt: PromptEstimate,
+    permit: Option<Box<Permit>>,
     suspects: bool,
 ) -> Option<Selected> {
     let (addr, id, age) = {
@@ -374,6 +462,7 @@
         id,
         wait_ms: at.wait_ms,
         reads: prompt.reads,
+        permit,
         selected_at: Instant::now(),
     })
 }
--- a/crates/stair-sidecar/src/engine.rs
+++ b/crates/stair-sidecar/src/engine.rs
@@ -5,6 +5,7 @@
     time::Duration, //
 };
 
+use hyper::HeaderMap;
 use platform_adapter::{
     engine::{
         Order,
@@ -17,6 +18,7 @@
     },
     response,
 };
+use stair_fleet::rate_limit::Rate;
 use stair_http::client::{
     self,
     Client, //
@@ -45,6 +47,23 @@
     Status(u16),
 }
 
+/// What the head of a response states beside its status.
+pub struct Stated {
+    /// The engine's present incarnation.
+    pub incarnation: Option<Box<str>>,
+    /// The engine's limit.
+    pub limit: Result<Option<Rate>, platform_adapter::Error>,
+}
+
+impl Stated {
+    fn of(headers: &HeaderMap) -> Self {
+        Self {
+            incarnation: response::instance(headers).map(Into::into),
+            limit: response::limit(headers),
+        }
+    }
+}
+
 /// The engine beside this agent.
 pub struct Engine {
     client: Client,
@@ -63,20 +82,20 @@
         }
     }
 
-    /// Reads the engine's state, and its present incarnation where the response states it.
+    /// Reads the engine's state.
     ///
     /// # Errors
     ///
     /// See [`Error`].
-    pub async fn read(&self) -> Result<(Reading, Option<Box<str>>), Error> {
+    pub async fn read(&self) -> Result<(Reading, Stated), Error> {
         let response = self.client.send(reading_call(), READ_TIMEOUT).await?;
         let status = response.head.status;
-        let incarnation = response::instance(&response.head.headers).map(Into::into);
+        let stated = Stated::of(&response.head.headers);
         let body = response.collect(MAX_RESPONSE_BYTES, READ_TIMEOUT).await?;
         if !status.is_success() {
             return Err(Error::Status(status.as_u16()));
         }
-        Ok((reading(&body)?, incarnation))
+        Ok((reading(&body)?, stated))
     }
 
     /// Sends an order. Where the order was meant for another incarnation, the response states the present
@@ -85,11 +104,11 @@
     /// # Errors
     ///
     /// See [`Error`]; the order may nevertheless have been accepted, or be carried out later.
-    pub async fn order(&self, order: &Order) -> Result<(Reply, Option<Box<str>>), Error> {
+    pub async fn order(&self, order: &Order) -> Result<(Reply, Stated), Error> {
         let response = self.client.send(order_call(order)?, ORDER_TIMEOUT).await?;
         let status = response.head.status;
-        let incarnation = response::instance(&response.head.headers).map(Into::into);
+        let stated = Stated::of(&response.head.headers);
         response.collect(MAX_RESPONSE_BYTES, ORDER_TIMEOUT).await?;
-        Ok((reply(status), incarnation))
+        Ok((reply(status), stated))
     }
 }
--- a/crates/stair-sidecar/src/lib.rs
+++ b/crates/stair-sidecar/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`engine`]: readings of the engine and orders to it.
 //! - [`fence`]: raises the fencing token in the store.
 //! - [`links`]: the connections of entries.
+//! - [`limits`]: counts the limits that targets name, for all entries.
 //! - [`quotas`]: counts the quotas of workspaces for all entries.
 //! - [`quarantine`]: the ledger of requests that crash targets, for all entries.
 #![deny(missing_docs)]
@@ -17,6 +18,7 @@
 pub mod controller;
 pub mod engine;
 pub mod fence;
+pub mod limits;
 pub mod links;
 pub mod process;
 pub mod quarantine;
--- a/crates/stair-sidecar/src/links.rs
+++ b/crates/stair-sidecar/src/links.rs
@@ -3,7 +3,7 @@
 //! Connections are not encrypted: VMs have neither disk nor keys, and a message can at most make the
 //! engine load or unload models. docs/design/on-platform.md compares the alternatives.
 //!
-//! Requests about quotas and quarantine are handled here, so that they do not wait for the engine.
+//! Requests about quotas, limits and quarantine are handled here, so that they do not wait for the engine.
 
 use std::{
     sync::Arc,
@@ -31,6 +31,7 @@
 };
 
 use crate::{
+    limits::Limits,
     process::dump::Dump,
     quarantine::Quarantine,
     quotas::Quotas,
@@ -66,6 +67,8 @@
     pub quotas: Arc<Quotas>,
     /// Requests that crash their targets.
     pub quarantine: Arc<Quarantine>,
+    /// Limits that targets name.
+    pub limits: Arc<Limits>,
 }
 
 /// Accepts links until the receiver of events is closed.
@@ -93,11 +96,13 @@
         return;
     }
     ledgers.quarantine.opened(key, tx.clone());
+    ledgers.limits.opened(key, tx.clone());
     tokio::select! {
         () = read(r, key, &events, &ledgers, &tx) => {}
         () = write(w, rx) => {}
     }
     ledgers.quarantine.closed(key);
+    ledgers.limits.closed(key);
     // Fails only when the main loop has ended, and the state of this link with it.
     let _ = events.send(Event::Closed(key)).await;
 }
@@ -125,6 +130,10 @@
                 ledgers.quarantine.receive(key, msg, tx);
                 continue;
             }
+            ToAgent::Limit(msg) => {
+                ledgers.limits.receive(key, msg);
+                continue;
+            }
             msg => msg,
         };
         if events.send(Event::Message(key, msg)).await.is_err() {
--- a/crates/stair-sidecar/src/process.rs
+++ b/crates/stair-sidecar/src/process.rs
@@ -28,6 +28,7 @@
         ToEntry, //
     },
     prefill::Schedule,
+    rate_limit::Stamp,
     target::{
         Inventory,
         Load, //
@@ -61,6 +62,10 @@
     },
     engine::Engine,
     fence,
+    limits::{
+        Limits,
+        OwnCall, //
+    },
     links::{
         self,
         Event,
@@ -141,7 +146,10 @@
         let ledgers = Ledgers {
             quotas: Arc::new(Quotas::new(page.clone())),
             quarantine: Arc::new(Quarantine::new(page.clone())),
+            limits: Arc::new(Limits::new(page.clone())),
         };
+        let limits = ledgers.limits.clone();
+        tasks.spawn(async move { limits.run().await });
         tasks.spawn(links::accept(self.inner, tx, ledgers.clone()));
         let (fence_tx, fence_rx) = mpsc::channel(1);
         Line::new("agent.started")
@@ -296,10 +304,31 @@
         }
     }
 
-    /// Reads the engine and passes the result to the controller.
+    /// Whether an order may be sent under the engine's limit, or is in progress.
+    fn may_order(&self) -> bool {
+        let id = self.incarnation.as_ref().map(|(id, _)| &**id);
+        self.controller.busy() || self.ledgers.limits.has_order_permit(id.unwrap_or_default())
+    }
+
+    /// Requests permission for a call to the engine, whose limit covers the agent's calls too.
+    fn permit(&self, call: OwnCall) -> Option<(Box<str>, Stamp)> {
+        let id = self.incarnation.as_ref().map(|(id, _)| id.clone());
+        let id = id.unwrap_or_default();
+        let stamp = self.ledgers.limits.may_call(&id, call)?;
+        Some((id, stamp))
+    }
+
+    /// Reads the engine and passes the result to the controller. Between the readings that the
+    /// engine's limit permits the last one stays in force.
     async fn read(&mut self) {
+        let busy = self.controller.busy();
+        let Some((id, stamp)) = self.permit(OwnCall::Read { busy }) else {
+            return;
+        };
         match self.engine.read().await {
-            Ok((reading, incarnation)) => {
+            Ok((reading, stated)) => {
+                self.ledgers.limits.state(&id, stated.limit, stamp);
+                let incarnation = stated.incarnation;
                 if self.failed_reads >= MAX_FAILED_READS {
                     Line::failure("engine.regained").write();
                 }
@@ -330,7 +359,7 @@
     /// Sends orders until none is due, and the outcomes of load requests that are known.
     async fn execute_orders(&mut self) {
         loop {
-            let control = self.fence.is_some() && self.incarnation.is_some();
+            let control = self.fence.is_some() && self.incarnation.is_some() && self.may_order();
             let resolved = self.controller.resolve(control, self.now());
             self.send_outcomes(resolved);
             if !control || !self.controller.has_load_requests() {
@@ -351,6 +380,9 @@
         let (Some(fence), Some((instance, _))) = (self.fence, self.incarnation.clone()) else {
             return false;
         };
+        let Some((id, stamp)) = self.permit(OwnCall::Order) else {
+            return false;
+        };
         let order = Order {
             load: planned.load,
             model: planned.model.clone(),
@@ -361,7 +393,10 @@
             fence,
         };
         let (reply, incarnation) = match self.engine.order(&order).await {
-            Ok((reply, incarnation)) => (Ok(reply), incarnation),
+            Ok((reply, stated)) => {
+                self.ledgers.limits.state(&id, stated.limit, stamp);
+                (Ok(reply), stated.incarnation)
+            }
             Err(e) => (Err(e), None),
         };
         if let Some(id) = incarnation {
--- a/crates/stair-sidecar/src/process/dump.rs
+++ b/crates/stair-sidecar/src/process/dump.rs
@@ -8,6 +8,7 @@
     prefill::Rate,
     quarantine,
     quota::Ledger,
+    rate_limit,
     target::{
         Inventory,
         Load, //
@@ -45,6 +46,8 @@
     /// State of the quotas that are counted by this agent.
     #[serde(rename = "allowances")]
     quotas: Ledger,
+    /// The limits of the targets that this agent counts.
+    limits: rate_limit::Ledger,
     /// Requests that are suspected of crashing targets.
     quarantine: Vec<quarantine::Record>,
     /// The replication state of each connected entry, null before its first message.
@@ -68,6 +71,7 @@
             rates: self.prefills.rates().to_vec(),
             load_requests: self.controller.load_requests(),
             quotas: self.ledgers.quotas.ledger(),
+            limits: self.ledgers.limits.ledger(),
             quarantine: self.ledgers.quarantine.ledger().records().to_vec(),
             entries: self.links.iter().map(|l| l.known.clone()).collect(),
         }
--- a/crates/stair-sidecar/src/process/receive.rs
+++ b/crates/stair-sidecar/src/process/receive.rs
@@ -110,8 +110,10 @@
             ToAgent::Used(list) => self.controller.record_use(key, &list, now),
             ToAgent::PrefillTimes(list) => list.iter().for_each(|r| self.prefills.record(r)),
             // Handled by the link.
-            ToAgent::QuotaRequest { .. } | ToAgent::QuotaRefund { .. } | ToAgent::Quarantine(_) => {
-            }
+            ToAgent::QuotaRequest { .. }
+            | ToAgent::QuotaRefund { .. }
+            | ToAgent::Quarantine(_)
+            | ToAgent::Limit(_) => {}
         }
     }
 
