--- a/crates/stair-fleet/src/balance.rs
+++ b/crates/stair-fleet/src/balance.rs
@@ -183,8 +183,11 @@
             let mut here: Vec<usize> = names.filter_map(|n| index(n)).collect();
             here.sort_unstable();
             here.dedup();
-            for m in &here {
-                models[*m].targets.push(targets.len());
+            // A replica on a limited engine takes no share of the demand.
+            if state.limit.is_none() {
+                for m in &here {
+                    models[*m].targets.push(targets.len());
+                }
             }
             for usage in report.iter().flat_map(|r| &r.load.usage) {
                 if let Some(m) = index(&usage.model) {
--- a/crates/stair-fleet/src/cold_start.rs
+++ b/crates/stair-fleet/src/cold_start.rs
@@ -207,6 +207,10 @@
             self.demands[i].per_s += f64::from(usage.map_or(0.0, |u| u.per_s));
             self.demands[i].prefill_fraction +=
                 f64::from(usage.map_or(0.0, |u| u.prefill_fraction));
+            // A replica on a limited engine cannot take the requests of another one.
+            if s.limit.is_some() {
+                continue;
+            }
             self.demands[i].replicas += 1;
             let tie_break_hash = tie_break_hash(s, model);
             if self.demands[i]
--- a/crates/stair-fleet/src/prefetch.rs
+++ b/crates/stair-fleet/src/prefetch.rs
@@ -176,7 +176,8 @@
         }
         let mut demands = self.demands();
         demands.sort_by(|a, b| b.1.total_cmp(&a.1));
-        let mut missing = demands.iter().filter(|(model, _)| self.is_missing(model));
+        let is_short = |model: &str| self.is_missing(model) || self.has_only_limited(model);
+        let mut missing = demands.iter().filter(|(model, _)| is_short(model));
         missing.find_map(|(model, _)| self.place(model))
     }
 
@@ -204,6 +205,12 @@
         self.copies(model) == 0 && !self.view.may_return(self.service, model, within, self.now)
     }
 
+    /// Whether only engines with a limit have the model or are loading it.
+    fn has_only_limited(&self, model: &str) -> bool {
+        let mut all = self.view.of(self.service);
+        !all.any(|(key, s)| s.limit.is_none() && self.has_or_loads(key, s, model))
+    }
+
     /// A missing model.
     fn missing(&self) -> Option<Outcome> {
         if self.store_loads() >= MAX_RARE_PREFETCHES || self.has_missing_reports() {
--- a/crates/stair-fleet/src/rate_limit.rs
+++ b/crates/stair-fleet/src/rate_limit.rs
@@ -217,9 +217,10 @@
 pub struct Reply {
     /// The permit's stamp; `None` if the request was refused.
     pub granted: Option<Stamp>,
-    /// After a grant, the time until one more request could be sent; after a refusal, the time until
-    /// its client may return.
-    pub wait: Duration,
+    /// Time until one more request could be sent if it was the most urgent one.
+    pub next: Duration,
+    /// Time after which the limit allows a refused request; zero after a grant.
+    pub retry_after: Duration,
 }
 
 /// One entry's share of a limit, for the time in which no process that counts the target replies.
--- a/crates/stair-fleet/src/rate_limit/limiter.rs
+++ b/crates/stair-fleet/src/rate_limit/limiter.rs
@@ -31,6 +31,9 @@
 /// Fraction of the limit that an agent's own calls may take during an order.
 const BUSY_CALLS_FRACTION: f64 = 0.5;
 
+/// While requests wait, the agent's own calls are this many times as rare.
+const OVERDUE_FACTOR: u32 = 3;
+
 /// Bound on waits, beyond all deadlines.
 const MAX_WAIT: Duration = Duration::from_secs(3600);
 
@@ -55,6 +58,9 @@
     /// When the agent last called the target by itself.
     #[serde(skip)]
     called_at: Option<Duration>,
+    /// Whether a permit is ready for the agent's own call.
+    #[serde(skip)]
+    call_granted: bool,
     /// Ordered by urgency and arrival.
     waiting: Vec<Waiter>,
 }
@@ -79,6 +85,12 @@
     pub seq: u64,
 }
 
+/// Identifies the agent's own call among the requests that wait.
+const OWN_CALL: Ticket = Ticket {
+    owner: u64::MAX,
+    seq: u64::MAX,
+};
+
 #[derive(Debug, Clone, Copy, Serialize)]
 struct Waiter {
     ticket: Ticket,
@@ -108,6 +120,7 @@
             at: now,
             next_return_at: now,
             called_at: None,
+            call_granted: false,
             waiting: Vec::new(),
         }
     }
@@ -265,7 +278,8 @@
         if !wait.is_zero() {
             return Reply {
                 granted: None,
-                wait,
+                next: wait,
+                retry_after: wait,
             };
         }
         if self.limit.is_some() {
@@ -283,7 +297,10 @@
             if self.limit.is_some() {
                 self.level -= 1.0;
             }
-            out.push((first.ticket, self.granted()));
+            match first.ticket {
+                OWN_CALL => self.call_granted = true,
+                ticket => out.push((ticket, self.granted())),
+            }
         }
         let mut i = 0;
         while i < self.waiting.len() {
@@ -334,11 +351,32 @@
         let due = |at: Duration| now.saturating_sub(at) >= pause;
         // The first call after the limit was named waits as well.
         let last = self.called_at.or(self.limit.map(|l| l.since));
-        if !last.is_none_or(due) {
-            return false;
+        let overdue = |at: Duration| now.saturating_sub(at) >= pause * OVERDUE_FACTOR;
+        if std::mem::take(&mut self.call_granted) {
+            self.called_at = Some(now);
+            return true;
+        }
+        match self.waiting.last().map(|w| w.rank) {
+            None if last.is_none_or(due) => {
+                self.charge_call(now);
+                return true;
+            }
+            // Counted at once, the call would make requests late that have been promised a permit.
+            Some(rank) if last.is_none_or(overdue) => self.queue_call(rank),
+            _ => {}
+        }
+        false
+    }
+
+    /// Lets the agent's own call wait behind all requests that wait now.
+    fn queue_call(&mut self, rank: u8) {
+        if self.waiting.iter().all(|w| w.ticket != OWN_CALL) {
+            self.waiting.push(Waiter {
+                ticket: OWN_CALL,
+                rank,
+                until: Duration::MAX,
+            });
         }
-        self.charge_call(now);
-        true
     }
 
     /// Whether the agent may send an order now. Requests go first.
@@ -377,7 +415,8 @@
     fn granted(&self) -> Reply {
         Reply {
             granted: Some(self.stamp()),
-            wait: self.time_to(self.waiting.len() + 1),
+            next: self.time_to(1),
+            retry_after: Duration::ZERO,
         }
     }
 
@@ -388,7 +427,8 @@
         self.next_return_at = back + self.interval().unwrap_or_default();
         Reply {
             granted: None,
-            wait: back - now,
+            next: self.time_to(1),
+            retry_after: back - now,
         }
     }
 
--- a/crates/stair-relay/src/limit.rs
+++ b/crates/stair-relay/src/limit.rs
@@ -191,10 +191,10 @@
             .text("target", &target)
             .show("per_s", known.rate)
             .show("by", format_args!("{by:?}"))
-            .ms("come_back_ms", reply.wait)
+            .ms("come_back_ms", reply.retry_after)
             .ms("took_ms", waited)
             .write();
-        return Permission::Refused(reply.wait);
+        return Permission::Refused(reply.retry_after);
     };
     Line::new("limit.granted")
         .text("id", &job.meta.id)
@@ -228,7 +228,7 @@
     let now = cx.now();
     let mut state = cx.state();
     if let Some(limit) = &mut state.view.get_mut(key).limit {
-        limit.free_at = now + reply.wait;
+        limit.free_at = now + reply.next;
     }
     drop(state);
     let by = match by {
@@ -318,10 +318,10 @@
         limiter.request_now(now)
     };
     let reply = try_now();
-    if reply.granted.is_some() || reply.wait > max_wait {
+    if reply.granted.is_some() || reply.next > max_wait {
         return reply;
     }
-    sleep(reply.wait).await;
+    sleep(reply.next).await;
     try_now()
 }
 
--- a/crates/stair-relay/src/prefill.rs
+++ b/crates/stair-relay/src/prefill.rs
@@ -34,7 +34,7 @@
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Objectives after which a response is too late to make other requests wait for it.
-const LATE_FACTOR: u32 = 2;
+pub(crate) const LATE_FACTOR: u32 = 2;
 
 /// The outcome of a request for a prefill slot.
 pub enum Reservation {
--- a/crates/stair-relay/src/select.rs
+++ b/crates/stair-relay/src/select.rs
@@ -48,6 +48,7 @@
     outage,
     prefill::{
         self,
+        LATE_FACTOR,
         PromptEstimate,
         Reservation,
         reserve, //
@@ -64,7 +65,7 @@
 /// Time reserved for the run itself while a request waits for a load or a prefill slot.
 pub(crate) const RUN_DURATION: Duration = Duration::from_millis(400);
 
-/// A request waits at a target that it tries first for the longest useful wait for a permit, divided by this.
+/// A request waits for a permit of the target that it tries first for its objective divided by this.
 const FIRST_PERMIT_DIVISOR: u32 = 8;
 
 /// Retry-After when it is unknown when a target will be free.
@@ -131,8 +132,8 @@
     let mut rounds = 0;
     while rounds < MAX_ROUNDS && Instant::now() < until {
         let best = find_ready(cx, job, tried, false);
-        let mut excluded = search.refused.clone();
-        excluded.extend_from_slice(tried);
+        // A replica that is loaded because of a limit has to be another one.
+        let excluded = [&search.refused[..], &search.limited, tried].concat();
         let left = until.saturating_duration_since(Instant::now());
         let objective = job.route.objective;
         let placement = match &best {
@@ -149,6 +150,7 @@
             (Decision::Refuse, Some(at)) => {
                 let limit_wait = cx.state().view.get(at.key).limit_wait(cx.now());
                 if limit_wait > left {
+                    count_unserved(cx, job);
                     return Err(NoTarget::limited(limit_wait));
                 }
                 let retry_after = Duration::from_secs_f64(at.wait_ms / 1000.0).saturating_sub(left);
@@ -171,7 +173,10 @@
                     Some(placement) => {
                         Some(load_at(cx, job, &placement, &excluded, outage_until, until).await)
                     }
-                    None => return Err(NoTarget::limited(wait)),
+                    None => {
+                        count_unserved(cx, job);
+                        return Err(NoTarget::limited(wait));
+                    }
                 }
             }
             Step::Load => match job.model_of_engine() {
@@ -226,7 +231,7 @@
     let Some(at) = find_ready(cx, job, tried, true) else {
         return Err(NoTarget::after(Duration::ZERO));
     };
-    let max_wait = limit_wait(job, &search.reservation);
+    let max_wait = longest_permit_wait(job, &search.reservation);
     let permit = match limit::request(cx, job, at.key, max_wait).await {
         Permission::Granted(permit) => permit,
         Permission::Refused(wait) => return Err(NoTarget::limited(wait)),
@@ -260,9 +265,11 @@
     }
 }
 
-/// The longest wait for a permit with which the response is on time.
-fn limit_wait(job: &Job, opts: &prefill::Options) -> Duration {
-    let end = opts.until.min(opts.since + job.route.objective);
+/// The longest wait for a permit with which the response is not too late.
+fn longest_permit_wait(job: &Job, opts: &prefill::Options) -> Duration {
+    let end = opts
+        .until
+        .min(opts.since + job.route.objective * LATE_FACTOR);
     let run = match job.model_of_engine() {
         Some(_) => RUN_DURATION,
         None => Duration::ZERO,
@@ -320,10 +327,10 @@
     search: &mut Search,
 ) -> Result<Option<Box<Permit>>, Step> {
     let is_first = !search.limited.contains(&key);
-    let max_wait = limit_wait(job, &search.reservation);
+    let longest = longest_permit_wait(job, &search.reservation);
     let max_wait = match is_first {
-        true => max_wait / FIRST_PERMIT_DIVISOR,
-        false => max_wait,
+        true => longest.min(job.route.objective / FIRST_PERMIT_DIVISOR),
+        false => longest,
     };
     match limit::request(cx, job, key, max_wait).await {
         Permission::Granted(permit) => Ok(permit),
