--- a/crates/stair-fleet/src/rate_limit.rs
+++ b/crates/stair-fleet/src/rate_limit.rs
@@ -3,7 +3,9 @@
 //! A target in need names a limit in its responses. It holds until a later response names another
 //! one or none. One process counts each limited target for all senders: a sender requests a permit
 //! for each request and each call of its own, be it a first attempt, a retry, a resumed stream or a
-//! trial. While no process that counts replies, an entry grants from its own [`share`] of the limit.
+//! trial. While that process does not reply, another one stands in for it and grants at half the rate,
+//! as some senders may still reach the first one. Without any such process, an entry grants from its
+//! own [`share`] of the limit.
 //!
 //! Responses overtake each other, so an older one can arrive after a newer one. Each permit has a
 //! [`Stamp`], the number of statements that were known when it was granted. A response to it is
@@ -11,7 +13,8 @@
 //!
 //! # Invariants
 //!
-//! - Within any time `t` a [`Limiter`] grants at most `rate * t + burst` permits.
+//! - Within any time `t` a [`Limiter`] grants at most `rate * t + burst` permits, a stand-in half of
+//!   that.
 //! - A limit is lifted or raised only by a response to a request whose permit was granted after the
 //!   last statement of that limit was known.
 //! - A request that waits is granted before all less urgent ones, and is refused as soon as it can no
@@ -35,7 +38,8 @@
 };
 pub use limiter::{
     Limiter,
-    MIN_RATE, //
+    Requested,
+    Ticket, //
 };
 pub use rate::{
     ParseError,
@@ -153,6 +157,8 @@
         max_wait: Duration,
         /// The limit as the sender knows it.
         known: Known,
+        /// Whether the receiver stands in for a process that does not reply.
+        stand_in: bool,
     },
     /// Withdraws a request that waits.
     Cancel {
@@ -223,8 +229,8 @@
     pub retry_after: Duration,
 }
 
-/// One entry's share of a limit, for the time in which no process that counts the target replies.
+/// One entry's share of a limit, for the time in which no process that counts targets replies.
 /// `entries` is a bound on the entries that may send at the same time.
 pub fn share(rate: Rate, entries: u32) -> Rate {
-    rate.divided_by(entries)
+    rate.granted().divided_by(entries)
 }
--- a/crates/stair-fleet/src/rate_limit/ledger.rs
+++ b/crates/stair-fleet/src/rate_limit/ledger.rs
@@ -68,8 +68,10 @@
                 rank,
                 max_wait,
                 known,
+                stand_in,
             } => {
                 let limiter = self.limiter(&target, now);
+                limiter.set_stand_in(stand_in, now);
                 effects.changes.extend(limiter.adopt(&known, now));
                 let ticket = Ticket { owner, seq };
                 let msg = match limiter.request(ticket, rank, max_wait, now) {
--- a/crates/stair-fleet/src/rate_limit/limiter.rs
+++ b/crates/stair-fleet/src/rate_limit/limiter.rs
@@ -15,10 +15,6 @@
     Statement, //
 };
 
-/// Least rate that is granted, in requests per second. Only a response of the target tells that its
-/// limit has ended, so a limit of 0 needs a request from time to time.
-pub const MIN_RATE: f64 = 0.1;
-
 /// Time whose requests may be sent at once. One request may always be.
 const BURST_TIME: Duration = Duration::from_millis(250);
 
@@ -31,6 +27,13 @@
 /// Fraction of the limit that an agent's own calls may take during an order.
 const BUSY_CALLS_FRACTION: f64 = 0.5;
 
+/// Fraction of the limit that a stand-in grants.
+const STAND_IN_FRACTION: f64 = 0.5;
+
+/// Time after a request to the process itself, and not to a stand-in, for which it grants the whole
+/// limit.
+const WHOLE_LIMIT_TTL: Duration = Duration::from_secs(2);
+
 /// While requests wait, the agent's own calls are this many times as rare.
 const OVERDUE_FACTOR: u32 = 3;
 
@@ -52,6 +55,14 @@
     /// Requests that may be sent at once; below 0 after calls that were not granted before.
     level: f64,
     at: Duration,
+    /// Whether the limit is a sender's own share.
+    #[serde(skip)]
+    is_share: bool,
+    /// Whether the process stands in for another one.
+    is_stand_in: bool,
+    /// The time until which requests as a stand-in do not count, after one that was not.
+    #[serde(skip)]
+    whole_until: Option<Duration>,
     /// When the next refused client may return.
     #[serde(skip)]
     next_return_at: Duration,
@@ -118,6 +129,9 @@
             lifted: None,
             level: 0.0,
             at: now,
+            is_share: false,
+            is_stand_in: false,
+            whole_until: None,
             next_return_at: now,
             called_at: None,
             call_granted: false,
@@ -189,8 +203,18 @@
         Some(self.set(known.rate, Source::Process, now))
     }
 
+    /// Records a request to this process, or to it as a stand-in for another one.
+    pub fn set_stand_in(&mut self, stand_in: bool, now: Duration) {
+        self.refill(now);
+        if !stand_in {
+            self.whole_until = Some(now + WHOLE_LIMIT_TTL);
+        }
+        self.is_stand_in = stand_in && self.whole_until.is_none_or(|t| now >= t);
+    }
+
     /// Sets the limit to a sender's own share of it.
     pub fn set_share(&mut self, rate: Rate, now: Duration) {
+        self.is_share = true;
         if self.rate() != Some(rate) {
             self.set(rate, Source::Process, now);
         }
@@ -433,7 +457,17 @@
     }
 
     fn granted_rate(&self) -> f64 {
-        self.rate().map_or(MIN_RATE, |r| r.per_s().max(MIN_RATE))
+        let Some(rate) = self.rate() else {
+            return 1.0;
+        };
+        if self.is_share {
+            return rate.per_s();
+        }
+        let fraction = match self.is_stand_in {
+            true => STAND_IN_FRACTION,
+            false => 1.0,
+        };
+        rate.granted().per_s() * fraction
     }
 
     fn burst(&self) -> f64 {
--- a/crates/stair-fleet/src/rate_limit/rate.rs
+++ b/crates/stair-fleet/src/rate_limit/rate.rs
@@ -7,6 +7,10 @@
     Serialize, //
 };
 
+/// Least rate that is granted, in requests per second. Only a response of the target tells that its
+/// limit has ended, so a limit of 0 needs a request from time to time.
+const MIN_RATE: f64 = 0.1;
+
 /// Longest text of a rate, in bytes.
 const MAX_LEN: usize = 32;
 
@@ -26,6 +30,11 @@
         self.0
     }
 
+    /// The rate that is granted for a limit of this rate.
+    pub(super) fn granted(self) -> Self {
+        Self(self.0.max(MIN_RATE))
+    }
+
     pub(super) fn divided_by(self, n: u32) -> Self {
         Self(self.0 / f64::from(n.max(1)))
     }
--- a/crates/stair-relay/src/limit.rs
+++ b/crates/stair-relay/src/limit.rs
@@ -1,7 +1,8 @@
 //! Keeps the limits that targets name for all entries and agents together.
 //!
 //! One agent counts each limited target: an engine's own agent, or the [`owner`](crate::owner) of a
-//! plain target. While it does not reply, an entry grants permits from its own share of the limit.
+//! plain target. While it does not reply, the next agent stands in for it; without any agent, an entry grants
+//! permits from its own share of the limit.
 //! [`rate_limit`](stair_fleet::rate_limit) defines the decisions.
 //!
 //! Invariant: nothing is sent to a target whose limit is known here without a permit, and a permit is
@@ -98,10 +99,21 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum CountedBy {
     Agent(SocketAddr),
+    /// An agent that replaces the one that does not reply.
+    StandIn(SocketAddr),
     /// At this entry, from its own share.
     Entry,
 }
 
+impl CountedBy {
+    fn engine(self) -> Option<SocketAddr> {
+        match self {
+            Self::Agent(engine) | Self::StandIn(engine) => Some(engine),
+            Self::Entry => None,
+        }
+    }
+}
+
 /// The permit to send one request to a limited target; returned on drop unless it was used.
 pub struct Permit {
     cx: Arc<Context>,
@@ -141,7 +153,7 @@
 /// The request to an agent; withdrawn on drop.
 struct Waiting<'a> {
     cx: &'a Context,
-    engine: SocketAddr,
+    by: CountedBy,
     target: &'a str,
     seq: u64,
     is_done: bool,
@@ -153,15 +165,14 @@
             return;
         }
         let mut state = self.cx.state();
-        let (engine, seq) = (self.engine, self.seq);
-        let pending = &mut state.limits.pending;
-        pending.retain(|o| o.engine != engine || o.seq != seq);
+        let seq = self.seq;
+        state.limits.pending.retain(|o| o.seq != seq);
         let msg = ToLedger::Cancel {
             target: self.target.into(),
             seq,
         };
         let now = self.cx.now();
-        state.send_to_limiter(CountedBy::Agent(engine), msg, now);
+        state.send_to_limiter(self.by, msg, now);
     }
 }
 
@@ -233,6 +244,7 @@
     drop(state);
     let by = match by {
         CountedBy::Agent(_) => "agent",
+        CountedBy::StandIn(_) => "stand-in",
         CountedBy::Entry => "entry",
     };
     let outcome = if reply.granted.is_some() {
@@ -253,12 +265,11 @@
     known: Known,
     max_wait: Duration,
 ) -> Option<(Reply, CountedBy)> {
-    let (engine, seq, mut rx) = {
+    let (by, engine, seq, mut rx) = {
         let now = cx.now();
         let mut state = cx.state();
-        let CountedBy::Agent(engine) = state.counted_by(key, now) else {
-            return None;
-        };
+        let by = state.counted_by(key, now);
+        let engine = by.engine()?;
         let seq = state.next_seq();
         let msg = ToLedger::Request {
             seq,
@@ -266,8 +277,9 @@
             rank: job.rank(),
             max_wait,
             known,
+            stand_in: matches!(by, CountedBy::StandIn(_)),
         };
-        if !state.send_to_limiter(CountedBy::Agent(engine), msg, now) {
+        if !state.send_to_limiter(by, msg, now) {
             return None;
         }
         // The request is acknowledged once and then replied to.
@@ -276,16 +288,15 @@
             .limits
             .pending
             .push(PendingRequest { seq, engine, tx });
-        (engine, seq, rx)
+        (by, engine, seq, rx)
     };
     let mut waiting = Waiting {
         cx,
-        engine,
+        by,
         target,
         seq,
         is_done: false,
     };
-    let by = CountedBy::Agent(engine);
     let mut limit = REPLY_TIMEOUT;
     loop {
         match timeout(limit, rx.recv()).await {
@@ -494,28 +505,26 @@
         .all()
         .map(|(key, s)| (key, s.target.id.clone(), s.limit))
         .collect();
-    let by = CountedBy::Agent(engine);
     all.into_iter()
-        .filter(|(key, _, _)| state.counted_by(*key, now) == by)
+        .filter(|(key, _, _)| state.counted_by(*key, now).engine() == Some(engine))
         .collect()
 }
 
 impl State {
-    /// Who counts a target: its own agent if it is an engine, else the owner of its id. An agent that
-    /// does not reply is replaced by the entry itself.
+    /// Who counts a target: its own agent if it is an engine, else the owner of its id. For an agent that
+    /// does not reply the owner stands in, and without any agent the entry itself.
     fn counted_by(&mut self, key: TargetKey, now: Duration) -> CountedBy {
         let target = &self.view.get(key).target;
         let (addr, id) = (target.addr, target.id.clone());
-        if let Some(i) = self.agent(addr) {
-            let link = &self.agents[i];
-            return match link.linked && link.skipped_until <= now {
-                true => CountedBy::Agent(addr),
-                false => CountedBy::Entry,
-            };
+        let own_agent = self.agent(addr).map(|i| &self.agents[i]);
+        if own_agent.is_some_and(|a| a.linked && a.skipped_until <= now) {
+            return CountedBy::Agent(addr);
         }
+        let is_engine = own_agent.is_some();
         match self.owner(&id, now) {
-            Some(owner) if !owner.stand_in => CountedBy::Agent(owner.engine),
-            _ => CountedBy::Entry,
+            Some(owner) if is_engine || owner.stand_in => CountedBy::StandIn(owner.engine),
+            Some(owner) => CountedBy::Agent(owner.engine),
+            None => CountedBy::Entry,
         }
     }
 
@@ -527,7 +536,7 @@
                 self.limits.own.receive(0, msg, now);
                 true
             }
-            CountedBy::Agent(engine) => match self.agent(engine) {
+            CountedBy::Agent(engine) | CountedBy::StandIn(engine) => match self.agent(engine) {
                 Some(i) => {
                     let tx = &self.agents[i].tx;
                     tx.try_send(ToAgent::Limit(msg)).is_ok()
