agent, entry: keep the limit that a target names

The other way of serving had the same fault: its agent sends all requests of a target and ignored the limit. The same Limiter of stair-fleet decides there: it spaces the starts of runs, counts loads, unloads and readings of the inventory, and the queue's forecast has the least time between two starts, so that what cannot be served in time is refused at once. Entries learn the limit with each reply and hand it to a restarted agent with the next offer; an offer that an agent withheld for a limit draws on no retry budget, as nothing reached the target.

--- a/crates/dandelionstair/tests/promises/main.rs
+++ b/crates/dandelionstair/tests/promises/main.rs
@@ -11,6 +11,7 @@
 mod fuzz;
 mod in_time;
 mod leaving;
+mod limit;
 mod memory;
 mod not_run;
 mod path;
--- a/crates/stair-agent/src/admit.rs
+++ b/crates/stair-agent/src/admit.rs
@@ -56,6 +56,7 @@
         events: mpsc::UnboundedSender<OfferEvent>,
     ) {
         let (now, id) = (self.now(), offer.id);
+        self.adopt_limit(offer.limit);
         if !self.runs.offer(now, id) {
             let refusal = Refusal::may_have_run(Reason::Duplicate, 0, "offered before");
             let _ = events.send(OfferEvent::Refused(refusal, self.load(None)));
@@ -215,7 +216,8 @@
         };
         Estimate {
             concurrency: u16::try_from(slots).unwrap_or(u16::MAX),
-            slot_free_in,
+            slot_free_in: slot_free_in.max(self.limiter.next(now)),
+            start_interval: self.limiter.interval().unwrap_or_default(),
             ready_in: self
                 .items
                 .get(key)
@@ -238,6 +240,7 @@
             waiting: u16::try_from(self.queue.len()).unwrap_or(u16::MAX),
             expected_wait_ms: millis(wait),
             model_loaded: item.is_none_or(|i| self.ledger.is_loaded(i)),
+            limit: self.stated_limit(),
         }
     }
 }
--- a/crates/stair-agent/src/control.rs
+++ b/crates/stair-agent/src/control.rs
@@ -16,6 +16,7 @@
     ActorProcessingErr,
     ActorRef, //
 };
+use stair_fleet::rate_limit::Limiter;
 use stair_policy::{
     keep_alive::KeepAlive,
     queue::{
@@ -175,6 +176,10 @@
     pub(crate) loads: u64,
     /// When the last message was handled.
     pub(crate) last_message: Duration,
+    /// The limit that the target has named.
+    pub(crate) limiter: Limiter,
+    /// A message is due when the limit allows the next request.
+    pub(crate) permit_awaited: bool,
 }
 
 impl Actor for Control {
@@ -227,8 +232,11 @@
             }
             _ => UnconfirmedOrders::default(),
         };
+        let limiter = Limiter::new(args.name.as_str(), args.incarnation.0, Duration::ZERO);
         Self {
             me,
+            limiter,
+            permit_awaited: false,
             started_at: Instant::now(),
             crashes: CrashWatch::new(args.client.addr()),
             in_force: args.in_force.clone(),
@@ -308,6 +316,8 @@
                 suspect,
             } => self.run_ended(id, complete.then_some(run), suspect),
             Msg::Forget { id } => self.forget(id),
+            Msg::LimitStated(stated) => self.limit_stated(stated),
+            Msg::PermitDue => self.permit_awaited = false,
             Msg::Assign(assignment) => self.assign(*assignment),
             Msg::Vm(notice) => self.apply_vm_notice(notice),
             Msg::LoadEnded {
@@ -342,6 +352,7 @@
             self.order_loads();
         }
         self.release_grants();
+        self.await_permit();
         self.publish();
     }
 
--- a/crates/stair-agent/src/dump.rs
+++ b/crates/stair-agent/src/dump.rs
@@ -1,7 +1,10 @@
 //! The state dump of an agent for the operator.
 
 use serde::Serialize;
-use stair_fleet::quarantine::Record;
+use stair_fleet::{
+    quarantine::Record,
+    rate_limit::Limiter, //
+};
 use stair_state::Ledger;
 use stair_types::{
     ConfigVersion,
@@ -51,6 +54,8 @@
     pub leaving: bool,
     /// Number of entries that the agent knows.
     pub entries: usize,
+    /// The limit that the target has named.
+    pub limit: Limiter,
     /// Requests that are suspected of crashing targets, or quarantined for it.
     pub quarantine: Vec<Record>,
 }
@@ -74,6 +79,7 @@
             runs: self.runs.len(),
             leaving: self.draining,
             entries: self.args.entries.borrow().len(),
+            limit: self.limiter.clone(),
             quarantine: self.args.ledger_keeper.records(),
         }
     }
--- a/crates/stair-agent/src/loads.rs
+++ b/crates/stair-agent/src/loads.rs
@@ -220,6 +220,9 @@
             return true;
         };
         let version: Box<str> = version.into();
+        if !self.limiter.has_permit(now) {
+            return false;
+        }
         match self.ledger.begin_load(item.clone(), &version, memory_mib) {
             Ok(()) => self.spawn_load(item, version, memory_mib, rank, deadline),
             Err(OrderError::NoCapacity { missing_mib }) => {
--- a/crates/stair-agent/src/msg.rs
+++ b/crates/stair-agent/src/msg.rs
@@ -10,6 +10,7 @@
     AgentLimits,
     TargetSettings, //
 };
+use stair_fleet::rate_limit::Statement;
 use stair_http::Client;
 use stair_link::Pool;
 use stair_state::{
@@ -86,6 +87,10 @@
     Forget {
         id: RequestId,
     },
+    /// A response of the target has arrived; what it states about the target's limit.
+    LimitStated(Result<Statement, Box<str>>),
+    /// The target's limit allows the next request.
+    PermitDue,
     Assign(Box<Assignment>),
     Vm(VmNotice),
     LoadEnded {
--- a/crates/stair-agent/src/orders.rs
+++ b/crates/stair-agent/src/orders.rs
@@ -52,6 +52,7 @@
             return;
         };
         stair_telemetry::info!(Part::Loads, "loading {} {version}", item.model);
+        self.limiter.charge(self.now());
         self.orders += 1;
         self.loads += 1;
         self.loading.push((item.clone(), self.now()));
@@ -92,6 +93,7 @@
             return;
         };
         stair_telemetry::info!(Part::Loads, "unloading {}", item.model);
+        self.limiter.charge(self.now());
         self.orders += 1;
         let (me, item) = (self.me.clone(), item.clone());
         tokio::spawn(async move {
--- a/crates/stair-agent/src/reconcile.rs
+++ b/crates/stair-agent/src/reconcile.rs
@@ -100,6 +100,9 @@
         let Some(engine) = self.args.engine.clone() else {
             return;
         };
+        if !self.limiter.may_call(true, now) {
+            return;
+        }
         self.listing = true;
         let me = self.me.clone();
         tokio::spawn(async move {
--- a/crates/stair-agent/src/refuse.rs
+++ b/crates/stair-agent/src/refuse.rs
@@ -98,7 +98,7 @@
         let id = unstarted.offer.id;
         self.args.metrics.refusal(refusal.reason, refusal.verdict);
         self.runs.withdraw(self.now(), id);
-        self.active.retain(|a| a.id != id || a.started);
+        self.free_unstarted_slot(id);
         let load = self.load(self.items.get(unstarted.key));
         let _ = unstarted.events.send(OfferEvent::Refused(refusal, load));
     }
--- a/crates/stair-agent/src/run.rs
+++ b/crates/stair-agent/src/run.rs
@@ -15,6 +15,7 @@
 };
 use ractor::ActorRef;
 use stair_config::AgentLimits;
+use stair_fleet::rate_limit::Stamp;
 use stair_http::{
     Client,
     client::Error as HttpError, //
@@ -37,6 +38,7 @@
 
 use crate::{
     crash::CrashWatch,
+    limit,
     msg::Msg,
     responses::{
         Head,
@@ -66,6 +68,10 @@
     pub(crate) limits: AgentLimits,
     pub(crate) is_engine: bool,
     pub(crate) control: ActorRef<Msg>,
+    /// The statements of the target's limit that were known when the run began.
+    pub(crate) stamp: Stamp,
+    /// Whether the target had a limit then.
+    pub(crate) limited: bool,
 }
 
 /// A failed run. `suspect` marks a target whose inventory has to be read again.
@@ -153,6 +159,10 @@
         .await
         .map_err(target_failure)?;
     let status = resp.head.status;
+    let stated = limit::statement(&resp.head.headers, job.stamp);
+    if job.limited || !stated.as_ref().is_ok_and(|s| s.rate.is_none()) {
+        let _ = job.control.send_message(Msg::LimitStated(stated));
+    }
     // The engine has lost the model, by a restart for instance. It replies so before it runs
     // anything.
     if job.is_engine && status == StatusCode::NOT_FOUND {
--- a/crates/stair-agent/src/slots.rs
+++ b/crates/stair-agent/src/slots.rs
@@ -41,7 +41,7 @@
     pub(crate) fn assign_slots(&mut self) {
         let (now, slots) = (self.now(), self.slots());
         let general = slots - slots / SHORT_SLOT_DIVISOR;
-        while self.active.len() < slots {
+        while self.active.len() < slots && self.limiter.has_permit(now) {
             let (ledger, in_force, items) = (&self.ledger, &self.in_force, &self.items);
             let unconfirmed = &self.unconfirmed;
             let ready = |key| {
@@ -55,6 +55,7 @@
             let Some(next) = next else {
                 return;
             };
+            self.limiter.charge(now);
             let item = self.items.get(next.model).cloned();
             self.record_use(item.as_ref());
             let waited = now.saturating_sub(next.arrived);
@@ -111,18 +112,28 @@
             limits: self.args.limits.clone(),
             is_engine: self.args.engine.is_some(),
             control: self.me.clone(),
+            stamp: self.limiter.stamp(),
+            limited: self.limiter.rate().is_some(),
         };
         self.args.traffic.spawn(run::run(job));
         Some(response)
     }
 
+    /// Frees the slot of a request that has not started, and returns its permit.
+    pub(crate) fn free_unstarted_slot(&mut self, id: RequestId) {
+        if let Some(i) = self.active.iter().position(|a| a.id == id && !a.started) {
+            self.active.swap_remove(i);
+            self.limiter.unused(self.now());
+        }
+    }
+
     /// Ensures that a request which has not started never does.
     pub(crate) fn withdraw(&mut self, id: RequestId) {
         if self.runs.withdraw(self.now(), id) == Phase::Started {
             return;
         }
         self.queue.remove(id);
-        self.active.retain(|a| a.id != id);
+        self.free_unstarted_slot(id);
         if let Ok(i) = self.find_unstarted(id) {
             self.unstarted.remove(i);
         }
--- a/crates/stair-agent/tests/common/entry.rs
+++ b/crates/stair-agent/tests/common/entry.rs
@@ -193,6 +193,7 @@
             start_when_ready: false,
             max_tokens: 0,
             body_bytes: body.len() as u32,
+            limit: None,
         };
         Self::send(link, offer, body.as_bytes()).await
     }
--- a/crates/stair-agent/tests/engine_faults.rs
+++ b/crates/stair-agent/tests/engine_faults.rs
@@ -132,6 +132,7 @@
         start_when_ready: true,
         max_tokens: 0,
         body_bytes: body.len() as u32,
+        limit: None,
     };
 
     let ended = Stream::send(&link, offer, body).await.finish().await;
--- a/crates/stair-agent/tests/queue.rs
+++ b/crates/stair-agent/tests/queue.rs
@@ -38,6 +38,7 @@
         start_when_ready: false,
         max_tokens: 0,
         body_bytes: u32::try_from(body.len()).expect("a short body"),
+        limit: None,
     }
 }
 
--- a/crates/stair-entry/src/traffic/dispatch.rs
+++ b/crates/stair-entry/src/traffic/dispatch.rs
@@ -66,6 +66,9 @@
     let mut tried = Attempts::default();
     let mut last: Option<Refusal> = None;
     let mut runs = 0;
+    // Whether the last agent withheld the request for its target's limit. The next attempt repeats
+    // nothing at any target and draws on no budget.
+    let mut withheld = false;
     loop {
         let next = choose::next(cx, req, &tried.names).or_else(|| {
             let again = tried.retry_lost();
@@ -83,7 +86,7 @@
             Permit::Busy => continue,
             Permit::Quarantined(refusal) => return Err(refusal),
         };
-        if let Some(refusal) = last.take_if(|_| !may_retry(cx)) {
+        if let Some(refusal) = last.take_if(|_| !withheld && !may_retry(cx)) {
             return Err(refusal);
         }
         tried.names.push(target.name.clone());
@@ -93,6 +96,7 @@
             return Ok(());
         };
         record_refusal(cx, &target, &refusal);
+        withheld = refusal.verdict == Verdict::NotRun && target.target.limit().is_some();
         tried.record(&target, &refusal);
         // After `Start` the request counts as run unless the agent's verdict is `NotRun`.
         progress.started = false;
--- a/crates/stair-entry/src/traffic/offer.rs
+++ b/crates/stair-entry/src/traffic/offer.rs
@@ -151,5 +151,6 @@
         start_when_ready: req.starts_when_ready(),
         max_tokens: req.max_tokens,
         body_bytes: u32::try_from(req.body.len()).unwrap_or(u32::MAX),
+        limit: exchange.target.target.limit(),
     }
 }
--- a/crates/stair-entry/src/traffic/targets.rs
+++ b/crates/stair-entry/src/traffic/targets.rs
@@ -24,7 +24,10 @@
     TargetKey,
     TargetName, //
 };
-use stair_wire::request::Load;
+use stair_wire::request::{
+    Load,
+    StatedLimit, //
+};
 use tokio::time::Instant;
 
 /// Time during which a target to which no link could be opened is tried last. A request that tries it
@@ -247,6 +250,11 @@
         }
     }
 
+    /// The limit that the target has named, by its agent's last reply.
+    pub(super) fn limit(&self) -> Option<StatedLimit> {
+        self.lock().load.limit
+    }
+
     /// Records that no link to the target could be opened.
     pub(super) fn mark_unreachable(&self) {
         self.lock().unreachable_since = Some(Instant::now());
--- a/crates/stair-fleet/src/rate_limit/limiter.rs
+++ b/crates/stair-fleet/src/rate_limit/limiter.rs
@@ -382,7 +382,7 @@
         }
         match self.waiting.last().map(|w| w.rank) {
             None if last.is_none_or(due) => {
-                self.charge_call(now);
+                self.charge(now);
                 return true;
             }
             // Counted at once, the call would make requests late that have been promised a permit.
@@ -404,24 +404,32 @@
     }
 
     /// Whether the agent may send an order now. Requests go first.
-    pub fn has_order_permit(&mut self, now: Duration) -> bool {
+    pub fn has_permit(&mut self, now: Duration) -> bool {
         self.refill(now);
         self.limit.is_none() || (self.waiting.is_empty() && self.time_to(1).is_zero())
     }
 
-    /// As [`Limiter::has_order_permit`]; if it is permitted, the order is counted.
+    /// As [`Limiter::has_permit`]; if it is permitted, the order is counted.
     pub fn may_order(&mut self, now: Duration) -> bool {
-        let permitted = self.has_order_permit(now);
+        let permitted = self.has_permit(now);
         if permitted && self.limit.is_some() {
-            self.charge_call(now);
+            self.charge(now);
         }
         permitted
     }
 
-    fn charge_call(&mut self, now: Duration) {
+    /// Counts a call that was not granted before.
+    pub fn charge(&mut self, now: Duration) {
         self.refill(now);
-        self.level -= 1.0;
-        self.called_at = Some(now);
+        if self.limit.is_some() {
+            self.level -= 1.0;
+            self.called_at = Some(now);
+        }
+    }
+
+    /// Time until one more request could be sent if it was the most urgent one.
+    pub fn next(&self, now: Duration) -> Duration {
+        (self.at + self.time_to(1)).saturating_sub(now)
     }
 
     /// Time until a request of the lowest urgency that arrives now could be granted.
--- a/crates/stair-fleet/src/rate_limit/rate.rs
+++ b/crates/stair-fleet/src/rate_limit/rate.rs
@@ -30,6 +30,29 @@
         self.0
     }
 
+    /// The lowest rate among the values of a header, each of which may be a list; `None` if there is
+    /// none.
+    ///
+    /// # Errors
+    ///
+    /// The value that is not a list of decimal numbers.
+    pub fn lowest<'a, I>(values: I) -> Result<Option<Self>, Box<str>>
+    where
+        I: IntoIterator<Item = &'a [u8]>,
+    {
+        let mut lowest: Option<Self> = None;
+        for value in values {
+            let text = String::from_utf8_lossy(value);
+            for item in text.split(',') {
+                let rate = Self::try_from(item.trim()).map_err(|_| Box::from(&*text))?;
+                if lowest.is_none_or(|l| rate < l) {
+                    lowest = Some(rate);
+                }
+            }
+        }
+        Ok(lowest)
+    }
+
     /// The rate that is granted for a limit of this rate.
     pub(super) fn granted(self) -> Self {
         Self(self.0.max(MIN_RATE))
--- a/crates/stair-policy/examples/measure/cost.rs
+++ b/crates/stair-policy/examples/measure/cost.rs
@@ -110,6 +110,7 @@
     let est = Estimate {
         concurrency: 16,
         slot_free_in: Duration::ZERO,
+        start_interval: Duration::ZERO,
         ready_in: Duration::ZERO,
     };
     for waiting in [10, 500] {
--- a/crates/stair-policy/examples/measure/engine.rs
+++ b/crates/stair-policy/examples/measure/engine.rs
@@ -191,6 +191,7 @@
         Estimate {
             concurrency: (self.slots.len() - kept) as u16,
             slot_free_in: secs(first - now),
+            start_interval: secs(0.0),
             ready_in: secs(0.0),
         }
     }
--- a/crates/stair-policy/src/queue/forecast.rs
+++ b/crates/stair-policy/src/queue/forecast.rs
@@ -56,18 +56,21 @@
         let index = tier.index_of(item.deadline);
         let share = self.share(now, at, item.expected_run > self.opts.short_run, est);
         let begin = (now + est.slot_free_in).as_secs_f64();
-        let start = |ahead, run| begin + self.wait_behind(at, ahead, run, &share);
+        let higher: usize = self.tiers[..at].iter().map(|t| t.items().len()).sum();
+        let spacing = |n: usize| (higher + n) as f64 * seconds(est.start_interval);
+        let start =
+            |n: usize, ahead, run| begin + self.wait_behind(at, ahead, run, &share).max(spacing(n));
         let items = tier.items();
         let mut ahead = seconds(items[..index].iter().map(|i| i.expected_run).sum());
         let run = seconds(item.expected_run);
-        let own_start = start(ahead, run).max(seconds(now + est.ready_in));
-        let slack = self.slack(run, own_start - seconds(now));
+        let own_start = start(index, ahead, run).max(seconds(now + est.ready_in));
+        let slack = self.slack(run, own_start - seconds(now), est);
         let mut late = own_start + run + slack - seconds(item.deadline);
-        for behind in &items[index..] {
+        for (n, behind) in items.iter().enumerate().skip(index) {
             let (deadline, its_run) = (seconds(behind.deadline), seconds(behind.expected_run));
             // An item that would be late in any case is no reason to refuse another.
-            if start(ahead, its_run) + its_run <= deadline {
-                late = late.max(start(ahead + run, its_run) + its_run - deadline);
+            if start(n, ahead, its_run) + its_run <= deadline {
+                late = late.max(start(n + 1, ahead + run, its_run) + its_run - deadline);
             }
             ahead += its_run;
         }
@@ -79,9 +82,9 @@
 
     /// Slack required of an item before its deadline, in seconds; at most its wait, so none without a
     /// wait.
-    fn slack(&self, run: f64, wait: f64) -> f64 {
+    fn slack(&self, run: f64, wait: f64, est: &Estimate) -> f64 {
         let slack = run * f64::from(self.opts.slack_percent) / 100.0;
-        slack.min(wait)
+        slack.max(seconds(est.start_interval) / 2.0).min(wait)
     }
 
     /// Returns the share of the engine that is left to a tier.
@@ -129,9 +132,10 @@
         // By then half of the waiting work has drained, so the queue has capacity again.
         let share = self.share(now, at, false, est);
         let drain = self.wait_behind(at, seconds(self.tiers[at].work()), 0.0, &share) / 2.0;
+        let waiting = u32::try_from(self.len).unwrap_or(u32::MAX);
         Outcome::Refused {
             reason: Reason::QueueFull,
-            retry_after: est.slot_free_in + bounded(drain),
+            retry_after: est.slot_free_in + bounded(drain).max(est.start_interval * waiting / 2),
         }
     }
 }
--- a/crates/stair-policy/src/queue/mod.rs
+++ b/crates/stair-policy/src/queue/mod.rs
@@ -213,7 +213,10 @@
         let share = self.share(now, at, false, est);
         let own = self.tiers[at].work().as_secs_f64();
         let short = self.opts.short_run.as_secs_f64();
-        est.slot_free_in + forecast::bounded(self.wait_behind(at, own, short, &share))
+        let ahead: usize = self.tiers[..=at].iter().map(|t| t.items().len()).sum();
+        let spacing = est.start_interval * u32::try_from(ahead).unwrap_or(u32::MAX);
+        let wait = forecast::bounded(self.wait_behind(at, own, short, &share));
+        est.slot_free_in + wait.max(spacing)
     }
 
     /// Finds capacity for an item, or the item to displace for it: the one of the lowest tier with the
--- a/crates/stair-policy/src/queue/types.rs
+++ b/crates/stair-policy/src/queue/types.rs
@@ -90,6 +90,8 @@
     pub concurrency: u16,
     /// Time until the next slot is free; zero when one is free now.
     pub slot_free_in: Duration,
+    /// Least time between the starts of two requests; zero if only the slots limit them.
+    pub start_interval: Duration,
     /// Time until the item's model can run, for instance the rest of a cold start. It passes while the
     /// item waits, so it is not added to the wait in the queue.
     pub ready_in: Duration,
--- a/crates/stair-policy/tests/queue.rs
+++ b/crates/stair-policy/tests/queue.rs
@@ -20,6 +20,7 @@
 const ONE_SLOT: Estimate = Estimate {
     concurrency: 1,
     slot_free_in: Duration::ZERO,
+    start_interval: Duration::ZERO,
     ready_in: Duration::ZERO,
 };
 
--- a/crates/stair-sidecar/src/limits.rs
+++ b/crates/stair-sidecar/src/limits.rs
@@ -152,12 +152,9 @@
     }
 
     /// Whether an order to the agent's engine `target` would be permitted now.
-    pub fn has_order_permit(&self, target: &str) -> bool {
+    pub fn has_permit(&self, target: &str) -> bool {
         let now = self.now();
-        self.lock()
-            .ledger
-            .limiter(target, now)
-            .has_order_permit(now)
+        self.lock().ledger.limiter(target, now).has_permit(now)
     }
 
     /// Applies what the engine states in its response to a call of the agent.
--- a/crates/stair-sidecar/src/process.rs
+++ b/crates/stair-sidecar/src/process.rs
@@ -307,7 +307,7 @@
     /// Whether an order may be sent under the engine's limit, or is in progress.
     fn may_order(&self) -> bool {
         let id = self.incarnation.as_ref().map(|(id, _)| &**id);
-        self.controller.busy() || self.ledgers.limits.has_order_permit(id.unwrap_or_default())
+        self.controller.busy() || self.ledgers.limits.has_permit(id.unwrap_or_default())
     }
 
     /// Requests permission for a call to the engine, whose limit covers the agent's calls too.
--- a/crates/stair-standin/src/engine.rs
+++ b/crates/stair-standin/src/engine.rs
@@ -27,7 +27,10 @@
     io,
     net::SocketAddr,
     sync::Arc,
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use hyper::{
@@ -35,7 +38,8 @@
     Request,
     Response,
     StatusCode,
-    body::Incoming, //
+    body::Incoming,
+    header::HeaderValue, //
 };
 use stair_http::Body;
 use tokio::sync::{
@@ -235,6 +239,21 @@
         expected(self.shared.until(fulfilled)).await;
     }
 
+    /// Names a limit of calls per second in all answers from now on, or none.
+    ///
+    /// # Panics
+    ///
+    /// When the text cannot be a header's value.
+    pub fn name_limit(&self, limit: Option<&str>) {
+        let value = limit.map(|l| HeaderValue::from_str(l).expect("a header's value"));
+        self.server.name_limit(value);
+    }
+
+    /// Arrivals of all calls, whoever sent them.
+    pub fn received(&self) -> Vec<Instant> {
+        self.server.received()
+    }
+
     /// Changes the faults.
     pub fn set_faults(&self, change: impl FnOnce(&mut Faults)) {
         self.shared.modify(|state| change(&mut state.faults));
--- a/crates/stair-standin/src/server.rs
+++ b/crates/stair-standin/src/server.rs
@@ -5,11 +5,15 @@
     io,
     net::SocketAddr,
     sync::{
+        Arc,
         Mutex,
         MutexGuard,
         PoisonError, //
     },
-    time::Duration,
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use bytes::Bytes;
@@ -20,6 +24,7 @@
     body::Incoming,
     header::{
         CONTENT_TYPE,
+        HeaderName,
         HeaderValue, //
     }, //
 };
@@ -42,6 +47,7 @@
     time::timeout, //
 };
 
+const LIMIT: HeaderName = HeaderName::from_static("server-limit");
 const BACKLOG: u32 = 1024;
 const FLUSH_TIME: Duration = Duration::from_millis(20);
 /// Longer than any condition takes on a busy machine.
@@ -63,9 +69,21 @@
     result.expect("what the test waits for has not come")
 }
 
+/// The calls of a server, and what all its answers state.
+#[derive(Default)]
+struct Traffic {
+    received: Vec<Instant>,
+    limit: Option<HeaderValue>,
+}
+
+fn lock(traffic: &Mutex<Traffic>) -> MutexGuard<'_, Traffic> {
+    traffic.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// A listener with its connections. Dropping it ends them.
 pub(crate) struct Server {
     addr: SocketAddr,
+    traffic: Arc<Mutex<Traffic>>,
     inner: Mutex<Inner>,
 }
 
@@ -85,12 +103,26 @@
     {
         let socket = bind(addr)?;
         let addr = socket.local_addr()?;
+        let traffic: Arc<Mutex<Traffic>> = Arc::default();
+        let own = traffic.clone();
+        let handler = move |req| {
+            lock(&own).received.push(Instant::now());
+            let (answer, own) = (handler(req), own.clone());
+            async move {
+                let mut resp = answer.await;
+                if let Some(limit) = &lock(&own).limit {
+                    resp.headers_mut().insert(LIMIT, limit.clone());
+                }
+                resp
+            }
+        };
         let spawn: Spawn = Box::new(move |listener, stop| {
             let opts = server::Options::default();
             tokio::spawn(server::serve(listener, opts, stop, handler.clone()))
         });
         let server = Self {
             addr,
+            traffic,
             inner: Mutex::new(Inner {
                 spawn,
                 stop: watch::channel(false).0,
@@ -106,6 +138,16 @@
         self.addr
     }
 
+    /// Arrivals of all calls, whoever sent them.
+    pub(crate) fn received(&self) -> Vec<Instant> {
+        lock(&self.traffic).received.clone()
+    }
+
+    /// Names a limit of calls per second in all answers from now on, or none.
+    pub(crate) fn name_limit(&self, limit: Option<HeaderValue>) {
+        lock(&self.traffic).limit = limit;
+    }
+
     /// Breaks all connections and refuses new ones.
     pub(crate) async fn kill(&self) -> io::Result<()> {
         let task = {
--- a/crates/stair-telemetry/src/metrics.rs
+++ b/crates/stair-telemetry/src/metrics.rs
@@ -191,6 +191,11 @@
         self.count("refusals", 1, &tags);
     }
 
+    /// Counts a limit that a target has named, changed or lifted, or that is malformed.
+    pub fn limit_change(&self, change: &'static str) {
+        self.count("limits", 1, &[("change", change)]);
+    }
+
     /// Counts a request that was running on a target when it crashed.
     pub fn crashed_run(&self) {
         self.count("crashed_runs", 1, &[]);
--- a/crates/stair-wire/src/request.rs
+++ b/crates/stair-wire/src/request.rs
@@ -50,6 +50,15 @@
     pub value: Box<str>,
 }
 
+/// A limit that a target has named, as its agent has stated it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StatedLimit {
+    /// Millionths of a request per second, of all senders together.
+    pub micros_per_s: u64,
+    /// The agent's incarnation.
+    pub incarnation: FencingToken,
+}
+
 /// Offers a request to an agent. The body follows in one body frame.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Offer {
@@ -85,6 +94,8 @@
     pub max_tokens: u32,
     /// Length of the body frame that follows, in bytes.
     pub body_bytes: u32,
+    /// The target's limit as the entry knows it. A restarted agent does not know it.
+    pub limit: Option<StatedLimit>,
 }
 
 /// Messages from the entry to the agent.
@@ -129,6 +140,8 @@
     pub expected_wait_ms: u32,
     /// Whether the request's model is loaded.
     pub model_loaded: bool,
+    /// The limit that the target has named.
+    pub limit: Option<StatedLimit>,
 }
 
 /// Messages from the agent to the entry.
