--- a/crates/stair-fleet/src/choose.rs
+++ b/crates/stair-fleet/src/choose.rs
@@ -128,8 +128,11 @@
     ms += opts.tokens.saturating_sub(cached) as f64 / PREFILL_TOKENS_PER_MS;
     if let Some(report) = s.fresh_report(now) {
         ms += s.prefill_until.saturating_sub(now).as_secs_f64() * 1000.0;
-        ms +=
-            f64::from(report.load.running) * RUNNING_MS + f64::from(report.load.queued) * QUEUED_MS;
+        // A limited engine is read seldom, so that its counts are old, and gets few requests.
+        if s.limit.is_none() {
+            ms += f64::from(report.load.running) * RUNNING_MS
+                + f64::from(report.load.queued) * QUEUED_MS;
+        }
     } else {
         // The agent is silent: only this entry's own requests are known.
         ms += s.unread_tokens as f64 / PREFILL_TOKENS_PER_MS;
--- a/crates/stair-fleet/src/prefetch.rs
+++ b/crates/stair-fleet/src/prefetch.rs
@@ -207,8 +207,12 @@
 
     /// Whether only engines with a limit have the model or are loading it.
     fn has_only_limited(&self, model: &str) -> bool {
-        let mut all = self.view.of(self.service);
-        !all.any(|(key, s)| s.limit.is_none() && self.has_or_loads(key, s, model))
+        let all = self.view.of(self.service);
+        let mut replicas = all.filter(|(key, s)| self.has_or_loads(*key, s, model));
+        let mut limited = replicas.by_ref().map(|(_, s)| s.limit.is_some());
+        limited
+            .next()
+            .is_some_and(|first| first && limited.all(|l| l))
     }
 
     /// A missing model.
