sidecar: withhold loads that end the engine

What callers saw: a model whose load ends its engine took the engine's other models down again and again. Cause: the controller forgot the load in progress when the engine ended, so that nothing counted.

--- a/crates/stair-agent/src/control.rs
+++ b/crates/stair-agent/src/control.rs
@@ -16,7 +16,10 @@
     ActorProcessingErr,
     ActorRef, //
 };
-use stair_fleet::rate_limit::Limiter;
+use stair_fleet::{
+    quarantine::LoadCrashes,
+    rate_limit::Limiter, //
+};
 use stair_policy::{
     keep_alive::KeepAlive,
     queue::{
@@ -53,7 +56,6 @@
     assignment::InForce,
     crash::CrashWatch,
     items::Items,
-    load_quarantine::LoadCrashes,
     memory_pressure::MemoryPressure,
     msg::{
         AgentReport,
@@ -147,7 +149,7 @@
     /// Time of the last use of each item. Sorted by item.
     pub(crate) last_used: Vec<(Item, Duration)>,
     pub(crate) failures: Vec<Failure>,
-    pub(crate) load_crashes: Vec<LoadCrashes>,
+    pub(crate) load_crashes: LoadCrashes<Item>,
     /// Loads in progress, with their start times.
     pub(crate) loading: Vec<(Item, Duration)>,
     pub(crate) keep_alive: KeepAlive,
@@ -256,7 +258,7 @@
             buffered_bytes: 0,
             last_used: Vec::new(),
             failures: Vec::new(),
-            load_crashes: Vec::new(),
+            load_crashes: LoadCrashes::default(),
             loading: Vec::new(),
             on_demand: Vec::new(),
             keep_alive,
--- a/crates/stair-agent/src/load_quarantine.rs
+++ b/crates/stair-agent/src/load_quarantine.rs
@@ -1,11 +1,8 @@
-//! Withholds loads that end the engine.
-//!
-//! A load that ends the engine takes all its other models and runs down, and callers ask for the model
-//! again. Loads are also interrupted by crashes of other causes, so it takes several in a row.
+//! Withholds loads that end the engine, as [`LoadCrashes`](stair_fleet::quarantine::LoadCrashes)
+//! decides.
 
 use std::time::Duration;
 
-use stair_fleet::quarantine::QUARANTINE_DURATIONS;
 use stair_state::ledger::Item;
 use stair_telemetry::{
     Part,
@@ -24,51 +21,17 @@
     },
 };
 
-/// Consecutive loads of an item during which the engine crashed, after which it is not loaded.
-const MAX_CRASHES: u32 = 3;
-
-/// Crashes of the engine during loads of one version of an item, without a complete load since.
-#[derive(Debug, Clone)]
-pub(crate) struct LoadCrashes {
-    pub(crate) item: Item,
-    version: Box<str>,
-    count: u32,
-    /// Number of quarantines so far.
-    quarantines: usize,
-    quarantined_until: Duration,
-}
-
 impl Core {
     /// Records that the engine crashed during a load.
     pub(crate) fn load_crashed(&mut self, item: &Item, version: &str) {
         let now = self.now();
-        let same = |c: &LoadCrashes| c.item == *item && *c.version == *version;
-        let i = self.load_crashes.iter().position(same);
-        let i = i.unwrap_or_else(|| {
-            self.load_crashes.retain(|c| c.item != *item);
-            self.load_crashes.push(LoadCrashes {
-                item: item.clone(),
-                version: version.into(),
-                count: 0,
-                quarantines: 0,
-                quarantined_until: Duration::ZERO,
-            });
-            self.load_crashes.len() - 1
-        });
-        let crashes = &mut self.load_crashes[i];
-        crashes.count += 1;
-        if crashes.count < MAX_CRASHES {
+        let Some(duration) = self.load_crashes.crashed(item, version, now) else {
             return;
-        }
-        let last = QUARANTINE_DURATIONS.len() - 1;
-        let duration = QUARANTINE_DURATIONS[crashes.quarantines.min(last)];
-        crashes.quarantined_until = now + duration;
-        crashes.quarantines += 1;
+        };
         let model = &item.model;
         warn!(
             Part::Loads,
-            "the engine crashed {} times while it loaded {model} {version}, which is not loaded for {duration:?}",
-            crashes.count
+            "the engine crashed each time it loaded {model} {version}, which is not loaded for {duration:?}"
         );
         for id in self.remove_waiting_if(|_, needed| requires(Some(needed), item)) {
             self.refuse_id(id, refusal(duration));
@@ -81,21 +44,19 @@
     ///
     /// The refusal, with the remaining time as the retry time.
     pub(crate) fn check_load(&self, item: &Item) -> Result<(), Refusal> {
-        let now = self.now();
         let mut quarantined = self
             .load_crashes
-            .iter()
-            .filter(|c| requires(Some(item), &c.item))
-            .filter(|c| c.quarantined_until > now && self.is_declared(c));
+            .quarantined(self.now())
+            .filter(|q| requires(Some(item), q.item))
+            .filter(|q| self.is_declared(q.item, q.version));
         match quarantined.next() {
-            Some(c) => Err(refusal(c.quarantined_until - now)),
+            Some(q) => Err(refusal(q.left)),
             None => Ok(()),
         }
     }
 
-    fn is_declared(&self, crashes: &LoadCrashes) -> bool {
-        let current = declared(&self.in_force, &crashes.item);
-        current.is_some_and(|(version, _)| *version == *crashes.version)
+    fn is_declared(&self, item: &Item, version: &str) -> bool {
+        declared(&self.in_force, item).is_some_and(|(current, _)| *current == *version)
     }
 }
 
--- a/crates/stair-agent/src/orders.rs
+++ b/crates/stair-agent/src/orders.rs
@@ -130,7 +130,7 @@
         if outcome == OrderOutcome::Reply(Answer::Done) {
             self.items.observe_load(item, took);
             self.failures.retain(|f| f.item != *item);
-            self.load_crashes.retain(|c| c.item != *item);
+            self.load_crashes.loaded(item);
             self.record_use(Some(item));
             let key = self.items.key(Some(item));
             self.keep_alive.finished(key, self.now());
--- a/crates/stair-fleet/src/quarantine.rs
+++ b/crates/stair-fleet/src/quarantine.rs
@@ -26,6 +26,7 @@
 mod crashes;
 mod ledger;
 mod ledger_messages;
+mod loads;
 mod trials;
 mod watchlist;
 
@@ -45,6 +46,10 @@
     Record, //
 };
 pub use ledger_messages::Effects;
+pub use loads::{
+    LoadCrashes,
+    QuarantinedLoad, //
+};
 pub use watchlist::Watchlist;
 
 /// Blame from which a request runs apart from other suspects: more than one crash adds.
--- a/crates/stair-sidecar/src/controller.rs
+++ b/crates/stair-sidecar/src/controller.rs
@@ -22,6 +22,7 @@
         Outcome,
         Used,
     },
+    quarantine::LoadCrashes,
     target::{
         CopyLocation,
         Fetched, //
@@ -113,6 +114,10 @@
     usage: Usage,
     /// Rejected requests for models that no engine could load in time.
     unserved: Usage,
+    /// Loads during which the engine crashed, by model.
+    load_crashes: LoadCrashes<Box<str>>,
+    /// Models whose quarantine has begun and has not been logged.
+    new_quarantines: Vec<(Box<str>, Duration)>,
     /// Adapters, as `MODEL/NAME`, that the engine unloads once their requests have ended, and until
     /// when they count as unloading.
     unloading_adapters: Vec<(Box<str>, Duration)>,
@@ -224,6 +229,9 @@
     pub fn read(&mut self, reading: Option<Reading>, now: Duration) -> bool {
         let was_alive = std::mem::replace(&mut self.alive, reading.is_some());
         let Some(reading) = reading else {
+            if was_alive {
+                self.record_load_crash(now);
+            }
             // A crash loses the load in progress. If it were still reported, it would occupy one of
             // the few load slots of the weight store while the engine is down, and look as if
             // concurrent loads had slowed it. An engine that is still loading when it responds
@@ -231,15 +239,18 @@
             self.in_progress = None;
             return false;
         };
-        let restarted = self.update_incarnation(&reading, now);
+        let restarted = self.update_incarnation(&reading, was_alive, now);
         if restarted || !was_alive {
             self.restore(&reading, now);
         }
         if !reading.busy
             && let Some(in_progress) = self.in_progress.take()
         {
-            let fetches = in_progress.load && in_progress.from == CopyLocation::Store;
-            if fetches && reading.holds.model(&in_progress.model).is_some() {
+            let loaded = in_progress.load && reading.holds.model(&in_progress.model).is_some();
+            if loaded {
+                self.load_crashes.loaded(&in_progress.model);
+            }
+            if loaded && in_progress.from == CopyLocation::Store {
                 let fetched = Fetched {
                     concurrent: in_progress.concurrent,
                     slowdown: self.slowdown(&in_progress, now),
@@ -264,6 +275,39 @@
         restarted
     }
 
+    /// Records that the engine has ended during the loads that were in progress or unconfirmed.
+    fn record_load_crash(&mut self, now: Duration) {
+        let in_progress = self.in_progress.take().filter(|d| d.load);
+        let unconfirmed = self.unconfirmed.iter().map(|u| u.model.clone());
+        let models: Vec<Box<str>> = in_progress
+            .map(|d| d.model)
+            .into_iter()
+            .chain(unconfirmed)
+            .collect();
+        for model in models {
+            // The platform's declarations name no version of a model.
+            if let Some(duration) = self.load_crashes.crashed(&model, "", now) {
+                self.new_quarantines.push((model, duration));
+            }
+        }
+    }
+
+    /// Takes the models that are not loaded any more since the last call, and for how long.
+    pub fn take_quarantined_loads(&mut self) -> Vec<(Box<str>, Duration)> {
+        std::mem::take(&mut self.new_quarantines)
+    }
+
+    /// The models that are not loaded now, and the remaining times.
+    pub fn quarantined_loads(&self, now: Duration) -> Vec<(Box<str>, Duration)> {
+        let all = self.load_crashes.quarantined(now);
+        all.map(|q| (q.item.clone(), q.left)).collect()
+    }
+
+    fn is_quarantined(&self, model: &str, now: Duration) -> bool {
+        let mut all = self.load_crashes.quarantined(now);
+        all.any(|q| **q.item == *model)
+    }
+
     /// Requests the models in use before a restart, if the engine has none loaded now.
     ///
     /// Entries request a model again only when the platform's list has the engine's new incarnation,
@@ -303,11 +347,15 @@
 
     /// Detects a restart, and drops the unconfirmed loads that can no longer be carried out. Returns
     /// whether the engine has restarted.
-    fn update_incarnation(&mut self, reading: &Reading, now: Duration) -> bool {
+    fn update_incarnation(&mut self, reading: &Reading, was_alive: bool, now: Duration) -> bool {
         let before = self.started;
         self.started = reading.started.or(before);
         let restarted = before.is_some() && self.started != before;
         if restarted {
+            // Otherwise recorded when the engine did not respond.
+            if was_alive {
+                self.record_load_crash(now);
+            }
             self.in_progress = None;
             self.unloading_adapters.clear();
             self.not_before = Duration::ZERO;
@@ -399,7 +447,10 @@
         if self.ready(&p.req) {
             return Some(Outcome::Ready);
         }
-        if p.failed || now.saturating_sub(p.since) > p.req.timeout {
+        if p.failed
+            || now.saturating_sub(p.since) > p.req.timeout
+            || self.is_quarantined(&p.req.model, now)
+        {
             return Some(Outcome::Failed);
         }
         if !control || !self.alive || self.reading.is_none() || self.decl.is_none() {
--- a/crates/stair-sidecar/src/process.rs
+++ b/crates/stair-sidecar/src/process.rs
@@ -285,6 +285,7 @@
                 () = sleep_until(read_at) => self.read().await,
                 () = stopped(&mut stop) => return,
             }
+            self.report_quarantined_loads();
             self.execute_orders().await;
             let busy = self.controller.busy() || self.controller.has_load_requests();
             let pause = if busy {
@@ -356,6 +357,17 @@
         }
     }
 
+    /// Logs and counts the models whose loads have ended the engine and are withheld from now on.
+    fn report_quarantined_loads(&mut self) {
+        for (model, duration) in self.controller.take_quarantined_loads() {
+            Line::failure("load.quarantined")
+                .text("model", &model)
+                .ms("for_ms", duration)
+                .write();
+            self.page.count("quarantined_loads_total", &[], 1);
+        }
+    }
+
     /// Sends orders until none is due, and the outcomes of load requests that are known.
     async fn execute_orders(&mut self) {
         loop {
--- a/crates/stair-sidecar/src/process/dump.rs
+++ b/crates/stair-sidecar/src/process/dump.rs
@@ -43,6 +43,8 @@
     rates: Vec<Rate>,
     /// Open load requests, including prefetches.
     load_requests: usize,
+    /// Models that are not loaded since their loads have ended the engine, and the remaining times.
+    quarantined_loads: Vec<(Box<str>, u64)>,
     /// State of the quotas that are counted by this agent.
     #[serde(rename = "allowances")]
     quotas: Ledger,
@@ -70,6 +72,12 @@
             load: self.load(),
             rates: self.prefills.rates().to_vec(),
             load_requests: self.controller.load_requests(),
+            quarantined_loads: self
+                .controller
+                .quarantined_loads(now)
+                .into_iter()
+                .map(|(model, left)| (model, u64::try_from(left.as_millis()).unwrap_or(u64::MAX)))
+                .collect(),
             quotas: self.ledgers.quotas.ledger(),
             limits: self.ledgers.limits.ledger(),
             quarantine: self.ledgers.quarantine.ledger().records().to_vec(),
