fleet: an engine under a low limit serves only the adapters that it has

A load of an adapter takes an order and readings under the same limit. At 1 a second the agent refused the order, since the request that needed it held the permit, and after two tries the request was sent without the adapter and came back with 421. Such an engine is no candidate now, and the model is loaded elsewhere. adapter_elsewhere failed before. A changed limit costs an entry one look-up instead of one for each target.

--- a/crates/stair-fleet/src/choose.rs
+++ b/crates/stair-fleet/src/choose.rs
@@ -78,8 +78,14 @@
 
 /// Chooses among the targets that accept requests and have the model, if one is requested.
 pub fn choose(view: &View, opts: &Options<'_>, now: Duration) -> Option<Outcome> {
+    let has_adapter = |s: &TargetState| match (opts.model, opts.adapter) {
+        (Some(model), Some(adapter)) => s.may_load() || s.has_adapter(model, adapter, now),
+        _ => true,
+    };
     let can_serve = |s: &TargetState| {
-        s.accepts(opts.suspects, now) && opts.model.is_none_or(|m| s.can_run(m, now))
+        s.accepts(opts.suspects, now)
+            && opts.model.is_none_or(|m| s.can_run(m, now))
+            && has_adapter(s)
     };
     let candidates: Vec<(TargetKey, &TargetState)> = view
         .of(opts.service)
@@ -138,12 +144,7 @@
         ms += s.unread_tokens as f64 / PREFILL_TOKENS_PER_MS;
         ms += f64::from(s.in_flight) * RUNNING_MS;
     }
-    let has = |a: &str| {
-        s.inventory(now)
-            .model(model)
-            .is_some_and(|h| h.adapters.iter().any(|x| **x == *a))
-    };
-    if opts.adapter.is_some_and(|a| !has(a)) {
+    if opts.adapter.is_some_and(|a| !s.has_adapter(model, a, now)) {
         ms += ADAPTER_MS;
         // An engine takes no orders for adapters while it loads or unloads a model.
         let loading = s.fresh_report(now).and_then(|r| r.load.loading.as_ref());
--- a/crates/stair-fleet/src/target_state.rs
+++ b/crates/stair-fleet/src/target_state.rs
@@ -37,6 +37,10 @@
 /// then marks the VM as unresponsive at once.
 pub const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1000);
 
+/// The least limit, in requests per second, under which a target loads anything: a load takes an order
+/// and some readings while a request waits for it.
+const MIN_LOAD_RATE: f64 = 10.0;
+
 /// Weight of the newest sample in the moving averages.
 const SAMPLE_WEIGHT: f64 = 0.2;
 
@@ -178,6 +182,17 @@
         limit.map_or(Duration::ZERO, |l| l.free_at.saturating_sub(now))
     }
 
+    /// Whether the target's limit leaves room for the orders and readings of a load.
+    pub fn may_load(&self) -> bool {
+        self.limit.is_none_or(|l| l.rate.per_s() >= MIN_LOAD_RATE)
+    }
+
+    /// Whether the target has the adapter of a model loaded.
+    pub fn has_adapter(&self, model: &str, adapter: &str, now: Duration) -> bool {
+        let loaded = self.inventory(now).model(model);
+        loaded.is_some_and(|l| l.adapters.iter().any(|a| **a == *adapter))
+    }
+
     /// Whether the model is loaded at the target and is not about to be unloaded.
     pub fn can_run(&self, model: &str, now: Duration) -> bool {
         let report = self.fresh_report(now);
--- a/crates/stair-fleet/tests/limited.rs
+++ b/crates/stair-fleet/tests/limited.rs
@@ -104,3 +104,21 @@
     let load = next(&view).expect("a load");
     assert_eq!((&*load.model, load.place.from), ("a", CopyLocation::Store));
 }
+
+// A request for an adapter gets a permit at an engine that lacks it and may not load it.
+#[test]
+fn adapter_elsewhere() {
+    let (mut view, keys) = fleet(vec![report(&["a"], &[])]);
+    let opts = choose::Options {
+        adapter: Some("x"),
+        ..options("a")
+    };
+    let chosen = |view: &View| choose::choose(view, &opts, NOW).map(|at| at.key);
+    assert_eq!(chosen(&view), Some(keys[0]));
+    limit(&mut view, keys[0], ms(0));
+    assert_eq!(chosen(&view), None);
+    let mut with_adapter = report(&["a"], &[]);
+    with_adapter.inventory.models[0].adapters = vec!["x".into()];
+    support::apply_report(&mut view, 0, with_adapter);
+    assert_eq!(chosen(&view), Some(keys[0]));
+}
--- a/crates/stair-relay/src/limit.rs
+++ b/crates/stair-relay/src/limit.rs
@@ -444,10 +444,7 @@
             target,
             rate,
         } => {
-            let key = counted_at(cx, engine)
-                .into_iter()
-                .find(|(_, id, _)| *id == target);
-            if let Some((key, _, _)) = key {
+            if let Some(key) = counted_target(cx, engine, &target) {
                 apply(cx, key, rate, Some(epoch), Source::Process);
             }
         }
@@ -496,6 +493,14 @@
     }
 }
 
+/// The target with this id, if the agent of an engine counts it.
+fn counted_target(cx: &Context, engine: SocketAddr, target: &str) -> Option<TargetKey> {
+    let now = cx.now();
+    let mut state = cx.state();
+    let (key, _) = state.view.all().find(|(_, s)| *s.target.id == *target)?;
+    (state.counted_by(key, now).engine() == Some(engine)).then_some(key)
+}
+
 /// The targets that the agent of an engine counts, with their ids and limits.
 fn counted_at(cx: &Context, engine: SocketAddr) -> Vec<(TargetKey, Box<str>, Option<KnownLimit>)> {
     let now = cx.now();
