relay, sidecar: limits and withheld loads in modules of their own

What targets state about limits moved to limit::statements, the waits for permits to limit::Waits, loads that end engines to controller::load_crashes; the limit as a sender has it is CachedLimit, as a target has it TargetLimit. Nothing is decided otherwise; rate_limit, limited and the sidecar's tests pass.

--- a/crates/stair-agent/src/limit.rs
+++ b/crates/stair-agent/src/limit.rs
@@ -8,8 +8,8 @@
     header::HeaderName, //
 };
 use stair_fleet::rate_limit::{
+    CachedLimit,
     Change,
-    Known,
     Rate,
     Source,
     Stamp,
@@ -89,7 +89,7 @@
     pub(crate) fn adopt_limit(&mut self, limit: Option<StatedLimit>) {
         let Some(limit) = limit else { return };
         let rate = Rate::try_from(limit.micros_per_s as f64 / MICROS);
-        let known = rate.map(|rate| Known {
+        let known = rate.map(|rate| CachedLimit {
             rate,
             epoch: Some(limit.incarnation.0),
         });
--- a/crates/stair-fleet/src/rate_limit.rs
+++ b/crates/stair-fleet/src/rate_limit.rs
@@ -98,7 +98,7 @@
 
 /// A limit as a sender knows it.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct Known {
+pub struct CachedLimit {
     /// The limit.
     pub rate: Rate,
     /// The epoch of the process that stated it last; `None` if the sender has learnt it by itself.
@@ -156,7 +156,7 @@
         /// The longest useful wait.
         max_wait: Duration,
         /// The limit as the sender knows it.
-        known: Known,
+        known: CachedLimit,
         /// Whether the receiver stands in for a process that does not reply.
         stand_in: bool,
     },
@@ -180,7 +180,7 @@
         statement: Statement,
     },
     /// The limits that a sender knows when its link begins.
-    Known(Vec<(Box<str>, Known)>),
+    Known(Vec<(Box<str>, CachedLimit)>),
 }
 
 /// Messages from the process that counts a target.
--- a/crates/stair-fleet/src/rate_limit/ledger.rs
+++ b/crates/stair-fleet/src/rate_limit/ledger.rs
@@ -5,7 +5,7 @@
 use serde::Serialize;
 
 use super::{
-    Change, Known, Limiter, Rate, Statement, ToLedger, ToSender,
+    CachedLimit, Change, Limiter, Rate, Statement, ToLedger, ToSender,
     limiter::{
         Requested,
         Ticket, //
@@ -106,7 +106,7 @@
     }
 
     /// Adopts a limit, as [`Limiter::adopt`].
-    pub fn adopt(&mut self, target: &str, known: &Known, now: Duration) -> Option<Change> {
+    pub fn adopt(&mut self, target: &str, known: &CachedLimit, now: Duration) -> Option<Change> {
         self.limiter(target, now).adopt(known, now)
     }
 
--- a/crates/stair-fleet/src/rate_limit/limiter.rs
+++ b/crates/stair-fleet/src/rate_limit/limiter.rs
@@ -5,9 +5,9 @@
 use serde::Serialize;
 
 use super::{
+    CachedLimit,
     Change,
     ChangeKind,
-    Known,
     Rate,
     Reply,
     Source,
@@ -195,7 +195,7 @@
     }
 
     /// Adopts a limit that a sender knows, unless this process has lifted it.
-    pub fn adopt(&mut self, known: &Known, now: Duration) -> Option<Change> {
+    pub fn adopt(&mut self, known: &CachedLimit, now: Duration) -> Option<Change> {
         if self.limit.is_some() || known.epoch == Some(self.epoch) {
             return None;
         }
@@ -344,11 +344,9 @@
         (!self.waiting.is_empty()).then(|| grants_at.saturating_sub(now))
     }
 
-    /// Withdraws a request that waits. Returns whether it did.
-    pub fn cancel(&mut self, ticket: Ticket) -> bool {
-        let before = self.waiting.len();
+    /// Withdraws a request that waits.
+    pub fn cancel(&mut self, ticket: Ticket) {
         self.waiting.retain(|w| w.ticket != ticket);
-        self.waiting.len() < before
     }
 
     /// Withdraws all requests of a sender whose link has ended.
@@ -432,12 +430,6 @@
         (self.at + self.time_to(1)).saturating_sub(now)
     }
 
-    /// Time until a request of the lowest urgency that arrives now could be granted.
-    pub fn expected_wait(&self, now: Duration) -> Duration {
-        let at = self.at + self.time_to(self.waiting.len() + 1);
-        at.saturating_sub(now)
-    }
-
     /// Time between two permits; `None` without a limit.
     pub fn interval(&self) -> Option<Duration> {
         self.limit?;
--- a/crates/stair-fleet/src/target_state.rs
+++ b/crates/stair-fleet/src/target_state.rs
@@ -46,7 +46,7 @@
 
 /// A limit that a target has named.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct KnownLimit {
+pub struct TargetLimit {
     /// Requests per second of all entries and agents together.
     pub rate: Rate,
     /// The epoch of the process that stated it last; `None` if this entry has learnt it by itself.
@@ -88,7 +88,7 @@
     /// in milliseconds.
     pub delay_ms: f64,
     /// The limit that the target has named.
-    pub limit: Option<KnownLimit>,
+    pub limit: Option<TargetLimit>,
     /// The inventory of a target that was removed without draining, and the time of its last
     /// report.
     pub(crate) last_inventory: Option<(Inventory, Duration)>,
--- a/crates/stair-fleet/tests/limited.rs
+++ b/crates/stair-fleet/tests/limited.rs
@@ -11,7 +11,7 @@
         Source, //
     },
     target::CopyLocation,
-    target_state::KnownLimit,
+    target_state::TargetLimit,
     view::TargetKey,
 };
 use support::{
@@ -26,7 +26,7 @@
 };
 
 fn limit(view: &mut View, key: TargetKey, free_in: Duration) {
-    view.get_mut(key).limit = Some(KnownLimit {
+    view.get_mut(key).limit = Some(TargetLimit {
         rate: Rate::try_from(1.0).expect("a rate"),
         epoch: None,
         source: Source::Response,
--- a/crates/stair-fleet/tests/rate_limit.rs
+++ b/crates/stair-fleet/tests/rate_limit.rs
@@ -7,8 +7,8 @@
     prelude::*, //
 };
 use stair_fleet::rate_limit::{
+    CachedLimit,
     ChangeKind,
-    Known,
     Ledger,
     Limiter,
     Rate,
@@ -51,7 +51,7 @@
         target: "t".into(),
         rank,
         max_wait: ms(max_wait),
-        known: Known {
+        known: CachedLimit {
             rate: rate(1.0),
             epoch: None,
         },
@@ -137,7 +137,7 @@
     // What this process has lifted is not adopted again.
     let stamp = ledger.limiter("t", ms(0)).stamp();
     ledger.state("t", &stated(None, Some(stamp)), ms(10));
-    let known = Known {
+    let known = CachedLimit {
         rate: rate(1.0),
         epoch: Some(EPOCH),
     };
--- a/crates/stair-fleet/tests/rate_limit_load.rs
+++ b/crates/stair-fleet/tests/rate_limit_load.rs
@@ -9,7 +9,7 @@
     rngs::StdRng, //
 };
 use stair_fleet::rate_limit::{
-    Known,
+    CachedLimit,
     Ledger,
     Limiter,
     Rate,
@@ -65,7 +65,7 @@
 /// Times at which requests are sent when one process counts for all entries.
 fn counted(load: Load, arrivals: &[(u64, u32)]) -> Vec<u64> {
     let mut ledger = Ledger::new(1);
-    let known = Known {
+    let known = CachedLimit {
         rate: rate(load.per_s),
         epoch: None,
     };
--- a/crates/stair-relay/src/limit.rs
+++ b/crates/stair-relay/src/limit.rs
@@ -8,6 +8,8 @@
 //! Invariant: nothing is sent to a target whose limit is known here without a permit, and a permit is
 //! used once.
 
+mod statements;
+
 use std::{
     net::SocketAddr,
     sync::{
@@ -20,24 +22,20 @@
     time::Duration, //
 };
 
-use platform_adapter::Error;
 use stair_fleet::{
     msg::ToAgent,
     rate_limit::{
-        Known,
+        CachedLimit,
         Ledger,
         REPLY_TIMEOUT,
-        Rate,
         Reply,
         SKIP_DURATION,
         Source,
         Stamp,
-        Statement,
         ToLedger,
         ToSender,
         share, //
     },
-    target_state::KnownLimit,
     view::TargetKey,
 };
 use stair_telemetry::event::Line;
@@ -56,8 +54,20 @@
         State, //
     },
     job::Job,
+    prefill,
+    select::RUN_DURATION, //
+};
+
+pub(crate) use statements::observe;
+use statements::{
+    apply,
+    counted_target,
+    receive_all, //
 };
 
+/// A request waits for a permit of the target that it tries first for its objective divided by this.
+const FIRST_WAIT_DIVISOR: u32 = 8;
+
 /// The state that an entry keeps beside the limits themselves, which are in the view.
 pub struct Limits {
     /// Counts the entry's own shares.
@@ -142,6 +152,35 @@
     }
 }
 
+/// The longest useful waits of a request for a permit.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Waits {
+    /// At a target that it tries first, as others may be free.
+    pub(crate) first: Duration,
+    /// At the best target, with which the response is not too late.
+    pub(crate) longest: Duration,
+}
+
+impl Waits {
+    pub(crate) fn of(job: &Job, opts: &prefill::Options) -> Self {
+        let objective = job.route.objective;
+        let end = opts
+            .until
+            .min(opts.since + objective * prefill::LATE_FACTOR);
+        let run = match job.model_of_engine() {
+            Some(_) => RUN_DURATION,
+            None => Duration::ZERO,
+        };
+        let longest = end
+            .saturating_duration_since(Instant::now())
+            .saturating_sub(run);
+        Self {
+            first: longest.min(objective / FIRST_WAIT_DIVISOR),
+            longest,
+        }
+    }
+}
+
 /// Whether a request may be sent to a target.
 pub(crate) enum Permission {
     /// It may, with a permit if the target has a limit.
@@ -184,7 +223,7 @@
     max_wait: Duration,
 ) -> Permission {
     let begun = Instant::now();
-    let Some((target, known)) = known_limit(cx, key) else {
+    let Some((target, known)) = cached_limit(cx, key) else {
         return Permission::Granted(None);
     };
     let (reply, by) = match request_from_agent(cx, job, key, &target, known, max_wait).await {
@@ -223,11 +262,11 @@
     })))
 }
 
-fn known_limit(cx: &Context, key: TargetKey) -> Option<(Box<str>, Known)> {
+fn cached_limit(cx: &Context, key: TargetKey) -> Option<(Box<str>, CachedLimit)> {
     let state = cx.state();
     let target_state = state.view.get(key);
     let limit = target_state.limit?;
-    let known = Known {
+    let known = CachedLimit {
         rate: limit.rate,
         epoch: limit.epoch,
     };
@@ -262,7 +301,7 @@
     job: &Job,
     key: TargetKey,
     target: &str,
-    known: Known,
+    known: CachedLimit,
     max_wait: Duration,
 ) -> Option<(Reply, CountedBy)> {
     let (by, engine, seq, mut rx) = {
@@ -319,7 +358,12 @@
 }
 
 /// Grants a permit from this entry's own share of the limit.
-async fn request_share(cx: &Context, target: &str, known: Known, max_wait: Duration) -> Reply {
+async fn request_share(
+    cx: &Context,
+    target: &str,
+    known: CachedLimit,
+    max_wait: Duration,
+) -> Reply {
     let own_share = share(known.rate, cx.entries());
     let try_now = || {
         let now = cx.now();
@@ -336,97 +380,6 @@
     try_now()
 }
 
-/// Applies what a target's response states about its limit. `permit` is the one for the request.
-pub(crate) fn observe(
-    cx: &Context,
-    key: TargetKey,
-    stated: Result<Option<Rate>, Error>,
-    permit: Option<&Permit>,
-) {
-    let now = cx.now();
-    let mut state = cx.state();
-    let target: Box<str> = state.view.get(key).target.id.clone();
-    let known = state.view.get(key).limit;
-    let rate = match stated {
-        Ok(rate) => rate,
-        Err(e) => {
-            drop(state);
-            Line::failure("limit.malformed")
-                .text("target", &target)
-                .show("error", e)
-                .write();
-            cx.page.count("limits_total", &[("change", "malformed")], 1);
-            return;
-        }
-    };
-    if rate.is_none() && (known.is_none() || permit.is_none()) {
-        return;
-    }
-    let statement = Statement {
-        rate,
-        stamp: permit.map(|p| p.stamp),
-        source: Source::Response,
-    };
-    let by = permit.map_or_else(|| state.counted_by(key, now), |p| p.by);
-    let msg = ToLedger::Stated {
-        target: target.clone(),
-        statement,
-    };
-    state.send_to_limiter(by, msg, now);
-    let change = match (rate, known) {
-        // The agent decides whether a limit is lifted or raised, since it knows what has arrived.
-        (Some(rate), None) => Some(Some(rate)),
-        (Some(rate), Some(l)) if rate < l.rate => Some(Some(rate)),
-        (_, Some(_)) if by == CountedBy::Entry => {
-            let lifted = state.limits.own.limiter(&target, now).rate().is_none();
-            (lifted || rate.is_some_and(|r| known.is_some_and(|l| r != l.rate))).then_some(rate)
-        }
-        _ => None,
-    };
-    drop(state);
-    if let Some(rate) = change {
-        apply(cx, key, rate, None, Source::Response);
-    }
-}
-
-/// Sets a target's limit as this entry knows it, and logs the change.
-fn apply(cx: &Context, key: TargetKey, rate: Option<Rate>, epoch: Option<u64>, source: Source) {
-    let now = cx.now();
-    let mut state = cx.state();
-    let target_state = state.view.get_mut(key);
-    let target = target_state.target.id.clone();
-    let before = target_state.limit;
-    if before.map(|l| l.rate) == rate {
-        if let Some(limit) = &mut target_state.limit {
-            limit.epoch = epoch.or(limit.epoch);
-        }
-        return;
-    }
-    target_state.limit = rate.map(|rate| KnownLimit {
-        rate,
-        epoch,
-        source,
-        since: now,
-        free_at: before.map_or(Duration::ZERO, |l| l.free_at),
-    });
-    drop(state);
-    let change = match (before, rate) {
-        (None, _) => "named",
-        (Some(_), Some(_)) => "changed",
-        (Some(_), None) => "lifted",
-    };
-    let age = before.map_or(Duration::ZERO, |l| now.saturating_sub(l.since));
-    let text = rate.map(|r| r.to_string());
-    Line::failure("limit")
-        .text("target", &target)
-        .text("change", change)
-        .text("per_s", text.as_deref().unwrap_or("none"))
-        .text("source", source.as_str())
-        .ms("age_ms", age)
-        .write();
-    cx.page.count("limits_total", &[("change", change)], 1);
-}
-
 /// Handles a message of an agent.
 pub(crate) fn receive(cx: &Context, engine: SocketAddr, msg: ToSender) {
     match msg {
@@ -464,57 +417,6 @@
     }
 }
 
-/// Applies the limits that an agent knows when its link begins, and tells it those that it does not
-/// know.
-fn receive_all(cx: &Context, engine: SocketAddr, epoch: u64, limits: &[(Box<str>, Rate)]) {
-    let mut unknown = Vec::new();
-    for (key, target, known) in counted_at(cx, engine) {
-        let at = limits.binary_search_by(|(t, _)| (**t).cmp(&*target));
-        match (at, known) {
-            (Ok(i), _) => apply(cx, key, Some(limits[i].1), Some(epoch), Source::Process),
-            (Err(_), Some(l)) if l.epoch == Some(epoch) => {
-                apply(cx, key, None, Some(epoch), Source::Process);
-            }
-            (Err(_), Some(l)) => {
-                let known = Known {
-                    rate: l.rate,
-                    epoch: l.epoch,
-                };
-                unknown.push((target, known));
-            }
-            (Err(_), None) => {}
-        }
-    }
-    if !unknown.is_empty() {
-        let now = cx.now();
-        let msg = ToLedger::Known(unknown);
-        cx.state()
-            .send_to_limiter(CountedBy::Agent(engine), msg, now);
-    }
-}
-
-/// The target with this id, if the agent of an engine counts it.
-fn counted_target(cx: &Context, engine: SocketAddr, target: &str) -> Option<TargetKey> {
-    let now = cx.now();
-    let mut state = cx.state();
-    let (key, _) = state.view.all().find(|(_, s)| *s.target.id == *target)?;
-    (state.counted_by(key, now).engine() == Some(engine)).then_some(key)
-}
-
-/// The targets that the agent of an engine counts, with their ids and limits.
-fn counted_at(cx: &Context, engine: SocketAddr) -> Vec<(TargetKey, Box<str>, Option<KnownLimit>)> {
-    let now = cx.now();
-    let mut state = cx.state();
-    let all: Vec<_> = state
-        .view
-        .all()
-        .map(|(key, s)| (key, s.target.id.clone(), s.limit))
-        .collect();
-    all.into_iter()
-        .filter(|(key, _, _)| state.counted_by(*key, now).engine() == Some(engine))
-        .collect()
-}
-
 impl State {
     /// Who counts a target: its own agent if it is an engine, else the owner of its id. For an agent that
     /// does not reply the owner stands in, and without any agent the entry itself.
--- a/crates/stair-relay/src/select.rs
+++ b/crates/stair-relay/src/select.rs
@@ -36,7 +36,8 @@
     limit::{
         self,
         Permission,
-        Permit, //
+        Permit,
+        Waits, //
     },
     load::{
         Loaded,
@@ -48,7 +49,6 @@
     outage,
     prefill::{
         self,
-        LATE_FACTOR,
         PromptEstimate,
         Reservation,
         reserve, //
@@ -65,9 +65,6 @@
 /// Time reserved for the run itself while a request waits for a load or a prefill slot.
 pub(crate) const RUN_DURATION: Duration = Duration::from_millis(400);
 
-/// A request waits for a permit of the target that it tries first for its objective divided by this.
-const FIRST_PERMIT_DIVISOR: u32 = 8;
-
 /// Retry-After when it is unknown when a target will be free.
 pub(crate) const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(700);
 
@@ -231,7 +228,7 @@
     let Some(at) = find_ready(cx, job, tried, true) else {
         return Err(NoTarget::after(Duration::ZERO));
     };
-    let max_wait = longest_permit_wait(job, &search.reservation);
+    let max_wait = Waits::of(job, &search.reservation).longest;
     let permit = match limit::request(cx, job, at.key, max_wait).await {
         Permission::Granted(permit) => permit,
         Permission::Refused(wait) => return Err(NoTarget::limited(wait)),
@@ -265,19 +262,6 @@
     }
 }
 
-/// The longest wait for a permit with which the response is not too late.
-fn longest_permit_wait(job: &Job, opts: &prefill::Options) -> Duration {
-    let end = opts
-        .until
-        .min(opts.since + job.route.objective * LATE_FACTOR);
-    let run = match job.model_of_engine() {
-        Some(_) => RUN_DURATION,
-        None => Duration::ZERO,
-    };
-    end.saturating_duration_since(Instant::now())
-        .saturating_sub(run)
-}
-
 /// The state of the search for a target.
 struct Search {
     /// Engines that refused to load the model or the adapter.
@@ -327,10 +311,10 @@
     search: &mut Search,
 ) -> Result<Option<Box<Permit>>, Step> {
     let is_first = !search.limited.contains(&key);
-    let longest = longest_permit_wait(job, &search.reservation);
+    let waits = Waits::of(job, &search.reservation);
     let max_wait = match is_first {
-        true => longest.min(job.route.objective / FIRST_PERMIT_DIVISOR),
-        false => longest,
+        true => waits.first,
+        false => waits.longest,
     };
     match limit::request(cx, job, key, max_wait).await {
         Permission::Granted(permit) => Ok(permit),
--- a/crates/stair-sidecar/src/controller.rs
+++ b/crates/stair-sidecar/src/controller.rs
@@ -6,6 +6,7 @@
 //! - The weights after an order never exceed the engine's memory. An unconfirmed load from before the engine's restart
 //!   may still be carried out; its memory stays reserved until that is impossible.
 
+mod load_crashes;
 mod plan;
 mod report;
 
@@ -275,39 +276,6 @@
         restarted
     }
 
-    /// Records that the engine has ended during the loads that were in progress or unconfirmed.
-    fn record_load_crash(&mut self, now: Duration) {
-        let in_progress = self.in_progress.take().filter(|d| d.load);
-        let unconfirmed = self.unconfirmed.iter().map(|u| u.model.clone());
-        let models: Vec<Box<str>> = in_progress
-            .map(|d| d.model)
-            .into_iter()
-            .chain(unconfirmed)
-            .collect();
-        for model in models {
-            // The platform's declarations name no version of a model.
-            if let Some(duration) = self.load_crashes.crashed(&model, "", now) {
-                self.new_quarantines.push((model, duration));
-            }
-        }
-    }
-
-    /// Takes the models that are not loaded any more since the last call, and for how long.
-    pub fn take_quarantined_loads(&mut self) -> Vec<(Box<str>, Duration)> {
-        std::mem::take(&mut self.new_quarantines)
-    }
-
-    /// The models that are not loaded now, and the remaining times.
-    pub fn quarantined_loads(&self, now: Duration) -> Vec<(Box<str>, Duration)> {
-        let all = self.load_crashes.quarantined(now);
-        all.map(|q| (q.item.clone(), q.left)).collect()
-    }
-
-    fn is_quarantined(&self, model: &str, now: Duration) -> bool {
-        let mut all = self.load_crashes.quarantined(now);
-        all.any(|q| **q.item == *model)
-    }
-
     /// Requests the models in use before a restart, if the engine has none loaded now.
     ///
     /// Entries request a model again only when the platform's list has the engine's new incarnation,
