--- a/crates/stair-agent/src/lib.rs
+++ b/crates/stair-agent/src/lib.rs
@@ -2,8 +2,9 @@
 //!
 //! A request passes through these modules: `links` accepts its stream, `offers` reads the offer,
 //! `control` decides when it runs, `run` runs it at the target, `responses` buffers the response,
-//! and `resume` serves the buffered response after a link broke. `crash` finds out whether the target
-//! crashed during a run, `limit` spaces the runs if the target names a limit, and `quarantine` keeps a ledger of crashes for all entries.
+//! and `resume` serves the buffered response after a link broke. `limit` spaces the runs if the
+//! target names a limit, `crash` finds out whether the target crashed during a run, and `quarantine`
+//! keeps a ledger of crashes for all entries.
 //!
 //! - [`start`]: start, operation and graceful stop of an agent.
 //! - [`dump`]: the state of an agent for the operator.
--- a/crates/stair-agent/src/limit.rs
+++ b/crates/stair-agent/src/limit.rs
@@ -22,7 +22,6 @@
 };
 use stair_types::FencingToken;
 use stair_wire::request::StatedLimit;
-
 use tokio::time::sleep;
 
 use crate::{
--- a/crates/stair-fleet/src/target_state.rs
+++ b/crates/stair-fleet/src/target_state.rs
@@ -37,7 +37,7 @@
 /// then marks the VM as unresponsive at once.
 pub const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1000);
 
-/// The least limit, in requests per second, under which a target loads anything: a load takes an order
+/// The least limit, in requests per second, under which a target loads adapters: a load takes an order
 /// and some readings while a request waits for it.
 const MIN_LOAD_RATE: f64 = 10.0;
 
@@ -182,7 +182,7 @@
         limit.map_or(Duration::ZERO, |l| l.free_at.saturating_sub(now))
     }
 
-    /// Whether the target's limit leaves room for the orders and readings of a load.
+    /// Whether the target's limit leaves room for the orders and readings of an adapter's load.
     pub fn may_load(&self) -> bool {
         self.limit.is_none_or(|l| l.rate.per_s() >= MIN_LOAD_RATE)
     }
