fleet, relay, sidecar: record whether targets drain or want no requests

Server-Leaving and the Retry-After of a 503 are decoded in one place and kept by incarnation. Each change is a log line `availability` with target, change, source and time, and a count in availability_total; the dumps of entries and agents show the state, two gauges the number of targets. No decision uses it yet.

--- a/crates/stair-fleet/src/lib.rs
+++ b/crates/stair-fleet/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`workspace`]: workspaces, their keys and their quotas.
 //! - [`quota`]: token buckets for the quotas of workspaces.
 //! - [`rate_limit`]: limits that targets name for all entries together.
+//! - [`availability`]: targets that drain, or want no requests for some time.
 //! - [`target`]: what a target announces and what its agent reports.
 //! - [`target_state`]: what an entry knows of one target.
 //! - [`view`]: what an entry knows of all targets.
@@ -27,6 +28,7 @@
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
+pub mod availability;
 pub mod balance;
 pub mod budget;
 pub mod catalogue;
--- a/crates/stair-fleet/src/rate_limit.rs
+++ b/crates/stair-fleet/src/rate_limit.rs
@@ -62,7 +62,7 @@
     pub seq: u64,
 }
 
-/// Where a statement of a limit comes from.
+/// Where a statement of a target comes from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Source {
     /// The target's response to a request.
--- a/crates/stair-fleet/src/target.rs
+++ b/crates/stair-fleet/src/target.rs
@@ -35,7 +35,24 @@
     pub inventory: Inventory,
 }
 
+/// Identifies one incarnation of a target.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Incarnation {
+    /// The target's id.
+    pub id: Box<str>,
+    /// Start of the incarnation in milliseconds of the target's own clock, if known.
+    pub started: Option<u64>,
+}
+
 impl Target {
+    /// The incarnation that is announced.
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation {
+            id: self.id.clone(),
+            started: self.started,
+        }
+    }
+
     /// Whether two announcements differ in nothing but their inventories.
     pub fn eq_except_inventory(&self, other: &Self) -> bool {
         let Self {
--- a/crates/stair-fleet/src/target_state.rs
+++ b/crates/stair-fleet/src/target_state.rs
@@ -6,6 +6,7 @@
 };
 
 use crate::{
+    availability::Availability,
     rate_limit::{
         Rate,
         Source, //
@@ -89,6 +90,8 @@
     pub delay_ms: f64,
     /// The limit that the target has named.
     pub limit: Option<TargetLimit>,
+    /// What the target's responses state about the requests that it takes.
+    pub availability: Availability,
     /// The inventory of a target that was removed without draining, and the time of its last
     /// report.
     pub(crate) last_inventory: Option<(Inventory, Duration)>,
@@ -121,6 +124,7 @@
             failing: 0.0,
             delay_ms: 0.0,
             limit: None,
+            availability: Availability::default(),
         }
     }
 
--- a/crates/stair-fleet/src/view.rs
+++ b/crates/stair-fleet/src/view.rs
@@ -15,7 +15,14 @@
 };
 
 use crate::{
+    availability::{
+        Change,
+        Registry,
+        Statement, //
+    },
+    rate_limit::Source,
     target::{
+        Incarnation,
         Inventory,
         Load,
         Report,
@@ -54,6 +61,8 @@
     targets: Vec<TargetState>,
     /// Placeholder for keys whose slots were reused; never listed.
     removed: TargetState,
+    /// What incarnations without a slot have stated.
+    unlisted: Registry,
     /// The serial of the newest incarnation.
     serial: u64,
     /// Declared services, sorted; `None` until they are known.
@@ -70,6 +79,7 @@
         Self {
             targets: Vec::new(),
             removed: TargetState::removed(),
+            unlisted: Registry::default(),
             serial: 0,
             declared: None,
             revision: 0,
@@ -186,7 +196,8 @@
             return i;
         }
         self.serial += 1;
-        let new = TargetState::new(target.clone(), self.serial);
+        let mut new = TargetState::new(target.clone(), self.serial);
+        new.availability = self.unlisted.take(&target.incarnation());
         let may_be_reused = |s: &TargetState| {
             let at = s.last_inventory.as_ref().map(|(_, at)| *at);
             at.is_none_or(|at| now.saturating_sub(at) >= REMOVED_INVENTORY_TTL)
@@ -195,13 +206,34 @@
             !s.listed && s.in_flight == 0 && s.report.is_none() && may_be_reused(s)
         };
         if let Some(i) = self.targets.iter().position(free) {
-            self.targets[i] = new;
+            let old = std::mem::replace(&mut self.targets[i], new);
+            if !old.availability.is_empty(now) {
+                self.unlisted
+                    .put(&old.target.incarnation(), old.availability, now);
+            }
             return i;
         }
         self.targets.push(new);
         self.targets.len() - 1
     }
 
+    /// Applies what a target's response states, and returns what it changes.
+    pub fn apply_statement(
+        &mut self,
+        incarnation: &Incarnation,
+        statement: &Statement,
+        source: Source,
+        now: Duration,
+    ) -> Vec<Change> {
+        let known = |s: &&mut TargetState| {
+            s.target.id == incarnation.id && s.target.started == incarnation.started
+        };
+        match self.targets.iter_mut().find(known) {
+            Some(state) => state.availability.apply(statement, source, now),
+            None => self.unlisted.apply(incarnation, statement, source, now),
+        }
+    }
+
     fn key(&self, i: usize) -> TargetKey {
         TargetKey {
             slot: i as u32,
--- a/crates/stair-relay/src/attempt.rs
+++ b/crates/stair-relay/src/attempt.rs
@@ -22,9 +22,9 @@
 use hyper_util::rt::TokioIo;
 use platform_adapter::response::{
     self,
-    ResponseKind, //
+    ResponseKind,
+    Stated, //
 };
-use stair_fleet::rate_limit::Rate;
 use tokio::{
     net::TcpStream,
     task::JoinHandle,
@@ -44,19 +44,34 @@
 /// Largest response body that is buffered as a whole, in bytes.
 const MAX_BODY_BYTES: usize = 16 << 20;
 
-/// The outcome of an attempt, and what the response states about its target's limit.
+/// The outcome of an attempt, and what the response states about its target.
 pub struct Sent {
     /// The outcome.
     pub outcome: Outcome,
-    /// The limit of the selected target by the response; `None` if no response of it arrived.
-    pub limit: Option<Result<Option<Rate>, platform_adapter::Error>>,
+    /// What the head of the response states; `None` if no response to the request arrived.
+    pub stated: Option<Stated>,
+}
+
+impl Sent {
+    /// What the response of the selected target states. A response that the request was misdirected may be
+    /// another target's.
+    pub fn of_target(&self) -> Option<&Stated> {
+        let misdirected = matches!(
+            self.outcome,
+            Outcome::NotRun {
+                misdirected: true,
+                ..
+            }
+        );
+        self.stated.as_ref().filter(|_| !misdirected)
+    }
 }
 
 impl From<Outcome> for Sent {
     fn from(outcome: Outcome) -> Self {
         Self {
             outcome,
-            limit: None,
+            stated: None,
         }
     }
 }
@@ -125,19 +140,11 @@
     match timeout_at(until, tx.try_send_request(req)).await {
         Err(_) => Outcome::Late.into(),
         Ok(Ok(resp)) => {
-            let limit = response::limit(resp.headers());
-            let outcome = classify(resp, conn, id);
-            // Another target or another incarnation responded.
-            let is_other = matches!(
-                outcome,
-                Outcome::Lost(_)
-                    | Outcome::NotRun {
-                        misdirected: true,
-                        ..
-                    }
-            );
+            let stated = Stated::decode(resp.status(), resp.headers());
+            let outcome = classify(resp, conn, id, &stated);
+            let is_related = !matches!(outcome, Outcome::Lost(_));
             Sent {
-                limit: (!is_other).then_some(limit),
+                stated: is_related.then_some(stated),
                 outcome,
             }
         }
@@ -148,11 +155,11 @@
     }
 }
 
-fn classify(resp: Response<Incoming>, conn: Conn, id: &str) -> Outcome {
+fn classify(resp: Response<Incoming>, conn: Conn, id: &str, stated: &Stated) -> Outcome {
     let (head, body) = resp.into_parts();
     let status = head.status.as_u16();
-    let instance = response::instance(&head.headers).map(Into::into);
-    let retry_after = response::retry_after(&head.headers);
+    let instance = stated.incarnation.clone();
+    let retry_after = stated.retry_after.as_ref().ok().copied().flatten();
     match response::classify(head.status, &head.headers, id) {
         ResponseKind::NotRun => Outcome::NotRun {
             misdirected: false,
--- a/crates/stair-relay/src/context.rs
+++ b/crates/stair-relay/src/context.rs
@@ -29,6 +29,7 @@
 use stair_fleet::{
     Catalogue,
     View,
+    availability::Withheld,
     budget::Budget,
     msg::{
         Outcome,
@@ -318,6 +319,16 @@
             .filter(|(_, s)| s.fresh_report(now).is_some())
             .count();
         let limited = state.view.all().filter(|(_, s)| s.limit.is_some()).count();
+        let draining = state
+            .view
+            .all()
+            .filter(|(_, s)| s.availability.drain().is_some())
+            .count();
+        let backing_off = state
+            .view
+            .all()
+            .filter(|(_, s)| s.availability.withheld(now) == Some(Withheld::Backoff))
+            .count();
         drop(state);
         let set = |name, n: usize| {
             self.page
@@ -327,6 +338,8 @@
         set("targets_open", open);
         set("targets_reported", reported);
         set("targets_limited", limited);
+        set("targets_draining", draining);
+        set("targets_backing_off", backing_off);
         set("requests_in_flight", self.serving());
     }
 
--- a/crates/stair-relay/src/crash.rs
+++ b/crates/stair-relay/src/crash.rs
@@ -17,8 +17,10 @@
         ESTABLISHED_DURATION,
         Run, //
     },
-    target::State,
-    target_state::TargetState,
+    target::{
+        Incarnation,
+        State, //
+    },
     view::TargetKey, //
 };
 use stair_http::probe;
@@ -53,22 +55,6 @@
 /// Limit of the interrupted runs recorded for one target, which does not run more at once.
 const MAX_RUNS: usize = 512;
 
-/// One incarnation of a target.
-#[derive(Debug, Clone, PartialEq, Eq)]
-struct Incarnation {
-    id: Box<str>,
-    started: Option<u64>,
-}
-
-impl Incarnation {
-    fn of(target_state: &TargetState) -> Self {
-        Self {
-            id: target_state.target.id.clone(),
-            started: target_state.target.started,
-        }
-    }
-}
-
 /// Runs that were interrupted recently, by incarnation of the target.
 #[derive(Default)]
 pub(crate) struct Crashes {
@@ -216,7 +202,7 @@
         if target_state.target.state != State::Ready {
             return;
         }
-        let (incarnation, addr) = (Incarnation::of(target_state), target_state.target.addr);
+        let (incarnation, addr) = (target_state.target.incarnation(), target_state.target.addr);
         let first = state.crashes.add(&incarnation, run, ending);
         let ended = state.crashes.has_ended(&incarnation);
         (incarnation, addr, first, ended)
@@ -273,7 +259,7 @@
             let found = state
                 .view
                 .all()
-                .find(|(_, s)| Incarnation::of(s) == *incarnation);
+                .find(|(_, s)| s.target.incarnation() == *incarnation);
             let Some((_, target_state)) = found else {
                 return true;
             };
--- a/crates/stair-relay/src/dump.rs
+++ b/crates/stair-relay/src/dump.rs
@@ -66,6 +66,25 @@
     report_age_ms: Option<u64>,
     /// The limit that the target has named.
     limit: Option<LimitDump>,
+    /// The statement of the target's responses that it shuts down.
+    drain: Option<DrainDump>,
+    /// The time for which the target wants no requests of this entry, until it has responded after it.
+    backoff: Option<BackoffDump>,
+}
+
+/// The drain of one target.
+#[derive(Debug, Clone, Serialize)]
+struct DrainDump {
+    source: &'static str,
+    age_ms: u64,
+}
+
+/// The backoff of one target.
+#[derive(Debug, Clone, Serialize)]
+struct BackoffDump {
+    source: &'static str,
+    age_ms: u64,
+    left_ms: u64,
 }
 
 /// The limit of one target.
@@ -179,6 +198,15 @@
             free_in_ms: ms(l.free_at.saturating_sub(now)),
             epoch: l.epoch,
         }),
+        drain: target_state.availability.drain().map(|d| DrainDump {
+            source: d.source.as_str(),
+            age_ms: ms(now.saturating_sub(d.since)),
+        }),
+        backoff: target_state.availability.backoff().map(|b| BackoffDump {
+            source: b.source.as_str(),
+            age_ms: ms(now.saturating_sub(b.since)),
+            left_ms: ms(b.until.saturating_sub(now)),
+        }),
     }
 }
 
--- a/crates/stair-relay/src/lib.rs
+++ b/crates/stair-relay/src/lib.rs
@@ -5,7 +5,8 @@
 //! there on. [`assign`] selects a target where it may run now: [`select`] compares the targets, [`load`] has
 //! the model loaded, [`outage`] waits for an engine that is down, and [`prefill`] reserves a prefill slot.
 //! [`attempt`] sends the request to the target; [`stream`] forwards events and resumes broken streams.
-//! [`limit`] keeps the limits that targets name. [`failures`] counts the failures of targets, `crash` determines which requests ran on a target that ended,
+//! [`limit`] keeps the limits that targets name, and `availability` what they state about the requests that they
+//! take. [`failures`] counts the failures of targets, `crash` determines which requests ran on a target that ended,
 //! `quarantine` withholds requests that end targets, and [`refuse`] builds the responses that the entry makes
 //! itself.
 //!
@@ -25,6 +26,7 @@
 pub mod assign;
 pub mod attempt;
 pub mod authorize;
+mod availability;
 pub mod change;
 pub mod context;
 mod crash;
--- a/crates/stair-relay/src/limit/statements.rs
+++ b/crates/stair-relay/src/limit/statements.rs
@@ -29,7 +29,7 @@
 pub(crate) fn observe(
     cx: &Context,
     key: TargetKey,
-    stated: Result<Option<Rate>, Error>,
+    stated: &Result<Option<Rate>, Error>,
     permit: Option<&Permit>,
 ) {
     let now = cx.now();
@@ -37,7 +37,7 @@
     let target: Box<str> = state.view.get(key).target.id.clone();
     let known = state.view.get(key).limit;
     let rate = match stated {
-        Ok(rate) => rate,
+        Ok(rate) => *rate,
         Err(e) => {
             drop(state);
             Line::failure("limit.malformed")
--- a/crates/stair-relay/src/relay.rs
+++ b/crates/stair-relay/src/relay.rs
@@ -43,6 +43,7 @@
         self,
         LiveResponse, //
     },
+    availability,
     context::Context,
     crash,
     failures::Failures,
@@ -297,8 +298,11 @@
         () = abandoned => attempt::Outcome::Late.into(),
     };
     unanswered.finish();
-    if let Some(stated) = sent.limit {
-        limit::observe(cx, key, stated, selected.permit.as_deref());
+    if let Some(stated) = sent.of_target() {
+        limit::observe(cx, key, &stated.limit, selected.permit.as_deref());
+    }
+    if let Some(stated) = &sent.stated {
+        availability::observe(cx, key, stated);
     }
     let outcome = sent.outcome;
     record_outcome(cx, job, attempts, selected, &outcome, begun);
--- a/crates/stair-sidecar/src/controller.rs
+++ b/crates/stair-sidecar/src/controller.rs
@@ -224,6 +224,11 @@
         self.usage.remove_link(link);
     }
 
+    /// The start of the engine's incarnation, if it is reported.
+    pub fn started(&self) -> Option<u64> {
+        self.started
+    }
+
     /// Updates the state from a reading of the engine, `None` when it could not be read.
     ///
     /// Returns whether the engine has restarted under the same id since the previous reading.
--- a/crates/stair-sidecar/src/engine.rs
+++ b/crates/stair-sidecar/src/engine.rs
@@ -5,7 +5,6 @@
     time::Duration, //
 };
 
-use hyper::HeaderMap;
 use platform_adapter::{
     engine::{
         Order,
@@ -16,9 +15,8 @@
         reading_call,
         reply, //
     },
-    response,
+    response::Stated,
 };
-use stair_fleet::rate_limit::Rate;
 use stair_http::client::{
     self,
     Client, //
@@ -47,21 +45,12 @@
     Status(u16),
 }
 
-/// What the head of a response states beside its status.
-pub struct Stated {
-    /// The engine's present incarnation.
-    pub incarnation: Option<Box<str>>,
-    /// The engine's limit.
-    pub limit: Result<Option<Rate>, platform_adapter::Error>,
-}
-
-impl Stated {
-    fn of(headers: &HeaderMap) -> Self {
-        Self {
-            incarnation: response::instance(headers).map(Into::into),
-            limit: response::limit(headers),
-        }
-    }
+/// The result of a call, and what the head of the response states; `None` if no response arrived.
+pub struct Called<T> {
+    /// The result.
+    pub result: Result<T, Error>,
+    /// What the head of the response states beside its status.
+    pub stated: Option<Stated>,
 }
 
 /// The engine beside this agent.
@@ -83,32 +72,36 @@
     }
 
     /// Reads the engine's state.
-    ///
-    /// # Errors
-    ///
-    /// See [`Error`].
-    pub async fn read(&self) -> Result<(Reading, Stated), Error> {
+    pub async fn read(&self) -> Called<Reading> {
+        let mut stated = None;
+        let result = self.try_read(&mut stated).await;
+        Called { result, stated }
+    }
+
+    async fn try_read(&self, stated: &mut Option<Stated>) -> Result<Reading, Error> {
         let response = self.client.send(reading_call(), READ_TIMEOUT).await?;
         let status = response.head.status;
-        let stated = Stated::of(&response.head.headers);
+        *stated = Some(Stated::decode(status, &response.head.headers));
         let body = response.collect(MAX_RESPONSE_BYTES, READ_TIMEOUT).await?;
         if !status.is_success() {
             return Err(Error::Status(status.as_u16()));
         }
-        Ok((reading(&body)?, stated))
+        Ok(reading(&body)?)
     }
 
     /// Sends an order. Where the order was meant for another incarnation, the response states the present
-    /// one.
-    ///
-    /// # Errors
-    ///
-    /// See [`Error`]; the order may nevertheless have been accepted, or be carried out later.
-    pub async fn order(&self, order: &Order) -> Result<(Reply, Stated), Error> {
+    /// one. After an [`Error`] the order may nevertheless have been accepted, or be carried out later.
+    pub async fn order(&self, order: &Order) -> Called<Reply> {
+        let mut stated = None;
+        let result = self.try_order(order, &mut stated).await;
+        Called { result, stated }
+    }
+
+    async fn try_order(&self, order: &Order, stated: &mut Option<Stated>) -> Result<Reply, Error> {
         let response = self.client.send(order_call(order)?, ORDER_TIMEOUT).await?;
         let status = response.head.status;
-        let stated = Stated::of(&response.head.headers);
+        *stated = Some(Stated::decode(status, &response.head.headers));
         response.collect(MAX_RESPONSE_BYTES, ORDER_TIMEOUT).await?;
-        Ok((reply(status), stated))
+        Ok(reply(status))
     }
 }
--- a/crates/stair-sidecar/src/lib.rs
+++ b/crates/stair-sidecar/src/lib.rs
@@ -9,12 +9,14 @@
 //! - [`engine`]: readings of the engine and orders to it.
 //! - [`fence`]: raises the fencing token in the store.
 //! - [`links`]: the connections of entries.
+//! - [`availability`]: whether the engine drains or wants no requests for some time.
 //! - [`limits`]: counts the limits that targets name, for all entries.
 //! - [`quotas`]: counts the quotas of workspaces for all entries.
 //! - [`quarantine`]: the ledger of requests that crash targets, for all entries.
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
+pub mod availability;
 pub mod controller;
 pub mod engine;
 pub mod fence;
--- a/crates/stair-sidecar/src/limits.rs
+++ b/crates/stair-sidecar/src/limits.rs
@@ -158,9 +158,9 @@
     }
 
     /// Applies what the engine states in its response to a call of the agent.
-    pub fn state(&self, target: &str, stated: Result<Option<Rate>, Error>, stamp: Stamp) {
+    pub fn state(&self, target: &str, stated: &Result<Option<Rate>, Error>, stamp: Stamp) {
         let rate = match stated {
-            Ok(rate) => rate,
+            Ok(rate) => *rate,
             Err(e) => {
                 Line::failure("limit.malformed")
                     .text("target", target)
--- a/crates/stair-sidecar/src/links.rs
+++ b/crates/stair-sidecar/src/links.rs
@@ -31,6 +31,7 @@
 };
 
 use crate::{
+    availability::Availabilities,
     limits::Limits,
     process::dump::Dump,
     quarantine::Quarantine,
@@ -69,6 +70,8 @@
     pub quarantine: Arc<Quarantine>,
     /// Limits that targets name.
     pub limits: Arc<Limits>,
+    /// What targets state about the requests that they take.
+    pub availability: Arc<Availabilities>,
 }
 
 /// Accepts links until the receiver of events is closed.
--- a/crates/stair-sidecar/src/process.rs
+++ b/crates/stair-sidecar/src/process.rs
@@ -12,6 +12,7 @@
 use anyhow::Context;
 use platform_adapter::{
     engine::Order,
+    response::Stated,
     store::Store, //
 };
 use serde_json::{
@@ -30,6 +31,7 @@
     prefill::Schedule,
     rate_limit::Stamp,
     target::{
+        Incarnation,
         Inventory,
         Load, //
     },
@@ -54,13 +56,17 @@
 };
 
 use crate::{
+    availability::Availabilities,
     controller::{
         self,
         Controller,
         LoadRequestId,
         PlannedOrder, //
     },
-    engine::Engine,
+    engine::{
+        Called,
+        Engine, //
+    },
     fence,
     limits::{
         Limits,
@@ -147,6 +153,7 @@
             quotas: Arc::new(Quotas::new(page.clone())),
             quarantine: Arc::new(Quarantine::new(page.clone())),
             limits: Arc::new(Limits::new(page.clone())),
+            availability: Arc::new(Availabilities::new(page.clone())),
         };
         let limits = ledgers.limits.clone();
         tasks.spawn(async move { limits.run().await });
@@ -326,10 +333,15 @@
         let Some((id, stamp)) = self.permit(OwnCall::Read { busy }) else {
             return;
         };
-        match self.engine.read().await {
-            Ok((reading, stated)) => {
-                self.ledgers.limits.state(&id, stated.limit, stamp);
-                let incarnation = stated.incarnation;
+        let Called { result, stated } = self.engine.read().await;
+        let started = result.as_ref().ok().and_then(|r| r.started);
+        if let Some(stated) = &stated {
+            self.ledgers.limits.state(&id, &stated.limit, stamp);
+            self.observe_availability(stated, started);
+        }
+        match result {
+            Ok(reading) => {
+                let incarnation = stated.and_then(|s| s.incarnation);
                 if self.failed_reads >= MAX_FAILED_READS {
                     Line::failure("engine.regained").write();
                 }
@@ -357,6 +369,28 @@
         }
     }
 
+    /// The engine's present incarnation; `started` is its start by a response that has just arrived.
+    fn engine_incarnation(&self, started: Option<u64>) -> Option<Incarnation> {
+        let (id, _) = self.incarnation.as_ref()?;
+        Some(Incarnation {
+            id: id.clone(),
+            started: started.or(self.controller.started()),
+        })
+    }
+
+    /// Applies what a response of the engine states about the requests that it takes.
+    fn observe_availability(&self, stated: &Stated, started: Option<u64>) {
+        let known = self.engine_incarnation(started);
+        let own = known.filter(|i| stated.incarnation.as_ref().is_none_or(|id| *id == i.id));
+        let named = stated
+            .incarnation
+            .clone()
+            .map(|id| Incarnation { id, started });
+        if let Some(incarnation) = own.or(named) {
+            self.ledgers.availability.observe(&incarnation, stated);
+        }
+    }
+
     /// Logs and counts the models whose loads have ended the engine and are withheld from now on.
     fn report_quarantined_loads(&mut self) {
         for (model, duration) in self.controller.take_quarantined_loads() {
@@ -404,14 +438,15 @@
             holder: self.settings.name.clone(),
             fence,
         };
-        let (reply, incarnation) = match self.engine.order(&order).await {
-            Ok((reply, stated)) => {
-                self.ledgers.limits.state(&id, stated.limit, stamp);
-                (Ok(reply), stated.incarnation)
-            }
-            Err(e) => (Err(e), None),
-        };
-        if let Some(id) = incarnation {
+        let Called {
+            result: reply,
+            stated,
+        } = self.engine.order(&order).await;
+        if let Some(stated) = &stated {
+            self.ledgers.limits.state(&id, &stated.limit, stamp);
+            self.observe_availability(stated, None);
+        }
+        if let Some(id) = stated.and_then(|s| s.incarnation) {
             let revision = self.incarnation.as_ref().map_or(0, |(_, r)| *r);
             self.update_incarnation(id, revision);
         }
--- a/crates/stair-sidecar/src/process/dump.rs
+++ b/crates/stair-sidecar/src/process/dump.rs
@@ -4,6 +4,7 @@
 
 use serde::Serialize;
 use stair_fleet::{
+    availability,
     msg::ReplicationState,
     prefill::Rate,
     quarantine,
@@ -50,6 +51,8 @@
     quotas: Ledger,
     /// The limits of the targets that this agent counts.
     limits: rate_limit::Ledger,
+    /// What targets have stated about the requests that they take. Times are since the agent's start.
+    availability: availability::Registry,
     /// Requests that are suspected of crashing targets.
     quarantine: Vec<quarantine::Record>,
     /// The replication state of each connected entry, null before its first message.
@@ -80,6 +83,7 @@
                 .collect(),
             quotas: self.ledgers.quotas.ledger(),
             limits: self.ledgers.limits.ledger(),
+            availability: self.ledgers.availability.registry(),
             quarantine: self.ledgers.quarantine.ledger().records().to_vec(),
             entries: self.links.iter().map(|l| l.known.clone()).collect(),
         }
