fleet, relay, sidecar: no requests for an incarnation that states it drains

Cause: only the store's list ended the use of a target, and with the store out of reach the list was 12 s old. The responses said it all the time and nobody read the header. The class: state that a peer announces on two ways, of which the slower one decides.

A drain is kept by incarnation, apart from the list: it outlasts further announcements, lists of peers, reports, removal and a reused slot, and ends with the incarnation. Every send passes one check, the last one on the open connection: first attempts, retries, resumed streams, trials, requests that waited for a slot, a permit or a load. Entries tell each other through the engine's agent and the owner of the target's id; the agent learns it from its own readings and tells all entries, also new ones. It orders nothing from such an engine and reads it once a second, which shows the next incarnation. Models whose last replica is there are loaded elsewhere, the busiest first. Ends of such targets are not attributed to their requests, and runs under way go on.

draining_target_gets_requests failed with 1 to 6 late requests of every entry at both targets, and passes unchanged.

--- a/crates/stair-fleet/src/availability/registry.rs
+++ b/crates/stair-fleet/src/availability/registry.rs
@@ -30,6 +30,19 @@
     pub statement: Statement,
 }
 
+impl Shared {
+    /// States that an incarnation drains.
+    pub fn drain(incarnation: Incarnation) -> Self {
+        Self {
+            incarnation,
+            statement: Statement {
+                draining: true,
+                backoff: None,
+            },
+        }
+    }
+}
+
 /// States by incarnation.
 #[derive(Debug, Clone, Default, Serialize)]
 pub struct Registry {
--- a/crates/stair-fleet/src/msg.rs
+++ b/crates/stair-fleet/src/msg.rs
@@ -14,6 +14,7 @@
 };
 
 use crate::{
+    availability::Shared,
     catalogue::Engine,
     prefill,
     quarantine::{
@@ -92,6 +93,8 @@
     Quarantine(ToLedger),
     /// About limits that targets name.
     Limit(rate_limit::ToLedger),
+    /// What targets have stated about the requests that they take.
+    Availability(Vec<Shared>),
 }
 
 /// The versions that an entry has of replicated data.
@@ -191,6 +194,8 @@
     Quarantine(ToWatchlist),
     /// About limits that targets name.
     Limit(rate_limit::ToSender),
+    /// What targets have stated about the requests that they take.
+    Availability(Vec<Shared>),
 }
 
 /// What one entry, the receiver, needs to know of the other entries. Their whole list would be too
--- a/crates/stair-fleet/src/prefetch.rs
+++ b/crates/stair-fleet/src/prefetch.rs
@@ -80,6 +80,7 @@
     };
     search
         .unserved()
+        .or_else(|| search.draining())
         .or_else(|| search.overloaded())
         .or_else(|| search.missing())
         .or_else(|| search.unloaded_with_copy())
@@ -181,6 +182,37 @@
         missing.find_map(|(model, _)| self.place(model))
     }
 
+    /// The busiest model whose replicas are all on engines that shut down. Other models are evicted only
+    /// for one with demand.
+    fn draining(&self) -> Option<Outcome> {
+        let limit = fetch::concurrency_limit(self.view, self.service, self.engine, self.now);
+        if self.store_loads() >= limit || self.has_missing_reports() {
+            return None;
+        }
+        let mut models: Vec<(&str, f32)> = Vec::new();
+        let engines = self.view.of(self.service);
+        for (_, s) in engines.filter(|(_, s)| s.is_draining()) {
+            let report = s.fresh_report(self.now);
+            for loaded in &s.inventory(self.now).models {
+                let usage = report.and_then(|r| r.load.usage(&loaded.name));
+                let per_s = usage.map_or(0.0, |u| u.per_s);
+                match models.iter_mut().find(|(name, _)| *name == &*loaded.name) {
+                    Some((_, sum)) => *sum += per_s,
+                    None => models.push((&loaded.name, per_s)),
+                }
+            }
+        }
+        models.sort_by(|a, b| b.1.total_cmp(&a.1));
+        models.into_iter().find_map(|(model, per_s)| {
+            let mut all = self.view.of(self.service);
+            if all.any(|(key, s)| self.has_or_loads(key, s, model)) {
+                return None;
+            }
+            let found = self.place(model)?;
+            (per_s > 0.0 || found.place.victims.is_empty()).then_some(found)
+        })
+    }
+
     /// Refused requests per second for each declared model that has any.
     fn demands(&self) -> Vec<(&str, f32)> {
         let mut out: Vec<(&str, f32)> = Vec::new();
--- a/crates/stair-fleet/src/target_state.rs
+++ b/crates/stair-fleet/src/target_state.rs
@@ -12,6 +12,7 @@
         Source, //
     },
     target::{
+        Incarnation,
         Inventory,
         Report,
         State,
@@ -147,12 +148,18 @@
         }
     }
 
+    /// Whether the target shuts down, by the list or by a response. Such an incarnation gets no new
+    /// requests, whatever is learnt of it later.
+    pub fn is_draining(&self) -> bool {
+        self.target.state != State::Ready || self.availability.drain().is_some()
+    }
+
     /// Whether the target accepts new requests by all that is known: it is listed as ready, and not
-    /// missing, unresponsive, suspect or reported dead.
+    /// draining, missing, unresponsive, suspect or reported dead.
     pub fn is_available(&self, now: Duration) -> bool {
         let missing = self.missing_until.is_some_and(|t| now >= t);
         let dead = self.fresh_report(now).is_some_and(|r| !r.load.alive);
-        let ready = self.listed && self.target.state == State::Ready;
+        let ready = self.listed && !self.is_draining();
         ready && !missing && !self.unresponsive && now >= self.suspect_until && !dead
     }
 
@@ -162,7 +169,7 @@
     }
 
     fn listed_ready(&self) -> bool {
-        self.listed && self.missing_until.is_none() && self.target.state == State::Ready
+        self.listed && self.missing_until.is_none() && !self.is_draining()
     }
 
     /// Returns the agent's report if it is younger than [`REPORT_TTL`].
@@ -222,6 +229,11 @@
         }
     }
 
+    /// Whether this state is about an incarnation.
+    pub fn is_of(&self, incarnation: &Incarnation) -> bool {
+        self.target.id == incarnation.id && self.target.started == incarnation.started
+    }
+
     /// Whether an announcement is of the known incarnation.
     pub(crate) fn is_same_incarnation(&self, announced: &Target) -> bool {
         self.target.id == announced.id && self.target.started == announced.started
@@ -243,11 +255,20 @@
         now.saturating_sub(since) < STALE_ANNOUNCEMENT_TIMEOUT
     }
 
+    /// The announcement as peers get it.
+    pub(crate) fn published(&self) -> Target {
+        let mut target = self.target.clone();
+        if target.state == State::Ready && self.is_draining() {
+            target.state = State::Draining(None);
+        }
+        target
+    }
+
     /// Takes the target off the list.
     pub fn mark_removed(&mut self) {
         self.listed = false;
         let report = self.report.take();
-        if self.target.state == State::Ready {
+        if !self.is_draining() {
             self.last_inventory = report.map(|(r, at)| (r.inventory, at));
         }
     }
@@ -259,7 +280,7 @@
             Some((report, _)) => &report.inventory,
             None => &self.target.inventory,
         };
-        self.target.state == State::Ready && !self.is_available(now) && inventory.has_copy(model)
+        !self.is_draining() && !self.is_available(now) && inventory.has_copy(model)
     }
 
     /// Records a message of the target's agent.
--- a/crates/stair-fleet/src/view.rs
+++ b/crates/stair-fleet/src/view.rs
@@ -225,15 +225,20 @@
         source: Source,
         now: Duration,
     ) -> Vec<Change> {
-        let known = |s: &&mut TargetState| {
-            s.target.id == incarnation.id && s.target.started == incarnation.started
-        };
-        match self.targets.iter_mut().find(known) {
+        match self.targets.iter_mut().find(|s| s.is_of(incarnation)) {
             Some(state) => state.availability.apply(statement, source, now),
             None => self.unlisted.apply(incarnation, statement, source, now),
         }
     }
 
+    /// Incarnations whose responses state that they drain.
+    pub fn drains(&self) -> impl Iterator<Item = Incarnation> {
+        let drain = |s: &&TargetState| s.availability.drain().is_some();
+        let known = self.targets.iter().filter(drain);
+        let known = known.map(|s| s.target.incarnation());
+        known.chain(self.unlisted.drains().cloned())
+    }
+
     fn key(&self, i: usize) -> TargetKey {
         TargetKey {
             slot: i as u32,
@@ -407,13 +412,14 @@
     /// Copies the list for a peer.
     ///
     /// Removed targets are left out: if one came back that way it would get requests after it
-    /// announced that it drains. Targets of services that are not declared here are included: the
+    /// announced that it drains. A target whose responses state that it drains is sent as such, though
+    /// the list has it as ready. Targets of services that are not declared here are included: the
     /// peer may have newer declarations, and would count those targets as removed.
     pub fn list(&self, now: Duration) -> Vec<Listed> {
         let published = |s: &&TargetState| s.listed && s.missing_until.is_none_or(|t| now < t);
         let all = self.targets.iter().filter(published);
         all.map(|s| Listed {
-            target: s.target.clone(),
+            target: s.published(),
             missing_for: s.missing_until.map(|t| t.saturating_sub(now)),
         })
         .collect()
--- a/crates/stair-relay/src/assign.rs
+++ b/crates/stair-relay/src/assign.rs
@@ -18,6 +18,7 @@
 };
 
 use crate::{
+    availability,
     context::Context,
     job::Job,
     quarantine::{
@@ -128,7 +129,9 @@
     loop {
         match quarantine::gate(cx, job, &selected.id).await {
             // The target may have announced its shutdown meanwhile.
-            Gate::Open(_) if !cx.takes(selected.in_flight.key()) => return Ok(None),
+            Gate::Open(_) if !availability::takes(cx, job, selected.in_flight.key()) => {
+                return Ok(None);
+            }
             Gate::Open(trial) => {
                 job.set_on_trial(trial.is_some());
                 selected.in_flight.set_trial(trial);
--- a/crates/stair-relay/src/attempt.rs
+++ b/crates/stair-relay/src/attempt.rs
@@ -80,6 +80,8 @@
 pub enum Outcome {
     /// Nothing was sent; the error.
     NotSent(Box<str>),
+    /// Nothing was sent, since the target takes no requests any more.
+    Withheld,
     /// The target states that it has not run the request and will not.
     NotRun {
         /// Whether the reason is that it is another incarnation of the target, or lacks the model.
@@ -116,8 +118,18 @@
     }
 }
 
-/// Sends `req`, which has the id `id`, and waits for the head of the response until `until`.
-pub async fn send(addr: SocketAddr, req: Request<Full<Bytes>>, id: &str, until: Instant) -> Sent {
+/// Sends `req`, which has the id `id`, and waits for the head of the response until `until`. When the
+/// connection is open, `takes` tells whether the target still takes the request.
+pub async fn send<F>(
+    addr: SocketAddr,
+    req: Request<Full<Bytes>>,
+    id: &str,
+    until: Instant,
+    takes: F,
+) -> Sent
+where
+    F: FnOnce() -> bool,
+{
     let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(e)) => return Outcome::NotSent(e.to_string().into()).into(),
@@ -137,6 +149,9 @@
         // An error of the connection reaches the request or the body as well.
         let _ = driver.await;
     }));
+    if !takes() {
+        return Outcome::Withheld.into();
+    }
     match timeout_at(until, tx.try_send_request(req)).await {
         Err(_) => Outcome::Late.into(),
         Ok(Ok(resp)) => {
--- a/crates/stair-relay/src/context.rs
+++ b/crates/stair-relay/src/context.rs
@@ -276,12 +276,6 @@
         unresponsive
     }
 
-    /// Whether a target announces that it takes requests, even if it is suspect.
-    pub(crate) fn takes(&self, key: TargetKey) -> bool {
-        let now = self.now();
-        self.state().view.get(key).accepts(true, now)
-    }
-
     /// Logs targets whose VMs were found to be unresponsive, and notifies those that wait for that.
     pub fn report_unresponsive(&self, ids: &[Box<str>]) {
         for id in ids {
--- a/crates/stair-relay/src/crash.rs
+++ b/crates/stair-relay/src/crash.rs
@@ -17,10 +17,7 @@
         ESTABLISHED_DURATION,
         Run, //
     },
-    target::{
-        Incarnation,
-        State, //
-    },
+    target::Incarnation,
     view::TargetKey, //
 };
 use stair_http::probe;
@@ -199,7 +196,7 @@
         let mut state = cx.state();
         let target_state = state.view.get(key);
         // Interruptions by a target that shuts down are not attributed to its requests.
-        if target_state.target.state != State::Ready {
+        if target_state.is_draining() {
             return;
         }
         let (incarnation, addr) = (target_state.target.incarnation(), target_state.target.addr);
@@ -263,16 +260,14 @@
             let Some((_, target_state)) = found else {
                 return true;
             };
-            match target_state.target.state {
-                State::Draining(_) => return false,
-                State::Ready
-                    if target_state
-                        .fresh_report(now)
-                        .is_some_and(|r| !r.load.alive) =>
-                {
-                    return true;
-                }
-                State::Ready => {}
+            if target_state.is_draining() {
+                return false;
+            }
+            if target_state
+                .fresh_report(now)
+                .is_some_and(|r| !r.load.alive)
+            {
+                return true;
             }
         }
         sleep(CHECK_INTERVAL).await;
--- a/crates/stair-relay/src/links.rs
+++ b/crates/stair-relay/src/links.rs
@@ -39,6 +39,7 @@
 };
 
 use crate::{
+    availability,
     context::{
         AgentLink,
         Context, //
@@ -198,6 +199,7 @@
     state.owners.clear();
     drop(state);
     quarantine::link_began(cx, engine);
+    availability::link_began(cx, engine);
 }
 
 /// Drops the agent's reports and the requests that wait for its replies.
@@ -288,6 +290,7 @@
             ToEntry::DeclarationRequest => declare(cx, engine),
             ToEntry::Quarantine(msg) => quarantine::receive(cx, engine, msg),
             ToEntry::Limit(msg) => limit::receive(cx, engine, msg),
+            ToEntry::Availability(shared) => availability::receive(cx, &shared),
             ToEntry::Peers(peers) => {
                 let mut state = cx.state();
                 if let Some(i) = state.agent(engine) {
--- a/crates/stair-relay/src/relay.rs
+++ b/crates/stair-relay/src/relay.rs
@@ -219,7 +219,9 @@
                     reason
                 }
             },
-            attempt::Outcome::NotSent(_) | attempt::Outcome::NotRun { .. } => Reason::Refused,
+            attempt::Outcome::NotSent(_)
+            | attempt::Outcome::Withheld
+            | attempt::Outcome::NotRun { .. } => Reason::Refused,
             attempt::Outcome::Late | attempt::Outcome::Lost(_) if !attempts.may_run_again(&job) => {
                 let late = matches!(outcome, attempt::Outcome::Late);
                 let reason = if late { Reason::Late } else { Reason::Lost };
@@ -280,11 +282,12 @@
     }
     let req = job.request(&selected.id, after_event);
     let until = attempt_deadline(job, attempts);
-    let sent = attempt::send(selected.addr, req, &job.meta.id, until);
     let (key, client_leaves) = (
         selected.in_flight.key(),
         selection_deadline(job, after_event),
     );
+    let takes = || availability::takes(cx, job, key);
+    let sent = attempt::send(selected.addr, req, &job.meta.id, until, takes);
     let abandoned = until_abandoned(
         cx,
         &attempts.keys,
@@ -357,12 +360,13 @@
     let key = selected.in_flight.key();
     let text = match outcome {
         Outcome::NotSent(e) => format!("not sent: {e}"),
+        Outcome::Withheld => "withheld".to_owned(),
         Outcome::NotRun { status, .. } => format!("not run: {status}"),
         Outcome::Lost(e) => format!("lost: {e}"),
         Outcome::Late => "late".to_owned(),
         Outcome::Head(live) => format!("head: {}", live.head.status.as_u16()),
     };
-    if !matches!(outcome, Outcome::NotSent(_)) {
+    if !matches!(outcome, Outcome::NotSent(_) | Outcome::Withheld) {
         attempts.sent += 1;
     }
     if !matches!(outcome, Outcome::Head(_)) {
@@ -384,6 +388,7 @@
         Outcome::NotSent(_) => {
             target_state.suspect_until = now + SUSPECT_DURATION;
         }
+        Outcome::Withheld => {}
         Outcome::NotRun {
             misdirected: true,
             instance,
@@ -400,8 +405,8 @@
                 None => target_state.record_attempt(false),
             }
         }
-        // A target at its limit is not a failing one.
-        Outcome::NotRun { .. } if target_state.limit.is_some() => {}
+        // A target at its limit is not a failing one, nor is one that shuts down.
+        Outcome::NotRun { .. } if target_state.limit.is_some() || target_state.is_draining() => {}
         Outcome::NotRun { .. } => target_state.record_attempt(false),
         Outcome::Lost(_) | Outcome::Late => {
             attempts.ran += 1;
--- a/crates/stair-sidecar/src/links.rs
+++ b/crates/stair-sidecar/src/links.rs
@@ -3,7 +3,7 @@
 //! Connections are not encrypted: VMs have neither disk nor keys, and a message can at most make the
 //! engine load or unload models. docs/design/on-platform.md compares the alternatives.
 //!
-//! Requests about quotas, limits and quarantine are handled here, so that they do not wait for the engine.
+//! Messages about quotas, limits, quarantine and availability are handled here, so that they do not wait for the engine.
 
 use std::{
     sync::Arc,
@@ -100,12 +100,14 @@
     }
     ledgers.quarantine.opened(key, tx.clone());
     ledgers.limits.opened(key, tx.clone());
+    ledgers.availability.opened(key, tx.clone());
     tokio::select! {
         () = read(r, key, &events, &ledgers, &tx) => {}
         () = write(w, rx) => {}
     }
     ledgers.quarantine.closed(key);
     ledgers.limits.closed(key);
+    ledgers.availability.closed(key);
     // Fails only when the main loop has ended, and the state of this link with it.
     let _ = events.send(Event::Closed(key)).await;
 }
@@ -137,6 +139,10 @@
                 ledgers.limits.receive(key, msg);
                 continue;
             }
+            ToAgent::Availability(shared) => {
+                ledgers.availability.receive(key, &shared);
+                continue;
+            }
             msg => msg,
         };
         if events.send(Event::Message(key, msg)).await.is_err() {
--- a/crates/stair-sidecar/src/process.rs
+++ b/crates/stair-sidecar/src/process.rs
@@ -89,6 +89,9 @@
 /// at most this late.
 const BUSY_READ_INTERVAL: Duration = Duration::from_millis(40);
 
+/// Pause between readings of an engine that shuts down. Only they show when its next incarnation runs.
+const DRAINING_READ_INTERVAL: Duration = Duration::from_millis(1000);
+
 /// Pause between checks whether the peers reported to entries have changed.
 const PEERS_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -295,10 +298,10 @@
             self.report_quarantined_loads();
             self.execute_orders().await;
             let busy = self.controller.busy() || self.controller.has_load_requests();
-            let pause = if busy {
-                BUSY_READ_INTERVAL
-            } else {
-                READ_INTERVAL
+            let pause = match (self.is_draining(), busy) {
+                (true, _) => DRAINING_READ_INTERVAL,
+                (false, true) => BUSY_READ_INTERVAL,
+                (false, false) => READ_INTERVAL,
             };
             let latest = Instant::now() + pause;
             if read_at <= Instant::now() || read_at > latest {
@@ -312,12 +315,21 @@
         }
     }
 
-    /// Whether an order may be sent under the engine's limit, or is in progress.
+    /// Whether an order may be sent under the engine's limit, or is in progress. An engine that shuts down
+    /// gets none.
     fn may_order(&self) -> bool {
+        if self.is_draining() {
+            return false;
+        }
         let id = self.incarnation.as_ref().map(|(id, _)| &**id);
         self.controller.busy() || self.ledgers.limits.has_permit(id.unwrap_or_default())
     }
 
+    fn is_draining(&self) -> bool {
+        let incarnation = self.engine_incarnation(None);
+        incarnation.is_some_and(|i| self.ledgers.availability.get(&i).drain().is_some())
+    }
+
     /// Requests permission for a call to the engine, whose limit covers the agent's calls too.
     fn permit(&self, call: OwnCall) -> Option<(Box<str>, Stamp)> {
         let id = self.incarnation.as_ref().map(|(id, _)| id.clone());
--- a/crates/stair-sidecar/src/process/receive.rs
+++ b/crates/stair-sidecar/src/process/receive.rs
@@ -113,7 +113,8 @@
             ToAgent::QuotaRequest { .. }
             | ToAgent::QuotaRefund { .. }
             | ToAgent::Quarantine(_)
-            | ToAgent::Limit(_) => {}
+            | ToAgent::Limit(_)
+            | ToAgent::Availability(_) => {}
         }
     }
 
