fleet, relay, sidecar: no requests within the time that a target has asked for

Cause: the Retry-After of a target's 503 was kept with the request that got it. The target's state had one failed attempt more, which only compares targets: where the others were no better, it was chosen again. It also outlasted the pause, as nothing but an attempt that succeeds brings that average down. A 503 without the header that the request has not run was not looked at. The class: a statement about a peer that is kept with the message that brought it.

A backoff is kept by incarnation and lasts for the longest of the times that were stated; no other response ends it. Such a target is up: it keeps its models, no failure is recorded, and it is chosen as before when the time is over. From then on requests are sent every 250 ms until it responds to one. A request goes to another replica, loads a further one if that is ready sooner, waits if the time ends soon enough, urgent ones first, and is refused at once else with what is left and up to 500 ms of spread. The agent's readings and orders obey as well, and an engine that rejects them is not reported dead.

--- a/crates/stair-fleet/src/availability.rs
+++ b/crates/stair-fleet/src/availability.rs
@@ -33,6 +33,9 @@
 /// for its end would otherwise arrive at once and be rejected again.
 pub const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time after the end of a backoff for which it still spaces requests, if the target responds to none.
+const BACKOFF_TTL: Duration = Duration::from_secs(60);
+
 /// What one response states.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Statement {
@@ -194,6 +197,7 @@
 
     /// Whether nothing has been stated that is still of use.
     pub fn is_empty(&self, now: Duration) -> bool {
-        self.drain.is_none() && self.backoff.is_none_or(|b| now >= b.until)
+        let is_over = |b: Backoff| now >= b.until.saturating_add(BACKOFF_TTL);
+        self.drain.is_none() && self.backoff.is_none_or(is_over)
     }
 }
--- a/crates/stair-fleet/src/balance.rs
+++ b/crates/stair-fleet/src/balance.rs
@@ -165,11 +165,7 @@
             found.ok()
         };
         let mut targets = Vec::new();
-        for (key, state) in opts
-            .view
-            .of(opts.service)
-            .filter(|(_, s)| s.is_available(now))
-        {
+        for (key, state) in opts.view.of(opts.service).filter(|(_, s)| s.is_up(now)) {
             let report = state.fresh_report(now);
             let loaded = state.inventory(now).models.iter().map(|h| &h.name);
             let loading = report.and_then(|r| r.load.loading.as_ref());
@@ -201,7 +197,10 @@
             targets.push(TargetLoad {
                 key,
                 state,
-                can_load: idle && state.limit.is_none() && !opts.excluded.contains(&key),
+                can_load: idle
+                    && state.limit.is_none()
+                    && state.availability.may_send(now)
+                    && !opts.excluded.contains(&key),
                 models: here,
                 prefill_fraction: 0.0,
             });
--- a/crates/stair-fleet/src/choose.rs
+++ b/crates/stair-fleet/src/choose.rs
@@ -78,18 +78,10 @@
 
 /// Chooses among the targets that accept requests and have the model, if one is requested.
 pub fn choose(view: &View, opts: &Options<'_>, now: Duration) -> Option<Outcome> {
-    let has_adapter = |s: &TargetState| match (opts.model, opts.adapter) {
-        (Some(model), Some(adapter)) => s.may_load() || s.has_adapter(model, adapter, now),
-        _ => true,
-    };
-    let can_serve = |s: &TargetState| {
-        s.accepts(opts.suspects, now)
-            && opts.model.is_none_or(|m| s.can_run(m, now))
-            && has_adapter(s)
-    };
     let candidates: Vec<(TargetKey, &TargetState)> = view
         .of(opts.service)
-        .filter(|(key, s)| can_serve(s) && !opts.tried.contains(key))
+        .filter(|(key, s)| s.accepts(opts.suspects, now) && !opts.tried.contains(key))
+        .filter(|(_, s)| can_serve(s, opts, now))
         .collect();
     let preferred = affinity_target(&candidates, opts);
     candidates
@@ -101,6 +93,25 @@
         .min_by(|a, b| a.wait_ms.total_cmp(&b.wait_ms))
 }
 
+/// Time until the first target may get the request that lacks nothing but the end of a backoff; `None` if
+/// there is no such target.
+pub fn backoff_wait(view: &View, opts: &Options<'_>, now: Duration) -> Option<Duration> {
+    view.of(opts.service)
+        .filter(|(key, s)| s.is_up(now) && !opts.tried.contains(key))
+        .filter(|(_, s)| s.availability.backoff().is_some() && can_serve(s, opts, now))
+        .filter_map(|(_, s)| s.availability.wait(now))
+        .min()
+}
+
+/// Whether a target has the model and can have the adapter, if they are requested.
+fn can_serve(s: &TargetState, opts: &Options<'_>, now: Duration) -> bool {
+    let has_adapter = match (opts.model, opts.adapter) {
+        (Some(model), Some(adapter)) => s.may_load() || s.has_adapter(model, adapter, now),
+        _ => true,
+    };
+    has_adapter && opts.model.is_none_or(|m| s.can_run(m, now))
+}
+
 /// The replica that caches the shared prefix. All entries compute the same one.
 fn affinity_target(
     candidates: &[(TargetKey, &TargetState)],
--- a/crates/stair-fleet/src/cold_start.rs
+++ b/crates/stair-fleet/src/cold_start.rs
@@ -187,7 +187,7 @@
             demands: vec![Demand::default(); engine.models.len()],
             now,
         };
-        for (key, s) in view.of(service).filter(|(_, s)| s.is_available(now)) {
+        for (key, s) in view.of(service).filter(|(_, s)| s.is_up(now)) {
             search.count(key, s);
         }
         search
--- a/crates/stair-fleet/src/fetch.rs
+++ b/crates/stair-fleet/src/fetch.rs
@@ -108,10 +108,7 @@
 /// After a power cut agents report the copies on disk a moment later. An entry that does not wait
 /// for these reports would keep the weight store busy with models that need not come from there.
 pub fn has_missing_reports(view: &View, service: &str, now: Duration) -> bool {
-    let mut available = view
-        .of(service)
-        .filter(|(_, s)| s.is_available(now))
-        .peekable();
+    let mut available = view.of(service).filter(|(_, s)| s.is_up(now)).peekable();
     let is_empty = available.peek().is_none();
     now < REPORTS_TIMEOUT && (is_empty || available.any(|(_, s)| s.fresh_report(now).is_none()))
 }
--- a/crates/stair-fleet/src/prefetch.rs
+++ b/crates/stair-fleet/src/prefetch.rs
@@ -120,8 +120,7 @@
             .iter()
             .any(|a| a.key == key && *a.model == *model);
         requested
-            || (s.is_available(self.now)
-                && (s.can_run(model, self.now) || s.is_loading(model, self.now)))
+            || (s.is_up(self.now) && (s.can_run(model, self.now) || s.is_loading(model, self.now)))
     }
 
     /// A further replica of a model whose replicas are overloaded.
@@ -163,7 +162,7 @@
     fn copies(&self, model: &str) -> usize {
         let has_copy = |(key, s): &(TargetKey, &TargetState)| {
             let copy = s.inventory(self.now).copy(model) != CopyLocation::Store;
-            self.has_or_loads(*key, s, model) || (copy && s.is_available(self.now))
+            self.has_or_loads(*key, s, model) || (copy && s.is_up(self.now))
         };
         self.view.of(self.service).filter(has_copy).count()
     }
@@ -177,7 +176,7 @@
         }
         let mut demands = self.demands();
         demands.sort_by(|a, b| b.1.total_cmp(&a.1));
-        let is_short = |model: &str| self.is_missing(model) || self.has_only_limited(model);
+        let is_short = |model: &str| self.is_missing(model) || self.has_only_restricted(model);
         let mut missing = demands.iter().filter(|(model, _)| is_short(model));
         missing.find_map(|(model, _)| self.place(model))
     }
@@ -237,14 +236,16 @@
         self.copies(model) == 0 && !self.view.may_return(self.service, model, within, self.now)
     }
 
-    /// Whether only engines with a limit have the model or are loading it.
-    fn has_only_limited(&self, model: &str) -> bool {
+    /// Whether only engines with a limit or in a backoff have the model or are loading it.
+    fn has_only_restricted(&self, model: &str) -> bool {
         let all = self.view.of(self.service);
         let mut replicas = all.filter(|(key, s)| self.has_or_loads(*key, s, model));
-        let mut limited = replicas.by_ref().map(|(_, s)| s.limit.is_some());
-        limited
+        let is_restricted =
+            |s: &TargetState| s.limit.is_some() || !s.availability.may_send(self.now);
+        let mut restricted = replicas.by_ref().map(|(_, s)| is_restricted(s));
+        restricted
             .next()
-            .is_some_and(|first| first && limited.all(|l| l))
+            .is_some_and(|first| first && restricted.all(|r| r))
     }
 
     /// A missing model.
--- a/crates/stair-fleet/src/target_state.rs
+++ b/crates/stair-fleet/src/target_state.rs
@@ -154,18 +154,29 @@
         self.target.state != State::Ready || self.availability.drain().is_some()
     }
 
-    /// Whether the target accepts new requests by all that is known: it is listed as ready, and not
-    /// draining, missing, unresponsive, suspect or reported dead.
-    pub fn is_available(&self, now: Duration) -> bool {
+    /// Whether the target runs and stays, by all that is known: it is listed as ready, and not draining,
+    /// missing, unresponsive, suspect or reported dead.
+    pub fn is_up(&self, now: Duration) -> bool {
         let missing = self.missing_until.is_some_and(|t| now >= t);
         let dead = self.fresh_report(now).is_some_and(|r| !r.load.alive);
         let ready = self.listed && !self.is_draining();
         ready && !missing && !self.unresponsive && now >= self.suspect_until && !dead
     }
 
-    /// Whether the target accepts new requests. With `suspects`, being listed as ready is enough.
+    /// Whether the target is up and accepts a further request of this process.
+    pub fn is_available(&self, now: Duration) -> bool {
+        self.is_up(now) && self.availability.may_send(now)
+    }
+
+    /// Whether the target accepts a further request. With `suspects`, being listed as ready is enough.
     pub fn accepts(&self, suspects: bool, now: Duration) -> bool {
-        self.is_available(now) || (suspects && self.listed_ready())
+        self.is_available(now)
+            || (suspects && self.listed_ready() && self.availability.may_send(now))
+    }
+
+    /// Whether the target still accepts a request that it was selected for.
+    pub fn takes(&self, now: Duration) -> bool {
+        (self.is_up(now) || self.listed_ready()) && self.availability.withheld(now).is_none()
     }
 
     fn listed_ready(&self) -> bool {
@@ -273,14 +284,14 @@
         }
     }
 
-    /// Whether the target is unavailable and has a copy of a model, so that the model may soon be
+    /// Whether the target is down and has a copy of a model, so that the model may soon be
     /// available there again.
     pub(crate) fn is_down_with_copy(&self, model: &str, now: Duration) -> bool {
         let inventory = match &self.report {
             Some((report, _)) => &report.inventory,
             None => &self.target.inventory,
         };
-        !self.is_draining() && !self.is_available(now) && inventory.has_copy(model)
+        !self.is_draining() && !self.is_up(now) && inventory.has_copy(model)
     }
 
     /// Records a message of the target's agent.
--- a/crates/stair-fleet/tests/availability.rs
+++ b/crates/stair-fleet/tests/availability.rs
@@ -2,22 +2,30 @@
 
 mod support;
 
+use proptest::{
+    collection::vec,
+    prelude::*, //
+};
 use stair_fleet::{
     View,
     availability::{
+        Availability,
         Change,
+        PROBE_INTERVAL,
         Registry,
         Shared,
         Statement,
-        Withheld, //
+        Withheld,
+        longest_seconds, //
     },
-    prefetch,
+    choose, prefetch,
     rate_limit::Source,
     target::{
         Incarnation,
         State,
         Target, //
     },
+    view::TargetKey,
 };
 use support::{
     NOW,
@@ -161,3 +169,170 @@
     registry.apply(&of(3), &drains(), Source::Process, later);
     assert_eq!(registry.drains().count(), 1);
 }
+
+fn backs_off(time: u64) -> Statement {
+    Statement {
+        draining: false,
+        backoff: Some(ms(time)),
+    }
+}
+
+fn after(time: u64, changes: &[Change]) -> Availability {
+    let mut availability = Availability::default();
+    let got = availability.apply(&backs_off(time), Source::Response, NOW);
+    assert_eq!(got, changes);
+    availability
+}
+
+// A shorter time, a success or another process ends a backoff, or a longer time does not extend it.
+#[test]
+fn backoff_lasts() {
+    let mut a = after(3000, &[Change::Backoff(ms(3000))]);
+    assert!(!a.may_send(NOW));
+    for statement in [backs_off(500), backs_off(0), Statement::default()] {
+        assert_eq!(
+            a.apply(&statement, Source::Response, NOW + ms(1000)),
+            [] //
+        );
+    }
+    assert_eq!(a.withheld(NOW + ms(2999)), Some(Withheld::Backoff));
+    assert_eq!(a.wait(NOW + ms(1000)), Some(ms(2000)));
+    assert!(a.may_send(NOW + ms(3000)));
+    let longer = a.apply(&backs_off(3000), Source::AgentCall, NOW + ms(1000));
+    assert_eq!(longer, [Change::Backoff(ms(3000))]);
+    assert!(!a.may_send(NOW + ms(3999)));
+    let known = a.apply(&Statement::default(), Source::Process, NOW + ms(4000));
+    assert_eq!(known, []);
+    let ended = a.apply(&Statement::default(), Source::Response, NOW + ms(4000));
+    assert_eq!(ended, [Change::BackoffEnded(ms(4000))]);
+    assert_eq!(a.backoff(), None);
+}
+
+// A time of 0, or none, keeps requests away.
+#[test]
+fn no_backoff() {
+    assert!(after(0, &[]).may_send(NOW));
+    let mut availability = Availability::default();
+    availability.apply(&Statement::default(), Source::Response, NOW);
+    assert!(availability.may_send(NOW));
+}
+
+// All requests that waited are sent at the end of a backoff, before the target has responded to one.
+#[test]
+fn spaced_after_backoff() {
+    let mut a = after(1000, &[Change::Backoff(ms(1000))]);
+    let end = NOW + ms(1000);
+    assert!(a.may_send(end));
+    a.record_send(end);
+    assert!(!a.may_send(end) && a.withheld(end).is_none());
+    assert!(a.may_send(end + PROBE_INTERVAL));
+    a.apply(&Statement::default(), Source::Response, end);
+    assert!(a.may_send(end));
+    a.record_send(end);
+    assert!(a.may_send(end));
+}
+
+// A malformed time states one, or a valid one does not.
+#[test]
+fn seconds() {
+    let parse = |text: &str| longest_seconds([text.as_bytes()]);
+    assert_eq!(parse("0"), Ok(Some(ms(0))));
+    assert_eq!(parse(" 1.5 "), Ok(Some(ms(1500))));
+    assert_eq!(parse("2, 3"), Ok(Some(ms(3000))));
+    assert_eq!(parse(".25"), Ok(Some(ms(250))));
+    assert_eq!(longest_seconds([]), Ok(None));
+    assert!(parse("99999999999999999999").is_ok_and(|t| t > Some(ms(1_000_000_000))));
+    for text in [
+        "",
+        ".",
+        "-1",
+        "+1",
+        "NaN",
+        "inf",
+        "1e3",
+        "1s",
+        "Wed, 21 Oct 2026",
+        "1.2.3",
+    ] {
+        assert_eq!(parse(text), Err(text.into()), "{text}");
+    }
+    let long = "1".repeat(40);
+    assert_eq!(parse(&long), Err(long.as_str().into()));
+}
+
+fn options(tried: &[TargetKey]) -> choose::Options<'_> {
+    choose::Options {
+        service: SERVICE,
+        model: Some("a"),
+        adapter: None,
+        tokens: 100,
+        shared: None,
+        data_centre: "dc",
+        tried,
+        salt: 1,
+        suspects: true,
+    }
+}
+
+// A target in a backoff is chosen, counts as down, or its models as lost.
+#[test]
+fn backoff_is_no_outage() {
+    let all = ["a", "b", "c", "d", "e", "f"];
+    let (mut view, keys) = fleet(vec![report(&["a", "b"], &all), report(&["a"], &all)]);
+    let state = |view: &mut View, key: TargetKey, time| {
+        let incarnation = view.get(key).target.incarnation();
+        view.apply_statement(&incarnation, &backs_off(time), Source::Response, NOW);
+    };
+    state(&mut view, keys[0], 3000);
+    let chosen = choose::choose(&view, &options(&[]), NOW).map(|o| o.key);
+    assert_eq!(chosen, Some(keys[1]));
+    state(&mut view, keys[1], 2000);
+    assert!(choose::choose(&view, &options(&[]), NOW).is_none());
+    let wait = |view: &View, tried: &[TargetKey]| choose::backoff_wait(view, &options(tried), NOW);
+    assert_eq!(wait(&view, &[]), Some(ms(2000)));
+    assert_eq!(wait(&view, &[keys[1]]), Some(ms(3000)));
+    assert_eq!(wait(&view, &keys), None);
+    assert!(view.get(keys[0]).is_up(NOW));
+    assert!(!view.may_return(SERVICE, "a", ms(6000), NOW));
+    let next = prefetch::next(&view, SERVICE, &engine(), &[], NOW);
+    assert!(next.is_none_or(|n| &*n.model != "a"));
+    let later = choose::choose(&view, &options(&[]), NOW + ms(2000));
+    assert!(later.is_some());
+}
+
+// A backoff is forgotten with the target's slot or its announcement.
+#[test]
+fn backoff_outlasts_list() {
+    let mut view = View::default();
+    let key = view.put(started(0, 10), NOW).expect("new");
+    let incarnation = view.get(key).target.incarnation();
+    view.apply_statement(&incarnation, &backs_off(3000), Source::Response, NOW);
+    view.remove("t0");
+    view.put(started(1, 10), NOW);
+    let key = view.put(started(0, 10), NOW).expect("known");
+    assert!(!view.get(key).accepts(true, NOW) && !view.get(key).takes(NOW));
+    assert!(view.get(key).is_available(NOW + ms(3000)));
+}
+
+proptest! {
+    // Some series of statements lets a request through within a stated time, or after a drain.
+    #[test]
+    fn never_within(series in vec((0..2000_u64, proptest::option::of(0..5000_u64), 0..40_u8), 1..40)) {
+        let mut availability = Availability::default();
+        let mut now = NOW;
+        let mut until = NOW;
+        let mut drained = false;
+        for (pause, backoff, draining) in series {
+            now += ms(pause);
+            prop_assert_eq!(availability.withheld(now).is_some(), drained || now < until);
+            if availability.may_send(now) {
+                prop_assert!(!drained && now >= until);
+                availability.record_send(now);
+            }
+            let statement = Statement { draining: draining == 0, backoff: backoff.map(ms) };
+            availability.apply(&statement, Source::Response, now);
+            until = until.max(now + ms(backoff.unwrap_or(0)));
+            drained |= draining == 0;
+        }
+    }
+}
--- a/crates/stair-relay/src/availability.rs
+++ b/crates/stair-relay/src/availability.rs
@@ -99,7 +99,7 @@
         let target_state = state.view.get(key);
         let withheld = target_state.availability.withheld(now);
         (
-            target_state.accepts(true, now),
+            target_state.takes(now),
             withheld,
             target_state.target.id.clone(),
         )
--- a/crates/stair-relay/src/refuse.rs
+++ b/crates/stair-relay/src/refuse.rs
@@ -57,6 +57,8 @@
     NoTarget,
     /// The limits of the targets that can run it do not allow it in time.
     TargetLimit,
+    /// The targets that can run it have asked for a backoff.
+    TargetBackoff,
     /// All targets that were tried refused the request.
     Refused,
     /// The target did not respond before the deadline.
@@ -83,6 +85,7 @@
             Self::TooSlow => "too-slow",
             Self::NoTarget => "no-target",
             Self::TargetLimit => "target-limit",
+            Self::TargetBackoff => "target-backoff",
             Self::Refused => "refused",
             Self::Late => "late",
             Self::Lost => "lost",
@@ -103,6 +106,7 @@
             | Self::Quarantined
             | Self::NoTarget
             | Self::TargetLimit
+            | Self::TargetBackoff
             | Self::Refused => StatusCode::SERVICE_UNAVAILABLE,
             Self::Late if verdict == Verdict::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::Late => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/stair-relay/src/relay.rs
+++ b/crates/stair-relay/src/relay.rs
@@ -16,6 +16,7 @@
 };
 use platform_adapter::request::Meta;
 use stair_fleet::{
+    availability::Withheld,
     target_state::SUSPECT_DURATION,
     view::TargetKey, //
 };
@@ -200,11 +201,12 @@
         let (selected, outcome) = match attempt_once(cx, &job, attempts, None).await {
             Ok(both) => both,
             Err(e) => {
-                // Only the targets that have been tried can run it.
-                let stated = attempts
-                    .retry_after
-                    .filter(|_| e.reason == Reason::NoTarget);
-                let retry_after = stated.unwrap_or(e.retry_after);
+                let retry_after = match (e.reason, attempts.retry_after) {
+                    // Only the targets that have been tried can run it.
+                    (Reason::NoTarget, Some(stated)) => stated,
+                    (Reason::TargetBackoff, Some(stated)) => stated.min(e.retry_after),
+                    _ => e.retry_after,
+                };
                 return Err(refusal(attempts, e.reason, retry_after));
             }
         };
@@ -405,8 +407,10 @@
                 None => target_state.record_attempt(false),
             }
         }
-        // A target at its limit is not a failing one, nor is one that shuts down.
-        Outcome::NotRun { .. } if target_state.limit.is_some() || target_state.is_draining() => {}
+        // A target at its limit is not a failing one, nor is one that shuts down or asks for a backoff.
+        Outcome::NotRun { .. }
+            if target_state.limit.is_some()
+                || target_state.availability.withheld(now).is_some() => {}
         Outcome::NotRun { .. } => target_state.record_attempt(false),
         Outcome::Lost(_) | Outcome::Late => {
             attempts.ran += 1;
@@ -414,10 +418,11 @@
         }
         Outcome::Head(live) => {
             attempts.ran += 1;
-            if live.head.status.is_server_error() {
-                attempts.failures.add(key);
-            } else {
-                target_state.record_attempt(true);
+            let backs_off = target_state.availability.withheld(now) == Some(Withheld::Backoff);
+            match live.head.status.is_server_error() {
+                true if backs_off => {}
+                true => attempts.failures.add(key),
+                false => target_state.record_attempt(true),
             }
         }
     }
--- a/crates/stair-relay/src/select.rs
+++ b/crates/stair-relay/src/select.rs
@@ -23,6 +23,7 @@
 use stair_telemetry::event::Line;
 use tokio::time::{
     Instant,
+    timeout,
     timeout_at, //
 };
 use xxhash_rust::xxh3::xxh3_64;
@@ -75,6 +76,15 @@
 /// retry.
 const OUTAGE_WAIT_DIVISOR: u32 = 2;
 
+/// The longest time over which the return times of clients are spread that are refused for a backoff.
+const RETURN_SPREAD: Duration = Duration::from_millis(500);
+
+/// Least wait for the end of a backoff.
+const MIN_BACKOFF_WAIT: Duration = Duration::from_millis(5);
+
+/// Time by which each step of urgency comes later after a backoff, so that urgent requests are sent first.
+const RANK_DELAY: Duration = Duration::from_millis(10);
+
 /// Interval in which a waiting request searches for a target again.
 pub(crate) const CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -153,7 +163,10 @@
                 let retry_after = Duration::from_secs_f64(at.wait_ms / 1000.0).saturating_sub(left);
                 return Err(NoTarget::after(retry_after));
             }
-            _ => Step::Load,
+            _ => match backoff_wait(cx, job, tried) {
+                Some(wait) => Step::Backoff(wait),
+                None => Step::Load,
+            },
         };
         let loaded = match step {
             Step::Selected(selected) => return Ok(selected),
@@ -176,6 +189,22 @@
                     }
                 }
             }
+            Step::Backoff(wait) => {
+                let useful = Waits::of(job, &search.reservation).longest;
+                match placement_of(cx, job, &excluded).filter(|p| p.ready_in < wait) {
+                    Some(placement) => {
+                        Some(load_at(cx, job, &placement, &excluded, outage_until, until).await)
+                    }
+                    None if wait <= useful => {
+                        wait_for_backoff(cx, job, wait).await;
+                        Some(Loaded::Waited)
+                    }
+                    None => {
+                        count_unserved(cx, job);
+                        return Err(NoTarget::backoff(job, wait));
+                    }
+                }
+            }
             Step::Load => match job.model_of_engine() {
                 Some((model, engine)) => {
                     Some(load(cx, job, model, engine, &excluded, outage_until, until).await)
@@ -194,6 +223,9 @@
             Some(Loaded::TooLate(retry_after)) => {
                 if !outage::wait_for_return(cx, job, tried, outage_until).await {
                     count_unserved(cx, job);
+                    if let Some(wait) = backoff_wait(cx, job, tried).filter(|w| *w < retry_after) {
+                        return Err(NoTarget::backoff(job, wait));
+                    }
                     return Err(NoTarget {
                         reason: Reason::NoTarget,
                         retry_after,
@@ -226,7 +258,10 @@
     search: &Search,
 ) -> Result<Selected, NoTarget> {
     let Some(at) = find_ready(cx, job, tried, true) else {
-        return Err(NoTarget::after(Duration::ZERO));
+        let wait = backoff_wait(cx, job, tried);
+        return Err(wait.map_or(NoTarget::after(Duration::ZERO), |w| {
+            NoTarget::backoff(job, w)
+        }));
     };
     let max_wait = Waits::of(job, &search.reservation).longest;
     let permit = match limit::request(cx, job, at.key, max_wait).await {
@@ -254,6 +289,15 @@
         }
     }
 
+    /// Clients return after the backoff, and not all at once.
+    fn backoff(job: &Job, wait: Duration) -> Self {
+        let spread = RETURN_SPREAD.mul_f64(salt(job) as f64 / u64::MAX as f64);
+        Self {
+            reason: Reason::TargetBackoff,
+            retry_after: wait.saturating_add(spread),
+        }
+    }
+
     fn limited(retry_after: Duration) -> Self {
         Self {
             reason: Reason::TargetLimit,
@@ -298,6 +342,8 @@
     SlotTooLate(Duration),
     /// The limits of the best targets do not allow the request in time; the wait at the last one.
     LimitTooLow(Duration),
+    /// The targets that can run the request ask for a backoff; the wait until the first one may get it.
+    Backoff(Duration),
     /// No target can run the request now, so the model has to be loaded.
     Load,
 }
@@ -379,11 +425,28 @@
     job: &Job,
     excluded: &[TargetKey],
 ) -> Option<cold_start::Outcome> {
+    placement_of(cx, job, excluded).filter(|at| at.from != CopyLocation::Store)
+}
+
+/// The cheapest placement of the request's model.
+fn placement_of(cx: &Context, job: &Job, excluded: &[TargetKey]) -> Option<cold_start::Outcome> {
     let (model, engine) = job.model_of_engine()?;
     let state = cx.state();
     let now = cx.now();
-    let at = cold_start::choose(&state.view, &job.service, engine, model, excluded, now)?;
-    (at.from != CopyLocation::Store).then_some(at)
+    cold_start::choose(&state.view, &job.service, engine, model, excluded, now)
+}
+
+/// Waits for the end of a backoff, or less if the state of the targets changes.
+async fn wait_for_backoff(cx: &Context, job: &Job, wait: Duration) {
+    let wait = wait.clamp(MIN_BACKOFF_WAIT, CHECK_INTERVAL) + RANK_DELAY * u32::from(job.rank());
+    // A change shortens the wait only, so that one that is missed does no harm.
+    let _ = timeout(wait, cx.changed.notified()).await;
+}
+
+/// Time until a target may get the request that lacks nothing but the end of a backoff.
+fn backoff_wait(cx: &Context, job: &Job, tried: &[TargetKey]) -> Option<Duration> {
+    let opts = choose_options(cx, job, tried, false);
+    choose::backoff_wait(&cx.state().view, &opts, cx.now())
 }
 
 pub(crate) fn find_ready(
@@ -392,7 +455,17 @@
     tried: &[TargetKey],
     suspects: bool,
 ) -> Option<choose::Outcome> {
-    let opts = choose::Options {
+    let opts = choose_options(cx, job, tried, suspects);
+    choose::choose(&cx.state().view, &opts, cx.now())
+}
+
+fn choose_options<'a>(
+    cx: &'a Context,
+    job: &'a Job,
+    tried: &'a [TargetKey],
+    suspects: bool,
+) -> choose::Options<'a> {
+    choose::Options {
         service: &job.service,
         model: job.model_of_engine().map(|(m, _)| m),
         adapter: job.meta.adapter.as_deref(),
@@ -400,10 +473,13 @@
         shared: job.shared_prefix,
         data_centre: cx.settings.data_centre.as_str(),
         tried,
-        salt: xxh3_64(job.meta.id.as_bytes()),
+        salt: salt(job),
         suspects,
-    };
-    choose::choose(&cx.state().view, &opts, cx.now())
+    }
+}
+
+fn salt(job: &Job) -> u64 {
+    xxh3_64(job.meta.id.as_bytes())
 }
 
 /// Returns the selected target, unless it has announced its shutdown while an adapter or a slot was waited
@@ -417,15 +493,17 @@
     suspects: bool,
 ) -> Option<Selected> {
     let (addr, id, age) = {
-        let state = cx.state();
-        let target_state = state.view.get(at.key);
-        if !target_state.accepts(suspects, cx.now()) {
+        let now = cx.now();
+        let mut state = cx.state();
+        let target_state = state.view.get_mut(at.key);
+        if !target_state.accepts(suspects, now) {
             return None;
         }
+        target_state.availability.record_send(now);
         let age = target_state
             .report
             .as_ref()
-            .map(|(_, t)| cx.now().saturating_sub(*t));
+            .map(|(_, t)| now.saturating_sub(*t));
         (
             target_state.target.addr,
             target_state.target.id.clone(),
--- a/crates/stair-sidecar/src/availability.rs
+++ b/crates/stair-sidecar/src/availability.rs
@@ -18,11 +18,11 @@
 use platform_adapter::response::Stated;
 use stair_fleet::{
     availability::{
-        Availability,
         Change,
         Registry,
         Shared,
-        Statement, //
+        Statement,
+        Withheld, //
     },
     msg::ToEntry,
     rate_limit::Source,
@@ -102,9 +102,10 @@
         self.lock().links.retain(|(k, _)| *k != key);
     }
 
-    /// The state of an incarnation.
-    pub fn get(&self, incarnation: &Incarnation) -> Availability {
-        self.lock().registry.get(incarnation)
+    /// Why an incarnation gets no calls, if so.
+    pub fn withheld(&self, incarnation: &Incarnation) -> Option<Withheld> {
+        let now = self.now();
+        self.lock().registry.get(incarnation).withheld(now)
     }
 
     fn apply(
--- a/crates/stair-sidecar/src/process.rs
+++ b/crates/stair-sidecar/src/process.rs
@@ -21,6 +21,7 @@
 };
 use stair_config::fleet_settings::SidecarSettings;
 use stair_fleet::{
+    availability::Withheld,
     lag::Lag,
     msg::{
         Outcome,
@@ -298,7 +299,8 @@
             self.report_quarantined_loads();
             self.execute_orders().await;
             let busy = self.controller.busy() || self.controller.has_load_requests();
-            let pause = match (self.is_draining(), busy) {
+            let is_draining = self.withheld() == Some(Withheld::Drain);
+            let pause = match (is_draining, busy) {
                 (true, _) => DRAINING_READ_INTERVAL,
                 (false, true) => BUSY_READ_INTERVAL,
                 (false, false) => READ_INTERVAL,
@@ -316,22 +318,26 @@
     }
 
     /// Whether an order may be sent under the engine's limit, or is in progress. An engine that shuts down
-    /// gets none.
+    /// or asks for a backoff gets none.
     fn may_order(&self) -> bool {
-        if self.is_draining() {
+        if self.withheld().is_some() {
             return false;
         }
         let id = self.incarnation.as_ref().map(|(id, _)| &**id);
         self.controller.busy() || self.ledgers.limits.has_permit(id.unwrap_or_default())
     }
 
-    fn is_draining(&self) -> bool {
-        let incarnation = self.engine_incarnation(None);
-        incarnation.is_some_and(|i| self.ledgers.availability.get(&i).drain().is_some())
+    /// Why the engine gets no orders, if so.
+    fn withheld(&self) -> Option<Withheld> {
+        let incarnation = self.engine_incarnation(None)?;
+        self.ledgers.availability.withheld(&incarnation)
     }
 
-    /// Requests permission for a call to the engine, whose limit covers the agent's calls too.
+    /// Requests permission for a call to the engine, whose limit and backoff cover the agent's calls too.
     fn permit(&self, call: OwnCall) -> Option<(Box<str>, Stamp)> {
+        if self.withheld() == Some(Withheld::Backoff) {
+            return None;
+        }
         let id = self.incarnation.as_ref().map(|(id, _)| id.clone());
         let id = id.unwrap_or_default();
         let stamp = self.ledgers.limits.may_call(&id, call)?;
@@ -371,6 +377,8 @@
                     self.prefills.clear();
                 }
             }
+            // The engine runs and wants no calls.
+            Err(_) if self.withheld() == Some(Withheld::Backoff) => {}
             Err(e) => {
                 self.failed_reads += 1;
                 if self.failed_reads == MAX_FAILED_READS {
