agent, entry: what a target states about its availability holds behind agents too

What callers saw: the same as on the other way of serving. A target that stated that it shuts down got 21 requests more than 2 s after it, and one that rejected requests for 0.7 s with a Retry-After of 2 s got five calls within the time.

Cause: the agent decoded the limit alone, with a copy of its header's name; a 503 that states that the request has not run was forwarded to the caller as the response.

The agent applies the same state as entries do elsewhere, by the adapter's decoder, to requests and to its own calls. While the target drains, the agent refuses work, reports that it leaves, so that entries move its grants, and orders unloads alone. Targets have no ids here: the agent probes one that drains, and the drain ends when the target has ended; AgentControl::Staying then returns the target to the entries. Within a backoff nothing starts, the expected wait that entries see includes it, requests that hold a slot are refused at once, and the engine does not count as down. A request that the target states it has not run is refused as such, and the entry tries another target.

Three tests with the real processes failed before (21 late requests, five calls within a backoff, no drain in the dump) and pass.

--- a/crates/dandelionstair/tests/promises/main.rs
+++ b/crates/dandelionstair/tests/promises/main.rs
@@ -5,6 +5,7 @@
 //! file a promise; `docs/PROMISES.md` has a row for each.
 
 mod at_most_once;
+mod availability;
 mod configuration;
 mod crowded;
 mod deadly;
--- a/crates/stair-agent/src/admit.rs
+++ b/crates/stair-agent/src/admit.rs
@@ -216,7 +216,9 @@
         };
         Estimate {
             concurrency: u16::try_from(slots).unwrap_or(u16::MAX),
-            slot_free_in: slot_free_in.max(self.limiter.next(now)),
+            slot_free_in: slot_free_in
+                .max(self.limiter.next(now))
+                .max(self.availability.wait(now).unwrap_or_default()),
             start_interval: self.limiter.interval().unwrap_or_default(),
             ready_in: self
                 .items
--- a/crates/stair-agent/src/control.rs
+++ b/crates/stair-agent/src/control.rs
@@ -17,8 +17,12 @@
     ActorRef, //
 };
 use stair_fleet::{
+    availability::Availability,
     quarantine::LoadCrashes,
-    rate_limit::Limiter, //
+    rate_limit::{
+        Limiter,
+        Source, //
+    },
 };
 use stair_policy::{
     keep_alive::KeepAlive,
@@ -180,6 +184,10 @@
     pub(crate) last_message: Duration,
     /// The limit that the target has named.
     pub(crate) limiter: Limiter,
+    /// What the target's present incarnation states about the requests that it takes.
+    pub(crate) availability: Availability,
+    /// The number of crashes found when the target stated that it shuts down.
+    pub(crate) crashes_at_drain: u64,
     /// A message is due when the limit allows the next request.
     pub(crate) permit_awaited: bool,
 }
@@ -239,6 +247,8 @@
             me,
             limiter,
             permit_awaited: false,
+            availability: Availability::default(),
+            crashes_at_drain: 0,
             started_at: Instant::now(),
             crashes: CrashWatch::new(args.client.addr()),
             in_force: args.in_force.clone(),
@@ -318,7 +328,11 @@
                 suspect,
             } => self.run_ended(id, complete.then_some(run), suspect),
             Msg::Forget { id } => self.forget(id),
-            Msg::LimitStated(stated) => self.limit_stated(stated),
+            Msg::Responded(stated, stamp) => {
+                self.limit_stated(&stated.limit, stamp);
+                self.availability_stated(&stated, Source::Response);
+            }
+            Msg::Stated(stated) => self.availability_stated(&stated, Source::AgentCall),
             Msg::PermitDue => self.permit_awaited = false,
             Msg::Assign(assignment) => self.assign(*assignment),
             Msg::Vm(notice) => self.apply_vm_notice(notice),
@@ -332,6 +346,7 @@
             Msg::UnloadEnded { item, outcome } => self.unload_ended(&item, outcome),
             Msg::Inventory(inventory) => self.inventory_received(inventory),
             Msg::Tick => {
+                self.watch_drain();
                 self.unload_idle();
                 self.emit_metrics();
             }
@@ -392,7 +407,7 @@
 
     /// Returns whether new work is refused.
     pub(crate) fn refuses_work(&self) -> bool {
-        self.draining || self.vm.is_leaving
+        self.draining || self.vm.is_leaving || self.availability.drain().is_some()
     }
 
     /// Stops the agent because a newer incarnation has sent orders to the engine. Further orders of
@@ -411,7 +426,7 @@
             config: self.in_force.config(),
             shards: self.in_force.versions(),
             released: self.in_force.released().to_vec(),
-            draining: self.draining,
+            draining: self.draining || self.availability.drain().is_some(),
             granted: listed - revoking,
             revoking,
         };
--- a/crates/stair-agent/src/control_links.rs
+++ b/crates/stair-agent/src/control_links.rs
@@ -297,6 +297,9 @@
     if now.draining && !sent.draining {
         frame::write_message(tx, &AgentControl::Leaving).await?;
     }
+    if sent.draining && !now.draining {
+        frame::write_message(tx, &AgentControl::Staying).await?;
+    }
     if now.memory_pressure != sent.memory_pressure {
         let grants = now.memory_pressure.clone();
         frame::write_message(tx, &AgentControl::MemoryPressure { grants }).await?;
--- a/crates/stair-agent/src/crash.rs
+++ b/crates/stair-agent/src/crash.rs
@@ -6,10 +6,11 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc,
-        Mutex,
-        MutexGuard,
-        PoisonError, //
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
     },
     time::Duration,
 };
@@ -48,6 +49,8 @@
 pub(crate) struct CrashWatch {
     addr: SocketAddr,
     crashes: watch::Sender<u64>,
+    /// The target shuts down, so that its end is not attributed to runs.
+    draining: AtomicBool,
     probing: Mutex<Probing>,
 }
 
@@ -64,6 +67,7 @@
         Arc::new(Self {
             addr,
             crashes: watch::Sender::new(0),
+            draining: AtomicBool::new(false),
             probing: Mutex::default(),
         })
     }
@@ -73,9 +77,17 @@
         *self.crashes.borrow()
     }
 
+    /// Sets whether the target shuts down.
+    pub(crate) fn set_draining(&self, draining: bool) {
+        self.draining.store(draining, Ordering::Relaxed);
+    }
+
     /// Waits until the target is found to have crashed after `count` crashes. Returns the number of
     /// that crash, or `None` when the target keeps running.
     pub(crate) async fn next_crash(self: &Arc<Self>, count: u64) -> Option<u64> {
+        if self.draining.load(Ordering::Relaxed) {
+            return None;
+        }
         let mut crashes = self.crashes.subscribe();
         self.watch();
         let found = timeout(WATCH_WINDOW, crashes.wait_for(|n| *n > count)).await;
@@ -83,7 +95,7 @@
     }
 
     /// Probes the target for the time of a watch from now on.
-    fn watch(self: &Arc<Self>) {
+    pub(crate) fn watch(self: &Arc<Self>) {
         let mut probing = self.lock();
         probing.until = Some(Instant::now() + WATCH_WINDOW);
         if !std::mem::replace(&mut probing.active, true) {
--- a/crates/stair-agent/src/dump.rs
+++ b/crates/stair-agent/src/dump.rs
@@ -2,6 +2,7 @@
 
 use serde::Serialize;
 use stair_fleet::{
+    availability::Availability,
     quarantine::Record,
     rate_limit::Limiter, //
 };
@@ -50,12 +51,15 @@
     pub responses: usize,
     /// Number of request ids in the run table.
     pub runs: usize,
-    /// Whether the agent is draining.
+    /// Whether the agent or its target is draining.
     pub leaving: bool,
     /// Number of entries that the agent knows.
     pub entries: usize,
     /// The limit that the target has named.
     pub limit: Limiter,
+    /// What the target's present incarnation states about the requests that it takes. Times are since the
+    /// agent's start.
+    pub availability: Availability,
     /// Requests that are suspected of crashing targets, or quarantined for it.
     pub quarantine: Vec<Record>,
 }
@@ -77,9 +81,10 @@
             running: self.active.iter().map(|a| a.id).collect(),
             responses: self.responses.len(),
             runs: self.runs.len(),
-            leaving: self.draining,
+            leaving: self.draining || self.availability.drain().is_some(),
             entries: self.args.entries.borrow().len(),
             limit: self.limiter.clone(),
+            availability: self.availability,
             quarantine: self.args.ledger_keeper.records(),
         }
     }
--- a/crates/stair-agent/src/engine.rs
+++ b/crates/stair-agent/src/engine.rs
@@ -10,6 +10,7 @@
     StatusCode,
     header::CONTENT_TYPE, //
 };
+use platform_adapter::response::Stated;
 use serde::{
     Deserialize,
     Serialize, //
@@ -29,6 +30,7 @@
     FencingToken,
     ModelName, //
 };
+use tokio::sync::mpsc;
 
 /// Timeout of a request for the inventory, which is small and costs the engine no work.
 const LIST_TIMEOUT: Duration = Duration::from_secs(2);
@@ -188,14 +190,22 @@
 #[derive(Clone)]
 pub(crate) struct Engine {
     client: Client,
+    /// What the responses state.
+    stated: mpsc::UnboundedSender<Stated>,
     fence: FencingToken,
     load_timeout: Duration,
 }
 
 impl Engine {
-    pub(crate) fn new(client: Client, fence: FencingToken, load_timeout: Duration) -> Self {
+    pub(crate) fn new(
+        client: Client,
+        stated: mpsc::UnboundedSender<Stated>,
+        fence: FencingToken,
+        load_timeout: Duration,
+    ) -> Self {
         Self {
             client,
+            stated,
             fence: FencingToken(fence.0.saturating_mul(FENCES_PER_INCARNATION)),
             load_timeout,
         }
@@ -204,6 +214,7 @@
     pub(crate) async fn list(&self) -> anyhow::Result<Inventory> {
         let req = Request::get("/engine").body(Full::default())?;
         let reply = self.client.send(req, LIST_TIMEOUT).await?;
+        self.observe(&reply.head);
         anyhow::ensure!(
             reply.head.status == StatusCode::OK,
             "the engine refuses to list its inventory"
@@ -212,6 +223,11 @@
         Ok(serde_json::from_slice(&body)?)
     }
 
+    fn observe(&self, head: &hyper::http::response::Parts) {
+        // Fails only while the agent is stopping.
+        let _ = self.stated.send(Stated::decode(head.status, &head.headers));
+    }
+
     /// Passes the current fencing token to the engine, then reads its inventory. An engine that
     /// checks fencing tokens refuses from then on the orders that were sent before
     /// [`Engine::raise_fence`] and arrive later.
@@ -306,6 +322,7 @@
             Err(_) => return without_body(OrderOutcome::NoReply),
         };
         let status = reply.head.status;
+        self.observe(&reply.head);
         // The body has to be read completely before the connection can serve another order.
         let Ok(body) = reply.collect(MAX_REPLY_BYTES, LIST_TIMEOUT).await else {
             return without_body(OrderOutcome::Reply(Answer::Lost));
--- a/crates/stair-agent/src/lib.rs
+++ b/crates/stair-agent/src/lib.rs
@@ -3,7 +3,7 @@
 //! A request passes through these modules: `links` accepts its stream, `offers` reads the offer,
 //! `control` decides when it runs, `run` runs it at the target, `responses` buffers the response,
 //! and `resume` serves the buffered response after a link broke. `limit` spaces the runs if the
-//! target names a limit, `crash` finds out whether the target crashed during a run, and `quarantine`
+//! target names a limit, `availability` withholds them while it shuts down or asks for a backoff, `crash` finds out whether the target crashed during a run, and `quarantine`
 //! keeps a ledger of crashes for all entries.
 //!
 //! - [`start`]: start, operation and graceful stop of an agent.
@@ -15,6 +15,7 @@
 #![forbid(unsafe_code)]
 
 mod admit;
+mod availability;
 mod bootstrap;
 mod control;
 mod control_links;
--- a/crates/stair-agent/src/limit.rs
+++ b/crates/stair-agent/src/limit.rs
@@ -3,10 +3,7 @@
 //!
 //! The agent sends all requests to its target, so that it counts for all entries.
 
-use hyper::{
-    HeaderMap,
-    header::HeaderName, //
-};
+use platform_adapter::Error;
 use stair_fleet::rate_limit::{
     CachedLimit,
     Change,
@@ -29,49 +26,36 @@
     msg::Msg, //
 };
 
-/// The header in which a target names its limit, in requests per second.
-const LIMIT_HEADER: HeaderName = HeaderName::from_static("server-limit");
-
 const MICROS: f64 = 1e6;
 
-/// Returns what a response states about its target's limit. Of several values the lowest counts.
-///
-/// # Errors
-///
-/// The value that is not a decimal number; such a response states nothing.
-pub(crate) fn statement(headers: &HeaderMap, stamp: Stamp) -> Result<Statement, Box<str>> {
-    let rate = Rate::lowest(headers.get_all(LIMIT_HEADER).iter().map(|v| v.as_bytes()))?;
-    Ok(Statement {
-        rate,
-        stamp: Some(stamp),
-        source: Source::Response,
-    })
-}
-
 impl Core {
     /// Applies what a response of the target states.
-    pub(crate) fn limit_stated(&mut self, stated: Result<Statement, Box<str>>) {
+    pub(crate) fn limit_stated(&mut self, stated: &Result<Option<Rate>, Error>, stamp: Stamp) {
         let now = self.now();
         match stated {
-            Ok(statement) => {
+            Ok(rate) => {
+                let statement = Statement {
+                    rate: *rate,
+                    stamp: Some(stamp),
+                    source: Source::Response,
+                };
                 if let Some(change) = self.limiter.state(&statement, now) {
                     self.limit_changed(&change);
                 }
             }
-            Err(value) => {
-                warn!(
-                    Part::Engine,
-                    "the target names a malformed limit: {value:?}"
-                );
+            Err(e) => {
+                warn!(Part::Engine, "a response of the target: {e}");
                 self.args.metrics.limit_change("malformed");
             }
         }
     }
 
-    /// Has a message sent when the limit allows the next request, if one waits. Ticks alone would be late,
+    /// Has a message sent when the limit and the backoff allow the next request, if one waits. Ticks alone would be late,
     /// and a target gets nothing for the time in which it could have had a request.
     pub(crate) fn await_permit(&mut self) {
-        let next = self.limiter.next(self.now());
+        let now = self.now();
+        let backoff = self.availability.wait(now).unwrap_or_default();
+        let next = self.limiter.next(now).max(backoff);
         if self.permit_awaited || next.is_zero() || self.queue.is_empty() {
             return;
         }
--- a/crates/stair-agent/src/loads.rs
+++ b/crates/stair-agent/src/loads.rs
@@ -220,7 +220,7 @@
             return true;
         };
         let version: Box<str> = version.into();
-        if !self.limiter.has_permit(now) {
+        if !self.limiter.has_permit(now) || self.availability.drain().is_some() {
             return false;
         }
         match self.ledger.begin_load(item.clone(), &version, memory_mib) {
--- a/crates/stair-agent/src/msg.rs
+++ b/crates/stair-agent/src/msg.rs
@@ -6,11 +6,12 @@
 };
 
 use bytes::Bytes;
+use platform_adapter::response::Stated;
 use stair_config::{
     AgentLimits,
     TargetSettings, //
 };
-use stair_fleet::rate_limit::Statement;
+use stair_fleet::rate_limit::Stamp;
 use stair_http::Client;
 use stair_link::Pool;
 use stair_state::{
@@ -87,9 +88,12 @@
     Forget {
         id: RequestId,
     },
-    /// A response of the target has arrived; what it states about the target's limit.
-    LimitStated(Result<Statement, Box<str>>),
-    /// The target's limit allows the next request.
+    /// A response to a request has arrived; what it states about its target. The stamp is that of the
+    /// request.
+    Responded(Box<Stated>, Stamp),
+    /// What a response to a call of the agent states.
+    Stated(Stated),
+    /// The target's limit or backoff allows the next request.
     PermitDue,
     Assign(Box<Assignment>),
     Vm(VmNotice),
--- a/crates/stair-agent/src/reconcile.rs
+++ b/crates/stair-agent/src/reconcile.rs
@@ -80,9 +80,9 @@
     }
 
     /// Returns whether the engine may receive orders now. A draining agent still unloads the models
-    /// whose grants it releases.
+    /// whose grants it releases, also from an engine that shuts down.
     pub(crate) fn may_order(&self) -> bool {
-        self.knows_inventory() && !self.unconfirmed.any()
+        self.knows_inventory() && !self.unconfirmed.any() && !self.backs_off()
     }
 
     /// Requests the engine's inventory when the ledger may not match it. The inventory confirms an
@@ -100,7 +100,7 @@
         let Some(engine) = self.args.engine.clone() else {
             return;
         };
-        if !self.limiter.may_call(true, now) {
+        if self.backs_off() || !self.limiter.may_call(true, now) {
             return;
         }
         self.listing = true;
@@ -124,6 +124,8 @@
                 self.relist = false;
                 self.unresponsive_since = None;
             }
+            // The engine runs and wants no calls.
+            None if self.backs_off() => self.relist = true,
             None => {
                 let now = self.now();
                 self.unresponsive_since.get_or_insert(now);
--- a/crates/stair-agent/src/run.rs
+++ b/crates/stair-agent/src/run.rs
@@ -13,6 +13,7 @@
     StatusCode,
     header::CONTENT_TYPE, //
 };
+use platform_adapter::response::Stated;
 use ractor::ActorRef;
 use stair_config::AgentLimits;
 use stair_fleet::rate_limit::Stamp;
@@ -38,8 +39,8 @@
 
 use crate::{
     crash::CrashWatch,
-    limit,
     msg::Msg,
+    refuse::millis,
     responses::{
         Head,
         Response,
@@ -70,8 +71,8 @@
     pub(crate) control: ActorRef<Msg>,
     /// The statements of the target's limit that were known when the run began.
     pub(crate) stamp: Stamp,
-    /// Whether the target had a limit then.
-    pub(crate) limited: bool,
+    /// Whether the target had a limit or a backoff then, which a response may end.
+    pub(crate) restricted: bool,
 }
 
 /// A failed run. `suspect` marks a target whose inventory has to be read again.
@@ -159,9 +160,18 @@
         .await
         .map_err(target_failure)?;
     let status = resp.head.status;
-    let stated = limit::statement(&resp.head.headers, job.stamp);
-    if job.limited || !stated.as_ref().is_ok_and(|s| s.rate.is_none()) {
-        let _ = job.control.send_message(Msg::LimitStated(stated));
+    let stated = Stated::decode(status, &resp.head.headers);
+    let rejection = rejection(&stated);
+    if job.restricted || !stated.is_empty() {
+        let msg = Msg::Responded(Box::new(stated), job.stamp);
+        // Fails only while the agent is stopping.
+        let _ = job.control.send_message(msg);
+    }
+    if let Some(refusal) = rejection {
+        return Err(Failed {
+            refusal,
+            suspect: false,
+        });
     }
     // The engine has lost the model, by a restart for instance. It replies so before it runs
     // anything.
@@ -185,6 +195,16 @@
     Ok(())
 }
 
+/// The refusal of a request that the target states it has not run.
+fn rejection(stated: &Stated) -> Option<Refusal> {
+    let retry_after = stated.availability().backoff;
+    let retry_ms = retry_after.map_or(RETRY_MS, millis);
+    let message = "the target rejects the request";
+    stated
+        .not_run
+        .then(|| Refusal::not_run(Reason::QueueFull, retry_ms, message))
+}
+
 /// Headers that belong to the target's connection or have their own fields in a message. Sorted.
 const NOT_FORWARDED: [&str; 9] = [
     "connection",
--- a/crates/stair-agent/src/slots.rs
+++ b/crates/stair-agent/src/slots.rs
@@ -41,7 +41,10 @@
     pub(crate) fn assign_slots(&mut self) {
         let (now, slots) = (self.now(), self.slots());
         let general = slots - slots / SHORT_SLOT_DIVISOR;
-        while self.active.len() < slots && self.limiter.has_permit(now) {
+        while self.active.len() < slots
+            && self.limiter.has_permit(now)
+            && self.availability.may_send(now)
+        {
             let (ledger, in_force, items) = (&self.ledger, &self.in_force, &self.items);
             let unconfirmed = &self.unconfirmed;
             let ready = |key| {
@@ -56,6 +59,7 @@
                 return;
             };
             self.limiter.charge(now);
+            self.availability.record_send(now);
             let item = self.items.get(next.model).cloned();
             self.record_use(item.as_ref());
             let waited = now.saturating_sub(next.arrived);
@@ -91,6 +95,9 @@
 
     /// Starts the run of a request that occupies a slot, at most once.
     pub(crate) fn start(&mut self, id: RequestId) -> Option<Arc<Response>> {
+        if self.availability.withheld(self.now()).is_some() {
+            return None;
+        }
         let slot = self.active.iter().position(|a| a.id == id && !a.started)?;
         let at = self.find_unstarted(id).ok()?;
         if !self.runs.start(id) {
@@ -113,7 +120,7 @@
             is_engine: self.args.engine.is_some(),
             control: self.me.clone(),
             stamp: self.limiter.stamp(),
-            limited: self.limiter.rate().is_some(),
+            restricted: self.limiter.rate().is_some() || self.availability.backoff().is_some(),
         };
         self.args.traffic.spawn(run::run(job));
         Some(response)
--- a/crates/stair-agent/src/start.rs
+++ b/crates/stair-agent/src/start.rs
@@ -7,6 +7,7 @@
 };
 
 use anyhow::Context as _;
+use platform_adapter::response::Stated;
 use ractor::{
     Actor,
     ActorRef, //
@@ -43,6 +44,7 @@
 use tokio::{
     net::TcpListener,
     sync::{
+        mpsc,
         oneshot,
         watch, //
     },
@@ -179,7 +181,8 @@
             ..client::Options::default()
         };
         let client = Client::new(address, opts);
-        let engine = engine(&settings, &client, incarnation);
+        let (stated_tx, stated_rx) = mpsc::unbounded_channel();
+        let engine = engine(&settings, &client, stated_tx, incarnation);
         let ledger = match &engine {
             Some(engine) => read_ledger(engine, &settings.target).await,
             None => Ledger::new(0, Vec::new()),
@@ -209,6 +212,7 @@
             ledger_keeper: ledger_keeper.clone(),
         })
         .await?;
+        tokio::spawn(forward_stated(stated_rx, control.clone()));
         let cx = control_links::Context::new(
             (settings.name, incarnation, settings.data_centre),
             dialer,
@@ -435,10 +439,26 @@
     }
 }
 
-fn engine(settings: &AgentSettings, client: &Client, fence: FencingToken) -> Option<Engine> {
+/// Passes on what the engine's responses to the agent's own calls state.
+async fn forward_stated(mut rx: mpsc::UnboundedReceiver<Stated>, control: ActorRef<Msg>) {
+    while let Some(stated) = rx.recv().await {
+        if control.send_message(Msg::Stated(stated)).is_err() {
+            return;
+        }
+    }
+}
+
+fn engine(
+    settings: &AgentSettings,
+    client: &Client,
+    stated: mpsc::UnboundedSender<Stated>,
+    fence: FencingToken,
+) -> Option<Engine> {
     let load_timeout = Duration::from_millis(settings.limits.load_timeout_ms.into());
     match settings.target {
-        TargetSettings::Engine { .. } => Some(Engine::new(client.clone(), fence, load_timeout)),
+        TargetSettings::Engine { .. } => {
+            Some(Engine::new(client.clone(), stated, fence, load_timeout))
+        }
         TargetSettings::Service { .. } => None,
     }
 }
--- a/crates/stair-entry/src/control/agents.rs
+++ b/crates/stair-entry/src/control/agents.rs
@@ -102,6 +102,11 @@
                 info!(Part::Members, "Target {target} reports that it is leaving.");
                 self.state.record_leaving(target, token)
             }
+            AgentControl::Staying => {
+                let target = agent.hello.target.clone();
+                info!(Part::Members, "Target {target} reports that it stays.");
+                self.state.record_staying(&target, agent.hello.incarnation)
+            }
         }
     }
 
--- a/crates/stair-entry/src/control/state.rs
+++ b/crates/stair-entry/src/control/state.rs
@@ -301,6 +301,17 @@
         }
     }
 
+    /// Records that an incarnation of an agent is no longer leaving. Returns whether that is new.
+    pub fn record_staying(&mut self, target: &TargetName, token: FencingToken) -> bool {
+        let at = self.leaving.binary_search_by(|l| l.target.cmp(target));
+        let Some(at) = at.ok().filter(|at| self.leaving[*at].token == token) else {
+            return false;
+        };
+        self.leaving.remove(at);
+        self.fleet_version += 1;
+        true
+    }
+
     /// Returns the record of a target's agent.
     pub fn incarnation(&self, target: &TargetName) -> Option<&IncarnationRecord> {
         find(&self.incarnations, target)
--- a/crates/stair-standin/src/engine.rs
+++ b/crates/stair-standin/src/engine.rs
@@ -53,6 +53,7 @@
         Source, //
     },
     server::{
+        Rejection,
         Server,
         error,
         expected,
@@ -249,6 +250,21 @@
         self.server.name_limit(value);
     }
 
+    /// States in all answers from now on that it shuts down, or no longer.
+    pub fn drain(&self, draining: bool) {
+        self.server.drain(draining);
+    }
+
+    /// Rejects all calls from now on, or none.
+    pub fn reject(&self, rejection: Option<Rejection>) {
+        self.server.reject(rejection);
+    }
+
+    /// Arrivals of the calls that were rejected.
+    pub fn rejected(&self) -> Vec<Instant> {
+        self.server.rejected()
+    }
+
     /// Arrivals of all calls, whoever sent them.
     pub fn received(&self) -> Vec<Instant> {
         self.server.received()
--- a/crates/stair-standin/src/lib.rs
+++ b/crates/stair-standin/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`engine`]: a model engine.
 //! - [`service`]: a plain service.
 //! - [`proxy`]: TCP and UDP proxies that cut, delay and swallow.
+//! - [`server`]: how engines and services reject calls.
 //! - [`recorder`]: what engines and services did, for checks that do not ask the project.
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
@@ -14,7 +15,7 @@
 pub mod platform;
 pub mod proxy;
 pub mod recorder;
-mod server;
+pub mod server;
 pub mod service;
 
 pub use engine::Engine;
--- a/crates/stair-standin/src/server.rs
+++ b/crates/stair-standin/src/server.rs
@@ -25,7 +25,8 @@
     header::{
         CONTENT_TYPE,
         HeaderName,
-        HeaderValue, //
+        HeaderValue,
+        RETRY_AFTER, //
     }, //
 };
 use serde::Serialize;
@@ -48,6 +49,8 @@
 };
 
 const LIMIT: HeaderName = HeaderName::from_static("server-limit");
+const DRAINING: HeaderName = HeaderName::from_static("server-leaving");
+const NOT_RUN: HeaderName = HeaderName::from_static("dandelionstair-not-executed");
 const BACKLOG: u32 = 1024;
 const FLUSH_TIME: Duration = Duration::from_millis(20);
 /// Longer than any condition takes on a busy machine.
@@ -74,6 +77,30 @@
 struct Traffic {
     received: Vec<Instant>,
     limit: Option<HeaderValue>,
+    draining: bool,
+    rejection: Option<Rejection>,
+    rejected: Vec<Instant>,
+}
+
+/// How a server rejects all calls.
+#[derive(Debug, Clone)]
+pub struct Rejection {
+    /// The value of `Retry-After`.
+    pub retry_after: HeaderValue,
+    /// Whether the answer states that the request has not run.
+    pub not_run: bool,
+}
+
+impl Rejection {
+    fn answer(&self) -> Response<Body> {
+        let mut resp = error(StatusCode::SERVICE_UNAVAILABLE, "busy");
+        let headers = resp.headers_mut();
+        headers.insert(RETRY_AFTER, self.retry_after.clone());
+        if self.not_run {
+            headers.insert(NOT_RUN, HeaderValue::from_static("1"));
+        }
+        resp
+    }
 }
 
 fn lock(traffic: &Mutex<Traffic>) -> MutexGuard<'_, Traffic> {
@@ -106,13 +133,30 @@
         let traffic: Arc<Mutex<Traffic>> = Arc::default();
         let own = traffic.clone();
         let handler = move |req| {
-            lock(&own).received.push(Instant::now());
+            let rejection = {
+                let mut traffic = lock(&own);
+                let now = Instant::now();
+                traffic.received.push(now);
+                let rejection = traffic.rejection.clone();
+                if rejection.is_some() {
+                    traffic.rejected.push(now);
+                }
+                rejection
+            };
             let (answer, own) = (handler(req), own.clone());
             async move {
-                let mut resp = answer.await;
-                if let Some(limit) = &lock(&own).limit {
+                let mut resp = match rejection {
+                    Some(rejection) => rejection.answer(),
+                    None => answer.await,
+                };
+                let traffic = lock(&own);
+                if let Some(limit) = &traffic.limit {
                     resp.headers_mut().insert(LIMIT, limit.clone());
                 }
+                if traffic.draining {
+                    let value = HeaderValue::from_static("1");
+                    resp.headers_mut().insert(DRAINING, value);
+                }
                 resp
             }
         };
@@ -148,6 +192,21 @@
         lock(&self.traffic).limit = limit;
     }
 
+    /// States in all answers from now on that the server shuts down, or no longer.
+    pub(crate) fn drain(&self, draining: bool) {
+        lock(&self.traffic).draining = draining;
+    }
+
+    /// Rejects all calls from now on, or none.
+    pub(crate) fn reject(&self, rejection: Option<Rejection>) {
+        lock(&self.traffic).rejection = rejection;
+    }
+
+    /// Arrivals of the calls that were rejected.
+    pub(crate) fn rejected(&self) -> Vec<Instant> {
+        lock(&self.traffic).rejected.clone()
+    }
+
     /// Breaks all connections and refuses new ones.
     pub(crate) async fn kill(&self) -> io::Result<()> {
         let task = {
--- a/crates/stair-telemetry/src/metrics.rs
+++ b/crates/stair-telemetry/src/metrics.rs
@@ -196,6 +196,11 @@
         self.count("limits", 1, &[("change", change)]);
     }
 
+    /// Counts a change of what a target states about the requests that it takes, or a malformed value.
+    pub fn availability_change(&self, change: &'static str) {
+        self.count("availability", 1, &[("change", change)]);
+    }
+
     /// Counts a request that was running on a target when it crashed.
     pub fn crashed_run(&self) {
         self.count("crashed_runs", 1, &[]);
--- a/crates/stair-wire/src/control.rs
+++ b/crates/stair-wire/src/control.rs
@@ -103,8 +103,10 @@
         /// The grants whose models do not fit.
         grants: Vec<(ShardId, GrantId)>,
     },
-    /// The agent is draining and refuses new offers.
+    /// The agent or its target is draining, and the agent refuses new offers.
     Leaving,
+    /// The agent accepts offers again: the next incarnation of its target has started.
+    Staying,
 }
 
 /// Messages from the entry to the agent.
