--- a/crates/stair-relay/src/availability.rs
+++ b/crates/stair-relay/src/availability.rs
@@ -34,7 +34,18 @@
 
 /// Applies what a response to a request for the target `key` states.
 pub(crate) fn observe(cx: &Context, key: TargetKey, stated: &Stated) {
-    let selected = cx.state().view.get(key).target.incarnation();
+    let statement = stated.availability();
+    let selected = {
+        let state = cx.state();
+        let target_state = state.view.get(key);
+        // Most responses state nothing, and there are many.
+        let ends_nothing = target_state.availability.backoff().is_none();
+        if ends_nothing && statement == Statement::default() && stated.malformed().next().is_none()
+        {
+            return;
+        }
+        target_state.target.incarnation()
+    };
     for e in stated.malformed() {
         Line::failure("availability.malformed")
             .text("target", &selected.id)
@@ -45,7 +56,7 @@
     let Some(incarnation) = responding(cx, selected, stated) else {
         return;
     };
-    apply(cx, &incarnation, &stated.availability(), Source::Response);
+    apply(cx, &incarnation, &statement, Source::Response);
 }
 
 /// The incarnation that has responded: the selected one, unless the response names another one.
@@ -94,26 +105,22 @@
 /// Whether a target that was selected for a request still takes it.
 pub(crate) fn takes(cx: &Context, job: &Job, key: TargetKey) -> bool {
     let now = cx.now();
-    let (takes, withheld, id) = {
+    let (why, id) = {
         let state = cx.state();
         let target_state = state.view.get(key);
-        let withheld = target_state.availability.withheld(now);
-        (
-            target_state.takes(now),
-            withheld,
-            target_state.target.id.clone(),
-        )
+        match target_state.availability.withheld(now) {
+            None => return target_state.takes(now),
+            Some(why) => (why, target_state.target.id.clone()),
+        }
     };
-    if let Some(why) = withheld {
-        Line::failure("withheld")
-            .text("id", &job.meta.id)
-            .text("target", &id)
-            .text("why", why.as_str())
-            .write();
-        let labels = [("why", why.as_str())];
-        cx.page.count("withheld_total", &labels, 1);
-    }
-    takes
+    Line::failure("withheld")
+        .text("id", &job.meta.id)
+        .text("target", &id)
+        .text("why", why.as_str())
+        .write();
+    let labels = [("why", why.as_str())];
+    cx.page.count("withheld_total", &labels, 1);
+    false
 }
 
 /// Handles what an agent has learnt by itself or from other entries.
