agent: requests that wait for the end of a backoff keep a margin

The agent's log shows a backoff of engine-0 that began at 22.053 and whose first request after it was answered at 24.391, 338 ms late. Requests that had arrived within it, with deadlines at 24.1 to 24.4, had been admitted, as their runs of 15 ms fitted, and started as their time ended.

While a backoff lasts, the expected wait is half a second longer, so that such requests are refused at once and go to another target or are told when to return.

--- a/crates/stair-agent/src/admit.rs
+++ b/crates/stair-agent/src/admit.rs
@@ -218,7 +218,7 @@
             concurrency: u16::try_from(slots).unwrap_or(u16::MAX),
             slot_free_in: slot_free_in
                 .max(self.limiter.next(now))
-                .max(self.availability.wait(now).unwrap_or_default()),
+                .max(self.backoff_wait()),
             start_interval: self.limiter.interval().unwrap_or_default(),
             ready_in: self
                 .items
--- a/crates/stair-agent/src/availability.rs
+++ b/crates/stair-agent/src/availability.rs
@@ -4,6 +4,8 @@
 //! The target's incarnations have no ids here. The agent probes a target that shuts down, and the state ends when
 //! the target is found to have ended.
 
+use std::time::Duration;
+
 use platform_adapter::response::Stated;
 use stair_fleet::{
     availability::{
@@ -29,6 +31,10 @@
     refuse::millis, //
 };
 
+/// Time after a backoff that waiting requests have to leave: the first one after it may be slow or rejected. With
+/// less, requests start right before their deadlines and are cut.
+const BACKOFF_MARGIN: Duration = Duration::from_millis(500);
+
 impl Core {
     /// Applies what a response of the target states.
     pub(crate) fn availability_stated(&mut self, stated: &Stated, source: Source) {
@@ -84,6 +90,15 @@
         self.availability.withheld(self.now()) == Some(Withheld::Backoff)
     }
 
+    /// The wait that requests have to expect for the end of a backoff.
+    pub(crate) fn backoff_wait(&self) -> Duration {
+        let wait = self.availability.wait(self.now()).unwrap_or_default();
+        match self.backs_off() {
+            true => wait.saturating_add(BACKOFF_MARGIN),
+            false => wait,
+        }
+    }
+
     /// Ends the drain when the target has ended.
     pub(crate) fn watch_drain(&mut self) {
         if self.availability.drain().is_none() {
