relay: log and count statements about the targets that are dropped as older

A list or change with a lower revision than the known one was dropped without a trace. No decision changes.

--- a/crates/stair-relay/src/replicate.rs
+++ b/crates/stair-relay/src/replicate.rs
@@ -227,7 +227,7 @@
     {
         let mut state = cx.state();
         if revision < state.view.revision {
-            return;
+            return log_dropped(cx, "list", revision, state.view.revision);
         }
         state.view.expire(now);
         state.view.replace(targets, revision, now + grace, now);
@@ -250,6 +250,16 @@
     log_list(cx, revision, count, peer);
 }
 
+/// Records that a statement about the list of targets is older than what is known.
+fn log_dropped(cx: &Context, what: &str, revision: u64, known: u64) {
+    Line::failure("targets.dropped")
+        .text("what", what)
+        .num("revision", revision)
+        .num("known", known)
+        .write();
+    cx.page.count("targets_dropped_total", &[("what", what)], 1);
+}
+
 fn log_list(cx: &Context, revision: u64, count: i64, source: &str) {
     Line::failure("targets")
         .num("revision", revision)
@@ -302,7 +312,7 @@
         let mut state = cx.state();
         // A peer's changes can be older than those received from the store.
         if revision < state.view.revision {
-            return;
+            return log_dropped(cx, "changes", revision, state.view.revision);
         }
         let now = cx.now();
         state.view.expire(now);
