--- a/crates/stair-fleet/src/lag.rs
+++ b/crates/stair-fleet/src/lag.rs
@@ -8,6 +8,8 @@
     time::Duration, //
 };
 
+use stair_types::StoreRevision;
+
 use crate::msg::ReplicationState;
 
 /// Time after which an entry with a working source has the versions that another entry has
@@ -18,7 +20,7 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 struct Versions {
     catalogue: u64,
-    targets: u64,
+    targets: StoreRevision,
 }
 
 /// The versions that entries have reported recently and those that every entry should have by now.
--- a/crates/stair-fleet/src/msg.rs
+++ b/crates/stair-fleet/src/msg.rs
@@ -12,6 +12,7 @@
     Deserialize,
     Serialize, //
 };
+use stair_types::StoreRevision;
 
 use crate::{
     availability::Shared,
@@ -48,7 +49,7 @@
         /// The engine's id.
         id: Box<str>,
         /// The store's revision that it is from.
-        revision: u64,
+        revision: StoreRevision,
     },
     /// An incarnation that the engine has rejected as stale.
     #[serde(rename = "Former")]
@@ -108,8 +109,8 @@
     pub peer: std::net::SocketAddr,
     /// The version of its catalogue, 0 for none.
     pub catalogue: u64,
-    /// The store's revision of its list of targets, 0 for none.
-    pub targets: u64,
+    /// The store's revision of its list of targets.
+    pub targets: StoreRevision,
 }
 
 /// Requests a model, or an adapter of a loaded model.
--- a/crates/stair-fleet/src/rate_limit.rs
+++ b/crates/stair-fleet/src/rate_limit.rs
@@ -72,6 +72,8 @@
     AgentCall,
     /// A process that has learnt it before.
     Process,
+    /// The target's announcement in the store.
+    Announcement,
 }
 
 impl Source {
@@ -81,6 +83,7 @@
             Self::Response => "response",
             Self::AgentCall => "agent-call",
             Self::Process => "process",
+            Self::Announcement => "announcement",
         }
     }
 }
--- a/crates/stair-fleet/src/target_state.rs
+++ b/crates/stair-fleet/src/target_state.rs
@@ -6,7 +6,10 @@
 };
 
 use crate::{
-    availability::Availability,
+    availability::{
+        Availability,
+        Statement, //
+    },
     rate_limit::{
         Rate,
         Source, //
@@ -70,6 +73,9 @@
     pub listed: bool,
     /// Set when the newest list lacks the target: the time from which it counts as removed.
     pub missing_until: Option<Duration>,
+    /// Set when the store has come back from a copy from before the target's removal: the time from
+    /// which the target is used if it is not removed again.
+    pub held_until: Option<Duration>,
     /// The last report of the target's agent, and its time of arrival.
     pub report: Option<(Report, Duration)>,
     /// Arrival of the agent's last message; `None` when no agent is connected.
@@ -115,6 +121,7 @@
             declared: true,
             stale_since: None,
             missing_until: None,
+            held_until: None,
             report: None,
             last_message: None,
             unresponsive: false,
@@ -159,7 +166,7 @@
     pub fn is_up(&self, now: Duration) -> bool {
         let missing = self.missing_until.is_some_and(|t| now >= t);
         let dead = self.fresh_report(now).is_some_and(|r| !r.load.alive);
-        let ready = self.listed && !self.is_draining();
+        let ready = self.listed && !self.is_draining() && !self.is_held(now);
         ready && !missing && !self.unresponsive && now >= self.suspect_until && !dead
     }
 
@@ -171,16 +178,35 @@
     /// Whether the target accepts a further request. With `suspects`, being listed as ready is enough.
     pub fn accepts(&self, suspects: bool, now: Duration) -> bool {
         self.is_available(now)
-            || (suspects && self.listed_ready() && self.availability.may_send(now))
+            || (suspects && self.listed_ready(now) && self.availability.may_send(now))
     }
 
     /// Whether the target still accepts a request that it was selected for.
     pub fn takes(&self, now: Duration) -> bool {
-        (self.is_up(now) || self.listed_ready()) && self.availability.withheld(now).is_none()
+        (self.is_up(now) || self.listed_ready(now)) && self.availability.withheld(now).is_none()
+    }
+
+    fn listed_ready(&self, now: Duration) -> bool {
+        let listed = self.listed && self.missing_until.is_none();
+        listed && !self.is_held(now) && !self.is_draining()
+    }
+
+    fn is_held(&self, now: Duration) -> bool {
+        self.held_until.is_some_and(|t| now < t)
     }
 
-    fn listed_ready(&self) -> bool {
-        self.listed && self.missing_until.is_none() && !self.is_draining()
+    /// Makes an announced drain last as long as the incarnation, whatever is announced later. Returns
+    /// whether that is new.
+    pub(crate) fn keep_drain(&mut self, now: Duration) -> bool {
+        if self.target.state == State::Ready {
+            return false;
+        }
+        let drains = Statement {
+            draining: true,
+            backoff: None,
+        };
+        let changes = self.availability.apply(&drains, Source::Announcement, now);
+        !changes.is_empty()
     }
 
     /// Returns the agent's report if it is younger than [`REPORT_TTL`].
@@ -278,6 +304,7 @@
     /// Takes the target off the list.
     pub fn mark_removed(&mut self) {
         self.listed = false;
+        self.held_until = None;
         let report = self.report.take();
         if !self.is_draining() {
             self.last_inventory = report.map(|(r, at)| (r.inventory, at));
--- a/crates/stair-fleet/src/view.rs
+++ b/crates/stair-fleet/src/view.rs
@@ -5,6 +5,7 @@
 //! decides, so that a healthy engine whose agent has failed is still used.
 
 use std::{
+    collections::VecDeque,
     net::SocketAddr,
     time::Duration, //
 };
@@ -13,6 +14,7 @@
     Deserialize,
     Serialize, //
 };
+use stair_types::StoreRevision;
 
 use crate::{
     availability::{
@@ -30,6 +32,7 @@
         Target, //
     }, //
     target_state::{
+        STALE_ANNOUNCEMENT_TIMEOUT,
         TargetState,
         UNRESPONSIVE_TIMEOUT, //
     },
@@ -52,6 +55,9 @@
     pub target: Target,
     /// Set when the newest list lacks the target: the remaining time until it counts as removed.
     pub missing_for: Option<Duration>,
+    /// Set when the target was removed before the store came back from a copy that has it: the
+    /// remaining time until it gets requests if it is not removed again.
+    pub held_for: Option<Duration>,
 }
 
 /// All targets, in an arena. The key of a removed target stays valid; it refers to a placeholder
@@ -67,10 +73,25 @@
     serial: u64,
     /// Declared services, sorted; `None` until they are known.
     declared: Option<Vec<Box<str>>>,
-    /// Revision of the store up to which the list is complete, 0 for none.
-    pub revision: u64,
+    /// The newest removed incarnations, the oldest first.
+    removals: VecDeque<Incarnation>,
+    /// Revision of the store up to which the list is complete.
+    pub revision: StoreRevision,
 }
 
+/// Time for which a target is still used that is missing from the list after an outage of the store
+/// or its return from a copy. A running target announces itself within 2 s.
+pub const MISSING_GRACE: Duration = Duration::from_millis(1900);
+
+/// Time for which a removal is believed that the store has forgotten: until targets have announced
+/// themselves again, and the store then has missed three heartbeats of those that do not run.
+pub const REMOVAL_HOLD: Duration = Duration::from_millis(
+    (MISSING_GRACE.as_millis() + STALE_ANNOUNCEMENT_TIMEOUT.as_millis()) as u64,
+);
+
+/// Number of removals that are remembered. A copy is some seconds old.
+const MAX_REMOVALS: usize = 1024;
+
 /// Time for which the inventory of a removed target is remembered.
 const REMOVED_INVENTORY_TTL: Duration = Duration::from_secs(15);
 
@@ -82,7 +103,8 @@
             unlisted: Registry::default(),
             serial: 0,
             declared: None,
-            revision: 0,
+            removals: VecDeque::new(),
+            revision: StoreRevision::NONE,
         }
     }
 }
@@ -92,22 +114,59 @@
     ///
     /// A target that the new list lacks is used until `missing_until`: after an outage of the
     /// store, a live target may only be late in announcing itself again.
+    ///
+    /// A list of a newer era comes from a copy that may be older than what is known. It ends no drain
+    /// and no removal, and a target that it lacks gets at least [`MISSING_GRACE`]. Returns the
+    /// incarnations of which only this process may still know that they drain.
     pub fn replace(
         &mut self,
         targets: Vec<Target>,
-        revision: u64,
+        revision: StoreRevision,
         missing_until: Duration,
         now: Duration,
-    ) {
+    ) -> Vec<Incarnation> {
+        let returned = self.revision.is_known() && revision.era > self.revision.era;
+        let drains = if returned {
+            self.keep_drains(now)
+        } else {
+            Vec::new()
+        };
         for state in self.targets.iter_mut().filter(|s| s.listed) {
-            if !targets.iter().any(|t| t.id == state.target.id) {
+            if targets.iter().any(|t| t.id == state.target.id) {
+                continue;
+            }
+            if returned {
+                state.missing_until = Some(missing_until.max(now + MISSING_GRACE));
+            } else {
                 state.missing_until.get_or_insert(missing_until);
             }
         }
         for target in targets {
-            self.put(target, now);
+            let incarnation = target.incarnation();
+            let removed = self.removals.contains(&incarnation);
+            let Some(key) = self.place(target, !returned, now) else {
+                continue;
+            };
+            if removed && returned {
+                self.get_mut(key).held_until = Some(now + REMOVAL_HOLD);
+            } else if removed && self.get(key).held_until.is_none() {
+                self.removals.retain(|r| *r != incarnation);
+            }
         }
         self.revision = revision;
+        drains
+    }
+
+    /// Makes the announced drains last as long as their incarnations, and returns those that were not
+    /// known from responses.
+    fn keep_drains(&mut self, now: Duration) -> Vec<Incarnation> {
+        let mut drains = Vec::new();
+        for state in &mut self.targets {
+            if state.keep_drain(now) {
+                drains.push(state.target.incarnation());
+            }
+        }
+        drains
     }
 
     /// Sets the declared services, in any order.
@@ -130,35 +189,51 @@
 
     /// Replaces the list by a peer's. The peer may still wait for targets that are missing from its
     /// own list.
-    pub fn replace_from_peer(&mut self, listed: Vec<Listed>, revision: u64, now: Duration) {
-        let missing: Vec<(Box<str>, Duration)> = listed
-            .iter()
-            .filter_map(|l| Some((l.target.id.clone(), now + l.missing_for?)))
-            .collect();
-        let targets = listed.into_iter().map(|l| l.target).collect();
-        self.replace(targets, revision, now, now);
-        for (id, until) in missing {
+    pub fn replace_from_peer(
+        &mut self,
+        listed: Vec<Listed>,
+        revision: StoreRevision,
+        now: Duration,
+    ) -> Vec<Incarnation> {
+        let (plain, pending): (Vec<Listed>, Vec<Listed>) = listed
+            .into_iter()
+            .partition(|l| l.missing_for.is_none() && l.held_for.is_none());
+        let all = plain.iter().chain(&pending).map(|l| l.target.clone());
+        let drains = self.replace(all.collect(), revision, now, now);
+        for one in pending {
             let mut listed = self.targets.iter_mut().filter(|s| s.listed);
-            if let Some(state) = listed.find(|s| s.target.id == id) {
-                state.missing_until = Some(until);
+            if let Some(state) = listed.find(|s| s.target.id == one.target.id) {
+                state.missing_until = one.missing_for.map(|t| now + t);
+                state.held_until = one.held_for.map(|t| now + t);
             }
         }
+        drains
     }
 
     /// Applies an announcement. A newer incarnation replaces the known one. Returns `None` when the
     /// announcement is of a stale incarnation and dropped; see
     /// [`STALE_ANNOUNCEMENT_TIMEOUT`](crate::target_state::STALE_ANNOUNCEMENT_TIMEOUT).
     pub fn put(&mut self, target: Target, now: Duration) -> Option<TargetKey> {
+        let incarnation = target.incarnation();
+        let key = self.place(target, true, now)?;
+        // It was announced after the store's return, so it runs.
+        self.get_mut(key).held_until = None;
+        self.removals.retain(|r| *r != incarnation);
+        Some(key)
+    }
+
+    /// Lists a target. If it is `current`, a missing one at its address has ended.
+    fn place(&mut self, target: Target, current: bool, now: Duration) -> Option<TargetKey> {
         let listed = |s: &TargetState| s.listed && s.target.id == target.id;
         let known = self.targets.iter().position(listed);
         let i = match known {
             Some(i) if self.targets[i].is_same_incarnation(&target) => i,
             Some(i) if self.targets[i].is_stale(&target, now) => return None,
             stale => {
-                stale
-                    .into_iter()
-                    .for_each(|i| self.targets[i].mark_removed());
-                self.remove_missing_at(target.addr);
+                stale.into_iter().for_each(|i| self.remove_at(i));
+                if current {
+                    self.remove_missing_at(target.addr);
+                }
                 self.slot(&target, now)
             }
         };
@@ -176,11 +251,25 @@
     /// taken its place. If both were listed, the agent's reports would count for the dead one, and
     /// the live one would get no orders.
     fn remove_missing_at(&mut self, addr: SocketAddr) {
-        let missing = |s: &&mut TargetState| s.target.addr == addr && s.missing_until.is_some();
-        self.targets
-            .iter_mut()
-            .filter(missing)
-            .for_each(TargetState::mark_removed);
+        self.remove_where(|s| s.target.addr == addr && s.missing_until.is_some());
+    }
+
+    fn remove_where(&mut self, ends: impl Fn(&TargetState) -> bool) {
+        for i in 0..self.targets.len() {
+            if self.targets[i].listed && ends(&self.targets[i]) {
+                self.remove_at(i);
+            }
+        }
+    }
+
+    fn remove_at(&mut self, i: usize) {
+        let removed = self.targets[i].target.incarnation();
+        self.targets[i].mark_removed();
+        self.removals.retain(|r| *r != removed);
+        self.removals.push_back(removed);
+        if self.removals.len() > MAX_REMOVALS {
+            self.removals.pop_front();
+        }
     }
 
     /// Finds the slot of an incarnation, or assigns one.
@@ -206,7 +295,8 @@
             !s.listed && s.in_flight == 0 && s.report.is_none() && may_be_reused(s)
         };
         if let Some(i) = self.targets.iter().position(free) {
-            let old = std::mem::replace(&mut self.targets[i], new);
+            let mut old = std::mem::replace(&mut self.targets[i], new);
+            old.keep_drain(now);
             if !old.availability.is_empty(now) {
                 self.unlisted
                     .put(&old.target.incarnation(), old.availability, now);
@@ -248,23 +338,23 @@
 
     /// Removes a target from the list.
     pub fn remove(&mut self, id: &str) {
-        let mut listed = self.targets.iter_mut().filter(|s| s.listed);
-        if let Some(state) = listed.find(|s| *s.target.id == *id) {
-            state.mark_removed();
-        }
+        self.remove_where(|s| *s.target.id == *id);
     }
 
-    /// Removes targets that have been missing for too long.
+    /// Ends the times of targets that are missing or held: removes those that have been missing for too
+    /// long.
     ///
     /// A dead target that stayed on the list would still be found by its address, which its next
     /// incarnation shares. The agent there would get the stale incarnation, and the engine would
     /// refuse all orders.
     pub fn expire(&mut self, now: Duration) {
-        let missing = |s: &&mut TargetState| s.missing_until.is_some_and(|t| now >= t);
-        self.targets
-            .iter_mut()
-            .filter(missing)
-            .for_each(TargetState::mark_removed);
+        self.remove_where(|s| s.missing_until.is_some_and(|t| now >= t));
+        let held = self.targets.iter_mut();
+        for state in held.filter(|s| s.held_until.is_some_and(|t| now >= t)) {
+            state.held_until = None;
+            let incarnation = state.target.incarnation();
+            self.removals.retain(|r| *r != incarnation);
+        }
     }
 
     /// Whether an engine with a copy of a model is unavailable, or was removed without draining
@@ -295,10 +385,13 @@
 
     /// Finds the current target at an address. Of several incarnations it is the newest that is
     /// listed and not missing; the one before stays on the list until its heartbeats have been
-    /// missed.
+    /// missed. One that was removed before the store's return comes last.
     pub fn at(&self, addr: SocketAddr) -> Option<(TargetKey, &TargetState)> {
         let here = self.all().filter(|(_, s)| s.target.addr == addr);
-        here.max_by_key(|(_, s)| (s.missing_until.is_none(), s.serial))
+        here.max_by_key(|(_, s)| {
+            let held = s.held_until.is_some();
+            (!held, s.missing_until.is_none(), s.serial)
+        })
     }
 
     /// Returns the announced state of a listed target.
@@ -421,6 +514,7 @@
         all.map(|s| Listed {
             target: s.published(),
             missing_for: s.missing_until.map(|t| t.saturating_sub(now)),
+            held_for: s.held_until.map(|t| t.saturating_sub(now)),
         })
         .collect()
     }
--- a/crates/stair-fleet/tests/availability.rs
+++ b/crates/stair-fleet/tests/availability.rs
@@ -27,6 +27,7 @@
     },
     view::TargetKey,
 };
+use stair_types::StoreRevision;
 use support::{
     NOW,
     SERVICE,
@@ -72,10 +73,10 @@
     view.apply_statement(&incarnation, &Statement::default(), Source::Response, NOW);
     view.put(started(0, 10), NOW);
     assert!(!is_available(&view, "t0"));
-    view.replace(vec![started(0, 10)], 2, NOW, NOW);
+    view.replace(vec![started(0, 10)], StoreRevision::new(0, 2), NOW, NOW);
     let listed = view.list(NOW);
     assert_eq!(listed[0].target.state, State::Draining(None));
-    view.replace_from_peer(listed, 3, NOW);
+    view.replace_from_peer(listed, StoreRevision::new(0, 3), NOW);
     apply_report(&mut view, 0, report(&["a"], &[]));
     view.put(started(0, 10), NOW);
     assert!(!is_available(&view, "t0"));
--- a/crates/stair-fleet/tests/availability_load.rs
+++ b/crates/stair-fleet/tests/availability_load.rs
@@ -18,6 +18,7 @@
     target::State,
     view::TargetKey, //
 };
+use stair_types::StoreRevision;
 use support::{
     ms,
     target, //
@@ -93,7 +94,12 @@
             slots: SLOTS,
             ..target(n, SERVICE)
         });
-        view.replace(targets.collect(), 1, Duration::ZERO, Duration::ZERO);
+        view.replace(
+            targets.collect(),
+            StoreRevision::new(0, 1),
+            Duration::ZERO,
+            Duration::ZERO,
+        );
         let keys = view.all().map(|(key, _)| key).collect();
         Self {
             opts,
--- a/crates/stair-fleet/tests/choose.rs
+++ b/crates/stair-fleet/tests/choose.rs
@@ -16,6 +16,7 @@
     },
     target_state::SUSPECT_DURATION,
 };
+use stair_types::StoreRevision;
 use support::{
     NOW,
     SERVICE,
@@ -120,7 +121,12 @@
 #[test]
 fn half_failing() {
     let mut view = stair_fleet::View::default();
-    view.replace((0..3).map(|n| target(n, SERVICE)).collect(), 1, NOW, NOW);
+    view.replace(
+        (0..3).map(|n| target(n, SERVICE)).collect(),
+        StoreRevision::new(0, 1),
+        NOW,
+        NOW,
+    );
     let opts = Options {
         model: None,
         ..options("")
@@ -170,7 +176,12 @@
 #[test]
 fn equal_targets_share() {
     let mut view = stair_fleet::View::default();
-    view.replace((0..3).map(|n| target(n, SERVICE)).collect(), 1, NOW, NOW);
+    view.replace(
+        (0..3).map(|n| target(n, SERVICE)).collect(),
+        StoreRevision::new(0, 1),
+        NOW,
+        NOW,
+    );
     let mut counts = [0; 3];
     for salt in 0..300 {
         let opts = Options {
--- a/crates/stair-fleet/tests/lag.rs
+++ b/crates/stair-fleet/tests/lag.rs
@@ -9,6 +9,7 @@
         ReplicationState, //
     },
 };
+use stair_types::StoreRevision;
 
 fn state(entry: &str, data_centre: &str, targets: u64) -> ReplicationState {
     ReplicationState {
@@ -16,7 +17,7 @@
         data_centre: data_centre.into(),
         peer: ([127, 0, 0, 1], 1).into(),
         catalogue: 1,
-        targets,
+        targets: StoreRevision::new(0, targets),
     }
 }
 
--- a/crates/stair-fleet/tests/outlier.rs
+++ b/crates/stair-fleet/tests/outlier.rs
@@ -14,6 +14,7 @@
     },
     view::TargetKey, //
 };
+use stair_types::StoreRevision;
 use support::{
     NOW,
     options,
@@ -24,7 +25,12 @@
 
 fn plain_targets() -> (View, Vec<TargetKey>) {
     let mut view = View::default();
-    view.replace((0..3).map(|n| target(n, PLAIN)).collect(), 1, NOW, NOW);
+    view.replace(
+        (0..3).map(|n| target(n, PLAIN)).collect(),
+        StoreRevision::new(0, 1),
+        NOW,
+        NOW,
+    );
     let keys = view.all().map(|(key, _)| key).collect();
     (view, keys)
 }
--- a/crates/stair-fleet/tests/random.rs
+++ b/crates/stair-fleet/tests/random.rs
@@ -21,6 +21,7 @@
         Schedule, //
     },
 };
+use stair_types::StoreRevision;
 use support::{
     SERVICE,
     addr,
@@ -119,7 +120,7 @@
                 }
                 Event::List(listed, grace) => {
                     let targets = listed.iter().map(|n| incarnation(*n)).collect();
-                    view.replace(targets, n as u64, now + ms(grace), now);
+                    view.replace(targets, StoreRevision::new(0, n as u64), now + ms(grace), now);
                     oracle.list(&listed, now + ms(grace));
                 }
                 Event::Pass(time) => now += ms(time),
--- a/crates/stair-fleet/tests/support/mod.rs
+++ b/crates/stair-fleet/tests/support/mod.rs
@@ -26,6 +26,7 @@
     },
     view::TargetKey, //
 };
+use stair_types::StoreRevision;
 
 pub(crate) const NOW: Duration = Duration::from_secs(100);
 pub(crate) const SERVICE: &str = "engines";
@@ -135,7 +136,7 @@
 pub(crate) fn fleet(reports: Vec<Report>) -> (View, Vec<TargetKey>) {
     let mut view = View::default();
     let targets = (0..reports.len()).map(|n| target(n, SERVICE)).collect();
-    view.replace(targets, 1, NOW, NOW);
+    view.replace(targets, StoreRevision::new(0, 1), NOW, NOW);
     for (n, report) in reports.into_iter().enumerate() {
         apply_report(&mut view, n, report);
     }
--- a/crates/stair-fleet/tests/view.rs
+++ b/crates/stair-fleet/tests/view.rs
@@ -11,6 +11,7 @@
     },
     target::State, //
 };
+use stair_types::StoreRevision;
 use support::{
     NOW,
     SERVICE,
@@ -28,8 +29,18 @@
 #[test]
 fn missing_after_an_outage() {
     let mut view = View::default();
-    view.replace(vec![target(0, SERVICE), target(1, SERVICE)], 1, NOW, NOW);
-    view.replace(vec![target(0, SERVICE)], 2, NOW + ms(1900), NOW);
+    view.replace(
+        vec![target(0, SERVICE), target(1, SERVICE)],
+        StoreRevision::new(0, 1),
+        NOW,
+        NOW,
+    );
+    view.replace(
+        vec![target(0, SERVICE)],
+        StoreRevision::new(0, 2),
+        NOW + ms(1900),
+        NOW,
+    );
     let available = |view: &View, now| {
         view.of(SERVICE)
             .filter(|(_, s)| s.is_available(now))
@@ -45,8 +56,8 @@
 #[test]
 fn missing_otherwise() {
     let mut view = View::default();
-    view.replace(vec![target(0, SERVICE)], 1, NOW, NOW);
-    view.replace(vec![], 2, NOW, NOW);
+    view.replace(vec![target(0, SERVICE)], StoreRevision::new(0, 1), NOW, NOW);
+    view.replace(vec![], StoreRevision::new(0, 2), NOW, NOW);
     assert!(!view.of(SERVICE).any(|(_, s)| s.is_available(NOW)));
 }
 
@@ -115,7 +126,7 @@
         data_centre: "a".into(),
         peer: addr(0),
         catalogue,
-        targets,
+        targets: StoreRevision::new(0, targets),
     };
     let all = vec![known("b", 7, 90), known("a", 5, 40), known("c", 7, 91)];
     let lagging = Peers::of(&all[1], &all);
@@ -132,9 +143,19 @@
 #[test]
 fn peer_does_not_restore_removed() {
     let mut peer = View::default();
-    peer.replace(vec![target(0, SERVICE), target(1, SERVICE)], 1, NOW, NOW);
+    peer.replace(
+        vec![target(0, SERVICE), target(1, SERVICE)],
+        StoreRevision::new(0, 1),
+        NOW,
+        NOW,
+    );
     let mut disconnected = peer.clone();
-    peer.replace(vec![target(0, SERVICE)], 2, NOW + ms(1900), NOW);
+    peer.replace(
+        vec![target(0, SERVICE)],
+        StoreRevision::new(0, 2),
+        NOW + ms(1900),
+        NOW,
+    );
     let available = |view: &View, now| {
         view.of(SERVICE)
             .filter(|(_, s)| s.is_available(now))
@@ -142,13 +163,22 @@
     };
     // The peer still waits for the target, so the other entry does too, but no longer than the
     // peer.
-    disconnected.replace_from_peer(peer.list(NOW + ms(1000)), 2, NOW + ms(1000));
+    disconnected.replace_from_peer(
+        peer.list(NOW + ms(1000)),
+        StoreRevision::new(0, 2),
+        NOW + ms(1000),
+    );
     assert_eq!(available(&disconnected, NOW + ms(1500)), 2);
     assert_eq!(available(&disconnected, NOW + ms(1900)), 1);
     let later = NOW + ms(5000);
     let mut third = View::default();
-    third.replace(vec![target(0, SERVICE), target(1, SERVICE)], 1, NOW, NOW);
-    third.replace_from_peer(peer.list(later), 2, later);
+    third.replace(
+        vec![target(0, SERVICE), target(1, SERVICE)],
+        StoreRevision::new(0, 1),
+        NOW,
+        NOW,
+    );
+    third.replace_from_peer(peer.list(later), StoreRevision::new(0, 2), later);
     assert_eq!(available(&third, later), 1);
 }
 
@@ -161,7 +191,7 @@
     let (mut view, _) = fleet(vec![report(&["a"], &[])]);
     let mut next = target(0, SERVICE);
     next.id = "next".into();
-    view.replace(vec![next], 2, NOW, NOW);
+    view.replace(vec![next], StoreRevision::new(0, 2), NOW, NOW);
     let (key, here) = view.at(addr(0)).expect("a target");
     assert_eq!((&*here.target.id, here.report.is_none()), ("next", true));
     apply_report(&mut view, 0, report(&["b"], &[]));
@@ -188,8 +218,8 @@
 #[test]
 fn missing_targets_expire() {
     let mut view = View::default();
-    view.replace(vec![target(0, SERVICE)], 1, NOW, NOW);
-    view.replace(vec![], 2, NOW + ms(1900), NOW);
+    view.replace(vec![target(0, SERVICE)], StoreRevision::new(0, 1), NOW, NOW);
+    view.replace(vec![], StoreRevision::new(0, 2), NOW + ms(1900), NOW);
     view.expire(NOW + ms(1800));
     assert_eq!(view.all().count(), 1);
     view.expire(NOW + ms(1900));
@@ -258,7 +288,7 @@
     let mut stale = incarnation(10);
     stale.state = State::Draining(None);
     assert_eq!(view.put(stale.clone(), NOW), None);
-    view.replace(vec![stale], 2, NOW, NOW + ms(1000));
+    view.replace(vec![stale], StoreRevision::new(0, 2), NOW, NOW + ms(1000));
     assert!(view.get(key).is_available(NOW + ms(1000)));
     // An announcement without a start comes from another writer.
     assert_eq!(view.put(target(0, SERVICE), NOW + ms(1000)), None);
@@ -316,7 +346,7 @@
     let key = disconnected
         .put(target(0, SERVICE), NOW)
         .expect("a newer announcement");
-    disconnected.replace_from_peer(peer.list(NOW), 2, NOW);
+    disconnected.replace_from_peer(peer.list(NOW), StoreRevision::new(0, 2), NOW);
     assert!(disconnected.get(key).is_available(NOW));
 }
 
--- a/crates/stair-platform/src/lib.rs
+++ b/crates/stair-platform/src/lib.rs
@@ -1,6 +1,7 @@
 //! The client of the platform's object API.
 //!
 //! - [`apply`]: puts a catalogue in force atomically.
+//! - [`eras`]: the newest era that a process knows.
 //! - [`http`]: [`HttpStore`], the client of the platform's HTTP API.
 //! - [`load`]: reads the configuration in force.
 //! - [`store`]: [`ObjectStore`], the trait of the object API.
@@ -9,11 +10,13 @@
 #![forbid(unsafe_code)]
 
 pub mod apply;
+pub mod eras;
 pub mod http;
 pub mod load;
 pub mod store;
 pub mod types;
 
+pub use eras::Eras;
 pub use http::HttpStore;
 pub use store::ObjectStore;
 pub use types::{
--- a/crates/stair-relay/src/availability.rs
+++ b/crates/stair-relay/src/availability.rs
@@ -143,7 +143,7 @@
 }
 
 impl State {
-    fn share_drain(&mut self, incarnation: &Incarnation, now: Duration) {
+    pub(crate) fn share_drain(&mut self, incarnation: &Incarnation, now: Duration) {
         let own = self.view.all().find(|(_, s)| s.is_of(incarnation));
         let own = own.map(|(_, s)| s.target.addr);
         let owner = self.owner(&incarnation.id, now).map(|o| o.engine);
--- a/crates/stair-relay/src/context.rs
+++ b/crates/stair-relay/src/context.rs
@@ -44,6 +44,7 @@
     target_state::HEARTBEAT_TIMEOUT,
     view::TargetKey, //
 };
+use stair_platform::Eras;
 use stair_telemetry::{
     event::Line,
     page::Page, //
@@ -89,6 +90,8 @@
     pub unresponsive: Notify,
     /// Whether this entry watches the store or follows an entry that does.
     pub follow: Follow,
+    /// The newest era of the store that is known.
+    pub eras: Eras,
     started: Instant,
     /// The latest end of the process, once the stop has begun.
     ends_at: watch::Sender<Option<Instant>>,
@@ -157,13 +160,15 @@
 impl Context {
     /// Returns the context of an entry without replicated state.
     pub fn new(settings: GatewaySettings) -> Self {
+        let eras = Eras::default();
         let reloadable = ReloadableSettings {
-            store: Store::new(settings.store),
+            store: Store::new(settings.store, eras.clone()),
             address: settings.store,
             retries: settings.retries,
         };
         Self {
             reloadable: Mutex::new(reloadable),
+            eras,
             settings,
             page: Page::default(),
             changed: Notify::new(),
@@ -181,7 +186,7 @@
         let mut reloadable = self.reloadable();
         reloadable.retries = new.retries;
         if reloadable.address != new.store {
-            reloadable.store = Store::new(new.store);
+            reloadable.store = Store::new(new.store, self.eras.clone());
             reloadable.address = new.store;
         }
     }
@@ -242,7 +247,7 @@
     /// begun.
     pub fn ready(&self) -> bool {
         let state = self.state();
-        !self.draining() && state.catalogue.is_some() && state.view.revision > 0
+        !self.draining() && state.catalogue.is_some() && state.view.revision.is_known()
     }
 
     /// Waits for a catalogue. No target can be used without one, and each call of the store for their list is
--- a/crates/stair-relay/src/dump.rs
+++ b/crates/stair-relay/src/dump.rs
@@ -35,6 +35,10 @@
     owing: Vec<(Box<str>, u64)>,
     /// The store's revision up to which the list of targets is complete, 0 for none.
     targets_revision: u64,
+    /// The store's era in which the list was read.
+    targets_era: u64,
+    /// The newest era of the store that is known.
+    store_era: u64,
     targets: Vec<TargetDump>,
     agents: Vec<AgentDump>,
     /// The last report of an agent on the other entries, and its age.
@@ -56,6 +60,9 @@
     open: bool,
     /// The remaining time to wait for its announcement, if the list lacks it.
     missing_for_ms: Option<u64>,
+    /// The remaining time for which it gets no requests, since it was removed before the store came back from a
+    /// copy that has it.
+    held_for_ms: Option<u64>,
     /// The remaining time for which it is excluded after a failed connection.
     suspect_for_ms: u64,
     in_flight: u32,
@@ -141,7 +148,9 @@
             .overdrawn(now)
             .map(|(name, left)| (name.into(), ms(left)))
             .collect(),
-        targets_revision: state.view.revision,
+        targets_revision: state.view.revision.counter,
+        targets_era: state.view.revision.era.0,
+        store_era: cx.eras.newest().0,
         targets: state.view.all().map(|(_, s)| target(s, now)).collect(),
         agents: state.agents.iter().map(agent).collect(),
         peers: state.peers.as_ref().map(|(p, at)| (p.clone(), ago(*at))),
@@ -184,6 +193,7 @@
         missing_for_ms: target_state
             .missing_until
             .map(|t| ms(t.saturating_sub(now))),
+        held_for_ms: target_state.held_until.map(|t| ms(t.saturating_sub(now))),
         suspect_for_ms: ms(target_state.suspect_until.saturating_sub(now)),
         in_flight: target_state.in_flight,
         unread_tokens: target_state.unread_tokens,
--- a/crates/stair-relay/src/follow.rs
+++ b/crates/stair-relay/src/follow.rs
@@ -26,6 +26,10 @@
     view::Listed, //
 };
 use stair_telemetry::event::Line;
+use stair_types::{
+    Era,
+    StoreRevision, //
+};
 use stair_wire::frame;
 use tokio::{
     net::{
@@ -95,17 +99,28 @@
     /// The whole list of targets was replaced.
     Whole,
     /// Changes of the list, and the store's revision up to which the list is then complete.
-    Changes(Arc<[TargetChange]>, u64),
+    Changes(Arc<[TargetChange]>, StoreRevision),
 }
 
 /// A message to a follower.
 #[derive(Debug, Serialize, Deserialize)]
 enum Update {
     Catalogue(Catalogue),
-    Whole(Vec<Listed>, u64),
-    Changes(Vec<TargetChange>, u64),
-    /// A heartbeat without changes.
-    Alive,
+    Whole(Vec<Listed>, StoreRevision),
+    Changes(Vec<TargetChange>, StoreRevision),
+    /// A heartbeat without changes, and the era of the list.
+    Alive(Era),
+}
+
+impl Update {
+    /// The era of the list that the sender has, if the message states it.
+    fn era(&self) -> Option<Era> {
+        match self {
+            Self::Catalogue(_) => None,
+            Self::Whole(_, revision) | Self::Changes(_, revision) => Some(revision.era),
+            Self::Alive(era) => Some(*era),
+        }
+    }
 }
 
 /// Whether this entry follows another one, and the changes for its own followers.
@@ -179,7 +194,7 @@
     ///
     /// A deferred change is dropped when a later one arrives for its target. Sent after the later change, it
     /// would restore a target that has announced its shutdown, and requests sent there would be interrupted.
-    pub fn changed(&self, changes: Vec<(TargetChange, Urgency)>, revision: u64) {
+    pub fn changed(&self, changes: Vec<(TargetChange, Urgency)>, revision: StoreRevision) {
         let mut state = self.state();
         if self.updates.receiver_count() == 0 {
             state.deferred.clear();
@@ -252,6 +267,8 @@
     NotOpened,
     #[error("no message in time")]
     Silent,
+    #[error("its state is of an earlier era")]
+    Outdated,
     #[error(transparent)]
     Frame(#[from] frame::Error),
 }
@@ -270,18 +287,25 @@
         return e.into();
     }
     loop {
-        let update = match timeout(SILENCE_TIMEOUT, frame::read_message(&mut stream)).await {
+        let update: Update = match timeout(SILENCE_TIMEOUT, frame::read_message(&mut stream)).await
+        {
             Ok(Ok(update)) => update,
             Ok(Err(e)) => return e.into(),
             Err(_) => return Ended::Silent,
         };
+        if let Some(era) = update.era() {
+            replicate::learn_era(cx, era, &peer.entry);
+            if era < cx.eras.newest() {
+                return Ended::Outdated;
+            }
+        }
         match update {
             Update::Catalogue(catalogue) => replicate::apply_catalogue(cx, catalogue, &peer.entry),
             Update::Whole(list, revision) => {
                 replicate::apply_peer_list(cx, list, revision, &peer.entry)
             }
             Update::Changes(changes, revision) => replicate::apply_changes(cx, changes, revision),
-            Update::Alive => {}
+            Update::Alive(_) => {}
         }
         if !cx.follow.follows.send_replace(true) {
             Line::failure("follow").text("peer", &peer.entry).write();
@@ -290,18 +314,19 @@
 }
 
 /// Sends one follower the state that is newer than its own, and then all changes while this entry is
-/// authoritative.
+/// authoritative: it watches by itself, the store replies in time, and its list is of the newest era.
 pub async fn serve(cx: &Context, known: &Versions, mut w: OwnedWriteHalf) {
+    replicate::learn_era(cx, known.targets.era, "follower");
     let mut updates = cx.follow.updates.subscribe();
     let mut next = initial_updates(cx, known);
     loop {
         for update in next {
-            if !cx.follow.is_authoritative() || !write(&mut w, &update).await {
+            if !is_authoritative(cx) || !write(&mut w, &update).await {
                 return;
             }
         }
         next = match timeout(HEARTBEAT_INTERVAL, updates.recv()).await {
-            Err(_) => vec![Update::Alive],
+            Err(_) => vec![alive(cx)],
             Ok(Ok(StateChange::Catalogue)) => catalogue(cx, 0).into_iter().collect(),
             Ok(Ok(StateChange::Whole)) => vec![full_list(cx)],
             Ok(Ok(StateChange::Changes(changes, revision))) => {
@@ -318,10 +343,18 @@
     if cx.state().view.revision > known.targets {
         out.push(full_list(cx));
     }
-    out.push(Update::Alive);
+    out.push(alive(cx));
     out
 }
 
+fn is_authoritative(cx: &Context) -> bool {
+    cx.follow.is_authoritative() && cx.state().view.revision.era == cx.eras.newest()
+}
+
+fn alive(cx: &Context) -> Update {
+    Update::Alive(cx.state().view.revision.era)
+}
+
 fn catalogue(cx: &Context, known: u64) -> Option<Update> {
     let state = cx.state();
     let newer = state.catalogue.as_ref().filter(|c| c.version > known)?;
--- a/crates/stair-relay/src/peers.rs
+++ b/crates/stair-relay/src/peers.rs
@@ -18,6 +18,7 @@
     view::Listed, //
 };
 use stair_telemetry::event::Line;
+use stair_types::StoreRevision;
 use stair_wire::frame;
 use tokio::{
     net::{
@@ -50,8 +51,8 @@
 pub struct Versions {
     /// The version of its catalogue, 0 for none.
     pub catalogue: u64,
-    /// The store's revision of its list of targets, 0 for none.
-    pub targets: u64,
+    /// The store's revision of its list of targets.
+    pub targets: StoreRevision,
 }
 
 /// A request to another entry.
@@ -67,7 +68,7 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct PeerReply {
     catalogue: Option<Catalogue>,
-    targets: Option<(Vec<Listed>, u64)>,
+    targets: Option<(Vec<Listed>, StoreRevision)>,
 }
 
 /// Fetches newer state from a peer that has some, until the process ends.
@@ -116,13 +117,15 @@
 }
 
 fn apply(cx: &Context, peer: &ReplicationState, reply: PeerReply) {
+    let reply_targets = reply.targets.as_ref().map_or(StoreRevision::NONE, |t| t.1);
     Line::new("peer")
         .text("peer", &peer.entry)
         .num(
             "catalogue",
             reply.catalogue.as_ref().map_or(0, |c| c.version),
         )
-        .num("targets", reply.targets.as_ref().map_or(0, |t| t.1))
+        .num("targets", reply_targets.counter)
+        .num("era", reply_targets.era.0)
         .write();
     if let Some(catalogue) = reply.catalogue {
         replicate::apply_catalogue(cx, catalogue, &peer.entry);
@@ -163,6 +166,7 @@
 }
 
 async fn send_reply(cx: &Context, known: &Versions, mut stream: TcpStream) {
+    replicate::learn_era(cx, known.targets.era, "peer");
     let reply = {
         let state = cx.state();
         let newer = state
--- a/crates/stair-relay/src/process.rs
+++ b/crates/stair-relay/src/process.rs
@@ -86,6 +86,7 @@
         let cx = Arc::new(Context::new(self.settings));
         let mut tasks = JoinSet::new();
         let (_end, never) = watch::channel(false);
+        tasks.spawn(replicate::log_eras(cx.clone()));
         tasks.spawn(replicate::follow_catalogue(cx.clone()));
         tasks.spawn(replicate::follow_targets(cx.clone()));
         tasks.spawn(follow_settings(cx.clone(), reloads));
--- a/crates/stair-relay/src/replicate.rs
+++ b/crates/stair-relay/src/replicate.rs
@@ -3,7 +3,8 @@
 //! One entry of a data centre watches the store, and the others [`follow`](crate::follow) it. An entry that
 //! receives nothing watches by itself.
 //!
-//! Invariant: versions only rise; an older reply of a stale store or a lagging peer changes nothing.
+//! Invariant: versions only rise; an older reply of a stale store or a lagging peer changes nothing. A newer
+//! era is newer at any revision: when one is known, from whatever source, both parts are listed again.
 
 use std::{
     sync::Arc,
@@ -21,12 +22,19 @@
     workspace, //
 };
 use stair_fleet::{
-    Catalogue,
-    Target,
-    view::Listed, //
+    Catalogue, Target,
+    target::Incarnation,
+    view::{
+        Listed,
+        MISSING_GRACE, //
+    },
 };
 use stair_platform::Error;
 use stair_telemetry::event::Line;
+use stair_types::{
+    Era,
+    StoreRevision, //
+};
 use tokio::time::{
     Instant,
     sleep, //
@@ -37,7 +45,10 @@
         self,
         TargetChange, //
     },
-    context::Context,
+    context::{
+        Context,
+        State, //
+    },
     follow::{
         StateChange,
         Watched, //
@@ -46,7 +57,7 @@
 
 /// Duration of a watch. A dead connection shows only when a watch does not end in time, so this bounds the
 /// age of the state. Shorter watches cost more, since each call is charged.
-const WATCH_DURATION: Duration = Duration::from_millis(3000);
+const WATCH_DURATION: Duration = Duration::from_millis(1200);
 
 /// Duration of a watch of the targets at an entry that others follow.
 const FOLLOWED_TARGETS_DURATION: Duration = Duration::from_millis(500);
@@ -71,10 +82,6 @@
 /// Age up to which a process counts as recently started: three heartbeats of a target and its start.
 const RECENT_START: Duration = Duration::from_secs(5);
 
-/// Time for which a target that is missing from the list after an outage of the store is still used; a
-/// running target announces itself within 2 s.
-pub const MISSING_GRACE: Duration = Duration::from_millis(1900);
-
 /// Replicates the catalogue until the process ends.
 ///
 /// A list states the store's revision, from which a watch can start. The revision of the object itself may be
@@ -101,8 +108,13 @@
     }
 }
 
-async fn watch_catalogue(cx: &Context, store: &Store, mut since: u64, health: &mut Health) {
-    while !cx.follow.follows() {
+async fn watch_catalogue(
+    cx: &Context,
+    store: &Store,
+    mut since: StoreRevision,
+    health: &mut Health,
+) {
+    while !cx.follow.follows() && since.era == cx.eras.newest() {
         let wait = cx
             .follow
             .watch_duration(WATCH_DURATION, FOLLOWED_CATALOGUE_DURATION);
@@ -124,8 +136,8 @@
     }
 }
 
-/// Records why a watch ended. When the store has dropped the history since the last revision, the list is
-/// read again; this is not an outage.
+/// Records why a watch ended. When the store has dropped the history since the last revision, or has come
+/// back from a copy, the list is read again; this is not an outage.
 fn record_watch_error(cx: &Context, watched: Watched, health: &mut Health, e: &Error) {
     if *e == Error::Gone {
         cx.follow.expect_reply(watched, RETRY_PAUSE);
@@ -142,7 +154,8 @@
         Ok(new) => apply_catalogue(cx, new, "store"),
         // The last valid catalogue stays in force.
         Err(e) => Line::failure("catalogue.unreadable")
-            .num("revision", object.revision)
+            .num("revision", object.revision.counter)
+            .num("era", object.revision.era.0)
             .show("error", e)
             .write(),
     }
@@ -170,6 +183,28 @@
     cx.changed.notify_waiters();
 }
 
+/// Logs each era that the store states, until the process ends.
+pub async fn log_eras(cx: Arc<Context>) {
+    let mut known = Era::default();
+    loop {
+        cx.eras.after(known).await;
+        known = cx.eras.newest();
+        Line::failure("store.era").num("era", known.0).write();
+        cx.page
+            .gauge("store_era", &[], i64::try_from(known.0).unwrap_or(i64::MAX));
+    }
+}
+
+/// Records an era that another process states; if it is newer, the store is listed again.
+pub fn learn_era(cx: &Context, era: Era, source: &str) {
+    if cx.eras.observe(era) {
+        Line::failure("store.era_learnt")
+            .num("era", era.0)
+            .text("source", source)
+            .write();
+    }
+}
+
 /// Replicates the targets until the process ends.
 pub async fn follow_targets(cx: Arc<Context>) {
     let mut health = Health::new("targets");
@@ -183,6 +218,7 @@
                 apply_store_list(&cx, targets, revision, was_unavailable);
                 watch_targets(&cx, &store, &mut health).await;
             }
+            Err(Error::Gone) => continue,
             Err(e) => health.record_failure(&e),
         }
         sleep(health.pause()).await;
@@ -195,9 +231,9 @@
     cx.page.time("store_call_ms", &labels, begun.elapsed());
 }
 
-async fn list_targets(cx: &Context, store: &Store) -> Result<(Vec<Target>, u64), Error> {
+async fn list_targets(cx: &Context, store: &Store) -> Result<(Vec<Target>, StoreRevision), Error> {
     let mut targets = Vec::new();
-    let mut revision = None;
+    let mut first: Option<StoreRevision> = None;
     let mut after: Option<Box<str>> = None;
     loop {
         let begun = Instant::now();
@@ -205,18 +241,27 @@
         record_call_time(cx, "list", begun);
         let page = page?;
         // A watch from the first page's revision returns the changes made between pages.
-        revision.get_or_insert(page.revision);
+        let revision = *first.get_or_insert(page.revision);
+        if page.revision.era != revision.era {
+            // The pages before are of the state that was lost.
+            return Err(Error::Gone);
+        }
         after = page.objects.last().map(|o| o.name.clone());
         targets.extend(page.objects.iter().filter_map(change::decode));
         if !page.more || after.is_none() {
-            return Ok((targets, revision.unwrap_or(0)));
+            return Ok((targets, revision));
         }
     }
 }
 
 /// Applies a whole list from the store. A target that is missing after an outage of the store gets
 /// [`MISSING_GRACE`], as its announcement may only be late.
-fn apply_store_list(cx: &Context, targets: Vec<Target>, revision: u64, was_unavailable: bool) {
+fn apply_store_list(
+    cx: &Context,
+    targets: Vec<Target>,
+    revision: StoreRevision,
+    was_unavailable: bool,
+) {
     let now = cx.now();
     let grace = if was_unavailable {
         MISSING_GRACE
@@ -230,39 +275,56 @@
             return log_dropped(cx, "list", revision, state.view.revision);
         }
         state.view.expire(now);
-        state.view.replace(targets, revision, now + grace, now);
+        let drains = state.view.replace(targets, revision, now + grace, now);
         state.drop_stale_incarnations();
+        share_drains(&mut state, &drains, now);
     }
     log_list(cx, revision, count, "store");
 }
 
+/// Tells the other processes which targets drain although a copy of the store's state has them as ready.
+fn share_drains(state: &mut State, drains: &[Incarnation], now: Duration) {
+    for incarnation in drains {
+        Line::failure("drain.kept")
+            .text("target", &incarnation.id)
+            .write();
+        state.share_drain(incarnation, now);
+    }
+}
+
 /// Applies the list of a peer, unless this entry's is as new.
-pub fn apply_peer_list(cx: &Context, listed: Vec<Listed>, revision: u64, peer: &str) {
+pub fn apply_peer_list(cx: &Context, listed: Vec<Listed>, revision: StoreRevision, peer: &str) {
     let count = listed.len() as i64;
+    learn_era(cx, revision.era, peer);
     {
+        let now = cx.now();
         let mut state = cx.state();
         if revision <= state.view.revision {
             return;
         }
-        state.view.replace_from_peer(listed, revision, cx.now());
+        let drains = state.view.replace_from_peer(listed, revision, now);
         state.drop_stale_incarnations();
+        share_drains(&mut state, &drains, now);
     }
     log_list(cx, revision, count, peer);
 }
 
 /// Records that a statement about the list of targets is older than what is known.
-fn log_dropped(cx: &Context, what: &str, revision: u64, known: u64) {
+fn log_dropped(cx: &Context, what: &str, revision: StoreRevision, known: StoreRevision) {
     Line::failure("targets.dropped")
         .text("what", what)
-        .num("revision", revision)
-        .num("known", known)
+        .num("revision", revision.counter)
+        .num("era", revision.era.0)
+        .num("known", known.counter)
+        .num("known_era", known.era.0)
         .write();
     cx.page.count("targets_dropped_total", &[("what", what)], 1);
 }
 
-fn log_list(cx: &Context, revision: u64, count: i64, source: &str) {
+fn log_list(cx: &Context, revision: StoreRevision, count: i64, source: &str) {
     Line::failure("targets")
-        .num("revision", revision)
+        .num("revision", revision.counter)
+        .num("era", revision.era.0)
         .num("count", count)
         .text("source", source)
         .write();
@@ -275,6 +337,9 @@
     loop {
         cx.follow.until_not_following().await;
         let since = cx.state().view.revision;
+        if since.era != cx.eras.newest() {
+            return;
+        }
         let wait = cx
             .follow
             .watch_duration(WATCH_DURATION, FOLLOWED_TARGETS_DURATION);
@@ -304,14 +369,16 @@
 }
 
 /// Applies changes of the list up to a revision, from the store or from the peer that watches it.
-pub fn apply_changes(cx: &Context, changes: Vec<TargetChange>, revision: u64) {
+///
+/// Changes of another era than the list's are dropped: they continue a list that is not known here.
+pub fn apply_changes(cx: &Context, changes: Vec<TargetChange>, revision: StoreRevision) {
     let mut lines = Vec::new();
     let mut ranked = Vec::new();
     let any = !changes.is_empty();
     {
         let mut state = cx.state();
         // A peer's changes can be older than those received from the store.
-        if revision < state.view.revision {
+        if revision < state.view.revision || revision.era != state.view.revision.era {
             return log_dropped(cx, "changes", revision, state.view.revision);
         }
         let now = cx.now();
@@ -338,7 +405,8 @@
         Line::failure("target")
             .text("target", &id)
             .text("state", &state)
-            .num("revision", revision)
+            .num("revision", revision.counter)
+            .num("era", revision.era.0)
             .write();
     }
     cx.follow.changed(ranked, revision);
--- a/crates/stair-sidecar/src/process.rs
+++ b/crates/stair-sidecar/src/process.rs
@@ -15,6 +15,7 @@
     response::Stated,
     store::Store, //
 };
+use serde::Serialize;
 use serde_json::{
     Value,
     json, //
@@ -37,11 +38,13 @@
         Load, //
     },
 };
+use stair_platform::Eras;
 use stair_telemetry::{
     event::Line,
     observe,
     page::Page, //
 };
+use stair_types::StoreRevision;
 use tokio::{
     net::TcpListener,
     sync::{
@@ -99,6 +102,9 @@
 /// Pause between attempts to raise the fencing token after a failed one.
 const FENCE_RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time after a response of the engine for which only the engine states its incarnation.
+const ENGINE_STATEMENT_TTL: Duration = Duration::from_millis(1500);
+
 /// Successive failed readings after which the engine counts as down. A single one may be due to a lost
 /// connection.
 const MAX_FAILED_READS: u32 = 2;
@@ -208,22 +214,34 @@
     published_peers: Option<Peers>,
 }
 
+/// What states the engine's present incarnation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+enum IncarnationSource {
+    /// An entry, from the store's list at this revision.
+    Store(StoreRevision),
+    /// The engine itself, in its last response.
+    Engine,
+}
+
 /// The state of the main loop.
 struct Agent {
     settings: SidecarSettings,
     started: Instant,
     engine: Engine,
     store: Store,
+    eras: Eras,
     controller: Controller,
     prefills: Schedule,
     links: Vec<Link>,
     lag: Lag,
     fence: Option<u64>,
     fence_tx: mpsc::Sender<u64>,
-    /// The engine's present incarnation, and the store revision that states it.
-    incarnation: Option<(Box<str>, u64)>,
+    /// The engine's present incarnation, and what states it.
+    incarnation: Option<(Box<str>, IncarnationSource)>,
     /// The last incarnation that the engine has rejected as stale.
     stale_incarnation: Option<Box<str>>,
+    /// When the engine last stated its incarnation.
+    incarnation_stated_at: Option<Instant>,
     /// Catalogue version of the declaration in force, 0 for none.
     declared: u64,
     /// When a newer declaration was last requested from an entry.
@@ -242,9 +260,11 @@
         ledgers: Ledgers,
         fence_tx: mpsc::Sender<u64>,
     ) -> Self {
+        let eras = Eras::default();
         Self {
             engine: Engine::new(settings.engine),
-            store: Store::new(settings.store),
+            store: Store::new(settings.store, eras.clone()),
+            eras,
             started: Instant::now(),
             controller: Controller::new(controller::Options {
                 fetch_window: Duration::from_millis(settings.fetch_window_ms.into()),
@@ -257,6 +277,7 @@
             fence_tx,
             incarnation: None,
             stale_incarnation: None,
+            incarnation_stated_at: None,
             declared: 0,
             declaration_requested_at: None,
             failed_reads: 0,
@@ -290,7 +311,7 @@
                 Ok(()) = reloads.changed() => {
                     // The other settings take effect at the next start.
                     let new = reloads.borrow_and_update().clone();
-                    self.store = Store::new(new.store);
+                    self.store = Store::new(new.store, self.eras.clone());
                     Line::new("settings").show("store", new.store).write();
                 }
                 () = sleep_until(read_at) => self.read().await,
@@ -365,8 +386,7 @@
                 }
                 self.failed_reads = 0;
                 if let Some(id) = incarnation {
-                    let revision = self.incarnation.as_ref().map_or(0, |(_, r)| *r);
-                    self.update_incarnation(id, revision);
+                    self.update_incarnation(id, IncarnationSource::Engine);
                 }
                 let started = reading.started.unwrap_or(0);
                 if self.controller.read(Some(reading), self.now()) {
@@ -467,8 +487,7 @@
             self.observe_availability(stated, None);
         }
         if let Some(id) = stated.and_then(|s| s.incarnation) {
-            let revision = self.incarnation.as_ref().map_or(0, |(_, r)| *r);
-            self.update_incarnation(id, revision);
+            self.update_incarnation(id, IncarnationSource::Engine);
         }
         if matches!(reply, Ok(platform_adapter::engine::Reply::OtherInstance)) {
             self.receive_stale_incarnation(order.instance.clone());
--- a/crates/stair-sidecar/src/process/dump.rs
+++ b/crates/stair-sidecar/src/process/dump.rs
@@ -16,7 +16,10 @@
     },
 };
 
-use super::Agent;
+use super::{
+    Agent,
+    IncarnationSource, //
+};
 
 /// The state of an agent. Times are in milliseconds.
 #[derive(Debug, Clone, Serialize)]
@@ -24,9 +27,11 @@
     name: Box<str>,
     up_ms: u64,
     engine: SocketAddr,
-    /// The engine's present incarnation, and the store revision that states it.
+    /// The engine's present incarnation, and what states it.
     #[serde(rename = "instance")]
-    incarnation: Option<(Box<str>, u64)>,
+    incarnation: Option<(Box<str>, IncarnationSource)>,
+    /// The newest era of the store that is known.
+    store_era: u64,
     /// The last incarnation that the engine has rejected as stale.
     #[serde(rename = "former")]
     stale_incarnation: Option<Box<str>>,
@@ -67,6 +72,7 @@
             up_ms: u64::try_from(now.as_millis()).unwrap_or(u64::MAX),
             engine: self.settings.engine,
             incarnation: self.incarnation.clone(),
+            store_era: self.eras.newest().0,
             stale_incarnation: self.stale_incarnation.clone(),
             fence: self.fence,
             declared: self.declared,
--- a/crates/stair-sidecar/src/process/receive.rs
+++ b/crates/stair-sidecar/src/process/receive.rs
@@ -8,9 +8,13 @@
     prefill::Reply,
 };
 use stair_telemetry::event::Line;
+use stair_types::Era;
+use tokio::time::Instant;
 
 use super::{
     Agent,
+    ENGINE_STATEMENT_TTL,
+    IncarnationSource,
     Link, //
 };
 use crate::{
@@ -45,6 +49,7 @@
         let now = self.now();
         match msg {
             ToAgent::Hello(known) => {
+                self.learn_era(known.targets.era);
                 let lags = self.lag.observe(&known, now);
                 let newer = known.catalogue > self.declared;
                 if let Some(link) = self.links.iter_mut().find(|l| l.key == key) {
@@ -68,7 +73,7 @@
             // A lagging entry sends a declaration that is no longer in force.
             ToAgent::Declaration { .. } => {}
             ToAgent::Incarnation { id, revision } => {
-                self.update_incarnation(id, revision);
+                self.update_incarnation(id, IncarnationSource::Store(revision));
                 // The entry has just learnt of this incarnation and has no inventory for it: earlier
                 // reports counted for the previous one. Without the report, a model on the engine's
                 // disk would be loaded from the weight store.
@@ -134,26 +139,52 @@
         self.broadcast(&ToEntry::StaleIncarnation(id));
     }
 
-    /// Replaces the engine's present incarnation, unless `id` is stale or the revision older.
-    pub(super) fn update_incarnation(&mut self, id: Box<str>, revision: u64) {
+    /// Replaces the engine's present incarnation, unless `id` is stale or what states it is older.
+    ///
+    /// While the engine responds, only it states its incarnation: an entry that knows no more than a
+    /// copy of the store's state names the one before.
+    pub(super) fn update_incarnation(&mut self, id: Box<str>, source: IncarnationSource) {
         // A lagging entry still states the previous incarnation.
         if self.stale_incarnation.as_ref() == Some(&id) {
             return;
         }
-        let newer = self
-            .incarnation
-            .as_ref()
-            .is_none_or(|(_, r)| revision >= *r);
-        let other = self.incarnation.as_ref().is_none_or(|(i, _)| *i != id);
-        if newer {
-            if other {
-                Line::new("instance")
-                    .text("id", &id)
-                    .num("revision", revision)
-                    .write();
-                self.prefills.clear();
+        let is_outdated = match (&self.incarnation, source) {
+            (_, IncarnationSource::Engine) => {
+                self.incarnation_stated_at = Some(Instant::now());
+                false
+            }
+            (None, IncarnationSource::Store(_)) => false,
+            (Some((_, IncarnationSource::Engine)), IncarnationSource::Store(_)) => {
+                let stated_at = self.incarnation_stated_at;
+                stated_at.is_some_and(|t| t.elapsed() < ENGINE_STATEMENT_TTL)
+            }
+            (Some((_, IncarnationSource::Store(known))), IncarnationSource::Store(revision)) => {
+                revision < *known
+            }
+        };
+        if is_outdated {
+            return;
+        }
+        if self.incarnation.as_ref().is_none_or(|(i, _)| *i != id) {
+            let line = Line::new("instance").text("id", &id);
+            match source {
+                IncarnationSource::Engine => line.text("source", "engine").write(),
+                IncarnationSource::Store(revision) => line
+                    .num("revision", revision.counter)
+                    .num("era", revision.era.0)
+                    .write(),
             }
-            self.incarnation = Some((id, revision));
+            self.prefills.clear();
+        }
+        self.incarnation = Some((id, source));
+    }
+
+    /// Records an era that an entry states.
+    fn learn_era(&mut self, era: Era) {
+        if self.eras.observe(era) {
+            Line::failure("store.era_learnt").num("era", era.0).write();
+            let gauge = i64::try_from(era.0).unwrap_or(i64::MAX);
+            self.page.gauge("store_era", &[], gauge);
         }
     }
 }
--- a/crates/stair-types/src/lib.rs
+++ b/crates/stair-types/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`key`]: digests of API keys.
 //! - [`names`]: validated names of models, adapters, targets, tiers and others.
 //! - [`rendezvous`]: rendezvous hashing, which selects the owner of a key.
+//! - [`store`]: positions in the history of the platform's store.
 //! - [`verdict`]: whether a failed request may have run, and why it failed.
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
@@ -14,6 +15,7 @@
 pub mod key;
 pub mod names;
 pub mod rendezvous;
+pub mod store;
 pub mod verdict;
 
 pub use fingerprint::Fingerprint;
@@ -40,6 +42,10 @@
     TargetName,
     TierName, //
 };
+pub use store::{
+    Era,
+    StoreRevision, //
+};
 pub use verdict::{
     Reason,
     Refusal,
