--- a/crates/stair-sidecar/src/process.rs
+++ b/crates/stair-sidecar/src/process.rs
@@ -546,11 +546,12 @@
         tokio::spawn(async move {
             loop {
                 match fence::raise(&store, &vm).await {
-                    Ok(token) => {
+                    Ok(Some(token)) => {
                         // Fails only while the agent is stopping.
                         let _ = tx.send(token).await;
                         return;
                     }
+                    Ok(None) => {}
                     Err(e) => {
                         Line::failure("fence.failed").show("error", e).write();
                         tokio::time::sleep(FENCE_RETRY_INTERVAL).await;
