--- a/crates/dandelionstair/tests/promises/main.rs
+++ b/crates/dandelionstair/tests/promises/main.rs
@@ -21,6 +21,7 @@
 mod replica_races;
 mod replicas;
 mod silent_links;
+mod store_return;
 mod support;
 mod turns;
 mod under_load;
--- a/crates/stair-agent/src/assignment.rs
+++ b/crates/stair-agent/src/assignment.rs
@@ -15,7 +15,8 @@
     ConfigVersion,
     GrantId,
     ModelName,
-    ShardId, //
+    ShardId,
+    StoreRevision, //
 };
 use stair_wire::control::{
     AssignedGrant,
@@ -109,6 +110,7 @@
     fn apply_shard(&mut self, new: ShardAssignment) -> bool {
         match self.shards.binary_search_by_key(&new.shard, |s| s.shard) {
             Ok(i) if self.shards[i].version >= new.version => return false,
+            Ok(i) if is_cut_short(&self.shards[i], &new) => return false,
             Ok(i) => self.shards[i] = new,
             Err(at) => self.shards.insert(at, new),
         }
@@ -145,13 +147,13 @@
         &self.shards
     }
 
-    /// Returns the version of a shard, 0 when none is known.
-    pub fn version(&self, shard: ShardId) -> u64 {
-        self.shard(shard).map_or(0, |s| s.version)
+    /// Returns the version of a shard.
+    pub fn version(&self, shard: ShardId) -> StoreRevision {
+        self.shard(shard).map_or(StoreRevision::NONE, |s| s.version)
     }
 
     /// Returns the versions of the shards, as [`stair_wire::control::Hello`] lists them.
-    pub fn versions(&self) -> Vec<(ShardId, u64)> {
+    pub fn versions(&self) -> Vec<(ShardId, StoreRevision)> {
         self.shards.iter().map(|s| (s.shard, s.version)).collect()
     }
 
@@ -212,3 +214,9 @@
         at.ok().map(|i| &self.shards[i])
     }
 }
+
+/// Whether a shard that its entry knows only from a copy lacks grants that are in force.
+fn is_cut_short(known: &ShardAssignment, new: &ShardAssignment) -> bool {
+    let lacks = |g: &AssignedGrant| !new.grants.iter().any(|n| n.id == g.id);
+    !new.complete && new.version.era > known.version.era && known.grants.iter().any(lacks)
+}
--- a/crates/stair-agent/src/bootstrap.rs
+++ b/crates/stair-agent/src/bootstrap.rs
@@ -79,6 +79,7 @@
     Some(ShardAssignment {
         shard: ShardId(id),
         version: object.version,
+        complete: true,
         grants: grants.collect(),
     })
 }
--- a/crates/stair-agent/src/control.rs
+++ b/crates/stair-agent/src/control.rs
@@ -402,7 +402,13 @@
         if notice.version <= self.vm.version {
             return;
         }
-        self.vm = notice;
+        // An entry that knows the VM only from a copy does not know that it is leaving.
+        let returned = notice.version.era > self.vm.version.era;
+        let is_leaving = notice.is_leaving || (returned && self.vm.is_leaving);
+        self.vm = VmNotice {
+            is_leaving,
+            ..notice
+        };
         if notice.is_leaving {
             stair_telemetry::info!(Part::Agent, "the VM is listed as leaving");
             self.refuse_all_draining();
--- a/crates/stair-agent/src/control_links.rs
+++ b/crates/stair-agent/src/control_links.rs
@@ -26,6 +26,7 @@
     DataCentre,
     EntryName,
     FencingToken,
+    StoreRevision,
     TargetName,
     rendezvous, //
 };
@@ -84,6 +85,8 @@
     pub(crate) linked: watch::Sender<Vec<EntryName>>,
     /// Turns true when the agent stops: the links send a last report and close.
     pub(crate) closing: watch::Sender<bool>,
+    /// The newest revision at which the platform lacked the agent's record.
+    pub(crate) record_lost: watch::Sender<StoreRevision>,
     slots: Arc<Mutex<LinkSlots>>,
 }
 
@@ -112,6 +115,7 @@
             entries,
             linked: watch::Sender::new(Vec::new()),
             closing: watch::Sender::new(false),
+            record_lost: watch::Sender::default(),
             slots: Arc::default(),
         }
     }
@@ -271,6 +275,13 @@
                 Some(EntryControl::Vm(notice)) => {
                     cx.control.send_message(Msg::Vm(notice))?;
                 }
+                Some(EntryControl::RecordLost(revision)) => {
+                    cx.record_lost.send_if_modified(|known| {
+                        let is_newer = revision > *known;
+                        *known = revision.max(*known);
+                        is_newer
+                    });
+                }
                 None => anyhow::bail!("the entry closed the control stream"),
             },
             changed = report.changed() => {
--- a/crates/stair-agent/src/incarnation.rs
+++ b/crates/stair-agent/src/incarnation.rs
@@ -1,4 +1,8 @@
 //! The agent's incarnation: the target's fencing token, which is raised at the start.
+//!
+//! The platform may come back from a copy without the record, or with that of an earlier incarnation.
+//! A token that is raised after that is above all tokens from before, and a running agent writes its
+//! record again.
 
 use std::time::Duration;
 
@@ -12,6 +16,7 @@
 };
 use stair_telemetry::Part;
 use stair_types::{
+    Era,
     FencingToken,
     TargetName, //
 };
@@ -34,7 +39,7 @@
     S: ObjectStore,
 {
     let mut backoff = Backoff::default();
-    let mut unconfirmed: Option<IncarnationRecord> = None;
+    let mut unconfirmed: Option<(IncarnationRecord, Era)> = None;
     loop {
         match try_raise(store, target, own, &mut unconfirmed).await {
             Ok(token) => return token,
@@ -49,22 +54,25 @@
     store: &S,
     target: &TargetName,
     own: &IncarnationRecord,
-    unconfirmed: &mut Option<IncarnationRecord>,
+    unconfirmed: &mut Option<(IncarnationRecord, Era)>,
 ) -> Result<FencingToken, Error>
 where
     S: ObjectStore,
 {
-    let (condition, token) = match store.get(Kind::Incarnation, target.as_str()).await {
+    let found = store.get(Kind::Incarnation, target.as_str()).await;
+    let era = store.eras().newest();
+    let (condition, token) = match found {
         Ok(object) => {
             let current: IncarnationRecord = serde_json::from_value(object.value)
                 .map_err(|e| Error::Invalid(e.to_string().into()))?;
-            if unconfirmed.as_ref() == Some(&current) {
+            let own = unconfirmed.as_ref();
+            if own.is_some_and(|(r, e)| *r == current && *e == object.version.era) {
                 return Ok(current.token);
             }
-            let next = FencingToken(current.token.0 + 1);
+            let next = FencingToken(current.token.0.max(era.first_number()) + 1);
             (Condition::Version(object.version), next)
         }
-        Err(Error::NotFound) => (Condition::Absent, FencingToken(1)),
+        Err(Error::NotFound) => (Condition::Absent, FencingToken(era.first_number() + 1)),
         Err(e) => return Err(e),
     };
     let record = IncarnationRecord {
@@ -72,9 +80,59 @@
         ..own.clone()
     };
     let value = serde_json::to_value(&record).map_err(|e| Error::Invalid(e.to_string().into()))?;
-    *unconfirmed = Some(record);
+    *unconfirmed = Some((record, era));
     let put = store.put(Kind::Incarnation, target.as_str(), &value, condition);
-    put.await.map(|_| token)
+    match put.await? {
+        // Written in a later era, the token may have been given out in the lost part of this one.
+        written if written.era != era => Err(Error::Conflict),
+        _ => Ok(token),
+    }
+}
+
+/// Writes the record of a running agent again after the platform has lost it. Changes nothing if a
+/// later incarnation has written its own.
+pub(crate) async fn restore<S>(store: &S, target: &TargetName, own: &IncarnationRecord)
+where
+    S: ObjectStore,
+{
+    let mut backoff = Backoff::default();
+    loop {
+        match try_restore(store, target, own).await {
+            Ok(()) => return,
+            Err(Error::Conflict) => {}
+            Err(e) => stair_telemetry::warn!(Part::Platform, "cannot restore the record: {e}"),
+        }
+        backoff.wait().await;
+    }
+}
+
+async fn try_restore<S>(
+    store: &S,
+    target: &TargetName,
+    own: &IncarnationRecord,
+) -> Result<(), Error>
+where
+    S: ObjectStore,
+{
+    let condition = match store.get(Kind::Incarnation, target.as_str()).await {
+        Ok(object) => {
+            let current: IncarnationRecord = serde_json::from_value(object.value)
+                .map_err(|e| Error::Invalid(e.to_string().into()))?;
+            if current.token >= own.token {
+                return Ok(());
+            }
+            Condition::Version(object.version)
+        }
+        Err(Error::NotFound) => Condition::Absent,
+        Err(e) => return Err(e),
+    };
+    let value = serde_json::to_value(own).map_err(|e| Error::Invalid(e.to_string().into()))?;
+    let name = target.as_str();
+    store
+        .put(Kind::Incarnation, name, &value, condition)
+        .await?;
+    stair_telemetry::info!(Part::Platform, "the record was lost and is written again");
+    Ok(())
 }
 
 /// Exponential backoff with jitter.
--- a/crates/stair-agent/src/msg.rs
+++ b/crates/stair-agent/src/msg.rs
@@ -26,6 +26,7 @@
     Refusal,
     RequestId,
     ShardId,
+    StoreRevision,
     TargetName, //
 };
 use stair_wire::{
@@ -133,7 +134,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub(crate) struct AgentReport {
     pub(crate) config: ConfigVersion,
-    pub(crate) shards: Vec<(ShardId, u64)>,
+    pub(crate) shards: Vec<(ShardId, StoreRevision)>,
     pub(crate) released: Vec<(ShardId, GrantId)>,
     /// Grants whose models do not fit.
     pub(crate) memory_pressure: Vec<(ShardId, GrantId)>,
--- a/crates/stair-agent/src/start.rs
+++ b/crates/stair-agent/src/start.rs
@@ -167,6 +167,10 @@
             "{} starts as incarnation {incarnation}",
             settings.name
         );
+        let record = IncarnationRecord {
+            token: incarnation,
+            ..record
+        };
         let in_force = InForce::new(bootstrap::list_grants(&store, &settings.name).await);
         let (entries, _) = watch::channel(bootstrap::list_entries(&store).await);
         let dialer = Dialer::new(&keys, CONNECT_TIMEOUT)?;
@@ -235,6 +239,7 @@
             shared,
             cx,
             store,
+            record,
             published,
             lock,
             drain: stop.clone(),
@@ -305,6 +310,7 @@
     shared: Shared,
     cx: control_links::Context,
     store: S,
+    record: IncarnationRecord,
     published: Published,
     /// Dropped last, when no task is left that could send orders to the engine.
     lock: Lock,
@@ -326,7 +332,8 @@
         ));
         let mut streams = self.shared.streams.subscribe();
         let links = tokio::spawn(links::serve(self.listener.clone(), self.shared));
-        let refresh = tokio::spawn(refresh_entries(self.store, self.cx.clone()));
+        let refresh = tokio::spawn(refresh_entries(self.store.clone(), self.cx.clone()));
+        let restore = tokio::spawn(restore_record(self.store, self.cx.clone(), self.record));
         let close_links = self.cx.closing.clone();
         let linked = self.cx.linked.subscribe();
         let mut control_links = tokio::spawn(control_links::run(self.cx));
@@ -352,6 +359,7 @@
             control_links.abort();
         }
         refresh.abort();
+        restore.abort();
         self.listener.close().await;
         links.abort();
         let _ = control.stop_and_wait(None, None).await;
@@ -422,6 +430,17 @@
     }
 }
 
+/// Writes the agent's record again each time that an entry finds it missing.
+async fn restore_record<S>(store: S, cx: control_links::Context, own: IncarnationRecord)
+where
+    S: ObjectStore,
+{
+    let mut lost = cx.record_lost.subscribe();
+    while lost.changed().await.is_ok() {
+        incarnation::restore(&store, &cx.target, &own).await;
+    }
+}
+
 fn record(settings: &AgentSettings, link: SocketAddr) -> IncarnationRecord {
     let kind = match &settings.target {
         TargetSettings::Engine { memory_mib, .. } => TargetKind::Engine {
--- a/crates/stair-agent/tests/common/entry.rs
+++ b/crates/stair-agent/tests/common/entry.rs
@@ -48,6 +48,7 @@
 use tokio::sync::watch;
 
 use super::WAIT_TIMEOUT;
+use stair_types::StoreRevision;
 
 #[derive(Clone)]
 pub(crate) struct FakeEntry {
@@ -185,7 +186,7 @@
             method: "POST".into(),
             path: "/v1/completions".into(),
             headers: Vec::new(),
-            shard_version: 0,
+            shard_version: StoreRevision::new(0, 0),
             content_type: "application/json".into(),
             rank: TierRank(0),
             time_left_ms: 15_000,
--- a/crates/stair-agent/tests/common/mod.rs
+++ b/crates/stair-agent/tests/common/mod.rs
@@ -58,6 +58,7 @@
 use engine::FakeEngine;
 use entry::FakeEntry;
 use stair_standin::memory::MemoryStore;
+use stair_types::StoreRevision;
 
 /// Timeout of every wait, which only a failing test reaches.
 pub(crate) const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
@@ -134,6 +135,7 @@
             ShardAssignment {
                 shard: ShardId(shard),
                 version: version_of(&self.store, shard),
+                complete: true,
                 grants: of_shard
                     .map(|g| AssignedGrant {
                         id: g.id,
@@ -189,9 +191,9 @@
     }
 }
 
-fn version_of(store: &MemoryStore, shard: u16) -> u64 {
+fn version_of(store: &MemoryStore, shard: u16) -> StoreRevision {
     let object = store.object(Kind::Grants, &shard.to_string());
-    object.map_or(0, |o| o.version)
+    object.map_or(StoreRevision::NONE, |o| o.version)
 }
 
 /// Adds an entry to the platform's list of VMs.
--- a/crates/stair-agent/tests/engine_faults.rs
+++ b/crates/stair-agent/tests/engine_faults.rs
@@ -11,6 +11,7 @@
     until, //
 };
 use stair_config::Adapter;
+use stair_types::StoreRevision;
 use stair_types::{
     Reason,
     RequestId,
@@ -124,7 +125,7 @@
         method: "POST".into(),
         path: "/v1/completions".into(),
         headers: Vec::new(),
-        shard_version: 0,
+        shard_version: StoreRevision::new(0, 0),
         content_type: "application/json".into(),
         rank: TierRank(0),
         time_left_ms: 15_000,
--- a/crates/stair-agent/tests/queue.rs
+++ b/crates/stair-agent/tests/queue.rs
@@ -9,6 +9,7 @@
     eventually,
     until, //
 };
+use stair_types::StoreRevision;
 use stair_types::{
     Reason,
     RequestId,
@@ -30,7 +31,7 @@
         method: "POST".into(),
         path: "/v1/completions".into(),
         headers: Vec::new(),
-        shard_version: 0,
+        shard_version: StoreRevision::new(0, 0),
         content_type: "application/json".into(),
         rank: TierRank(rank),
         time_left_ms,
--- a/crates/stair-dev/examples/slopes/size.rs
+++ b/crates/stair-dev/examples/slopes/size.rs
@@ -25,6 +25,7 @@
     VmRole,
     VmState, //
 };
+use stair_types::StoreRevision;
 use stair_types::{
     AdapterName,
     ApplyId,
@@ -111,12 +112,20 @@
             name: EntryName::try_from(name.as_str())?,
             link: address(i),
         };
-        state.update_vm(name.as_str().into(), next(), Some(vm(role, i)?));
+        state.update_vm(
+            name.as_str().into(),
+            StoreRevision::new(0, next()),
+            Some(vm(role, i)?),
+        );
     }
     for i in 0..size.targets {
         let name = TargetName::try_from(format!("target-{i:06}").as_str())?;
         let role = VmRole::Target { name: name.clone() };
-        state.update_vm(name.as_str().into(), next(), Some(vm(role, i)?));
+        state.update_vm(
+            name.as_str().into(),
+            StoreRevision::new(0, next()),
+            Some(vm(role, i)?),
+        );
         let record = IncarnationRecord {
             token: FencingToken(1),
             link: address(i),
@@ -125,17 +134,17 @@
                 memory_mib: MEMORY_MIB,
             },
         };
-        state.update_incarnation(name, next(), Some(record));
+        state.update_incarnation(name, StoreRevision::new(0, next()), Some(record));
     }
     state.confirmed = true;
     let mut planner = Planner::new(&state);
     for shard in 0..state.shards.len() {
         let shard = ShardId(shard as u16);
         if let Some(made) = planner.propose(&state, shard) {
-            state.update_shard(shard, next(), Some(made));
+            state.update_shard(shard, StoreRevision::new(0, next()), Some(made));
         }
     }
-    state.advance_revision(next());
+    state.advance_revision(StoreRevision::new(0, next()));
     Ok(state)
 }
 
@@ -157,7 +166,7 @@
     };
     Ok(Config {
         manifest: Versioned {
-            version: revision,
+            version: StoreRevision::new(0, revision),
             value: Some(manifest),
         },
         catalogue: Arc::new(catalogue.clone()),
--- a/crates/stair-entry/src/control/actor.rs
+++ b/crates/stair-entry/src/control/actor.rs
@@ -10,21 +10,29 @@
     ActorProcessingErr,
     ActorRef, //
 };
+use stair_fleet::view::{
+    MISSING_GRACE,
+    REMOVAL_HOLD, //
+};
 use stair_platform::{
     Error,
     Event,
     Kind,
     Object,
-    ObjectStore, //
+    ObjectStore,
+    Vm,
+    VmState, //
 };
 use stair_state::GrantShard;
 use stair_telemetry::{
     Part,
+    info,
     warn, //
 };
 use stair_types::{
     EntryName,
     ShardId,
+    StoreRevision,
     TargetName, //
 };
 use stair_wire::control::EntryAddress;
@@ -57,6 +65,14 @@
 /// and releases that are not written.
 const TICK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// What an object of a copy is taken for.
+enum Restored {
+    /// It changes the state now.
+    Apply(Event),
+    /// It was removed, and changes the state later, unless it is removed again.
+    Defer(Event),
+}
+
 /// The arguments of the actor.
 pub struct Arguments<S> {
     /// This entry.
@@ -216,6 +232,9 @@
         });
         let mut names: Vec<Box<str>> = names.collect();
         names.sort();
+        if self.state.has_returned(revision) {
+            return self.apply_copy(listed, &names);
+        }
         let mut changed = self.apply_changes(listed.page.events);
         changed |= match listed.kind {
             Kind::Vm => self.state.remove_unlisted_vms(&names, revision),
@@ -231,6 +250,89 @@
         changed
     }
 
+    /// Applies a list that comes from a copy of an earlier state. What it lacks stays for a while, and
+    /// what was removed does not come back at once, until both have been written again.
+    fn apply_copy(&mut self, listed: Listed, names: &[Box<str>]) -> bool {
+        let Listed { kind, page } = listed;
+        let revision = page.revision;
+        let now = Instant::now();
+        info!(
+            Part::Platform,
+            "The platform has come back from a copy, era {}: {} objects of kind {}.",
+            revision.era,
+            names.len(),
+            kind.as_str()
+        );
+        let mut changed = false;
+        for event in page.events {
+            match self.restored_event(event) {
+                Restored::Apply(event) => changed |= self.apply_changes(vec![event]),
+                Restored::Defer(event) => self.state.defer(event, now + REMOVAL_HOLD),
+            }
+        }
+        let is_missing = |name: &str| names.binary_search_by(|n| (**n).cmp(name)).is_err();
+        let missing: Vec<Box<str>> = match kind {
+            Kind::Vm => self.state.vm_names().cloned().collect(),
+            Kind::Incarnation => {
+                let known = self.state.record_names();
+                known.map(|n| n.as_str().into()).collect()
+            }
+            Kind::Grants => {
+                let listed: Vec<ShardId> = names.iter().filter_map(|n| shard_id(n).ok()).collect();
+                changed |= self.state.restore_unlisted_shards(&listed, revision);
+                Vec::new()
+            }
+            Kind::Manifest | Kind::Chunk | Kind::Claims => Vec::new(),
+        };
+        for name in missing.into_iter().filter(|n| is_missing(n)) {
+            if kind == Kind::Incarnation
+                && let Ok(target) = TargetName::try_from(name.clone())
+            {
+                self.state.record_lost(target);
+                changed = true;
+            }
+            let event = Event::Deleted {
+                kind,
+                name,
+                version: revision,
+            };
+            self.state.defer(event, now + MISSING_GRACE);
+        }
+        changed
+    }
+
+    /// What an object of a copy is taken for.
+    fn restored_event(&self, event: Event) -> Restored {
+        let Event::Put(mut object) = event else {
+            return Restored::Apply(event);
+        };
+        let removed = match object.kind {
+            Kind::Vm => self
+                .state
+                .vm(&object.name)
+                .is_some_and(|vm| vm.value.is_none()),
+            Kind::Incarnation => TargetName::try_from(object.name.clone())
+                .is_ok_and(|name| self.state.is_record_deleted(&name)),
+            _ => false,
+        };
+        if removed {
+            return Restored::Defer(Event::Put(object));
+        }
+        let known = self.state.vm(&object.name).and_then(|vm| vm.value.as_ref());
+        if object.kind == Kind::Vm
+            && known.is_some_and(|vm| vm.state == VmState::Leaving)
+            && let Ok(vm) = decode::<Vm>(&object)
+        {
+            let leaving = Vm {
+                state: VmState::Leaving,
+                ..vm
+            };
+            // The encoding cannot fail, since all keys are strings.
+            object.value = serde_json::to_value(leaving).unwrap_or_default();
+        }
+        Restored::Apply(Event::Put(object))
+    }
+
     fn apply_changes(&mut self, events: Vec<Event>) -> bool {
         let mut changed = false;
         for event in events {
@@ -275,7 +377,7 @@
         }
     }
 
-    fn apply_deletion(&mut self, kind: Kind, name: Box<str>, version: u64) -> bool {
+    fn apply_deletion(&mut self, kind: Kind, name: Box<str>, version: StoreRevision) -> bool {
         match kind {
             Kind::Vm => self.state.update_vm(name, version, None),
             Kind::Incarnation => match TargetName::try_from(name) {
@@ -351,6 +453,10 @@
     }
 
     fn tick(&mut self, myself: &ActorRef<Msg>) {
+        let due = self.state.take_due(Instant::now());
+        if self.apply_changes(due) && !self.flush_sent {
+            self.flush_sent = myself.send_message(Msg::Flush).is_ok();
+        }
         self.write_releases(myself);
         if self.proposals_due {
             self.propose(myself);
--- a/crates/stair-entry/src/control/agents.rs
+++ b/crates/stair-entry/src/control/agents.rs
@@ -144,6 +144,7 @@
             let next = assignment::derive(&self.state, &granted, &agent.hello.target, &previous);
             let entries = &self.entries;
             let vm = self.state.vm_notice(&agent.hello.target);
+            let lost_record = self.state.lost_record(&agent.hello.target);
             agent.outbox.send_if_modified(|out| {
                 let current = out.assignment.as_ref();
                 let assignment_changed = current.is_none_or(|a| {
@@ -158,7 +159,9 @@
                 }
                 let vm_changed = out.vm != vm;
                 out.vm = vm;
-                assignment_changed || entries_changed || vm_changed
+                let lost = lost_record.is_some() && out.lost_record != lost_record;
+                out.lost_record = lost_record;
+                assignment_changed || entries_changed || vm_changed || lost
             });
         }
     }
--- a/crates/stair-entry/src/control/assignment.rs
+++ b/crates/stair-entry/src/control/assignment.rs
@@ -101,6 +101,7 @@
     Some(ShardAssignment {
         shard,
         version: current.version,
+        complete: state.is_shard_complete(shard),
         grants: of_shard.map(|f| assigned(f.grant)).collect(),
     })
 }
--- a/crates/stair-entry/src/control/derive.rs
+++ b/crates/stair-entry/src/control/derive.rs
@@ -9,6 +9,7 @@
 use stair_state::grants::shard_of;
 use stair_types::{
     ModelName,
+    StoreRevision,
     TargetKey,
     TargetName, //
 };
@@ -73,7 +74,7 @@
         }
     }
 
-    fn shard_version(&self, model: &ModelName) -> u64 {
+    fn shard_version(&self, model: &ModelName) -> StoreRevision {
         self.shards[usize::from(shard_of(model).0)].version
     }
 
--- a/crates/stair-entry/src/control/feed.rs
+++ b/crates/stair-entry/src/control/feed.rs
@@ -3,7 +3,7 @@
 //!
 //! One watch covers all kinds, so an idle entry makes one call to the platform per
 //! [`WATCH_DURATION`]. After an outage the watch continues from its last position, and nothing is
-//! listed again.
+//! listed again, unless the platform has come back from a copy.
 
 use std::{
     net::SocketAddr,
@@ -33,6 +33,10 @@
     warn, //
 };
 
+use stair_types::{
+    ConfigVersion,
+    StoreRevision, //
+};
 use tokio::sync::watch;
 
 use crate::{
@@ -52,12 +56,12 @@
 
 /// Mean time that a watch waits at the platform before it returns without changes.
 ///
-/// A watch whose connection has gone silent looks like one without changes, and is detected only
-/// when its reply is overdue: after this time, its jitter and the timeout of a call. A change of the
-/// configuration must be in force within 8 s, which leaves at most 6 s for the detection. At 410
-/// entries this makes 137 calls a second of the 2,000 reads that the platform allows, and each entry
-/// sends and receives about 0.2 KB a second.
-const WATCH_DURATION: Duration = Duration::from_secs(3);
+/// A watch whose connection has gone silent looks like one without changes, and so does one that the
+/// platform carries on after it has come back from a copy. Both are detected only when the reply is due,
+/// and a change has to be in force within two seconds of the platform's reply. At 410 entries this makes
+/// 274 calls a second of the 2,000 reads that the platform allows, and each entry sends and receives
+/// about 0.4 KB a second.
+const WATCH_DURATION: Duration = Duration::from_millis(1500);
 
 /// Fraction of the watch's duration by which each watch is randomly shorter or longer. The watches of
 /// all entries return at each change and would stay synchronised without jitter.
@@ -97,13 +101,13 @@
     actor: ActorRef<Msg>,
     /// The chunks of the configuration in force; after a change only new chunks are read.
     chunks: Arc<Vec<Chunk>>,
-    /// The platform's revision of the manifest that the chunks belong to.
-    manifest: u64,
+    /// The version of the configuration in force.
+    config: ConfigVersion,
     /// A manifest whose chunks could not be read yet.
     pending: Option<Object>,
     /// The platform's revision of the oldest manifest that is newer than the last one whose chunks
     /// were all read.
-    unread_since: Option<u64>,
+    unread_since: Option<StoreRevision>,
     /// The published view, for the number of entries that read at the same time.
     view: watch::Receiver<Arc<View>>,
 }
@@ -118,7 +122,7 @@
             store,
             actor,
             chunks: Arc::default(),
-            manifest: 0,
+            config: ConfigVersion(0),
             pending: None,
             unread_since: None,
             view,
@@ -141,7 +145,7 @@
                     warn!(Part::Platform, "The platform cannot be listed: {e}.");
                     // Peers are queried until one has sent a configuration. Later changes arrive
                     // by the watch here as well as there, and a snapshot is large.
-                    if self.manifest == 0 || peer_queries < MIN_PEER_QUERIES {
+                    if self.config == ConfigVersion(0) || peer_queries < MIN_PEER_QUERIES {
                         peer_queries += 1;
                         self.query_peers(&pool, peers.clone()).await;
                     }
@@ -154,11 +158,16 @@
     /// Lists all kinds and returns the lowest revision of the lists. VMs are listed last: a holder of
     /// a grant that is missing in the newer list was removed, while one that is missing in an older
     /// list might just be new.
-    async fn list(&mut self) -> Result<u64, Error> {
-        let mut revision = u64::MAX;
+    async fn list(&mut self) -> Result<StoreRevision, Error> {
+        let mut complete: Option<StoreRevision> = None;
         for kind in KINDS {
             let page = self.store.list(kind).await?;
-            revision = revision.min(page.revision);
+            let revision = *complete.get_or_insert(page.revision);
+            // The lists before are of the state that was lost.
+            if page.revision.era != revision.era {
+                return Err(Error::Gone);
+            }
+            complete = Some(revision.min(page.revision));
             if kind == Kind::Manifest {
                 self.record_manifests(&page);
                 self.load_pending().await?;
@@ -168,20 +177,24 @@
                     .send_message(Msg::Listed(Box::new(Listed { kind, page })));
             }
         }
-        Ok(revision)
+        Ok(complete.unwrap_or_default())
     }
 
     /// Watches from revision `since` until the platform no longer has the changes since then.
-    async fn watch(&mut self, mut since: u64) {
+    async fn watch(&mut self, mut since: StoreRevision) {
         let mut backoff = Backoff::new();
+        let mut after_failure = false;
         loop {
             let wait = match self.pending {
                 Some(_) => MIN_BACKOFF,
+                // Its reply shows soon whether the platform has come back from a copy.
+                None if after_failure => MIN_BACKOFF,
                 None => WATCH_DURATION.mul_f64(1.0 + WATCH_JITTER * rand::random_range(-1.0..1.0)),
             };
             match self.store.watch(&KINDS, since, wait).await {
                 Ok(page) => {
                     backoff = Backoff::new();
+                    after_failure = false;
                     since = page.revision.max(since);
                     self.record_manifests(&page);
                     if page.events.is_empty() && self.pending.is_none() {
@@ -192,7 +205,10 @@
                     if let Err(e) = self.load_pending().await {
                         warn!(Part::Config, "A configuration cannot be read yet: {e}.");
                     }
-                    let complete_to = self.unread_since.map_or(since, |version| version - 1);
+                    let complete_to = self.unread_since.map_or(since, |version| StoreRevision {
+                        counter: version.counter - 1,
+                        ..version
+                    });
                     let _ = self.actor.send_message(Msg::CompleteTo(complete_to));
                     if changed {
                         let share = 0.5 + rand::random::<f64>();
@@ -203,6 +219,7 @@
                 Err(Error::Gone) => return,
                 Err(e) => {
                     warn!(Part::Platform, "The watch failed: {e}.");
+                    after_failure = true;
                     backoff.wait().await;
                 }
             }
@@ -226,14 +243,14 @@
         let Some(object) = self.pending.clone() else {
             return Ok(());
         };
-        if object.version <= self.manifest {
+        let manifest: Manifest = decode(&object)?;
+        if manifest.version <= self.config {
             self.pending = None;
             self.unread_since = None;
             return Ok(());
         }
         let spread = CHUNK_SPREAD_PER_ENTRY * self.entries();
         tokio::time::sleep(spread.mul_f64(rand::random())).await;
-        let manifest: Manifest = decode(&object)?;
         let mut all = Vec::with_capacity(manifest.chunks.len());
         for chunk_ref in &manifest.chunks {
             all.push(self.chunk(&chunk_ref.hash).await?);
@@ -261,13 +278,13 @@
 
     fn put_in_force(
         &mut self,
-        version: u64,
+        version: StoreRevision,
         manifest: Manifest,
         chunks: Vec<Chunk>,
     ) -> Result<(), Error> {
         let catalogue = chunks::join(&chunks).map_err(|e| Error::Invalid(e.to_string().into()))?;
         self.chunks = Arc::new(chunks);
-        self.manifest = version;
+        self.config = manifest.version;
         info!(Part::Config, "Version {} is in force.", manifest.version);
         let config = Config {
             manifest: Versioned {
@@ -293,7 +310,8 @@
             .into_iter()
             .partition(|o| matches!(o.kind, Kind::Manifest | Kind::Chunk));
         let manifest = config.iter().find(|o| o.kind == Kind::Manifest);
-        if let Some(object) = manifest.filter(|o| o.version > self.manifest) {
+        let is_newer = |o: &&Object| decode::<Manifest>(o).is_ok_and(|m| m.version > self.config);
+        if let Some(object) = manifest.filter(is_newer) {
             let chunks = config.iter().filter(|o| o.kind == Kind::Chunk);
             let chunks = chunks.map(|o| Chunk {
                 hash: o.name.clone(),
--- a/crates/stair-entry/src/control/links.rs
+++ b/crates/stair-entry/src/control/links.rs
@@ -129,6 +129,9 @@
         if last.vm != next.vm {
             frame::write_message(&mut tx, &EntryControl::Vm(next.vm)).await?;
         }
+        if let Some(revision) = next.lost_record.filter(|r| last.lost_record != Some(*r)) {
+            frame::write_message(&mut tx, &EntryControl::RecordLost(revision)).await?;
+        }
         let assignment = next.assignment.as_ref();
         let is_last = |a: &Arc<_>| last.assignment.as_ref().is_some_and(|l| Arc::ptr_eq(l, a));
         if let Some(assignment) = assignment.filter(|a| !is_last(a)) {
--- a/crates/stair-entry/src/control/memory_pressure.rs
+++ b/crates/stair-entry/src/control/memory_pressure.rs
@@ -12,6 +12,7 @@
     info, //
 };
 use stair_types::{
+    Era,
     GrantId,
     ModelName,
     ShardId,
@@ -131,7 +132,8 @@
                     at: now,
                 });
                 let store = self.args.store.clone();
-                tokio::spawn(revoke(store, myself.clone(), req.shard, req.grant));
+                let era = self.state.revision.era;
+                tokio::spawn(revoke(store, myself.clone(), req.shard, era, req.grant));
             }
         }
     }
@@ -142,6 +144,9 @@
         req: &RequestedMove,
         now: Instant,
     ) -> Option<ModelName> {
+        if self.state.restored.get(usize::from(req.shard.0))?.is_some() {
+            return None;
+        }
         let shard = self.state.shards.get(usize::from(req.shard.0))?;
         let shard = shard.value.as_ref()?;
         let grant = shard.grants.iter().find(|g| g.id == req.grant)?;
@@ -162,10 +167,10 @@
     }
 }
 
-async fn revoke<S>(store: S, myself: ActorRef<Msg>, shard: ShardId, grant: GrantId)
+async fn revoke<S>(store: S, myself: ActorRef<Msg>, shard: ShardId, era: Era, grant: GrantId)
 where
     S: ObjectStore,
 {
-    let result = shards::update(&store, shard, |s| s.revoke(grant)).await;
+    let result = shards::update(&store, shard, era, |s| s.revoke(grant)).await;
     let _ = myself.send_message(Msg::Written(shard, result));
 }
--- a/crates/stair-entry/src/control/msg.rs
+++ b/crates/stair-entry/src/control/msg.rs
@@ -11,7 +11,8 @@
 use stair_state::GrantShard;
 use stair_types::{
     GrantId,
-    ShardId, //
+    ShardId,
+    StoreRevision, //
 };
 use stair_wire::control::{
     AgentControl,
@@ -45,7 +46,7 @@
     /// All kinds have been listed from the platform itself.
     Confirmed,
     /// All changes up to this revision of the platform have been sent to the actor.
-    CompleteTo(u64),
+    CompleteTo(StoreRevision),
     /// The result of this entry's write of a shard; none if it changed nothing.
     Written(ShardId, Result<Option<Versioned<GrantShard>>, Error>),
     /// The attempt to write these releases has ended, with or without success.
@@ -81,6 +82,8 @@
     pub entries: Arc<Vec<EntryAddress>>,
     /// The notice about the agent's VM from the platform's list.
     pub vm: VmNotice,
+    /// The revision at which the platform lacked the agent's record, if it does.
+    pub lost_record: Option<StoreRevision>,
 }
 
 /// An agent opened its control stream.
--- a/crates/stair-entry/src/control/propose.rs
+++ b/crates/stair-entry/src/control/propose.rs
@@ -72,8 +72,14 @@
 
     /// Returns the proposed contents of a shard, or none when it needs no change.
     pub fn propose(&mut self, state: &State, shard: ShardId) -> Option<GrantShard> {
-        let current = &state.shards[usize::from(shard.0)];
+        let i = usize::from(shard.0);
+        let current = &state.shards[i];
         let mut next = current.value.clone().unwrap_or_default();
+        let restored = state.restored[i].as_ref();
+        if let Some(copy) = restored.and_then(|r| r.value.as_ref()) {
+            next.merge_copy(copy);
+        }
+        next.begin_era(state.revision.era);
         remove_unlisted_holders(state, &mut next);
         self.revoke_undeclared(state, &mut next);
         let catalogue = state.config.catalogue.clone();
@@ -83,7 +89,11 @@
                 self.apply(&mut next, model, change);
             }
         }
-        let unchanged = current.value.as_ref() == Some(&next);
+        let same = current
+            .value
+            .as_ref()
+            .is_some_and(|c| c.grants == next.grants);
+        let unchanged = same && restored.is_none();
         let empty = current.value.is_none() && next.grants.is_empty();
         (!unchanged && !empty).then_some(next)
     }
@@ -225,7 +235,11 @@
 /// Most changes concern few shards, and building a [`Planner`] for 12,000 targets at each change
 /// would take most of the CPU time budgeted for control.
 pub fn is_settled(state: &State, shard: ShardId) -> bool {
-    let current = &state.shards[usize::from(shard.0)];
+    let i = usize::from(shard.0);
+    if state.restored[i].is_some() {
+        return false;
+    }
+    let current = &state.shards[i];
     let grants = current.value.as_ref().map_or(&[][..], |s| &s.grants);
     let catalogue = &state.config.catalogue;
     let is_valid = |g: &Grant| {
--- a/crates/stair-entry/src/control/report.rs
+++ b/crates/stair-entry/src/control/report.rs
@@ -11,6 +11,7 @@
     ObjectStore,
     Snapshot, //
 };
+use stair_types::StoreRevision;
 
 use crate::control::{actor::Control, state::Versioned};
 
@@ -37,7 +38,8 @@
         for vm in &state.vms {
             objects.extend(object(Kind::Vm, &vm.name, &vm.object));
         }
-        let revision = objects.iter().map(|o| o.version).max().unwrap_or(0);
+        let revision = objects.iter().map(|o| o.version).max();
+        let revision = revision.unwrap_or_default();
         Snapshot { revision, objects }
     }
 
@@ -48,6 +50,7 @@
             // must not see it before it applies to requests.
             "config": self.args.view.borrow().config,
             "confirmed": self.state.confirmed,
+            "era": self.args.store.eras().newest(),
             "agents": self.agents.len(),
             "agents_behind": self.agents.iter().filter(|a| a.is_lagging()).count(),
         })
@@ -91,7 +94,7 @@
     Object {
         kind: Kind::Chunk,
         name: chunk.hash.clone(),
-        version: 0,
+        version: StoreRevision::NONE,
         value: chunk.value.clone(),
     }
 }
--- a/crates/stair-entry/src/control/shards.rs
+++ b/crates/stair-entry/src/control/shards.rs
@@ -7,7 +7,11 @@
     ObjectStore, //
 };
 use stair_state::GrantShard;
-use stair_types::ShardId;
+use stair_types::{
+    Era,
+    ShardId,
+    StoreRevision, //
+};
 
 use crate::control::state::Versioned;
 
@@ -23,20 +27,24 @@
 pub async fn replace<S>(
     store: &S,
     shard: ShardId,
-    from: u64,
+    from: StoreRevision,
     next: GrantShard,
 ) -> Result<Versioned<GrantShard>, Error>
 where
     S: ObjectStore,
 {
-    let condition = match from {
+    let condition = match from.counter {
         0 => Condition::Absent,
-        version => Condition::Version(version),
+        _ => Condition::Version(from),
     };
     let value = serde_json::to_value(&next).map_err(|e| Error::Invalid(e.to_string().into()))?;
     let version = store
         .put(Kind::Grants, &shard.to_string(), &value, condition)
         .await?;
+    // Derived from the state of one era, it must not count as written in another.
+    if version.era != from.era && from.era != Era::default() {
+        return Err(Error::Unknown("written in another era".into()));
+    }
     Ok(Versioned {
         version,
         value: Some(next),
@@ -50,12 +58,17 @@
 /// returns false, or finds that the write was lost and applies it again. So `change` must be
 /// idempotent.
 ///
+/// `era` is that of the caller's state. In another one the shard may be a copy that has not been merged
+/// with what is known.
+///
 /// # Errors
 ///
-/// As any call of the platform, and [`Error::Conflict`] after several conflicts in a row.
+/// As any call of the platform, [`Error::Unavailable`] in another era, and [`Error::Conflict`] after
+/// several conflicts in a row.
 pub async fn update<S, F>(
     store: &S,
     shard: ShardId,
+    era: Era,
     mut change: F,
 ) -> Result<Option<Versioned<GrantShard>>, Error>
 where
@@ -65,8 +78,12 @@
     let mut last = Error::Conflict;
     for _ in 0..MAX_ATTEMPTS {
         let object = store.get(Kind::Grants, &shard.to_string()).await?;
+        if object.version.era != era {
+            return Err(Error::Unavailable("it is in another era".into()));
+        }
         let mut value: GrantShard = serde_json::from_value(object.value)
             .map_err(|e| Error::Invalid(e.to_string().into()))?;
+        value.begin_era(era);
         if !change(&mut value) {
             return Ok(None);
         }
--- a/crates/stair-entry/src/control/state.rs
+++ b/crates/stair-entry/src/control/state.rs
@@ -3,6 +3,10 @@
 //! Each object carries the platform's revision of its last write and is replaced only by a newer
 //! one. So the state never goes back to an older version, in whatever order watches, lists, own
 //! writes and peers' snapshots arrive.
+//!
+//! When the platform comes back from a copy of its state, all its versions are newer, and its objects may
+//! be older. What they lack or undo is not believed at once: see [`State::defer`] for VMs and records,
+//! and [`State::restored`] for grants.
 
 use std::sync::Arc;
 
@@ -15,6 +19,7 @@
     chunks::Chunk, //
 };
 use stair_platform::{
+    Event,
     IncarnationRecord,
     Manifest,
     Vm,
@@ -31,9 +36,11 @@
 use stair_types::{
     ConfigVersion,
     EntryName,
+    Era,
     FencingToken,
     ModelName,
     ShardId,
+    StoreRevision,
     TargetName,
     rendezvous, //
 };
@@ -41,12 +48,13 @@
     EntryAddress,
     VmNotice, //
 };
+use tokio::time::Instant;
 
 /// A value with the platform's revision of its last write.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Versioned<T> {
     /// The revision.
-    pub version: u64,
+    pub version: StoreRevision,
     /// The value; none after a deletion.
     pub value: Option<T>,
 }
@@ -54,7 +62,7 @@
 impl<T> Default for Versioned<T> {
     fn default() -> Self {
         Self {
-            version: 0,
+            version: StoreRevision::NONE,
             value: None,
         }
     }
@@ -62,7 +70,7 @@
 
 impl<T> Versioned<T> {
     /// Replaces the value if `version` is newer. Returns whether it was replaced.
-    pub fn replace_if_newer(&mut self, version: u64, value: Option<T>) -> bool {
+    pub fn replace_if_newer(&mut self, version: StoreRevision, value: Option<T>) -> bool {
         if version <= self.version {
             return false;
         }
@@ -100,6 +108,16 @@
     pub config: Config,
     /// Grants by shard number.
     pub shards: Vec<Versioned<GrantShard>>,
+    /// By shard number, the state that the platform has come back with, while it differs from the one in
+    /// force and has not been written again.
+    pub restored: Vec<Option<Versioned<GrantShard>>>,
+    /// By shard number, whether the state in force is known only from such a copy.
+    pub unconfirmed: Vec<bool>,
+    /// Changes that a copy implies, until the objects have been written again.
+    #[serde(skip)]
+    deferred: Vec<Deferred>,
+    /// Agents whose records the platform has lost, sorted.
+    pub lost_records: Vec<TargetName>,
     /// Agents, sorted by target.
     pub incarnations: Vec<Named<TargetName, IncarnationRecord>>,
     /// The platform's list of VMs, sorted by name.
@@ -112,11 +130,11 @@
     /// shard that this entry read or wrote by itself, or an object of a kind that was listed at a
     /// later revision than the others.
     #[serde(rename = "seen")]
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The revision of the newest deletion that was pruned. An object that is not in the state and
     /// not newer than this is taken for deleted.
     #[serde(rename = "forgotten")]
-    pruned_revision: u64,
+    pruned_revision: StoreRevision,
     /// Incremented with each change that concerns targets.
     #[serde(rename = "fleet")]
     fleet_version: u64,
@@ -128,6 +146,13 @@
 /// bytes, and 2,400 VMs are replaced a day.
 const MAX_KEPT_DELETIONS: usize = 4_096;
 
+/// A change that is applied later.
+#[derive(Debug, Clone)]
+struct Deferred {
+    due: Instant,
+    event: Event,
+}
+
 /// An agent that has reported that it is leaving.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct LeavingAgent {
@@ -142,12 +167,16 @@
         Self {
             config: Config::default(),
             shards: vec![Versioned::default(); usize::from(SHARDS)],
+            restored: vec![None; usize::from(SHARDS)],
+            unconfirmed: vec![false; usize::from(SHARDS)],
+            deferred: Vec::new(),
+            lost_records: Vec::new(),
             incarnations: Vec::new(),
             vms: Vec::new(),
             leaving: Vec::new(),
             confirmed: false,
-            revision: 0,
-            pruned_revision: 0,
+            revision: StoreRevision::NONE,
+            pruned_revision: StoreRevision::NONE,
             fleet_version: 0,
             entries: Vec::new(),
         }
@@ -156,7 +185,7 @@
 
 impl State {
     /// Records that the state is complete up to a revision. Returns whether the revision advanced.
-    pub fn advance_revision(&mut self, revision: u64) -> bool {
+    pub fn advance_revision(&mut self, revision: StoreRevision) -> bool {
         let is_newer = revision > self.revision;
         self.revision = revision.max(self.revision);
         if is_newer {
@@ -172,33 +201,101 @@
     /// yet. One that is newer than the declarations may follow declarations that this entry has not
     /// received.
     pub fn is_complete_for(&self, shard: ShardId) -> bool {
-        self.shards[usize::from(shard.0)].version <= self.revision
+        let i = usize::from(shard.0);
+        let restored = self.restored[i].as_ref();
+        let version = restored.map_or(self.shards[i].version, |r| r.version);
+        version <= self.revision
+    }
+
+    /// Whether the platform has come back from a copy since the state was last complete.
+    pub fn has_returned(&self, revision: StoreRevision) -> bool {
+        self.revision.is_known() && revision.era > self.revision.era
+    }
+
+    /// Applies an event at `due`, unless the object has been written again until then.
+    ///
+    /// A copy lacks what was written after it, and has what was removed after it. The writers of these
+    /// objects write them again within about two seconds.
+    pub fn defer(&mut self, event: Event, due: Instant) {
+        self.deferred.push(Deferred { due, event });
+    }
+
+    /// Takes the deferred events that are due.
+    pub fn take_due(&mut self, now: Instant) -> Vec<Event> {
+        let (due, rest) = std::mem::take(&mut self.deferred)
+            .into_iter()
+            .partition(|d| d.due <= now);
+        self.deferred = rest;
+        let due: Vec<Deferred> = due;
+        due.into_iter().map(|d| d.event).collect()
     }
 
     /// Replaces the configuration by a newer one. Returns whether it was newer.
     ///
-    /// Both the configuration's own version and the platform's revision must be newer, since a peer
-    /// may have replied with an old configuration.
+    /// Its own version decides, which rises also when the platform comes back from a copy with an older
+    /// configuration.
     pub fn update_config(&mut self, config: Config) -> bool {
-        let is_newer = config.manifest.version > self.config.manifest.version
-            && version_of(&config) > version_of(&self.config);
+        let is_newer = version_of(&config) > version_of(&self.config);
         if is_newer {
             self.config = config;
         }
         is_newer
     }
 
-    /// Replaces a shard by a newer version. Returns whether it was newer.
+    /// Replaces a shard by a newer version. Returns whether anything changed.
+    ///
+    /// A version that no process of its era has written comes from a copy, or from a write that was
+    /// carried out late. If it differs from the known state, that stays in force until an entry has
+    /// written both together.
     pub fn update_shard(
         &mut self,
         shard: ShardId,
-        version: u64,
+        version: StoreRevision,
         value: Option<GrantShard>,
     ) -> bool {
-        match self.shards.get_mut(usize::from(shard.0)) {
-            Some(current) => current.replace_if_newer(version, value),
-            None => false,
+        let i = usize::from(shard.0);
+        let Some(current) = self.shards.get_mut(i) else {
+            return false;
+        };
+        let restored = &mut self.restored[i];
+        let known = restored.as_ref().map_or(current.version, |r| r.version);
+        if version <= known.max(current.version) {
+            return false;
+        }
+        let has_eras = version.era != Era::default();
+        let is_of_era = value.as_ref().is_some_and(|v| v.is_of(version.era));
+        if has_eras && !is_of_era && current.value.is_some() && value != current.value {
+            *restored = Some(Versioned { version, value });
+            return true;
         }
+        self.unconfirmed[i] = has_eras && !is_of_era && current.value.is_none();
+        *restored = None;
+        current.replace_if_newer(version, value)
+    }
+
+    /// Records the shards that a complete list of a new era lacks.
+    pub fn restore_unlisted_shards(&mut self, listed: &[ShardId], revision: StoreRevision) -> bool {
+        let mut changed = false;
+        for i in 0..self.shards.len() {
+            let shard = ShardId(i as u16);
+            let is_older = self.shards[i].version.era < revision.era;
+            let lacks = self.shards[i].value.is_some() && !listed.contains(&shard);
+            if lacks && is_older && self.restored[i].is_none() {
+                let version = StoreRevision {
+                    counter: 0,
+                    era: revision.era,
+                };
+                let value = None;
+                self.restored[i] = Some(Versioned { version, value });
+                changed = true;
+            }
+        }
+        changed
+    }
+
+    /// Whether the grants that a shard lacks have ended.
+    pub fn is_shard_complete(&self, shard: ShardId) -> bool {
+        !self.unconfirmed[usize::from(shard.0)]
     }
 
     /// Replaces an agent's record by a newer version, or by a deletion if there is no value. Returns
@@ -206,9 +303,16 @@
     pub fn update_incarnation(
         &mut self,
         name: TargetName,
-        version: u64,
+        version: StoreRevision,
         value: Option<IncarnationRecord>,
     ) -> bool {
+        if self.is_lost_record(&name, version, value.as_ref()) {
+            self.record_lost(name);
+            return true;
+        }
+        if let Ok(i) = self.lost_records.binary_search(&name) {
+            self.lost_records.remove(i);
+        }
         if self.is_pruned(version) && find_at(&self.incarnations, &name).is_none() {
             return false;
         }
@@ -218,9 +322,62 @@
         changed
     }
 
+    /// Whether a record is of an incarnation before the known one, by a copy or a late write. A token
+    /// of the present era is above all others.
+    fn is_lost_record(
+        &self,
+        name: &TargetName,
+        version: StoreRevision,
+        value: Option<&IncarnationRecord>,
+    ) -> bool {
+        let is_old = |r: &&IncarnationRecord| {
+            version.era != Era::default() && r.token.0 <= version.era.first_number()
+        };
+        let known = self.incarnation(name);
+        let token = value.filter(is_old).map(|r| r.token);
+        token.is_some_and(|token| known.is_some_and(|k| k.token > token))
+    }
+
+    /// Records that the platform has lost an agent's record.
+    pub fn record_lost(&mut self, name: TargetName) {
+        if let Err(at) = self.lost_records.binary_search(&name) {
+            self.lost_records.insert(at, name);
+        }
+    }
+
+    /// The revision at which the platform lacked the record of a target's agent, if it does.
+    pub fn lost_record(&self, name: &TargetName) -> Option<StoreRevision> {
+        let lost = self.lost_records.binary_search(name).is_ok();
+        lost.then_some(self.revision)
+    }
+
+    /// The known VM of this name.
+    pub fn vm(&self, name: &str) -> Option<&Versioned<Vm>> {
+        let at = self.vms.binary_search_by(|vm| (*vm.name).cmp(name)).ok()?;
+        Some(&self.vms[at].object)
+    }
+
+    /// Whether the record of a target's agent is known to be deleted.
+    pub fn is_record_deleted(&self, name: &TargetName) -> bool {
+        let at = find_at(&self.incarnations, name);
+        at.is_some_and(|i| self.incarnations[i].object.value.is_none())
+    }
+
+    /// Names of all VMs in the list.
+    pub fn vm_names(&self) -> impl Iterator<Item = &Box<str>> {
+        let listed = self.vms.iter().filter(|n| n.object.value.is_some());
+        listed.map(|n| &n.name)
+    }
+
+    /// Targets whose agents have a record.
+    pub fn record_names(&self) -> impl Iterator<Item = &TargetName> {
+        let known = self.incarnations.iter();
+        known.filter(|n| n.object.value.is_some()).map(|n| &n.name)
+    }
+
     /// Replaces a VM's record by a newer version, or by a deletion if there is no value. Returns whether
     /// it was newer.
-    pub fn update_vm(&mut self, name: Box<str>, version: u64, value: Option<Vm>) -> bool {
+    pub fn update_vm(&mut self, name: Box<str>, version: StoreRevision, value: Option<Vm>) -> bool {
         let current = find_at(&self.vms, &name);
         if self.is_pruned(version) && current.is_none() {
             return false;
@@ -252,7 +409,7 @@
         }
         let mut pruned_revision = self.pruned_revision;
         let complete_to = self.revision;
-        let mut stays = |version: u64, exists: bool| {
+        let mut stays = |version: StoreRevision, exists: bool| {
             let stays = exists || version > complete_to;
             if !stays {
                 pruned_revision = pruned_revision.max(version);
@@ -271,7 +428,7 @@
         self.pruned_revision = pruned_revision;
     }
 
-    fn is_pruned(&self, version: u64) -> bool {
+    fn is_pruned(&self, version: StoreRevision) -> bool {
         version <= self.pruned_revision
     }
 
@@ -334,7 +491,7 @@
             .vms
             .binary_search_by(|vm| (*vm.name).cmp(target.as_str()));
         VmNotice {
-            version: at.map_or(0, |i| self.vms[i].object.version),
+            version: at.map_or(StoreRevision::NONE, |i| self.vms[i].object.version),
             is_leaving: self.is_marked_leaving(target),
         }
     }
@@ -382,7 +539,7 @@
 
     /// Marks all VMs as deleted that a complete list lacks. `listed` is sorted. Returns whether there
     /// were any.
-    pub fn remove_unlisted_vms(&mut self, listed: &[Box<str>], revision: u64) -> bool {
+    pub fn remove_unlisted_vms(&mut self, listed: &[Box<str>], revision: StoreRevision) -> bool {
         let changed = remove_unlisted(&mut self.vms, listed, revision);
         self.record_vm_change(changed, true);
         changed
@@ -390,7 +547,11 @@
 
     /// Marks all agents' records as deleted that a complete list lacks. `listed` is sorted. Returns
     /// whether there were any.
-    pub fn remove_unlisted_incarnations(&mut self, listed: &[TargetName], revision: u64) -> bool {
+    pub fn remove_unlisted_incarnations(
+        &mut self,
+        listed: &[TargetName],
+        revision: StoreRevision,
+    ) -> bool {
         let changed = remove_unlisted(&mut self.incarnations, listed, revision);
         self.fleet_version += u64::from(changed);
         self.prune_leaving();
@@ -468,7 +629,12 @@
     all.binary_search_by(|n| n.name.cmp(name)).ok()
 }
 
-fn update_named<N, T>(all: &mut Vec<Named<N, T>>, name: N, version: u64, value: Option<T>) -> bool
+fn update_named<N, T>(
+    all: &mut Vec<Named<N, T>>,
+    name: N,
+    version: StoreRevision,
+    value: Option<T>,
+) -> bool
 where
     N: Ord,
 {
@@ -482,7 +648,7 @@
     }
 }
 
-fn remove_unlisted<N, T>(all: &mut [Named<N, T>], listed: &[N], revision: u64) -> bool
+fn remove_unlisted<N, T>(all: &mut [Named<N, T>], listed: &[N], revision: StoreRevision) -> bool
 where
     N: Ord,
 {
--- a/crates/stair-entry/src/control/writes.rs
+++ b/crates/stair-entry/src/control/writes.rs
@@ -10,8 +10,10 @@
 };
 use stair_state::GrantShard;
 use stair_types::{
+    Era,
     GrantId,
     ShardId,
+    StoreRevision,
     TargetName, //
 };
 use tokio::time::Instant;
@@ -58,6 +60,9 @@
         self.releases.retain(|_| listed.next().unwrap_or(false));
         let shards: Vec<ShardId> = self.releases.iter().map(|r| r.shard).collect();
         for shard in shards {
+            if self.state.restored[usize::from(shard.0)].is_some() {
+                continue;
+            }
             let unwritten = self.releases.iter_mut();
             let mut unwritten: Vec<_> = unwritten
                 .filter(|r| r.shard == shard && !r.writing)
@@ -73,6 +78,7 @@
                 grants,
                 planner: Planner::new(&self.state),
                 avoid: self.memory_pressure.targets_to_avoid(),
+                era: self.state.revision.era,
             };
             tokio::spawn(write_release(self.args.store.clone(), myself.clone(), job));
         }
@@ -136,7 +142,8 @@
                 continue;
             }
             self.writing[i] = true;
-            let from = self.state.shards[i].version;
+            let restored = self.state.restored[i].as_ref();
+            let from = restored.map_or(self.state.shards[i].version, |r| r.version);
             tokio::spawn(write_shard(
                 self.args.store.clone(),
                 myself.clone(),
@@ -183,7 +190,7 @@
     store: S,
     myself: ActorRef<Msg>,
     shard: ShardId,
-    from: u64,
+    from: StoreRevision,
     next: GrantShard,
 ) where
     S: ObjectStore,
@@ -199,6 +206,7 @@
     models: Vec<Model>,
     planner: Planner,
     avoid: Vec<TargetName>,
+    era: Era,
 }
 
 impl ReleaseJob {
@@ -221,7 +229,7 @@
     S: ObjectStore,
 {
     let shard = job.shard;
-    let result = shards::update(&store, shard, |s| job.apply(s)).await;
+    let result = shards::update(&store, shard, job.era, |s| job.apply(s)).await;
     let grants = job.grants;
     // The release is dropped even if the write failed; the agent reports it again while the grant
     // is still assigned to it.
--- a/crates/stair-entry/src/metered.rs
+++ b/crates/stair-entry/src/metered.rs
@@ -5,6 +5,7 @@
 use serde_json::Value;
 use stair_platform::{
     Condition,
+    Eras,
     Error,
     Kind,
     Object,
@@ -18,6 +19,7 @@
         PlatformCall, //
     },
 };
+use stair_types::StoreRevision;
 use tokio::time::Instant;
 
 /// A platform client that measures its calls.
@@ -55,6 +57,10 @@
 where
     S: ObjectStore,
 {
+    fn eras(&self) -> &Eras {
+        self.store.eras()
+    }
+
     async fn get(&self, kind: Kind, name: &str) -> Result<Object, Error> {
         let call_future = self.store.get(kind, name);
         self.measure(PlatformCall::Get, call_future).await
@@ -71,17 +77,22 @@
         name: &str,
         value: &Value,
         condition: Condition,
-    ) -> Result<u64, Error> {
+    ) -> Result<StoreRevision, Error> {
         let call_future = self.store.put(kind, name, value, condition);
         self.measure(PlatformCall::Put, call_future).await
     }
 
-    async fn delete(&self, kind: Kind, name: &str, version: u64) -> Result<(), Error> {
+    async fn delete(&self, kind: Kind, name: &str, version: StoreRevision) -> Result<(), Error> {
         let call_future = self.store.delete(kind, name, version);
         self.measure(PlatformCall::Delete, call_future).await
     }
 
-    async fn watch(&self, kinds: &[Kind], since: u64, wait: Duration) -> Result<Page, Error> {
+    async fn watch(
+        &self,
+        kinds: &[Kind],
+        since: StoreRevision,
+        wait: Duration,
+    ) -> Result<Page, Error> {
         let call_future = self.store.watch(kinds, since, wait);
         self.measure(PlatformCall::Watch, call_future).await
     }
--- a/crates/stair-entry/src/traffic/choose.rs
+++ b/crates/stair-entry/src/traffic/choose.rs
@@ -12,6 +12,7 @@
 };
 use stair_types::{
     FencingToken,
+    StoreRevision,
     TargetKey,
     TargetName, //
 };
@@ -35,7 +36,7 @@
     pub(super) link: SocketAddr,
     pub(super) token: FencingToken,
     /// The version of the model's shard that named the target; 0 for a service.
-    pub(super) shard_version: u64,
+    pub(super) shard_version: StoreRevision,
     pub(super) target: Arc<Target>,
 }
 
@@ -68,7 +69,7 @@
         token: target.token,
         shard_version: match &req.work {
             Work::Model { model, .. } => view.shard_version(model),
-            Work::Service { .. } => 0,
+            Work::Service { .. } => StoreRevision::NONE,
         },
         target: cx.targets.get(&target.name),
     })
--- a/crates/stair-entry/src/traffic/claim.rs
+++ b/crates/stair-entry/src/traffic/claim.rs
@@ -6,8 +6,12 @@
 //! Each entry has one write in flight per shard. Claims that arrive meanwhile wait and go into the
 //! next write, so the rate of writes is bounded by the number of shards and the platform's latency,
 //! not by the rate of requests.
+//!
+//! When the platform comes back from a copy, it may lack the last claims. Each entry then writes its own
+//! again, and no entry claims a key before the others have had [`RESTORE_TIME`] for theirs.
 
 use std::{
+    collections::VecDeque,
     sync::{
         Arc,
         Mutex,
@@ -33,9 +37,17 @@
     Part,
     warn, //
 };
+use stair_types::Era;
 use tokio::{
-    sync::oneshot,
-    time::timeout, //
+    sync::{
+        oneshot,
+        watch, //
+    },
+    time::{
+        Instant,
+        sleep_until,
+        timeout, //
+    },
 };
 
 use super::{
@@ -83,10 +95,19 @@
     PlatformDown,
 }
 
+/// Time from which on a new era is known, for all entries to write their claims again. What is left of
+/// [`CLAIM_TIMEOUT`] suffices for a claim.
+const RESTORE_TIME: Duration = Duration::from_millis(800);
+
+/// Own claims that are kept for one shard, to be written again.
+const MAX_OWN_CLAIMS: usize = 500;
+
 /// Claims and releases idempotency keys.
 pub(super) struct Claims<S> {
     store: S,
     shards: Vec<Arc<Shard>>,
+    /// The newest era, and the time until which claims wait in it.
+    restored: watch::Sender<(Era, Option<Instant>)>,
 }
 
 #[derive(Default)]
@@ -98,6 +119,8 @@
 struct Queue {
     pending: Vec<Pending>,
     is_writing: bool,
+    /// Own claims are to be written again.
+    restore: bool,
     cache: ShardCache,
 }
 
@@ -107,11 +130,14 @@
     shard: Option<CachedShard>,
     /// The reply to a write was lost. That write may still take effect unless another write follows.
     has_unconfirmed_write: bool,
+    /// Claims that this entry has written and not released, the oldest first.
+    own: VecDeque<Claim>,
 }
 
 struct CachedShard {
     value: ClaimShard,
     condition: Condition,
+    era: Era,
 }
 
 struct Pending {
@@ -129,6 +155,7 @@
         Self {
             store,
             shards: (0..SHARDS).map(|_| Arc::default()).collect(),
+            restored: watch::Sender::new((Era::default(), None)),
         }
     }
 }
@@ -137,6 +164,33 @@
 where
     S: ObjectStore,
 {
+    /// Writes this entry's claims again each time that the platform has come back from a copy, until the
+    /// process ends.
+    pub(super) async fn restore(&self) {
+        loop {
+            let (known, _) = *self.restored.borrow();
+            self.store.eras().after(known).await;
+            let era = self.store.eras().newest();
+            let until = Instant::now() + RESTORE_TIME;
+            self.restored.send_replace((era, Some(until)));
+            for n in 0..self.shards.len() {
+                let mut queue = self.shards[n].lock();
+                if queue.is_writing || !queue.cache.own.is_empty() {
+                    queue.restore = true;
+                    self.write(n, &mut queue);
+                }
+            }
+        }
+    }
+
+    /// Waits until the other entries have had the time to write their claims again.
+    async fn until_restored(&self) {
+        let (_, until) = *self.restored.borrow();
+        if let Some(until) = until {
+            sleep_until(until).await;
+        }
+    }
+
     /// Claims the request's key for a start at one target. `replaces` is the claim of another request
     /// that never ran, if there is one.
     ///
@@ -157,8 +211,12 @@
             expires_s: now_s() + CLAIM_TTL.as_secs(),
         };
         let (tx, rx) = oneshot::channel();
-        self.push(Change::Claim { claim, replaces }, Some(tx));
-        match timeout(CLAIM_TIMEOUT, rx).await {
+        let claimed = async {
+            self.until_restored().await;
+            self.push(Change::Claim { claim, replaces }, Some(tx));
+            rx.await
+        };
+        match timeout(CLAIM_TIMEOUT, claimed).await {
             Ok(Ok(Ok(Outcome::Done))) => Ok(()),
             Ok(Ok(Ok(Outcome::Taken(other)))) => Err(Error::Duplicate(other)),
             Ok(Ok(Ok(Outcome::Full))) => Err(Error::Full),
@@ -189,11 +247,15 @@
             return;
         }
         queue.pending.push(Pending { change, done });
+        self.write(n, &mut queue);
+    }
+
+    fn write(&self, n: usize, queue: &mut Queue) {
         if queue.is_writing {
             return;
         }
         queue.is_writing = true;
-        tokio::spawn(write_batches(self.store.clone(), n, shard.clone()));
+        tokio::spawn(write_batches(self.store.clone(), n, self.shards[n].clone()));
     }
 }
 
@@ -212,7 +274,8 @@
     loop {
         let batch = {
             let mut queue = shard.lock();
-            if queue.pending.is_empty() {
+            let restore = std::mem::take(&mut queue.restore);
+            if queue.pending.is_empty() && !restore {
                 queue.cache = cache;
                 queue.is_writing = false;
                 return;
@@ -235,6 +298,8 @@
             );
         }
         if has_failed {
+            // Own claims that the platform lacks are written with the next batch.
+            shard.lock().restore |= !cache.own.is_empty();
             requeue_releases(&shard, changes);
             tokio::time::sleep(RELEASE_RETRY_DELAY).await;
         }
@@ -266,17 +331,20 @@
 {
     let name = n.to_string();
     for _ in 0..MAX_ATTEMPTS {
-        let was_read = cache.shard.is_none();
-        let mut cached = match cache.shard.take() {
+        let newest = store.eras().newest();
+        let cached = cache.shard.take().filter(|c| c.era == newest);
+        let was_read = cached.is_none();
+        let mut cached = match cached {
             Some(cached) => cached,
             None => read(store, &name).await?,
         };
+        let was_restored = restore_own(&mut cached.value, &mut cache.own);
         let (outcomes, changed) = shard::apply(&mut cached.value, changes, now_s());
         // The conflicting claim may have been released since the shard was read.
         if !was_read && outcomes.iter().any(|o| *o != Outcome::Done) {
             continue;
         }
-        if !changed && !cache.has_unconfirmed_write {
+        if !changed && !was_restored && !cache.has_unconfirmed_write {
             cache.shard = Some(cached);
             return Ok(outcomes);
         }
@@ -287,11 +355,15 @@
             .put(Kind::Claims, &name, &value, cached.condition)
             .await
         {
+            // Derived from the state of another era, it counts as not written.
+            Ok(version) if version.era != cached.era => cache.has_unconfirmed_write = true,
             Ok(version) => {
                 cache.has_unconfirmed_write = false;
+                record_own(&mut cache.own, changes, &outcomes);
                 cache.shard = Some(CachedShard {
                     value: cached.value,
                     condition: Condition::Version(version),
+                    era: version.era,
                 });
                 return Ok(outcomes);
             }
@@ -309,19 +381,57 @@
 where
     S: ObjectStore,
 {
-    match store.get(Kind::Claims, name).await {
+    let found = store.get(Kind::Claims, name).await;
+    match found {
         Ok(object) => Ok(CachedShard {
+            era: object.version.era,
             value: serde_json::from_value(object.value).map_err(|_| Error::PlatformDown)?,
             condition: Condition::Version(object.version),
         }),
         Err(stair_platform::Error::NotFound) => Ok(CachedShard {
             value: ClaimShard::default(),
             condition: Condition::Absent,
+            era: store.eras().newest(),
         }),
         Err(_) => Err(Error::PlatformDown),
     }
 }
 
+/// Adds this entry's claims that a shard lacks, unless they have expired. Returns whether there were any.
+///
+/// A claim of another request for the same key stays: it was made after the platform's return.
+fn restore_own(shard: &mut ClaimShard, own: &mut VecDeque<Claim>) -> bool {
+    let now_s = now_s();
+    own.retain(|c| c.expires_s > now_s);
+    let mut restored = false;
+    for claim in own.iter() {
+        if let Err(at) = shard.claims.binary_search_by(|c| c.key.cmp(&claim.key)) {
+            shard.claims.insert(at, claim.clone());
+            restored = true;
+        }
+    }
+    restored
+}
+
+/// Records which claims this entry holds after these changes.
+fn record_own(own: &mut VecDeque<Claim>, changes: &[Change], outcomes: &[Outcome]) {
+    for (change, outcome) in changes.iter().zip(outcomes) {
+        match change {
+            Change::Claim { claim, .. } if *outcome == Outcome::Done => {
+                own.retain(|c| c.key != claim.key);
+                own.push_back(claim.clone());
+            }
+            Change::Claim { .. } => {}
+            Change::Release { key, request } => {
+                own.retain(|c| c.key != *key || c.request != *request);
+            }
+        }
+    }
+    while own.len() > MAX_OWN_CLAIMS {
+        own.pop_front();
+    }
+}
+
 /// Returns the key of a claim, a hash of the caller's name and its key. The separator cannot be part
 /// of a caller's name, so no two pairs give the same text.
 fn key(req: &Request) -> Box<str> {
--- a/crates/stair-entry/src/traffic/mod.rs
+++ b/crates/stair-entry/src/traffic/mod.rs
@@ -187,6 +187,7 @@
             () = accept::serve(cx.clone(), listener, stop) => {}
             // Callers are served also without the view's sender.
             () = async { links.await; std::future::pending().await } => {}
+            () = cx.claims.restore() => {}
         }
     }
 
--- a/crates/stair-entry/src/view.rs
+++ b/crates/stair-entry/src/view.rs
@@ -16,6 +16,7 @@
     DataCentre,
     FencingToken,
     ModelName,
+    StoreRevision,
     TargetKey,
     TargetName, //
 };
@@ -44,7 +45,7 @@
     #[serde(rename = "moving")]
     pub migrating: Vec<bool>,
     /// For each shard of grants, the platform's version that `holders` was derived from.
-    pub shard_versions: Vec<u64>,
+    pub shard_versions: Vec<StoreRevision>,
     /// For each service of the catalogue, the targets that provide it.
     pub providers: Vec<Vec<TargetKey>>,
 }
@@ -92,10 +93,10 @@
         self.holders.get(at).map(Vec::as_slice)
     }
 
-    /// Returns the version of the shard with a model's grants; 0 when it is not known.
-    pub fn shard_version(&self, model: &ModelName) -> u64 {
+    /// Returns the version of the shard with a model's grants.
+    pub fn shard_version(&self, model: &ModelName) -> StoreRevision {
         let shard = usize::from(shard_of(model).0);
-        self.shard_versions.get(shard).copied().unwrap_or(0)
+        self.shard_versions.get(shard).copied().unwrap_or_default()
     }
 
     /// Returns the targets of a service, by the service's index in the catalogue.
--- a/crates/stair-entry/tests/control/fleet.rs
+++ b/crates/stair-entry/tests/control/fleet.rs
@@ -21,6 +21,7 @@
     VmRole,
     VmState, //
 };
+use stair_types::StoreRevision;
 use stair_types::{
     ApplyId,
     ConfigVersion,
@@ -75,7 +76,7 @@
     models.sort_by(|a, b| a.name.cmp(&b.name));
     Config {
         manifest: Versioned {
-            version: revision,
+            version: StoreRevision::new(0, revision),
             value: Some(Manifest {
                 version: ConfigVersion(version),
                 apply_id: ApplyId("a".into()),
@@ -95,13 +96,21 @@
 pub fn state(targets: u32, models: u32, replicas: u16) -> State {
     let mut state = State::default();
     state.update_config(config(1, 1, models, replicas));
-    state.update_vm("entry-0".into(), 2, Some(entry_vm(0)));
+    state.update_vm(
+        "entry-0".into(),
+        StoreRevision::new(0, 2),
+        Some(entry_vm(0)),
+    );
     for i in 0..targets {
         let name = target(i).as_str().into();
-        state.update_vm(name, 3, Some(target_vm(i, VmState::Live)));
-        state.update_incarnation(target(i), 4, Some(record(1)));
+        state.update_vm(
+            name,
+            StoreRevision::new(0, 3),
+            Some(target_vm(i, VmState::Live)),
+        );
+        state.update_incarnation(target(i), StoreRevision::new(0, 4), Some(record(1)));
     }
-    state.advance_revision(1_000);
+    state.advance_revision(StoreRevision::new(0, 1_000));
     state.confirmed = true;
     state
 }
--- a/crates/stair-entry/tests/control_propose.rs
+++ b/crates/stair-entry/tests/control_propose.rs
@@ -26,6 +26,7 @@
         shard_of, //
     }, //
 };
+use stair_types::StoreRevision;
 use stair_types::{
     FencingToken,
     ShardId,
@@ -47,7 +48,7 @@
         let settled = is_settled(state, shard);
         if let Some(next) = planner.propose(state, shard) {
             assert!(!settled, "a shard that needs a change counts as settled");
-            state.update_shard(shard, version, Some(next));
+            state.update_shard(shard, StoreRevision::new(0, version), Some(next));
             written += 1;
         }
     }
@@ -98,7 +99,7 @@
     let before = of_target(&state, &name).len();
     assert!(before > 0);
     let leaving = Some(target_vm(4, VmState::Leaving));
-    state.update_vm(name.as_str().into(), 11, leaving);
+    state.update_vm(name.as_str().into(), StoreRevision::new(0, 11), leaving);
 
     propose_all(&mut state, 12);
     propose_all(&mut state, 13);
@@ -127,8 +128,8 @@
     let mut state = state(10, MODELS, 3);
     propose_all(&mut state, 10);
     let name = target(4);
-    state.update_vm(name.as_str().into(), 1_001, None);
-    state.advance_revision(1_001);
+    state.update_vm(name.as_str().into(), StoreRevision::new(0, 1_001), None);
+    state.advance_revision(StoreRevision::new(0, 1_001));
 
     propose_all(&mut state, 1_002);
 
@@ -145,12 +146,16 @@
     let mut shard = GrantShard::default();
     let newcomer = target(77);
     shard.grant(&model_name(0), &newcomer, 1).expect("granted");
-    state.update_shard(shard_of(&model_name(0)), 2_000, Some(shard));
+    state.update_shard(
+        shard_of(&model_name(0)),
+        StoreRevision::new(0, 2_000),
+        Some(shard),
+    );
 
     assert_eq!(propose_all(&mut state, 2_001), 0);
 
     assert_eq!(of_target(&state, &newcomer).len(), 1);
-    state.advance_revision(2_002);
+    state.advance_revision(StoreRevision::new(0, 2_002));
     propose_all(&mut state, 2_003);
     assert!(of_target(&state, &newcomer).is_empty());
 }
@@ -194,7 +199,7 @@
     propose_all(&mut state, 10);
     assert_eq!(grants(&state).len(), 2);
     for i in 0..2 {
-        state.update_incarnation(target(i), 1_001, None);
+        state.update_incarnation(target(i), StoreRevision::new(0, 1_001), None);
     }
 
     propose_all(&mut state, 1_002);
--- a/crates/stair-entry/tests/control_state.rs
+++ b/crates/stair-entry/tests/control_state.rs
@@ -34,6 +34,7 @@
 };
 use stair_platform::VmState;
 use stair_state::GrantShard;
+use stair_types::StoreRevision;
 use stair_types::{
     GrantId,
     ShardId, //
@@ -61,17 +62,25 @@
         Arrival::Shard(v) => {
             let next_id = GrantId(v);
             let grants = Vec::new();
-            state.update_shard(ShardId(3), v, Some(GrantShard { next_id, grants }));
+            state.update_shard(
+                ShardId(3),
+                StoreRevision::new(0, v),
+                Some(GrantShard { next_id, grants }),
+            );
         }
         Arrival::Record(v) => {
-            state.update_incarnation(target(1), v, Some(record(v)));
+            state.update_incarnation(target(1), StoreRevision::new(0, v), Some(record(v)));
         }
         Arrival::Vm(v) => {
             let vm = target_vm(1, VmState::Live);
-            state.update_vm(target(1).as_str().into(), v, Some(vm));
+            state.update_vm(
+                target(1).as_str().into(),
+                StoreRevision::new(0, v),
+                Some(vm),
+            );
         }
         Arrival::VmDeleted(v) => {
-            state.update_vm(target(1).as_str().into(), v, None);
+            state.update_vm(target(1).as_str().into(), StoreRevision::new(0, v), None);
         }
     }
 }
@@ -97,7 +106,8 @@
         for arrival in all {
             arrive(&mut state, arrival);
             let token = state.incarnation(&target(1)).map_or(0, |r| r.token.0);
-            let now = [version_of(&state.config).0, state.shards[3].version, token];
+            let shard = state.shards[3].version.counter;
+            let now = [version_of(&state.config).0, shard, token];
             assert!(now.iter().zip(highest).all(|(n, h)| *n >= h), "seed {seed}");
             highest = now;
         }
@@ -118,21 +128,25 @@
         let name = target(i).as_str().into();
         state.update_vm(
             name,
-            u64::from(i) * 2 + 1,
+            StoreRevision::new(0, u64::from(i) * 2 + 1),
             Some(target_vm(i, VmState::Live)),
         );
         let name = target(i).as_str().into();
-        state.update_vm(name, u64::from(i) * 2 + 2, None);
-        state.advance_revision(u64::from(i) * 2 + 2);
+        state.update_vm(name, StoreRevision::new(0, u64::from(i) * 2 + 2), None);
+        state.advance_revision(StoreRevision::new(0, u64::from(i) * 2 + 2));
     }
     assert!(state.vms.len() < 5_000, "{} are kept", state.vms.len());
 
     let late = Some(target_vm(5, VmState::Live));
-    assert!(!state.update_vm(target(5).as_str().into(), 11, late));
+    assert!(!state.update_vm(target(5).as_str().into(), StoreRevision::new(0, 11), late));
 
     assert!(!state.is_listed(&target(5)));
     let new = Some(target_vm(5, VmState::Live));
-    assert!(state.update_vm(target(5).as_str().into(), 50_000, new));
+    assert!(state.update_vm(
+        target(5).as_str().into(),
+        StoreRevision::new(0, 50_000),
+        new
+    ));
 }
 
 #[test]
@@ -140,7 +154,11 @@
     let mut state = state(1, 1, 1);
     for i in 0..5 {
         let name = format!("entry-{i}");
-        state.update_vm(name.as_str().into(), 2_000, Some(entry_vm(i)));
+        state.update_vm(
+            name.as_str().into(),
+            StoreRevision::new(0, 2_000),
+            Some(entry_vm(i)),
+        );
     }
     let ranks: Vec<Vec<usize>> = (0..5).map(|i| state.ranks(&entry(i))).collect();
     for shard in 0..ranks[0].len() {
@@ -178,13 +196,13 @@
     let mut shard = GrantShard::default();
     shard.grant(&model_name(0), &target(0), 1).expect("granted");
     let id = stair_state::grants::shard_of(&model_name(0));
-    state.update_shard(id, 5, Some(shard.clone()));
+    state.update_shard(id, StoreRevision::new(0, 5), Some(shard.clone()));
     let before = assignment(&state);
     assert_eq!(before.models.len(), 1);
 
     state.update_config(config(1_001, 2, 3, 1));
     shard.next_id = GrantId(9);
-    state.update_shard(id, 1_002, Some(shard.clone()));
+    state.update_shard(id, StoreRevision::new(0, 1_002), Some(shard.clone()));
     assert!(!differs(&before, &assignment(&state)));
 
     state.update_config(config(1_003, 3, 3, 2));
@@ -193,7 +211,7 @@
         "its model has changed"
     );
     shard.revoke(GrantId(0));
-    state.update_shard(id, 1_004, Some(shard));
+    state.update_shard(id, StoreRevision::new(0, 1_004), Some(shard));
     assert!(
         differs(&before, &assignment(&state)),
         "its grant is revoked"
--- a/crates/stair-platform/src/apply.rs
+++ b/crates/stair-platform/src/apply.rs
@@ -16,7 +16,8 @@
 };
 use stair_types::{
     ApplyId,
-    ConfigVersion, //
+    ConfigVersion,
+    Era, //
 };
 use tokio::time::{
     Instant,
@@ -127,7 +128,8 @@
             write_chunk(store, chunk, deadline).await?;
         }
     }
-    let manifest = next_manifest(head.as_ref(), opts.apply_id.clone(), refs);
+    let era = store.eras().newest();
+    let manifest = next_manifest(head.as_ref(), era, opts.apply_id.clone(), refs);
     commit(store, head.as_ref(), &manifest, deadline).await
 }
 
@@ -141,7 +143,13 @@
     }
 }
 
-fn next_manifest(head: Option<&Head>, apply_id: ApplyId, chunks: Vec<ChunkRef>) -> Manifest {
+/// The manifest after `head`. A version of this era is above all that the store may have lost.
+fn next_manifest(
+    head: Option<&Head>,
+    era: Era,
+    apply_id: ApplyId,
+    chunks: Vec<ChunkRef>,
+) -> Manifest {
     let mut earlier = Vec::new();
     if let Some(Head { manifest, .. }) = head {
         earlier.push(manifest.apply_id.clone());
@@ -149,7 +157,7 @@
         earlier.truncate(MAX_EARLIER_APPLIES);
     }
     Manifest {
-        version: ConfigVersion(version_of(head).0 + 1),
+        version: ConfigVersion(version_of(head).0.max(era.first_number()) + 1),
         apply_id,
         earlier,
         chunks,
@@ -238,11 +246,16 @@
         let Ok(now) = read_head(store, deadline).await else {
             return undetermined;
         };
-        if now
+        if let Some(now) = now
             .as_ref()
-            .is_some_and(|now| records_apply(&now.manifest, manifest))
+            .filter(|now| records_apply(&now.manifest, manifest))
         {
-            return Outcome::Applied(manifest.version);
+            // Committed in a later era, it may have replaced a newer configuration of that era.
+            let overtaken = manifest.version.0 <= now.revision.era.first_number();
+            return match overtaken && now.revision.era != Era::default() {
+                true => undetermined,
+                false => Outcome::Applied(manifest.version),
+            };
         }
         let found = version_of(now.as_ref());
         let from = version_of(head);
--- a/crates/stair-platform/src/http.rs
+++ b/crates/stair-platform/src/http.rs
@@ -36,21 +36,28 @@
 };
 use serde_json::Value;
 use stair_http::client;
-use stair_types::Verdict;
+use stair_types::{
+    Era,
+    StoreRevision,
+    Verdict, //
+};
 use tokio::{
     sync::Semaphore,
     time::timeout, //
 };
 
 use crate::{
+    eras::Eras,
     store::ObjectStore,
     types::{
         Condition,
+        ERA_HEADER,
         Error,
         Kind,
         Object,
         Page, //
     },
+    wire,
 };
 
 /// Limits of the calls.
@@ -111,6 +118,7 @@
     opts: Options,
     slots: Arc<Semaphore>,
     counters: Arc<Counters>,
+    eras: Eras,
 }
 
 #[derive(Deserialize)]
@@ -145,6 +153,7 @@
             slots: Arc::new(Semaphore::new(opts.max_calls)),
             opts,
             counters: Arc::default(),
+            eras: Eras::default(),
         }
     }
 
@@ -161,7 +170,11 @@
         }
     }
 
-    async fn call<T>(&self, counter: &AtomicU64, call: Result<Call, Error>) -> Result<T, Error>
+    async fn call<T>(
+        &self,
+        counter: &AtomicU64,
+        call: Result<Call, Error>,
+    ) -> Result<(Era, T), Error>
     where
         T: DeserializeOwned,
     {
@@ -175,7 +188,7 @@
         result
     }
 
-    async fn in_slot<T>(&self, counter: &AtomicU64, call: Call) -> Result<T, Error>
+    async fn in_slot<T>(&self, counter: &AtomicU64, call: Call) -> Result<(Era, T), Error>
     where
         T: DeserializeOwned,
     {
@@ -188,12 +201,12 @@
         self.send(call).await
     }
 
-    async fn send<T>(&self, call: Call) -> Result<T, Error>
+    async fn send<T>(&self, call: Call) -> Result<(Era, T), Error>
     where
         T: DeserializeOwned,
     {
         let exchange = self.exchange(call.req, call.timeout);
-        let (status, body) = match timeout(call.timeout, exchange).await {
+        let (status, era, body) = match timeout(call.timeout, exchange).await {
             Ok(Ok(reply)) => reply,
             Ok(Err(e)) if e.verdict() == Verdict::NotRun => {
                 return Err(Error::Unavailable(e.to_string().into()));
@@ -201,25 +214,44 @@
             Ok(Err(e)) => return Err(lost_reply(call.effect, &e.to_string())),
             Err(_) => return Err(lost_reply(call.effect, "no reply in time")),
         };
+        self.eras.observe(era);
+        if era < self.eras.newest() && !status.is_server_error() {
+            return Err(lost_reply(
+                call.effect,
+                &format!("it is of the earlier era {era}"),
+            ));
+        }
         if status != StatusCode::OK {
             return Err(status_error(call.effect, status));
         }
-        serde_json::from_slice(&body).map_err(|e| match call.effect {
+        let decoded = serde_json::from_slice(&body).map(|value| (era, value));
+        decoded.map_err(|e| match call.effect {
             // The write was accepted, but its version is unknown.
             Effect::Write => Error::Unknown(e.to_string().into()),
             Effect::Read => Error::Invalid(e.to_string().into()),
         })
     }
 
+    /// Fails when a condition is of an earlier era than the newest, in which its version is another
+    /// state.
+    fn check_newest(&self, condition: Condition) -> Result<(), Error> {
+        match condition {
+            Condition::Version(version) if version.era < self.eras.newest() => Err(Error::Conflict),
+            Condition::Version(_) | Condition::Absent => Ok(()),
+        }
+    }
+
     async fn exchange(
         &self,
         req: Request<Full<Bytes>>,
         timeout: Duration,
-    ) -> Result<(StatusCode, Bytes), client::Error> {
+    ) -> Result<(StatusCode, Era, Bytes), client::Error> {
         let reply = self.client.send(req, timeout).await?;
         let status = reply.head.status;
+        let era = reply.head.headers.get(ERA_HEADER);
+        let era = era.and_then(|v| v.to_str().ok()?.trim().parse().ok());
         let body = reply.collect(self.opts.max_answer_bytes, timeout).await?;
-        Ok((status, body))
+        Ok((status, Era(era.unwrap_or_default()), body))
     }
 
     fn read(&self, path: String) -> Result<Call, Error> {
@@ -255,14 +287,20 @@
 }
 
 impl ObjectStore for HttpStore {
+    fn eras(&self) -> &Eras {
+        &self.eras
+    }
+
     async fn get(&self, kind: Kind, name: &str) -> Result<Object, Error> {
         let call = path(kind, name).and_then(|path| self.read(path));
-        self.call(&self.counters.get, call).await
+        let (era, object): (_, wire::Object) = self.call(&self.counters.get, call).await?;
+        Ok(object.stated_in(era))
     }
 
     async fn list(&self, kind: Kind) -> Result<Page, Error> {
         let call = self.read(format!("/objects/{}", kind.as_str()));
-        self.call(&self.counters.list, call).await
+        let (era, page): (_, wire::Page) = self.call(&self.counters.list, call).await?;
+        Ok(page.stated_in(era))
     }
 
     async fn put(
@@ -271,31 +309,52 @@
         name: &str,
         value: &Value,
         condition: Condition,
-    ) -> Result<u64, Error> {
+    ) -> Result<StoreRevision, Error> {
+        self.check_newest(condition)?;
         let body = serde_json::to_vec(value).map_err(invalid)?;
         let call = path(kind, name).and_then(|path| self.write(Method::PUT, path, condition, body));
-        let written: Written = self.call(&self.counters.put, call).await?;
-        Ok(written.version)
+        let (era, written): (_, Written) = self.call(&self.counters.put, call).await?;
+        check_era(condition, era)?;
+        Ok(StoreRevision {
+            counter: written.version,
+            era,
+        })
     }
 
-    async fn delete(&self, kind: Kind, name: &str, version: u64) -> Result<(), Error> {
+    async fn delete(&self, kind: Kind, name: &str, version: StoreRevision) -> Result<(), Error> {
         let condition = Condition::Version(version);
+        self.check_newest(condition)?;
         let call = path(kind, name)
             .and_then(|path| self.write(Method::DELETE, path, condition, Vec::new()));
-        let _: Value = self.call(&self.counters.delete, call).await?;
-        Ok(())
+        let (era, _): (_, Value) = self.call(&self.counters.delete, call).await?;
+        check_era(condition, era)
     }
 
-    async fn watch(&self, kinds: &[Kind], since: u64, wait: Duration) -> Result<Page, Error> {
+    async fn watch(
+        &self,
+        kinds: &[Kind],
+        since: StoreRevision,
+        wait: Duration,
+    ) -> Result<Page, Error> {
         let kinds: Vec<&str> = kinds.iter().map(|kind| kind.as_str()).collect();
         let kinds = kinds.join(",");
         let wait_ms = wait.as_millis();
-        let path = format!("/watch?kinds={kinds}&since={since}&timeout_ms={wait_ms}");
+        let path = format!(
+            "/watch?kinds={kinds}&since={}&timeout_ms={wait_ms}",
+            since.counter
+        );
         let call = self.read(path).map(|call| Call {
             timeout: wait + call.timeout,
             ..call
         });
-        self.call(&self.counters.watch, call).await
+        let (era, page): (_, wire::Page) = tokio::select! {
+            reply = self.call(&self.counters.watch, call) => reply?,
+            () = self.eras.after(since.era) => return Err(Error::Gone),
+        };
+        if era != since.era {
+            return Err(Error::Gone);
+        }
+        Ok(page.stated_in(era))
     }
 }
 
@@ -309,10 +368,20 @@
     Ok(format!("/objects/{}/{name}", kind.as_str()))
 }
 
+/// Fails when a write with a condition took effect in another era than the condition's.
+fn check_era(condition: Condition, era: Era) -> Result<(), Error> {
+    match condition {
+        Condition::Version(version) if version.era != era => {
+            Err(Error::Unknown("it took effect in another era".into()))
+        }
+        Condition::Version(_) | Condition::Absent => Ok(()),
+    }
+}
+
 fn precondition(condition: Condition) -> (HeaderName, String) {
     match condition {
         Condition::Absent => (IF_NONE_MATCH, "*".to_owned()),
-        Condition::Version(version) => (IF_MATCH, version.to_string()),
+        Condition::Version(version) => (IF_MATCH, version.counter.to_string()),
     }
 }
 
--- a/crates/stair-platform/src/lib.rs
+++ b/crates/stair-platform/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`load`]: reads the configuration in force.
 //! - [`store`]: [`ObjectStore`], the trait of the object API.
 //! - [`types`]: the kinds of objects, their values and the errors of a call.
+//! - [`wire`]: the JSON of objects and pages in replies.
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
@@ -15,6 +16,7 @@
 pub mod load;
 pub mod store;
 pub mod types;
+pub mod wire;
 
 pub use eras::Eras;
 pub use http::HttpStore;
--- a/crates/stair-platform/src/load.rs
+++ b/crates/stair-platform/src/load.rs
@@ -7,7 +7,10 @@
         Chunk, //
     }, //
 };
-use stair_types::ConfigVersion;
+use stair_types::{
+    ConfigVersion,
+    StoreRevision, //
+};
 use tokio::task::JoinSet;
 
 use crate::{
@@ -51,7 +54,7 @@
     /// The manifest.
     pub manifest: Manifest,
     /// The version of the manifest's object, for a conditional update.
-    pub revision: u64,
+    pub revision: StoreRevision,
 }
 
 /// The configuration in force.
--- a/crates/stair-platform/src/store.rs
+++ b/crates/stair-platform/src/store.rs
@@ -3,20 +3,30 @@
 use std::time::Duration;
 
 use serde_json::Value;
+use stair_types::StoreRevision;
 
-use crate::types::{
-    Condition,
-    Error,
-    Kind,
-    Object,
-    Page, //
+use crate::{
+    eras::Eras,
+    types::{
+        Condition,
+        Error,
+        Kind,
+        Object,
+        Page, //
+    }, //
 };
 
 /// The platform's object API.
 ///
 /// Every call counts against the rate limit of the platform; a waiting watch counts as one call.
 /// The implementation bounds the duration of each call by a timeout.
+///
+/// A reply of an earlier era than the newest one known is outdated: a read has failed, and the outcome
+/// of a write is unknown.
 pub trait ObjectStore: Clone + Send + Sync + 'static {
+    /// The newest era that is known. After a call it is at least that of the reply.
+    fn eras(&self) -> &Eras;
+
     /// Reads one object.
     ///
     /// # Errors
@@ -37,14 +47,15 @@
     /// # Errors
     ///
     /// [`Error::Conflict`] if the condition is not met; [`Error::Unknown`] if the write may have
-    /// taken effect; [`Error::Unavailable`] or [`Error::Invalid`].
+    /// taken effect, or did so in another era than that of the condition, in which the version is
+    /// another state; [`Error::Unavailable`] or [`Error::Invalid`].
     fn put(
         &self,
         kind: Kind,
         name: &str,
         value: &Value,
         condition: Condition,
-    ) -> impl Future<Output = Result<u64, Error>> + Send;
+    ) -> impl Future<Output = Result<StoreRevision, Error>> + Send;
 
     /// Deletes an object that has the given version.
     ///
@@ -55,7 +66,7 @@
         &self,
         kind: Kind,
         name: &str,
-        version: u64,
+        version: StoreRevision,
     ) -> impl Future<Output = Result<(), Error>> + Send;
 
     /// Waits at most `wait` for changes of objects of the given kinds after the revision `since`.
@@ -63,11 +74,11 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Gone`] if `since` is too old, [`Error::Unavailable`] or [`Error::Invalid`].
+    /// [`Error::Gone`] if `since` is too old or of another era than the newest, [`Error::Unavailable`] or [`Error::Invalid`].
     fn watch(
         &self,
         kinds: &[Kind],
-        since: u64,
+        since: StoreRevision,
         wait: Duration,
     ) -> impl Future<Output = Result<Page, Error>> + Send;
 }
--- a/crates/stair-platform/src/types.rs
+++ b/crates/stair-platform/src/types.rs
@@ -11,7 +11,8 @@
 //! | watch | `GET /watch?kinds=a,b&since=REVISION&timeout_ms=N` | 200 [`Page`] of changes as soon as there is one, empty after the timeout; 410 if `since` is too old and a list is needed |
 //!
 //! Versions are values of a single revision counter of the whole store, so that a watch on several
-//! kinds has one position.
+//! kinds has one position. Each reply states the store's era in the header [`ERA_HEADER`]; the client
+//! adds it to all versions of the reply.
 
 use std::net::SocketAddr;
 
@@ -27,9 +28,13 @@
     FencingToken,
     RequestId,
     ServiceName,
+    StoreRevision,
     TargetName, //
 };
 
+/// States the store's era, which rises each time that the store comes back from a copy.
+pub const ERA_HEADER: &str = "platform-era";
+
 /// The kind of an object.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -71,7 +76,7 @@
     /// The name, unique within the kind.
     pub name: Box<str>,
     /// The revision of the store at which the object was last written.
-    pub version: u64,
+    pub version: StoreRevision,
     /// The value, in the type that [`Kind`] states.
     pub value: serde_json::Value,
 }
@@ -89,7 +94,7 @@
         /// The name, unique within the kind.
         name: Box<str>,
         /// The revision of the store at which the object was deleted.
-        version: u64,
+        version: StoreRevision,
     },
 }
 
@@ -97,7 +102,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Page {
     /// The revision of the store up to which the page is complete; the `since` of the next watch.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// For a list, all objects as [`Event::Put`]; for a watch, the changes in order of revision.
     pub events: Vec<Event>,
 }
@@ -108,7 +113,7 @@
     /// The object does not exist.
     Absent,
     /// The object exists with this version.
-    Version(u64),
+    Version(StoreRevision),
 }
 
 /// Why a call failed.
@@ -120,7 +125,7 @@
     /// The object does not exist.
     #[error("no such object")]
     NotFound,
-    /// The position of the watch is too old; a list is needed.
+    /// The position of the watch is too old, or of another era; a list is needed.
     #[error("the watch position is too old")]
     Gone,
     /// The call had no effect: the platform refused it, it was not sent, or it was a read whose
@@ -258,7 +263,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Snapshot {
     /// The revision up to which the snapshot is complete.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The manifest, chunks, grants, incarnations and VMs.
     pub objects: Vec<Object>,
 }
--- a/crates/stair-platform/tests/http_store.rs
+++ b/crates/stair-platform/tests/http_store.rs
@@ -29,6 +29,7 @@
         Outage, //
     },
 };
+use stair_types::StoreRevision;
 
 const LONG: Duration = Duration::from_secs(20);
 const SHORT: Duration = Duration::from_secs(1);
@@ -44,7 +45,7 @@
     (platform, store)
 }
 
-async fn put(store: &HttpStore, name: &str, value: Value) -> Result<u64, Error> {
+async fn put(store: &HttpStore, name: &str, value: Value) -> Result<StoreRevision, Error> {
     store
         .put(Kind::Grants, name, &value, Condition::Absent)
         .await
@@ -80,7 +81,11 @@
 async fn conditional_delete() {
     let (_platform, store) = start(LONG).await;
     let version = put(&store, "0", json!(1)).await.expect("written");
-    let wrong = store.delete(Kind::Grants, "0", version + 1).await;
+    let other = StoreRevision {
+        counter: version.counter + 1,
+        ..version
+    };
+    let wrong = store.delete(Kind::Grants, "0", other).await;
     assert_eq!(wrong, Err(Error::Conflict));
     assert_eq!(store.delete(Kind::Grants, "0", version).await, Ok(()));
     let gone = store.delete(Kind::Grants, "0", version).await;
--- a/crates/stair-platform/tests/random_replies.rs
+++ b/crates/stair-platform/tests/random_replies.rs
@@ -25,6 +25,7 @@
     http,
     load, //
 };
+use stair_types::StoreRevision;
 use tokio::{
     io::{
         AsyncReadExt,
@@ -110,7 +111,7 @@
         let object = Object {
             kind: Kind::Manifest,
             name: "manifest".into(),
-            version,
+            version: StoreRevision::new(0, version),
             value: values[n].clone(),
         };
         if let Ok(manifest) = load::manifest(&object) {
--- a/crates/stair-standin/src/memory.rs
+++ b/crates/stair-standin/src/memory.rs
@@ -18,16 +18,19 @@
 use serde_json::Value;
 use stair_platform::{
     Condition,
+    Eras,
     Error,
     Kind,
     Object,
     ObjectStore,
     Page, //
 };
+use stair_types::StoreRevision;
 use tokio::sync::watch;
 
 use crate::platform::{
     Rejected,
+    Return,
     store::Store, //
 };
 
@@ -74,6 +77,7 @@
 pub struct MemoryStore {
     state: Arc<Mutex<State>>,
     stuck: watch::Sender<bool>,
+    eras: Eras,
 }
 
 impl Default for MemoryStore {
@@ -81,6 +85,7 @@
         Self {
             state: Arc::default(),
             stuck: watch::Sender::new(false),
+            eras: Eras::default(),
         }
     }
 }
@@ -113,6 +118,17 @@
         self.stuck.send_replace(stuck);
     }
 
+    /// Takes a copy of the present state.
+    pub fn take_copy(&self) {
+        self.lock().store.take_copy();
+    }
+
+    /// Comes back from the last copy: what was written since is lost, and its revisions are given out
+    /// again.
+    pub fn come_back(&self) {
+        self.lock().store.come_back(Return::Stated);
+    }
+
     /// Lets other tasks run during each write, as they do while a real one is under way.
     pub fn set_writes_yield(&self) {
         self.lock().writes_yield = true;
@@ -211,9 +227,14 @@
 }
 
 impl ObjectStore for MemoryStore {
+    fn eras(&self) -> &Eras {
+        &self.eras
+    }
+
     async fn get(&self, kind: Kind, name: &str) -> Result<Object, Error> {
         self.not_stuck().await;
         let mut state = self.lock();
+        self.eras.observe(state.store.era());
         match state.fault(kind, false) {
             Some(Fault::Down) => Err(down()),
             Some(_) => Err(lost()),
@@ -224,6 +245,7 @@
     async fn list(&self, kind: Kind) -> Result<Page, Error> {
         self.not_stuck().await;
         let mut state = self.lock();
+        self.eras.observe(state.store.era());
         match state.fault(kind, false) {
             Some(Fault::Down) => Err(down()),
             Some(_) => Err(lost()),
@@ -237,12 +259,13 @@
         name: &str,
         value: &Value,
         condition: Condition,
-    ) -> Result<u64, Error> {
+    ) -> Result<StoreRevision, Error> {
         self.not_stuck().await;
         if self.lock().writes_yield {
             tokio::task::yield_now().await;
         }
         let mut state = self.lock();
+        self.eras.observe(state.store.era());
         state.puts.push(kind);
         let value = value.clone();
         match state.fault(kind, true) {
@@ -269,9 +292,10 @@
         }
     }
 
-    async fn delete(&self, kind: Kind, name: &str, version: u64) -> Result<(), Error> {
+    async fn delete(&self, kind: Kind, name: &str, version: StoreRevision) -> Result<(), Error> {
         self.not_stuck().await;
         let mut state = self.lock();
+        self.eras.observe(state.store.era());
         match state.fault(kind, true) {
             Some(Fault::Down) => return Err(down()),
             Some(Fault::LostAfter) => {
@@ -285,9 +309,21 @@
     }
 
     /// Nothing ever changes by itself, so a watch waits its time and finds nothing.
-    async fn watch(&self, kinds: &[Kind], since: u64, wait: Duration) -> Result<Page, Error> {
+    async fn watch(
+        &self,
+        kinds: &[Kind],
+        since: StoreRevision,
+        wait: Duration,
+    ) -> Result<Page, Error> {
         self.not_stuck().await;
-        let page = self.lock().store.changes(kinds, since);
+        let page = {
+            let state = self.lock();
+            self.eras.observe(state.store.era());
+            match state.store.era() == since.era {
+                true => state.store.changes(kinds, since.counter),
+                false => None,
+            }
+        };
         let page = page.ok_or(Error::Gone)?;
         if page.events.is_empty() {
             tokio::time::sleep(wait).await;
--- a/crates/stair-standin/src/platform.rs
+++ b/crates/stair-standin/src/platform.rs
@@ -18,13 +18,17 @@
     Vm,
     VmState, //
 };
+use stair_types::StoreRevision;
 use tokio::sync::watch;
 
 use crate::server::{
     Server,
     expected, //
 };
-pub use store::Rejected;
+pub use store::{
+    Rejected,
+    Return, //
+};
 use store::{
     Store,
     VmChange, //
@@ -194,7 +198,7 @@
         name: &str,
         value: Value,
         condition: Condition,
-    ) -> Result<u64, Rejected> {
+    ) -> Result<StoreRevision, Rejected> {
         let mut result = Err(Rejected::Conflict);
         self.state.send_modify(|state| {
             result = state.store.put(kind, name, value, condition);
@@ -278,6 +282,17 @@
         self.modify(|state| state.store.forget_history());
     }
 
+    /// Takes a copy of the present state.
+    pub fn take_copy(&self) {
+        self.modify(|state| state.store.take_copy());
+    }
+
+    /// Comes back from the last copy: what was written since is lost, and its revisions are given out
+    /// again.
+    pub fn come_back(&self, how: Return) {
+        self.modify(|state| state.store.come_back(how));
+    }
+
     fn lose(&self, left: u32, after_effect: bool, loss: Loss) {
         let lost = LostWrites {
             left,
--- a/crates/stair-standin/src/platform/serve.rs
+++ b/crates/stair-standin/src/platform/serve.rs
@@ -19,8 +19,11 @@
 use stair_http::Body;
 use stair_platform::{
     Condition,
-    Kind, //
+    Kind,
+    types::ERA_HEADER,
+    wire, //
 };
+use stair_types::StoreRevision;
 use tokio::{
     sync::watch,
     time::timeout, //
@@ -58,6 +61,17 @@
 }
 
 pub(super) async fn answer(state: Shared, req: Request<Incoming>) -> Response<Body> {
+    let mut resp = respond(state.clone(), req).await;
+    let state = state.borrow();
+    // During an outage a proxy in front of the platform responds, and states no era.
+    if state.outage == Outage::None {
+        let era = state.store.era().0;
+        resp.headers_mut().insert(ERA_HEADER, era.into());
+    }
+    resp
+}
+
+async fn respond(state: Shared, req: Request<Incoming>) -> Response<Body> {
     let Some(route) = route(&req) else {
         return error(StatusCode::BAD_REQUEST, "no such path");
     };
@@ -86,7 +100,8 @@
     match route {
         Route::Watch(watch) => changes(&state, watch).await,
         Route::Objects { kind, .. } if call == Call::List => {
-            answer_json(StatusCode::OK, &state.borrow().store.list(kind))
+            let page = state.borrow().store.list(kind);
+            answer_json(StatusCode::OK, &wire::Page::from(page))
         }
         Route::Objects { kind, name } => get(&state, kind, &name),
     }
@@ -135,20 +150,29 @@
 
 fn get(state: &Shared, kind: Kind, name: &str) -> Response<Body> {
     match state.borrow().store.get(kind, name) {
-        Some(object) => answer_json(StatusCode::OK, &object),
+        Some(object) => answer_json(StatusCode::OK, &wire::Object::from(object)),
         None => error(StatusCode::NOT_FOUND, "no such object"),
     }
 }
 
 async fn changes(state: &Shared, watch: Watch) -> Response<Body> {
     let mut rx = state.subscribe();
+    let era = state.borrow().store.era();
+    let is_cut = |state: &State| state.store.era() != era && state.store.cuts_watches();
     let changed = rx.wait_for(|state| {
+        if is_cut(state) {
+            return true;
+        }
         let page = state.store.changes(&watch.kinds, watch.since);
         page.is_none_or(|page| !page.events.is_empty())
     });
     let _ = timeout(watch.wait, changed).await;
-    match state.borrow().store.changes(&watch.kinds, watch.since) {
-        Some(page) => answer_json(StatusCode::OK, &page),
+    let state = state.borrow();
+    if is_cut(&state) {
+        return cut(Default::default());
+    }
+    match state.store.changes(&watch.kinds, watch.since) {
+        Some(page) => answer_json(StatusCode::OK, &wire::Page::from(page)),
         None => error(StatusCode::GONE, "too old, list again"),
     }
 }
@@ -201,8 +225,8 @@
     if header(req, "if-none-match") == "*" {
         return Some(Condition::Absent);
     }
-    let version = header(req, "if-match").parse().ok()?;
-    Some(Condition::Version(version))
+    let counter = header(req, "if-match").parse().ok()?;
+    Some(Condition::Version(StoreRevision::new(0, counter)))
 }
 
 fn take_loss(state: &Shared) -> Option<LostWrites> {
@@ -236,7 +260,7 @@
         };
     });
     match result {
-        Ok(version) => answer_json(StatusCode::OK, &json!({ "version": version })),
+        Ok(version) => answer_json(StatusCode::OK, &json!({ "version": version.counter })),
         Err(Rejected::Conflict) => error(StatusCode::CONFLICT, "changed meanwhile"),
         Err(Rejected::NotFound) => error(StatusCode::NOT_FOUND, "no such object"),
     }
--- a/crates/stair-standin/src/platform/store.rs
+++ b/crates/stair-standin/src/platform/store.rs
@@ -15,6 +15,10 @@
     Vm,
     VmState, //
 };
+use stair_types::{
+    Era,
+    StoreRevision, //
+};
 use tokio::time::Instant;
 
 const MAX_HISTORY: usize = 10_000;
@@ -40,8 +44,28 @@
     change: VmChange,
 }
 
+/// How the store comes back from a copy of its state.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Return {
+    /// Watches lose their connections, and those from revisions that are lost are too old.
+    #[default]
+    Stated,
+    /// Watches go on, and a lost revision counts as one without changes since.
+    Unstated,
+}
+
+struct Copied {
+    objects: Vec<Object>,
+    history: VecDeque<Event>,
+    forgotten: u64,
+    revision: u64,
+}
+
 #[derive(Default)]
 pub(crate) struct Store {
+    era: Era,
+    last_return: Return,
+    copy: Option<Copied>,
     revision: u64,
     /// Sorted by kind and name.
     objects: Vec<Object>,
@@ -61,7 +85,7 @@
     pub(crate) fn list(&self, kind: Kind) -> Page {
         let of_kind = self.objects.iter().filter(|object| object.kind == kind);
         Page {
-            revision: self.revision,
+            revision: self.present(),
             events: of_kind.cloned().map(Event::Put).collect(),
         }
     }
@@ -72,11 +96,13 @@
         name: &str,
         value: Value,
         condition: Condition,
-    ) -> Result<u64, Rejected> {
+    ) -> Result<StoreRevision, Rejected> {
         let found = self.find(kind, name);
         let holds = match (condition, found) {
             (Condition::Absent, found) => found.is_err(),
-            (Condition::Version(version), Ok(at)) => self.objects[at].version == version,
+            (Condition::Version(version), Ok(at)) => {
+                self.objects[at].version.counter == version.counter
+            }
             (Condition::Version(_), Err(_)) => false,
         };
         if !holds {
@@ -85,9 +111,14 @@
         Ok(self.write(kind, name, value))
     }
 
-    pub(crate) fn delete(&mut self, kind: Kind, name: &str, version: u64) -> Result<(), Rejected> {
+    pub(crate) fn delete(
+        &mut self,
+        kind: Kind,
+        name: &str,
+        version: StoreRevision,
+    ) -> Result<(), Rejected> {
         let at = self.find(kind, name).map_err(|_| Rejected::NotFound)?;
-        if self.objects[at].version != version {
+        if self.objects[at].version.counter != version.counter {
             return Err(Rejected::Conflict);
         }
         self.remove(at);
@@ -96,7 +127,8 @@
 
     /// Returns the changes after `since`, or `None` when the history does not reach back so far.
     pub(crate) fn changes(&self, kinds: &[Kind], since: u64) -> Option<Page> {
-        if since < self.forgotten || since > self.revision {
+        let is_lost = since > self.revision && self.last_return == Return::Stated;
+        if since < self.forgotten || is_lost {
             return None;
         }
         let wanted = |event: &&Event| {
@@ -104,11 +136,65 @@
             version > since && kinds.contains(&kind)
         };
         Some(Page {
-            revision: self.revision,
+            revision: self.present(),
             events: self.history.iter().filter(wanted).cloned().collect(),
         })
     }
 
+    pub(crate) fn era(&self) -> Era {
+        self.era
+    }
+
+    /// Whether watches that began in an earlier era lose their connections.
+    pub(super) fn cuts_watches(&self) -> bool {
+        self.last_return == Return::Stated
+    }
+
+    fn present(&self) -> StoreRevision {
+        StoreRevision {
+            counter: self.revision,
+            era: self.era,
+        }
+    }
+
+    pub(crate) fn take_copy(&mut self) {
+        self.copy = Some(Copied {
+            objects: self.objects.clone(),
+            history: self.history.clone(),
+            forgotten: self.forgotten,
+            revision: self.revision,
+        });
+    }
+
+    /// Comes back from the last copy in the next era. Without a copy nothing is left.
+    pub(crate) fn come_back(&mut self, how: Return) {
+        self.era = Era(self.era.0 + 1);
+        self.last_return = how;
+        let era = self.era;
+        let Copied {
+            mut objects,
+            mut history,
+            forgotten,
+            revision,
+        } = self.copy.take().unwrap_or(Copied {
+            objects: Vec::new(),
+            history: VecDeque::new(),
+            forgotten: 0,
+            revision: 0,
+        });
+        objects.iter_mut().for_each(|o| o.version.era = era);
+        for event in &mut history {
+            match event {
+                Event::Put(object) => object.version.era = era,
+                Event::Deleted { version, .. } => version.era = era,
+            }
+        }
+        self.objects = objects;
+        self.history = history;
+        self.forgotten = forgotten;
+        self.revision = revision;
+    }
+
     pub(super) fn forget_history(&mut self) {
         self.history.clear();
         // A revision of its own, so that even a watch that has seen everything is too old.
@@ -168,12 +254,12 @@
             .binary_search_by(|object| (object.kind, &*object.name).cmp(&key))
     }
 
-    pub(crate) fn write(&mut self, kind: Kind, name: &str, value: Value) -> u64 {
+    pub(crate) fn write(&mut self, kind: Kind, name: &str, value: Value) -> StoreRevision {
         self.revision += 1;
         let object = Object {
             kind,
             name: name.into(),
-            version: self.revision,
+            version: self.present(),
             value,
         };
         match self.find(kind, name) {
@@ -181,7 +267,7 @@
             Err(at) => self.objects.insert(at, object.clone()),
         }
         self.remember(Event::Put(object));
-        self.revision
+        self.present()
     }
 
     fn remove(&mut self, at: usize) {
@@ -190,7 +276,7 @@
         self.remember(Event::Deleted {
             kind: object.kind,
             name: object.name,
-            version: self.revision,
+            version: self.present(),
         });
     }
 
@@ -207,7 +293,7 @@
 
 fn position(event: &Event) -> (Kind, u64) {
     match event {
-        Event::Put(object) => (object.kind, object.version),
-        Event::Deleted { kind, version, .. } => (*kind, *version),
+        Event::Put(object) => (object.kind, object.version.counter),
+        Event::Deleted { kind, version, .. } => (*kind, version.counter),
     }
 }
--- a/crates/stair-standin/tests/platform.rs
+++ b/crates/stair-standin/tests/platform.rs
@@ -28,6 +28,7 @@
         Rejected, //
     },
 };
+use stair_types::StoreRevision;
 
 const LONG: Duration = Duration::from_secs(20);
 const LAG: Duration = Duration::from_millis(500);
@@ -105,7 +106,9 @@
 
     let patient = HttpStore::new(platform.addr(), Options::default());
     platform.faults().set_delay(Duration::ZERO);
-    let page = patient.watch(&[Kind::Grants], 0, LONG).await;
+    let page = patient
+        .watch(&[Kind::Grants], StoreRevision::new(0, 0), LONG)
+        .await;
     assert_eq!(page.expect("a page").events.len(), 1);
 }
 
@@ -114,7 +117,7 @@
     let (platform, store) = start().await;
     let absent = Condition::Absent;
     let version = platform.put(Kind::Chunk, "a", json!(1), absent);
-    assert_eq!(version, Ok(1));
+    assert_eq!(version, Ok(StoreRevision::new(0, 1)));
     let conflict = platform.put(Kind::Chunk, "a", json!(2), absent);
     assert_eq!(conflict, Err(Rejected::Conflict));
     store.get(Kind::Chunk, "a").await.expect("there");
--- a/crates/stair-state/src/grants.rs
+++ b/crates/stair-state/src/grants.rs
@@ -10,6 +10,7 @@
     Serialize, //
 };
 use stair_types::{
+    Era,
     GrantId,
     ModelName,
     ShardId,
@@ -104,6 +105,36 @@
         Ok(id)
     }
 
+    /// Whether the shard was written by a process that knew of this era.
+    pub fn is_of(&self, era: Era) -> bool {
+        self.next_id.0 > era.first_number()
+    }
+
+    /// Makes the ids of new grants differ from all that were given out in earlier eras, also from those
+    /// that the platform has lost.
+    pub fn begin_era(&mut self, era: Era) {
+        if era != Era::default() {
+            let first = GrantId(era.first_number() + 1);
+            self.next_id = self.next_id.max(first);
+        }
+    }
+
+    /// Adds the grants of a copy of an earlier state. Those that are unknown here had ended: they are
+    /// revoked, and end again once their targets confirm.
+    pub fn merge_copy(&mut self, copy: &Self) {
+        self.next_id = self.next_id.max(copy.next_id);
+        for grant in &copy.grants {
+            let key = |g: &Grant| (g.model.clone(), g.target.clone());
+            if let Err(at) = self.grants.binary_search_by_key(&key(grant), key) {
+                let ended = Grant {
+                    revoking: true,
+                    ..grant.clone()
+                };
+                self.grants.insert(at, ended);
+            }
+        }
+    }
+
     /// Marks a grant as revoking. Returns whether the shard changed.
     pub fn revoke(&mut self, id: GrantId) -> bool {
         match self.grants.iter_mut().find(|g| g.id == id && !g.revoking) {
--- a/crates/stair-wire/src/control.rs
+++ b/crates/stair-wire/src/control.rs
@@ -23,6 +23,7 @@
     GrantId,
     ModelName,
     ShardId,
+    StoreRevision,
     TargetName,
     TierRank, //
 };
@@ -76,7 +77,7 @@
     /// The target's data centre.
     pub data_centre: DataCentre,
     /// The shard versions in force at the agent; the entry sends newer ones.
-    pub shards: Vec<(ShardId, u64)>,
+    pub shards: Vec<(ShardId, StoreRevision)>,
     /// The configuration version in force at the agent.
     pub config: ConfigVersion,
 }
@@ -121,6 +122,9 @@
     },
     /// The state of the agent's VM on the platform's list, as known to this entry.
     Vm(VmNotice),
+    /// The platform no longer has the agent's record, or has that of an earlier incarnation, as of this
+    /// revision: the agent writes it again.
+    RecordLost(StoreRevision),
 }
 
 /// The state of an agent's VM on the platform's list.
@@ -131,7 +135,7 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VmNotice {
     /// The platform's version of the VM's record; the agent applies only a higher one.
-    pub version: u64,
+    pub version: StoreRevision,
     /// Whether the VM is listed as leaving.
     pub is_leaving: bool,
 }
@@ -173,7 +177,10 @@
     /// The shard.
     pub shard: ShardId,
     /// The platform's version of the shard's object.
-    pub version: u64,
+    pub version: StoreRevision,
+    /// Whether grants that are missing have ended. If not, the entry knows the shard only from a copy
+    /// that the platform has come back from, which may lack the newest ones.
+    pub complete: bool,
     /// The target's grants, sorted by model.
     pub grants: Vec<AssignedGrant>,
 }
--- a/crates/stair-wire/src/request.rs
+++ b/crates/stair-wire/src/request.rs
@@ -21,6 +21,7 @@
     Refusal,
     RequestId,
     ServiceName,
+    StoreRevision,
     TierRank, //
 };
 
@@ -75,10 +76,10 @@
     /// The caller's other headers, without those of the connection, the caller's key and
     /// dandelionstair's own headers.
     pub headers: Vec<Header>,
-    /// The version of the model's grant shard by which the entry chose the target; 0 for services.
+    /// The version of the model's grant shard by which the entry chose the target; none for services.
     /// The entry may receive a new grant before the agent does, so an agent with an older version
     /// waits for its assignment before it refuses the offer as not granted.
-    pub shard_version: u64,
+    pub shard_version: StoreRevision,
     /// The caller's tier.
     pub rank: TierRank,
     /// Time left until the deadline when the offer was sent, in milliseconds. It is relative
