--- a/crates/stair-agent/tests/common/entry.rs
+++ b/crates/stair-agent/tests/common/entry.rs
@@ -23,6 +23,7 @@
     FencingToken,
     Refusal,
     RequestId,
+    StoreRevision,
     TierRank, //
 };
 use stair_wire::{
@@ -48,7 +49,6 @@
 use tokio::sync::watch;
 
 use super::WAIT_TIMEOUT;
-use stair_types::StoreRevision;
 
 #[derive(Clone)]
 pub(crate) struct FakeEntry {
--- a/crates/stair-agent/tests/common/mod.rs
+++ b/crates/stair-agent/tests/common/mod.rs
@@ -47,6 +47,7 @@
     GrantId,
     ModelName,
     ShardId,
+    StoreRevision,
     TierRank, //
 };
 use stair_wire::control::{
@@ -58,7 +59,6 @@
 use engine::FakeEngine;
 use entry::FakeEntry;
 use stair_standin::memory::MemoryStore;
-use stair_types::StoreRevision;
 
 /// Timeout of every wait, which only a failing test reaches.
 pub(crate) const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
--- a/crates/stair-agent/tests/engine_faults.rs
+++ b/crates/stair-agent/tests/engine_faults.rs
@@ -11,10 +11,10 @@
     until, //
 };
 use stair_config::Adapter;
-use stair_types::StoreRevision;
 use stair_types::{
     Reason,
     RequestId,
+    StoreRevision,
     TierRank,
     Verdict, //
 };
--- a/crates/stair-agent/tests/queue.rs
+++ b/crates/stair-agent/tests/queue.rs
@@ -9,10 +9,10 @@
     eventually,
     until, //
 };
-use stair_types::StoreRevision;
 use stair_types::{
     Reason,
     RequestId,
+    StoreRevision,
     TierRank,
     Verdict, //
 };
--- a/crates/stair-dev/examples/slopes/size.rs
+++ b/crates/stair-dev/examples/slopes/size.rs
@@ -25,7 +25,6 @@
     VmRole,
     VmState, //
 };
-use stair_types::StoreRevision;
 use stair_types::{
     AdapterName,
     ApplyId,
@@ -35,6 +34,7 @@
     FencingToken,
     ModelName,
     ShardId,
+    StoreRevision,
     TargetName, //
 };
 
--- a/crates/stair-entry/src/process.rs
+++ b/crates/stair-entry/src/process.rs
@@ -18,7 +18,10 @@
     Pool,
     link::Probing, //
 };
-use stair_platform::ObjectStore;
+use stair_platform::{
+    Eras,
+    ObjectStore, //
+};
 use stair_telemetry::{
     Metrics, Part, info,
     operator::{
@@ -82,6 +85,7 @@
     pool: Pool,
     view: watch::Receiver<Arc<View>>,
     drain: watch::Sender<bool>,
+    eras: Eras,
 }
 
 impl<S> Entry<S>
@@ -115,6 +119,7 @@
         let dialer = Dialer::new(&keys, CONNECT_TIMEOUT)?;
         let pool = Pool::new(dialer.clone(), Probing::REQUESTS);
         let (drain, _) = watch::channel(false);
+        let eras = store.eras().clone();
         let shared = Arc::new(Shared {
             traffic: Traffic::with_metrics(
                 control.view(),
@@ -129,6 +134,7 @@
             pool,
             view: control.view(),
             drain,
+            eras,
         });
         let (ended, stop) = watch::channel(false);
         let traffic = shared.traffic.clone();
@@ -211,6 +217,7 @@
         let now = shared.dialer.replaced();
         (replaced..now).for_each(|_| metrics.link_replaced());
         replaced = now;
+        metrics.platform_era(shared.eras.newest().0);
         metrics.flush();
     }
 }
--- a/crates/stair-entry/tests/control/fleet.rs
+++ b/crates/stair-entry/tests/control/fleet.rs
@@ -21,7 +21,6 @@
     VmRole,
     VmState, //
 };
-use stair_types::StoreRevision;
 use stair_types::{
     ApplyId,
     ConfigVersion,
@@ -29,6 +28,7 @@
     EntryName,
     FencingToken,
     ModelName,
+    StoreRevision,
     TargetName, //
 };
 
--- a/crates/stair-entry/tests/control_propose.rs
+++ b/crates/stair-entry/tests/control_propose.rs
@@ -26,10 +26,10 @@
         shard_of, //
     }, //
 };
-use stair_types::StoreRevision;
 use stair_types::{
     FencingToken,
     ShardId,
+    StoreRevision,
     TargetName, //
 };
 
--- a/crates/stair-entry/tests/control_state.rs
+++ b/crates/stair-entry/tests/control_state.rs
@@ -34,10 +34,10 @@
 };
 use stair_platform::VmState;
 use stair_state::GrantShard;
-use stair_types::StoreRevision;
 use stair_types::{
     GrantId,
-    ShardId, //
+    ShardId,
+    StoreRevision, //
 };
 use stair_wire::control::Assignment;
 
--- a/crates/stair-telemetry/src/explain.rs
+++ b/crates/stair-telemetry/src/explain.rs
@@ -10,14 +10,24 @@
 
 /// Events without a request id that report a change of a target or its agent. They are included
 /// when they concern a target of the request and occur between its first and its last line.
-const TARGET_EVENTS: [&str; 5] = [
+const TARGET_EVENTS: [&str; 6] = [
     "target",
     "availability",
+    "drain.kept",
     "limit",
     "agent.lost",
     "agent.linked",
 ];
 
+/// Events that report a change of what a process knows of the store. They are included when a process
+/// of the request wrote them between the request's first and its last line.
+const STORE_EVENTS: [&str; 4] = [
+    "store.era",
+    "store.era_learnt",
+    "targets",
+    "targets.dropped",
+];
+
 /// One event in the timeline of a request.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Step {
@@ -49,11 +59,16 @@
         .iter()
         .filter_map(|o| o.get("target").or(o.get("addr"))?.as_str())
         .collect();
+    let processes: Vec<&str> = own_lines
+        .iter()
+        .filter_map(|o| o.get("process")?.as_str())
+        .collect();
     let (first, last) = time_span(&own_lines);
     let around = lines
         .into_iter()
         .filter_map(parse_object)
-        .filter(|o| is_target_event(o, &targets) && (first..=last).contains(&timestamp(o)));
+        .filter(|o| (first..=last).contains(&timestamp(o)))
+        .filter(|o| is_target_event(o, &targets) || is_store_event(o, &processes));
     let mut steps: Vec<Step> = own_lines
         .iter()
         .cloned()
@@ -90,6 +105,12 @@
     kind && named.is_some_and(|t| targets.contains(&t))
 }
 
+fn is_store_event(o: &Map<String, Value>, processes: &[&str]) -> bool {
+    let text = |name: &str| o.get(name).and_then(Value::as_str);
+    let kind = text("event").is_some_and(|e| STORE_EVENTS.contains(&e));
+    kind && text("process").is_some_and(|p| processes.contains(&p))
+}
+
 fn to_step(o: Map<String, Value>) -> Step {
     let text = |name: &str| o.get(name).and_then(Value::as_str).unwrap_or("").into();
     let hidden = ["ts", "up", "process", "event", "id"];
--- a/crates/stair-telemetry/src/metrics.rs
+++ b/crates/stair-telemetry/src/metrics.rs
@@ -219,6 +219,13 @@
         }
     }
 
+    /// Reports the newest era of the platform that this process knows.
+    pub fn platform_era(&self, era: u64) {
+        if let Some(client) = &self.client {
+            client.gauge_with_tags("platform.era", era).send();
+        }
+    }
+
     /// Counts a cold start that a request waited for.
     pub fn cold_start(&self, source: Source) {
         self.count("cold_starts", 1, &[("source", source.as_str())]);
--- a/crates/stair-telemetry/tests/explain.rs
+++ b/crates/stair-telemetry/tests/explain.rs
@@ -20,6 +20,17 @@
     assert!(steps[2].fields.contains(&"outcome=lost: reset".into()));
 }
 
+#[test]
+fn store_events() {
+    let era = r#"{"ts":100.3,"up":1,"process":"e1","event":"store.era","era":3}"#;
+    let of_another = r#"{"ts":100.3,"up":1,"process":"e9","event":"store.era","era":3}"#;
+    let lines = LINES.into_iter().chain([era, of_another]);
+    let steps = story(lines, "r1");
+    let found: Vec<&str> = steps.iter().map(|s| &*s.event).collect();
+    assert_eq!(found, ["request", "target", "store.era", "attempt"]);
+    assert!(steps[2].fields.contains(&"era=3".into()));
+}
+
 #[test]
 fn nothing_known() {
     assert!(story(LINES, "r9").is_empty());
