relay: a delayed inventory no longer undoes what a later list states

What callers saw: none yet; found while the delayed changes were read for returns of the store. Followers get changes of inventories up to four seconds later than the rest, and a change that came with a whole list, after the history was dropped or in a new era, did not drop the delayed one of its target. Followers took a draining engine for ready again.

A store that comes back between two pages of a list is asked again after the usual pause, not at once.

--- a/crates/stair-relay/src/follow.rs
+++ b/crates/stair-relay/src/follow.rs
@@ -189,6 +189,13 @@
         let _ = self.updates.send(change);
     }
 
+    /// Publishes the whole list. Deferred changes are older than it: sent later, one would undo what the list
+    /// states about its target.
+    pub fn replaced(&self) {
+        self.state().deferred.clear();
+        self.publish(StateChange::Whole);
+    }
+
     /// Publishes changes to followers in order. Deferred changes are published at intervals of
     /// `INVENTORY_INTERVAL`.
     ///
--- a/crates/stair-relay/src/replicate.rs
+++ b/crates/stair-relay/src/replicate.rs
@@ -218,7 +218,8 @@
                 apply_store_list(&cx, targets, revision, was_unavailable);
                 watch_targets(&cx, &store, &mut health).await;
             }
-            Err(Error::Gone) => continue,
+            // The store came back between two pages.
+            Err(Error::Gone) => {}
             Err(e) => health.record_failure(&e),
         }
         sleep(health.pause()).await;
@@ -328,7 +329,7 @@
         .num("count", count)
         .text("source", source)
         .write();
-    cx.follow.publish(StateChange::Whole);
+    cx.follow.replaced();
     cx.changed.notify_waiters();
 }
 
