platform: a configuration that only the copy has in force is applied again

After the store came back from a copy, an apply of the configuration that the copy has was reported as unchanged, while entries went on with the newer one that was lost. lost_apply fails before and passes after.

--- a/crates/stair-platform/src/apply.rs
+++ b/crates/stair-platform/src/apply.rs
@@ -120,7 +120,10 @@
     let chunks = chunks::split(catalogue)?;
     let refs: Vec<ChunkRef> = chunks.iter().map(chunk_ref).collect();
     let present = head.as_ref().map_or(&[][..], |h| &h.manifest.chunks);
-    if head.is_some() && *present == *refs {
+    let era = store.eras().newest();
+    // Entries may have a newer configuration that the store has lost, so an older one is applied again.
+    let is_of_era = era == Era::default() || found.0 > era.first_number();
+    if head.is_some() && is_of_era && *present == *refs {
         return Ok(Outcome::Unchanged(found));
     }
     for chunk in &chunks {
@@ -128,7 +131,6 @@
             write_chunk(store, chunk, deadline).await?;
         }
     }
-    let era = store.eras().newest();
     let manifest = next_manifest(head.as_ref(), era, opts.apply_id.clone(), refs);
     commit(store, head.as_ref(), &manifest, deadline).await
 }
--- a/crates/stair-platform/tests/apply.rs
+++ b/crates/stair-platform/tests/apply.rs
@@ -222,3 +222,21 @@
     let (outcome, ()) = tokio::join!(apply(&store, &catalogue, &opts), recovery);
     assert_eq!(outcome, applied(2));
 }
+
+/// Guards against a configuration that entries don't use: the copy that the store came back from has it, and
+/// entries still have the one after it, which was lost.
+#[tokio::test]
+async fn lost_apply() {
+    let store = MemoryStore::default();
+    apply(&store, &catalogue(1), &opts("a")).await.unwrap();
+    store.take_copy();
+    apply(&store, &catalogue(2), &opts("b")).await.unwrap();
+    store.come_back();
+    let outcome = apply(&store, &catalogue(1), &opts("c")).await.unwrap();
+    let Outcome::Applied(version) = outcome else {
+        panic!("{outcome:?}");
+    };
+    assert!(version > ConfigVersion(2), "{version}");
+    let same = apply(&store, &catalogue(1), &opts("d")).await;
+    assert_eq!(same, Ok(Outcome::Unchanged(version)));
+}
