--- a/crates/stair-standin/src/platform/store.rs
+++ b/crates/stair-standin/src/platform/store.rs
@@ -166,22 +166,20 @@
         });
     }
 
-    /// Comes back from the last copy in the next era. Without a copy nothing is left.
+    /// Comes back from the last copy in the next era. Without a copy nothing is lost.
     pub(crate) fn come_back(&mut self, how: Return) {
         self.era = Era(self.era.0 + 1);
         self.last_return = how;
         let era = self.era;
-        let Copied {
-            mut objects,
-            mut history,
-            forgotten,
-            revision,
-        } = self.copy.take().unwrap_or(Copied {
-            objects: Vec::new(),
-            history: VecDeque::new(),
-            forgotten: 0,
-            revision: 0,
-        });
+        if self.copy.is_none() {
+            self.take_copy();
+        }
+        let Some(copied) = &self.copy else {
+            return;
+        };
+        let mut objects = copied.objects.clone();
+        let mut history = copied.history.clone();
+        let (forgotten, revision) = (copied.forgotten, copied.revision);
         objects.iter_mut().for_each(|o| o.version.era = era);
         for event in &mut history {
             match event {
