entry: each return of a series gives what the copy lacks its whole time

A deletion that the first return of a series implied was applied at its own time, although the object had been written again and was lost once more.

--- a/crates/stair-entry/src/control/state.rs
+++ b/crates/stair-entry/src/control/state.rs
@@ -215,8 +215,14 @@
     /// Applies an event at `due`, unless the object has been written again until then.
     ///
     /// A copy lacks what was written after it, and has what was removed after it. The writers of these
-    /// objects write them again within about two seconds.
+    /// objects write them again within about two seconds, from the last return of a series.
     pub fn defer(&mut self, event: Event, due: Instant) {
+        let object = |e: &Event| match e {
+            Event::Put(object) => (object.kind, object.name.clone()),
+            Event::Deleted { kind, name, .. } => (*kind, name.clone()),
+        };
+        let of = object(&event);
+        self.deferred.retain(|d| object(&d.event) != of);
         self.deferred.push(Deferred { due, event });
     }
 
--- a/crates/stair-entry/tests/control_era.rs
+++ b/crates/stair-entry/tests/control_era.rs
@@ -16,6 +16,10 @@
     },
     state::State, //
 };
+use stair_platform::{
+    Event,
+    Kind, //
+};
 use stair_state::{
     GrantShard,
     grants::shard_of, //
@@ -25,6 +29,10 @@
     ShardId,
     StoreRevision, //
 };
+use tokio::time::{
+    Duration,
+    Instant, //
+};
 
 const ERA: Era = Era(3);
 
@@ -161,3 +169,21 @@
     let known = state.incarnation(&target(0)).expect("known");
     assert_eq!(known.token.0, next);
 }
+
+/// Each return of a series gives what it lacks its whole time.
+#[test]
+fn series_gives_time() {
+    let mut state = state(1, 0, 0);
+    let (now, grace) = (Instant::now(), Duration::from_millis(1900));
+    let later = now + Duration::from_millis(1500);
+    for (era, at) in [(1, now), (2, later)] {
+        let lost = Event::Deleted {
+            kind: Kind::Vm,
+            name: target(0).as_str().into(),
+            version: StoreRevision::new(era, 50),
+        };
+        state.defer(lost, at + grace);
+    }
+    assert!(state.take_due(now + grace).is_empty());
+    assert_eq!(state.take_due(later + grace).len(), 1);
+}
