stand-in: a server that has ended waits until its port is free again

Listener and connections had ended before, so a connection of another process had got the port; the address is tried again for five seconds. Not reproduced: it has been seen once.

--- a/crates/stair-standin/src/server.rs
+++ b/crates/stair-standin/src/server.rs
@@ -48,6 +48,10 @@
     time::timeout, //
 };
 
+/// Time within which the port of a server that has ended is free again, and the pause between attempts.
+const BIND_TIMEOUT: Duration = Duration::from_secs(5);
+const BIND_PAUSE: Duration = Duration::from_millis(20);
+
 const LIMIT: HeaderName = HeaderName::from_static("server-limit");
 const DRAINING: HeaderName = HeaderName::from_static("server-leaving");
 const NOT_RUN: HeaderName = HeaderName::from_static("dandelionstair-not-executed");
@@ -220,7 +224,7 @@
         // Requests in work may never end by themselves, so their connections end with the task.
         task.abort();
         let _ = task.await;
-        let socket = bind(self.addr)?;
+        let socket = bind_again(self.addr).await?;
         self.lock().reserved = Some(socket);
         Ok(())
     }
@@ -254,6 +258,20 @@
     }
 }
 
+/// Binds the address of a server that has just ended. A connection of another process may have got the
+/// port for its own end meanwhile.
+async fn bind_again(addr: SocketAddr) -> io::Result<TcpSocket> {
+    let until = Instant::now() + BIND_TIMEOUT;
+    loop {
+        match bind(addr) {
+            Err(e) if e.kind() == io::ErrorKind::AddrInUse && Instant::now() < until => {
+                tokio::time::sleep(BIND_PAUSE).await;
+            }
+            bound => return bound,
+        }
+    }
+}
+
 fn bind(addr: SocketAddr) -> io::Result<TcpSocket> {
     let socket = match addr {
         SocketAddr::V4(_) => TcpSocket::new_v4()?,
