fleet, relay, entry: the field's terms for what a return leaves

A removal that the store has forgotten suppresses the target (route flap damping's word; it was held), a drain is retained (kept), an era observed (learnt), an assignment partial (cut short), deferred events popped. The log events are drain.retained and store.era_observed.

--- a/crates/dandelionstair/tests/promises/fuzz.rs
+++ b/crates/dandelionstair/tests/promises/fuzz.rs
@@ -167,7 +167,7 @@
             }
             16 | 17 => faults.take_copy(),
             18 | 19 => {
-                faults.come_back(match agent % 2 {
+                faults.restore(match agent % 2 {
                     0 => Return::Stated,
                     _ => Return::Unstated,
                 });
--- a/crates/dandelionstair/tests/promises/store_return.rs
+++ b/crates/dandelionstair/tests/promises/store_return.rs
@@ -45,11 +45,11 @@
 const AWAY: Duration = Duration::from_millis(700);
 
 /// Comes back from the last copy after a short outage.
-async fn come_back(world: &World, how: Return) {
+async fn restore(world: &World, how: Return) {
     let faults = world.platform.faults();
     faults.set_outage(Outage::Unavailable).await.expect("set");
     sleep(AWAY).await;
-    faults.come_back(how);
+    faults.restore(how);
     faults.set_outage(Outage::None).await.expect("set");
 }
 
@@ -137,7 +137,7 @@
     let loads = world.recorder.loads("m").len();
     let load = Load::start(&world, "m");
 
-    come_back(&world, how).await;
+    restore(&world, how).await;
     sleep(SETTLING).await;
 
     let unserved = load.stop().await;
@@ -176,7 +176,7 @@
     let ask = Ask::completion("billed", "claimed", 4).once("claimed");
     assert!(world.caller(0).ask(&ask).await.is_answered());
 
-    come_back(&world, Return::Unstated).await;
+    restore(&world, Return::Unstated).await;
     eventually("the entry knows of the return", async || {
         era(world.entries[1].operator).await == 1
     })
@@ -207,7 +207,7 @@
             0 => Return::Stated,
             _ => Return::Unstated,
         };
-        come_back(&world, how).await;
+        restore(&world, how).await;
         let catalogue = marked();
         let version = world.apply(&catalogue).await;
         let begun = Instant::now();
@@ -245,7 +245,7 @@
     world.until_served(0, "m").await;
     let load = Load::start(&world, "m");
 
-    come_back(&world, Return::Unstated).await;
+    restore(&world, Return::Unstated).await;
     let begun = Instant::now();
     while begun.elapsed() < SETTLING {
         let in_force = world::dump(world.entries[0].operator).await;
--- a/crates/stair-agent/src/assignment.rs
+++ b/crates/stair-agent/src/assignment.rs
@@ -110,7 +110,7 @@
     fn apply_shard(&mut self, new: ShardAssignment) -> bool {
         match self.shards.binary_search_by_key(&new.shard, |s| s.shard) {
             Ok(i) if self.shards[i].version >= new.version => return false,
-            Ok(i) if is_cut_short(&self.shards[i], &new) => return false,
+            Ok(i) if is_partial(&self.shards[i], &new) => return false,
             Ok(i) => self.shards[i] = new,
             Err(at) => self.shards.insert(at, new),
         }
@@ -216,7 +216,7 @@
 }
 
 /// Whether a shard that its entry knows only from a copy lacks grants that are in force.
-fn is_cut_short(known: &ShardAssignment, new: &ShardAssignment) -> bool {
+fn is_partial(known: &ShardAssignment, new: &ShardAssignment) -> bool {
     let lacks = |g: &AssignedGrant| !new.grants.iter().any(|n| n.id == g.id);
     !new.complete && new.version.era > known.version.era && known.grants.iter().any(lacks)
 }
--- a/crates/stair-entry/src/control/actor.rs
+++ b/crates/stair-entry/src/control/actor.rs
@@ -12,7 +12,7 @@
 };
 use stair_fleet::view::{
     MISSING_GRACE,
-    REMOVAL_HOLD, //
+    REMOVAL_SUPPRESSION, //
 };
 use stair_platform::{
     Error,
@@ -267,7 +267,7 @@
         for event in page.events {
             match self.restored_event(event) {
                 Restored::Apply(event) => changed |= self.apply_changes(vec![event]),
-                Restored::Defer(event) => self.state.defer(event, now + REMOVAL_HOLD),
+                Restored::Defer(event) => self.state.defer(event, now + REMOVAL_SUPPRESSION),
             }
         }
         let is_missing = |name: &str| names.binary_search_by(|n| (**n).cmp(name)).is_err();
@@ -453,7 +453,7 @@
     }
 
     fn tick(&mut self, myself: &ActorRef<Msg>) {
-        let due = self.state.take_due(Instant::now());
+        let due = self.state.pop_due(Instant::now());
         if self.apply_changes(due) && !self.flush_sent {
             self.flush_sent = myself.send_message(Msg::Flush).is_ok();
         }
--- a/crates/stair-entry/src/control/state.rs
+++ b/crates/stair-entry/src/control/state.rs
@@ -227,7 +227,7 @@
     }
 
     /// Takes the deferred events that are due.
-    pub fn take_due(&mut self, now: Instant) -> Vec<Event> {
+    pub fn pop_due(&mut self, now: Instant) -> Vec<Event> {
         let (due, rest) = std::mem::take(&mut self.deferred)
             .into_iter()
             .partition(|d| d.due <= now);
--- a/crates/stair-entry/tests/control_era.rs
+++ b/crates/stair-entry/tests/control_era.rs
@@ -184,6 +184,6 @@
         };
         state.defer(lost, at + grace);
     }
-    assert!(state.take_due(now + grace).is_empty());
-    assert_eq!(state.take_due(later + grace).len(), 1);
+    assert!(state.pop_due(now + grace).is_empty());
+    assert_eq!(state.pop_due(later + grace).len(), 1);
 }
--- a/crates/stair-fleet/src/target_state.rs
+++ b/crates/stair-fleet/src/target_state.rs
@@ -75,7 +75,7 @@
     pub missing_until: Option<Duration>,
     /// Set when the store has come back from a copy from before the target's removal: the time from
     /// which the target is used if it is not removed again.
-    pub held_until: Option<Duration>,
+    pub suppressed_until: Option<Duration>,
     /// The last report of the target's agent, and its time of arrival.
     pub report: Option<(Report, Duration)>,
     /// Arrival of the agent's last message; `None` when no agent is connected.
@@ -121,7 +121,7 @@
             declared: true,
             stale_since: None,
             missing_until: None,
-            held_until: None,
+            suppressed_until: None,
             report: None,
             last_message: None,
             unresponsive: false,
@@ -166,7 +166,7 @@
     pub fn is_up(&self, now: Duration) -> bool {
         let missing = self.missing_until.is_some_and(|t| now >= t);
         let dead = self.fresh_report(now).is_some_and(|r| !r.load.alive);
-        let ready = self.listed && !self.is_draining() && !self.is_held(now);
+        let ready = self.listed && !self.is_draining() && !self.is_suppressed(now);
         ready && !missing && !self.unresponsive && now >= self.suspect_until && !dead
     }
 
@@ -188,16 +188,16 @@
 
     fn listed_ready(&self, now: Duration) -> bool {
         let listed = self.listed && self.missing_until.is_none();
-        listed && !self.is_held(now) && !self.is_draining()
+        listed && !self.is_suppressed(now) && !self.is_draining()
     }
 
-    fn is_held(&self, now: Duration) -> bool {
-        self.held_until.is_some_and(|t| now < t)
+    fn is_suppressed(&self, now: Duration) -> bool {
+        self.suppressed_until.is_some_and(|t| now < t)
     }
 
     /// Makes an announced drain last as long as the incarnation, whatever is announced later. Returns
     /// whether that is new.
-    pub(crate) fn keep_drain(&mut self, now: Duration) -> bool {
+    pub(crate) fn retain_drain(&mut self, now: Duration) -> bool {
         if self.target.state == State::Ready {
             return false;
         }
@@ -304,7 +304,7 @@
     /// Takes the target off the list.
     pub fn mark_removed(&mut self) {
         self.listed = false;
-        self.held_until = None;
+        self.suppressed_until = None;
         let report = self.report.take();
         if !self.is_draining() {
             self.last_inventory = report.map(|(r, at)| (r.inventory, at));
--- a/crates/stair-fleet/src/view.rs
+++ b/crates/stair-fleet/src/view.rs
@@ -57,7 +57,7 @@
     pub missing_for: Option<Duration>,
     /// Set when the target was removed before the store came back from a copy that has it: the
     /// remaining time until it gets requests if it is not removed again.
-    pub held_for: Option<Duration>,
+    pub suppressed_for: Option<Duration>,
 }
 
 /// All targets, in an arena. The key of a removed target stays valid; it refers to a placeholder
@@ -85,7 +85,7 @@
 
 /// Time for which a removal is believed that the store has forgotten: until targets have announced
 /// themselves again, and the store then has missed three heartbeats of those that do not run.
-pub const REMOVAL_HOLD: Duration = Duration::from_millis(
+pub const REMOVAL_SUPPRESSION: Duration = Duration::from_millis(
     (MISSING_GRACE.as_millis() + STALE_ANNOUNCEMENT_TIMEOUT.as_millis()) as u64,
 );
 
@@ -127,7 +127,7 @@
     ) -> Vec<Incarnation> {
         let returned = self.revision.is_known() && revision.era > self.revision.era;
         let drains = if returned {
-            self.keep_drains(now)
+            self.retain_drains(now)
         } else {
             Vec::new()
         };
@@ -148,8 +148,8 @@
                 continue;
             };
             if removed && returned {
-                self.get_mut(key).held_until = Some(now + REMOVAL_HOLD);
-            } else if removed && self.get(key).held_until.is_none() {
+                self.get_mut(key).suppressed_until = Some(now + REMOVAL_SUPPRESSION);
+            } else if removed && self.get(key).suppressed_until.is_none() {
                 self.removals.retain(|r| *r != incarnation);
             }
         }
@@ -159,10 +159,10 @@
 
     /// Makes the announced drains last as long as their incarnations, and returns those that were not
     /// known from responses.
-    fn keep_drains(&mut self, now: Duration) -> Vec<Incarnation> {
+    fn retain_drains(&mut self, now: Duration) -> Vec<Incarnation> {
         let mut drains = Vec::new();
         for state in &mut self.targets {
-            if state.keep_drain(now) {
+            if state.retain_drain(now) {
                 drains.push(state.target.incarnation());
             }
         }
@@ -197,14 +197,14 @@
     ) -> Vec<Incarnation> {
         let (plain, pending): (Vec<Listed>, Vec<Listed>) = listed
             .into_iter()
-            .partition(|l| l.missing_for.is_none() && l.held_for.is_none());
+            .partition(|l| l.missing_for.is_none() && l.suppressed_for.is_none());
         let all = plain.iter().chain(&pending).map(|l| l.target.clone());
         let drains = self.replace(all.collect(), revision, now, now);
         for one in pending {
             let mut listed = self.targets.iter_mut().filter(|s| s.listed);
             if let Some(state) = listed.find(|s| s.target.id == one.target.id) {
                 state.missing_until = one.missing_for.map(|t| now + t);
-                state.held_until = one.held_for.map(|t| now + t);
+                state.suppressed_until = one.suppressed_for.map(|t| now + t);
             }
         }
         drains
@@ -217,7 +217,7 @@
         let incarnation = target.incarnation();
         let key = self.place(target, true, now)?;
         // It was announced after the store's return, so it runs.
-        self.get_mut(key).held_until = None;
+        self.get_mut(key).suppressed_until = None;
         self.removals.retain(|r| *r != incarnation);
         Some(key)
     }
@@ -296,7 +296,7 @@
         };
         if let Some(i) = self.targets.iter().position(free) {
             let mut old = std::mem::replace(&mut self.targets[i], new);
-            old.keep_drain(now);
+            old.retain_drain(now);
             if !old.availability.is_empty(now) {
                 self.unlisted
                     .put(&old.target.incarnation(), old.availability, now);
@@ -350,8 +350,8 @@
     pub fn expire(&mut self, now: Duration) {
         self.remove_where(|s| s.missing_until.is_some_and(|t| now >= t));
         let held = self.targets.iter_mut();
-        for state in held.filter(|s| s.held_until.is_some_and(|t| now >= t)) {
-            state.held_until = None;
+        for state in held.filter(|s| s.suppressed_until.is_some_and(|t| now >= t)) {
+            state.suppressed_until = None;
             let incarnation = state.target.incarnation();
             self.removals.retain(|r| *r != incarnation);
         }
@@ -389,7 +389,7 @@
     pub fn at(&self, addr: SocketAddr) -> Option<(TargetKey, &TargetState)> {
         let here = self.all().filter(|(_, s)| s.target.addr == addr);
         here.max_by_key(|(_, s)| {
-            let held = s.held_until.is_some();
+            let held = s.suppressed_until.is_some();
             (!held, s.missing_until.is_none(), s.serial)
         })
     }
@@ -514,7 +514,7 @@
         all.map(|s| Listed {
             target: s.published(),
             missing_for: s.missing_until.map(|t| t.saturating_sub(now)),
-            held_for: s.held_until.map(|t| t.saturating_sub(now)),
+            suppressed_for: s.suppressed_until.map(|t| t.saturating_sub(now)),
         })
         .collect()
     }
--- a/crates/stair-fleet/tests/era.rs
+++ b/crates/stair-fleet/tests/era.rs
@@ -13,7 +13,7 @@
     target::State,
     view::{
         MISSING_GRACE,
-        REMOVAL_HOLD, //
+        REMOVAL_SUPPRESSION, //
     },
 };
 use stair_types::StoreRevision;
@@ -76,7 +76,7 @@
     list(&mut view, 1, 91, vec![], NOW);
     view.expire(NOW);
     list(&mut view, 2, 50, vec![target(0, SERVICE)], NOW);
-    let later = NOW + REMOVAL_HOLD + ms(1);
+    let later = NOW + REMOVAL_SUPPRESSION + ms(1);
     view.expire(later);
     assert!(!open(&view, 0, later));
 }
@@ -100,10 +100,10 @@
     // The list of the same era is read again.
     list(&mut view, 2, 51, copy(), NOW + ms(1000));
     for view in [&mut view, &mut peer] {
-        let before = NOW + REMOVAL_HOLD - ms(1);
+        let before = NOW + REMOVAL_SUPPRESSION - ms(1);
         view.expire(before);
         assert!(!open(view, 0, before));
-        let after = NOW + REMOVAL_HOLD;
+        let after = NOW + REMOVAL_SUPPRESSION;
         view.expire(after);
         assert!(open(view, 0, after));
     }
--- a/crates/stair-platform/tests/apply.rs
+++ b/crates/stair-platform/tests/apply.rs
@@ -231,7 +231,7 @@
     apply(&store, &catalogue(1), &opts("a")).await.unwrap();
     store.take_copy();
     apply(&store, &catalogue(2), &opts("b")).await.unwrap();
-    store.come_back();
+    store.restore();
     let outcome = apply(&store, &catalogue(1), &opts("c")).await.unwrap();
     let Outcome::Applied(version) = outcome else {
         panic!("{outcome:?}");
--- a/crates/stair-relay/src/dump.rs
+++ b/crates/stair-relay/src/dump.rs
@@ -62,7 +62,7 @@
     missing_for_ms: Option<u64>,
     /// The remaining time for which it gets no requests, since it was removed before the store came back from a
     /// copy that has it.
-    held_for_ms: Option<u64>,
+    suppressed_for_ms: Option<u64>,
     /// The remaining time for which it is excluded after a failed connection.
     suspect_for_ms: u64,
     in_flight: u32,
@@ -193,7 +193,9 @@
         missing_for_ms: target_state
             .missing_until
             .map(|t| ms(t.saturating_sub(now))),
-        held_for_ms: target_state.held_until.map(|t| ms(t.saturating_sub(now))),
+        suppressed_for_ms: target_state
+            .suppressed_until
+            .map(|t| ms(t.saturating_sub(now))),
         suspect_for_ms: ms(target_state.suspect_until.saturating_sub(now)),
         in_flight: target_state.in_flight,
         unread_tokens: target_state.unread_tokens,
--- a/crates/stair-relay/src/follow.rs
+++ b/crates/stair-relay/src/follow.rs
@@ -301,7 +301,7 @@
             Err(_) => return Ended::Silent,
         };
         if let Some(era) = update.era() {
-            replicate::learn_era(cx, era, &peer.entry);
+            replicate::observe_era(cx, era, &peer.entry);
             if era < cx.eras.newest() {
                 return Ended::Outdated;
             }
@@ -323,7 +323,7 @@
 /// Sends one follower the state that is newer than its own, and then all changes while this entry is
 /// authoritative: it watches by itself, the store replies in time, and its list is of the newest era.
 pub async fn serve(cx: &Context, known: &Versions, mut w: OwnedWriteHalf) {
-    replicate::learn_era(cx, known.targets.era, "follower");
+    replicate::observe_era(cx, known.targets.era, "follower");
     let mut updates = cx.follow.updates.subscribe();
     let mut next = initial_updates(cx, known);
     loop {
--- a/crates/stair-relay/src/peers.rs
+++ b/crates/stair-relay/src/peers.rs
@@ -166,7 +166,7 @@
 }
 
 async fn send_reply(cx: &Context, known: &Versions, mut stream: TcpStream) {
-    replicate::learn_era(cx, known.targets.era, "peer");
+    replicate::observe_era(cx, known.targets.era, "peer");
     let reply = {
         let state = cx.state();
         let newer = state
--- a/crates/stair-relay/src/replicate.rs
+++ b/crates/stair-relay/src/replicate.rs
@@ -196,9 +196,9 @@
 }
 
 /// Records an era that another process states; if it is newer, the store is listed again.
-pub fn learn_era(cx: &Context, era: Era, source: &str) {
+pub fn observe_era(cx: &Context, era: Era, source: &str) {
     if cx.eras.observe(era) {
-        Line::failure("store.era_learnt")
+        Line::failure("store.era_observed")
             .num("era", era.0)
             .text("source", source)
             .write();
@@ -286,7 +286,7 @@
 /// Tells the other processes which targets drain although a copy of the store's state has them as ready.
 fn share_drains(state: &mut State, drains: &[Incarnation], now: Duration) {
     for incarnation in drains {
-        Line::failure("drain.kept")
+        Line::failure("drain.retained")
             .text("target", &incarnation.id)
             .write();
         state.share_drain(incarnation, now);
@@ -296,7 +296,7 @@
 /// Applies the list of a peer, unless this entry's is as new.
 pub fn apply_peer_list(cx: &Context, listed: Vec<Listed>, revision: StoreRevision, peer: &str) {
     let count = listed.len() as i64;
-    learn_era(cx, revision.era, peer);
+    observe_era(cx, revision.era, peer);
     {
         let now = cx.now();
         let mut state = cx.state();
--- a/crates/stair-sidecar/src/process/receive.rs
+++ b/crates/stair-sidecar/src/process/receive.rs
@@ -49,7 +49,7 @@
         let now = self.now();
         match msg {
             ToAgent::Hello(known) => {
-                self.learn_era(known.targets.era);
+                self.observe_era(known.targets.era);
                 let lags = self.lag.observe(&known, now);
                 let newer = known.catalogue > self.declared;
                 if let Some(link) = self.links.iter_mut().find(|l| l.key == key) {
@@ -180,9 +180,11 @@
     }
 
     /// Records an era that an entry states.
-    fn learn_era(&mut self, era: Era) {
+    fn observe_era(&mut self, era: Era) {
         if self.eras.observe(era) {
-            Line::failure("store.era_learnt").num("era", era.0).write();
+            Line::failure("store.era_observed")
+                .num("era", era.0)
+                .write();
             let gauge = i64::try_from(era.0).unwrap_or(i64::MAX);
             self.page.gauge("store_era", &[], gauge);
         }
--- a/crates/stair-standin/src/memory.rs
+++ b/crates/stair-standin/src/memory.rs
@@ -125,8 +125,8 @@
 
     /// Comes back from the last copy: what was written since is lost, and its revisions are given out
     /// again.
-    pub fn come_back(&self) {
-        self.lock().store.come_back(Return::Stated);
+    pub fn restore(&self) {
+        self.lock().store.restore(Return::Stated);
     }
 
     /// Lets other tasks run during each write, as they do while a real one is under way.
--- a/crates/stair-standin/src/platform.rs
+++ b/crates/stair-standin/src/platform.rs
@@ -289,8 +289,8 @@
 
     /// Comes back from the last copy: what was written since is lost, and its revisions are given out
     /// again.
-    pub fn come_back(&self, how: Return) {
-        self.modify(|state| state.store.come_back(how));
+    pub fn restore(&self, how: Return) {
+        self.modify(|state| state.store.restore(how));
     }
 
     fn lose(&self, left: u32, after_effect: bool, loss: Loss) {
--- a/crates/stair-standin/src/platform/store.rs
+++ b/crates/stair-standin/src/platform/store.rs
@@ -167,7 +167,7 @@
     }
 
     /// Comes back from the last copy in the next era. Without a copy nothing is lost.
-    pub(crate) fn come_back(&mut self, how: Return) {
+    pub(crate) fn restore(&mut self, how: Return) {
         self.era = Era(self.era.0 + 1);
         self.last_return = how;
         let era = self.era;
--- a/crates/stair-telemetry/src/explain.rs
+++ b/crates/stair-telemetry/src/explain.rs
@@ -13,7 +13,7 @@
 const TARGET_EVENTS: [&str; 6] = [
     "target",
     "availability",
-    "drain.kept",
+    "drain.retained",
     "limit",
     "agent.lost",
     "agent.linked",
@@ -23,7 +23,7 @@
 /// of the request wrote them between the request's first and its last line.
 const STORE_EVENTS: [&str; 4] = [
     "store.era",
-    "store.era_learnt",
+    "store.era_observed",
     "targets",
     "targets.dropped",
 ];
