entry: versions of targets and the streams that requests continue, in logs and dump

Now the list keeps the version, watchers and peers pass it on beside the announcements (an extension of the message, which processes of the release before ignore; a watcher that states none is not followed), and request, chosen, resumed and the dump show them.

--- a/crates/stair-fleet/src/target.rs
+++ b/crates/stair-fleet/src/target.rs
@@ -20,6 +20,10 @@
     pub started: Option<u64>,
     /// The service that the target belongs to.
     pub service: Box<str>,
+    /// The version of the target's software; `None` if whoever passed on the announcement did not state it.
+    /// Messages carry it beside the announcement, which processes of earlier releases decode too.
+    #[serde(skip)]
+    pub version: Option<Box<str>>,
     /// The address for requests.
     pub addr: SocketAddr,
     /// The data centre of the target.
@@ -59,6 +63,7 @@
             id,
             started,
             service,
+            version,
             addr,
             data_centre,
             slots,
@@ -69,6 +74,7 @@
         *id == other.id
             && *started == other.started
             && *service == other.service
+            && *version == other.version
             && *addr == other.addr
             && *data_centre == other.data_centre
             && *slots == other.slots
--- a/crates/stair-fleet/src/target_state.rs
+++ b/crates/stair-fleet/src/target_state.rs
@@ -141,6 +141,7 @@
         let target = Target {
             id: "".into(),
             service: "".into(),
+            version: None,
             addr: SocketAddr::from(([0, 0, 0, 0], 0)),
             data_centre: "".into(),
             started: None,
@@ -273,7 +274,10 @@
 
     /// Whether an announcement is of the known incarnation.
     pub(crate) fn is_same_incarnation(&self, announced: &Target) -> bool {
-        self.target.id == announced.id && self.target.started == announced.started
+        let (known, new) = (&self.target.version, &announced.version);
+        let is_other_version = known.is_some() && new.is_some() && known != new;
+        let same = self.target.id == announced.id && self.target.started == announced.started;
+        same && !is_other_version
     }
 
     /// Whether an announcement is of a stale incarnation and has to be dropped; see
--- a/crates/stair-fleet/src/view.rs
+++ b/crates/stair-fleet/src/view.rs
@@ -239,7 +239,8 @@
         };
         let declared = self.is_declared(&target.service);
         let state = &mut self.targets[i];
-        state.target = target;
+        let version = target.version.or(state.target.version.take());
+        state.target = Target { version, ..target };
         state.declared = declared;
         state.listed = true;
         state.missing_until = None;
--- a/crates/stair-fleet/tests/support/mod.rs
+++ b/crates/stair-fleet/tests/support/mod.rs
@@ -72,6 +72,7 @@
         data_centre: "dc".into(),
         slots: 64,
         state: State::Ready,
+        version: Some("v1".into()),
         cold: Duration::ZERO,
         inventory: Inventory::default(),
     }
--- a/crates/stair-relay/src/admit.rs
+++ b/crates/stair-relay/src/admit.rs
@@ -176,9 +176,14 @@
 
 fn log_request(job: &Job, wait: Duration) {
     let (meta, route) = (&job.meta, &job.route);
-    Line::new("request")
-        .text("id", &meta.id)
-        .text("route", &route.name)
+    let line = Line::new("request").text("id", &meta.id);
+    let line = match meta.last_event {
+        Some(event) => line
+            .num("after_event", event)
+            .text("resumes", meta.resumes.id().unwrap_or("")),
+        None => line,
+    };
+    line.text("route", &route.name)
         .text("service", &job.service)
         .text("workspace", job.workspace.as_ref().map_or("", |w| &*w.name))
         .text("model", meta.model.as_deref().unwrap_or(""))
--- a/crates/stair-relay/src/change.rs
+++ b/crates/stair-relay/src/change.rs
@@ -17,6 +17,35 @@
 };
 use stair_telemetry::event::Line;
 
+/// The versions of the software of the targets in a message, in the order of the targets. They follow the
+/// message as its extension, since entries of earlier releases decode targets without them.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Versions(Vec<Option<Box<str>>>);
+
+impl Versions {
+    /// The versions of these targets.
+    pub fn of<'a, I>(targets: I) -> Self
+    where
+        I: IntoIterator<Item = &'a Target>,
+    {
+        Self(targets.into_iter().map(|t| t.version.clone()).collect())
+    }
+
+    /// Sets the versions of the targets of the same message. Returns whether all of them are stated.
+    pub fn apply<'a, I>(self, targets: I) -> bool
+    where
+        I: IntoIterator<Item = &'a mut Target>,
+    {
+        let mut versions = self.0.into_iter();
+        let mut all = true;
+        for target in targets {
+            target.version = versions.next().flatten();
+            all &= target.version.is_some();
+        }
+        all
+    }
+}
+
 /// How soon followers have to receive a change of the list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Urgency {
@@ -44,6 +73,22 @@
         }
     }
 
+    /// The target of an announcement.
+    pub fn put(&self) -> Option<&Target> {
+        match self {
+            Self::Put(target) => Some(target),
+            Self::Removed(_) => None,
+        }
+    }
+
+    /// As [`TargetChange::put`], for changing it.
+    pub fn put_mut(&mut self) -> Option<&mut Target> {
+        match self {
+            Self::Put(target) => Some(target),
+            Self::Removed(_) => None,
+        }
+    }
+
     /// How soon followers have to receive the change. Inventories change many times a second, and agents
     /// report them directly.
     pub fn urgency(&self, view: &View) -> Urgency {
--- a/crates/stair-relay/src/dump.rs
+++ b/crates/stair-relay/src/dump.rs
@@ -56,6 +56,8 @@
 struct TargetDump {
     #[serde(flatten)]
     target: Target,
+    /// The version of its software, if it is known.
+    version: Option<Box<str>>,
     /// Whether the target gets requests now.
     open: bool,
     /// The remaining time to wait for its announcement, if the list lacks it.
@@ -189,6 +191,7 @@
     let report = target_state.report.as_ref();
     TargetDump {
         target: target_state.target.clone(),
+        version: target_state.target.version.clone(),
         open: target_state.is_available(now),
         missing_for_ms: target_state
             .missing_until
--- a/crates/stair-relay/src/follow.rs
+++ b/crates/stair-relay/src/follow.rs
@@ -22,6 +22,7 @@
 };
 use stair_fleet::{
     Catalogue,
+    Target,
     msg::Peer,
     view::Listed, //
 };
@@ -49,6 +50,7 @@
 
 use crate::{
     change::{
+        self,
         TargetChange,
         Urgency, //
     },
@@ -72,6 +74,9 @@
 /// Pause before the watcher is followed again.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(1000);
 
+/// Time for which a watcher of an earlier release is not followed.
+const RELEASE_PAUSE: Duration = Duration::from_secs(10);
+
 /// Time beyond the duration of a watch within which the store has to reply to it.
 const REPLY_SLACK: Duration = Duration::from_millis(300);
 
@@ -113,6 +118,25 @@
 }
 
 impl Update {
+    fn targets(&self) -> Vec<&Target> {
+        match self {
+            Self::Catalogue(_) | Self::Alive(_) => Vec::new(),
+            Self::Whole(list, _) => list.iter().map(|l| &l.target).collect(),
+            Self::Changes(changes, _) => changes.iter().filter_map(TargetChange::put).collect(),
+        }
+    }
+
+    fn targets_mut(&mut self) -> Vec<&mut Target> {
+        match self {
+            Self::Catalogue(_) | Self::Alive(_) => Vec::new(),
+            Self::Whole(list, _) => list.iter_mut().map(|l| &mut l.target).collect(),
+            Self::Changes(changes, _) => {
+                let all = changes.iter_mut();
+                all.filter_map(TargetChange::put_mut).collect()
+            }
+        }
+    }
+
     /// The era of the list that the sender has, if the message states it.
     fn era(&self) -> Option<Era> {
         match self {
@@ -250,9 +274,12 @@
             if cx.follow.follows.send_replace(false) {
                 Line::failure("follow.ended")
                     .text("peer", &peer.entry)
-                    .show("why", ended)
+                    .show("why", &ended)
                     .write();
             }
+            if matches!(ended, Ended::NoVersions) {
+                sleep(RELEASE_PAUSE).await;
+            }
         }
         sleep(RECONNECT_PAUSE).await;
     }
@@ -276,6 +303,8 @@
     Silent,
     #[error("its state is of an earlier era")]
     Outdated,
+    #[error("it states no versions of targets")]
+    NoVersions,
     #[error(transparent)]
     Frame(#[from] frame::Error),
 }
@@ -294,12 +323,15 @@
         return e.into();
     }
     loop {
-        let update: Update = match timeout(SILENCE_TIMEOUT, frame::read_message(&mut stream)).await
-        {
-            Ok(Ok(update)) => update,
+        let read = timeout(SILENCE_TIMEOUT, frame::read_extended(&mut stream)).await;
+        let (mut update, versions): (Update, change::Versions) = match read {
+            Ok(Ok(both)) => both,
             Ok(Err(e)) => return e.into(),
             Err(_) => return Ended::Silent,
         };
+        if !versions.apply(update.targets_mut()) {
+            return Ended::NoVersions;
+        }
         if let Some(era) = update.era() {
             replicate::observe_era(cx, era, &peer.entry);
             if era < cx.eras.newest() {
@@ -374,8 +406,7 @@
 }
 
 async fn write(w: &mut OwnedWriteHalf, update: &Update) -> bool {
-    matches!(
-        timeout(SILENCE_TIMEOUT, frame::write_message(w, update)).await,
-        Ok(Ok(()))
-    )
+    let versions = change::Versions::of(update.targets());
+    let written = frame::write_extended(w, update, &versions);
+    matches!(timeout(SILENCE_TIMEOUT, written).await, Ok(Ok(())))
 }
--- a/crates/stair-relay/src/peers.rs
+++ b/crates/stair-relay/src/peers.rs
@@ -14,6 +14,7 @@
 };
 use stair_fleet::{
     Catalogue,
+    Target,
     msg::ReplicationState,
     view::Listed, //
 };
@@ -32,6 +33,7 @@
 };
 
 use crate::{
+    change,
     context::Context,
     follow,
     replicate, //
@@ -113,7 +115,23 @@
         targets: own.targets,
     });
     frame::write_message(&mut stream, &request).await?;
-    frame::read_message(&mut stream).await
+    let (mut reply, versions): (PeerReply, change::Versions) =
+        frame::read_extended(&mut stream).await?;
+    // A peer of an earlier release states no versions; those that are known here stay.
+    versions.apply(reply.targets_mut());
+    Ok(reply)
+}
+
+impl PeerReply {
+    fn targets(&self) -> impl Iterator<Item = &Target> {
+        let listed = self.targets.iter().flat_map(|(list, _)| list);
+        listed.map(|l| &l.target)
+    }
+
+    fn targets_mut(&mut self) -> impl Iterator<Item = &mut Target> {
+        let listed = self.targets.iter_mut().flat_map(|(list, _)| list);
+        listed.map(|l| &mut l.target)
+    }
 }
 
 fn apply(cx: &Context, peer: &ReplicationState, reply: PeerReply) {
@@ -179,7 +197,8 @@
             targets: (revision > known.targets).then(|| (state.view.list(cx.now()), revision)),
         }
     };
-    if let Err(e) = frame::write_message(&mut stream, &reply).await {
+    let versions = change::Versions::of(reply.targets());
+    if let Err(e) = frame::write_extended(&mut stream, &reply, &versions).await {
         Line::failure("peer.unanswered").show("error", e).write();
     }
 }
--- a/crates/stair-relay/src/select.rs
+++ b/crates/stair-relay/src/select.rs
@@ -107,6 +107,8 @@
     pub addr: SocketAddr,
     /// The target's id.
     pub id: Box<str>,
+    /// The version of its software, if it is known.
+    pub version: Option<Box<str>>,
     /// The estimated wait by which the target was chosen, in milliseconds.
     pub wait_ms: f64,
     /// Estimated time until the target has finished the prefill; 0 if unknown.
@@ -505,7 +507,7 @@
     permit: Option<Box<Permit>>,
     suspects: bool,
 ) -> Option<Selected> {
-    let (addr, id, age) = {
+    let (addr, id, version, age) = {
         let now = cx.now();
         let mut state = cx.state();
         let target_state = state.view.get_mut(at.key);
@@ -520,6 +522,7 @@
         (
             target_state.target.addr,
             target_state.target.id.clone(),
+            target_state.target.version.clone(),
             age,
         )
     };
@@ -529,6 +532,7 @@
     Line::new("chosen")
         .text("id", &job.meta.id)
         .text("target", &id)
+        .text("version", version.as_deref().unwrap_or(""))
         .show("addr", addr)
         .num("wait_ms", at.wait_ms as i64)
         .num("kept", prompt.cached)
@@ -542,6 +546,7 @@
         in_flight,
         addr,
         id,
+        version,
         wait_ms: at.wait_ms,
         reads: prompt.reads,
         permit,
--- a/crates/stair-relay/src/stream.rs
+++ b/crates/stair-relay/src/stream.rs
@@ -387,6 +387,7 @@
                     Line::new("resumed")
                         .text("id", &self.job.meta.id)
                         .text("target", &selected.id)
+                        .text("version", selected.version.as_deref().unwrap_or(""))
                         .num("after_event", self.last.unwrap_or(0))
                         .write();
                     return Some(Source {
--- a/crates/stair-sidecar/tests/load.rs
+++ b/crates/stair-sidecar/tests/load.rs
@@ -238,6 +238,7 @@
             data_centre: "dc".into(),
             slots: 96,
             state: State::Ready,
+            version: Some("v1".into()),
             cold: Duration::ZERO,
             inventory: Inventory::default(),
         };
--- a/crates/stair-wire/src/frame.rs
+++ b/crates/stair-wire/src/frame.rs
@@ -75,6 +75,28 @@
 {
     let mut buf = vec![0; HEADER_BYTES];
     buf = postcard::to_extend(msg, buf)?;
+    write_framed(w, buf).await
+}
+
+/// Writes a message and an extension, which readers of earlier releases ignore.
+///
+/// # Errors
+///
+/// As [`write_message`].
+pub async fn write_extended<W, M, E>(w: &mut W, msg: &M, ext: &E) -> Result<(), Error>
+where
+    W: AsyncWrite + Unpin,
+    M: Serialize,
+    E: Serialize,
+{
+    let buf = postcard::to_extend(msg, vec![0; HEADER_BYTES])?;
+    write_framed(w, postcard::to_extend(ext, buf)?).await
+}
+
+async fn write_framed<W>(w: &mut W, mut buf: Vec<u8>) -> Result<(), Error>
+where
+    W: AsyncWrite + Unpin,
+{
     let len = buf.len() - HEADER_BYTES;
     if len > MAX_MESSAGE_BYTES {
         return Err(Error::TooLong {
@@ -117,6 +139,18 @@
 where
     R: AsyncRead + Unpin,
     M: DeserializeOwned,
+{
+    let (tag, buf) = read_frame(r).await?;
+    match tag {
+        TAG_MESSAGE => Ok(Frame::Message(postcard::from_bytes(&buf)?)),
+        _ => Ok(Frame::Body(buf)),
+    }
+}
+
+/// Reads the tag and the payload of one frame.
+async fn read_frame<R>(r: &mut R) -> Result<(u8, Bytes), Error>
+where
+    R: AsyncRead + Unpin,
 {
     let mut head = [0; HEADER_BYTES];
     r.read_exact(&mut head).await?;
@@ -129,11 +163,7 @@
     if len > limit {
         return Err(Error::TooLong { found: len, limit });
     }
-    let buf = read_bytes(r, len).await?;
-    match head[4] {
-        TAG_MESSAGE => Ok(Frame::Message(postcard::from_bytes(&buf)?)),
-        _ => Ok(Frame::Body(buf)),
-    }
+    Ok((head[4], read_bytes(r, len).await?))
 }
 
 /// Reads a frame that must be a message.
@@ -152,6 +182,29 @@
     }
 }
 
+/// Reads a message and its extension; the default if the writer has sent none.
+///
+/// # Errors
+///
+/// As [`read_message`].
+pub async fn read_extended<R, M, E>(r: &mut R) -> Result<(M, E), Error>
+where
+    R: AsyncRead + Unpin,
+    M: DeserializeOwned,
+    E: DeserializeOwned + Default,
+{
+    let (tag, buf) = read_frame(r).await?;
+    if tag != TAG_MESSAGE {
+        return Err(Error::WrongKind);
+    }
+    let (msg, rest) = postcard::take_from_bytes(&buf)?;
+    let ext = match rest {
+        [] => E::default(),
+        rest => postcard::from_bytes(rest)?,
+    };
+    Ok((msg, ext))
+}
+
 /// Reads a frame that must be a body.
 ///
 /// # Errors
