entry, sidecar: a stream goes on only at the software version that began it

Callers saw streams that held events of two versions of a service's software: after a target had cut a stream, and after its entry had ended or its client had broken off and taken it up with Resumes elsewhere.

Cause: no process knew what a stream is a continuation of. The version of a target was dropped when it was decoded, targets were excluded by key only, and a client's attempt with Last-Event-Id was selected like a new request.

At the first event the entry records service and version (stair-fleet::origin) and sends the record to three agents by rendezvous hash of the stream; a record is written once. Another entry reads its own records, asks these agents, then all others. The request is bound before a target is selected, and the bound version is checked in choice, placement, waits for a return, right before the dispatch and on the open connection; inside a response the first event binds. Records of two origins under one id are no record. Without a record a stream goes on only where the service has provably had one version for its longest route timeout: the entry's own history, that of other entries through agents, and a list read from the store after the request. Else 503, unknown-origin or version-gone, not run, at once.

--- a/crates/stair-fleet/src/choose.rs
+++ b/crates/stair-fleet/src/choose.rs
@@ -65,6 +65,8 @@
     pub salt: u64,
     /// Whether suspect targets count too; for requests that have no other target left.
     pub suspects: bool,
+    /// The software version that the request is bound to, if it continues a stream.
+    pub version: Option<&'a str>,
 }
 
 /// The chosen target and its estimate.
@@ -116,6 +118,9 @@
 
 /// Whether a target has the model and can have the adapter, if they are requested.
 fn can_serve(s: &TargetState, opts: &Options<'_>, now: Duration) -> bool {
+    if !s.target.runs(opts.version) {
+        return false;
+    }
     let has_adapter = match (opts.model, opts.adapter) {
         (Some(model), Some(adapter)) => s.may_load() || s.has_adapter(model, adapter, now),
         _ => true,
--- a/crates/stair-fleet/src/cold_start.rs
+++ b/crates/stair-fleet/src/cold_start.rs
@@ -105,25 +105,33 @@
     pub cost_ms: f64,
 }
 
-/// Chooses where to load `model`. Engines whose agents are silent take no orders and are left out,
-/// as are those in `tried`.
+/// The model to be loaded, and where.
+#[derive(Debug, Clone, Copy)]
+pub struct Options<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The declaration of its engines.
+    pub engine: &'a Engine,
+    /// The model.
+    pub model: &'a str,
+    /// Engines that are left out.
+    pub tried: &'a [TargetKey],
+    /// The software version that the engine has to run, if one is required.
+    pub version: Option<&'a str>,
+}
+
+/// Chooses where to load a model. Engines whose agents are silent take no orders and are left out,
+/// as are those that were tried.
 ///
 /// # Errors
 ///
 /// See [`Error`].
-pub fn find(
-    view: &View,
-    service: &str,
-    engine: &Engine,
-    model: &str,
-    tried: &[TargetKey],
-    now: Duration,
-) -> Result<Outcome, Error> {
-    let search = Search::new(view, service, engine, model, now);
-    let candidates = search.candidates(tried);
+pub fn find(view: &View, opts: &Options<'_>, now: Duration) -> Result<Outcome, Error> {
+    let search = Search::new(view, opts, now);
+    let candidates = search.candidates();
     let any = !candidates.is_empty();
     search.cheapest(candidates).ok_or_else(|| {
-        if fetch::has_missing_reports(view, service, now) {
+        if fetch::has_missing_reports(view, opts.service, now) {
             Error::MissingReports
         } else if any {
             Error::StoreBusy
@@ -134,16 +142,9 @@
 }
 
 /// Same as [`find`], without the reason of a failure.
-pub fn choose(
-    view: &View,
-    service: &str,
-    engine: &Engine,
-    model: &str,
-    tried: &[TargetKey],
-    now: Duration,
-) -> Option<Outcome> {
-    let search = Search::new(view, service, engine, model, now);
-    search.cheapest(search.candidates(tried))
+pub fn choose(view: &View, opts: &Options<'_>, now: Duration) -> Option<Outcome> {
+    let search = Search::new(view, opts, now);
+    search.cheapest(search.candidates())
 }
 
 /// One search for a placement. Values that do not depend on the engine are computed once, because
@@ -153,6 +154,8 @@
     service: &'a str,
     engine: &'a Engine,
     model: &'a str,
+    tried: &'a [TargetKey],
+    version: Option<&'a str>,
     /// In the order of the declared models.
     demands: Vec<Demand>,
     now: Duration,
@@ -172,22 +175,18 @@
 }
 
 impl<'a> Search<'a> {
-    fn new(
-        view: &'a View,
-        service: &'a str,
-        engine: &'a Engine,
-        model: &'a str,
-        now: Duration,
-    ) -> Self {
+    fn new(view: &'a View, opts: &Options<'a>, now: Duration) -> Self {
         let mut search = Self {
             view,
-            service,
-            engine,
-            model,
-            demands: vec![Demand::default(); engine.models.len()],
+            service: opts.service,
+            engine: opts.engine,
+            model: opts.model,
+            tried: opts.tried,
+            version: opts.version,
+            demands: vec![Demand::default(); opts.engine.models.len()],
             now,
         };
-        for (key, s) in view.of(service).filter(|(_, s)| s.is_up(now)) {
+        for (key, s) in view.of(opts.service).filter(|(_, s)| s.is_up(now)) {
             search.count(key, s);
         }
         search
@@ -229,11 +228,12 @@
 
     /// All placements except at the engines that were tried.
     /// Engines with a limit are used only if there are no others.
-    fn candidates(&self, tried: &[TargetKey]) -> Vec<Outcome> {
+    fn candidates(&self) -> Vec<Outcome> {
         let mut out: Vec<Outcome> = self
             .view
             .of(self.service)
-            .filter(|(key, s)| s.is_available(self.now) && !tried.contains(key))
+            .filter(|(key, s)| s.is_available(self.now) && !self.tried.contains(key))
+            .filter(|(_, s)| s.target.runs(self.version))
             .filter_map(|(key, s)| self.cost_at(key, s))
             .collect();
         let is_limited = |o: &Outcome| self.view.get(o.key).limit.is_some();
--- a/crates/stair-fleet/src/lib.rs
+++ b/crates/stair-fleet/src/lib.rs
@@ -19,6 +19,7 @@
 //! - [`balance`]: chooses a model that gets a further replica, and the replicas evicted for it.
 //! - [`fetch`]: limits concurrent loads from the weight store.
 //! - [`prefill`]: schedules the prefill of prompts on one engine.
+//! - [`origin`]: what a stream is a continuation of.
 //! - [`outlier`]: decides which targets a failure counts against.
 //! - [`quarantine`]: finds requests that crash the targets that run them.
 //! - [`budget`]: one entry's share of the retry budget.
@@ -38,6 +39,7 @@
 pub mod fetch;
 pub mod lag;
 pub mod msg;
+pub mod origin;
 pub mod outlier;
 pub mod overload;
 pub mod prefetch;
--- a/crates/stair-fleet/src/msg.rs
+++ b/crates/stair-fleet/src/msg.rs
@@ -17,6 +17,10 @@
 use crate::{
     availability::Shared,
     catalogue::Engine,
+    origin::{
+        FromKeeper,
+        ToKeeper, //
+    },
     prefill,
     quarantine::{
         ToLedger,
@@ -96,6 +100,20 @@
     Limit(rate_limit::ToLedger),
     /// What targets have stated about the requests that they take.
     Availability(Vec<Shared>),
+    /// About the origins of streams; only to agents that keep them, see [`Features`].
+    Origin(ToKeeper),
+}
+
+/// What an agent can do beyond what agents of earlier releases can. The extension of its first message.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Features {
+    /// Whether it keeps origins of streams.
+    pub origins: bool,
+}
+
+impl Features {
+    /// The features of this release.
+    pub const CURRENT: Self = Self { origins: true };
 }
 
 /// The versions that an entry has of replicated data.
@@ -197,6 +215,8 @@
     Limit(rate_limit::ToSender),
     /// What targets have stated about the requests that they take.
     Availability(Vec<Shared>),
+    /// About the origins of streams.
+    Origin(FromKeeper),
 }
 
 /// What one entry, the receiver, needs to know of the other entries. Their whole list would be too
--- a/crates/stair-fleet/src/prefetch.rs
+++ b/crates/stair-fleet/src/prefetch.rs
@@ -98,14 +98,19 @@
 
 impl Search<'_> {
     fn place(&self, model: &str) -> Option<Outcome> {
-        let place = cold_start::choose(
-            self.view,
-            self.service,
-            self.engine,
+        self.place_at(model, None)
+    }
+
+    /// A placement at an engine of this software version, if one is required.
+    fn place_at(&self, model: &str, version: Option<&str>) -> Option<Outcome> {
+        let opts = cold_start::Options {
+            service: self.service,
+            engine: self.engine,
             model,
-            &self.excluded,
-            self.now,
-        )?;
+            tried: &self.excluded,
+            version,
+        };
+        let place = cold_start::choose(self.view, &opts, self.now)?;
         Some(Outcome {
             model: model.into(),
             place,
@@ -233,7 +238,10 @@
     fn is_missing(&self, model: &str) -> bool {
         let within = self.engine.model(model).map(|m| m.from_store);
         let within = within.unwrap_or_default();
-        self.copies(model) == 0 && !self.view.may_return(self.service, model, within, self.now)
+        self.copies(model) == 0
+            && !self
+                .view
+                .may_return(self.service, model, None, within, self.now)
     }
 
     /// Whether only engines with a limit or in a backoff have the model or are loading it.
--- a/crates/stair-fleet/src/target.rs
+++ b/crates/stair-fleet/src/target.rs
@@ -10,6 +10,8 @@
     Serialize, //
 };
 
+use crate::origin;
+
 /// A target as it announces itself.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Target {
@@ -57,6 +59,11 @@
         }
     }
 
+    /// Whether the target runs a software version, or any if none is required.
+    pub fn runs(&self, required: Option<&str>) -> bool {
+        origin::allows(required, self.version.as_deref())
+    }
+
     /// Whether two announcements differ in nothing but their inventories.
     pub fn eq_except_inventory(&self, other: &Self) -> bool {
         let Self {
--- a/crates/stair-fleet/src/view.rs
+++ b/crates/stair-fleet/src/view.rs
@@ -358,13 +358,42 @@
         }
     }
 
+    /// The listed targets, those of undeclared services too.
+    pub fn all_listed(&self) -> impl Iterator<Item = &Target> {
+        let listed = self.targets.iter().filter(|s| s.listed);
+        listed.map(|s| &s.target)
+    }
+
+    /// Whether a target of a service runs a software version and does not drain.
+    pub fn has_version(&self, service: &str, version: &str) -> bool {
+        let mut all = self.of(service);
+        all.any(|(_, s)| s.target.runs(Some(version)) && !s.is_draining())
+    }
+
+    /// Whether a target of a software version ended without draining, and may be back with it.
+    pub fn version_may_return(&self, service: &str, version: &str) -> bool {
+        let of_version =
+            |s: &TargetState| *s.target.service == *service && s.target.runs(Some(version));
+        self.targets
+            .iter()
+            .any(|s| of_version(s) && !s.is_draining())
+    }
+
     /// Whether an engine with a copy of a model is unavailable, or was removed without draining
     /// less than `within` ago. An engine that crashes comes back with the copies on its disk.
-    pub fn may_return(&self, service: &str, model: &str, within: Duration, now: Duration) -> bool {
+    /// Only engines of `version` count, if one is required.
+    pub fn may_return(
+        &self,
+        service: &str,
+        model: &str,
+        version: Option<&str>,
+        within: Duration,
+        now: Duration,
+    ) -> bool {
         let of_service = self
             .targets
             .iter()
-            .filter(|s| *s.target.service == *service);
+            .filter(|s| *s.target.service == *service && s.target.runs(version));
         let mut down = of_service.filter(|s| match &s.last_inventory {
             _ if s.listed => s.declared && s.is_down_with_copy(model, now),
             Some((inventory, at)) => {
--- a/crates/stair-fleet/tests/availability.rs
+++ b/crates/stair-fleet/tests/availability.rs
@@ -272,6 +272,7 @@
         tried,
         salt: 1,
         suspects: true,
+        version: None,
     }
 }
 
@@ -296,7 +297,7 @@
     assert_eq!(wait(&view, &[keys[1]]), Some(ms(3000)));
     assert_eq!(wait(&view, &keys), None);
     assert!(view.get(keys[0]).is_up(NOW));
-    assert!(!view.may_return(SERVICE, "a", ms(6000), NOW));
+    assert!(!view.may_return(SERVICE, "a", None, ms(6000), NOW));
     let next = prefetch::next(&view, SERVICE, &engine(), &[], NOW);
     assert!(next.is_none_or(|n| &*n.model != "a"));
     let later = choose::choose(&view, &options(&[]), NOW + ms(2000));
--- a/crates/stair-fleet/tests/availability_load.rs
+++ b/crates/stair-fleet/tests/availability_load.rs
@@ -155,6 +155,7 @@
                 tried: &tried,
                 salt,
                 suspects: false,
+                version: None,
             };
             let Some(chosen) = choose::choose(&self.views[entry], &opts, now) else {
                 return;
--- a/crates/stair-fleet/tests/cold_start.rs
+++ b/crates/stair-fleet/tests/cold_start.rs
@@ -24,6 +24,7 @@
     engine,
     fetching,
     fleet,
+    load_of,
     ms,
     options,
     report,
@@ -37,7 +38,7 @@
         report(&[], &["a"]),
         report(&["b", "c"], &["a"]),
     ]);
-    let at = choose(&view, SERVICE, &engine(), "a", &[], NOW).expect("a placement");
+    let at = choose(&view, &load_of(&engine(), "a", &[]), NOW).expect("a placement");
     assert_eq!((at.key, at.from), (keys[1], CopyLocation::Disk));
     assert!(at.victims.is_empty());
 }
@@ -48,7 +49,7 @@
 fn idle_models_are_evicted() {
     let full = used(used(report(&["b", "c"], &["a"]), "b", 6.0, 4), "c", 0.1, 0);
     let (view, _) = fleet(vec![full]);
-    let at = choose(&view, SERVICE, &engine(), "a", &[], NOW).expect("a placement");
+    let at = choose(&view, &load_of(&engine(), "a", &[]), NOW).expect("a placement");
     assert_eq!(at.victims, vec!["c".into()]);
 }
 
@@ -60,7 +61,7 @@
     let busy = used(used(report(&["b", "c"], &["a"]), "b", 0.1, 8), "c", 0.1, 8);
     let lightly_used = used(used(report(&["d", "e"], &["a"]), "d", 0.6, 1), "e", 0.6, 1);
     let (view, keys) = fleet(vec![busy, lightly_used]);
-    let at = choose(&view, SERVICE, &engine(), "a", &[], NOW).expect("a placement");
+    let at = choose(&view, &load_of(&engine(), "a", &[]), NOW).expect("a placement");
     assert_eq!(at.key, keys[1]);
     assert!(at.ready_in >= ms(800 + 700), "{:?}", at.ready_in);
 }
@@ -72,7 +73,7 @@
         used(report(&["b", "c"], &["a"]), "b", 0.2, 0),
         used(report(&["b", "d"], &["a"]), "b", 0.2, 0),
     ]);
-    let at = choose(&view, SERVICE, &engine(), "a", &[], NOW).expect("a placement");
+    let at = choose(&view, &load_of(&engine(), "a", &[]), NOW).expect("a placement");
     assert!(keys.contains(&at.key));
     assert_eq!(at.victims, vec!["b".into()]);
 }
@@ -92,7 +93,7 @@
     };
     let (view, keys) = fleet(vec![full("c"), full("d")]);
     let victims = |tried: usize| {
-        let at = choose(&view, SERVICE, &engine(), "a", &[keys[tried]], NOW);
+        let at = choose(&view, &load_of(&engine(), "a", &[keys[tried]]), NOW);
         at.expect("a placement").victims
     };
     let evicted = [victims(0), victims(1)].concat();
@@ -111,7 +112,7 @@
         slowdown: 0.0,
     });
     let (view, keys) = fleet(vec![report(&[], &["a"]), loading]);
-    let at = choose(&view, SERVICE, &engine(), "a", &[], NOW).expect("a placement");
+    let at = choose(&view, &load_of(&engine(), "a", &[]), NOW).expect("a placement");
     assert_eq!((at.key, at.ready_in), (keys[1], ms(300)));
 }
 
@@ -124,12 +125,12 @@
         .to_vec();
     reports.push(report(&[], &[]));
     let (view, keys) = fleet(reports);
-    let found = find(&view, SERVICE, &engine(), "a", &[], NOW);
+    let found = find(&view, &load_of(&engine(), "a", &[]), NOW);
     assert_eq!(found, Err(Error::StoreBusy));
-    let joined = find(&view, SERVICE, &engine(), "b", &[], NOW).expect("joins");
+    let joined = find(&view, &load_of(&engine(), "b", &[]), NOW).expect("joins");
     assert_eq!(joined.key, keys[0]);
     let (nothing, _) = fleet(vec![]);
-    let found = find(&nothing, SERVICE, &engine(), "a", &[], NOW);
+    let found = find(&nothing, &load_of(&engine(), "a", &[]), NOW);
     assert_eq!(found, Err(Error::NoCapacity));
 }
 
@@ -138,7 +139,7 @@
 fn no_agent_no_load() {
     let (view, _) = fleet(vec![report(&[], &["a"])]);
     let later = NOW + ms(60_000);
-    assert_eq!(choose(&view, SERVICE, &engine(), "a", &[], later), None);
+    assert_eq!(choose(&view, &load_of(&engine(), "a", &[]), later), None);
 }
 
 /// Before traffic the engines' memory is half empty. Models with a copy on disk are loaded where
@@ -199,7 +200,7 @@
     busy.load.backlog = ms(3000);
     let (view, keys) = fleet(vec![busy, report(&[], &["a"])]);
     let best = stair_fleet::choose::choose(&view, &options("a"), NOW).expect("one");
-    let place = choose(&view, SERVICE, &engine(), "a", &[keys[0]], NOW);
+    let place = choose(&view, &load_of(&engine(), "a", &[keys[0]]), NOW);
     let objective = ms(800);
     let decision = decide(Some(&best), place.as_ref(), objective, ms(5000));
     assert_eq!(decision, Decision::Load);
@@ -223,7 +224,7 @@
     unloading.load.unloading = true;
     unloading.load.draining = vec!["a".into()];
     let (view, keys) = fleet(vec![unloading, report(&["b"], &["a"])]);
-    let at = choose(&view, SERVICE, &engine(), "a", &[], NOW).expect("a placement");
+    let at = choose(&view, &load_of(&engine(), "a", &[]), NOW).expect("a placement");
     assert_eq!((at.key, at.from), (keys[1], CopyLocation::Disk));
 }
 
@@ -315,14 +316,14 @@
     }
     view.set_inventory_at(support::addr(0), support::inventory(&[], &[]), early);
     view.set_load_at(support::addr(0), report(&[], &[]).load, early);
-    let found = find(&view, SERVICE, &engine(), "a", &[], early);
+    let found = find(&view, &load_of(&engine(), "a", &[]), early);
     assert_eq!(found, Err(Error::MissingReports));
     assert_eq!(prefetch::next(&view, SERVICE, &engine(), &[], early), None);
     let later = ms(2600);
-    let found = find(&view, SERVICE, &engine(), "a", &[], later).expect("a placement");
+    let found = find(&view, &load_of(&engine(), "a", &[]), later).expect("a placement");
     assert_eq!((found.key, found.from), (keys[0], CopyLocation::Store));
     view.set_inventory_at(support::addr(1), support::inventory(&[], &["a"]), early);
     view.set_load_at(support::addr(1), report(&[], &[]).load, early);
-    let found = find(&view, SERVICE, &engine(), "a", &[], early).expect("a placement");
+    let found = find(&view, &load_of(&engine(), "a", &[]), early).expect("a placement");
     assert_eq!((found.key, found.from), (keys[1], CopyLocation::Disk));
 }
--- a/crates/stair-fleet/tests/limited.rs
+++ b/crates/stair-fleet/tests/limited.rs
@@ -19,6 +19,7 @@
     SERVICE,
     engine,
     fleet,
+    load_of,
     ms,
     options,
     report,
@@ -59,7 +60,7 @@
     let copies = ["a", "b"];
     let (mut view, keys) = fleet(vec![report(&[], &copies), report(&["c", "d"], &copies)]);
     let place = |view: &View| {
-        cold_start::find(view, SERVICE, &engine(), "a", &[], NOW).expect("a placement")
+        cold_start::find(view, &load_of(&engine(), "a", &[]), NOW).expect("a placement")
     };
     assert_eq!(place(&view).key, keys[0]);
     limit(&mut view, keys[0], ms(0));
@@ -79,7 +80,7 @@
     let (mut view, keys) = fleet(reports);
     limit(&mut view, keys[2], ms(0));
     limit(&mut view, keys[0], ms(0));
-    let at = cold_start::find(&view, SERVICE, &engine(), "e", &[], NOW).expect("a placement");
+    let at = cold_start::find(&view, &load_of(&engine(), "e", &[]), NOW).expect("a placement");
     assert_eq!(at.key, keys[1]);
     assert_eq!(&*at.victims[0], "c");
 }
--- a/crates/stair-fleet/tests/support/mod.rs
+++ b/crates/stair-fleet/tests/support/mod.rs
@@ -14,6 +14,7 @@
         Model, //
     },
     choose,
+    cold_start,
     target::{
         CopyLocation,
         Inventory,
@@ -165,5 +166,21 @@
         tried: &[],
         salt: 7,
         suspects: false,
+        version: None,
+    }
+}
+
+/// A load of a model, at an engine of any software version.
+pub(crate) fn load_of<'a>(
+    engine: &'a Engine,
+    model: &'a str,
+    tried: &'a [TargetKey],
+) -> cold_start::Options<'a> {
+    cold_start::Options {
+        service: SERVICE,
+        engine,
+        model,
+        tried,
+        version: None,
     }
 }
--- a/crates/stair-fleet/tests/view.rs
+++ b/crates/stair-fleet/tests/view.rs
@@ -356,7 +356,8 @@
 fn engines_that_may_return() {
     let within = ms(6000);
     let (mut view, keys) = fleet(vec![report(&["a"], &["b"])]);
-    let returns = |view: &View, model: &str, now| view.may_return(SERVICE, model, within, now);
+    let returns =
+        |view: &View, model: &str, now| view.may_return(SERVICE, model, None, within, now);
     assert!(!returns(&view, "a", NOW));
     view.get_mut(keys[0]).suspect_until = NOW + ms(500);
     assert!(returns(&view, "a", NOW) && returns(&view, "b", NOW));
@@ -382,5 +383,5 @@
     draining.state = State::Draining(None);
     view.put(draining, NOW);
     view.remove("t0");
-    assert!(!view.may_return(SERVICE, "a", ms(6000), NOW));
+    assert!(!view.may_return(SERVICE, "a", None, ms(6000), NOW));
 }
--- a/crates/stair-relay/src/admit.rs
+++ b/crates/stair-relay/src/admit.rs
@@ -59,7 +59,7 @@
         Job,
         rank, //
     },
-    quarantine,
+    origin, quarantine,
     quota::{
         self,
         Grant, //
@@ -125,6 +125,11 @@
     let body = read_body(body, &head.headers, catalogue.limits.body_bytes, deadline).await?;
     let point = xxh3_64(meta.id.as_bytes()) as f64 / u64::MAX as f64;
     let service: Box<str> = route.pick(point).into();
+    let origin = match route.stream && meta.is_continuation {
+        true => Some(origin::resolve(cx, &catalogue, &route, &meta, &service).await?),
+        false => None,
+    };
+    let service = origin.as_ref().map_or(service, |o| o.service.clone());
     let mut headers = head.headers;
     strip(&mut headers);
     if catalogue.workspaces.is_some() {
@@ -140,6 +145,7 @@
         workspace,
         grant: None,
         service,
+        version: origin.map_or_else(OnceLock::new, |o| o.version.into()),
         catalogue,
         received,
         deadline,
--- a/crates/stair-relay/src/availability.rs
+++ b/crates/stair-relay/src/availability.rs
@@ -108,6 +108,9 @@
     let (why, id) = {
         let state = cx.state();
         let target_state = state.view.get(key);
+        if !target_state.target.runs(job.version()) {
+            return false;
+        }
         match target_state.availability.withheld(now) {
             None => return target_state.takes(now),
             Some(why) => (why, target_state.target.id.clone()),
--- a/crates/stair-relay/src/context.rs
+++ b/crates/stair-relay/src/context.rs
@@ -32,6 +32,7 @@
     availability::Withheld,
     budget::Budget,
     msg::{
+        Features,
         Outcome,
         Peers,
         ReplicationState,
@@ -66,6 +67,10 @@
     crash::Crashes,
     follow::Follow,
     limit::Limits,
+    origin::{
+        ListCheck,
+        Origins, //
+    },
     owner::Owners,
     quarantine::Quarantine, //
     quota::Quotas,
@@ -92,6 +97,8 @@
     pub follow: Follow,
     /// The newest era of the store that is known.
     pub eras: Eras,
+    /// Checks the list against the store's present one.
+    pub(crate) list_check: ListCheck,
     started: Instant,
     /// The latest end of the process, once the stop has begun.
     ends_at: watch::Sender<Option<Instant>>,
@@ -124,6 +131,8 @@
     pub limits: Limits,
     /// The agents that count for all entries, by the name that they own.
     pub owners: Owners,
+    /// Origins of streams, and the versions that services have had.
+    pub(crate) origins: Origins,
     /// Runs that were interrupted recently, by target.
     pub(crate) crashes: Crashes,
     /// Requests that are suspected to end targets, or are quarantined.
@@ -141,6 +150,8 @@
     pub name: Box<str>,
     /// Whether the link is up.
     pub linked: bool,
+    /// What the agent can do.
+    pub features: Features,
     /// Time until which the agent is not used as an owner or for a ledger, since it did not reply in time.
     pub skipped_until: Duration,
     /// Messages to the agent.
@@ -174,6 +185,7 @@
             changed: Notify::new(),
             unresponsive: Notify::new(),
             follow: Follow::default(),
+            list_check: ListCheck::default(),
             started: Instant::now(),
             ends_at: watch::Sender::new(None),
             serving: AtomicUsize::new(0),
--- a/crates/stair-relay/src/dump.rs
+++ b/crates/stair-relay/src/dump.rs
@@ -7,11 +7,15 @@
     Target,
     budget,
     msg::Peers,
+    origin::{
+        Origin,
+        Report, //
+    },
     quarantine::{
         Notice,
         Standing, //
     },
-    target::Report,
+    target,
     target_state::TargetState, //
 };
 
@@ -49,6 +53,18 @@
     retries: Vec<RetriesDump>,
     /// Requests that are suspected to end targets, or quarantined.
     quarantine: Vec<QuarantineDump>,
+    /// Streams by what began them.
+    streams: Vec<StreamsDump>,
+    /// The software versions that services have had.
+    versions: Report,
+}
+
+/// Streams of one origin that may be continued.
+#[derive(Debug, Clone, Serialize)]
+struct StreamsDump {
+    #[serde(flatten)]
+    origin: Origin,
+    records: usize,
 }
 
 /// One target.
@@ -71,7 +87,7 @@
     unread_tokens: u64,
     failing: f64,
     delay_ms: f64,
-    report: Option<Report>,
+    report: Option<target::Report>,
     report_age_ms: Option<u64>,
     /// The limit that the target has named.
     limit: Option<LimitDump>,
@@ -113,6 +129,7 @@
 struct AgentDump {
     engine: std::net::SocketAddr,
     entries: u32,
+    keeps_origins: bool,
     loads_waiting: usize,
     prefills_waiting: usize,
 }
@@ -153,7 +170,7 @@
         targets_revision: state.view.revision.counter,
         targets_era: state.view.revision.era.0,
         store_era: cx.eras.newest().0,
-        targets: state.view.all().map(|(_, s)| target(s, now)).collect(),
+        targets: state.view.all().map(|(_, s)| target_dump(s, now)).collect(),
         agents: state.agents.iter().map(agent).collect(),
         peers: state.peers.as_ref().map(|(p, at)| (p.clone(), ago(*at))),
         follows: cx.follow.follows(),
@@ -167,6 +184,17 @@
             })
             .collect(),
         quarantine: quarantine(&state, now),
+        streams: state
+            .origins
+            .records()
+            .counts()
+            .into_iter()
+            .map(|(origin, records)| StreamsDump {
+                origin: origin.clone(),
+                records,
+            })
+            .collect(),
+        versions: state.origins.versions(now),
     }
 }
 
@@ -187,7 +215,7 @@
     Some(catalogue.workspaces.as_ref()?.all().len())
 }
 
-fn target(target_state: &TargetState, now: Duration) -> TargetDump {
+fn target_dump(target_state: &TargetState, now: Duration) -> TargetDump {
     let report = target_state.report.as_ref();
     TargetDump {
         target: target_state.target.clone(),
@@ -229,6 +257,7 @@
     AgentDump {
         engine: link.engine,
         entries: link.entries,
+        keeps_origins: link.features.origins,
         loads_waiting: link.pending_loads.len(),
         prefills_waiting: link.pending_slots.len(),
     }
--- a/crates/stair-relay/src/job.rs
+++ b/crates/stair-relay/src/job.rs
@@ -34,7 +34,9 @@
         Engine,
         Route, //
     },
+    cold_start,
     prefill::PrefixBlock,
+    view::TargetKey,
     workspace::Workspace, //
 };
 use stair_types::{
@@ -66,6 +68,9 @@
     pub grant: Option<Grant>,
     /// The service that the route selected.
     pub service: Box<str>,
+    /// The software version that its stream is bound to, from the first event on. It is empty if the version of
+    /// the target that sent that event is not known: no other target matches.
+    pub(crate) version: OnceLock<Box<str>>,
     /// The catalogue in force on arrival.
     pub(crate) catalogue: Arc<Catalogue>,
     /// The number of tokens in the prefix that other requests share, and the hash of that prefix.
@@ -100,6 +105,27 @@
         self.catalogue.service(&self.service)?.engine.as_ref()
     }
 
+    /// The software version that its target has to run; `None` before the first event of a new stream.
+    pub fn version(&self) -> Option<&str> {
+        self.version.get().map(|v| &**v)
+    }
+
+    /// The placement that it needs for a model.
+    pub(crate) fn load_of<'a>(
+        &'a self,
+        engine: &'a Engine,
+        model: &'a str,
+        tried: &'a [TargetKey],
+    ) -> cold_start::Options<'a> {
+        cold_start::Options {
+            service: &self.service,
+            engine,
+            model,
+            tried,
+            version: self.version(),
+        }
+    }
+
     /// Its urgency, 0 for the most urgent. The rank of its workspace overrides that of its route.
     pub fn rank(&self) -> u8 {
         rank(&self.route, self.workspace.as_ref())
--- a/crates/stair-relay/src/lib.rs
+++ b/crates/stair-relay/src/lib.rs
@@ -4,6 +4,7 @@
 //! its route, [`authorize`] its workspace, and [`quota`] charges the workspace. The request is a [`job`] from
 //! there on. [`assign`] selects a target where it may run now: [`select`] compares the targets, [`load`] has
 //! the model loaded, [`outage`] waits for an engine that is down, and [`prefill`] reserves a prefill slot.
+//! A request that continues a stream is bound to the version that began it (`origin`).
 //! [`attempt`] sends the request to the target; [`stream`] forwards events and resumes broken streams.
 //! [`limit`] keeps the limits that targets name, and `availability` what they state about the requests that they
 //! take. [`failures`] counts the failures of targets, `crash` determines which requests ran on a target that ended,
@@ -37,6 +38,7 @@
 pub mod limit;
 pub mod links;
 pub mod load;
+mod origin;
 pub mod outage;
 pub mod owner;
 pub mod peers;
--- a/crates/stair-relay/src/links.rs
+++ b/crates/stair-relay/src/links.rs
@@ -12,6 +12,7 @@
 
 use stair_fleet::{
     msg::{
+        Features,
         ReplicationState,
         ToAgent,
         ToEntry, //
@@ -45,6 +46,7 @@
         Context, //
     },
     limit,
+    origin,
     quarantine,
     quota, //
 };
@@ -90,6 +92,7 @@
                 engine,
                 name: engine.to_string().into(),
                 linked: false,
+                features: Features::default(),
                 skipped_until: Duration::ZERO,
                 tx,
                 entries: 0,
@@ -207,6 +210,7 @@
     let mut state = cx.state();
     if let Some(i) = state.agent(engine) {
         state.agents[i].linked = false;
+        state.agents[i].features = Features::default();
         state.agents[i].pending_loads.clear();
         state.agents[i].pending_slots.clear();
         state.agents[i].prefill_times.clear();
@@ -215,6 +219,7 @@
     state.quotas.link_ended(engine);
     state.quarantine.link_ended(engine);
     state.limits.link_ended(engine);
+    state.origins.link_ended(engine);
     state.view.drop_report_at(engine);
 }
 
@@ -244,11 +249,15 @@
 
 async fn receive(cx: &Arc<Context>, engine: SocketAddr, mut r: OwnedReadHalf) -> Ended {
     loop {
-        let msg = match timeout(SILENCE_TIMEOUT, frame::read_message(&mut r)).await {
-            Ok(Ok(msg)) => msg,
+        let read = timeout(SILENCE_TIMEOUT, frame::read_extended(&mut r)).await;
+        let (msg, features): (ToEntry, Features) = match read {
+            Ok(Ok(both)) => both,
             Ok(Err(_)) => return Ended::Closed,
             Err(_) => return Ended::Silent,
         };
+        if features != Features::default() {
+            origin::keeper_found(cx, engine, features);
+        }
         let now = cx.now();
         cx.state().view.record_message_at(engine, now);
         match msg {
@@ -291,6 +300,7 @@
             ToEntry::Quarantine(msg) => quarantine::receive(cx, engine, msg),
             ToEntry::Limit(msg) => limit::receive(cx, engine, msg),
             ToEntry::Availability(shared) => availability::receive(cx, &shared),
+            ToEntry::Origin(msg) => origin::receive(cx, engine, msg),
             ToEntry::Peers(peers) => {
                 let mut state = cx.state();
                 if let Some(i) = state.agent(engine) {
--- a/crates/stair-relay/src/load.rs
+++ b/crates/stair-relay/src/load.rs
@@ -79,7 +79,7 @@
     let found = {
         let state = cx.state();
         let now = cx.now();
-        cold_start::find(&state.view, &job.service, engine, model, refused, now)
+        cold_start::find(&state.view, &job.load_of(engine, model, refused), now)
     };
     match found {
         Ok(at) => load_at(cx, job, &at, refused, outage_until, until).await,
--- a/crates/stair-relay/src/outage.rs
+++ b/crates/stair-relay/src/outage.rs
@@ -67,5 +67,5 @@
     let within = engine.model(model).map_or(Duration::ZERO, |m| m.from_store);
     cx.state()
         .view
-        .may_return(&job.service, model, within, cx.now())
+        .may_return(&job.service, model, job.version(), within, cx.now())
 }
--- a/crates/stair-relay/src/refuse.rs
+++ b/crates/stair-relay/src/refuse.rs
@@ -59,6 +59,10 @@
     TargetLimit,
     /// The targets that can run it have asked for a backoff.
     TargetBackoff,
+    /// The request continues a stream, and it is not known what began it.
+    UnknownOrigin,
+    /// The request continues a stream, and no target runs the software version that began it.
+    VersionGone,
     /// All targets that were tried refused the request.
     Refused,
     /// The target did not respond before the deadline.
@@ -86,6 +90,8 @@
             Self::NoTarget => "no-target",
             Self::TargetLimit => "target-limit",
             Self::TargetBackoff => "target-backoff",
+            Self::UnknownOrigin => "unknown-origin",
+            Self::VersionGone => "version-gone",
             Self::Refused => "refused",
             Self::Late => "late",
             Self::Lost => "lost",
@@ -107,6 +113,8 @@
             | Self::NoTarget
             | Self::TargetLimit
             | Self::TargetBackoff
+            | Self::UnknownOrigin
+            | Self::VersionGone
             | Self::Refused => StatusCode::SERVICE_UNAVAILABLE,
             Self::Late if verdict == Verdict::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::Late => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/stair-relay/src/relay.rs
+++ b/crates/stair-relay/src/relay.rs
@@ -244,7 +244,9 @@
 
 fn refusal(attempts: &Attempts, reason: Reason, retry_after: Duration) -> Refusal {
     if attempts.ran == 0 {
-        return Refusal::not_run(reason, Some(retry_after));
+        // A version that is not expected back does not make a retry succeed.
+        let is_final = reason == Reason::VersionGone && retry_after.is_zero();
+        return Refusal::not_run(reason, (!is_final).then_some(retry_after));
     }
     let reason = match reason {
         Reason::Late => Reason::Late,
--- a/crates/stair-relay/src/replicate.rs
+++ b/crates/stair-relay/src/replicate.rs
@@ -43,7 +43,8 @@
 use crate::{
     change::{
         self,
-        TargetChange, //
+        TargetChange,
+        Urgency, //
     },
     context::{
         Context,
@@ -232,7 +233,10 @@
     cx.page.time("store_call_ms", &labels, begun.elapsed());
 }
 
-async fn list_targets(cx: &Context, store: &Store) -> Result<(Vec<Target>, StoreRevision), Error> {
+pub(crate) async fn list_targets(
+    cx: &Context,
+    store: &Store,
+) -> Result<(Vec<Target>, StoreRevision), Error> {
     let mut targets = Vec::new();
     let mut first: Option<StoreRevision> = None;
     let mut after: Option<Box<str>> = None;
@@ -279,6 +283,7 @@
         let drains = state.view.replace(targets, revision, now + grace, now);
         state.drop_stale_incarnations();
         share_drains(&mut state, &drains, now);
+        state.observe_versions(now);
     }
     log_list(cx, revision, count, "store");
 }
@@ -306,6 +311,7 @@
         let drains = state.view.replace_from_peer(listed, revision, now);
         state.drop_stale_incarnations();
         share_drains(&mut state, &drains, now);
+        state.observe_versions(now);
     }
     log_list(cx, revision, count, peer);
 }
@@ -400,6 +406,9 @@
             ranked.push((change, urgency));
         }
         state.view.revision = revision;
+        if ranked.iter().any(|(_, u)| *u == Urgency::Immediate) {
+            state.observe_versions(now);
+        }
     }
     for (id, is) in lines {
         let state = is.map_or("gone".to_owned(), |s| format!("{s:?}"));
--- a/crates/stair-relay/src/select.rs
+++ b/crates/stair-relay/src/select.rs
@@ -51,7 +51,7 @@
         log_load,
         request,
     },
-    outage,
+    origin, outage,
     prefill::{
         self,
         PromptEstimate,
@@ -144,6 +144,7 @@
     let outage_until = since + until.saturating_duration_since(since) / OUTAGE_WAIT_DIVISOR;
     let mut rounds = 0;
     while rounds < MAX_ROUNDS && Instant::now() < until {
+        origin::check_version(cx, job)?;
         let best = find_ready(cx, job, tried, false);
         // A replica that is loaded because of a limit has to be another one.
         let excluded = [&search.refused[..], &search.limited, tried].concat();
@@ -448,7 +449,7 @@
     let (model, engine) = job.model_of_engine()?;
     let state = cx.state();
     let now = cx.now();
-    cold_start::choose(&state.view, &job.service, engine, model, excluded, now)
+    cold_start::choose(&state.view, &job.load_of(engine, model, excluded), now)
 }
 
 /// Waits for the end of a backoff, or less if the state of the targets changes.
@@ -490,6 +491,7 @@
         tried,
         salt: salt(job),
         suspects,
+        version: job.version(),
     }
 }
 
@@ -511,7 +513,7 @@
         let now = cx.now();
         let mut state = cx.state();
         let target_state = state.view.get_mut(at.key);
-        if !target_state.accepts(suspects, now) {
+        if !target_state.accepts(suspects, now) || !target_state.target.runs(job.version()) {
             return None;
         }
         target_state.availability.record_send(now);
--- a/crates/stair-relay/src/stream.rs
+++ b/crates/stair-relay/src/stream.rs
@@ -44,7 +44,7 @@
     },
     crash,
     job::Job,
-    quarantine,
+    origin, quarantine,
     refuse::Reason,
     relay::{
         self,
@@ -138,6 +138,7 @@
     };
     source.in_flight.mark_read();
     if first.is_some() {
+        origin::begun(cx, job, selected.version.as_deref());
         cx.record_prefill(key, job, selected.reads, selected.selected_at.elapsed());
     }
     let took = begun.elapsed().as_secs_f64() * 1000.0;
--- a/crates/stair-sidecar/src/lib.rs
+++ b/crates/stair-sidecar/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`links`]: the connections of entries.
 //! - [`availability`]: whether the engine drains or wants no requests for some time.
 //! - [`limits`]: counts the limits that targets name, for all entries.
+//! - `origins`: keeps what began each stream, for all entries.
 //! - [`quotas`]: counts the quotas of workspaces for all entries.
 //! - [`quarantine`]: the ledger of requests that crash targets, for all entries.
 #![deny(missing_docs)]
@@ -22,6 +23,7 @@
 pub mod fence;
 pub mod limits;
 pub mod links;
+mod origins;
 pub mod process;
 pub mod quarantine;
 pub mod quotas;
--- a/crates/stair-sidecar/src/links.rs
+++ b/crates/stair-sidecar/src/links.rs
@@ -11,6 +11,7 @@
 };
 
 use stair_fleet::msg::{
+    Features,
     ToAgent,
     ToEntry, //
 };
@@ -33,6 +34,7 @@
 use crate::{
     availability::Availabilities,
     limits::Limits,
+    origins::Origins,
     process::dump::Dump,
     quarantine::Quarantine,
     quotas::Quotas,
@@ -72,6 +74,8 @@
     pub limits: Arc<Limits>,
     /// What targets state about the requests that they take.
     pub availability: Arc<Availabilities>,
+    /// Origins of streams.
+    pub origins: Arc<Origins>,
 }
 
 /// Accepts links until the receiver of events is closed.
@@ -108,6 +112,7 @@
     ledgers.quarantine.closed(key);
     ledgers.limits.closed(key);
     ledgers.availability.closed(key);
+    ledgers.origins.closed(key);
     // Fails only when the main loop has ended, and the state of this link with it.
     let _ = events.send(Event::Closed(key)).await;
 }
@@ -143,6 +148,10 @@
                 ledgers.availability.receive(key, &shared);
                 continue;
             }
+            ToAgent::Origin(msg) => {
+                ledgers.origins.receive(key, msg, tx);
+                continue;
+            }
             msg => msg,
         };
         if events.send(Event::Message(key, msg)).await.is_err() {
@@ -152,8 +161,15 @@
 }
 
 async fn write(mut w: OwnedWriteHalf, mut rx: mpsc::Receiver<ToEntry>) {
+    let mut is_first = true;
     while let Some(msg) = rx.recv().await {
-        let written = timeout(WRITE_TIMEOUT, frame::write_message(&mut w, &msg)).await;
+        let written = async {
+            match std::mem::take(&mut is_first) {
+                true => frame::write_extended(&mut w, &msg, &Features::CURRENT).await,
+                false => frame::write_message(&mut w, &msg).await,
+            }
+        };
+        let written = timeout(WRITE_TIMEOUT, written).await;
         if !matches!(written, Ok(Ok(()))) {
             return;
         }
--- a/crates/stair-sidecar/src/process.rs
+++ b/crates/stair-sidecar/src/process.rs
@@ -164,6 +164,7 @@
             quarantine: Arc::new(Quarantine::new(page.clone())),
             limits: Arc::new(Limits::new(page.clone())),
             availability: Arc::new(Availabilities::new(page.clone())),
+            origins: Arc::default(),
         };
         let limits = ledgers.limits.clone();
         tasks.spawn(async move { limits.run().await });
--- a/crates/stair-sidecar/src/process/dump.rs
+++ b/crates/stair-sidecar/src/process/dump.rs
@@ -20,6 +20,7 @@
     Agent,
     IncarnationSource, //
 };
+use crate::origins;
 
 /// The state of an agent. Times are in milliseconds.
 #[derive(Debug, Clone, Serialize)]
@@ -60,6 +61,8 @@
     availability: availability::Registry,
     /// Requests that are suspected of crashing targets.
     quarantine: Vec<quarantine::Record>,
+    /// Origins of streams, and the versions that entries have seen.
+    origins: origins::Dump,
     /// The replication state of each connected entry, null before its first message.
     entries: Vec<Option<ReplicationState>>,
 }
@@ -91,6 +94,7 @@
             limits: self.ledgers.limits.ledger(),
             availability: self.ledgers.availability.registry(),
             quarantine: self.ledgers.quarantine.ledger().records().to_vec(),
+            origins: self.ledgers.origins.dump(),
             entries: self.links.iter().map(|l| l.known.clone()).collect(),
         }
     }
--- a/crates/stair-sidecar/src/process/receive.rs
+++ b/crates/stair-sidecar/src/process/receive.rs
@@ -119,7 +119,8 @@
             | ToAgent::QuotaRefund { .. }
             | ToAgent::Quarantine(_)
             | ToAgent::Limit(_)
-            | ToAgent::Availability(_) => {}
+            | ToAgent::Availability(_)
+            | ToAgent::Origin(_) => {}
         }
     }
 
--- a/crates/stair-sidecar/tests/load.rs
+++ b/crates/stair-sidecar/tests/load.rs
@@ -319,7 +319,15 @@
         }
         if w.pending.is_none() {
             let view = &self.views[w.entry];
-            match cold_start::find(view, SERVICE, &decl(), &w.model, &w.refused, now) {
+            let decl = decl();
+            let opts = cold_start::Options {
+                service: SERVICE,
+                engine: &decl,
+                model: &w.model,
+                tried: &w.refused,
+                version: None,
+            };
+            match cold_start::find(view, &opts, now) {
                 Ok(at) => {
                     self.seq += 1;
                     let n = self.keys.iter().position(|k| *k == at.key).expect("known");
