entry, agent: a continued stream is bound to its software version

Here the entry makes the response's head, so the client itself keeps what began its stream: the head names the target's version (Dandelionstair-Version), and the client sends it back (Dandelionstair-Resumes) with Last-Event-Id, at any entry. The agent refuses an offer of another version before it runs, and agent and entry compare the response's head, as the target may have restarted; the decision is stair-fleet::origin::allows, as in the relay. A continuation that names no version is refused (unknown-origin). An attempt that an agent refused for the version draws on no retry budget.

--- a/crates/dandelionstair/tests/promises/main.rs
+++ b/crates/dandelionstair/tests/promises/main.rs
@@ -25,5 +25,6 @@
 mod support;
 mod turns;
 mod under_load;
+mod versions;
 mod whole_answer;
 mod without_key;
--- a/crates/dandelionstair/tests/promises/support/caller.rs
+++ b/crates/dandelionstair/tests/promises/support/caller.rs
@@ -99,6 +99,15 @@
         self.header("idempotency-key", key)
     }
 
+    /// Continues a stream that a version of the target's software began, if the first answer named it.
+    pub(crate) fn resumes(self, version: Option<&str>) -> Self {
+        let continued = self.header("last-event-id", "1");
+        match version {
+            Some(version) => continued.header("dandelionstair-resumes", version),
+            None => continued,
+        }
+    }
+
     /// Sets the timeout.
     pub(crate) fn within(self, time: Duration) -> Self {
         self.header("dandelionstair-timeout-ms", &time.as_millis().to_string())
@@ -148,6 +157,8 @@
     pub(crate) verdict: Box<str>,
     /// The `Retry-After` header, in seconds.
     pub(crate) retry_after: Option<u64>,
+    /// The version of the target's software, if the answer names one.
+    pub(crate) version: Option<Box<str>>,
     /// The body, as far as it came.
     pub(crate) body: String,
     /// Whether the body came to its end.
@@ -228,6 +239,7 @@
             status: 0,
             verdict: "".into(),
             retry_after: None,
+            version: None,
             body: String::new(),
             whole: false,
             first: None,
@@ -268,6 +280,8 @@
     answer.status = head.head.status.as_u16();
     answer.verdict = header("dandelionstair-verdict").into();
     answer.retry_after = header("retry-after").parse().ok();
+    let version = header("dandelionstair-version");
+    answer.version = (!version.is_empty()).then(|| version.into());
     let mut body = Vec::new();
     loop {
         let since = Instant::now();
--- a/crates/stair-agent/src/admit.rs
+++ b/crates/stair-agent/src/admit.rs
@@ -66,6 +66,7 @@
             (true, _) => Err(draining_refusal()),
             (false, true) => Err(engine_down_refusal()),
             (false, false) => self.item_of(&offer.work).and_then(|item| {
+                self.check_version(&offer)?;
                 item.as_ref().map_or(Ok(()), |i| self.check_load(i))?;
                 Ok(item)
             }),
--- a/crates/stair-agent/src/control.rs
+++ b/crates/stair-agent/src/control.rs
@@ -186,6 +186,8 @@
     pub(crate) limiter: Limiter,
     /// What the target's present incarnation states about the requests that it takes.
     pub(crate) availability: Availability,
+    /// The version of the target's software, by its last response.
+    pub(crate) version: Option<Box<str>>,
     /// The number of crashes found when the target stated that it shuts down.
     pub(crate) crashes_at_drain: u64,
     /// A message is due when the limit allows the next request.
@@ -248,6 +250,7 @@
             limiter,
             permit_awaited: false,
             availability: Availability::default(),
+            version: None,
             crashes_at_drain: 0,
             started_at: Instant::now(),
             crashes: CrashWatch::new(args.client.addr()),
@@ -329,11 +332,13 @@
             } => self.run_ended(id, complete.then_some(run), suspect),
             Msg::Forget { id } => self.forget(id),
             Msg::Responded(stated, stamp) => {
+                self.version_stated(&stated.version);
                 self.limit_stated(&stated.limit, Some(stamp), Source::Response);
                 self.availability_stated(&stated, Source::Response);
             }
             Msg::Stated(stated) => {
                 // Without a stamp a response names or lowers a limit, and lifts none.
+                self.version_stated(&stated.version);
                 self.limit_stated(&stated.limit, None, Source::AgentCall);
                 self.availability_stated(&stated, Source::AgentCall);
             }
--- a/crates/stair-agent/src/dump.rs
+++ b/crates/stair-agent/src/dump.rs
@@ -60,6 +60,8 @@
     /// What the target's present incarnation states about the requests that it takes. Times are since the
     /// agent's start.
     pub availability: Availability,
+    /// The version of the target's software, by its last response.
+    pub version: Option<Box<str>>,
     /// Requests that are suspected of crashing targets, or quarantined for it.
     pub quarantine: Vec<Record>,
 }
@@ -85,6 +87,7 @@
             entries: self.args.entries.borrow().len(),
             limit: self.limiter.clone(),
             availability: self.availability,
+            version: self.version.clone(),
             quarantine: self.args.ledger_keeper.records(),
         }
     }
--- a/crates/stair-agent/src/lib.rs
+++ b/crates/stair-agent/src/lib.rs
@@ -3,8 +3,9 @@
 //! A request passes through these modules: `links` accepts its stream, `offers` reads the offer,
 //! `control` decides when it runs, `run` runs it at the target, `responses` buffers the response,
 //! and `resume` serves the buffered response after a link broke. `limit` spaces the runs if the
-//! target names a limit, `availability` withholds them while it shuts down or asks for a backoff, `crash` finds out whether the target crashed during a run, and `quarantine`
-//! keeps a ledger of crashes for all entries.
+//! target names a limit, `availability` withholds them while it shuts down or asks for a backoff, `version`
+//! refuses what another software version began, `crash` finds out whether the target crashed during a run, and
+//! `quarantine` keeps a ledger of crashes for all entries.
 //!
 //! - [`start`]: start, operation and graceful stop of an agent.
 //! - [`dump`]: the state of an agent for the operator.
@@ -48,6 +49,7 @@
 pub mod dump;
 pub mod items;
 pub mod start;
+mod version;
 pub mod victims;
 
 pub use start::{
--- a/crates/stair-agent/src/run.rs
+++ b/crates/stair-agent/src/run.rs
@@ -16,7 +16,10 @@
 use platform_adapter::response::Stated;
 use ractor::ActorRef;
 use stair_config::AgentLimits;
-use stair_fleet::rate_limit::Stamp;
+use stair_fleet::{
+    origin,
+    rate_limit::Stamp, //
+};
 use stair_http::{
     Client,
     client::Error as HttpError, //
@@ -33,7 +36,8 @@
 };
 use stair_wire::request::{
     Header,
-    Offer, //
+    Offer,
+    VERSION_HEADER, //
 };
 use tokio::time::Instant;
 
@@ -73,6 +77,8 @@
     pub(crate) stamp: Stamp,
     /// Whether the target had a limit or a backoff then, which a response may end.
     pub(crate) restricted: bool,
+    /// The version of the target's software that was known then.
+    pub(crate) version: Option<Box<str>>,
 }
 
 /// A failed run. `suspect` marks a target whose inventory has to be read again.
@@ -142,7 +148,8 @@
     let mut req = Request::builder()
         .method(&*job.offer.method)
         .uri(&*job.offer.path);
-    for header in &job.offer.headers {
+    let forwarded = job.offer.headers.iter();
+    for header in forwarded.filter(|h| &*h.name != VERSION_HEADER) {
         req = req.header(&*header.name, &*header.value);
     }
     let req = req
@@ -162,7 +169,9 @@
     let status = resp.head.status;
     let stated = Stated::decode(status, &resp.head.headers);
     let rejection = rejection(&stated);
-    if job.restricted || !stated.is_empty() {
+    let version = stated.version.clone();
+    let required = Header::version(&job.offer.headers);
+    if job.restricted || !stated.is_empty() || version != job.version {
         let msg = Msg::Responded(Box::new(stated), job.stamp);
         // Fails only while the agent is stopping.
         let _ = job.control.send_message(msg);
@@ -182,12 +191,22 @@
             suspect: true,
         });
     }
+    if !origin::allows(required, version.as_deref()) {
+        let message = "another version of the target's software has responded";
+        return Err(Failed {
+            refusal: Refusal::may_have_run(Reason::OtherVersion, 0, message),
+            suspect: false,
+        });
+    }
     let content_type = resp.head.headers.get(CONTENT_TYPE);
     let content_type = content_type.and_then(|v| v.to_str().ok());
     job.response.head(Head {
         status: status.as_u16(),
         content_type: content_type.unwrap_or("application/octet-stream").into(),
-        headers: forwarded_headers(&resp.head.headers),
+        headers: forwarded_headers(&resp.head.headers)
+            .into_iter()
+            .chain(version.as_deref().map(Header::of_version))
+            .collect(),
     });
     while let Some(chunk) = resp.chunk(silence).await.map_err(target_failure)? {
         job.response.push(chunk).await;
--- a/crates/stair-agent/src/slots.rs
+++ b/crates/stair-agent/src/slots.rs
@@ -121,6 +121,7 @@
             control: self.me.clone(),
             stamp: self.limiter.stamp(),
             restricted: self.limiter.rate().is_some() || self.availability.backoff().is_some(),
+            version: self.version.clone(),
         };
         self.args.traffic.spawn(run::run(job));
         Some(response)
--- a/crates/stair-entry/src/traffic/dispatch.rs
+++ b/crates/stair-entry/src/traffic/dispatch.rs
@@ -66,8 +66,8 @@
     let mut tried = Attempts::default();
     let mut last: Option<Refusal> = None;
     let mut runs = 0;
-    // Whether the last agent withheld the request for its target's limit. The next attempt repeats
-    // nothing at any target and draws on no budget.
+    // Whether the last agent withheld the request for its target's limit or version. The next attempt
+    // repeats nothing at any target and draws on no budget.
     let mut withheld = false;
     loop {
         let next = choose::next(cx, req, &tried.names).or_else(|| {
@@ -96,7 +96,8 @@
             return Ok(());
         };
         record_refusal(cx, &target, &refusal);
-        withheld = refusal.verdict == Verdict::NotRun && target.target.limit().is_some();
+        withheld = refusal.verdict == Verdict::NotRun
+            && (target.target.limit().is_some() || refusal.reason == Reason::OtherVersion);
         tried.record(&target, &refusal);
         // After `Start` the request counts as run unless the agent's verdict is `NotRun`.
         progress.started = false;
@@ -220,7 +221,8 @@
         | Reason::DeadlinePassed
         | Reason::Duplicate
         | Reason::PlatformDown
-        | Reason::Quarantined => false,
+        | Reason::Quarantined
+        | Reason::UnknownOrigin => false,
         Reason::WouldMissDeadline
         | Reason::QueueFull
         | Reason::Displaced
@@ -230,6 +232,7 @@
         | Reason::LoadFailed
         | Reason::LinkLost
         | Reason::TargetFailed
+        | Reason::OtherVersion
         // Sent by an agent that got no `Start` in time; requests whose caller has disconnected do
         // not get here.
         | Reason::Withdrawn => true,
--- a/crates/stair-entry/src/traffic/headers.rs
+++ b/crates/stair-entry/src/traffic/headers.rs
@@ -14,8 +14,13 @@
 
 const KEY: &str = "idempotency-key";
 const TIMEOUT: &str = "dandelionstair-timeout-ms";
+const LAST_EVENT: &str = "last-event-id";
+const RESUMES: &str = "dandelionstair-resumes";
 const REPEATABLE: &str = "dandelionstair-repeatable";
 
+/// Longest software version, in bytes.
+const MAX_VERSION_BYTES: usize = 128;
+
 /// Longest idempotency key, in bytes.
 const MAX_KEY_BYTES: usize = 256;
 
@@ -25,10 +30,22 @@
     pub(super) idempotency_key: Option<Box<str>>,
     pub(super) timeout_ms: Option<u32>,
     pub(super) repeatable: Option<bool>,
+    pub(super) origin: Option<Origin>,
     pub(super) content_type: Box<str>,
     pub(super) content_length: Option<u64>,
 }
 
+/// What began the stream that a request continues. The response of the first attempt has stated it in
+/// [`VERSION_HEADER`](stair_wire::request::VERSION_HEADER), and the caller names it, so that no process has to
+/// keep it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Origin {
+    /// The version of the target's software.
+    Version(Box<str>),
+    /// The caller continues a stream and names no version.
+    Unnamed,
+}
+
 /// Headers that are not forwarded: those of the connection, those that an offer carries in fields of
 /// its own, and the caller's key, which targets must not see. Sorted.
 const NOT_FORWARDED: [&str; 13] = [
@@ -77,6 +94,7 @@
         idempotency_key: idempotency_key(headers)?,
         timeout_ms: timeout_ms(headers)?,
         repeatable: repeatable(headers)?,
+        origin: origin(headers)?,
         content_type: text(headers, CONTENT_TYPE.as_str())?.unwrap_or("").into(),
         content_length: content_length(headers),
     })
@@ -113,6 +131,20 @@
     }
 }
 
+fn origin(headers: &HeaderMap) -> Result<Option<Origin>, Refused> {
+    if headers.get_all(RESUMES).iter().count() > 1 {
+        return Err(invalid(format!("the header {RESUMES} must be sent once")));
+    }
+    match text(headers, RESUMES)? {
+        Some(version) if version.is_empty() || version.len() > MAX_VERSION_BYTES => Err(invalid(
+            format!("the header {RESUMES} must have 1 to {MAX_VERSION_BYTES} bytes"),
+        )),
+        Some(version) => Ok(Some(Origin::Version(version.into()))),
+        None if headers.contains_key(LAST_EVENT) => Ok(Some(Origin::Unnamed)),
+        None => Ok(None),
+    }
+}
+
 fn repeatable(headers: &HeaderMap) -> Result<Option<bool>, Refused> {
     match text(headers, REPEATABLE)? {
         None => Ok(None),
--- a/crates/stair-entry/src/traffic/request.rs
+++ b/crates/stair-entry/src/traffic/request.rs
@@ -35,6 +35,7 @@
     body,
     headers::{
         self,
+        Origin,
         RequestOptions, //
     },
     refuse::Refused,
@@ -57,6 +58,8 @@
     pub(super) max_tokens: u32,
     pub(super) prefix_hash: u64,
     pub(super) repeatable: bool,
+    /// The software version that began the stream that the request continues.
+    pub(super) version: Option<Box<str>>,
     pub(super) idempotency_key: Option<Box<str>>,
     pub(super) received: Instant,
     pub(super) deadline: Instant,
@@ -95,6 +98,15 @@
 ) -> Result<(Request, Admitted), Refused> {
     let (head, incoming) = req.into_parts();
     let options = headers::options(&head.headers)?;
+    let version = match options.origin.clone() {
+        None => None,
+        Some(Origin::Version(version)) => Some(version),
+        Some(Origin::Unnamed) => {
+            let message =
+                "a stream is continued, and dandelionstair-resumes does not name its version";
+            return Err(Refused::new(Reason::UnknownOrigin, message));
+        }
+    };
     let limit = u64::from(cx.limits.max_body_bytes);
     let expected = options
         .content_length
@@ -127,7 +139,11 @@
         max_tokens: target.max_tokens,
         repeatable: options.repeatable.unwrap_or(target.repeatable),
         content_type: options.content_type,
-        headers: headers::forwarded(&head.headers),
+        headers: headers::forwarded(&head.headers)
+            .into_iter()
+            .chain(version.as_deref().map(Header::of_version))
+            .collect(),
+        version,
         idempotency_key: options.idempotency_key,
         received,
         deadline: received + timeout,
--- a/crates/stair-entry/src/traffic/response.rs
+++ b/crates/stair-entry/src/traffic/response.rs
@@ -1,6 +1,7 @@
 //! Forwards the response to the caller, completely or with a visible error.
 
 use bytes::Bytes;
+use stair_fleet::origin;
 use stair_telemetry::metrics::Latency;
 use stair_types::{
     Reason,
@@ -11,7 +12,10 @@
         Error,
         Frame, //
     },
-    request::FromAgent,
+    request::{
+        FromAgent,
+        Header, //
+    },
 };
 
 use tokio::time::Instant;
@@ -79,6 +83,10 @@
             headers,
             offset,
         }) => {
+            if !origin::allows(req.version.as_deref(), Header::version(&headers)) {
+                let message = "another version of the target's software has responded";
+                return Err(Refusal::may_have_run(Reason::OtherVersion, 0, message));
+            }
             record_latency(cx, req, exchange, caller);
             exchange.begin_response();
             if offset != *received {
--- a/crates/stair-http/src/error.rs
+++ b/crates/stair-http/src/error.rs
@@ -50,13 +50,16 @@
         }
         Reason::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
         Reason::TargetFailed | Reason::LinkLost => StatusCode::BAD_GATEWAY,
+        Reason::OtherVersion if refusal.verdict != Verdict::NotRun => StatusCode::BAD_GATEWAY,
         Reason::NoTarget
         | Reason::Leaving
         | Reason::NotGranted
         | Reason::LoadFailed
         | Reason::PlatformDown
         | Reason::Withdrawn
-        | Reason::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
+        | Reason::Quarantined
+        | Reason::OtherVersion
+        | Reason::UnknownOrigin => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
 
--- a/crates/stair-standin/src/engine.rs
+++ b/crates/stair-standin/src/engine.rs
@@ -250,6 +250,16 @@
         self.server.name_limit(value);
     }
 
+    /// Names the version of its software in all answers to calls that come from now on.
+    ///
+    /// # Panics
+    ///
+    /// When the text cannot be a header's value.
+    pub fn name_version(&self, version: &str) {
+        let value = HeaderValue::from_str(version).expect("a header's value");
+        self.server.name_version(Some(value));
+    }
+
     /// States in all answers from now on that it shuts down, or no longer.
     pub fn drain(&self, draining: bool) {
         self.server.drain(draining);
--- a/crates/stair-standin/src/server.rs
+++ b/crates/stair-standin/src/server.rs
@@ -54,6 +54,7 @@
 
 const LIMIT: HeaderName = HeaderName::from_static("server-limit");
 const DRAINING: HeaderName = HeaderName::from_static("server-leaving");
+const VERSION: HeaderName = HeaderName::from_static("server-version");
 const NOT_RUN: HeaderName = HeaderName::from_static("dandelionstair-not-executed");
 const BACKLOG: u32 = 1024;
 const FLUSH_TIME: Duration = Duration::from_millis(20);
@@ -82,6 +83,7 @@
     received: Vec<Instant>,
     limit: Option<HeaderValue>,
     draining: bool,
+    version: Option<HeaderValue>,
     rejection: Option<Rejection>,
     rejected: Vec<Instant>,
 }
@@ -147,6 +149,8 @@
                 }
                 rejection
             };
+            // A run that has begun goes on at the version that began it.
+            let version = lock(&own).version.clone();
             let (answer, own) = (handler(req), own.clone());
             async move {
                 let mut resp = match rejection {
@@ -157,6 +161,9 @@
                 if let Some(limit) = &traffic.limit {
                     resp.headers_mut().insert(LIMIT, limit.clone());
                 }
+                if let Some(version) = version {
+                    resp.headers_mut().insert(VERSION, version);
+                }
                 if traffic.draining {
                     let value = HeaderValue::from_static("1");
                     resp.headers_mut().insert(DRAINING, value);
@@ -201,6 +208,11 @@
         lock(&self.traffic).draining = draining;
     }
 
+    /// Names the version of the software in all answers to calls that come from now on.
+    pub(crate) fn name_version(&self, version: Option<HeaderValue>) {
+        lock(&self.traffic).version = version;
+    }
+
     /// Rejects all calls from now on, or none.
     pub(crate) fn reject(&self, rejection: Option<Rejection>) {
         lock(&self.traffic).rejection = rejection;
--- a/crates/stair-types/src/verdict.rs
+++ b/crates/stair-types/src/verdict.rs
@@ -70,6 +70,10 @@
     Withdrawn,
     /// Targets crashed each time they ran the request.
     Quarantined,
+    /// The request continues a stream that another version of the target's software began.
+    OtherVersion,
+    /// The request continues a stream and does not state what began it.
+    UnknownOrigin,
 }
 
 impl Reason {
@@ -93,6 +97,8 @@
             Self::PlatformDown => "platform-down",
             Self::Withdrawn => "withdrawn",
             Self::Quarantined => "quarantined",
+            Self::OtherVersion => "other-version",
+            Self::UnknownOrigin => "unknown-origin",
         }
     }
 }
--- a/crates/stair-wire/src/request.rs
+++ b/crates/stair-wire/src/request.rs
@@ -51,6 +51,27 @@
     pub value: Box<str>,
 }
 
+/// Names the software version of a target: in an offer the version that the stream was begun by, which the target
+/// has to run, and in a response's head the one that responds. Processes of earlier releases pass it on as any
+/// other header.
+pub const VERSION_HEADER: &str = "dandelionstair-version";
+
+impl Header {
+    /// The software version that a list of headers names.
+    pub fn version(headers: &[Self]) -> Option<&str> {
+        let named = headers.iter().find(|h| &*h.name == VERSION_HEADER);
+        named.map(|h| &*h.value)
+    }
+
+    /// The header that names a software version.
+    pub fn of_version(version: &str) -> Self {
+        Self {
+            name: VERSION_HEADER.into(),
+            value: version.into(),
+        }
+    }
+}
+
 /// A limit that a target has named, as its agent has stated it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StatedLimit {
