prefetch: a spare for a busy model that one engine of a version has

With targets of several versions side by side a model may have many replicas and one of its version: if that engine fails, its streams cannot go on before a load from the weight store. Where a version has another engine, the busiest such model gets a copy there, if nothing is evicted for it.

--- a/crates/stair-fleet/src/origin/records.rs
+++ b/crates/stair-fleet/src/origin/records.rs
@@ -13,7 +13,7 @@
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Number of records beyond which the ones that expire first are removed.
-const MAX_RECORDS: usize = 1 << 16;
+const MAX_RECORDS: usize = 1 << 14;
 
 /// Longest time for which a record is kept, whatever its writer states.
 const MAX_TTL: Duration = Duration::from_secs(600);
--- a/crates/stair-fleet/src/prefetch.rs
+++ b/crates/stair-fleet/src/prefetch.rs
@@ -82,6 +82,7 @@
         .unserved()
         .or_else(|| search.draining())
         .or_else(|| search.overloaded())
+        .or_else(|| search.single_of_version())
         .or_else(|| search.missing())
         .or_else(|| search.unloaded_with_copy())
         .or_else(|| search.single_copy())
@@ -281,6 +282,53 @@
         })
     }
 
+    /// The busiest model that only one of several engines of a software version has. If that engine fails, no
+    /// other one can continue its streams before it has loaded the model, from the weight store too late.
+    fn single_of_version(&self) -> Option<Outcome> {
+        let mut versions: Vec<&str> = Vec::new();
+        let up = || {
+            let all = self.view.of(self.service);
+            all.filter(|(_, s)| s.is_up(self.now))
+        };
+        versions.extend(up().filter_map(|(_, s)| s.target.version.as_deref()));
+        versions.sort_unstable();
+        versions.dedup();
+        if versions.len() < 2 {
+            return None;
+        }
+        let mut busy: Vec<(f32, &str, &str)> = Vec::new();
+        for version in versions {
+            let engines: Vec<_> = up().filter(|(_, s)| s.target.runs(Some(version))).collect();
+            if engines.len() < 2 {
+                continue;
+            }
+            for model in &self.engine.models {
+                let has = |(key, s): &&(TargetKey, &TargetState)| {
+                    self.has_or_loads(*key, s, &model.name)
+                        || s.inventory(self.now).has_copy(&model.name)
+                };
+                let mut holders = engines.iter().filter(has);
+                let (Some((_, holder)), None) = (holders.next(), holders.next()) else {
+                    continue;
+                };
+                let report = holder.fresh_report(self.now);
+                let usage = report.and_then(|r| r.load.usage(&model.name));
+                let per_s = usage.map_or(0.0, |u| u.per_s);
+                if per_s > IDLE_PER_S {
+                    busy.push((per_s, &model.name, version));
+                }
+            }
+        }
+        busy.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let store_is_free = self.store_loads() < MAX_RARE_PREFETCHES && !self.has_missing_reports();
+        busy.into_iter().find_map(|(_, model, version)| {
+            let found = self.place_at(model, Some(version))?;
+            let is_cheap = found.place.victims.is_empty()
+                && (store_is_free || found.place.from != CopyLocation::Store);
+            is_cheap.then_some(found)
+        })
+    }
+
     /// A model with a single copy, for an idle engine with free memory.
     ///
     /// Engines that replace others start without copies and would stay idle. When demand moves to a
