fleet: a copy of the store does not change the version of a target

After the store's return a list may have a target under its id with the software version of before its restart.

--- a/crates/stair-fleet/src/target_state.rs
+++ b/crates/stair-fleet/src/target_state.rs
@@ -76,6 +76,8 @@
     /// Set when the store has come back from a copy from before the target's removal: the time from
     /// which the target is used if it is not removed again.
     pub suppressed_until: Option<Duration>,
+    /// Whether its software version is the one from before the store's return, and not that of the list.
+    pub(crate) keeps_version: bool,
     /// The last report of the target's agent, and its time of arrival.
     pub report: Option<(Report, Duration)>,
     /// Arrival of the agent's last message; `None` when no agent is connected.
@@ -122,6 +124,7 @@
             stale_since: None,
             missing_until: None,
             suppressed_until: None,
+            keeps_version: false,
             report: None,
             last_message: None,
             unresponsive: false,
--- a/crates/stair-fleet/src/view.rs
+++ b/crates/stair-fleet/src/view.rs
@@ -141,12 +141,14 @@
                 state.missing_until.get_or_insert(missing_until);
             }
         }
-        for target in targets {
+        for mut target in targets {
+            let keeps_version = self.retain_version(&mut target, returned);
             let incarnation = target.incarnation();
             let removed = self.removals.contains(&incarnation);
             let Some(key) = self.place(target, !returned, now) else {
                 continue;
             };
+            self.get_mut(key).keeps_version = keeps_version;
             if removed && returned {
                 self.get_mut(key).suppressed_until = Some(now + REMOVAL_SUPPRESSION);
             } else if removed && self.get(key).suppressed_until.is_none() {
@@ -157,6 +159,23 @@
         drains
     }
 
+    /// Gives a listed target the software version that is known of its incarnation, if the list's one comes from a
+    /// copy: the target may have restarted under its id since. Returns whether it was changed.
+    fn retain_version(&self, target: &mut Target, returned: bool) -> bool {
+        let known = self.targets.iter().find(|s| {
+            let same = s.target.id == target.id && s.target.started == target.started;
+            s.listed && same
+        });
+        let Some(known) = known.filter(|s| returned || s.keeps_version) else {
+            return false;
+        };
+        if known.target.version.is_none() || known.target.version == target.version {
+            return false;
+        }
+        target.version.clone_from(&known.target.version);
+        true
+    }
+
     /// Makes the announced drains last as long as their incarnations, and returns those that were not
     /// known from responses.
     fn retain_drains(&mut self, now: Duration) -> Vec<Incarnation> {
@@ -218,6 +237,7 @@
         let key = self.place(target, true, now)?;
         // It was announced after the store's return, so it runs.
         self.get_mut(key).suppressed_until = None;
+        self.get_mut(key).keeps_version = false;
         self.removals.retain(|r| *r != incarnation);
         Some(key)
     }
--- a/crates/stair-fleet/tests/versions.rs
+++ b/crates/stair-fleet/tests/versions.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use stair_fleet::{
+    Target,
     View,
     choose::{
         Options,
@@ -25,6 +26,10 @@
     prefetch,
     view::TargetKey, //
 };
+use stair_types::{
+    Era,
+    StoreRevision, //
+};
 use support::{
     NOW,
     SERVICE,
@@ -222,3 +227,32 @@
     set_versions(&mut view, &keys, &["v1", "v2", "v2", "v2"]);
     assert_eq!(next(&view), None);
 }
+
+/// A target has restarted under its id with other software, and the store comes back from a copy of before.
+#[test]
+fn version_of_a_copy() {
+    let (mut view, keys) = fleet(vec![report(&["a"], &[])]);
+    set_versions(&mut view, &keys, &["v2"]);
+    let version = |view: &View| {
+        let mut all = view.all();
+        let (_, s) = all.next().expect("a target");
+        s.target.version.clone()
+    };
+    let copied = Target {
+        version: Some("v1".into()),
+        ..view.get(keys[0]).target.clone()
+    };
+    let later = |era, counter| StoreRevision {
+        era: Era(era),
+        counter,
+    };
+    let known = view.revision;
+    let era = known.era.0 + 1;
+    view.replace(vec![copied.clone()], later(era, 1), NOW, NOW);
+    assert_eq!(version(&view).as_deref(), Some("v2"));
+    view.replace(vec![copied.clone()], later(era, 2), NOW, NOW);
+    assert_eq!(version(&view).as_deref(), Some("v2"));
+    // It announces itself again: what the target states itself counts.
+    view.put(copied, NOW);
+    assert_eq!(version(&view).as_deref(), Some("v1"));
+}
