--- a/crates/stair-telemetry/src/explain.rs
+++ b/crates/stair-telemetry/src/explain.rs
@@ -21,11 +21,12 @@
 
 /// Events that report a change of what a process knows of the store. They are included when a process
 /// of the request wrote them between the request's first and its last line.
-const STORE_EVENTS: [&str; 4] = [
+const STORE_EVENTS: [&str; 5] = [
     "store.era",
     "store.era_observed",
     "targets",
     "targets.dropped",
+    "version",
 ];
 
 /// One event in the timeline of a request.
@@ -41,19 +42,21 @@
     pub fields: Vec<Box<str>>,
 }
 
-/// Returns the events of the request with this id, ordered by time.
+/// Returns the events of the request with this id, ordered by time, and those of all other attempts of its client
+/// at the same stream.
 ///
 /// Lines without a valid JSON object are skipped. The result is empty when no line has the id.
 pub fn story<'a, I>(lines: I, id: &str) -> Vec<Step>
 where
     I: IntoIterator<Item = &'a str> + Clone,
 {
+    let ids = attempts(lines.clone(), id);
     let own_lines: Vec<Map<String, Value>> = lines
         .clone()
         .into_iter()
-        .filter(|l| l.contains(id))
+        .filter(|l| ids.iter().any(|id| l.contains(&**id)))
         .filter_map(parse_object)
-        .filter(|o| o.get("id").and_then(Value::as_str) == Some(id))
+        .filter(|o| text(o, "id").is_some_and(|of| ids.iter().any(|id| **id == *of)))
         .collect();
     let targets: Vec<&str> = own_lines
         .iter()
@@ -73,13 +76,39 @@
         .iter()
         .cloned()
         .chain(around)
-        .map(to_step)
+        .map(|o| to_step(o, id))
         .collect();
     steps.sort_by(|a, b| a.at.total_cmp(&b.at));
     steps.dedup();
     steps
 }
 
+/// The ids of all attempts at the stream of a request, its own first.
+fn attempts<'a, I>(lines: I, id: &str) -> Vec<Box<str>>
+where
+    I: IntoIterator<Item = &'a str> + Clone,
+{
+    let continuations = || {
+        let lines = lines.clone().into_iter();
+        let named = lines.filter(|l| l.contains("\"resumes\":"));
+        named.filter_map(parse_object)
+    };
+    let own = continuations().find(|o| text(o, "id") == Some(id));
+    let first = own.as_ref().and_then(|o| text(o, "resumes"));
+    let first: Box<str> = first.filter(|f| !f.is_empty()).unwrap_or(id).into();
+    let others = continuations().filter(|o| text(o, "resumes") == Some(&first));
+    let others = others.filter_map(|o| Some(text(&o, "id")?.into()));
+    let mut ids: Vec<Box<str>> = vec![id.into(), first.clone()];
+    ids.extend(others);
+    ids.sort();
+    ids.dedup();
+    ids
+}
+
+fn text<'a>(o: &'a Map<String, Value>, name: &str) -> Option<&'a str> {
+    o.get(name).and_then(Value::as_str)
+}
+
 pub(crate) fn parse_object(line: &str) -> Option<Map<String, Value>> {
     let start = line.find('{')?;
     serde_json::from_str(line[start..].trim_end()).ok()
@@ -111,10 +140,13 @@
     kind && text("process").is_some_and(|p| processes.contains(&p))
 }
 
-fn to_step(o: Map<String, Value>) -> Step {
-    let text = |name: &str| o.get(name).and_then(Value::as_str).unwrap_or("").into();
-    let hidden = ["ts", "up", "process", "event", "id"];
-    let shown = o.iter().filter(|(k, _)| !hidden.contains(&k.as_str()));
+fn to_step(o: Map<String, Value>, own: &str) -> Step {
+    let text = |name: &str| text(&o, name).unwrap_or("").into();
+    let hidden = ["ts", "up", "process", "event"];
+    let is_own = |v: &Value| v.as_str() == Some(own);
+    let shown = o
+        .iter()
+        .filter(|(k, v)| !hidden.contains(&k.as_str()) && !(*k == "id" && is_own(v)));
     let fields = shown
         .map(|(k, v)| match v.as_str() {
             Some(v) => format!("{k}={v}").into(),
--- a/crates/stair-telemetry/tests/explain.rs
+++ b/crates/stair-telemetry/tests/explain.rs
@@ -35,3 +35,23 @@
 fn nothing_known() {
     assert!(story(LINES, "r9").is_empty());
 }
+
+/// The attempts of one client at a stream have several ids, and the story of one lacks what began it.
+#[test]
+fn attempts_of_stream() {
+    let lines = [
+        r#"{"ts":1.0,"up":1.0,"process":"e1","event":"chosen","id":"a","target":"t1","version":"v1"}"#,
+        r#"{"ts":2.0,"up":1.0,"process":"e2","event":"request","id":"b","after_event":2,"resumes":"a"}"#,
+        r#"{"ts":2.1,"up":1.1,"process":"e2","event":"chosen","id":"b","target":"t2","version":"v1"}"#,
+        r#"{"ts":3.0,"up":1.0,"process":"e1","event":"request","id":"c","after_event":4,"resumes":"a"}"#,
+        r#"{"ts":3.0,"up":1.0,"process":"e1","event":"request","id":"d","resumes":""}"#,
+    ];
+    for id in ["a", "b", "c"] {
+        let steps = story(lines, id);
+        assert_eq!(steps.len(), 4, "{id}: {steps:?}");
+        let other = if id == "a" { "id=b" } else { "id=a" };
+        let named = steps.iter().any(|s| s.fields.iter().any(|f| **f == *other));
+        assert!(named, "{id}: {steps:?}");
+    }
+    assert_eq!(story(lines, "d").len(), 1);
+}
