entry: connections to a target are shared among entries

maxConnections was decoded and kept by nobody: two entries opened 20 at once where 5 are declared, and a target resets what goes beyond. Each entry has an equal share, one at least, by the number of entries that agents report or the settings expect; choice and dispatch keep to it, and a request that lacks only a connection waits for one while its response can be on time.

--- a/crates/stair-fleet/src/choose.rs
+++ b/crates/stair-fleet/src/choose.rs
@@ -67,6 +67,8 @@
     pub suspects: bool,
     /// The software version that the request is bound to, if it continues a stream.
     pub version: Option<&'a str>,
+    /// Connections that this entry may have open to one target.
+    pub connections: u32,
 }
 
 /// The chosen target and its estimate.
@@ -83,7 +85,7 @@
     let candidates: Vec<(TargetKey, &TargetState)> = view
         .of(opts.service)
         .filter(|(key, s)| s.accepts(opts.suspects, now) && !opts.tried.contains(key))
-        .filter(|(_, s)| can_serve(s, opts, now))
+        .filter(|(_, s)| s.in_flight < opts.connections && can_serve(s, opts, now))
         .collect();
     let preferred = affinity_target(&candidates, opts);
     candidates
@@ -95,6 +97,20 @@
         .min_by(|a, b| a.wait_ms.total_cmp(&b.wait_ms))
 }
 
+/// Whether a target could run the request if this entry had a connection to it left.
+pub fn lacks_connection(view: &View, opts: &Options<'_>, now: Duration) -> bool {
+    let mut all = view.of(opts.service);
+    all.any(|(key, s)| {
+        let accepts = s.accepts(opts.suspects, now) && !opts.tried.contains(&key);
+        accepts && s.in_flight >= opts.connections && can_serve(s, opts, now)
+    })
+}
+
+/// One entry's share of the connections that a target accepts from all entries together.
+pub fn connection_share(declared: u32, entries: u32) -> u32 {
+    (declared / entries.max(1)).max(1)
+}
+
 /// A target that could run a request if its backoff was over.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BackoffWait {
--- a/crates/stair-fleet/tests/availability_load.rs
+++ b/crates/stair-fleet/tests/availability_load.rs
@@ -156,6 +156,7 @@
                 salt,
                 suspects: false,
                 version: None,
+                connections: u32::MAX,
             };
             let Some(chosen) = choose::choose(&self.views[entry], &opts, now) else {
                 return;
--- a/crates/stair-relay/src/context/retries.rs
+++ b/crates/stair-relay/src/context/retries.rs
@@ -2,15 +2,19 @@
 
 use std::time::Duration;
 
-use stair_fleet::budget::{
-    self,
-    Budget, //
+use stair_fleet::{
+    budget::{
+        self,
+        Budget, //
+    },
+    choose,
 };
 
 use super::{
     Context,
     State, //
 };
+use crate::job::Job;
 
 impl Context {
     /// Counts a request for a service.
@@ -67,6 +71,18 @@
     }
 }
 
+impl Context {
+    /// The connections that this entry may have open to one target of the request's service.
+    pub(crate) fn connections(&self, job: &Job) -> u32 {
+        let service = job.catalogue.service(&job.service);
+        let declared = service.map_or(0, |s| s.max_connections);
+        match declared {
+            0 => u32::MAX,
+            declared => choose::connection_share(declared, self.entries()),
+        }
+    }
+}
+
 impl State {
     fn entries(&self, expected: u32) -> u32 {
         let counts = self.agents.iter().map(|a| a.entries);
--- a/crates/stair-relay/src/select.rs
+++ b/crates/stair-relay/src/select.rs
@@ -27,6 +27,7 @@
 use stair_telemetry::event::Line;
 use tokio::time::{
     Instant,
+    sleep,
     timeout,
     timeout_at, //
 };
@@ -86,6 +87,9 @@
 /// Least wait for the end of a backoff.
 const MIN_BACKOFF_WAIT: Duration = Duration::from_millis(5);
 
+/// Interval of the checks for a connection that has ended.
+const CONNECTION_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Time by which each step of urgency comes later after a backoff, so that urgent requests are sent first.
 const RANK_DELAY: Duration = Duration::from_millis(10);
 
@@ -172,6 +176,7 @@
             }
             _ => match backoff_wait(cx, job, tried) {
                 Some(backoff) => Step::Backoff(backoff),
+                None if lacks_connection(cx, job, tried) => Step::Connection,
                 None => Step::Load,
             },
         };
@@ -213,6 +218,14 @@
                     }
                 }
             }
+            Step::Connection => {
+                let useful = Waits::of(job, &search.reservation).longest;
+                if useful.is_zero() {
+                    return Err(NoTarget::after(Duration::ZERO));
+                }
+                sleep(CONNECTION_INTERVAL.min(useful)).await;
+                Some(Loaded::Waited)
+            }
             Step::Load => match job.model_of_engine() {
                 Some((model, engine)) => {
                     Some(load(cx, job, model, engine, &excluded, outage_until, until).await)
@@ -360,6 +373,8 @@
     LimitTooLow(Duration),
     /// The targets that can run the request ask for a backoff; the first one that may get it.
     Backoff(BackoffWait),
+    /// This entry has all the connections open that it may have to the targets that can run the request.
+    Connection,
     /// No target can run the request now, so the model has to be loaded.
     Load,
 }
@@ -465,6 +480,11 @@
     choose::backoff_wait(&cx.state().view, &opts, cx.now())
 }
 
+fn lacks_connection(cx: &Context, job: &Job, tried: &[TargetKey]) -> bool {
+    let opts = choose_options(cx, job, tried, false);
+    choose::lacks_connection(&cx.state().view, &opts, cx.now())
+}
+
 pub(crate) fn find_ready(
     cx: &Arc<Context>,
     job: &Job,
@@ -492,6 +512,7 @@
         salt: salt(job),
         suspects,
         version: job.version(),
+        connections: cx.connections(job),
     }
 }
 
@@ -509,11 +530,14 @@
     permit: Option<Box<Permit>>,
     suspects: bool,
 ) -> Option<Selected> {
+    let connections = cx.connections(job);
     let (addr, id, version, age) = {
         let now = cx.now();
         let mut state = cx.state();
         let target_state = state.view.get_mut(at.key);
-        if !target_state.accepts(suspects, now) || !target_state.target.runs(job.version()) {
+        let connections = target_state.in_flight < connections;
+        let runs = target_state.target.runs(job.version());
+        if !(target_state.accepts(suspects, now) && connections && runs) {
             return None;
         }
         target_state.availability.record_send(now);
--- a/crates/stair-telemetry/src/explain.rs
+++ b/crates/stair-telemetry/src/explain.rs
@@ -146,7 +146,8 @@
     let is_own = |v: &Value| v.as_str() == Some(own);
     let shown = o
         .iter()
-        .filter(|(k, v)| !hidden.contains(&k.as_str()) && !(*k == "id" && is_own(v)));
+        .filter(|(k, _)| !hidden.contains(&k.as_str()))
+        .filter(|(k, v)| *k != "id" || !is_own(v));
     let fields = shown
         .map(|(k, v)| match v.as_str() {
             Some(v) => format!("{k}={v}").into(),
