entry: a silent store refuses all waiting continuations together

Each of them waited for a list of its own, one after the other; the outcome of a list that was begun after they came, also its failure, now serves them all.

--- a/crates/stair-relay/src/origin.rs
+++ b/crates/stair-relay/src/origin.rs
@@ -118,8 +118,8 @@
 
 struct Listed {
     begun: Instant,
-    /// The services and versions, sorted.
-    versions: Vec<(Box<str>, Box<str>)>,
+    /// The services and versions, sorted; `None` if the store has not replied.
+    versions: Option<Vec<(Box<str>, Box<str>)>>,
 }
 
 /// Records what began a stream, right before its first event is forwarded.
@@ -291,19 +291,22 @@
             let begun = Instant::now();
             let store = self.store();
             let read = timeout(LIST_TIMEOUT, replicate::list_targets(self, &store)).await;
-            let Ok(Ok((targets, _))) = read else {
-                return false;
-            };
-            let mut versions: Vec<(Box<str>, Box<str>)> = targets
-                .into_iter()
-                .map(|t| (t.service, t.version.unwrap_or_default()))
-                .collect();
-            versions.sort();
-            versions.dedup();
+            let read = read.ok().and_then(Result::ok);
+            let versions = read.map(|(targets, _)| {
+                let mut versions: Vec<(Box<str>, Box<str>)> = targets
+                    .into_iter()
+                    .map(|t| (t.service, t.version.unwrap_or_default()))
+                    .collect();
+                versions.sort();
+                versions.dedup();
+                versions
+            });
             *listed = Some(Listed { begun, versions });
         }
-        let versions = listed.iter().flat_map(|l| &l.versions);
-        let mut of_service = versions.filter(|(s, _)| **s == *service);
+        let Some(versions) = listed.as_ref().and_then(|l| l.versions.as_ref()) else {
+            return false;
+        };
+        let mut of_service = versions.iter().filter(|(s, _)| **s == *service);
         of_service.all(|(_, v)| **v == *version)
     }
 }
