entry: a stream's origin is asked of agents also where it is known

A client may begin two streams under one id at two entries; each knew its own. The answers of this entry and of all keepers are combined, and two origins are none (id_used_twice, with both streams at different entries).

--- a/crates/stair-relay/src/origin.rs
+++ b/crates/stair-relay/src/origin.rs
@@ -166,11 +166,13 @@
     let own = stream.map_or(Answer::Unknown, |stream| {
         cx.state().origins.records.get(stream, cx.now())
     });
-    let (answer, source) = match own {
-        Answer::Unknown => (ask_agents(cx, stream, service).await, "agents"),
-        known => (known, "own"),
+    let source = match own {
+        Answer::Unknown => "agents",
+        _ => "own",
     };
-    let (origin, source) = match answer {
+    // The agents are asked also for a stream that this entry knows: a client may have begun another one under the
+    // same id at another entry.
+    let (origin, source) = match ask_agents(cx, stream, service, own).await {
         Answer::Known(origin) => (Some(origin), source),
         Answer::Ambiguous => (None, "ambiguous"),
         Answer::Unknown => (
@@ -196,9 +198,14 @@
     })
 }
 
-/// Asks the agents that keep a stream's record, and all others if these have none. Their replies also tell
-/// which versions other entries have seen.
-async fn ask_agents(cx: &Arc<Context>, stream: Option<StreamKey>, service: &str) -> Answer {
+/// Asks the agents that keep a stream's record, and all others if nobody has one; `own` is this entry's answer.
+/// Their replies also tell which versions other entries have seen.
+async fn ask_agents(
+    cx: &Arc<Context>,
+    stream: Option<StreamKey>,
+    service: &str,
+    own: Answer,
+) -> Answer {
     let (order, keepers) = match stream {
         Some(stream) => cx.state().keepers(stream),
         None => {
@@ -208,13 +215,13 @@
         }
     };
     let (first, others) = order.split_at(keepers);
-    match ask(cx, first, stream, service).await {
+    match own.and(ask(cx, first, stream, service).await) {
         Answer::Unknown if !others.is_empty() => ask(cx, others, stream, service).await,
         answer => answer,
     }
 }
 
-/// Asks agents, until one knows the origin or all have replied.
+/// Asks agents and combines their answers.
 async fn ask(
     cx: &Arc<Context>,
     engines: &[SocketAddr],
@@ -245,11 +252,7 @@
         let now = cx.now();
         cx.state().origins.history.add(&reply.versions, now);
         answer = answer.and(reply.answer);
-        if answer != Answer::Unknown {
-            break;
-        }
     }
-    drop(waiting);
     cx.state().origins.pending.retain(|p| !p.tx.is_closed());
     answer
 }
