entry: a share of connections binds only where a target is half used

Traffic of entries is uneven: with a hundred entries a share is nine of 940 connections. Where the target's agent reports that all entries together use less than half, one may open more than its share.

--- a/crates/stair-fleet/src/choose.rs
+++ b/crates/stair-fleet/src/choose.rs
@@ -68,7 +68,40 @@
     /// The software version that the request is bound to, if it continues a stream.
     pub version: Option<&'a str>,
     /// Connections that this entry may have open to one target.
-    pub connections: u32,
+    pub connections: Connections,
+}
+
+/// How many connections an entry may have open to one target.
+#[derive(Debug, Clone, Copy)]
+pub struct Connections {
+    /// Connections that the target accepts from all entries together.
+    declared: u32,
+    /// This entry's equal share of them, one at least.
+    share: u32,
+}
+
+impl Connections {
+    /// No bound.
+    pub const UNBOUNDED: Self = Self {
+        declared: u32::MAX,
+        share: u32::MAX,
+    };
+
+    /// The bound of one of `entries`, if a target accepts `declared` connections.
+    pub fn shared(declared: u32, entries: u32) -> Self {
+        Self {
+            declared,
+            share: (declared / entries.max(1)).max(1),
+        }
+    }
+
+    /// Whether a further one may be opened. An entry may exceed its share while the target's agent reports that
+    /// all entries together use less than half: traffic is uneven, and reports are a second old at most.
+    pub fn allow(&self, s: &TargetState, now: Duration) -> bool {
+        let half = self.declared / 2;
+        let used = s.fresh_report(now).map(|r| r.load.running + r.load.queued);
+        s.in_flight < self.share || (used.is_some_and(|n| n < half) && s.in_flight < half)
+    }
 }
 
 /// The chosen target and its estimate.
@@ -85,7 +118,7 @@
     let candidates: Vec<(TargetKey, &TargetState)> = view
         .of(opts.service)
         .filter(|(key, s)| s.accepts(opts.suspects, now) && !opts.tried.contains(key))
-        .filter(|(_, s)| s.in_flight < opts.connections && can_serve(s, opts, now))
+        .filter(|(_, s)| opts.connections.allow(s, now) && can_serve(s, opts, now))
         .collect();
     let preferred = affinity_target(&candidates, opts);
     candidates
@@ -102,15 +135,10 @@
     let mut all = view.of(opts.service);
     all.any(|(key, s)| {
         let accepts = s.accepts(opts.suspects, now) && !opts.tried.contains(&key);
-        accepts && s.in_flight >= opts.connections && can_serve(s, opts, now)
+        accepts && !opts.connections.allow(s, now) && can_serve(s, opts, now)
     })
 }
 
-/// One entry's share of the connections that a target accepts from all entries together.
-pub fn connection_share(declared: u32, entries: u32) -> u32 {
-    (declared / entries.max(1)).max(1)
-}
-
 /// A target that could run a request if its backoff was over.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BackoffWait {
--- a/crates/stair-fleet/tests/availability.rs
+++ b/crates/stair-fleet/tests/availability.rs
@@ -273,7 +273,7 @@
         salt: 1,
         suspects: true,
         version: None,
-        connections: u32::MAX,
+        connections: choose::Connections::UNBOUNDED,
     }
 }
 
--- a/crates/stair-fleet/tests/availability_load.rs
+++ b/crates/stair-fleet/tests/availability_load.rs
@@ -156,7 +156,7 @@
                 salt,
                 suspects: false,
                 version: None,
-                connections: u32::MAX,
+                connections: choose::Connections::UNBOUNDED,
             };
             let Some(chosen) = choose::choose(&self.views[entry], &opts, now) else {
                 return;
--- a/crates/stair-fleet/tests/choose.rs
+++ b/crates/stair-fleet/tests/choose.rs
@@ -5,9 +5,12 @@
 use std::time::Duration;
 
 use stair_fleet::{
+    View,
     choose::{
+        Connections,
         Options,
-        choose, //
+        choose,
+        lacks_connection, //
     },
     target::{
         LoadedModel,
@@ -195,3 +198,26 @@
     }
     assert!(counts.iter().all(|n| (70..=130).contains(n)), "{counts:?}");
 }
+
+/// Entries of a deployment open more connections together than a target accepts.
+#[test]
+fn connections_are_shared() {
+    let (mut view, keys) = fleet(vec![report(&["a"], &[])]);
+    let opts = |entries| Options {
+        connections: Connections::shared(20, entries),
+        ..options("a")
+    };
+    let chosen = |view: &View, opts: &Options<'_>| choose(view, opts, NOW).is_some();
+    view.get_mut(keys[0]).in_flight = 5;
+    assert!(chosen(&view, &opts(2)));
+    // All entries together use less than half, by the report.
+    assert!(chosen(&view, &opts(4)));
+    view.get_mut(keys[0]).in_flight = 10;
+    assert!(!chosen(&view, &opts(4)));
+    view.get_mut(keys[0]).in_flight = 5;
+    let reported = view.get_mut(keys[0]).report.as_mut();
+    reported.expect("a report").0.load.running = 12;
+    assert!(!chosen(&view, &opts(4)));
+    assert!(lacks_connection(&view, &opts(4), NOW));
+    assert!(chosen(&view, &opts(2)));
+}
--- a/crates/stair-fleet/tests/support/mod.rs
+++ b/crates/stair-fleet/tests/support/mod.rs
@@ -167,7 +167,7 @@
         salt: 7,
         suspects: false,
         version: None,
-        connections: u32::MAX,
+        connections: choose::Connections::UNBOUNDED,
     }
 }
 
--- a/crates/stair-relay/src/context/retries.rs
+++ b/crates/stair-relay/src/context/retries.rs
@@ -7,7 +7,7 @@
         self,
         Budget, //
     },
-    choose,
+    choose::Connections, //
 };
 
 use super::{
@@ -73,12 +73,12 @@
 
 impl Context {
     /// The connections that this entry may have open to one target of the request's service.
-    pub(crate) fn connections(&self, job: &Job) -> u32 {
+    pub(crate) fn connections(&self, job: &Job) -> Connections {
         let service = job.catalogue.service(&job.service);
         let declared = service.map_or(0, |s| s.max_connections);
         match declared {
-            0 => u32::MAX,
-            declared => choose::connection_share(declared, self.entries()),
+            0 => Connections::UNBOUNDED,
+            declared => Connections::shared(declared, self.entries()),
         }
     }
 }
--- a/crates/stair-relay/src/select.rs
+++ b/crates/stair-relay/src/select.rs
@@ -535,7 +535,7 @@
         let now = cx.now();
         let mut state = cx.state();
         let target_state = state.view.get_mut(at.key);
-        let connections = target_state.in_flight < connections;
+        let connections = connections.allow(target_state, now);
         let runs = target_state.target.runs(job.version());
         if !(target_state.accepts(suspects, now) && connections && runs) {
             return None;
