--- a/crates/stair-relay/src/admit.rs
+++ b/crates/stair-relay/src/admit.rs
@@ -126,7 +126,7 @@
     let point = xxh3_64(meta.id.as_bytes()) as f64 / u64::MAX as f64;
     let service: Box<str> = route.pick(point).into();
     let origin = match route.stream && meta.is_continuation {
-        true => Some(origin::resolve(cx, &catalogue, &route, &meta, &service).await?),
+        true => Some(origin::resolve(cx, &route, &meta, &service).await?),
         false => None,
     };
     let service = origin.as_ref().map_or(service, |o| o.service.clone());
--- a/crates/stair-relay/src/origin.rs
+++ b/crates/stair-relay/src/origin.rs
@@ -14,7 +14,6 @@
 
 use platform_adapter::request::Meta;
 use stair_fleet::{
-    Catalogue,
     catalogue::{
         Repeat,
         Route, //
@@ -76,6 +75,9 @@
 /// Time for which a record outlasts its client, for the delay of messages.
 const TTL_SLACK: Duration = Duration::from_secs(2);
 
+/// Time by which a stream may be older than its client's remaining time shows: what is not spent waiting.
+const AGE_SLACK: Duration = Duration::from_secs(2);
+
 /// What this entry knows of streams and versions.
 #[derive(Default)]
 pub(crate) struct Origins {
@@ -156,7 +158,6 @@
 /// The refusal of a request whose stream may have been begun by another version than that of any target.
 pub(crate) async fn resolve(
     cx: &Arc<Context>,
-    catalogue: &Catalogue,
     route: &Route,
     meta: &Meta,
     service: &str,
@@ -176,7 +177,7 @@
         Answer::Known(origin) => (Some(origin), source),
         Answer::Ambiguous => (None, "ambiguous"),
         Answer::Unknown => (
-            sole_version(cx, catalogue, service, received).await,
+            sole_version(cx, route, meta, service, received).await,
             "sole version",
         ),
     };
@@ -261,17 +262,12 @@
 /// the stream can have lasted, and has no other one at the store now.
 async fn sole_version(
     cx: &Arc<Context>,
-    catalogue: &Catalogue,
+    route: &Route,
+    meta: &Meta,
     service: &str,
     received: Instant,
 ) -> Option<Origin> {
-    let of_service = |r: &&Route| r.stream && r.to.iter().any(|s| *s.service == *service);
-    let timeouts = catalogue
-        .routes
-        .iter()
-        .filter(of_service)
-        .map(|r| r.timeout);
-    let within = timeouts.max()?;
+    let within = longest_age(route, meta);
     let sole = |cx: &Context| -> Option<Box<str>> {
         let state = cx.state();
         let version = state.origins.history.sole(service, within, cx.now())?;
@@ -286,6 +282,14 @@
     })
 }
 
+/// The longest time since the first event of a stream, over all attempts of its client. Clients wait no longer than
+/// the route's timeout in all, and state what is left of it.
+fn longest_age(route: &Route, meta: &Meta) -> Duration {
+    let left = meta.client_timeout.filter(|t| *t < route.timeout);
+    let age = route.timeout - left.unwrap_or_default();
+    (age + AGE_SLACK).min(route.timeout)
+}
+
 impl Context {
     /// Whether the store lists only targets of one version for a service, by a list read after `since`.
     async fn has_only(self: &Arc<Self>, service: &str, version: &str, since: Instant) -> bool {
