entry: the store keeps which software versions services have had

The entry with the least name records the versions of each service when one comes or has left for the longest stream timeout, in an object of the store's era; nothing is written for a stream.

--- a/crates/stair-fleet/src/origin/history.rs
+++ b/crates/stair-fleet/src/origin/history.rs
@@ -129,21 +129,34 @@
         }
     }
 
-    /// The only version that a service has had for this time; `None` if there were several, or not all are known.
+    /// The only version that a service has had for this time, as far as it is known; `None` if there were several.
+    /// It is the only one indeed if [`History::is_known_for`] that time.
     pub fn sole(&self, service: &str, within: Duration, now: Duration) -> Option<&str> {
-        if self.known_for(now).is_none_or(|t| t < within) {
-            return None;
-        }
-        let recent = |s: &&Seen| {
-            *s.service == *service && (s.listed || now.saturating_sub(s.last) <= within)
-        };
-        let mut all = self.seen.iter().filter(recent);
+        let mut all = self.recent(service, within, now);
         match (all.next(), all.next()) {
-            (Some(one), None) if !one.version.is_empty() => Some(&one.version),
+            (Some(one), None) if !one.is_empty() => Some(one),
             _ => None,
         }
     }
 
+    /// The versions that a service has had for this time, as far as they are known.
+    pub fn recent(
+        &self,
+        service: &str,
+        within: Duration,
+        now: Duration,
+    ) -> impl Iterator<Item = &str> {
+        let recent = move |s: &&Seen| {
+            *s.service == *service && (s.listed || now.saturating_sub(s.last) <= within)
+        };
+        self.seen.iter().filter(recent).map(|s| &*s.version)
+    }
+
+    /// Whether all versions of this time are known.
+    pub fn is_known_for(&self, within: Duration, now: Duration) -> bool {
+        self.known_for(now).is_some_and(|t| t >= within)
+    }
+
     fn known_for(&self, now: Duration) -> Option<Duration> {
         let known = self.known?;
         Some(known.known_for + now.saturating_sub(known.at))
--- a/crates/stair-fleet/tests/versions.rs
+++ b/crates/stair-fleet/tests/versions.rs
@@ -131,6 +131,12 @@
     assert_eq!(others[order[1]], names[all[2]]);
 }
 
+fn sole(history: &History, service: &str, now: Duration) -> Option<String> {
+    let known = history.is_known_for(WITHIN, now);
+    let version = history.sole(service, WITHIN, now);
+    version.filter(|_| known).map(str::to_owned)
+}
+
 fn seen(history: &mut History, versions: &[&str], now: Duration) -> bool {
     history.observe(versions.iter().map(|v| (SERVICE, *v)), now)
 }
@@ -141,15 +147,18 @@
     assert!(seen(&mut history, &["v1", "v1"], NOW));
     assert!(!seen(&mut history, &["v1"], NOW + ms(100)));
     // Another version may have left before this process knew the list.
-    assert_eq!(history.sole(SERVICE, WITHIN, NOW + ms(9000)), None);
-    assert_eq!(history.sole(SERVICE, WITHIN, NOW + WITHIN), Some("v1"));
-    assert_eq!(history.sole("another", WITHIN, NOW + WITHIN), None);
+    assert_eq!(sole(&history, SERVICE, NOW + ms(9000)), None);
+    assert_eq!(sole(&history, SERVICE, NOW + WITHIN).as_deref(), Some("v1"));
+    assert_eq!(sole(&history, "another", NOW + WITHIN), None);
     let came = NOW + ms(20_000);
     assert!(seen(&mut history, &["v1", "v2"], came));
-    assert_eq!(history.sole(SERVICE, WITHIN, came), None);
+    assert_eq!(sole(&history, SERVICE, came), None);
     assert!(seen(&mut history, &["v2"], came + ms(1000)));
-    assert_eq!(history.sole(SERVICE, WITHIN, came + WITHIN), None);
-    assert_eq!(history.sole(SERVICE, WITHIN, came + ms(11_001)), Some("v2"));
+    assert_eq!(sole(&history, SERVICE, came + WITHIN), None);
+    assert_eq!(
+        sole(&history, SERVICE, came + ms(11_001)).as_deref(),
+        Some("v2")
+    );
 }
 
 /// A target whose version is not known may be of any.
@@ -157,7 +166,7 @@
 fn unknown_version_is_no_sole_one() {
     let mut history = History::default();
     seen(&mut history, &[""], NOW);
-    assert_eq!(history.sole(SERVICE, WITHIN, NOW + WITHIN), None);
+    assert_eq!(sole(&history, SERVICE, NOW + WITHIN), None);
 }
 
 /// A process that has just started learns from others, also of a version that it has not seen itself.
@@ -170,13 +179,13 @@
     agent.merge(&old.report(None, now), ms(5));
     let mut new = History::default();
     seen(&mut new, &["v1"], ms(1));
-    assert_eq!(new.sole(SERVICE, WITHIN, ms(10)), None);
+    assert_eq!(sole(&new, SERVICE, ms(10)), None);
     new.add(&agent.report(Some(SERVICE), ms(10)), ms(10));
-    assert_eq!(new.sole(SERVICE, WITHIN, ms(10)), Some("v1"));
+    assert_eq!(sole(&new, SERVICE, ms(10)).as_deref(), Some("v1"));
     seen(&mut old, &["v1", "v2"], now);
     agent.merge(&old.report(None, now), ms(20));
     new.add(&agent.report(Some(SERVICE), ms(20)), ms(20));
-    assert_eq!(new.sole(SERVICE, WITHIN, ms(20)), None);
+    assert_eq!(sole(&new, SERVICE, ms(20)), None);
     // A gap in which nothing was reported.
     agent.interrupt();
     assert_eq!(agent.report(None, ms(30)).known_for, None);
--- a/crates/stair-relay/src/context.rs
+++ b/crates/stair-relay/src/context.rs
@@ -68,8 +68,8 @@
     follow::Follow,
     limit::Limits,
     origin::{
-        ListCheck,
-        Origins, //
+        Origins,
+        StoreCheck, //
     },
     owner::Owners,
     quarantine::Quarantine, //
@@ -97,8 +97,8 @@
     pub follow: Follow,
     /// The newest era of the store that is known.
     pub eras: Eras,
-    /// Checks the list against the store's present one.
-    pub(crate) list_check: ListCheck,
+    /// The versions that the store states.
+    pub(crate) store_check: StoreCheck,
     started: Instant,
     /// The latest end of the process, once the stop has begun.
     ends_at: watch::Sender<Option<Instant>>,
@@ -185,7 +185,7 @@
             changed: Notify::new(),
             unresponsive: Notify::new(),
             follow: Follow::default(),
-            list_check: ListCheck::default(),
+            store_check: StoreCheck::default(),
             started: Instant::now(),
             ends_at: watch::Sender::new(None),
             serving: AtomicUsize::new(0),
--- a/crates/stair-relay/src/lib.rs
+++ b/crates/stair-relay/src/lib.rs
@@ -4,7 +4,8 @@
 //! its route, [`authorize`] its workspace, and [`quota`] charges the workspace. The request is a [`job`] from
 //! there on. [`assign`] selects a target where it may run now: [`select`] compares the targets, [`load`] has
 //! the model loaded, [`outage`] waits for an engine that is down, and [`prefill`] reserves a prefill slot.
-//! A request that continues a stream is bound to the version that began it (`origin`).
+//! A request that continues a stream is bound to the version that began it (`origin`; `version_record` keeps in the
+//! store which versions there were).
 //! [`attempt`] sends the request to the target; [`stream`] forwards events and resumes broken streams.
 //! [`limit`] keeps the limits that targets name, and `availability` what they state about the requests that they
 //! take. [`failures`] counts the failures of targets, `crash` determines which requests ran on a target that ended,
@@ -53,3 +54,4 @@
 pub mod select;
 pub mod serve;
 pub mod stream;
+mod version_record;
--- a/crates/stair-relay/src/origin.rs
+++ b/crates/stair-relay/src/origin.rs
@@ -64,12 +64,13 @@
         DEFAULT_RETRY_AFTER,
         NoTarget, //
     },
+    version_record,
 };
 
 /// Limit for the replies of agents: a round trip and the longest pause of a busy VM.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Limit for the store's list.
+/// Limit for the store's list and its record of versions.
 const LIST_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Time for which a record outlasts its client, for the delay of messages.
@@ -103,6 +104,11 @@
         self.pending.retain(|p| p.engine != engine);
     }
 
+    /// The versions that services have had.
+    pub(crate) fn history(&self) -> &History {
+        &self.history
+    }
+
     /// The records, for the dump.
     pub(crate) fn records(&self) -> &Records {
         &self.records
@@ -114,14 +120,16 @@
     }
 }
 
-/// Checks the list of targets against the store, one call for all requests that wait.
+/// The versions that the store states, read once for all requests that wait.
 #[derive(Default)]
-pub(crate) struct ListCheck(Mutex<Option<Listed>>);
+pub(crate) struct StoreCheck(Mutex<Option<Stated>>);
 
-struct Listed {
+struct Stated {
     begun: Instant,
-    /// The services and versions, sorted; `None` if the store has not replied.
-    versions: Option<Vec<(Box<str>, Box<str>)>>,
+    /// The services and versions of the list, sorted; `None` if the store has not replied.
+    listed: Option<Vec<(Box<str>, Box<str>)>>,
+    /// The record of versions, if there is one.
+    recorded: Option<version_record::Versions>,
 }
 
 /// Records what began a stream, right before its first event is forwarded.
@@ -259,7 +267,8 @@
 }
 
 /// The origin of a stream of which there is no record: the service's version, if it has had one for as long as
-/// the stream can have lasted, and has no other one at the store now.
+/// the stream can have lasted, and has no other one at the store now. Entries know since when, or the record in
+/// the store does.
 async fn sole_version(
     cx: &Arc<Context>,
     route: &Route,
@@ -268,15 +277,18 @@
     received: Instant,
 ) -> Option<Origin> {
     let within = longest_age(route, meta);
-    let sole = |cx: &Context| -> Option<Box<str>> {
-        let state = cx.state();
-        let version = state.origins.history.sole(service, within, cx.now())?;
-        Some(version.into())
+    let sole = |cx: &Context| -> Option<(Box<str>, bool)> {
+        let (state, now) = (cx.state(), cx.now());
+        let history = &state.origins.history;
+        let version = history.sole(service, within, now)?;
+        Some((version.into(), history.is_known_for(within, now)))
     };
-    let version = sole(cx)?;
-    let confirmed = cx.has_only(service, &version, received).await;
+    let (version, _) = sole(cx)?;
+    let checked = cx.check_versions(service, &version, received).await;
     // Another version may have been learnt meanwhile.
-    (confirmed && sole(cx)? == version).then(|| Origin {
+    let (still, is_known) = sole(cx)?;
+    let is_sole = checked.is_listed_alone && (is_known || checked.is_recorded_alone);
+    (is_sole && still == version).then(|| Origin {
         service: service.into(),
         version,
     })
@@ -290,31 +302,64 @@
     (age + AGE_SLACK).min(route.timeout)
 }
 
+/// What the store states of a version of a service.
+#[derive(Default)]
+struct Checked {
+    /// Only targets of it are listed.
+    is_listed_alone: bool,
+    /// Only it is in the record of versions.
+    is_recorded_alone: bool,
+}
+
 impl Context {
-    /// Whether the store lists only targets of one version for a service, by a list read after `since`.
-    async fn has_only(self: &Arc<Self>, service: &str, version: &str, since: Instant) -> bool {
-        let mut listed = self.list_check.0.lock().await;
-        if listed.as_ref().is_none_or(|l| l.begun < since) {
-            let begun = Instant::now();
-            let store = self.store();
-            let read = timeout(LIST_TIMEOUT, replicate::list_targets(self, &store)).await;
-            let read = read.ok().and_then(Result::ok);
-            let versions = read.map(|(targets, _)| {
-                let mut versions: Vec<(Box<str>, Box<str>)> = targets
-                    .into_iter()
-                    .map(|t| (t.service, t.version.unwrap_or_default()))
-                    .collect();
-                versions.sort();
-                versions.dedup();
-                versions
-            });
-            *listed = Some(Listed { begun, versions });
+    /// Checks a version against the list and the record of versions, both read after `since`.
+    async fn check_versions(
+        self: &Arc<Self>,
+        service: &str,
+        version: &str,
+        since: Instant,
+    ) -> Checked {
+        let mut stated = self.store_check.0.lock().await;
+        if stated.as_ref().is_none_or(|s| s.begun < since) {
+            *stated = Some(Stated::read(self).await);
         }
-        let Some(versions) = listed.as_ref().and_then(|l| l.versions.as_ref()) else {
-            return false;
+        let Some(stated) = &*stated else {
+            return Checked::default();
         };
-        let mut of_service = versions.iter().filter(|(s, _)| **s == *service);
-        of_service.all(|(_, v)| **v == *version)
+        let listed = stated.listed.as_ref().is_some_and(|all| {
+            let mut of_service = all.iter().filter(|(s, _)| **s == *service);
+            of_service.all(|(_, v)| **v == *version)
+        });
+        let recorded = stated.recorded.as_ref().and_then(|all| all.get(service));
+        Checked {
+            is_listed_alone: listed,
+            is_recorded_alone: recorded.is_some_and(|v| v.len() == 1 && *v[0] == *version),
+        }
+    }
+}
+
+impl Stated {
+    async fn read(cx: &Context) -> Self {
+        let begun = Instant::now();
+        let store = cx.store();
+        let (listed, recorded) = tokio::join!(
+            timeout(LIST_TIMEOUT, replicate::list_targets(cx, &store)),
+            timeout(LIST_TIMEOUT, version_record::read(&store)),
+        );
+        let listed = listed.ok().and_then(Result::ok).map(|(targets, _)| {
+            let mut versions: Vec<(Box<str>, Box<str>)> = targets
+                .into_iter()
+                .map(|t| (t.service, t.version.unwrap_or_default()))
+                .collect();
+            versions.sort();
+            versions.dedup();
+            versions
+        });
+        Self {
+            begun,
+            listed,
+            recorded: recorded.ok().and_then(Result::ok),
+        }
     }
 }
 
--- a/crates/stair-relay/src/prefetch.rs
+++ b/crates/stair-relay/src/prefetch.rs
@@ -68,8 +68,8 @@
     }
 }
 
-/// Only one entry requests prefetches: the one with the least name among the entries linked to the agents.
-fn is_leader(cx: &Context) -> bool {
+/// Only one entry requests prefetches and records versions: the one with the least name among the entries linked to the agents.
+pub(crate) fn is_leader(cx: &Context) -> bool {
     let state = cx.state();
     let peers = state.peers.as_ref();
     peers.is_none_or(|(p, _)| p.least_name >= cx.settings.name)
--- a/crates/stair-relay/src/process.rs
+++ b/crates/stair-relay/src/process.rs
@@ -26,7 +26,8 @@
     peers,
     prefetch,
     replicate,
-    serve, //
+    serve,
+    version_record, //
 };
 
 /// The process ends on its own this long before it would be killed.
@@ -96,6 +97,7 @@
         tasks.spawn(peers::fetch_newer(cx.clone()));
         tasks.spawn(follow::keep(cx.clone()));
         tasks.spawn(prefetch::keep(cx.clone()));
+        tasks.spawn(version_record::keep(cx.clone()));
         tasks.spawn(serve::readiness(cx.clone(), self.ready, never.clone()));
         tasks.spawn(serve::metrics(cx.clone(), self.metrics, never));
         tasks.spawn(serve::clients(cx.clone(), self.clients));
