--- a/crates/stair-relay/src/version_record.rs
+++ b/crates/stair-relay/src/version_record.rs
@@ -36,6 +36,12 @@
 /// Interval of the checks for a version that has come or left. A target that comes and leaves is listed for longer.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Pause after a failed call, doubled after each further one: rejected calls are charged too.
+const RETRY_PAUSE: Duration = Duration::from_secs(2);
+
+/// Longest pause.
+const MAX_RETRY_PAUSE: Duration = Duration::from_secs(8);
+
 /// The versions of each recorded service, sorted.
 pub(crate) type Versions = BTreeMap<Box<str>, Vec<Box<str>>>;
 
@@ -77,17 +83,20 @@
 /// Writes the record until the process ends.
 pub(crate) async fn keep(cx: Arc<Context>) {
     let mut written: Option<Written> = None;
+    let mut pause = CHECK_INTERVAL;
     loop {
-        sleep(CHECK_INTERVAL).await;
+        sleep(pause).await;
         if !prefetch::is_leader(&cx) {
             written = None;
             continue;
         }
-        if let Err(e) = update(&cx, &mut written).await {
-            // Another entry has written it, or the store is away: it is read again.
-            written = None;
-            if e != Error::Conflict {
-                Line::new("versions.unwritten").show("error", e).write();
+        match update(&cx, &mut written).await {
+            Ok(()) => pause = CHECK_INTERVAL,
+            Err(e) => {
+                // Another entry has written it, or the store is away: it is read again.
+                written = None;
+                pause = (pause * 2).clamp(RETRY_PAUSE, MAX_RETRY_PAUSE);
+                Line::failure("versions.unwritten").show("error", e).write();
             }
         }
     }
