--- a/crates/stair-fleet/src/origin/history.rs
+++ b/crates/stair-fleet/src/origin/history.rs
@@ -25,7 +25,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
     /// Time for which the list of targets has been known without a gap.
-    pub known_for: Option<Duration>,
+    pub coverage: Option<Duration>,
     /// The versions.
     pub versions: Vec<ReportedVersion>,
 }
@@ -44,14 +44,15 @@
 pub struct History {
     /// Sorted by service and version.
     seen: Vec<Seen>,
-    known: Option<Known>,
+    coverage: Option<Coverage>,
 }
 
-/// Since when all versions are known. That may be before the start of the process.
+/// The time up to now for which all versions are known. It may begin before the process.
 #[derive(Debug, Clone, Copy)]
-struct Known {
+struct Coverage {
     at: Duration,
-    known_for: Duration,
+    /// Its length then.
+    length: Duration,
 }
 
 impl History {
@@ -64,10 +65,10 @@
         let mut listed: Vec<(&str, &str)> = listed.into_iter().collect();
         listed.sort_unstable();
         listed.dedup();
-        let mut changed = self.known.is_none();
-        self.known.get_or_insert(Known {
+        let mut changed = self.coverage.is_none();
+        self.coverage.get_or_insert(Coverage {
             at: now,
-            known_for: Duration::ZERO,
+            length: Duration::ZERO,
         });
         for seen in self.seen.iter_mut().filter(|s| s.listed) {
             seen.last = now;
@@ -91,9 +92,9 @@
     /// Applies an entry's report of what it has seen. Versions that it does not list have left.
     pub fn merge(&mut self, report: &Report, now: Duration) {
         let listed = report.versions.iter().filter(|v| v.left.is_none());
-        let known = self.known;
+        let coverage = self.coverage;
         self.observe(listed.map(|v| (&*v.service, &*v.version)), now);
-        self.known = known;
+        self.coverage = coverage;
         self.add(report, now);
     }
 
@@ -104,15 +105,15 @@
             let at = now.saturating_sub(reported.left.unwrap_or_default());
             seen.last = seen.last.max(at);
         }
-        if report.known_for > self.known_for(now) {
-            let known_for = report.known_for.unwrap_or_default();
-            self.known = Some(Known { at: now, known_for });
+        if report.coverage > self.covered(now) {
+            let length = report.coverage.unwrap_or_default();
+            self.coverage = Some(Coverage { at: now, length });
         }
     }
 
     /// Forgets since when the versions are known, after a time in which none were reported.
     pub fn interrupt(&mut self) {
-        self.known = None;
+        self.coverage = None;
     }
 
     /// The versions, of one service or of all.
@@ -124,13 +125,13 @@
             left: (!s.listed).then(|| now.saturating_sub(s.last)),
         };
         Report {
-            known_for: self.known_for(now),
+            coverage: self.covered(now),
             versions: self.seen.iter().filter(of).map(reported).collect(),
         }
     }
 
     /// The only version that a service has had for this time, as far as it is known; `None` if there were several.
-    /// It is the only one indeed if [`History::is_known_for`] that time.
+    /// It is the only one indeed if [`History::covers`] that time.
     pub fn sole(&self, service: &str, within: Duration, now: Duration) -> Option<&str> {
         let mut all = self.recent(service, within, now);
         match (all.next(), all.next()) {
@@ -153,13 +154,13 @@
     }
 
     /// Whether all versions of this time are known.
-    pub fn is_known_for(&self, within: Duration, now: Duration) -> bool {
-        self.known_for(now).is_some_and(|t| t >= within)
+    pub fn covers(&self, within: Duration, now: Duration) -> bool {
+        self.covered(now).is_some_and(|t| t >= within)
     }
 
-    fn known_for(&self, now: Duration) -> Option<Duration> {
-        let known = self.known?;
-        Some(known.known_for + now.saturating_sub(known.at))
+    fn covered(&self, now: Duration) -> Option<Duration> {
+        let coverage = self.coverage?;
+        Some(coverage.length + now.saturating_sub(coverage.at))
     }
 
     fn entry(&mut self, service: &str, version: &str, now: Duration) -> &mut Seen {
--- a/crates/stair-fleet/tests/versions.rs
+++ b/crates/stair-fleet/tests/versions.rs
@@ -132,7 +132,7 @@
 }
 
 fn sole(history: &History, service: &str, now: Duration) -> Option<String> {
-    let known = history.is_known_for(WITHIN, now);
+    let known = history.covers(WITHIN, now);
     let version = history.sole(service, WITHIN, now);
     version.filter(|_| known).map(str::to_owned)
 }
@@ -188,7 +188,7 @@
     assert_eq!(sole(&new, SERVICE, ms(20)), None);
     // A gap in which nothing was reported.
     agent.interrupt();
-    assert_eq!(agent.report(None, ms(30)).known_for, None);
+    assert_eq!(agent.report(None, ms(30)).coverage, None);
     assert_eq!(Report::default().versions, Vec::new());
 }
 
--- a/crates/stair-relay/src/admit.rs
+++ b/crates/stair-relay/src/admit.rs
@@ -186,7 +186,7 @@
     let line = match meta.last_event {
         Some(event) => line
             .num("after_event", event)
-            .text("resumes", meta.resumes.id().unwrap_or("")),
+            .text("continues", meta.resumes.id().unwrap_or("")),
         None => line,
     };
     line.text("route", &route.name)
--- a/crates/stair-relay/src/origin.rs
+++ b/crates/stair-relay/src/origin.rs
@@ -193,7 +193,7 @@
     let origin = origin.filter(|o| route.to.iter().any(|s| s.service == o.service));
     Line::new("origin")
         .text("id", &meta.id)
-        .text("resumes", meta.resumes.id().unwrap_or(""))
+        .text("continues", meta.resumes.id().unwrap_or(""))
         .text("source", source)
         .text("service", origin.as_ref().map_or("", |o| &o.service))
         .text("version", origin.as_ref().map_or("", |o| &o.version))
@@ -281,7 +281,7 @@
         let (state, now) = (cx.state(), cx.now());
         let history = &state.origins.history;
         let version = history.sole(service, within, now)?;
-        Some((version.into(), history.is_known_for(within, now)))
+        Some((version.into(), history.covers(within, now)))
     };
     let (version, _) = sole(cx)?;
     let checked = cx.check_versions(service, &version, received).await;
--- a/crates/stair-relay/src/version_record.rs
+++ b/crates/stair-relay/src/version_record.rs
@@ -117,10 +117,10 @@
         });
     }
     let Some(known) = written else { return Ok(()) };
-    let Some(wanted) = wanted(cx, &known.versions) else {
+    let Some(next) = next_versions(cx, &known.versions) else {
         return Ok(());
     };
-    let spec = json!({ "services": wanted });
+    let spec = json!({ "services": next });
     let object = match known.revision {
         Some(revision) => store.replace(KIND, &name(era), revision, &spec).await?,
         None => store.create(KIND, &name(era), &spec).await?,
@@ -129,16 +129,16 @@
         .show("services", &spec["services"])
         .write();
     known.revision = Some(object.revision);
-    known.versions = wanted;
+    known.versions = next;
     Ok(())
 }
 
 /// The record that should be in the store, if it is another one than `known`.
-fn wanted(cx: &Context, known: &Versions) -> Option<Versions> {
+fn next_versions(cx: &Context, known: &Versions) -> Option<Versions> {
     let now = cx.now();
     let state = cx.state();
     let catalogue = state.catalogue.as_ref()?;
-    let mut wanted = known.clone();
+    let mut next = known.clone();
     for service in &catalogue.services {
         let Some(within) = longest_stream(catalogue, &service.name) else {
             continue;
@@ -148,7 +148,7 @@
             .recent(&service.name, within, now)
             .map(Into::into)
             .collect();
-        if !history.is_known_for(within, now) {
+        if !history.covers(within, now) {
             // Versions from before this entry's start are only known from the record.
             let Some(recorded) = known.get(&service.name) else {
                 continue;
@@ -157,9 +157,9 @@
         }
         versions.sort();
         versions.dedup();
-        wanted.insert(service.name.clone(), versions);
+        next.insert(service.name.clone(), versions);
     }
-    (wanted != *known).then_some(wanted)
+    (next != *known).then_some(next)
 }
 
 /// The longest timeout of a service's stream routes.
--- a/crates/stair-telemetry/src/explain.rs
+++ b/crates/stair-telemetry/src/explain.rs
@@ -90,13 +90,13 @@
 {
     let continuations = || {
         let lines = lines.clone().into_iter();
-        let named = lines.filter(|l| l.contains("\"resumes\":"));
+        let named = lines.filter(|l| l.contains("\"continues\":"));
         named.filter_map(parse_object)
     };
     let own = continuations().find(|o| text(o, "id") == Some(id));
-    let first = own.as_ref().and_then(|o| text(o, "resumes"));
+    let first = own.as_ref().and_then(|o| text(o, "continues"));
     let first: Box<str> = first.filter(|f| !f.is_empty()).unwrap_or(id).into();
-    let others = continuations().filter(|o| text(o, "resumes") == Some(&first));
+    let others = continuations().filter(|o| text(o, "continues") == Some(&first));
     let others = others.filter_map(|o| Some(text(&o, "id")?.into()));
     let mut ids: Vec<Box<str>> = vec![id.into(), first.clone()];
     ids.extend(others);
--- a/crates/stair-telemetry/tests/explain.rs
+++ b/crates/stair-telemetry/tests/explain.rs
@@ -41,10 +41,10 @@
 fn attempts_of_stream() {
     let lines = [
         r#"{"ts":1.0,"up":1.0,"process":"e1","event":"chosen","id":"a","target":"t1","version":"v1"}"#,
-        r#"{"ts":2.0,"up":1.0,"process":"e2","event":"request","id":"b","after_event":2,"resumes":"a"}"#,
+        r#"{"ts":2.0,"up":1.0,"process":"e2","event":"request","id":"b","after_event":2,"continues":"a"}"#,
         r#"{"ts":2.1,"up":1.1,"process":"e2","event":"chosen","id":"b","target":"t2","version":"v1"}"#,
-        r#"{"ts":3.0,"up":1.0,"process":"e1","event":"request","id":"c","after_event":4,"resumes":"a"}"#,
-        r#"{"ts":3.0,"up":1.0,"process":"e1","event":"request","id":"d","resumes":""}"#,
+        r#"{"ts":3.0,"up":1.0,"process":"e1","event":"request","id":"c","after_event":4,"continues":"a"}"#,
+        r#"{"ts":3.0,"up":1.0,"process":"e1","event":"request","id":"d","continues":""}"#,
     ];
     for id in ["a", "b", "c"] {
         let steps = story(lines, id);
