--- a/crates/dandelionstair/tests/promises/main.rs
+++ b/crates/dandelionstair/tests/promises/main.rs
@@ -9,6 +9,7 @@
 mod configuration;
 mod crowded;
 mod deadly;
+mod deadly_part;
 mod fuzz;
 mod in_time;
 mod leaving;
--- a/crates/dandelionstair/tests/promises/quarantine.rs
+++ b/crates/dandelionstair/tests/promises/quarantine.rs
@@ -25,7 +25,7 @@
 };
 
 /// Begins the marker of each request that ends its targets.
-const DEADLY: &str = "deadly";
+pub(crate) const DEADLY: &str = "deadly";
 
 /// Time from the start of a run to the end of its target.
 const DEATH_TIME: Duration = Duration::from_millis(30);
@@ -37,10 +37,10 @@
 const DOWN: Duration = Duration::from_millis(300);
 
 /// Time for all entries to know, from the third crash on.
-const CONTACT_TIME: Duration = Duration::from_secs(3);
+pub(crate) const CONTACT_TIME: Duration = Duration::from_secs(3);
 
 /// Runs of one request that may begin later than that.
-const MAX_RETRIES: usize = 3;
+pub(crate) const MAX_RETRIES: usize = 3;
 
 /// Time for which requests are sent.
 const DURATION: Duration = Duration::from_secs(12);
@@ -98,13 +98,13 @@
 }
 
 /// Targets of deadly runs, and when they began.
-fn deadly_runs(recorder: &Recorder) -> Vec<(Box<str>, Instant)> {
+pub(crate) fn deadly_runs(recorder: &Recorder) -> Vec<(Box<str>, Instant)> {
     let runs = recorder.runs(is_deadly).into_iter();
     runs.map(|r| (r.target, r.started)).collect()
 }
 
 /// Ends each engine that begins deadly work, for as long as it is awaited.
-async fn end_engines<F>(world: &World, crashes: Option<Duration>, deadly: F)
+pub(crate) async fn end_engines<F>(world: &World, crashes: Option<Duration>, deadly: F)
 where
     F: Fn(&Recorder) -> Vec<(Box<str>, Instant)>,
 {
@@ -192,11 +192,11 @@
     counts
 }
 
-fn is_quarantined(answer: &Answer) -> bool {
+pub(crate) fn is_quarantined(answer: &Answer) -> bool {
     answer.error("code") == "quarantined"
 }
 
-fn callers(world: &World) -> Vec<Caller> {
+pub(crate) fn callers(world: &World) -> Vec<Caller> {
     (0..world.entries.len()).map(|n| world.caller(n)).collect()
 }
 
--- a/crates/dandelionstair/tests/promises/support/caller.rs
+++ b/crates/dandelionstair/tests/promises/support/caller.rs
@@ -62,6 +62,22 @@
         }
     }
 
+    /// Asks a model for a reply to these messages; the last one, `marker`, is the request's own.
+    pub(crate) fn chat(model: &str, shared: &[&str], marker: &str, tokens: u32) -> Self {
+        let messages = shared.iter().chain([&marker]);
+        let messages: Vec<Value> = messages
+            .map(|text| json!({ "role": "user", "content": text }))
+            .collect();
+        Self {
+            path: "/v1/chat/completions".into(),
+            body: json!({
+                "model": model, "messages": messages, "max_tokens": tokens, "user": marker,
+            }),
+            key: INTERACTIVE_KEY.into(),
+            headers: Vec::new(),
+        }
+    }
+
     /// Calls a plain service.
     pub(crate) fn service(path: &str, marker: &str) -> Self {
         Self {
