--- a/crates/stair-agent/src/quarantine.rs
+++ b/crates/stair-agent/src/quarantine.rs
@@ -1,4 +1,4 @@
-//! Keeps a ledger of requests that crash the targets that run them, for all entries.
+//! Keeps a ledger of requests, and parts of prompts, that crash the targets that run them, for all entries.
 //!
 //! Each entry has a stream to a few agents, on which it reports crashes and receives the standings of
 //! requests; see [`quarantine`](stair_fleet::quarantine) for the rules of the ledger.
@@ -13,13 +13,16 @@
     time::Duration,
 };
 
-use stair_fleet::quarantine::{
-    Ledger,
-    Notice,
-    Record,
-    SETTLE_DELAYS,
-    ToLedger,
-    ToWatchlist, //
+use stair_fleet::{
+    msg::Features,
+    quarantine::{
+        Ledger,
+        Notice,
+        Record,
+        SETTLE_DELAYS,
+        ToLedger,
+        ToWatchlist, //
+    },
 };
 use stair_link::{
     RecvStream,
@@ -91,6 +94,10 @@
             }
         };
         let writing = async {
+            // Only the first message names the features.
+            if let Some(first) = notices.recv().await {
+                frame::write_extended(&mut tx, &first, &Features::CURRENT).await?;
+            }
             while let Some(msg) = notices.recv().await {
                 frame::write_message(&mut tx, &msg).await?;
             }
@@ -161,7 +168,7 @@
         }
         for notice in notices {
             let (fingerprint, standing) = (notice.fingerprint, notice.standing);
-            warn!(Part::Agent, "request {fingerprint} is now {standing:?}");
+            warn!(Part::Agent, "{fingerprint} is now {standing:?}");
             self.metrics.quarantine(standing.as_str());
         }
         let ids: Vec<u64> = inner.streams.iter().map(|s| s.id).collect();
--- a/crates/stair-entry/src/traffic/body.rs
+++ b/crates/stair-entry/src/traffic/body.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use hyper::body::Incoming;
 use serde::Deserialize;
+use serde_json::value::RawValue;
 use stair_config::EntryLimits;
 use stair_http::body::ReadError;
 use stair_types::Reason;
@@ -92,6 +93,34 @@
     xxh3_64(&prompt[..prompt.len().min(PREFIX_BYTES)])
 }
 
+/// The parts of an inference's prompt.
+#[derive(Deserialize)]
+struct Prompt<'a> {
+    #[serde(borrow, default)]
+    prompt: Option<Cow<'a, str>>,
+    #[serde(borrow, default)]
+    messages: Vec<&'a RawValue>,
+}
+
+/// Returns the ids of the parts of the prompt that other requests may share: the messages of a
+/// conversation, or else the paragraphs of the text, without the last one.
+pub(super) fn shared_parts(body: &[u8]) -> Vec<u64> {
+    let Ok(prompt) = serde_json::from_slice::<Prompt<'_>>(body) else {
+        return Vec::new();
+    };
+    let mut ids: Vec<u64> = match &prompt.prompt {
+        Some(text) if prompt.messages.is_empty() => {
+            text.split("\n\n").map(|p| xxh3_64(p.as_bytes())).collect()
+        }
+        _ => {
+            let messages = prompt.messages.iter();
+            messages.map(|m| xxh3_64(m.get().as_bytes())).collect()
+        }
+    };
+    ids.pop();
+    ids
+}
+
 fn find(body: &[u8], text: &[u8]) -> Option<usize> {
     body.windows(text.len()).position(|w| w == text)
 }
--- a/crates/stair-entry/src/traffic/crash.rs
+++ b/crates/stair-entry/src/traffic/crash.rs
@@ -8,10 +8,7 @@
     time::Duration, //
 };
 
-use stair_fleet::quarantine::{
-    ESTABLISHED_DURATION,
-    Run, //
-};
+use stair_fleet::quarantine::ESTABLISHED_DURATION;
 use stair_link::RecvStream;
 use stair_types::{
     FencingToken,
@@ -37,7 +34,7 @@
     quarantine::{
         Quarantine,
         Trial,
-        fingerprint, //
+        interrupted_runs, //
     },
     request::Request,
 };
@@ -117,11 +114,8 @@
             ..
         } = self;
         let id = req.id;
-        let run = Run {
-            fingerprint: fingerprint(&req),
-            established,
-            on_trial: trial.is_some(),
-        };
+        let on_trial = trial.as_ref().map_or(&[][..], Trial::causes);
+        let runs = interrupted_runs(&req, established, on_trial);
         // The body is not kept while the target is watched.
         drop(req);
         let crash = match timeout(REPORT_TIMEOUT, read_crash(&mut rx)).await {
@@ -136,7 +130,7 @@
             Some(n) => format!("{target}@{token}/{n}"),
             None => format!("{target}@{token}"),
         };
-        quarantine.report(id, incarnation.into(), run);
+        quarantine.report(id, incarnation.into(), runs);
     }
 }
 
--- a/crates/stair-entry/src/traffic/ledger_links.rs
+++ b/crates/stair-entry/src/traffic/ledger_links.rs
@@ -177,8 +177,8 @@
     frame::write_message(&mut tx, &ToAgent::Ledger).await?;
     let (queue, mut messages) = mpsc::channel(MAX_QUEUED);
     // The agent sends what it knows first; one of an older build ends the stream instead.
-    let first = frame::read_message(&mut rx).await?;
-    let id = quarantine.link_began(target.name, target.token, queue);
+    let (first, features) = frame::read_extended(&mut rx).await?;
+    let id = quarantine.link_began(target.name, target.token, features, queue);
     let _guard = LinkGuard { quarantine, id };
     quarantine.receive(id, first);
     let reading = async {
--- a/crates/stair-entry/src/traffic/quarantine.rs
+++ b/crates/stair-entry/src/traffic/quarantine.rs
@@ -1,10 +1,10 @@
-//! Withholds requests that end the targets that run them.
+//! Withholds requests that end the targets that run them, by themselves or by a part of their prompts.
 //!
 //! A few agents keep ledgers of crashes ([`ledger_links`](super::ledger_links)), and report the
 //! standings of requests to all entries. While no agent is linked, an entry keeps a ledger of its own.
 //! [`quarantine`](stair_fleet::quarantine) defines the decisions.
 //!
-//! Invariants: a request that is quarantined here is not offered to a target, and the verdict in its
+//! Invariants: a request with a cause that is quarantined here is not offered to a target, and the verdict in its
 //! refusal is true.
 
 use std::{
@@ -18,21 +18,28 @@
 };
 
 use serde::Serialize;
-use stair_fleet::quarantine::{
-    Crash,
-    Ledger,
-    Notice,
-    REPLY_TIMEOUT,
-    Run,
-    SETTLE_DELAYS,
-    SKIP_DURATION,
-    Standing,
-    TRIAL_RETRY_INTERVAL,
-    TRIAL_WAIT,
-    ToLedger,
-    ToWatchlist,
-    Watchlist,
-    choose_ledgers, //
+use stair_fleet::{
+    msg::Features,
+    quarantine::{
+        Assessment,
+        Crash,
+        Ledger,
+        Notice,
+        REPLY_TIMEOUT,
+        Run,
+        SETTLE_DELAYS,
+        SKIP_DURATION,
+        Standing,
+        Survivals,
+        TRIAL_RETRY_INTERVAL,
+        TRIAL_WAIT,
+        ToLedger,
+        ToWatchlist,
+        TrialReply,
+        Watchlist,
+        choose_ledgers,
+        interrupted, //
+    },
 };
 use stair_telemetry::{
     Metrics,
@@ -68,7 +75,7 @@
     request::Request, //
 };
 
-/// What an entry knows of requests that end targets.
+/// What an entry knows of what ends targets.
 pub(super) struct Quarantine {
     started: Instant,
     metrics: Metrics,
@@ -78,6 +85,7 @@
 #[derive(Default)]
 struct State {
     watchlist: Watchlist,
+    survivals: Survivals,
     /// This entry's own ledger, used while no agent is linked.
     own: Ledger,
     links: Vec<LedgerLink>,
@@ -93,6 +101,7 @@
     /// The agent's incarnation.
     token: FencingToken,
     tx: mpsc::Sender<ToLedger>,
+    features: Features,
     skipped_until: Duration,
 }
 
@@ -103,13 +112,14 @@
 struct PendingTrial {
     seq: u64,
     link: LinkId,
-    tx: oneshot::Sender<bool>,
+    tx: oneshot::Sender<TrialReply>,
 }
 
-/// The run of a suspect; the trial ends when this is dropped.
+/// The run of a request with suspects; the trial ends when this is dropped.
 pub(super) struct Trial {
     quarantine: Arc<Quarantine>,
-    fingerprint: Fingerprint,
+    /// The suspects.
+    causes: Vec<Fingerprint>,
     /// The ledger that granted the trial; `None` for this entry's own.
     link: Option<LinkId>,
 }
@@ -124,20 +134,31 @@
     Quarantined(Refusal),
 }
 
-/// A request that is watched, in the state dump.
+/// A cause that is watched, in the state dump.
 #[derive(Debug, Serialize)]
 pub(super) struct Watched {
     fingerprint: Box<str>,
     standing: Standing,
 }
 
+impl Trial {
+    /// The suspects that are on trial.
+    pub(super) fn causes(&self) -> &[Fingerprint] {
+        &self.causes
+    }
+}
+
 impl Drop for Trial {
     fn drop(&mut self) {
+        // Each suspect is in one trial only, so that one of them tells which.
+        let Some(cause) = self.causes.first().copied() else {
+            return;
+        };
         let now = self.quarantine.now();
         let mut state = self.quarantine.lock();
         match self.link {
-            Some(link) => state.send(link, ToLedger::TrialEnded(self.fingerprint)),
-            None => state.own.end_trial(self.fingerprint, now),
+            Some(link) => state.send(link, ToLedger::TrialEnded(cause)),
+            None => state.own.end_trial(cause, now),
         }
     }
 }
@@ -157,24 +178,35 @@
     ///
     /// The refusal, with the remaining time as the retry time.
     pub(super) fn admit(&self, req: &Request) -> Result<(), Refusal> {
-        match self.standing(req) {
-            Some(Standing::Quarantined(left)) => Err(refusal(left)),
-            Some(Standing::Suspect | Standing::Cleared) | None => Ok(()),
+        match self.assess(req) {
+            Assessment::Quarantined { left, .. } => Err(refusal(left)),
+            Assessment::Suspect(_) | Assessment::Ordinary => Ok(()),
         }
     }
 
-    /// Waits for a short time until the request may be offered to a target. A suspect needs the
+    /// Waits for a short time until the request may be offered to a target. One with suspects needs the
     /// permission of a ledger.
     pub(super) async fn permit(self: &Arc<Self>, req: &Request, target: &TargetName) -> Permit {
         let begun = Instant::now();
         loop {
-            match self.standing(req) {
-                None | Some(Standing::Cleared) => return Permit::Granted(None),
-                Some(Standing::Quarantined(left)) => return Permit::Quarantined(refusal(left)),
-                Some(Standing::Suspect) => {}
-            }
-            if let Some(trial) = self.request_trial(req, target).await {
-                return Permit::Granted(Some(trial));
+            let causes = match self.assess(req) {
+                Assessment::Ordinary => return Permit::Granted(None),
+                Assessment::Quarantined { left, .. } => return Permit::Quarantined(refusal(left)),
+                Assessment::Suspect(causes) => causes,
+            };
+            match self.request_trial(req, &causes, target).await {
+                (TrialReply::Granted, link) => {
+                    let quarantine = self.clone();
+                    return Permit::Granted(Some(Trial {
+                        quarantine,
+                        causes,
+                        link,
+                    }));
+                }
+                (TrialReply::Quarantined { left, .. }, _) => {
+                    return Permit::Quarantined(refusal(left));
+                }
+                (TrialReply::Busy, _) => {}
             }
             if begun.elapsed() + TRIAL_RETRY_INTERVAL >= TRIAL_WAIT {
                 return Permit::Busy;
@@ -183,50 +215,52 @@
         }
     }
 
-    /// The standing of a request; `None` for an ordinary one.
-    fn standing(&self, req: &Request) -> Option<Standing> {
+    fn assess(&self, req: &Request) -> Assessment {
         if self.lock().watchlist.is_empty() {
-            return None;
-        }
-        let contents = contents(req);
-        let outline = contents.outline();
-        if !self.lock().watchlist.has_outline(outline) {
-            return None;
+            return Assessment::Ordinary;
         }
-        // Computed without the lock, as its time grows with the body.
-        let fingerprint = contents.fingerprint();
+        let request = self.watched_request(req);
         let now = self.now();
-        self.lock().watchlist.standing(&fingerprint, now)
+        self.lock().watchlist.assess(request, req.parts(), now)
     }
 
-    async fn request_trial(self: &Arc<Self>, req: &Request, target: &TargetName) -> Option<Trial> {
-        let fingerprint = fingerprint(req);
-        let (granted, link) = match self.query_ledger(fingerprint, target).await {
-            Some((granted, link)) => (granted, Some(link)),
+    /// The request's fingerprint, if a request with its outline is watched. It is computed without the
+    /// lock, as its time grows with the body.
+    fn watched_request(&self, req: &Request) -> Option<Fingerprint> {
+        let contents = contents(req);
+        let is_watched = self.lock().watchlist.has_outline(contents.outline());
+        is_watched.then(|| contents.fingerprint())
+    }
+
+    /// Requests a trial from a ledger, this entry's own if no other one replies.
+    async fn request_trial(
+        &self,
+        req: &Request,
+        causes: &[Fingerprint],
+        target: &TargetName,
+    ) -> (TrialReply, Option<LinkId>) {
+        let (reply, link) = match self.query_ledger(causes, target).await {
+            Some((reply, link)) => (reply, Some(link)),
             None => {
                 let now = self.now();
                 let own = &mut self.lock().own;
-                (own.begin_trial(fingerprint, target.as_str(), 0, now), None)
+                (own.begin_trial(causes, target.as_str(), 0, now), None)
             }
         };
         let id = req.id;
         info!(
             Part::Dispatch,
-            "the trial of request {id} with fingerprint {fingerprint} at {target} is granted: {granted}"
+            "the trial of request {id} with {causes:?} at {target}: {reply:?}"
         );
-        granted.then(|| Trial {
-            quarantine: self.clone(),
-            fingerprint,
-            link,
-        })
+        (reply, link)
     }
 
     /// Requests a trial from the first ledger; `None` when there is none or it does not reply.
     async fn query_ledger(
         &self,
-        fingerprint: Fingerprint,
+        causes: &[Fingerprint],
         target: &TargetName,
-    ) -> Option<(bool, LinkId)> {
+    ) -> Option<(TrialReply, LinkId)> {
         let (link, rx) = {
             let now = self.now();
             let mut state = self.lock();
@@ -234,16 +268,24 @@
             let seq = state.next_id();
             let (tx, rx) = oneshot::channel();
             state.pending.push(PendingTrial { seq, link, tx });
-            let msg = ToLedger::Trial {
-                seq,
-                fingerprint,
-                target: target.as_str().into(),
+            let target = target.as_str().into();
+            let msg = match (state.knows_causes(link), causes) {
+                (false, [first, ..]) => ToLedger::Trial {
+                    seq,
+                    fingerprint: *first,
+                    target,
+                },
+                _ => ToLedger::TrialOf {
+                    seq,
+                    causes: causes.to_vec(),
+                    target,
+                },
             };
             state.send(link, msg);
             (link, rx)
         };
-        if let Ok(Ok(granted)) = timeout(REPLY_TIMEOUT, rx).await {
-            return Some((granted, link));
+        if let Ok(Ok(reply)) = timeout(REPLY_TIMEOUT, rx).await {
+            return Some((reply, link));
         }
         let until = self.now() + SKIP_DURATION;
         let mut state = self.lock();
@@ -255,23 +297,21 @@
         None
     }
 
-    /// Reports a request that was running on a target when it crashed.
-    pub(super) fn report(self: &Arc<Self>, id: RequestId, incarnation: Box<str>, run: Run) {
-        let fingerprint = run.fingerprint;
+    /// Reports the causes of a request that was running on a target when it crashed.
+    pub(super) fn report(self: &Arc<Self>, id: RequestId, incarnation: Box<str>, runs: Vec<Run>) {
+        let causes: Vec<_> = runs.iter().map(|r| r.fingerprint).collect();
+        let established = runs.iter().all(|r| r.established);
+        let on_trial = runs.iter().any(|r| r.on_trial);
         warn!(
             Part::Dispatch,
-            "{incarnation} crashed while it ran request {id} with fingerprint {fingerprint}, \
-             established: {}, on trial: {}",
-            run.established,
-            run.on_trial
+            "{incarnation} crashed while it ran request {id} with {causes:?}, \
+             established: {established}, on trial: {on_trial}"
         );
         self.metrics.crashed_run();
-        let crash = Crash {
-            incarnation,
-            runs: vec![run],
-        };
+        let crash = Crash { incarnation, runs };
         let now = self.now();
         let mut state = self.lock();
+        state.survivals.activate(now);
         let ledgers = state.ledgers(now);
         for link in &ledgers {
             state.send(*link, ToLedger::Crashed(crash.clone()));
@@ -295,34 +335,43 @@
 
     /// Records that a target completed the request and is still running.
     pub(super) fn survived(&self, req: &Request) {
-        if self.standing(req).is_none() {
+        let now = self.now();
+        if !self.lock().records_next(now) {
             return;
         }
-        let fingerprint = fingerprint(req);
-        info!(
-            Part::Dispatch,
-            "request {} with fingerprint {fingerprint} was completed", req.id
-        );
-        let now = self.now();
+        let parts = req.parts().as_slice();
+        self.lock().survivals.record(parts, now);
+        let request = self.watched_request(req);
+        let causes = request.iter().chain(req.parts().as_slice());
         let mut state = self.lock();
-        state.watchlist.remove(&fingerprint);
-        state.own.survived(fingerprint);
-        for link in state.ledgers(now) {
-            state.send(link, ToLedger::Survived(fingerprint));
+        for cause in state.watchlist.watched(causes) {
+            info!(
+                Part::Dispatch,
+                "request {} with {cause} was completed", req.id
+            );
+            state.watchlist.remove(&cause);
+            state.own.survived(cause, now);
+            for link in state.ledgers(now) {
+                state.send(link, ToLedger::Survived(cause));
+            }
         }
     }
 
     /// Handles a message of a ledger.
     pub(super) fn receive(&self, link: LinkId, msg: ToWatchlist) {
-        match msg {
-            ToWatchlist::Known(notices) => self.apply(&notices),
-            ToWatchlist::Trial { seq, granted } => {
-                let pending = &mut self.lock().pending;
-                let found = pending.iter().position(|p| p.link == link && p.seq == seq);
-                // The request that waited may have been dropped.
-                found.map(|i| pending.swap_remove(i).tx.send(granted));
-            }
-        }
+        let (seq, reply) = match msg {
+            ToWatchlist::Known(notices) => return self.apply(&notices),
+            ToWatchlist::Trial { seq, granted: true } => (seq, TrialReply::Granted),
+            ToWatchlist::Trial {
+                seq,
+                granted: false,
+            } => (seq, TrialReply::Busy),
+            ToWatchlist::TrialReply { seq, reply } => (seq, reply),
+        };
+        let pending = &mut self.lock().pending;
+        let found = pending.iter().position(|p| p.link == link && p.seq == seq);
+        // The request that waited may have been dropped.
+        found.map(|i| pending.swap_remove(i).tx.send(reply));
     }
 
     /// Adds the stream to a ledger, and sends it what is known here.
@@ -330,6 +379,7 @@
         &self,
         target: TargetName,
         token: FencingToken,
+        features: Features,
         tx: mpsc::Sender<ToLedger>,
     ) -> LinkId {
         let now = self.now();
@@ -345,6 +395,7 @@
             target,
             token,
             tx,
+            features,
             skipped_until: Duration::ZERO,
         });
         id
@@ -376,12 +427,20 @@
     fn apply(&self, notices: &[Notice]) {
         let now = self.now();
         let mut state = self.lock();
+        let mut suspects = Vec::new();
         for notice in notices {
             if state.watchlist.apply(notice, now) {
-                let (fingerprint, standing) = (notice.fingerprint, notice.standing);
-                warn!(Part::Dispatch, "request {fingerprint} is now {standing:?}");
+                let (cause, standing) = (notice.fingerprint, notice.standing);
+                warn!(Part::Dispatch, "{cause} is now {standing:?}");
+                if standing == Standing::Suspect {
+                    suspects.push(cause);
+                }
             }
         }
+        if !state.watchlist.is_empty() {
+            state.survivals.activate(now);
+        }
+        state.report_survivals(&suspects, now);
     }
 
     fn now(&self) -> Duration {
@@ -394,6 +453,11 @@
 }
 
 impl State {
+    /// Whether the next request that survives is to be recorded.
+    fn records_next(&mut self, now: Duration) -> bool {
+        self.survivals.take_turn(now) || !self.watchlist.is_empty()
+    }
+
     /// The ledgers in use, in the common order of all entries.
     fn ledgers(&self, now: Duration) -> Vec<LinkId> {
         let available: Vec<_> = self
@@ -405,6 +469,31 @@
         chosen.into_iter().map(|i| available[i].id).collect()
     }
 
+    /// Reports when new suspects last survived a run here, which tells the parts of ordinary requests
+    /// from the one that ends targets.
+    fn report_survivals(&mut self, suspects: &[Fingerprint], now: Duration) {
+        let age = |cause: &Fingerprint| Some((*cause, self.survivals.age(cause, now)?));
+        let list: Vec<_> = suspects.iter().filter_map(age).collect();
+        if list.is_empty() {
+            return;
+        }
+        for (cause, age) in &list {
+            if self.own.survived_before(*cause, *age, now) {
+                self.watchlist.remove(cause);
+            }
+        }
+        for link in self.ledgers(now) {
+            if self.knows_causes(link) {
+                self.send(link, ToLedger::SurvivedBefore(list.clone()));
+            }
+        }
+    }
+
+    /// Whether a ledger knows the parts of prompts.
+    fn knows_causes(&self, id: LinkId) -> bool {
+        self.links.iter().any(|l| l.id == id && l.features.causes)
+    }
+
     fn send(&self, id: LinkId, msg: ToLedger) {
         if let Some(link) = self.links.iter().find(|l| l.id == id) {
             // A full queue may drop the message; other ledgers get it too.
@@ -437,6 +526,12 @@
     }
 }
 
-pub(super) fn fingerprint(req: &Request) -> Fingerprint {
-    contents(req).fingerprint()
+/// The causes of a run of the request that was interrupted, of which `on_trial` were on trial.
+pub(super) fn interrupted_runs(
+    req: &Request,
+    established: bool,
+    on_trial: &[Fingerprint],
+) -> Vec<Run> {
+    let request = contents(req).fingerprint();
+    interrupted(request, req.parts(), established, on_trial)
 }
--- a/crates/stair-entry/src/traffic/request.rs
+++ b/crates/stair-entry/src/traffic/request.rs
@@ -1,7 +1,10 @@
 //! A request that passed all checks.
 
 use std::{
-    sync::Arc,
+    sync::{
+        Arc,
+        OnceLock, //
+    },
     time::Duration, //
 };
 
@@ -11,6 +14,7 @@
     Catalogue,
     Model, //
 };
+use stair_fleet::quarantine::Parts;
 use stair_types::{
     AdapterName,
     CallerName,
@@ -57,6 +61,8 @@
     pub(super) body: Bytes,
     pub(super) max_tokens: u32,
     pub(super) prefix_hash: u64,
+    /// Computed on first use.
+    parts: OnceLock<Parts>,
     pub(super) repeatable: bool,
     /// The software version that began the stream that the request continues.
     pub(super) version: Option<Box<str>>,
@@ -66,6 +72,17 @@
 }
 
 impl Request {
+    /// The parts of its prompt that other requests may share.
+    pub(super) fn parts(&self) -> &Parts {
+        self.parts.get_or_init(|| match &self.work {
+            Work::Model { .. } => {
+                let ids = body::shared_parts(&self.body);
+                Parts::new(Some(self.caller.as_str()), ids)
+            }
+            Work::Service { .. } => Parts::default(),
+        })
+    }
+
     /// Returns the idempotency key if it must be claimed before the start.
     pub(super) fn key_to_claim(&self) -> Option<&str> {
         self.idempotency_key.as_deref().filter(|_| !self.repeatable)
@@ -135,6 +152,7 @@
         method: head.method.as_str().into(),
         path: target.path,
         prefix_hash: target.prefix_hash,
+        parts: OnceLock::new(),
         body,
         max_tokens: target.max_tokens,
         repeatable: options.repeatable.unwrap_or(target.repeatable),
--- a/crates/stair-fleet/src/msg.rs
+++ b/crates/stair-fleet/src/msg.rs
@@ -109,11 +109,16 @@
 pub struct Features {
     /// Whether it keeps origins of streams.
     pub origins: bool,
+    /// Whether its ledger knows the parts of prompts as causes of crashes.
+    pub causes: bool,
 }
 
 impl Features {
     /// The features of this release.
-    pub const CURRENT: Self = Self { origins: true };
+    pub const CURRENT: Self = Self {
+        origins: true,
+        causes: true,
+    };
 }
 
 /// The versions that an entry has of replicated data.
--- a/crates/stair-fleet/src/quarantine.rs
+++ b/crates/stair-fleet/src/quarantine.rs
@@ -1,28 +1,40 @@
-//! Finds requests that crash the targets that run them.
+//! Finds what crashes the targets that run it: a request, or a part of many requests' prompts.
 //!
-//! Such a request crashes each target that begins to run it, and its client sends it again.
-//! Ordinary requests on the same targets are interrupted and sent again too, and targets also crash
-//! by themselves, often many at once.
+//! Such a request crashes each target that begins to run it, and its client sends it again, or no two
+//! requests are alike and all with one part of their prompts crash their targets. Ordinary requests
+//! on the same targets are interrupted and sent again too, and targets also crash by themselves, often
+//! many at once.
 //!
-//! A [`Ledger`] blames the requests that were on a target when it crashed. A request gets less
-//! blame if it had run for some time without a trial, or if other targets crashed at the same moment. Blame adds up
-//! until the request survives a run.
+//! The causes of a run are its request and the parts of the prompt that other requests share. A
+//! [`Ledger`] blames the causes that were on a target when it crashed. A cause gets less blame if it
+//! had run for some time without a trial, or if other targets crashed at the same moment. Blame adds
+//! up until the cause survives a run, in whatever request. Parts of ordinary requests survive all the
+//! time, which is what tells them from the part that crashes targets: entries keep when parts last
+//! survived ([`Survivals`]), and report it when a part becomes a suspect. A survival before the
+//! crashes takes no blame away, as the targets' software may have changed, but more trials are needed
+//! then.
 //!
-//! At [`SUSPECT_BLAME`] a request becomes a suspect. It then runs on trial, that is on a target
-//! where no other suspect runs, so that the next crash tells the suspects apart. At
+//! At [`SUSPECT_BLAME`] a cause becomes a suspect. Requests with it then run on trial, one at a time
+//! and on a target where no other suspect runs, so that the next crash tells the suspects apart. At
 //! [`QUARANTINE_BLAME`] it is quarantined if it was the most blamed one on a target that crashed
 //! during its trial, by more than one crash. All crashes that it was on are then attributed to it
-//! alone.
+//! alone. Causes of one request that have been on the same crashes are quarantined together: requests
+//! that have them all are not run, and those that have some are run on trial, which tells them apart.
 //!
 //! Ordinary requests run on the target of a trial too, and one of them may have caused the crash.
 //! Such a trial is judged only after [`CONTESTED_DELAY`], when the later crashes of these requests
 //! are known. While other targets crash together, a second trial is needed.
 //!
+//! A part is known among the requests of its workspace and among all requests. As long as only
+//! requests of one workspace crash targets, only that workspace's are quarantined.
+//!
 //! # Invariants
 //!
-//! No request is quarantined before its third crash, nor for crashes that it only shared with other
-//! suspects. A request that survives a run has no blame.
+//! No cause is quarantined before its third crash, nor for crashes that it only shared with other
+//! suspects. A cause that survives a run has no blame for earlier crashes. A request that has a
+//! quarantined cause in it is not run.
 
+mod causes;
 mod crashes;
 mod ledger;
 mod ledger_messages;
@@ -41,6 +53,11 @@
     rendezvous, //
 };
 
+pub use causes::{
+    Parts,
+    Survivals, //
+};
+pub use crashes::merge_run;
 pub use ledger::{
     Ledger,
     Record, //
@@ -50,15 +67,22 @@
     LoadCrashes,
     QuarantinedLoad, //
 };
-pub use watchlist::Watchlist;
+pub use watchlist::{
+    Assessment,
+    Watchlist, //
+};
 
-/// Blame from which a request runs apart from other suspects: more than one crash adds.
+/// Blame from which a cause runs apart from other suspects: more than one crash adds.
 pub const SUSPECT_BLAME: u32 = 3;
 
-/// Blame from which a request may be quarantined: three crashes.
+/// Blame from which a cause may be quarantined: three crashes.
 pub const QUARANTINE_BLAME: u32 = 6;
 
-/// Time from the first report of a crash until its requests are judged; all entries have reported
+/// Time from the first report of a crash until the parts of its requests may become suspects; crashes
+/// at the same moment have been reported by then.
+pub const SUSPECT_DELAY: Duration = Duration::from_millis(80);
+
+/// Time from the first report of a crash until its causes are judged; all entries have reported
 /// by then.
 pub const SETTLE_DELAY: Duration = Duration::from_millis(300);
 
@@ -67,7 +91,7 @@
 pub const CONTESTED_DELAY: Duration = Duration::from_millis(900);
 
 /// Times from a report at which [`Ledger::settle`] has to be called.
-pub const SETTLE_DELAYS: [Duration; 2] = [SETTLE_DELAY, CONTESTED_DELAY];
+pub const SETTLE_DELAYS: [Duration; 3] = [SUSPECT_DELAY, SETTLE_DELAY, CONTESTED_DELAY];
 
 /// Time after which a running request is unlikely to be the cause of its target's crash.
 pub const ESTABLISHED_DURATION: Duration = Duration::from_millis(500);
@@ -118,29 +142,63 @@
     /// Identifies the incarnation that crashed.
     #[serde(rename = "life")]
     pub incarnation: Box<str>,
-    /// The entry's requests that were interrupted there.
+    /// The causes of the entry's runs that were interrupted there.
     pub runs: Vec<Run>,
 }
 
-/// One interrupted request.
+/// One cause of interrupted runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Run {
-    /// The request.
+    /// The request, or a part of its prompt.
     pub fingerprint: Fingerprint,
-    /// Whether its response had begun at least [`ESTABLISHED_DURATION`] before the crash.
+    /// Whether the response had begun at least [`ESTABLISHED_DURATION`] before the crash.
     pub established: bool,
-    /// Whether the run was a trial.
+    /// Whether the run was a trial of this cause.
     pub on_trial: bool,
 }
 
-/// The standing of a request.
+/// The runs of one interrupted request, by its causes.
+pub fn interrupted(
+    request: Fingerprint,
+    parts: &Parts,
+    established: bool,
+    on_trial: &[Fingerprint],
+) -> Vec<Run> {
+    let causes = [request]
+        .into_iter()
+        .chain(parts.as_slice().iter().copied());
+    let run = |fingerprint| Run {
+        fingerprint,
+        established,
+        on_trial: on_trial.contains(&fingerprint),
+    };
+    causes.map(run).collect()
+}
+
+/// The reply to a request for a trial.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TrialReply {
+    /// The request may run at the target.
+    Granted,
+    /// Another trial prevents it for now.
+    Busy,
+    /// The request is not run for this time.
+    Quarantined {
+        /// Why.
+        cause: Fingerprint,
+        /// The remaining time.
+        left: Duration,
+    },
+}
+
+/// The standing of a cause.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Standing {
-    /// The request may crash the targets that run it.
+    /// Requests with the cause may crash the targets that run them.
     Suspect,
-    /// The request is not run for this time.
+    /// Requests with the cause are not run for this time.
     Quarantined(Duration),
-    /// The request has survived a run.
+    /// The cause has survived a run.
     Cleared,
 }
 
@@ -155,10 +213,10 @@
     }
 }
 
-/// The standing of one request.
+/// The standing of one cause.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Notice {
-    /// The request.
+    /// The request, or the part of prompts.
     pub fingerprint: Fingerprint,
     /// Its standing.
     pub standing: Standing,
@@ -169,11 +227,13 @@
 pub enum ToLedger {
     /// A target has crashed.
     Crashed(Crash),
-    /// A request has survived a run.
+    /// A cause has survived a run.
     Survived(Fingerprint),
     /// All that the entry knows; sent first unless empty.
     Known(Vec<Notice>),
-    /// Requests a trial of a suspect at a target.
+    /// Requests a trial of one suspect at a target, from an agent without [`Features::causes`].
+    ///
+    /// [`Features::causes`]: crate::msg::Features::causes
     Trial {
         /// Identifies the request on this connection.
         seq: u64,
@@ -184,6 +244,18 @@
     },
     /// The trial of a suspect has ended.
     TrialEnded(Fingerprint),
+    /// Requests a trial of a request at a target. As all further messages, only to an agent with
+    /// [`Features::causes`](crate::msg::Features::causes).
+    TrialOf {
+        /// Identifies the request on this connection.
+        seq: u64,
+        /// The suspects among the causes of the request.
+        causes: Vec<Fingerprint>,
+        /// The target's id.
+        target: Box<str>,
+    },
+    /// Causes survived runs, and the time since then.
+    SurvivedBefore(Vec<(Fingerprint, Duration)>),
 }
 
 /// Messages from an agent that keeps a ledger to entries.
@@ -198,4 +270,11 @@
         /// Whether the suspect may run there now.
         granted: bool,
     },
+    /// The reply to [`ToLedger::TrialOf`].
+    TrialReply {
+        /// The `seq` of the request.
+        seq: u64,
+        /// The result.
+        reply: TrialReply,
+    },
 }
--- a/crates/stair-fleet/src/quarantine/crashes.rs
+++ b/crates/stair-fleet/src/quarantine/crashes.rs
@@ -1,4 +1,4 @@
-//! Recent crashes of targets, and the requests that were on them.
+//! Recent crashes of targets, and the requests and parts of prompts that were on them.
 
 use std::time::Duration;
 
@@ -31,11 +31,11 @@
 /// Limit of remembered crashes.
 const MAX_CRASHES: usize = 512;
 
-/// Limit of remembered requests of one crash.
-const MAX_RUNS: usize = 1024;
+/// Limit of remembered causes of one crash.
+const MAX_RUNS: usize = 2048;
 
-/// Limit of remembered requests of all crashes together.
-const MAX_ALL_RUNS: usize = 16_384;
+/// Limit of remembered causes of all crashes together.
+const MAX_ALL_RUNS: usize = 65_536;
 
 /// The crashes, in the order of their first reports.
 #[derive(Debug, Clone, Default)]
@@ -48,12 +48,15 @@
 pub(super) struct CrashRecord {
     incarnation: Box<str>,
     at: Duration,
-    /// Sorted by request.
+    /// Sorted by cause.
     runs: Vec<Run>,
-    /// The request that caused the crash, if known.
-    attributed_to: Option<Fingerprint>,
-    /// Whether there are requests that have not been judged.
+    /// The cause of the crash, or all that it may be and that have not been told apart; empty if it is
+    /// not known.
+    attributed_to: Vec<Fingerprint>,
+    /// Whether there are causes that have not been judged.
     unjudged: bool,
+    /// Whether there are causes that have not been considered as suspects.
+    unsuspected: bool,
 }
 
 impl CrashRecord {
@@ -65,31 +68,42 @@
         self.find(run).is_ok()
     }
 
-    /// Whether a request has more blame than each other request that was on the target, by more than
-    /// one crash.
-    fn is_most_blamed<F>(&self, run: &Fingerprint, blame: F) -> bool
+    /// The causes that the crash of a trial leaves possible beside `cause`, itself included. `None` if
+    /// it was not on trial, or if another one has as much blame: of another request within one crash,
+    /// or of the same request by more than one crash.
+    fn possible_causes<F>(&self, cause: &Fingerprint, blame: F) -> Option<Vec<Fingerprint>>
     where
         F: Fn(&Fingerprint) -> u32,
     {
-        let blame_of_run = blame(run);
-        let mut others = self.runs.iter().map(|r| &r.fingerprint);
-        others.all(|other| other == run || blame(other) + FULL_BLAME < blame_of_run)
+        let own = blame(cause);
+        let mut possible = Vec::new();
+        for run in &self.runs {
+            let others = blame(&run.fingerprint);
+            match run.on_trial {
+                true if others > own + FULL_BLAME => return None,
+                true if others + FULL_BLAME >= own => possible.push(run.fingerprint),
+                true => {}
+                false if others + FULL_BLAME >= own => return None,
+                false => {}
+            }
+        }
+        possible.contains(cause).then_some(possible)
     }
 
     /// Whether the crash has been known for long enough. If other requests were on the target, their
     /// next runs may show that one of them is the cause.
     fn is_decided(&self, now: Duration) -> bool {
-        let is_contested = self.attributed_to.is_none() && self.runs.len() > 1;
+        let is_contested = self.attributed_to.is_empty() && self.runs.len() > 1;
         !is_contested || now.saturating_sub(self.at) >= CONTESTED_DELAY
     }
 
-    fn trial(&self) -> Option<Fingerprint> {
-        let run = self.runs.iter().find(|r| r.on_trial)?;
-        Some(run.fingerprint)
+    fn on_trial(&self) -> impl Iterator<Item = Fingerprint> {
+        let on_trial = self.runs.iter().filter(|r| r.on_trial);
+        on_trial.map(|r| r.fingerprint)
     }
 
     fn counts_for(&self, run: &Fingerprint) -> bool {
-        self.attributed_to.is_none_or(|e| e == *run) && self.has(run)
+        (self.attributed_to.is_empty() || self.attributed_to.contains(run)) && self.has(run)
     }
 }
 
@@ -106,23 +120,17 @@
                 incarnation: crash.incarnation.clone(),
                 at: now,
                 runs: Vec::new(),
-                attributed_to: None,
+                attributed_to: Vec::new(),
                 unjudged: false,
+                unsuspected: false,
             });
             self.list.len() - 1
         });
         let record = &mut self.list[i];
         record.unjudged = true;
+        record.unsuspected = true;
         for run in &crash.runs {
-            match record.find(&run.fingerprint) {
-                // The request was sent twice, so its second run is a recent one.
-                Ok(i) => {
-                    record.runs[i].established &= run.established;
-                    record.runs[i].on_trial |= run.on_trial;
-                }
-                Err(i) if record.runs.len() < MAX_RUNS => record.runs.insert(i, *run),
-                Err(_) => {}
-            }
+            merge_run(&mut record.runs, run, MAX_RUNS);
         }
     }
 
@@ -134,8 +142,22 @@
         }
     }
 
-    /// Takes the requests of the unjudged crashes whose first reports are at least `after` old. The
-    /// requests of recent trials are judged again.
+    /// Takes the causes of crashes whose first reports are at least `after` old, and that have not been
+    /// considered as suspects.
+    pub(super) fn take_unsuspected(&mut self, after: Duration, now: Duration) -> Vec<Fingerprint> {
+        let due = |e: &&mut CrashRecord| e.unsuspected && now.saturating_sub(e.at) >= after;
+        let mut runs = Vec::new();
+        for crash in self.list.iter_mut().filter(due) {
+            crash.unsuspected = false;
+            runs.extend(crash.runs.iter().map(|r| r.fingerprint));
+        }
+        runs.sort_unstable();
+        runs.dedup();
+        runs
+    }
+
+    /// Takes the causes of the unjudged crashes whose first reports are at least `after` old. Those of recent
+    /// trials are judged again.
     pub(super) fn take_unjudged(&mut self, after: Duration, now: Duration) -> Vec<Fingerprint> {
         let due = |e: &&mut CrashRecord| e.unjudged && now.saturating_sub(e.at) >= after;
         let mut runs = Vec::new();
@@ -145,7 +167,7 @@
         }
         let is_recent = |e: &&CrashRecord| now.saturating_sub(e.at) < REVIEW_WINDOW;
         let recent = self.list.iter().filter(is_recent);
-        runs.extend(recent.filter_map(CrashRecord::trial));
+        runs.extend(recent.flat_map(CrashRecord::on_trial));
         runs.sort_unstable();
         runs.dedup();
         runs
@@ -157,16 +179,18 @@
         on.map(|e| self.blame_for(e, run)).sum()
     }
 
-    /// Whether crashes during trials of a request have no other visible cause, and no other request
-    /// on the same targets has as much blame. In unrest two such crashes are needed, but one is
-    /// enough after an earlier quarantine, whose crashes do not count.
+    /// The causes among which the crashes during trials of `run` do not tell, itself included. `None`
+    /// if the crashes have another visible cause, or another request on the same targets has as much
+    /// blame. At least `trials` crashes are needed. In unrest two such crashes are needed, but one is enough after an earlier quarantine,
+    /// whose crashes do not count.
     pub(super) fn convict<F>(
         &self,
         run: &Fingerprint,
         quarantined_at: Option<Duration>,
+        trials: usize,
         now: Duration,
         blame: F,
-    ) -> bool
+    ) -> Option<Vec<Fingerprint>>
     where
         F: Fn(&Fingerprint) -> u32,
     {
@@ -174,9 +198,19 @@
         let on = on.filter(|e| quarantined_at.is_none_or(|t| e.at > t));
         let on_trial = on.filter(|e| e.find(run).is_ok_and(|i| e.runs[i].on_trial));
         let decided = on_trial.filter(|e| e.is_decided(now) && !self.coincides(e, run));
-        let convicting: Vec<_> = decided.filter(|e| e.is_most_blamed(run, &blame)).collect();
+        let possible = |e| Some((e, CrashRecord::possible_causes(e, run, &blame)?));
+        let convicting: Vec<_> = decided.filter_map(possible).collect();
         let needed = if quarantined_at.is_some() { 1 } else { 2 };
-        convicting.len() >= needed || convicting.iter().any(|e| !self.is_in_unrest(e, run))
+        let is_enough = convicting.len() >= trials
+            && (convicting.len() >= needed
+                || convicting.iter().any(|(e, _)| !self.is_in_unrest(e, run)));
+        // The cause is on each of the crashes.
+        let mut all = convicting.into_iter().map(|(_, possible)| possible);
+        let first = all.next().filter(|_| is_enough)?;
+        Some(all.fold(first, |mut common, possible| {
+            common.retain(|c| possible.contains(c));
+            common
+        }))
     }
 
     fn blame_for(&self, crash: &CrashRecord, run: &Fingerprint) -> u32 {
@@ -192,8 +226,11 @@
     /// Whether another target crashed at about the same time on which neither the request nor any
     /// trial ran. A trial there would explain that crash.
     fn coincides(&self, crash: &CrashRecord, run: &Fingerprint) -> bool {
-        let at_same_time = |other: &&CrashRecord| other.at.abs_diff(crash.at) <= COINCIDENCE_WINDOW;
-        let others = self.list.iter().filter(at_same_time);
+        // The crashes are in the order of their times.
+        let from = crash.at.saturating_sub(COINCIDENCE_WINDOW);
+        let first = self.list.partition_point(|e| e.at < from);
+        let until = crash.at + COINCIDENCE_WINDOW;
+        let others = self.list[first..].iter().take_while(|e| e.at <= until);
         let mut others = others.filter(|other| other.incarnation != crash.incarnation);
         others.any(|other| !other.has(run) && !other.runs.iter().any(|r| r.on_trial))
     }
@@ -201,7 +238,7 @@
     /// Whether targets without the request crashed together some time before or after a crash, for
     /// no known cause.
     fn is_in_unrest(&self, crash: &CrashRecord, run: &Fingerprint) -> bool {
-        let is_unexplained = |e: &&CrashRecord| e.attributed_to.is_none() && !e.has(run);
+        let is_unexplained = |e: &&CrashRecord| e.attributed_to.is_empty() && !e.has(run);
         let others = self.list.iter().filter(is_unexplained).map(|e| e.at);
         let mut near: Vec<_> = others
             .filter(|at| at.abs_diff(crash.at) < UNREST_WINDOW)
@@ -211,24 +248,35 @@
             .any(|pair| pair[1] - pair[0] <= COINCIDENCE_WINDOW)
     }
 
-    /// Attributes the crashes that a request was on to it.
-    pub(super) fn attribute_to(&mut self, run: &Fingerprint) {
+    /// Attributes the crashes that one of these causes was on to all of them.
+    pub(super) fn attribute_to(&mut self, causes: &[Fingerprint]) {
         for crash in &mut self.list {
-            if crash.attributed_to.is_none() && crash.has(run) {
-                crash.attributed_to = Some(*run);
+            if crash.attributed_to.is_empty() && causes.iter().any(|c| crash.has(c)) {
+                crash.attributed_to = causes.to_vec();
             }
         }
     }
 
-    /// Takes a request off all crashes, because it has survived a run.
-    pub(super) fn clear(&mut self, run: &Fingerprint) {
-        for crash in &mut self.list {
+    /// Takes a cause off the crashes until `until`, because it survived a run then.
+    pub(super) fn clear(&mut self, run: &Fingerprint, until: Duration) {
+        for crash in self.list.iter_mut().filter(|e| e.at <= until) {
             if let Ok(i) = crash.find(run) {
                 crash.runs.remove(i);
             }
-            if crash.attributed_to == Some(*run) {
-                crash.attributed_to = None;
-            }
+            crash.attributed_to.retain(|c| c != run);
+        }
+    }
+}
+
+/// Adds a run to a list that is sorted by cause and has at most `limit` runs.
+pub fn merge_run(runs: &mut Vec<Run>, run: &Run, limit: usize) {
+    match runs.binary_search_by_key(&run.fingerprint, |r| r.fingerprint) {
+        // The cause was on the target twice, so its second run is a recent one.
+        Ok(i) => {
+            runs[i].established &= run.established;
+            runs[i].on_trial |= run.on_trial;
         }
+        Err(i) if runs.len() < limit => runs.insert(i, *run),
+        Err(_) => {}
     }
 }
--- a/crates/stair-fleet/src/quarantine/ledger_messages.rs
+++ b/crates/stair-fleet/src/quarantine/ledger_messages.rs
@@ -2,12 +2,15 @@
 
 use std::time::Duration;
 
+use stair_types::Fingerprint;
+
 use super::{
     Ledger,
     Notice,
     Standing,
     ToLedger,
-    ToWatchlist, //
+    ToWatchlist,
+    TrialReply, //
 };
 
 /// What an agent does after a message to its ledger.
@@ -32,13 +35,19 @@
                 effects.settle = true;
             }
             ToLedger::Survived(fingerprint) => {
-                if self.survived(fingerprint) {
-                    let standing = Standing::Cleared;
-                    effects.notices.push(Notice {
-                        fingerprint,
-                        standing,
-                    });
+                let cleared = self.survived(fingerprint, now);
+                effects.notices = self.take_changed();
+                effects
+                    .notices
+                    .extend(cleared.then_some(cleared_notice(fingerprint)));
+            }
+            ToLedger::SurvivedBefore(list) => {
+                for (cause, age) in list {
+                    if self.survived_before(cause, age, now) {
+                        effects.notices.push(cleared_notice(cause));
+                    }
                 }
+                effects.notices.extend(self.take_changed());
             }
             ToLedger::Known(list) => {
                 effects.notices = list.iter().filter_map(|n| self.merge(n, now)).collect();
@@ -48,12 +57,29 @@
                 fingerprint,
                 target,
             } => {
-                let granted = self.begin_trial(fingerprint, &target, owner, now);
+                let reply = self.begin_trial(&[fingerprint], &target, owner, now);
+                let granted = reply == TrialReply::Granted;
                 effects.reply = Some(ToWatchlist::Trial { seq, granted });
                 effects.notices = self.take_changed();
             }
+            ToLedger::TrialOf {
+                seq,
+                causes,
+                target,
+            } => {
+                let reply = self.begin_trial(&causes, &target, owner, now);
+                effects.reply = Some(ToWatchlist::TrialReply { seq, reply });
+                effects.notices = self.take_changed();
+            }
             ToLedger::TrialEnded(fingerprint) => self.end_trial(fingerprint, now),
         }
         effects
     }
 }
+
+fn cleared_notice(fingerprint: Fingerprint) -> Notice {
+    Notice {
+        fingerprint,
+        standing: Standing::Cleared,
+    }
+}
--- a/crates/stair-fleet/src/quarantine/trials.rs
+++ b/crates/stair-fleet/src/quarantine/trials.rs
@@ -1,4 +1,4 @@
-//! Trials of suspects: one of each request at a time, and one at each target.
+//! Trials of suspects: one of each cause at a time, and one at each target.
 
 use std::time::Duration;
 
@@ -7,17 +7,17 @@
 /// Time after which a trial counts as ended; longer than clients wait.
 const TRIAL_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Time after a trial's end during which the same request waits, so that a crash can be reported
+/// Time after a trial's end during which the same causes wait, so that a crash can be reported
 /// and judged, also a contested one.
 const VERDICT_DELAY: Duration = Duration::from_millis(1200);
 
 /// Limit of concurrent trials; further suspects wait.
 const MAX_TRIALS: usize = 256;
 
-/// One trial of a suspect.
+/// One run of a request with suspects among its causes.
 #[derive(Debug, Clone)]
 struct Trial {
-    fingerprint: Fingerprint,
+    causes: Vec<Fingerprint>,
     target: Box<str>,
     /// The connection of the entry that runs it.
     owner: u64,
@@ -31,46 +31,44 @@
 }
 
 impl Trials {
-    /// Whether a trial may begin: the request runs in no other one, and the target has no other one.
-    pub(super) fn is_free(
-        &mut self,
-        fingerprint: &Fingerprint,
-        target: &str,
-        now: Duration,
-    ) -> bool {
+    /// Whether a trial may begin: its suspects are in no other one, and the target has no other one.
+    pub(super) fn is_free(&mut self, causes: &[Fingerprint], target: &str, now: Duration) -> bool {
         self.list.retain(|t| now < t.until);
-        let taken = |t: &Trial| t.fingerprint == *fingerprint || *t.target == *target;
+        let taken = |t: &Trial| *t.target == *target || causes.iter().any(|c| t.causes.contains(c));
         self.list.len() < MAX_TRIALS && !self.list.iter().any(taken)
     }
 
     /// Begins a trial that is free.
     pub(super) fn begin(
         &mut self,
-        fingerprint: Fingerprint,
+        causes: &[Fingerprint],
         target: &str,
         owner: u64,
         now: Duration,
     ) {
         self.list.push(Trial {
-            fingerprint,
+            causes: causes.to_vec(),
             target: target.into(),
             owner,
             until: now + TRIAL_TIMEOUT,
         });
     }
 
-    /// Records the end of a trial, whatever its result.
+    /// Records the end of the trial of a suspect, whatever its result.
     pub(super) fn end(&mut self, fingerprint: Fingerprint, now: Duration) {
         let of = self
             .list
             .iter_mut()
-            .filter(|t| t.fingerprint == fingerprint);
+            .filter(|t| t.causes.contains(&fingerprint));
         of.for_each(|t| t.until = t.until.min(now + VERDICT_DELAY));
     }
 
-    /// Forgets a request that has survived its trial.
+    /// Forgets a cause that has survived a run, and a trial that has no other one.
     pub(super) fn survived(&mut self, fingerprint: Fingerprint) {
-        self.list.retain(|t| t.fingerprint != fingerprint);
+        for trial in &mut self.list {
+            trial.causes.retain(|c| *c != fingerprint);
+        }
+        self.list.retain(|t| !t.causes.is_empty());
     }
 
     /// Records that the entry of a connection has disconnected, which ends its trials.
--- a/crates/stair-fleet/src/quarantine/watchlist.rs
+++ b/crates/stair-fleet/src/quarantine/watchlist.rs
@@ -1,4 +1,4 @@
-//! An entry's knowledge of suspects and quarantined requests.
+//! An entry's knowledge of suspects and quarantined causes.
 
 use std::time::Duration;
 
@@ -10,20 +10,37 @@
 use super::{
     BLAME_TTL,
     Notice,
+    Parts,
     Standing, //
 };
 
-/// Limit of watched requests. At the limit a quarantined request replaces a suspect, and a suspect
+/// Limit of watched causes. At the limit a quarantined cause replaces a suspect, and a suspect
 /// is not added.
 const MAX_WATCHED: usize = 1024;
 
-/// The requests that an entry watches.
+/// What an entry watches.
 #[derive(Debug, Clone, Default)]
 pub struct Watchlist {
-    /// Sorted by request, and therefore by outline.
+    /// Sorted by cause, and therefore by outline.
     list: Vec<Watched>,
 }
 
+/// What the watchlist says of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Assessment {
+    /// None of its causes is watched.
+    Ordinary,
+    /// It runs only on trial, because of these causes.
+    Suspect(Vec<Fingerprint>),
+    /// It is not run for this time.
+    Quarantined {
+        /// Why.
+        cause: Fingerprint,
+        /// The remaining time.
+        left: Duration,
+    },
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Watched {
     fingerprint: Fingerprint,
@@ -33,7 +50,7 @@
 }
 
 impl Watchlist {
-    /// Whether no request is watched.
+    /// Whether nothing is watched.
     pub fn is_empty(&self) -> bool {
         self.list.is_empty()
     }
@@ -54,6 +71,36 @@
         }
     }
 
+    /// Assesses a request by the parts of its prompt and by itself; `None` if its outline is not
+    /// watched.
+    pub fn assess(&self, request: Option<Fingerprint>, parts: &Parts, now: Duration) -> Assessment {
+        let mut suspects = Vec::new();
+        let mut quarantined: Option<(Duration, Fingerprint)> = None;
+        for cause in request.iter().chain(parts.as_slice()) {
+            match self.standing(cause, now) {
+                None | Some(Standing::Cleared) => {}
+                Some(Standing::Suspect) => suspects.push(*cause),
+                Some(Standing::Quarantined(left)) => {
+                    quarantined = quarantined.max(Some((left, *cause)));
+                }
+            }
+        }
+        match quarantined {
+            Some((left, cause)) => Assessment::Quarantined { cause, left },
+            None if suspects.is_empty() => Assessment::Ordinary,
+            None => Assessment::Suspect(suspects),
+        }
+    }
+
+    /// Those of these causes that are watched.
+    pub fn watched<'a, I>(&self, causes: I) -> Vec<Fingerprint>
+    where
+        I: IntoIterator<Item = &'a Fingerprint>,
+    {
+        let causes = causes.into_iter();
+        causes.filter(|c| self.find(c).is_ok()).copied().collect()
+    }
+
     /// Applies a notice, and returns whether it changes the standing of the request.
     pub fn apply(&mut self, notice: &Notice, now: Duration) -> bool {
         self.list
--- a/crates/stair-fleet/tests/quarantine.rs
+++ b/crates/stair-fleet/tests/quarantine.rs
@@ -11,6 +11,7 @@
     Run,
     SETTLE_DELAY,
     Standing,
+    TrialReply,
     Watchlist, //
 };
 use stair_types::{
@@ -84,6 +85,16 @@
         self.ledger.settle(self.now)
     }
 
+    fn begin_trial(
+        &mut self,
+        causes: &[Fingerprint],
+        target: &str,
+        owner: u64,
+        now: Duration,
+    ) -> bool {
+        self.ledger.begin_trial(causes, target, owner, now) == TrialReply::Granted
+    }
+
     /// Reports and judges a crash of a target with these requests, some time after all others.
     fn crash(&mut self, runs: &[usize]) -> Vec<Notice> {
         self.now += BEYOND_COINCIDENCE;
@@ -138,11 +149,11 @@
     assert_eq!(fixture.standing(1), Some(Standing::Suspect));
     assert_eq!(fixture.standing(2), Some(Standing::Suspect));
     let now = fixture.now;
-    assert!(fixture.ledger.begin_trial(request(1), "i-a", 1, now));
-    assert!(!fixture.ledger.begin_trial(request(2), "i-a", 1, now));
-    assert!(!fixture.ledger.begin_trial(request(1), "i-b", 2, now));
-    assert!(fixture.ledger.begin_trial(request(2), "i-b", 1, now));
-    assert!(fixture.ledger.survived(request(2)));
+    assert!(fixture.begin_trial(&[request(1)], "i-a", 1, now));
+    assert!(!fixture.begin_trial(&[request(2)], "i-a", 1, now));
+    assert!(!fixture.begin_trial(&[request(1)], "i-b", 2, now));
+    assert!(fixture.begin_trial(&[request(2)], "i-b", 1, now));
+    assert!(fixture.ledger.survived(request(2), fixture.now));
     fixture.crash(&[1]);
     assert!(fixture.is_quarantined(1));
     assert_eq!(fixture.standing(2), None);
@@ -244,9 +255,9 @@
         fixture.crash(&[1]);
         fixture.crash(&[1]);
         assert!(!fixture.is_quarantined(1));
-        assert!(fixture.ledger.survived(request(1)));
+        assert!(fixture.ledger.survived(request(1), fixture.now));
     }
-    assert!(!fixture.ledger.survived(request(1)));
+    assert!(!fixture.ledger.survived(request(1), fixture.now));
 }
 
 /// Entries report the same crash at different times.
@@ -275,21 +286,13 @@
     let mut fixture = Fixture::default();
     (0..3).for_each(|_| drop(fixture.crash(&[1])));
     for duration in &QUARANTINE_DURATIONS[1..] {
-        assert!(
-            !fixture
-                .ledger
-                .begin_trial(request(1), "i-a", 1, fixture.now)
-        );
+        assert!(!fixture.begin_trial(&[request(1)], "i-a", 1, fixture.now));
         let Some(Standing::Quarantined(remaining)) = fixture.standing(1) else {
             panic!("not quarantined");
         };
         fixture.now += remaining;
         assert_eq!(fixture.standing(1), Some(Standing::Suspect));
-        assert!(
-            fixture
-                .ledger
-                .begin_trial(request(1), "i-a", 1, fixture.now)
-        );
+        assert!(fixture.begin_trial(&[request(1)], "i-a", 1, fixture.now));
         fixture.crash(&[1]);
         assert_eq!(fixture.standing(1), Some(Standing::Quarantined(*duration)));
     }
@@ -338,14 +341,10 @@
 fn entry_disconnects() {
     let mut fixture = Fixture::default();
     let now = fixture.now;
-    assert!(fixture.ledger.begin_trial(request(1), "i-a", 7, now));
-    assert!(!fixture.ledger.begin_trial(request(2), "i-a", 8, now));
+    assert!(fixture.begin_trial(&[request(1)], "i-a", 7, now));
+    assert!(!fixture.begin_trial(&[request(2)], "i-a", 8, now));
     fixture.ledger.owner_disconnected(7, now);
-    assert!(
-        fixture
-            .ledger
-            .begin_trial(request(2), "i-a", 8, now + 2 * BEYOND_COINCIDENCE)
-    );
+    assert!(fixture.begin_trial(&[request(2)], "i-a", 8, now + 2 * BEYOND_COINCIDENCE));
 }
 
 #[test]
--- a/crates/stair-fleet/tests/quarantine_load.rs
+++ b/crates/stair-fleet/tests/quarantine_load.rs
@@ -14,6 +14,7 @@
     Ledger,
     SETTLE_DELAY,
     Standing,
+    TrialReply,
     Watchlist, //
 };
 use stair_types::{
@@ -234,7 +235,7 @@
         let run = fingerprint(client.request);
         self.strikes.remove(&run);
         if self.watchlist.remove(&run) {
-            self.ledger.survived(run);
+            self.ledger.survived(run, self.now);
         }
     }
 
@@ -331,7 +332,8 @@
             };
             let trial = standing.is_some();
             let incarnation = format!("{t}-{}", self.targets[t].incarnation);
-            if trial && !self.ledger.begin_trial(run, &incarnation, 0, now) {
+            if trial && self.ledger.begin_trial(&[run], &incarnation, 0, now) != TrialReply::Granted
+            {
                 client.at = now + Duration::from_millis(100);
                 self.waiting.push(client);
                 continue;
--- a/crates/stair-relay/src/admit.rs
+++ b/crates/stair-relay/src/admit.rs
@@ -3,8 +3,8 @@
 use std::{
     sync::{
         Arc,
-        OnceLock,
-        atomic::AtomicBool, //
+        Mutex,
+        OnceLock, //
     },
     time::Duration, //
 };
@@ -150,7 +150,8 @@
         received,
         deadline,
         fingerprint: OnceLock::new(),
-        on_trial: AtomicBool::new(false),
+        parts: OnceLock::new(),
+        on_trial: Mutex::default(),
         method: head.method,
         uri: head.uri,
         headers,
--- a/crates/stair-relay/src/assign.rs
+++ b/crates/stair-relay/src/assign.rs
@@ -107,7 +107,7 @@
     until: Instant,
 ) -> Result<Selected, NotAssigned> {
     loop {
-        if let Some(left) = quarantine::quarantined_for(cx, job) {
+        if let Some((_, left)) = quarantine::quarantined(cx, job) {
             return Err(NotAssigned::quarantined(left));
         }
         let selected = select::select(cx, job, excluded, since, until).await;
@@ -133,7 +133,7 @@
                 return Ok(None);
             }
             Gate::Open(trial) => {
-                job.set_on_trial(trial.is_some());
+                job.set_on_trial(trial.as_ref().map_or(&[], quarantine::Trial::causes));
                 selected.in_flight.set_trial(trial);
                 return Ok(Some(selected));
             }
--- a/crates/stair-relay/src/attempt.rs
+++ b/crates/stair-relay/src/attempt.rs
@@ -16,8 +16,15 @@
 use hyper::{
     Request,
     Response,
-    body::Incoming,
-    client::conn::http1::Builder, //
+    body::{
+        Body as _,
+        Incoming, //
+    },
+    client::conn::http1::Builder,
+    header::{
+        CONTENT_LENGTH,
+        TRANSFER_ENCODING, //
+    }, //
 };
 use hyper_util::rt::TokioIo;
 use platform_adapter::response::{
@@ -106,6 +113,9 @@
 pub struct LiveResponse {
     /// Status and headers.
     pub head: hyper::http::response::Parts,
+    /// Whether the end of the connection is the only mark of the body's end. A target that ends makes such a
+    /// response look complete.
+    pub unframed: bool,
     body: Incoming,
     _conn: Conn,
 }
@@ -190,6 +200,7 @@
         },
         ResponseKind::Unrelated => Outcome::Lost("not a response to this request".into()),
         ResponseKind::Genuine => Outcome::Head(LiveResponse {
+            unframed: is_unframed(&head, &body),
             head,
             body,
             _conn: conn,
@@ -197,6 +208,11 @@
     }
 }
 
+fn is_unframed(head: &hyper::http::response::Parts, body: &Incoming) -> bool {
+    let is_framed = |name| head.headers.contains_key(name);
+    !body.is_end_stream() && !is_framed(CONTENT_LENGTH) && !is_framed(TRANSFER_ENCODING)
+}
+
 impl LiveResponse {
     /// Reads the next bytes of the body; `None` at the end of a complete one.
     ///
--- a/crates/stair-relay/src/crash.rs
+++ b/crates/stair-relay/src/crash.rs
@@ -15,13 +15,16 @@
     quarantine::{
         Crash,
         ESTABLISHED_DURATION,
-        Run, //
+        Run,
+        interrupted,
+        merge_run, //
     },
     target::Incarnation,
     view::TargetKey, //
 };
 use stair_http::probe;
 use stair_telemetry::event::Line;
+use stair_types::Fingerprint;
 use tokio::time::{
     Instant,
     sleep,
@@ -45,12 +48,12 @@
 /// of the store.
 const WATCH_WINDOW: Duration = Duration::from_secs(6);
 
-/// Time after a client has disconnected in which the target of its request may be found to have ended. The
-/// request hardly ends a target that has kept running for this time.
+/// Time after a client has disconnected, or a response has ended with its connection, in which the target may
+/// be found to have ended. The request hardly ends a target that has kept running for this time.
 const CLIENT_LEFT_WINDOW: Duration = Duration::from_millis(1500);
 
-/// Limit of the interrupted runs recorded for one target, which does not run more at once.
-const MAX_RUNS: usize = 512;
+/// Limit of the causes recorded for one target.
+const MAX_RUNS: usize = 2048;
 
 /// Runs that were interrupted recently, by incarnation of the target.
 #[derive(Default)]
@@ -60,7 +63,10 @@
 
 struct InterruptedRuns {
     incarnation: Incarnation,
+    /// By cause, sorted.
     runs: Vec<Run>,
+    /// Causes of runs that were complete if the target has not ended.
+    completed: Vec<Fingerprint>,
     /// Whether the target is known to have ended.
     ended: bool,
     /// Whether the target's address has been probed.
@@ -70,8 +76,8 @@
 }
 
 impl Crashes {
-    /// Adds a run. Returns whether its target has to be watched for it.
-    fn add(&mut self, incarnation: &Incarnation, run: Run, ending: Ending) -> bool {
+    /// Adds the runs of one request. Returns whether its target has to be watched for them.
+    fn add(&mut self, incarnation: &Incarnation, runs: &[Run], ending: Ending) -> bool {
         let found = self
             .interrupted
             .iter()
@@ -80,6 +86,7 @@
             self.interrupted.push(InterruptedRuns {
                 incarnation: incarnation.clone(),
                 runs: Vec::new(),
+                completed: Vec::new(),
                 ended: false,
                 probed: false,
                 until: Instant::now(),
@@ -87,15 +94,18 @@
             self.interrupted.len() - 1
         });
         let interrupted = &mut self.interrupted[i];
-        if interrupted.runs.len() < MAX_RUNS {
-            interrupted.runs.push(run);
+        for run in runs {
+            merge_run(&mut interrupted.runs, run, MAX_RUNS);
+            if ending == Ending::Unframed && interrupted.completed.len() < MAX_RUNS {
+                interrupted.completed.push(run.fingerprint);
+            }
         }
         interrupted.until = interrupted
             .until
             .max(Instant::now() + ending.watch_window());
         let first = match ending {
             Ending::Interrupted => !std::mem::replace(&mut interrupted.probed, true),
-            Ending::ClientLeft => found.is_none(),
+            Ending::ClientLeft | Ending::Unframed => found.is_none(),
         };
         first && !interrupted.ended
     }
@@ -118,9 +128,13 @@
             .any(|c| c.incarnation == *incarnation && c.ended)
     }
 
-    fn remove_expired(&mut self) {
+    /// Removes the targets that are no longer watched. Returns the causes of complete runs at those that
+    /// have not ended.
+    fn remove_expired(&mut self) -> Vec<Fingerprint> {
         let now = Instant::now();
-        self.interrupted.retain(|c| now < c.until);
+        let expired = self.interrupted.extract_if(.., |c| now >= c.until);
+        let kept_running = expired.filter(|c| !c.ended);
+        kept_running.flat_map(|c| c.completed).collect()
     }
 }
 
@@ -131,13 +145,15 @@
     Interrupted,
     /// The client has disconnected.
     ClientLeft,
+    /// The response ended with its connection, as it does when the target ends.
+    Unframed,
 }
 
 impl Ending {
     fn watch_window(self) -> Duration {
         match self {
             Self::Interrupted => WATCH_WINDOW,
-            Self::ClientLeft => CLIENT_LEFT_WINDOW,
+            Self::ClientLeft | Self::Unframed => CLIENT_LEFT_WINDOW,
         }
     }
 }
@@ -186,12 +202,16 @@
     record(cx, job, key, begun, Ending::Interrupted);
 }
 
+/// Records that a response without length or chunks has ended. The run was complete unless its target has
+/// ended.
+pub(crate) fn record_unframed(cx: &Arc<Context>, job: &Job, key: TargetKey, begun: Instant) {
+    record(cx, job, key, Some(begun), Ending::Unframed);
+}
+
 fn record(cx: &Arc<Context>, job: &Job, key: TargetKey, begun: Option<Instant>, ending: Ending) {
-    let run = Run {
-        fingerprint: job.fingerprint(),
-        established: begun.is_some_and(|t| t.elapsed() >= ESTABLISHED_DURATION),
-        on_trial: job.is_on_trial(),
-    };
+    let established = begun.is_some_and(|t| t.elapsed() >= ESTABLISHED_DURATION);
+    let on_trial = job.on_trial();
+    let runs = interrupted(job.fingerprint(), job.parts(), established, &on_trial);
     let (incarnation, addr, first, ended) = {
         let mut state = cx.state();
         let target_state = state.view.get(key);
@@ -200,20 +220,22 @@
             return;
         }
         let (incarnation, addr) = (target_state.target.incarnation(), target_state.target.addr);
-        let first = state.crashes.add(&incarnation, run, ending);
+        let first = state.crashes.add(&incarnation, &runs, ending);
         let ended = state.crashes.has_ended(&incarnation);
         (incarnation, addr, first, ended)
     };
     let event = match ending {
         Ending::Interrupted => "run.cut",
         Ending::ClientLeft => "run.left",
+        Ending::Unframed => "run.unframed",
     };
     Line::failure(event)
         .text("id", &job.meta.id)
         .text("target", &incarnation.id)
-        .show("fingerprint", run.fingerprint)
-        .flag("established", run.established)
-        .flag("on_trial", run.on_trial)
+        .show("fingerprint", job.fingerprint())
+        .text("parts", &names(job.parts().as_slice()))
+        .flag("established", established)
+        .flag("on_trial", !on_trial.is_empty())
         .write();
     if ended {
         report(cx, &incarnation, addr);
@@ -232,7 +254,8 @@
     }
     // Runs interrupted later at this target are still reported.
     sleep_until(until).await;
-    cx.state().crashes.remove_expired();
+    let completed = cx.state().crashes.remove_expired();
+    quarantine::causes_survived(&cx, &completed);
 }
 
 /// Whether the target's address refuses connections.
@@ -278,18 +301,26 @@
 /// Reports the runs that were interrupted on a target that has ended.
 fn report(cx: &Arc<Context>, incarnation: &Incarnation, addr: SocketAddr) {
     let runs = cx.state().crashes.take_ended(incarnation);
-    let names: Vec<String> = runs.iter().map(|r| r.fingerprint.to_string()).collect();
+    let causes = runs.iter().map(|r| r.fingerprint);
+    let (parts, requests): (Vec<_>, Vec<_>) = causes.partition(|c| c.part().is_some());
     Line::failure("target.crashed")
         .text("target", &incarnation.id)
         .show("addr", addr)
-        .num("runs", runs.len() as i64)
-        .text("fingerprints", &names.join(" "))
+        .num("runs", requests.len() as i64)
+        .text("fingerprints", &names(&requests))
+        .text("parts", &names(&parts))
         .write();
     cx.page.count("target_crashes_total", &[], 1);
-    cx.page.count("crashed_runs_total", &[], runs.len() as u64);
+    cx.page
+        .count("crashed_runs_total", &[], requests.len() as u64);
     let incarnation = match incarnation.started {
         Some(started) => format!("{}@{started}", incarnation.id).into(),
         None => incarnation.id.clone(),
     };
     quarantine::report(cx, Crash { incarnation, runs });
 }
+
+fn names(causes: &[Fingerprint]) -> String {
+    let names: Vec<String> = causes.iter().map(Fingerprint::to_string).collect();
+    names.join(" ")
+}
--- a/crates/stair-relay/src/job.rs
+++ b/crates/stair-relay/src/job.rs
@@ -2,11 +2,10 @@
 
 use std::{
     sync::{
-        Arc, OnceLock,
-        atomic::{
-            AtomicBool,
-            Ordering, //
-        },
+        Arc,
+        Mutex,
+        OnceLock,
+        PoisonError, //
     },
     time::Duration,
 };
@@ -36,6 +35,7 @@
     },
     cold_start,
     prefill::PrefixBlock,
+    quarantine::Parts,
     view::TargetKey,
     workspace::Workspace, //
 };
@@ -87,7 +87,10 @@
     pub deadline: Instant,
     /// Computed on first use.
     pub(crate) fingerprint: OnceLock<Fingerprint>,
-    pub(crate) on_trial: AtomicBool,
+    /// Computed on first use.
+    pub(crate) parts: OnceLock<Parts>,
+    /// The causes of which the last attempt is a trial.
+    pub(crate) on_trial: Mutex<Vec<Fingerprint>>,
     pub(crate) method: Method,
     pub(crate) uri: hyper::Uri,
     pub(crate) headers: HeaderMap,
@@ -138,14 +141,23 @@
             .get_or_init(|| self.contents().fingerprint())
     }
 
-    /// Sets whether its next attempt is a trial.
-    pub(crate) fn set_on_trial(&self, on_trial: bool) {
-        self.on_trial.store(on_trial, Ordering::Relaxed);
+    /// The parts of its prompt that other requests may share.
+    pub(crate) fn parts(&self) -> &Parts {
+        let workspace = self.workspace.as_ref().map(|w| &*w.name);
+        let ids = || self.meta.shared_parts.iter().copied();
+        self.parts.get_or_init(|| Parts::new(workspace, ids()))
+    }
+
+    /// Sets the causes of which its next attempt is a trial.
+    pub(crate) fn set_on_trial(&self, causes: &[Fingerprint]) {
+        let mut on_trial = self.on_trial.lock().unwrap_or_else(PoisonError::into_inner);
+        causes.clone_into(&mut on_trial);
     }
 
-    /// Whether its last attempt was a trial.
-    pub(crate) fn is_on_trial(&self) -> bool {
-        self.on_trial.load(Ordering::Relaxed)
+    /// The causes of which its last attempt was a trial.
+    pub(crate) fn on_trial(&self) -> Vec<Fingerprint> {
+        let on_trial = self.on_trial.lock().unwrap_or_else(PoisonError::into_inner);
+        on_trial.clone()
     }
 
     /// A hash of the request without the bytes of its body.
--- a/crates/stair-relay/src/quarantine.rs
+++ b/crates/stair-relay/src/quarantine.rs
@@ -1,11 +1,11 @@
-//! Withholds requests that end the targets that run them.
+//! Withholds requests that end the targets that run them, by themselves or by a part of their prompts.
 //!
 //! A few agents keep ledgers of crashes. All entries choose the same agents, and each agent reports its
 //! verdicts to all entries. While no agent is linked, an entry keeps a ledger of its own.
 //! [`quarantine`](stair_fleet::quarantine) defines the decisions.
 //!
-//! Invariants: a request that is quarantined here is not sent to a target, and the verdict in its refusal is
-//! true.
+//! Invariants: a request with a cause that is quarantined here is not sent to a target, and the verdict in its
+//! refusal is true.
 
 use std::{
     net::SocketAddr,
@@ -16,6 +16,7 @@
 use stair_fleet::{
     msg::ToAgent,
     quarantine::{
+        Assessment,
         Crash,
         Ledger,
         Notice,
@@ -23,8 +24,10 @@
         SETTLE_DELAYS,
         SKIP_DURATION,
         Standing,
+        Survivals,
         ToLedger,
         ToWatchlist,
+        TrialReply,
         Watchlist,
         choose_ledgers, //
     },
@@ -53,10 +56,11 @@
     },
 };
 
-/// The state that an entry keeps about requests that end targets.
+/// The state that an entry keeps about what ends targets.
 #[derive(Default)]
 pub(crate) struct Quarantine {
     pub(crate) watchlist: Watchlist,
+    survivals: Survivals,
     /// This entry's own ledger, used while no agent is linked.
     own: Ledger,
     /// Requests for a trial that wait for a reply.
@@ -66,13 +70,14 @@
 struct PendingRequest {
     seq: u64,
     engine: SocketAddr,
-    tx: oneshot::Sender<bool>,
+    tx: oneshot::Sender<TrialReply>,
 }
 
-/// The run of a suspect; the trial ends when this is dropped.
+/// The run of a request with suspects; the trial ends when this is dropped.
 pub(crate) struct Trial {
     cx: Arc<Context>,
-    fingerprint: Fingerprint,
+    /// The suspects.
+    causes: Vec<Fingerprint>,
     /// The engine whose agent granted the trial; `None` for this entry's own ledger.
     engine: Option<SocketAddr>,
 }
@@ -87,37 +92,51 @@
     Closed(Duration),
 }
 
+impl Trial {
+    /// The suspects that are on trial.
+    pub(crate) fn causes(&self) -> &[Fingerprint] {
+        &self.causes
+    }
+}
+
 impl Drop for Trial {
     fn drop(&mut self) {
+        // Each suspect is in one trial only, so that one of them tells which.
+        let Some(cause) = self.causes.first().copied() else {
+            return;
+        };
         let now = self.cx.now();
         let mut state = self.cx.state();
         match self.engine {
-            Some(engine) => state.send_to_ledger(engine, ToLedger::TrialEnded(self.fingerprint)),
-            None => state.quarantine.own.end_trial(self.fingerprint, now),
+            Some(engine) => state.send_to_ledger(engine, ToLedger::TrialEnded(cause)),
+            None => state.quarantine.own.end_trial(cause, now),
         }
     }
 }
 
-/// The standing of a request; `None` for an ordinary one.
-pub(crate) fn standing(cx: &Context, job: &Job) -> Option<Standing> {
-    if cx.state().quarantine.watchlist.is_empty() {
-        return None;
-    }
+/// The request's fingerprint, if a request with its outline is watched. It is computed without the lock, as its
+/// time grows with the body.
+fn watched_request(cx: &Context, job: &Job) -> Option<Fingerprint> {
     let outline = job.outline();
-    if !cx.state().quarantine.watchlist.has_outline(outline) {
-        return None;
+    let is_watched = cx.state().quarantine.watchlist.has_outline(outline);
+    is_watched.then(|| job.fingerprint())
+}
+
+fn assess(cx: &Context, job: &Job) -> Assessment {
+    if cx.state().quarantine.watchlist.is_empty() {
+        return Assessment::Ordinary;
     }
-    // Computed without the lock, as its time grows with the body.
-    let fingerprint = job.fingerprint();
+    let request = watched_request(cx, job);
     let now = cx.now();
-    cx.state().quarantine.watchlist.standing(&fingerprint, now)
+    let state = cx.state();
+    state.quarantine.watchlist.assess(request, job.parts(), now)
 }
 
-/// The remaining time of a request's quarantine.
-pub(crate) fn quarantined_for(cx: &Context, job: &Job) -> Option<Duration> {
-    match standing(cx, job)? {
-        Standing::Quarantined(left) => Some(left),
-        Standing::Suspect | Standing::Cleared => None,
+/// The cause for which a request is quarantined, and the remaining time.
+pub(crate) fn quarantined(cx: &Context, job: &Job) -> Option<(Fingerprint, Duration)> {
+    match assess(cx, job) {
+        Assessment::Quarantined { cause, left } => Some((cause, left)),
+        Assessment::Ordinary | Assessment::Suspect(_) => None,
     }
 }
 
@@ -127,48 +146,61 @@
 ///
 /// The refusal, with the remaining time as Retry-After.
 pub(crate) fn admit(cx: &Context, job: &Job) -> Result<(), Refusal> {
-    let Some(left) = quarantined_for(cx, job) else {
+    let Some((cause, left)) = quarantined(cx, job) else {
         return Ok(());
     };
+    log_refused(job, cause, left);
+    Err(Refusal::not_run(Reason::Quarantined, Some(left)))
+}
+
+fn log_refused(job: &Job, cause: Fingerprint, left: Duration) {
     Line::failure("quarantine.refused")
         .text("id", &job.meta.id)
         .text("route", &job.route.name)
-        .show("fingerprint", job.fingerprint())
+        .show("fingerprint", cause)
         .ms("come_back_ms", left)
         .write();
-    Err(Refusal::not_run(Reason::Quarantined, Some(left)))
 }
 
-/// Decides whether a request may be sent to a target; a suspect needs an agent's permission.
+/// Decides whether a request may be sent to a target; one with suspects needs an agent's permission.
 pub(crate) async fn gate(cx: &Arc<Context>, job: &Job, target: &str) -> Gate {
-    match standing(cx, job) {
-        None | Some(Standing::Cleared) => Gate::Open(None),
-        Some(Standing::Quarantined(left)) => Gate::Closed(left),
-        Some(Standing::Suspect) => request_trial(cx, job, target).await,
+    match assess(cx, job) {
+        Assessment::Ordinary => Gate::Open(None),
+        Assessment::Quarantined { left, .. } => Gate::Closed(left),
+        Assessment::Suspect(causes) => request_trial(cx, job, causes, target).await,
     }
 }
 
-async fn request_trial(cx: &Arc<Context>, job: &Job, target: &str) -> Gate {
-    let fingerprint = job.fingerprint();
-    let (granted, engine) = match query_ledger(cx, fingerprint, target).await {
-        Some((granted, engine)) => (granted, Some(engine)),
+async fn request_trial(
+    cx: &Arc<Context>,
+    job: &Job,
+    causes: Vec<Fingerprint>,
+    target: &str,
+) -> Gate {
+    let (reply, engine) = match query_ledger(cx, &causes, target).await {
+        Some((reply, engine)) => (reply, Some(engine)),
         None => {
             let now = cx.now();
             let own = &mut cx.state().quarantine.own;
-            (own.begin_trial(fingerprint, target, 0, now), None)
+            (own.begin_trial(&causes, target, 0, now), None)
         }
     };
+    let names: Vec<String> = causes.iter().map(Fingerprint::to_string).collect();
     Line::failure("quarantine.trial")
         .text("id", &job.meta.id)
-        .show("fingerprint", fingerprint)
+        .text("fingerprint", &names.join(" "))
         .text("target", target)
-        .flag("granted", granted)
+        .flag("granted", reply == TrialReply::Granted)
         .write();
-    match granted {
-        false => Gate::Busy,
-        true => Gate::Open(Some(Trial {
+    match reply {
+        TrialReply::Busy => Gate::Busy,
+        TrialReply::Quarantined { cause, left } => {
+            log_refused(job, cause, left);
+            Gate::Closed(left)
+        }
+        TrialReply::Granted => Gate::Open(Some(Trial {
             cx: cx.clone(),
-            fingerprint,
+            causes,
             engine,
         })),
     }
@@ -177,9 +209,9 @@
 /// Requests a trial from the first agent that keeps a ledger; `None` when it does not reply.
 async fn query_ledger(
     cx: &Arc<Context>,
-    fingerprint: Fingerprint,
+    causes: &[Fingerprint],
     target: &str,
-) -> Option<(bool, SocketAddr)> {
+) -> Option<(TrialReply, SocketAddr)> {
     let (engine, rx) = {
         let now = cx.now();
         let mut state = cx.state();
@@ -190,16 +222,24 @@
             .quarantine
             .pending
             .push(PendingRequest { seq, engine, tx });
-        let msg = ToLedger::Trial {
-            seq,
-            fingerprint,
-            target: target.into(),
+        let target = target.into();
+        let msg = match (state.knows_causes(engine), causes) {
+            (false, [first, ..]) => ToLedger::Trial {
+                seq,
+                fingerprint: *first,
+                target,
+            },
+            _ => ToLedger::TrialOf {
+                seq,
+                causes: causes.to_vec(),
+                target,
+            },
         };
         state.send_to_ledger(engine, msg);
         (engine, rx)
     };
-    if let Ok(Ok(granted)) = timeout(REPLY_TIMEOUT, rx).await {
-        return Some((granted, engine));
+    if let Ok(Ok(reply)) = timeout(REPLY_TIMEOUT, rx).await {
+        return Some((reply, engine));
     }
     Line::failure("quarantine.unanswered")
         .show("engine", engine)
@@ -215,6 +255,7 @@
 pub(crate) fn report(cx: &Arc<Context>, crash: Crash) {
     let now = cx.now();
     let mut state = cx.state();
+    state.quarantine.survivals.activate(now);
     let engines = state.ledgers(now);
     for engine in &engines {
         state.send_to_ledger(*engine, ToLedger::Crashed(crash.clone()));
@@ -238,37 +279,86 @@
 
 /// Records that a target completed the request and is still running.
 pub(crate) fn survived(cx: &Context, job: &Job) {
-    if standing(cx, job).is_none() {
+    let now = cx.now();
+    if !cx.state().quarantine.records_next(now) {
         return;
     }
-    let fingerprint = job.fingerprint();
-    Line::failure("quarantine.survived")
-        .text("id", &job.meta.id)
-        .show("fingerprint", fingerprint)
-        .write();
+    let parts = job.parts().as_slice();
+    cx.state().quarantine.survivals.record(parts, now);
+    let request = watched_request(cx, job);
+    let causes = request.iter().chain(job.parts().as_slice());
+    let watched = cx.state().quarantine.watchlist.watched(causes);
+    causes_cleared(cx, &watched);
+}
+
+/// Records that targets that completed requests with these causes are still running.
+pub(crate) fn causes_survived(cx: &Context, causes: &[Fingerprint]) {
+    let now = cx.now();
+    let watched = {
+        let mut state = cx.state();
+        state.quarantine.survivals.record(causes, now);
+        state.quarantine.watchlist.watched(causes)
+    };
+    causes_cleared(cx, &watched);
+}
+
+/// Clears watched causes that have survived a run.
+fn causes_cleared(cx: &Context, causes: &[Fingerprint]) {
+    for cause in causes {
+        Line::failure("quarantine.survived")
+            .show("fingerprint", cause)
+            .write();
+        let now = cx.now();
+        let mut state = cx.state();
+        state.quarantine.watchlist.remove(cause);
+        state.quarantine.own.survived(*cause, now);
+        for engine in state.ledgers(now) {
+            state.send_to_ledger(engine, ToLedger::Survived(*cause));
+        }
+    }
+}
+
+/// Reports when new suspects last survived a run here, which tells the parts of ordinary requests from the
+/// one that ends targets.
+fn report_survivals(cx: &Context, suspects: &[Fingerprint]) {
     let now = cx.now();
     let mut state = cx.state();
-    state.quarantine.watchlist.remove(&fingerprint);
-    state.quarantine.own.survived(fingerprint);
+    let survivals = &state.quarantine.survivals;
+    let age = |cause: &Fingerprint| Some((*cause, survivals.age(cause, now)?));
+    let list: Vec<_> = suspects.iter().filter_map(age).collect();
+    if list.is_empty() {
+        return;
+    }
+    for (cause, age) in &list {
+        if state.quarantine.own.survived_before(*cause, *age, now) {
+            state.quarantine.watchlist.remove(cause);
+        }
+    }
     for engine in state.ledgers(now) {
-        state.send_to_ledger(engine, ToLedger::Survived(fingerprint));
+        if state.knows_causes(engine) {
+            state.send_to_ledger(engine, ToLedger::SurvivedBefore(list.clone()));
+        }
     }
 }
 
 /// Handles a message of an agent that keeps a ledger.
 pub(crate) fn receive(cx: &Context, engine: SocketAddr, msg: ToWatchlist) {
-    match msg {
-        ToWatchlist::Known(list) => apply(cx, &list),
-        ToWatchlist::Trial { seq, granted } => {
-            let mut state = cx.state();
-            let pending = &mut state.quarantine.pending;
-            let found = pending
-                .iter()
-                .position(|o| o.engine == engine && o.seq == seq);
-            // The request that waited may have been dropped.
-            found.map(|i| pending.swap_remove(i).tx.send(granted));
-        }
-    }
+    let (seq, reply) = match msg {
+        ToWatchlist::Known(list) => return apply(cx, &list),
+        ToWatchlist::Trial { seq, granted: true } => (seq, TrialReply::Granted),
+        ToWatchlist::Trial {
+            seq,
+            granted: false,
+        } => (seq, TrialReply::Busy),
+        ToWatchlist::TrialReply { seq, reply } => (seq, reply),
+    };
+    let mut state = cx.state();
+    let pending = &mut state.quarantine.pending;
+    let found = pending
+        .iter()
+        .position(|o| o.engine == engine && o.seq == seq);
+    // The request that waited may have been dropped.
+    found.map(|i| pending.swap_remove(i).tx.send(reply));
 }
 
 /// Sends the known standings to an agent whose link has begun, if it keeps a ledger.
@@ -283,6 +373,7 @@
 
 fn apply(cx: &Context, list: &[Notice]) {
     let now = cx.now();
+    let mut suspects = Vec::new();
     for notice in list {
         if !cx.state().quarantine.watchlist.apply(notice, now) {
             continue;
@@ -291,10 +382,22 @@
             .show("fingerprint", notice.fingerprint)
             .show("standing", format_args!("{:?}", notice.standing))
             .write();
+        if notice.standing == Standing::Suspect {
+            suspects.push(notice.fingerprint);
+        }
+    }
+    if !cx.state().quarantine.watchlist.is_empty() {
+        cx.state().quarantine.survivals.activate(now);
     }
+    report_survivals(cx, &suspects);
 }
 
 impl Quarantine {
+    /// Whether the next request that survives is to be recorded.
+    fn records_next(&mut self, now: Duration) -> bool {
+        self.survivals.take_turn(now) || !self.watchlist.is_empty()
+    }
+
     /// Drops the requests to an agent whose link has ended.
     pub(crate) fn link_ended(&mut self, engine: SocketAddr) {
         self.pending.retain(|o| o.engine != engine);
@@ -310,6 +413,12 @@
         chosen.into_iter().map(|i| linked[i].engine).collect()
     }
 
+    /// Whether an agent's ledger knows the parts of prompts.
+    fn knows_causes(&self, engine: SocketAddr) -> bool {
+        self.agent(engine)
+            .is_some_and(|i| self.agents[i].features.causes)
+    }
+
     fn send_to_ledger(&self, engine: SocketAddr, msg: ToLedger) {
         if let Some(i) = self.agent(engine) {
             // A full queue may drop the message; other agents get it too.
--- a/crates/stair-relay/src/relay.rs
+++ b/crates/stair-relay/src/relay.rs
@@ -494,7 +494,10 @@
         attempts.failure = Some(client_response(&live.head, full(body)));
         return Forwarded::Failed(Reason::Lost);
     }
-    quarantine::survived(cx, job);
+    match live.unframed {
+        true => crash::record_unframed(cx, job, key, begun),
+        false => quarantine::survived(cx, job),
+    }
     Line::new("answered")
         .text("id", &job.meta.id)
         .num("status", live.head.status.as_u16())
--- a/crates/stair-relay/src/stream.rs
+++ b/crates/stair-relay/src/stream.rs
@@ -82,6 +82,7 @@
     live: LiveResponse,
     in_flight: InFlight,
     split: Splitter,
+    has_events: bool,
 }
 
 /// Waits for the first event, then forwards the stream in a task of its own.
@@ -104,6 +105,7 @@
         live,
         in_flight: selected.in_flight,
         split: Splitter::default(),
+        has_events: false,
     };
     let until = first_event_deadline(job, attempts);
     let client_leaves = assign::selection_deadline(job, None);
@@ -176,6 +178,7 @@
     async fn next(&mut self, until: Instant) -> Next {
         loop {
             if let Some(event) = self.split.next_event() {
+                self.has_events = true;
                 return Next::Event(event);
             }
             match timeout_at(until, self.live.chunk()).await {
@@ -184,6 +187,10 @@
                 Ok(Ok(None)) if self.split.is_inside() => {
                     return Next::Broken("the body ended inside an event".into());
                 }
+                // A target that ends sends no event after the head, as does one that has none to send.
+                Ok(Ok(None)) if self.live.unframed && !self.has_events => {
+                    return Next::Broken("the body ended without an event".into());
+                }
                 Ok(Ok(None)) => return Next::End,
                 Ok(Ok(Some(data))) => {
                     if let Err(e) = self.split.push(&data) {
@@ -254,7 +261,6 @@
         let pause = self.longest_pause;
         self.cx.page.time("longest_pause_ms", &[], pause);
         if matches!(ended, Ended::Complete) {
-            quarantine::survived(&self.cx, &self.job);
             // A client that has disconnected by now does not need the end of the body.
             let _ = self.tx.send(None).await;
         }
@@ -262,6 +268,7 @@
 
     async fn forward_all(&mut self, source: Source, first: Option<Event>) -> Ended {
         let Some(first) = first else {
+            self.record_end(&source);
             return Ended::Complete;
         };
         if let Some(ended) = self.forward(first).await {
@@ -274,7 +281,10 @@
                     None => continue,
                     Some(ended) => return ended,
                 },
-                Received::Next(Next::End) => return Ended::Complete,
+                Received::Next(Next::End) => {
+                    self.record_end(&source);
+                    return Ended::Complete;
+                }
                 Received::Next(Next::Broken(e)) => (e, None),
                 Received::Next(Next::Late) => ("no event in time".into(), None),
                 // The stream stays at its target, which may only be busy.
@@ -295,6 +305,15 @@
         }
     }
 
+    /// Records that the target has completed the stream.
+    fn record_end(&self, source: &Source) {
+        let key = source.in_flight.key();
+        match source.live.unframed {
+            true => crash::record_unframed(&self.cx, &self.job, key, source.begun),
+            false => quarantine::survived(&self.cx, &self.job),
+        }
+    }
+
     /// Waits for the next event; after a long silence also for another target that takes the stream.
     async fn receive(&mut self, source: &mut Source) -> Received {
         let (cx, job, tx) = (self.cx.clone(), self.job.clone(), self.tx.clone());
@@ -396,6 +415,7 @@
                         live,
                         in_flight: selected.in_flight,
                         split: Splitter::default(),
+                        has_events: false,
                     });
                 }
                 attempt::Outcome::Head(_) => self.attempts.keys.push(selected.in_flight.key()),
--- a/crates/stair-wire/src/frame.rs
+++ b/crates/stair-wire/src/frame.rs
@@ -25,6 +25,9 @@
 /// Longest body frame, in bytes.
 pub const MAX_BODY_BYTES: usize = 32 << 20;
 
+/// Stands for the fields that an extension from an earlier release lacks.
+const MISSING_FIELDS: [u8; 16] = [0; 16];
+
 const HEADER_BYTES: usize = 5;
 const TAG_MESSAGE: u8 = 0;
 const TAG_BODY: u8 = 1;
@@ -184,6 +187,9 @@
 
 /// Reads a message and its extension; the default if the writer has sent none.
 ///
+/// An extension from an earlier release lacks the fields that were added at its end since. Those are
+/// read from zeros, as false, 0, none or empty.
+///
 /// # Errors
 ///
 /// As [`read_message`].
@@ -200,7 +206,7 @@
     let (msg, rest) = postcard::take_from_bytes(&buf)?;
     let ext = match rest {
         [] => E::default(),
-        rest => postcard::from_bytes(rest)?,
+        rest => postcard::from_bytes(&[rest, &MISSING_FIELDS].concat())?,
     };
     Ok((msg, ext))
 }
