agent: a response may end with its connection

Callers got a failure for each response of a target that has neither a length nor chunks, although it was whole: the client took the missing end for a truncated response. Such a response is now complete when its connection ends in order, after a whole event if it is a stream, and if the target still runs then, which a probe tells. A reset, an end inside an event and the end of the target stay failures. Calls that are not runs keep the strict rule, and so does its test end_of_response.

--- a/crates/dandelionstair/tests/promises/main.rs
+++ b/crates/dandelionstair/tests/promises/main.rs
@@ -26,6 +26,7 @@
 mod support;
 mod turns;
 mod under_load;
+mod unframed;
 mod versions;
 mod whole_answer;
 mod without_key;
--- a/crates/stair-agent/src/crash.rs
+++ b/crates/stair-agent/src/crash.rs
@@ -94,6 +94,13 @@
         matches!(found, Ok(Ok(_))).then_some(count + 1)
     }
 
+    /// Whether the target has ended shortly before. Waits for a target that closes its connections before
+    /// its listener.
+    pub(crate) async fn is_down(&self) -> bool {
+        sleep(FIRST_PROBE_DELAY).await;
+        probe::is_down(self.addr, CLOSE_WINDOW).await
+    }
+
     /// Probes the target for the time of a watch from now on.
     pub(crate) fn watch(self: &Arc<Self>) {
         let mut probing = self.lock();
--- a/crates/stair-agent/src/run.rs
+++ b/crates/stair-agent/src/run.rs
@@ -52,6 +52,9 @@
     }, //
 };
 
+/// The media type of a stream of events.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// The header that carries the agent's incarnation to the target.
 const FENCE_HEADER: &str = "dandelionstair-fence";
 
@@ -163,7 +166,7 @@
     })?;
     let mut resp = job
         .client
-        .send(req, silence)
+        .send_any(req, silence)
         .await
         .map_err(target_failure)?;
     let status = resp.head.status;
@@ -198,22 +201,61 @@
             suspect: false,
         });
     }
-    let content_type = resp.head.headers.get(CONTENT_TYPE);
-    let content_type = content_type.and_then(|v| v.to_str().ok());
     job.response.head(Head {
         status: status.as_u16(),
-        content_type: content_type.unwrap_or("application/octet-stream").into(),
+        content_type: content_type_of(&resp.head.headers).into(),
         headers: forwarded_headers(&resp.head.headers)
             .into_iter()
             .chain(version.as_deref().map(Header::of_version))
             .collect(),
     });
+    let mut tail = Tail::default();
     while let Some(chunk) = resp.chunk(silence).await.map_err(target_failure)? {
+        tail.push(&chunk);
         job.response.push(chunk).await;
     }
+    if resp.has_end() {
+        return Ok(());
+    }
+    // A target that ends closes its connections, too.
+    let is_stream = content_type_of(&resp.head.headers).starts_with(EVENT_STREAM);
+    let ended_inside = is_stream && !tail.ends_event();
+    if ended_inside || job.crashes.is_down().await {
+        return Err(target_failure(HttpError::Lost(
+            "the connection ended before the response".into(),
+        )));
+    }
     Ok(())
 }
 
+/// The last bytes of a response.
+#[derive(Default)]
+struct Tail {
+    bytes: Vec<u8>,
+}
+
+impl Tail {
+    /// Length of the longest end of an event.
+    const BYTES: usize = 4;
+
+    fn push(&mut self, chunk: &[u8]) {
+        self.bytes
+            .extend_from_slice(&chunk[chunk.len().saturating_sub(Self::BYTES)..]);
+        let excess = self.bytes.len().saturating_sub(Self::BYTES);
+        self.bytes.drain(..excess);
+    }
+
+    /// Whether the last event of a stream is whole. A stream without an event has not begun.
+    fn ends_event(&self) -> bool {
+        self.bytes.ends_with(b"\n\n") || self.bytes.ends_with(b"\r\n\r\n")
+    }
+}
+
+fn content_type_of(headers: &HeaderMap) -> &str {
+    let value = headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
+    value.unwrap_or("application/octet-stream")
+}
+
 /// The refusal of a request that the target states it has not run.
 fn rejection(stated: &Stated) -> Option<Refusal> {
     let retry_after = stated.availability().backoff;
--- a/crates/stair-http/src/body.rs
+++ b/crates/stair-http/src/body.rs
@@ -35,6 +35,11 @@
         .boxed_unsync()
 }
 
+/// Returns the same body without stating its length.
+pub fn without_length(body: Body) -> Body {
+    body.map_frame(|frame| frame).boxed_unsync()
+}
+
 /// Returns a body and the sender that feeds it; `depth` is the channel's capacity in chunks.
 ///
 /// The body is complete when the sender sends `None`. When the sender is dropped before, the body
--- a/crates/stair-http/src/client.rs
+++ b/crates/stair-http/src/client.rs
@@ -143,6 +143,25 @@
     /// [`Error::NotSent`] when no byte of the request was sent, [`Error::Lost`] when some may have
     /// been sent, when `head_time` has passed, or when the response has no explicit end.
     pub async fn send(
+        &self,
+        req: Request<Full<Bytes>>,
+        head_time: Duration,
+    ) -> Result<Answer, Error> {
+        match self.send_any(req, head_time).await {
+            Ok(resp) if !resp.has_end() => {
+                Err(Error::Lost("the answer does not say where it ends".into()))
+            }
+            result => result,
+        }
+    }
+
+    /// As [`Client::send`], but also returns a response that ends with its connection. The caller has to find out
+    /// whether such a response is complete, see [`Answer::has_end`].
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::send`], except for a response without an explicit end.
+    pub async fn send_any(
         &self,
         mut req: Request<Full<Bytes>>,
         head_time: Duration,
@@ -152,9 +171,6 @@
             req.headers_mut().insert(hyper::header::HOST, host);
         }
         match timeout(head_time, self.send_on_idle_or_new(req)).await {
-            Ok(Ok(resp)) if !resp.has_end() => {
-                Err(Error::Lost("the answer does not say where it ends".into()))
-            }
             Ok(result) => result,
             // The request may or may not have been sent before the timeout.
             Err(_) => {
@@ -302,7 +318,7 @@
     /// Returns whether a truncated body can be distinguished from a complete one. A response with
     /// neither a content length nor chunked encoding ends when the connection closes, and so does a
     /// truncated one.
-    fn has_end(&self) -> bool {
+    pub fn has_end(&self) -> bool {
         let headers = &self.head.headers;
         hyper::body::Body::is_end_stream(&self.body)
             || headers.contains_key(hyper::header::CONTENT_LENGTH)
@@ -310,7 +326,8 @@
     }
 
     fn finish(&mut self) {
-        if let Some(conn) = self.conn.take() {
+        let conn = self.conn.take();
+        if let Some(conn) = conn.filter(|_| self.has_end()) {
             self.client.release(conn);
         }
     }
