entries: connections that cannot be read are closed at once

When most new connections came to one entry, its clients waited for nothing: the accept loop took a permit before it accepted, so that connections beyond the limit stayed in the kernel, neither read nor closed, and nothing bounded what an entry without processor time read. The class: a queue without a bound and a deadline in front of the admission.

All connections are now accepted. At the limit, which follows from the process's descriptors, the one that has been idle longest gives way; if none is idle, the new one is closed unread. The delay of a periodic task shows how long a new connection would wait for the processor: while even the shortest delay of a window is long, new connections are admitted at a rate that decreases, or not at all while it is excessive, and rises again afterwards. Responses ask clients to leave meanwhile. The entry stays in rotation, so that the crowd is not handed to the next one. Both ways of serving use the same set of connections and the same throttle (stair_http::connections, throttle).

--- a/crates/stair-entry/src/traffic/accept.rs
+++ b/crates/stair-entry/src/traffic/accept.rs
@@ -49,6 +49,7 @@
 {
     let opts = server::Options {
         max_connections: cx.limits.max_connections as usize,
+        sheds: true,
         header_timeout: Duration::from_millis(cx.limits.receive_timeout_ms.into()),
         ..server::Options::default()
     };
--- a/crates/stair-http/src/lib.rs
+++ b/crates/stair-http/src/lib.rs
@@ -3,6 +3,8 @@
 //! - [`client`]: a connection pool for one address; it never reuses a connection whose state is
 //!   unknown.
 //! - [`server`]: a listener with a connection limit and graceful shutdown.
+//! - [`connections`]: the open connections of a listener, and which give way; [`throttle`]: how many
+//!   new ones the processor can serve.
 //! - [`probe`]: whether a server has ended.
 //! - [`body`]: channel-fed bodies, and reading with limits on size and time.
 //! - [`error`]: error responses of the API, with the verdict and the time after which to retry.
@@ -11,9 +13,11 @@
 
 pub mod body;
 pub mod client;
+pub mod connections;
 pub mod error;
 pub mod probe;
 pub mod server;
+pub mod throttle;
 
 pub use body::Body;
 pub use client::Client;
--- a/crates/stair-http/src/server.rs
+++ b/crates/stair-http/src/server.rs
@@ -22,21 +22,25 @@
         TcpListener,
         TcpStream, //
     },
-    sync::{
-        OwnedSemaphorePermit,
-        Semaphore,
-        watch, //
-    },
+    sync::watch,
     task::JoinSet,
 };
 
-use crate::body::Body;
+use crate::{
+    body::Body,
+    connections::{
+        Connection,
+        Connections, //
+    },
+};
 
 /// Limits of a listener.
 #[derive(Debug, Clone, Copy)]
 pub struct Options {
-    /// Maximum number of open connections; further ones wait in the kernel's backlog.
+    /// Maximum number of open connections. Beyond, idle ones give way, or new ones are closed unread.
     pub max_connections: usize,
+    /// Whether new connections are closed unread while the processor is used up.
+    pub sheds: bool,
     /// Time limit for a request's head; the connection of a slower sender is closed.
     pub header_timeout: Duration,
     /// Maximum size of a request's head in bytes.
@@ -47,6 +51,7 @@
     fn default() -> Self {
         Self {
             max_connections: 20_000,
+            sheds: false,
             header_timeout: Duration::from_secs(10),
             max_head_bytes: 32 << 10,
         }
@@ -64,42 +69,32 @@
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
-    let slots = Arc::new(Semaphore::new(opts.max_connections));
+    let open = Connections::new(opts.max_connections);
     let mut conns = JoinSet::new();
+    let watch = async {
+        match opts.sheds {
+            true => open.watch_delay().await,
+            false => std::future::pending().await,
+        }
+    };
+    tokio::pin!(watch);
     loop {
-        let accepted = tokio::select! {
-            accepted = accept(&listener, &slots) => accepted,
+        let (stream, connection) = tokio::select! {
+            accepted = open.accept(&listener) => accepted,
+            () = watch.as_mut() => continue,
             _ = stop.wait_for(|s| *s) => break,
         };
-        if let Some((stream, slot)) = accepted {
-            let handler = handler.clone();
-            conns.spawn(connection(stream, slot, opts, stop.clone(), handler));
-        }
+        let (opts, stop, handler) = (opts, stop.clone(), handler.clone());
+        conns.spawn(serve_one(stream, connection, opts, stop, handler));
         while conns.try_join_next().is_some() {}
     }
     drop(listener);
     while conns.join_next().await.is_some() {}
 }
 
-async fn accept(
-    listener: &TcpListener,
-    slots: &Arc<Semaphore>,
-) -> Option<(TcpStream, OwnedSemaphorePermit)> {
-    let slot = slots.clone().acquire_owned().await.ok()?;
-    match listener.accept().await {
-        Ok((stream, _)) => Some((stream, slot)),
-        Err(_) => {
-            // Without a pause, a persistent error such as exhausted file descriptors would cause a
-            // busy loop.
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            None
-        }
-    }
-}
-
-async fn connection<H, F>(
+async fn serve_one<H, F>(
     stream: TcpStream,
-    slot: OwnedSemaphorePermit,
+    connection: Connection,
     opts: Options,
     mut stop: watch::Receiver<bool>,
     handler: H,
@@ -107,11 +102,13 @@
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
-    let _slot = slot;
     let _ = stream.set_nodelay(true);
+    let connection = Arc::new(connection);
+    let own = connection.clone();
     let service = service_fn(move |req| {
+        let guard = own.begin_request();
         let response = handler(req);
-        async move { Ok::<_, Infallible>(response.await) }
+        async move { Ok::<_, Infallible>(guard.until_sent(response.await)) }
     });
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -121,6 +118,8 @@
     tokio::pin!(conn);
     tokio::select! {
         _ = conn.as_mut() => return,
+        // It is idle, so that nothing is lost.
+        () = connection.evicted() => return,
         _ = stop.wait_for(|s| *s) => conn.as_mut().graceful_shutdown(),
     }
     let _ = conn.await;
--- a/crates/stair-relay/src/context.rs
+++ b/crates/stair-relay/src/context.rs
@@ -45,6 +45,7 @@
     target_state::HEARTBEAT_TIMEOUT,
     view::TargetKey, //
 };
+use stair_http::connections::Connections;
 use stair_platform::Eras;
 use stair_telemetry::{
     event::Line,
@@ -74,6 +75,7 @@
     owner::Owners,
     quarantine::Quarantine, //
     quota::Quotas,
+    serve::max_connections,
 };
 
 pub use in_flight::{
@@ -93,6 +95,8 @@
     pub changed: Notify,
     /// Notified when the VM of a target is found to be unresponsive.
     pub unresponsive: Notify,
+    /// The open connections of clients.
+    pub(crate) connections: Arc<Connections>,
     /// Whether this entry watches the store or follows an entry that does.
     pub follow: Follow,
     /// The newest era of the store that is known.
@@ -184,6 +188,7 @@
             page: Page::default(),
             changed: Notify::new(),
             unresponsive: Notify::new(),
+            connections: Connections::new(max_connections()),
             follow: Follow::default(),
             store_check: StoreCheck::default(),
             started: Instant::now(),
@@ -352,6 +357,17 @@
         set("targets_draining", draining);
         set("targets_backing_off", backing_off);
         set("requests_in_flight", self.serving());
+        let connections = self.connections.counts();
+        set("connections_open", connections.open);
+        for (why, n) in [
+            ("idle", connections.evicted),
+            ("full", connections.full),
+            ("overload", connections.overloaded),
+        ] {
+            let n = i64::try_from(n).unwrap_or(i64::MAX);
+            self.page
+                .gauge("connections_closed_total", &[("why", why)], n);
+        }
     }
 
     /// The versions of this entry's replicated state, for agents and peers.
--- a/crates/stair-relay/src/dump.rs
+++ b/crates/stair-relay/src/dump.rs
@@ -19,6 +19,8 @@
     target_state::TargetState, //
 };
 
+use stair_http::connections::Counts;
+
 use crate::context::{
     AgentLink,
     Context,
@@ -50,8 +52,10 @@
     /// Whether another entry watches the store for this one.
     follows: bool,
     requests_in_flight: usize,
+    /// Connections of clients, and how many were closed without a response.
+    connections: Counts,
     retries: Vec<RetriesDump>,
-    /// Requests that are suspected to end targets, or quarantined.
+    /// What is suspected to end targets, or quarantined.
     quarantine: Vec<QuarantineDump>,
     /// Streams by what began them.
     streams: Vec<StreamsDump>,
@@ -175,6 +179,7 @@
         peers: state.peers.as_ref().map(|(p, at)| (p.clone(), ago(*at))),
         follows: cx.follow.follows(),
         requests_in_flight: cx.serving(),
+        connections: cx.connections.counts(),
         retries: state
             .budgets()
             .map(|(service, budget)| RetriesDump {
--- a/crates/stair-relay/src/serve.rs
+++ b/crates/stair-relay/src/serve.rs
@@ -22,12 +22,17 @@
     TokioIo,
     TokioTimer, //
 };
+use nix::sys::resource::{
+    Resource,
+    getrlimit, //
+};
 use serde_json::json;
 use stair_http::{
     body::{
         Body,
         full, //
     },
+    connections::Connection,
     server,
 };
 use stair_telemetry::observe;
@@ -36,10 +41,7 @@
         TcpListener,
         TcpStream, //
     },
-    sync::{
-        Semaphore,
-        watch, //
-    },
+    sync::watch,
 };
 
 use crate::{
@@ -48,10 +50,12 @@
     relay, //
 };
 
-/// Limit of open client connections. An entry VM has about 4000 file descriptors, and each request uses a
-/// second one for its target.
+/// Limit of open client connections, where the process may have enough descriptors.
 const MAX_CONNECTIONS: usize = 1800;
 
+/// Descriptors that are not used for clients and their targets: links, listeners and calls of the store.
+const RESERVED_DESCRIPTORS: u64 = 300;
+
 /// Smallest buffer for a request's head that the HTTP library accepts.
 const MIN_HEAD_BYTES: usize = 8192;
 
@@ -59,28 +63,31 @@
 /// connection right before its own idle limit must not meet a close.
 const IDLE_SLACK: Duration = Duration::from_millis(1000);
 
+/// The limit of open client connections. Each request uses a second descriptor for its target.
+pub(crate) fn max_connections() -> usize {
+    let Ok((descriptors, _)) = getrlimit(Resource::RLIMIT_NOFILE) else {
+        return MAX_CONNECTIONS;
+    };
+    let usable = descriptors
+        .saturating_sub(RESERVED_DESCRIPTORS)
+        .max(descriptors / 2);
+    let connections = usize::try_from(usable / 2).unwrap_or(usize::MAX);
+    connections.min(MAX_CONNECTIONS)
+}
+
 /// Accepts client connections until the process ends.
 pub async fn clients(cx: Arc<Context>, listener: TcpListener) {
-    let slots = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    tokio::join!(cx.connections.watch_delay(), accept(&cx, listener));
+}
+
+async fn accept(cx: &Arc<Context>, listener: TcpListener) {
     loop {
-        let Ok(slot) = slots.clone().acquire_owned().await else {
-            return;
-        };
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let cx = cx.clone();
-                tokio::spawn(async move {
-                    connection(cx, stream).await;
-                    drop(slot);
-                });
-            }
-            // Accepting again at once would spin, for instance when file descriptors have run out.
-            Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
-        }
+        let (stream, open) = cx.connections.accept(&listener).await;
+        tokio::spawn(connection(cx.clone(), stream, open));
     }
 }
 
-async fn connection(cx: Arc<Context>, stream: TcpStream) {
+async fn connection(cx: Arc<Context>, stream: TcpStream, open: Connection) {
     // Only a latency option: a small response may wait some milliseconds without it.
     let _ = stream.set_nodelay(true);
     let limits = cx
@@ -90,22 +97,26 @@
         .map(|c| c.limits)
         .unwrap_or_default();
     let head_time = limits.idle_time.max(limits.head_time) + IDLE_SLACK;
-    let service = service_fn(move |req| {
-        let cx = cx.clone();
-        async move { Ok::<_, Infallible>(respond(cx, req).await) }
+    let service = service_fn(|req| {
+        let (cx, guard) = (cx.clone(), open.begin_request());
+        async move { Ok::<_, Infallible>(guard.until_sent(respond(cx, req).await)) }
     });
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(head_time)
         .max_buf_size(limits.head_bytes.max(MIN_HEAD_BYTES))
         .serve_connection(TokioIo::new(stream), service);
-    // An error here concerns only the client's connection; requests are logged on their own.
-    let _ = conn.await;
+    tokio::select! {
+        // An error here concerns only the client's connection; requests are logged on their own.
+        _ = conn => {}
+        () = open.evicted() => {}
+    }
 }
 
 async fn respond(cx: Arc<Context>, req: Request<Incoming>) -> Response<Body> {
     let mut resp = relay::serve(cx.clone(), req).await;
-    if cx.draining() {
+    // The next request of an entry without time for it reaches another one on a new connection.
+    if cx.draining() || cx.connections.is_overloaded() {
         let close = HeaderValue::from_static("close");
         resp.headers_mut().insert(CONNECTION, close);
     }
