--- a/crates/stair-agent/src/quarantine.rs
+++ b/crates/stair-agent/src/quarantine.rs
@@ -168,7 +168,11 @@
         }
         for notice in notices {
             let (fingerprint, standing) = (notice.fingerprint, notice.standing);
-            warn!(Part::Agent, "{fingerprint} is now {standing:?}");
+            let crashes = inner.ledger.crashes(&fingerprint).join(" ");
+            warn!(
+                Part::Agent,
+                "{fingerprint} is now {standing:?}, blamed for the crashes of: {crashes}"
+            );
             self.metrics.quarantine(standing.as_str());
         }
         let ids: Vec<u64> = inner.streams.iter().map(|s| s.id).collect();
--- a/crates/stair-fleet/src/quarantine/crashes.rs
+++ b/crates/stair-fleet/src/quarantine/crashes.rs
@@ -248,6 +248,12 @@
             .any(|pair| pair[1] - pair[0] <= COINCIDENCE_WINDOW)
     }
 
+    /// The incarnations of the targets whose crashes are blamed on a cause.
+    pub(super) fn of(&self, cause: &Fingerprint) -> Vec<Box<str>> {
+        let blamed = self.list.iter().filter(|e| e.counts_for(cause));
+        blamed.map(|e| e.incarnation.clone()).collect()
+    }
+
     /// Attributes the crashes that one of these causes was on to all of them.
     pub(super) fn attribute_to(&mut self, causes: &[Fingerprint]) {
         for crash in &mut self.list {
--- a/crates/stair-fleet/src/quarantine/ledger.rs
+++ b/crates/stair-fleet/src/quarantine/ledger.rs
@@ -326,6 +326,11 @@
         &self.records
     }
 
+    /// The incarnations of the targets whose crashes are blamed on a cause.
+    pub fn crashes(&self, cause: &Fingerprint) -> Vec<Box<str>> {
+        self.crashes.of(cause)
+    }
+
     fn is_quarantined(&self, run: &Fingerprint, now: Duration) -> bool {
         self.find(run)
             .is_ok_and(|i| self.records[i].is_quarantined(now))
--- a/crates/stair-sidecar/src/quarantine.rs
+++ b/crates/stair-sidecar/src/quarantine.rs
@@ -123,6 +123,10 @@
             Line::failure("quarantine.judged")
                 .show("fingerprint", notice.fingerprint)
                 .show("standing", format_args!("{:?}", notice.standing))
+                .text(
+                    "crashes",
+                    &inner.ledger.crashes(&notice.fingerprint).join(" "),
+                )
                 .write();
             let standing = notice.standing.as_str();
             self.page
--- a/crates/stair-telemetry/src/explain.rs
+++ b/crates/stair-telemetry/src/explain.rs
@@ -66,12 +66,21 @@
         .iter()
         .filter_map(|o| o.get("process")?.as_str())
         .collect();
+    let refused = |o: &&Map<String, Value>| text(o, "event") == Some("quarantine.refused");
+    let causes: Vec<&str> = own_lines
+        .iter()
+        .filter(refused)
+        .filter_map(|o| text(o, "fingerprint"))
+        .collect();
     let (first, last) = time_span(&own_lines);
+    let is_around = |o: &Map<String, Value>| {
+        let is_near = is_target_event(o, &targets) || is_store_event(o, &processes);
+        is_near && (first..=last).contains(&timestamp(o))
+    };
     let around = lines
         .into_iter()
         .filter_map(parse_object)
-        .filter(|o| (first..=last).contains(&timestamp(o)))
-        .filter(|o| is_target_event(o, &targets) || is_store_event(o, &processes));
+        .filter(|o| is_around(o) || is_verdict(o, &causes));
     let mut steps: Vec<Step> = own_lines
         .iter()
         .cloned()
@@ -140,6 +149,12 @@
     kind && text("process").is_some_and(|p| processes.contains(&p))
 }
 
+/// Whether a ledger has judged one of the causes, at whatever time.
+fn is_verdict(o: &Map<String, Value>, causes: &[&str]) -> bool {
+    let cause = text(o, "fingerprint");
+    text(o, "event") == Some("quarantine.judged") && cause.is_some_and(|c| causes.contains(&c))
+}
+
 fn to_step(o: Map<String, Value>, own: &str) -> Step {
     let text = |name: &str| text(&o, name).unwrap_or("").into();
     let hidden = ["ts", "up", "process", "event"];
--- a/crates/stair-telemetry/tests/explain.rs
+++ b/crates/stair-telemetry/tests/explain.rs
@@ -55,3 +55,22 @@
     }
     assert_eq!(story(lines, "d").len(), 1);
 }
+
+/// A refused request is explained by the crashes of the part that it holds, which may be minutes before.
+#[test]
+fn quarantined_part() {
+    let lines = [
+        r#"{"ts":1.0,"process":"a","event":"quarantine.judged","fingerprint":"part-dead","standing":"Quarantined(60s)","crashes":"i-1 i-2 i-3"}"#,
+        r#"{"ts":2.0,"process":"a","event":"quarantine.judged","fingerprint":"part-beef","standing":"Suspect","crashes":"i-4"}"#,
+        r#"{"ts":50.0,"process":"e","event":"quarantine.refused","id":"r1","route":"r","fingerprint":"part-dead","come_back_ms":11000.0}"#,
+    ];
+    let steps = story(lines, "r1");
+    let events: Vec<&str> = steps.iter().map(|s| &*s.event).collect();
+    assert_eq!(events, ["quarantine.judged", "quarantine.refused"]);
+    assert!(
+        steps[0]
+            .fields
+            .iter()
+            .any(|f| &**f == "crashes=i-1 i-2 i-3")
+    );
+}
