entry: more connections may wait to be accepted, and more causes are watched

The kernel's queue of new connections held 128; beyond, a client's packet is dropped and sent again only after a second (368 of 400 connections were accepted with 240 descriptors free). It holds 1,024 now.

--- a/crates/stair-fleet/src/quarantine/watchlist.rs
+++ b/crates/stair-fleet/src/quarantine/watchlist.rs
@@ -16,7 +16,7 @@
 
 /// Limit of watched causes. At the limit a quarantined cause replaces a suspect, and a suspect
 /// is not added.
-const MAX_WATCHED: usize = 1024;
+const MAX_WATCHED: usize = 4096;
 
 /// What an entry watches.
 #[derive(Debug, Clone, Default)]
--- a/crates/stair-relay/src/process.rs
+++ b/crates/stair-relay/src/process.rs
@@ -1,6 +1,7 @@
 //! Start and stop of an entry.
 
 use std::{
+    io,
     net::SocketAddr,
     sync::Arc,
     time::Duration, //
@@ -10,7 +11,10 @@
 use stair_config::fleet_settings::GatewaySettings;
 use stair_telemetry::event::Line;
 use tokio::{
-    net::TcpListener,
+    net::{
+        TcpListener,
+        TcpSocket, //
+    },
     sync::watch,
     task::JoinSet,
     time::{
@@ -36,6 +40,10 @@
 /// Time for which a stopping entry accepts connections: the balancer removes it after two failed probes.
 const LISTEN_AFTER_STOP: Duration = Duration::from_millis(3500);
 
+/// Connections that may wait to be accepted. When the kernel's queue is full, a client's packet is dropped and
+/// sent again only after a second.
+const BACKLOG: u32 = 1024;
+
 /// Interval of the checks whether all requests have got their response.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -55,10 +63,10 @@
     ///
     /// When an address cannot be bound.
     pub async fn bind(mut settings: GatewaySettings) -> anyhow::Result<Self> {
-        let clients = bind(&mut settings.listen).await?;
-        let ready = bind(&mut settings.ready).await?;
-        let inner = bind(&mut settings.inner).await?;
-        let metrics = bind(&mut settings.metrics).await?;
+        let clients = bind(&mut settings.listen)?;
+        let ready = bind(&mut settings.ready)?;
+        let inner = bind(&mut settings.inner)?;
+        let metrics = bind(&mut settings.metrics)?;
         Ok(Self {
             settings,
             clients,
@@ -141,10 +149,18 @@
     }
 }
 
-async fn bind(addr: &mut SocketAddr) -> anyhow::Result<TcpListener> {
-    let listener = TcpListener::bind(*addr)
-        .await
-        .with_context(|| format!("cannot listen on {addr}"))?;
+fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match addr {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    socket.listen(BACKLOG)
+}
+
+fn bind(addr: &mut SocketAddr) -> anyhow::Result<TcpListener> {
+    let listener = listen(*addr).with_context(|| format!("cannot listen on {addr}"))?;
     *addr = listener.local_addr()?;
     Ok(listener)
 }
