quarantine: what both ways of serving ask a ledger is formed once

The message for a trial and the list of survivals were formed in stair-relay and in stair-entry alike; ToLedger::trial and Survivals::of form them now. Comments within the width of their crates; run.unframed is no failure.

--- a/crates/stair-agent/src/crash.rs
+++ b/crates/stair-agent/src/crash.rs
@@ -94,8 +94,8 @@
         matches!(found, Ok(Ok(_))).then_some(count + 1)
     }
 
-    /// Whether the target has ended shortly before. Waits for a target that closes its connections before
-    /// its listener.
+    /// Whether the target has ended shortly before. Waits for a target that closes its connections
+    /// before its listener.
     pub(crate) async fn is_down(&self) -> bool {
         sleep(FIRST_PROBE_DELAY).await;
         probe::is_down(self.addr, CLOSE_WINDOW).await
--- a/crates/stair-agent/src/quarantine.rs
+++ b/crates/stair-agent/src/quarantine.rs
@@ -1,4 +1,5 @@
-//! Keeps a ledger of requests, and parts of prompts, that crash the targets that run them, for all entries.
+//! Keeps a ledger of requests, and parts of prompts, that crash the targets that run them, for all
+//! entries.
 //!
 //! Each entry has a stream to a few agents, on which it reports crashes and receives the standings of
 //! requests; see [`quarantine`](stair_fleet::quarantine) for the rules of the ledger.
--- a/crates/stair-entry/src/traffic/quarantine.rs
+++ b/crates/stair-entry/src/traffic/quarantine.rs
@@ -1,11 +1,12 @@
-//! Withholds requests that end the targets that run them, by themselves or by a part of their prompts.
+//! Withholds requests that end the targets that run them, by themselves or by a part of their
+//! prompts.
 //!
 //! A few agents keep ledgers of crashes ([`ledger_links`](super::ledger_links)), and report the
 //! standings of requests to all entries. While no agent is linked, an entry keeps a ledger of its own.
 //! [`quarantine`](stair_fleet::quarantine) defines the decisions.
 //!
-//! Invariants: a request with a cause that is quarantined here is not offered to a target, and the verdict in its
-//! refusal is true.
+//! Invariants: a request with a cause that is quarantined here is not offered to a target, and the
+//! verdict in its refusal is true.
 
 use std::{
     sync::{
@@ -268,19 +269,8 @@
             let seq = state.next_id();
             let (tx, rx) = oneshot::channel();
             state.pending.push(PendingTrial { seq, link, tx });
-            let target = target.as_str().into();
-            let msg = match (state.knows_causes(link), causes) {
-                (false, [first, ..]) => ToLedger::Trial {
-                    seq,
-                    fingerprint: *first,
-                    target,
-                },
-                _ => ToLedger::TrialOf {
-                    seq,
-                    causes: causes.to_vec(),
-                    target,
-                },
-            };
+            let features = state.features_of(link);
+            let msg = ToLedger::trial(features, seq, causes, target.as_str().into());
             state.send(link, msg);
             (link, rx)
         };
@@ -472,8 +462,7 @@
     /// Reports when new suspects last survived a run here, which tells the parts of ordinary requests
     /// from the one that ends targets.
     fn report_survivals(&mut self, suspects: &[Fingerprint], now: Duration) {
-        let age = |cause: &Fingerprint| Some((*cause, self.survivals.age(cause, now)?));
-        let list: Vec<_> = suspects.iter().filter_map(age).collect();
+        let list = self.survivals.of(suspects, now);
         if list.is_empty() {
             return;
         }
@@ -483,15 +472,15 @@
             }
         }
         for link in self.ledgers(now) {
-            if self.knows_causes(link) {
+            if self.features_of(link).causes {
                 self.send(link, ToLedger::SurvivedBefore(list.clone()));
             }
         }
     }
 
-    /// Whether a ledger knows the parts of prompts.
-    fn knows_causes(&self, id: LinkId) -> bool {
-        self.links.iter().any(|l| l.id == id && l.features.causes)
+    fn features_of(&self, id: LinkId) -> Features {
+        let found = self.links.iter().find(|l| l.id == id);
+        found.map_or(Features::default(), |l| l.features)
     }
 
     fn send(&self, id: LinkId, msg: ToLedger) {
--- a/crates/stair-fleet/src/quarantine.rs
+++ b/crates/stair-fleet/src/quarantine.rs
@@ -53,6 +53,8 @@
     rendezvous, //
 };
 
+use crate::msg::Features;
+
 pub use causes::{
     Parts,
     Survivals, //
@@ -258,6 +260,25 @@
     SurvivedBefore(Vec<(Fingerprint, Duration)>),
 }
 
+impl ToLedger {
+    /// Requests a trial of a request with these suspects at a target. The ledger of an agent without
+    /// [`Features::causes`](crate::msg::Features::causes) knows one of them only.
+    pub fn trial(features: Features, seq: u64, causes: &[Fingerprint], target: Box<str>) -> Self {
+        match causes {
+            [first, ..] if !features.causes => Self::Trial {
+                seq,
+                fingerprint: *first,
+                target,
+            },
+            _ => Self::TrialOf {
+                seq,
+                causes: causes.to_vec(),
+                target,
+            },
+        }
+    }
+}
+
 /// Messages from an agent that keeps a ledger to entries.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum ToWatchlist {
--- a/crates/stair-fleet/src/quarantine/causes.rs
+++ b/crates/stair-fleet/src/quarantine/causes.rs
@@ -105,6 +105,12 @@
         }
     }
 
+    /// Those of these suspects that have survived a run, with the time since then.
+    pub fn of(&self, suspects: &[Fingerprint], now: Duration) -> Vec<(Fingerprint, Duration)> {
+        let age = |cause: &Fingerprint| Some((*cause, self.age(cause, now)?));
+        suspects.iter().filter_map(age).collect()
+    }
+
     /// The time since the part last survived a run.
     pub fn age(&self, part: &Fingerprint, now: Duration) -> Option<Duration> {
         let outline = part.outline().bits();
--- a/crates/stair-fleet/src/quarantine/crashes.rs
+++ b/crates/stair-fleet/src/quarantine/crashes.rs
@@ -181,7 +181,7 @@
 
     /// The causes among which the crashes during trials of `run` do not tell, itself included. `None`
     /// if the crashes have another visible cause, or another request on the same targets has as much
-    /// blame. At least `trials` crashes are needed. In unrest two such crashes are needed, but one is enough after an earlier quarantine,
+    /// blame. At least `trials` crashes are needed; in unrest two, but one after an earlier quarantine,
     /// whose crashes do not count.
     pub(super) fn convict<F>(
         &self,
--- a/crates/stair-fleet/tests/quarantine_parts.rs
+++ b/crates/stair-fleet/tests/quarantine_parts.rs
@@ -260,8 +260,8 @@
     assert_eq!(fixture.standing(DEADLY), Some(Standing::Suspect));
 }
 
-/// A part that had survived before begins to crash targets, as after a change of their software: it takes more
-/// trials, and its companions are not quarantined in its place.
+/// A part that had survived before begins to crash targets, as after a change of their software: it
+/// takes more trials, and its companions are not quarantined in its place.
 #[test]
 fn turned_deadly() {
     let mut fixture = Fixture::default();
--- a/crates/stair-http/src/client.rs
+++ b/crates/stair-http/src/client.rs
@@ -155,8 +155,8 @@
         }
     }
 
-    /// As [`Client::send`], but also returns a response that ends with its connection. The caller has to find out
-    /// whether such a response is complete, see [`Answer::has_end`].
+    /// As [`Client::send`], but also returns a response that ends with its connection. The caller has to
+    /// find out whether such a response is complete, see [`Answer::has_end`].
     ///
     /// # Errors
     ///
--- a/crates/stair-relay/src/crash.rs
+++ b/crates/stair-relay/src/crash.rs
@@ -224,13 +224,12 @@
         let ended = state.crashes.has_ended(&incarnation);
         (incarnation, addr, first, ended)
     };
-    let event = match ending {
-        Ending::Interrupted => "run.cut",
-        Ending::ClientLeft => "run.left",
-        Ending::Unframed => "run.unframed",
+    let line = match ending {
+        Ending::Interrupted => Line::failure("run.cut"),
+        Ending::ClientLeft => Line::failure("run.left"),
+        Ending::Unframed => Line::new("run.unframed"),
     };
-    Line::failure(event)
-        .text("id", &job.meta.id)
+    line.text("id", &job.meta.id)
         .text("target", &incarnation.id)
         .show("fingerprint", job.fingerprint())
         .text("parts", &names(job.parts().as_slice()))
--- a/crates/stair-relay/src/process.rs
+++ b/crates/stair-relay/src/process.rs
@@ -40,8 +40,8 @@
 /// Time for which a stopping entry accepts connections: the balancer removes it after two failed probes.
 const LISTEN_AFTER_STOP: Duration = Duration::from_millis(3500);
 
-/// Connections that may wait to be accepted. When the kernel's queue is full, a client's packet is dropped and
-/// sent again only after a second.
+/// Connections that may wait to be accepted. When the kernel's queue is full, a client's packet is dropped,
+/// and sent again only after a second.
 const BACKLOG: u32 = 1024;
 
 /// Interval of the checks whether all requests have got their response.
--- a/crates/stair-relay/src/quarantine.rs
+++ b/crates/stair-relay/src/quarantine.rs
@@ -4,8 +4,8 @@
 //! verdicts to all entries. While no agent is linked, an entry keeps a ledger of its own.
 //! [`quarantine`](stair_fleet::quarantine) defines the decisions.
 //!
-//! Invariants: a request with a cause that is quarantined here is not sent to a target, and the verdict in its
-//! refusal is true.
+//! Invariants: a request with a cause that is quarantined here is not sent to a target, and the verdict in
+//! its refusal is true.
 
 use std::{
     net::SocketAddr,
@@ -14,7 +14,10 @@
 };
 
 use stair_fleet::{
-    msg::ToAgent,
+    msg::{
+        Features,
+        ToAgent, //
+    },
     quarantine::{
         Assessment,
         Crash,
@@ -114,8 +117,8 @@
     }
 }
 
-/// The request's fingerprint, if a request with its outline is watched. It is computed without the lock, as its
-/// time grows with the body.
+/// The request's fingerprint, if a request with its outline is watched. It is computed without the lock, as
+/// its time grows with the body.
 fn watched_request(cx: &Context, job: &Job) -> Option<Fingerprint> {
     let outline = job.outline();
     let is_watched = cx.state().quarantine.watchlist.has_outline(outline);
@@ -222,19 +225,8 @@
             .quarantine
             .pending
             .push(PendingRequest { seq, engine, tx });
-        let target = target.into();
-        let msg = match (state.knows_causes(engine), causes) {
-            (false, [first, ..]) => ToLedger::Trial {
-                seq,
-                fingerprint: *first,
-                target,
-            },
-            _ => ToLedger::TrialOf {
-                seq,
-                causes: causes.to_vec(),
-                target,
-            },
-        };
+        let features = state.features_of(engine);
+        let msg = ToLedger::trial(features, seq, causes, target.into());
         state.send_to_ledger(engine, msg);
         (engine, rx)
     };
@@ -323,9 +315,7 @@
 fn report_survivals(cx: &Context, suspects: &[Fingerprint]) {
     let now = cx.now();
     let mut state = cx.state();
-    let survivals = &state.quarantine.survivals;
-    let age = |cause: &Fingerprint| Some((*cause, survivals.age(cause, now)?));
-    let list: Vec<_> = suspects.iter().filter_map(age).collect();
+    let list = state.quarantine.survivals.of(suspects, now);
     if list.is_empty() {
         return;
     }
@@ -335,7 +325,7 @@
         }
     }
     for engine in state.ledgers(now) {
-        if state.knows_causes(engine) {
+        if state.features_of(engine).causes {
             state.send_to_ledger(engine, ToLedger::SurvivedBefore(list.clone()));
         }
     }
@@ -413,10 +403,9 @@
         chosen.into_iter().map(|i| linked[i].engine).collect()
     }
 
-    /// Whether an agent's ledger knows the parts of prompts.
-    fn knows_causes(&self, engine: SocketAddr) -> bool {
-        self.agent(engine)
-            .is_some_and(|i| self.agents[i].features.causes)
+    fn features_of(&self, engine: SocketAddr) -> Features {
+        let found = self.agent(engine);
+        found.map_or(Features::default(), |i| self.agents[i].features)
     }
 
     fn send_to_ledger(&self, engine: SocketAddr, msg: ToLedger) {
--- a/crates/stair-sidecar/src/quarantine.rs
+++ b/crates/stair-sidecar/src/quarantine.rs
@@ -1,4 +1,5 @@
-//! Maintains the ledger of requests, and parts of prompts, that crash the targets that run them, for all entries.
+//! Maintains the ledger of requests, and parts of prompts, that crash the targets that run them, for
+//! all entries.
 //!
 //! Entries report to a few agents; see [`quarantine`](stair_fleet::quarantine) for the rules of the ledger.
 
