--- a/crates/dandelionstair/tests/promises/support/world.rs
+++ b/crates/dandelionstair/tests/promises/support/world.rs
@@ -344,6 +344,8 @@
     /// Starts an agent again after its process has ended.
     pub(crate) async fn restart_agent(&mut self, i: usize) {
         let agent = &mut self.agents[i];
+        // The lock of the old process is free only once it has ended.
+        agent.process.kill().await;
         agent.process = Process::start("agent", &agent.settings);
         let ready = agent.process.ready().await;
         agent.to_link.attach(ready.addr("link"));
