--- a/crates/dandelionstair/tests/promises/support/mod.rs
+++ b/crates/dandelionstair/tests/promises/support/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod measured;
 pub(crate) mod process;
 pub(crate) mod specs;
+pub(crate) mod test_dir;
 pub(crate) mod told;
 pub(crate) mod waits;
 pub(crate) mod world;
--- a/crates/dandelionstair/tests/promises/support/world.rs
+++ b/crates/dandelionstair/tests/promises/support/world.rs
@@ -52,7 +52,6 @@
     EntryName,
     TargetName, //
 };
-use tempfile::TempDir;
 use tokio::sync::{
     OwnedSemaphorePermit,
     Semaphore, //
@@ -75,6 +74,7 @@
         model,
         tier, //
     },
+    test_dir::TestDir,
 };
 
 /// Worlds at once. Each has some ten processes, and tests run in parallel; more would make the
@@ -123,7 +123,7 @@
     pub(crate) services: Vec<Service>,
     pub(crate) opts: Options,
     authority: Authority,
-    dir: TempDir,
+    dir: TestDir,
     _slot: OwnedSemaphorePermit,
 }
 
@@ -139,7 +139,7 @@
             engines: Vec::new(),
             services: Vec::new(),
             authority: Authority::generate().expect("keys can be made"),
-            dir: TempDir::new().expect("a directory can be made"),
+            dir: TestDir::new(),
             opts,
             _slot: slot,
         };
@@ -341,9 +341,10 @@
         });
     }
 
-    /// Starts an agent again after its process has ended.
+    /// Starts an agent again. A process that still runs is killed first, as it holds the target's lock.
     pub(crate) async fn restart_agent(&mut self, i: usize) {
         let agent = &mut self.agents[i];
+        agent.process.kill().await;
         agent.process = Process::start("agent", &agent.settings);
         let ready = agent.process.ready().await;
         agent.to_link.attach(ready.addr("link"));
