agent: a request is not started after its deadline

An agent that was frozen between Ready and Start can read Start after the deadline: its timer for a missing Start and the message are due at the same moment. It then started a run with no time left, which was cut before the target got the request, and reported that the request may have run. The idempotency key stayed taken though nothing had run, and repeats were refused as duplicates until the claim expired.

Such a request is now refused as not run. once::start_after_deadline fails without the change (verdict MayHaveRun, no run at the engine).

--- a/crates/stair-agent/src/slots.rs
+++ b/crates/stair-agent/src/slots.rs
@@ -94,12 +94,20 @@
     }
 
     /// Starts the run of a request that occupies a slot, at most once.
+    ///
+    /// `Start` can be read after the deadline, as when the process was frozen. Such a run would be cut before the
+    /// target gets the request, and the request would be reported as one that may have run.
     pub(crate) fn start(&mut self, id: RequestId) -> Option<Arc<Response>> {
         if self.availability.withheld(self.now()).is_some() {
             return None;
         }
         let slot = self.active.iter().position(|a| a.id == id && !a.started)?;
         let at = self.find_unstarted(id).ok()?;
+        if self.unstarted[at].deadline <= self.now() {
+            let message = "the deadline passed before the start";
+            self.refuse_id(id, Refusal::not_run(Reason::DeadlinePassed, 0, message));
+            return None;
+        }
         if !self.runs.start(id) {
             return None;
         }
--- a/crates/stair-agent/tests/common/entry.rs
+++ b/crates/stair-agent/tests/common/entry.rs
@@ -176,6 +176,17 @@
 impl Stream {
     /// Offers a completion; reads no reply.
     pub(crate) async fn offer(link: &Link, id: u128, model: &str, stream: bool) -> Self {
+        Self::offer_within(link, id, model, stream, 15_000).await
+    }
+
+    /// As [`Stream::offer`], with the time that the request has left.
+    pub(crate) async fn offer_within(
+        link: &Link,
+        id: u128,
+        model: &str,
+        stream: bool,
+        time_left_ms: u32,
+    ) -> Self {
         let body = serde_json::json!({"model": model, "stream": stream}).to_string();
         let offer = Offer {
             id: RequestId(id),
@@ -189,7 +200,7 @@
             shard_version: StoreRevision::new(0, 0),
             content_type: "application/json".into(),
             rank: TierRank(0),
-            time_left_ms: 15_000,
+            time_left_ms,
             repeatable: false,
             start_when_ready: false,
             max_tokens: 0,
--- a/crates/stair-agent/tests/once.rs
+++ b/crates/stair-agent/tests/once.rs
@@ -115,6 +115,29 @@
     assert!(world.engine.runs().is_empty());
 }
 
+// An agent that was frozen reads `Start` after the request's deadline. A run would end before the
+// target gets the request, and the request would count as one that may have run: its caller could
+// not repeat it under its idempotency key.
+#[tokio::test(flavor = "multi_thread")]
+async fn start_after_deadline() {
+    let world = World::new(&["m1"]).await;
+    let agent = world.agent().await;
+    let link = world.entry.link(&agent).await;
+    let first = Stream::offer(&link, 0, "m1", false).await.finish().await;
+    assert_eq!(first.body(), r#"{"text":"done"}"#);
+    let mut stream = Stream::offer_within(&link, 1, "m1", false, 1_000).await;
+    stream.ready().await;
+    tokio::time::sleep(Duration::from_millis(1_100)).await;
+
+    stream.write(ToAgent::Start).await;
+    let refusal = stream.finish().await.refusal();
+
+    assert_eq!(refusal.verdict, Verdict::NotRun);
+    assert_eq!(world.engine.runs().len(), 1);
+    let again = Stream::offer(&link, 2, "m1", false).await.finish().await;
+    assert_eq!(again.body(), r#"{"text":"done"}"#);
+}
+
 // The agent is replaced while a request runs. The new agent has no record of the run, and a "not
 // run" verdict would let the entry send the request elsewhere although the engine may have run it.
 #[tokio::test(flavor = "multi_thread")]
