--- a/crates/dandelionstair/tests/promises/quarantine.rs
+++ b/crates/dandelionstair/tests/promises/quarantine.rs
@@ -5,9 +5,12 @@
     Instant, //
 };
 
-use stair_standin::recorder::{
-    Recorder,
-    Run, //
+use stair_standin::{
+    engine,
+    recorder::{
+        Recorder,
+        Run, //
+    },
 };
 use tokio::{
     task::JoinSet,
@@ -33,6 +36,10 @@
 /// Length of a deadly request's answer, a millisecond each: longer than it takes to end the target.
 const TOKENS: u32 = 300;
 
+/// Time of a deadly load if nothing ended its target: longer than it takes to end the target, also on a busy machine.
+/// A load that completed once would be repeated from disk in 20 ms, before the target ends.
+const LOAD_TIME: Duration = Duration::from_secs(2);
+
 /// Time until the target is back.
 const DOWN: Duration = Duration::from_millis(300);
 
@@ -379,6 +386,12 @@
     let world = World::start(Options {
         engines: 3,
         models: vec![ModelSpec::new("deadly", 3), ModelSpec::new("m", 3)],
+        engine: engine::Options {
+            load_from_memory: LOAD_TIME,
+            load_from_disk: LOAD_TIME,
+            load_from_remote: LOAD_TIME,
+            ..engine::Options::default()
+        },
         ..Options::default()
     })
     .await;
--- a/crates/dandelionstair/tests/promises/support/world.rs
+++ b/crates/dandelionstair/tests/promises/support/world.rs
@@ -77,8 +77,8 @@
     test_dir::TestDir,
 };
 
-/// Worlds at once. Each has some ten processes, and tests run in parallel; more would make the
-/// machine the slowest part of every measurement.
+/// Worlds at once under `cargo test`, which runs tests as threads of one process; cargo-nextest has the
+/// group `worlds` for this. Each has some ten processes.
 const WORLDS: usize = 3;
 
 static SLOTS: std::sync::LazyLock<Arc<Semaphore>> =
