Order the requests that wait for the end of a target's backoff

Requests waited for the end of a backoff by timers of their own, each with a delay by its rank, and each took the target when it happened to wake up first. While one request in 250 ms is let through, the others waited on until their time was up; the last of them were refused after a second.

stair_fleet::backoff_queue now decides without input or output: the order is by rank, then by the end of the client's time, then by arrival; a request is refused at once if its turn is not expected in its time; a refusal names a time at which the target is expected to take the request, after those that wait and those refused before. A request that leaves gives its turn to the next one, and a granted turn that is not used for 250 ms delays nobody. The table is bounded.

The entry lists waiting requests in the dump, the gauge backoff_waiting, the counter backoff_turns_total and the log lines backoff.waits, backoff.turn and backoff.refused.

choose::backoff_wait becomes backoff_waits, since the queue compares the turns; the test of it takes the least of them, as before.

--- a/crates/stair-fleet/src/availability.rs
+++ b/crates/stair-fleet/src/availability.rs
@@ -72,6 +72,15 @@
     pub source: Source,
     /// When the next request may be sent.
     next_at: Duration,
+    /// When the first request after the end was sent.
+    first_sent: Option<Duration>,
+}
+
+impl Backoff {
+    /// When the first request after the end was sent.
+    pub fn first_sent(&self) -> Option<Duration> {
+        self.first_sent
+    }
 }
 
 /// A change of an incarnation's state.
@@ -141,6 +150,7 @@
                         until,
                         source,
                         next_at: until,
+                        first_sent: None,
                     });
                     changes.push(Change::Backoff(time));
                 }
@@ -192,6 +202,7 @@
     pub fn record_send(&mut self, now: Duration) {
         if let Some(backoff) = &mut self.backoff {
             backoff.next_at = backoff.next_at.max(now + PROBE_INTERVAL);
+            backoff.first_sent.get_or_insert(now);
         }
     }
 
--- a/crates/stair-fleet/src/choose.rs
+++ b/crates/stair-fleet/src/choose.rs
@@ -148,16 +148,22 @@
     pub wait: Duration,
 }
 
-/// The first target that may get a request after its backoff; `None` if none lacks just the end of one.
-pub fn backoff_wait(view: &View, opts: &Options<'_>, now: Duration) -> Option<BackoffWait> {
+/// The targets that could run a request but for a backoff, or for the requests that wait for them and go
+/// first: those in `withheld`. The times do not include the turns of other requests.
+pub fn backoff_waits<'a>(
+    view: &'a View,
+    opts: &'a Options<'_>,
+    withheld: &'a [TargetKey],
+    now: Duration,
+) -> impl Iterator<Item = BackoffWait> + 'a {
     view.of(opts.service)
-        .filter(|(key, s)| s.is_up(now) && !opts.tried.contains(key))
-        .filter(|(_, s)| s.availability.backoff().is_some() && can_serve(s, opts, now))
-        .filter_map(|(key, s)| {
+        .filter(move |(key, s)| s.is_up(now) && !opts.tried.contains(key))
+        .filter(move |(key, s)| s.availability.backoff().is_some() || withheld.contains(key))
+        .filter(move |(_, s)| can_serve(s, opts, now))
+        .filter_map(move |(key, s)| {
             let wait = s.availability.wait(now)?;
             Some(BackoffWait { key, wait })
         })
-        .min_by_key(|b| b.wait)
 }
 
 /// Whether a target has the model and can have the adapter, if they are requested.
--- a/crates/stair-fleet/src/lib.rs
+++ b/crates/stair-fleet/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`quota`]: token buckets for the quotas of workspaces.
 //! - [`rate_limit`]: limits that targets name for all entries together.
 //! - [`availability`]: targets that drain, or want no requests for some time.
+//! - [`backoff_queue`]: the order of the requests that wait for the end of a target's backoff.
 //! - [`target`]: what a target announces and what its agent reports.
 //! - [`target_state`]: what an entry knows of one target.
 //! - [`view`]: what an entry knows of all targets.
@@ -30,6 +31,7 @@
 #![forbid(unsafe_code)]
 
 pub mod availability;
+pub mod backoff_queue;
 pub mod balance;
 pub mod budget;
 pub mod catalogue;
--- a/crates/stair-fleet/tests/availability.rs
+++ b/crates/stair-fleet/tests/availability.rs
@@ -292,7 +292,9 @@
     state(&mut view, keys[1], 2000);
     assert!(choose::choose(&view, &options(&[]), NOW).is_none());
     let wait = |view: &View, tried: &[TargetKey]| {
-        choose::backoff_wait(view, &options(tried), NOW).map(|b| b.wait)
+        let opts = options(tried);
+        let waits = choose::backoff_waits(view, &opts, &[], NOW);
+        waits.map(|b| b.wait).min()
     };
     assert_eq!(wait(&view, &[]), Some(ms(2000)));
     assert_eq!(wait(&view, &[keys[1]]), Some(ms(3000)));
--- a/crates/stair-relay/src/context.rs
+++ b/crates/stair-relay/src/context.rs
@@ -75,6 +75,7 @@
     owner::Owners,
     quarantine::Quarantine, //
     quota::Quotas,
+    select::Backoffs,
     serve::max_connections,
 };
 
@@ -133,6 +134,8 @@
     pub quotas: Quotas,
     /// Permits for targets that have named a limit.
     pub limits: Limits,
+    /// Requests that wait for targets in backoff.
+    pub(crate) backoffs: Backoffs,
     /// The agents that count for all entries, by the name that they own.
     pub owners: Owners,
     /// Origins of streams, and the versions that services have had.
@@ -345,6 +348,7 @@
             .all()
             .filter(|(_, s)| s.availability.withheld(now) == Some(Withheld::Backoff))
             .count();
+        let waiting = state.backoffs.queue.count(None);
         drop(state);
         let set = |name, n: usize| {
             self.page
@@ -356,6 +360,7 @@
         set("targets_limited", limited);
         set("targets_draining", draining);
         set("targets_backing_off", backing_off);
+        set("backoff_waiting", waiting);
         set("requests_in_flight", self.serving());
         let connections = self.connections.counts();
         set("connections_open", connections.open);
--- a/crates/stair-relay/src/dump.rs
+++ b/crates/stair-relay/src/dump.rs
@@ -5,6 +5,7 @@
 use serde::Serialize;
 use stair_fleet::{
     Target,
+    backoff_queue,
     budget,
     msg::Peers,
     origin::{
@@ -16,7 +17,8 @@
         Standing, //
     },
     target,
-    target_state::TargetState, //
+    target_state::TargetState,
+    view::TargetKey, //
 };
 
 use stair_http::connections::Counts;
@@ -114,6 +116,10 @@
     source: &'static str,
     age_ms: u64,
     left_ms: u64,
+    /// Requests that wait for its end.
+    waiting: usize,
+    /// Refused requests whose stated time of return is not over.
+    promised: usize,
 }
 
 /// The limit of one target.
@@ -174,7 +180,11 @@
         targets_revision: state.view.revision.counter,
         targets_era: state.view.revision.era.0,
         store_era: cx.eras.newest().0,
-        targets: state.view.all().map(|(_, s)| target_dump(s, now)).collect(),
+        targets: state
+            .view
+            .all()
+            .map(|(key, s)| target_dump(key, s, &state.backoffs.queue, now))
+            .collect(),
         agents: state.agents.iter().map(agent).collect(),
         peers: state.peers.as_ref().map(|(p, at)| (p.clone(), ago(*at))),
         follows: cx.follow.follows(),
@@ -220,7 +230,12 @@
     Some(catalogue.workspaces.as_ref()?.all().len())
 }
 
-fn target_dump(target_state: &TargetState, now: Duration) -> TargetDump {
+fn target_dump(
+    key: TargetKey,
+    target_state: &TargetState,
+    queue: &backoff_queue::Queue,
+    now: Duration,
+) -> TargetDump {
     let report = target_state.report.as_ref();
     TargetDump {
         target: target_state.target.clone(),
@@ -254,6 +269,8 @@
             source: b.source.as_str(),
             age_ms: ms(now.saturating_sub(b.since)),
             left_ms: ms(b.until.saturating_sub(now)),
+            waiting: queue.count(Some(key)),
+            promised: queue.promised(key, now),
         }),
     }
 }
--- a/crates/stair-relay/src/select.rs
+++ b/crates/stair-relay/src/select.rs
@@ -11,6 +11,7 @@
 };
 
 use stair_fleet::{
+    backoff_queue::Place,
     choose::BackoffWait,
     overload::{
         Decision,
@@ -45,19 +46,23 @@
     refuse::Reason, //
 };
 
+pub(crate) use backoff::Backoffs;
 use backoff::{
+    Ticket,
+    place,
     refuse_for_backoff,
-    wait_for_backoff, //
-};
-use candidates::{
-    backoff_wait,
-    lacks_connection,
-    placement_of, //
+    wait_for_turn,
+    withheld, //
 };
 pub(crate) use candidates::{
     find_ready,
     replica_placement, //
 };
+use candidates::{
+    first_turn,
+    lacks_connection,
+    placement_of, //
+};
 use prepare::{
     prepare,
     request_replica,
@@ -133,7 +138,8 @@
     let mut rounds = 0;
     while rounds < MAX_ROUNDS && Instant::now() < until {
         origin::check_version(cx, job)?;
-        let best = find_ready(cx, job, tried, false);
+        let withheld = withheld(cx, job, &mut search);
+        let best = find_ready(cx, job, &[tried, &withheld].concat(), false);
         // A replica that is loaded because of a limit has to be another one.
         let excluded = [&search.refused[..], &search.limited, tried].concat();
         let left = until.saturating_duration_since(Instant::now());
@@ -158,12 +164,15 @@
                 let retry_after = Duration::from_secs_f64(at.wait_ms / 1000.0).saturating_sub(left);
                 return Err(NoTarget::after(retry_after));
             }
-            _ => match backoff_wait(cx, job, tried) {
+            _ => match first_turn(cx, job, tried, place(cx, job, &mut search)) {
                 Some(backoff) => Step::Backoff(backoff),
                 None if lacks_connection(cx, job, tried) => Step::Connection,
                 None => Step::Load,
             },
         };
+        if !matches!(step, Step::Backoff(_)) {
+            search.ticket = None;
+        }
         let loaded = match step {
             Step::Selected(selected) => return Ok(selected),
             Step::Retry => None,
@@ -186,14 +195,12 @@
                 }
             }
             Step::Backoff(backoff) => {
-                let wait = backoff.wait;
-                let useful = Waits::of(job, &search.reservation).longest;
-                match placement_of(cx, job, &excluded).filter(|p| p.ready_in < wait) {
+                match placement_of(cx, job, &excluded).filter(|p| p.ready_in < backoff.wait) {
                     Some(placement) => {
+                        search.ticket = None;
                         Some(load_at(cx, job, &placement, &excluded, outage_until, until).await)
                     }
-                    None if wait <= useful => {
-                        wait_for_backoff(cx, job, wait).await;
+                    None if wait_for_turn(cx, job, &mut search, backoff).await => {
                         Some(Loaded::Waited)
                     }
                     None => {
@@ -228,7 +235,7 @@
             Some(Loaded::TooLate(retry_after)) => {
                 if !outage::wait_for_return(cx, job, tried, outage_until).await {
                     count_unserved(cx, job);
-                    let backoff = backoff_wait(cx, job, tried);
+                    let backoff = first_turn(cx, job, tried, place(cx, job, &mut search));
                     if let Some(backoff) = backoff.filter(|b| b.wait < retry_after) {
                         return Err(refuse_for_backoff(cx, job, backoff));
                     }
@@ -246,7 +253,7 @@
         }
         rounds += 1;
     }
-    select_suspect(cx, job, tried, &search).await
+    select_suspect(cx, job, tried, &mut search).await
 }
 
 fn count_unserved(cx: &Context, job: &Job) {
@@ -282,6 +289,10 @@
     reservation: prefill::Options,
     /// Whether another replica was requested.
     replica_requested: bool,
+    /// Its place among the requests that wait for targets in backoff, once it was needed.
+    place: Option<Place>,
+    /// Set while it waits for a target in backoff, until it is sent or does something else.
+    ticket: Option<Ticket>,
 }
 
 impl Search {
@@ -296,6 +307,8 @@
                 first: true,
             },
             replica_requested: false,
+            place: None,
+            ticket: None,
         }
     }
 }
--- a/crates/stair-relay/src/select/candidates.rs
+++ b/crates/stair-relay/src/select/candidates.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use stair_fleet::{
+    backoff_queue::Place,
     choose::{
         self,
         BackoffWait, //
@@ -40,10 +41,26 @@
     cold_start::choose(&state.view, &job.load_of(engine, model, excluded), now)
 }
 
-/// The first target that may get the request after its backoff.
-pub(super) fn backoff_wait(cx: &Context, job: &Job, tried: &[TargetKey]) -> Option<BackoffWait> {
+/// The target at which the request has the first turn, of those that it could run at but for a backoff or the
+/// requests that go before it.
+pub(super) fn first_turn(
+    cx: &Context,
+    job: &Job,
+    tried: &[TargetKey],
+    place: Place,
+) -> Option<BackoffWait> {
     let opts = choose_options(cx, job, tried, false);
-    choose::backoff_wait(&cx.state().view, &opts, cx.now())
+    let now = cx.now();
+    let state = cx.state();
+    let withheld = state.withheld(place, now);
+    choose::backoff_waits(&state.view, &opts, &withheld, now)
+        .filter_map(|b| {
+            let objective = job.route.objective;
+            let target = state.backoff_target(b.key);
+            let wait = state.backoffs.queue.turn(target, place, objective, now)?;
+            Some(BackoffWait { wait, ..b })
+        })
+        .min_by_key(|b| b.wait)
 }
 
 pub(super) fn lacks_connection(cx: &Context, job: &Job, tried: &[TargetKey]) -> bool {
--- a/crates/stair-relay/src/select/prepare.rs
+++ b/crates/stair-relay/src/select/prepare.rs
@@ -26,10 +26,14 @@
     Search,
     Selected,
     Step,
-    backoff::refuse_for_backoff,
+    backoff::{
+        place,
+        refuse_for_backoff,
+        withheld, //
+    },
     candidates::{
-        backoff_wait,
-        find_ready, //
+        find_ready,
+        first_turn, //
     }, //
 };
 use crate::{
@@ -97,6 +101,10 @@
     at: choose::Outcome,
     search: &mut Search,
 ) -> Step {
+    // Another target is free before its turn has come.
+    if search.ticket.as_ref().is_some_and(|t| !t.is_for(at.key)) {
+        search.ticket = None;
+    }
     let permit = match request_permit(cx, job, at.key, search).await {
         Ok(permit) => permit,
         Err(step) => return step,
@@ -145,10 +153,11 @@
     cx: &Arc<Context>,
     job: &Job,
     tried: &[TargetKey],
-    search: &Search,
+    search: &mut Search,
 ) -> Result<Selected, NoTarget> {
-    let Some(at) = find_ready(cx, job, tried, true) else {
-        let backoff = backoff_wait(cx, job, tried);
+    let withheld = withheld(cx, job, search);
+    let Some(at) = find_ready(cx, job, &[tried, &withheld].concat(), true) else {
+        let backoff = first_turn(cx, job, tried, place(cx, job, search));
         return Err(backoff.map_or(NoTarget::after(Duration::ZERO), |b| {
             refuse_for_backoff(cx, job, b)
         }));
