Send elsewhere what certainly has not run, and promise nothing else

A connection that a target resets before the first byte was written counted as one on which the request was sent, since the HTTP library reports an error while it writes: a request that must not run twice got 502 although it had not run.

A target's own 408, 429 or 503 without the statement that the request has not run was passed on to clients of requests that must not run twice, which take these statuses for that promise. They get a 502 with the verdict that the request may have run.

--- a/crates/stair-relay/src/attempt.rs
+++ b/crates/stair-relay/src/attempt.rs
@@ -3,6 +3,8 @@
 //! Each attempt has a connection of its own. On a reused one, a lost response or the response to another
 //! request would leave open whether the request has run.
 
+mod counted;
+
 use std::{
     net::SocketAddr,
     time::Duration, //
@@ -42,6 +44,8 @@
     },
 };
 
+use counted::Counted;
+
 /// Limit for opening a connection. A lost packet is sent again only after a second; another target is faster.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -147,6 +151,7 @@
     };
     // Only a latency option: a small request may wait some milliseconds without it.
     let _ = stream.set_nodelay(true);
+    let (stream, written) = Counted::new(stream);
     let handshake = Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .handshake(TokioIo::new(stream))
@@ -173,10 +178,15 @@
                 outcome,
             }
         }
-        Ok(Err(mut e)) => match e.take_message() {
-            Some(_) => Outcome::NotSent(e.into_error().to_string().into()).into(),
-            None => Outcome::Lost(e.into_error().to_string().into()).into(),
-        },
+        Ok(Err(mut e)) => {
+            // A target that ends right after it has accepted a connection resets it before the first write.
+            let is_unsent = e.take_message().is_some() || !written.any();
+            let text = e.into_error().to_string().into();
+            match is_unsent {
+                true => Outcome::NotSent(text).into(),
+                false => Outcome::Lost(text).into(),
+            }
+        }
     }
 }
 
--- a/crates/stair-relay/src/refuse.rs
+++ b/crates/stair-relay/src/refuse.rs
@@ -123,6 +123,17 @@
     }
 }
 
+/// Whether a status promises the client of a request that must not run twice that it has not run and never will.
+pub fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// A response that the entry makes itself.
 #[derive(Debug, Clone, Copy)]
 pub struct Refusal {
--- a/crates/stair-relay/src/relay.rs
+++ b/crates/stair-relay/src/relay.rs
@@ -4,6 +4,8 @@
 //! that it has not run it. A response that promises that the request has not run is sent only when every
 //! target that received the request stated so. Each further target draws on the shared retry budget.
 
+mod pending_response;
+
 use std::{
     sync::Arc,
     time::Duration, //
@@ -51,6 +53,7 @@
     job::Job,
     limit, quarantine,
     refuse::{
+        self,
         Reason,
         Refusal, //
     },
@@ -58,6 +61,8 @@
     stream,
 };
 
+use pending_response::PendingResponse;
+
 /// Retry-After when all targets were full and stated no time.
 pub(crate) const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -102,38 +107,6 @@
     resp
 }
 
-/// Logs `client.left` when it is dropped before the response. The work on a request is dropped when its
-/// client disconnects, and this line is the only trace of that.
-struct PendingResponse {
-    cx: Arc<Context>,
-    id: Box<str>,
-    received: Instant,
-    responded: bool,
-}
-
-impl PendingResponse {
-    fn begin(cx: &Arc<Context>, id: &str, received: Instant) -> Self {
-        Self {
-            cx: cx.clone(),
-            id: id.into(),
-            received,
-            responded: false,
-        }
-    }
-}
-
-impl Drop for PendingResponse {
-    fn drop(&mut self) {
-        if !self.responded {
-            Line::failure("client.left")
-                .text("id", &self.id)
-                .ms("took_ms", self.received.elapsed())
-                .write();
-            self.cx.page.count("clients_left_total", &[], 1);
-        }
-    }
-}
-
 /// The attempts made so far for one request.
 pub struct Attempts {
     /// Targets that must not be tried again.
@@ -211,6 +184,12 @@
             }
         };
         let retry = match outcome {
+            // Passed on, the status would promise the client what the target has not stated.
+            attempt::Outcome::Head(live)
+                if job.route.runs_once() && refuse::promises_not_run(live.head.status) =>
+            {
+                return Err(Refusal::may_have_run(Reason::Lost));
+            }
             attempt::Outcome::Head(live) => match forward(cx, &job, selected, live, attempts).await
             {
                 Forwarded::Done(resp) => return Ok(resp),
