quota: an order among the requests of a workspace whose quota is short

While a quota was short, requests were admitted by the wait that their objectives allow: a workspace with six times its usual load had two thirds of its invoices refused and got long prompts of lower ranks instead.

The demand of a workspace is now counted apart from what is admitted. While it exceeds the quota, each rank and route has a share: ranks in order with a tenth of the rate kept for each, routes by max-min fairness. A refused client gets a reservation if it still waits at the next free time. Nothing uses the order yet.

--- a/crates/stair-fleet/src/quota.rs
+++ b/crates/stair-fleet/src/quota.rs
@@ -4,8 +4,21 @@
 //! few requests a second. Equal shares per entry would refuse requests within the quota, so one
 //! process counts a workspace for all entries.
 //!
-//! Invariant: within any time `t` a [`Bucket`] admits at most `per_s * t + burst` units and one
-//! request.
+//! Where a slack is set, an [`Order`] decides which requests are admitted while a quota is short. Without
+//! one, and for entries of earlier releases, requests are admitted as they arrive.
+//!
+//! Invariants:
+//!
+//! - Within any time `t` a [`Bucket`] admits at most `per_s * t + burst` units and one request.
+//! - An [`Order`] overdraws its bucket by at most [`order::OVERDRAFT`], and admits with a wait of at most
+//!   [`order::MAX_FRESH_WAIT`].
+//! - A process that begins to count admits at most half of the slack beyond the rate.
+
+pub mod bucket;
+mod class;
+pub mod ledger;
+pub mod order;
+mod reservation;
 
 use std::time::Duration;
 
@@ -14,10 +27,88 @@
     Serialize, //
 };
 
+use stair_types::Fingerprint;
+
 use crate::workspace::Quota;
 
-/// The longest time over which the return times of refused clients are spread.
-const RETURN_SPREAD_WINDOW: Duration = Duration::from_secs(2);
+pub use bucket::Bucket;
+pub use ledger::{
+    Account,
+    Crossing,
+    Ledger, //
+};
+pub use order::Order;
+
+/// Requests a charge to a workspace's quota.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct OrderedRequest {
+    /// The charge.
+    pub request: Request,
+    /// The rank of the request, 0 for the most urgent.
+    pub rank: u8,
+    /// Its route.
+    pub route: Box<str>,
+    /// Identifies its content, which is the same in a repetition. Missing where none can be refused.
+    pub fingerprint: Option<Fingerprint>,
+    /// The time within which its client is promised a response.
+    pub objective: Duration,
+    /// The time that its client still waits.
+    pub time_left: Duration,
+}
+
+/// The reply to an [`OrderedRequest`].
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct OrderedReply {
+    /// Whether the request may be sent, and when.
+    pub reply: Reply,
+    /// Whether the quota is short, so that the order decides.
+    pub short: bool,
+    /// Why the request is refused.
+    pub refused: Option<Refused>,
+}
+
+/// Why a request is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Refused {
+    /// The rule that refused the request.
+    pub rule: Rule,
+    /// The units that were lacking to admit it.
+    pub short_by: f64,
+    /// Whether its client has a reservation at the time that it is told.
+    pub reserved: bool,
+    /// Whether its client had been refused before and had a reservation.
+    pub again: bool,
+}
+
+/// The rules that refuse requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Rule {
+    /// Higher ranks need the quota, and the part kept for the rank of the request is used up.
+    Rank,
+    /// The route has used up its share of what its rank has.
+    Route,
+    /// The quota is spent, whatever the order.
+    Bound,
+    /// The client returned before the time of its reservation.
+    Early,
+}
+
+impl Rule {
+    /// The text in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Rank => "rank",
+            Self::Route => "route",
+            Self::Bound => "bound",
+            Self::Early => "early",
+        }
+    }
+}
+
+/// The credit of a process that begins to count a quota: two such processes are within the slack.
+pub fn starting_credit(quota: Quota, slack: f64) -> f64 {
+    quota.burst.min(slack / 2.0)
+}
 
 /// Requests a charge to a workspace's quota.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -50,211 +141,6 @@
     pub wait: Duration,
 }
 
-/// The token bucket of one quota.
-#[derive(Debug, Clone, PartialEq, Serialize)]
-pub struct Bucket {
-    #[serde(rename = "allowance")]
-    quota: Quota,
-    /// Units that may be spent at once; below 0 after a request that cost more than there was.
-    level: f64,
-    at: Duration,
-    /// When the next refused client may return.
-    #[serde(rename = "returns_at")]
-    next_return_at: Duration,
-}
-
-impl Bucket {
-    /// Creates an empty bucket: requests admitted before its creation are not known.
-    pub fn new(quota: Quota, now: Duration) -> Self {
-        Self {
-            quota,
-            level: 0.0,
-            at: now,
-            next_return_at: now,
-        }
-    }
-
-    /// Changes the quota.
-    pub fn set(&mut self, quota: Quota, now: Duration) {
-        if quota == self.quota {
-            return;
-        }
-        self.refill(now);
-        if std::mem::discriminant(&quota.unit) != std::mem::discriminant(&self.quota.unit) {
-            self.level = 0.0;
-        }
-        self.quota = quota;
-        self.level = self.level.min(quota.burst);
-    }
-
-    /// Drops the units that have accumulated; a debt stays.
-    pub fn discard_credit(&mut self, now: Duration) {
-        self.refill(now);
-        self.level = self.level.min(0.0);
-    }
-
-    /// Admits a request, now or after a wait of at most `max_wait`, or returns when its client may
-    /// return.
-    pub fn spend(&mut self, cost: f64, max_wait: Duration, now: Duration) -> Reply {
-        self.refill(now);
-        let wait = self.time_to_zero();
-        if wait <= max_wait {
-            self.level -= cost;
-            return Reply {
-                granted: true,
-                wait,
-            };
-        }
-        let earliest = now + wait;
-        let back = self
-            .next_return_at
-            .clamp(earliest, earliest + RETURN_SPREAD_WINDOW);
-        self.next_return_at = back + self.refill_time(cost);
-        Reply {
-            granted: false,
-            wait: back - now,
-        }
-    }
-
-    /// Charges a request that has been admitted already.
-    pub fn charge(&mut self, cost: f64, now: Duration) -> Reply {
-        self.refill(now);
-        self.level -= cost;
-        Reply {
-            granted: true,
-            wait: self.time_to_zero(),
-        }
-    }
-
-    /// Refunds the cost of a request that was not run.
-    pub fn refund(&mut self, cost: f64, now: Duration) {
-        self.refill(now);
-        self.level = (self.level + cost).min(self.quota.burst);
-    }
-
-    /// Units that may be spent at once.
-    pub fn level(&self) -> f64 {
-        self.level
-    }
-
-    fn refill(&mut self, now: Duration) {
-        let admitted = now.saturating_sub(self.at);
-        self.at = self.at.max(now);
-        let more = self.quota.per_s * admitted.as_secs_f64();
-        self.level = (self.level + more).min(self.quota.burst);
-    }
-
-    /// Time until a debt is paid.
-    fn time_to_zero(&self) -> Duration {
-        self.refill_time(-self.level)
-    }
-
-    /// Time in which this number of units accumulates.
-    fn refill_time(&self, units: f64) -> Duration {
-        /// Longer than any client waits.
-        const MAX_REFILL_TIME: Duration = Duration::from_secs(3600);
-        let time = Duration::try_from_secs_f64(units.max(0.0) / self.quota.per_s);
-        time.unwrap_or(MAX_REFILL_TIME).min(MAX_REFILL_TIME)
-    }
-}
-
-/// A workspace exceeds its quota, or has recovered.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Crossing {
-    /// A request was refused.
-    Over,
-    /// Half of the burst has accumulated again.
-    Under,
-}
-
-/// The buckets of the workspaces that one process counts.
-#[derive(Debug, Clone, Default, Serialize)]
-pub struct Ledger {
-    /// Sorted by workspace.
-    accounts: Vec<Account>,
-}
-
-/// The account of one workspace.
-#[derive(Debug, Clone, Serialize)]
-pub struct Account {
-    /// The workspace.
-    pub workspace: Box<str>,
-    /// The version of the catalogue that the quota is from.
-    pub version: u64,
-    /// The remaining units.
-    pub bucket: Bucket,
-    /// Whether a request was refused and the bucket has not recovered since.
-    pub over: bool,
-}
-
-impl Ledger {
-    /// Handles a request of an entry. Also returns whether the workspace has exceeded its quota or
-    /// recovered with it.
-    pub fn handle(&mut self, req: &Request, now: Duration) -> (Reply, Option<Crossing>) {
-        let account = self.account(req, now);
-        if req.version >= account.version {
-            account.version = req.version;
-            account.bucket.set(req.quota, now);
-        }
-        if req.stand_in {
-            account.bucket.discard_credit(now);
-        }
-        let reply = match req.admitted {
-            true => account.bucket.charge(req.cost, now),
-            false => account.bucket.spend(req.cost, req.max_wait, now),
-        };
-        (reply, account.crossing(reply.granted))
-    }
-
-    /// Refunds the cost of a request that was not run.
-    pub fn refund(&mut self, workspace: &str, cost: f64, now: Duration) {
-        if let Ok(i) = self.find(workspace) {
-            self.accounts[i].bucket.refund(cost, now);
-        }
-    }
-
-    /// The accounts, sorted by workspace.
-    pub fn accounts(&self) -> &[Account] {
-        &self.accounts
-    }
-
-    fn find(&self, workspace: &str) -> Result<usize, usize> {
-        self.accounts
-            .binary_search_by(|a| (*a.workspace).cmp(workspace))
-    }
-
-    fn account(&mut self, req: &Request, now: Duration) -> &mut Account {
-        let i = self.find(&req.workspace).unwrap_or_else(|i| {
-            let account = Account {
-                workspace: req.workspace.clone(),
-                version: req.version,
-                bucket: Bucket::new(req.quota, now),
-                over: false,
-            };
-            self.accounts.insert(i, account);
-            i
-        });
-        &mut self.accounts[i]
-    }
-}
-
-impl Account {
-    fn crossing(&mut self, granted: bool) -> Option<Crossing> {
-        let full = self.bucket.level >= self.bucket.quota.burst / 2.0;
-        match (granted, self.over) {
-            (false, false) => {
-                self.over = true;
-                Some(Crossing::Over)
-            }
-            (true, true) if full => {
-                self.over = false;
-                Some(Crossing::Under)
-            }
-            _ => None,
-        }
-    }
-}
-
 /// One entry's share of a quota, for the time in which no process that counts it replies.
 pub fn share(quota: Quota, entries: u32) -> Quota {
     let share = |amount: f64| amount / f64::from(entries.max(1));
--- a/crates/stair-fleet/src/workspace.rs
+++ b/crates/stair-fleet/src/workspace.rs
@@ -31,6 +31,18 @@
     pub unit: Unit,
 }
 
+/// The longest time for which one request may use up a quota. Clients state the tokens of their requests, and
+/// an absurd number must not block a workspace for longer.
+const MAX_COST_TIME_S: f64 = 30.0;
+
+impl Quota {
+    /// Returns the cost that is charged for a request with this cost.
+    pub fn bounded(&self, cost: f64) -> f64 {
+        let most = (self.per_s * MAX_COST_TIME_S + self.burst).max(1.0);
+        if cost > 0.0 { cost.min(most) } else { 0.0 }
+    }
+}
+
 /// The unit of a quota.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub enum Unit {
