quota: agents with a slack decide by the order of a workspace

Entries send such agents the new message with rank, route, content and the time that the client has left; all others get the message of earlier releases and reply as before. Small requests wait for the reply while a quota is short or an agent does not reply, so that they do not bypass the order.

--- a/crates/stair-config/src/fields.rs
+++ b/crates/stair-config/src/fields.rs
@@ -305,6 +305,21 @@
         number
     }
 
+    /// Returns a number within `range`, or `default` if the field is missing or empty. Templates of settings leave
+    /// a field empty whose value a deployment lacks.
+    pub(crate) fn number_or_empty(
+        &self,
+        problems: &mut Problems,
+        name: &str,
+        range: RangeInclusive<f64>,
+        default: f64,
+    ) -> Option<f64> {
+        match self.node(name).map(|n| &n.value) {
+            Some(Value::Null) => Some(default),
+            _ => self.number(problems, name, range, default),
+        }
+    }
+
     /// Returns a boolean, or `default` if the field is missing.
     pub(crate) fn boolean(
         &self,
--- a/crates/stair-config/src/fleet_settings.rs
+++ b/crates/stair-config/src/fleet_settings.rs
@@ -17,7 +17,7 @@
     yaml::Document, //
 };
 
-const GATEWAY_FIELDS: [&str; 11] = [
+const GATEWAY_FIELDS: [&str; 12] = [
     "name",
     "data_centre",
     "listen",
@@ -29,9 +29,10 @@
     "stop_within_ms",
     "drain_within_ms",
     "retries",
+    "quota_slack",
 ];
 const RETRY_FIELDS: [&str; 4] = ["ratio", "extra", "window_ms", "entries"];
-const SIDECAR_FIELDS: [&str; 8] = [
+const SIDECAR_FIELDS: [&str; 9] = [
     "name",
     "data_centre",
     "engine",
@@ -40,10 +41,12 @@
     "store",
     "stop_within_ms",
     "fetch_window_ms",
+    "quota_slack",
 ];
 
 const MAX_MS: u32 = 3_600_000;
 const MAX_RETRIES: f64 = 1e6;
+const MAX_SLACK: f64 = 1e12;
 
 /// Default of `retries.entries`: twice the usual five of a deployment, because an entry that was
 /// replaced has spent its share of `extra` too.
@@ -78,6 +81,8 @@
     pub drain_within_ms: u32,
     /// The limit on retries, for all entries together.
     pub retries: RetrySettings,
+    /// Units that all processes together may admit beyond the quota of a workspace; 0 for none.
+    pub quota_slack: f64,
 }
 
 /// The limit on retries of one service, for all entries together.
@@ -112,6 +117,9 @@
     pub stop_within_ms: u32,
     /// Minimum time between the starts of two loads from the weight store, in milliseconds.
     pub fetch_window_ms: u32,
+    /// Units that all processes together may admit beyond the quota of a workspace; 0 for none. Without any, the
+    /// agent has no order among the requests of a workspace whose quota is short.
+    pub quota_slack: f64,
 }
 
 /// Reads and checks the settings of `dandelionstair relay`.
@@ -165,6 +173,7 @@
     let stop_within_ms = fields.integer(problems, "stop_within_ms", 1..=MAX_MS, None);
     let drain_within_ms = fields.integer(problems, "drain_within_ms", 0..=MAX_MS, None);
     let retries = retries(problems, &fields);
+    let quota_slack = fields.number_or_empty(problems, "quota_slack", 0.0..=MAX_SLACK, 0.0);
     Some(GatewaySettings {
         name: name?,
         data_centre: data_centre?,
@@ -177,6 +186,7 @@
         stop_within_ms: stop_within_ms?,
         drain_within_ms: drain_within_ms?,
         retries: retries?,
+        quota_slack: quota_slack?,
     })
 }
 
@@ -209,6 +219,7 @@
         0..=MAX_MS,
         Some(DEFAULT_FETCH_WINDOW_MS),
     );
+    let quota_slack = fields.number_or_empty(problems, "quota_slack", 0.0..=MAX_SLACK, 0.0);
     Some(SidecarSettings {
         name: name?,
         data_centre: data_centre?,
@@ -218,5 +229,6 @@
         store: store?,
         stop_within_ms: stop_within_ms?,
         fetch_window_ms: fetch_window_ms?,
+        quota_slack: quota_slack?,
     })
 }
--- a/crates/stair-fleet/src/msg.rs
+++ b/crates/stair-fleet/src/msg.rs
@@ -102,6 +102,14 @@
     Availability(Vec<Shared>),
     /// About the origins of streams; only to agents that keep them, see [`Features`].
     Origin(ToKeeper),
+    /// Requests a charge to a workspace's quota by the order of its requests; only to agents that have one, see
+    /// [`Features`].
+    OrderedQuota {
+        /// Identifies the request on this connection.
+        seq: u64,
+        /// The request.
+        request: Box<quota::OrderedRequest>,
+    },
 }
 
 /// What an agent can do beyond what agents of earlier releases can. The extension of its first message.
@@ -111,6 +119,8 @@
     pub origins: bool,
     /// Whether its ledger knows the parts of prompts as causes of crashes.
     pub causes: bool,
+    /// Whether it has an order among the requests of a workspace whose quota is short. It depends on its settings.
+    pub quota_order: bool,
 }
 
 impl Features {
@@ -118,6 +128,7 @@
     pub const CURRENT: Self = Self {
         origins: true,
         causes: true,
+        quota_order: true,
     };
 }
 
@@ -222,6 +233,13 @@
     Availability(Vec<Shared>),
     /// About the origins of streams.
     Origin(FromKeeper),
+    /// The reply to [`ToAgent::OrderedQuota`].
+    OrderedQuotaReply {
+        /// The `seq` of the request.
+        seq: u64,
+        /// The result.
+        reply: quota::OrderedReply,
+    },
 }
 
 /// What one entry, the receiver, needs to know of the other entries. Their whole list would be too
--- a/crates/stair-fleet/src/quota/ledger.rs
+++ b/crates/stair-fleet/src/quota/ledger.rs
@@ -61,6 +61,22 @@
         }
     }
 
+    /// Units that all processes together may admit beyond the quotas.
+    pub fn slack(&self) -> f64 {
+        self.slack
+    }
+
+    /// Changes the slack, for accounts that begin later.
+    pub fn set_slack(&mut self, slack: f64) {
+        self.slack = slack;
+    }
+
+    /// Brings the estimates of demand that are shown up to date.
+    pub fn estimate(&mut self, now: Duration) {
+        let orders = self.accounts.iter_mut().filter_map(|a| a.order.as_mut());
+        orders.for_each(|order| order.estimate(now));
+    }
+
     /// Handles a request of an entry. Also returns whether the workspace has exceeded its quota or
     /// recovered with it.
     pub fn handle(&mut self, req: &Request, now: Duration) -> (Reply, Option<Crossing>) {
--- a/crates/stair-fleet/src/quota/order.rs
+++ b/crates/stair-fleet/src/quota/order.rs
@@ -111,6 +111,10 @@
         &self.classes
     }
 
+    pub(super) fn estimate(&mut self, now: Duration) {
+        self.classes.iter_mut().for_each(|c| c.estimate(now));
+    }
+
     /// The number of clients that have a reservation.
     pub fn reserved(&self) -> usize {
         self.reservations.len()
--- a/crates/stair-fleet/tests/quota_order.rs
+++ b/crates/stair-fleet/tests/quota_order.rs
@@ -376,14 +376,14 @@
 fn returns_are_in_order() {
     let load = arrivals(EXCESS, ms(20_000), 3);
     let out = play(&mut Ledger::new(SLACK), load, ms(0));
-    for i in 0..ROUTES.len() {
+    for (i, r) in ROUTES.iter().enumerate() {
         let reserved = out.iter().filter(|o| {
             o.arrival.route == i && o.reply.refused.is_some_and(|r| r.reserved && !r.again)
         });
         let back: Vec<Duration> = reserved
             .map(|o| o.arrival.at + o.reply.reply.wait)
             .collect();
-        assert!(back.is_sorted(), "{}: {back:?}", ROUTES[i].name);
+        assert!(back.is_sorted(), "{}: {back:?}", r.name);
     }
     for o in &out {
         let (Some(refused), a) = (o.reply.refused, o.arrival) else {
@@ -552,7 +552,7 @@
         ledger.handle_ordered(&ordered(&arrival, QUOTA), ms(2_000));
         let level = ledger.accounts()[0].bucket.level();
         assert!(
-            level <= QUOTA.burst && level >= -QUOTA.per_s * 40.0,
+            (-QUOTA.per_s * 40.0..=QUOTA.burst).contains(&level),
             "{cost}: {level}"
         );
         let later = Arrival {
--- a/crates/stair-relay/src/admit.rs
+++ b/crates/stair-relay/src/admit.rs
@@ -169,16 +169,7 @@
     let Some(workspace) = &job.workspace else {
         return Ok(None);
     };
-    let opts = quota::Options {
-        id: &job.meta.id,
-        version: job.catalogue.version,
-        tokens: job
-            .meta
-            .prompt_tokens
-            .saturating_add(job.meta.response_tokens),
-        objective: job.route.objective,
-    };
-    quota::charge(cx, workspace, &opts).await
+    quota::charge(cx, workspace, job).await
 }
 
 fn log_request(job: &Job, wait: Duration) {
--- a/crates/stair-relay/src/context.rs
+++ b/crates/stair-relay/src/context.rs
@@ -116,6 +116,7 @@
     store: Store,
     address: SocketAddr,
     retries: RetrySettings,
+    quota_slack: f64,
 }
 
 /// The replicated state of an entry and its work in progress.
@@ -180,6 +181,7 @@
             store: Store::new(settings.store, eras.clone()),
             address: settings.store,
             retries: settings.retries,
+            quota_slack: settings.quota_slack,
         };
         Self {
             reloadable: Mutex::new(reloadable),
@@ -202,6 +204,7 @@
     pub fn reload(&self, new: &GatewaySettings) {
         let mut reloadable = self.reloadable();
         reloadable.retries = new.retries;
+        reloadable.quota_slack = new.quota_slack;
         if reloadable.address != new.store {
             reloadable.store = Store::new(new.store, self.eras.clone());
             reloadable.address = new.store;
@@ -213,6 +216,11 @@
         self.reloadable().store.clone()
     }
 
+    /// Units that all processes together may admit beyond the quota of a workspace.
+    pub fn quota_slack(&self) -> f64 {
+        self.reloadable().quota_slack
+    }
+
     fn reloadable(&self) -> MutexGuard<'_, ReloadableSettings> {
         self.reloadable
             .lock()
--- a/crates/stair-relay/src/links.rs
+++ b/crates/stair-relay/src/links.rs
@@ -294,7 +294,12 @@
                 // The request that waited may have been dropped.
                 waiter.map(|tx| tx.send(reply));
             }
-            ToEntry::QuotaReply { seq, reply } => quota::receive_reply(cx, engine, seq, reply),
+            ToEntry::QuotaReply { seq, reply } => {
+                quota::receive_reply(cx, engine, seq, quota::unordered(reply));
+            }
+            ToEntry::OrderedQuotaReply { seq, reply } => {
+                quota::receive_reply(cx, engine, seq, reply);
+            }
             ToEntry::StaleIncarnation(id) => receive_stale_incarnation(cx, engine, id),
             ToEntry::DeclarationRequest => declare(cx, engine),
             ToEntry::Quarantine(msg) => quarantine::receive(cx, engine, msg),
--- a/crates/stair-relay/src/quota.rs
+++ b/crates/stair-relay/src/quota.rs
@@ -1,7 +1,8 @@
 //! Charges the quota of a workspace for its requests.
 //!
 //! One agent, the [`owner`](crate::owner), counts a workspace for all entries. While no agent replies, an
-//! entry grants requests from its own share of the quota.
+//! entry grants requests from its own share of the quota. Agents with a slack have an order among the requests of
+//! a workspace whose quota is short; other agents get the requests of earlier releases.
 //!
 //! Invariant: a request is charged once, however many targets it is sent to, and not at all if it has not
 //! run.
@@ -21,20 +22,21 @@
 use stair_fleet::{
     msg::ToAgent,
     quota::{
-        Bucket,
+        Ledger,
+        OrderedReply,
+        OrderedRequest,
+        Refused,
         Reply,
         Request,
         share, //
     },
-    workspace::{
-        Quota,
-        Workspace, //
-    },
+    workspace::Workspace, //
 };
 use stair_telemetry::event::Line;
 use tokio::{
     sync::oneshot,
     time::{
+        Instant,
         sleep,
         timeout, //
     },
@@ -45,6 +47,7 @@
         Context,
         State, //
     },
+    job::Job,
     refuse::{
         Reason,
         Refusal, //
@@ -66,24 +69,29 @@
 /// A request whose cost is at most this fraction of its workspace's burst does not wait for the reply.
 const SMALL_FRACTION: f64 = 1.0 / 50.0;
 
+/// Time for which a quota counts as short after an agent has replied that it is. Until then, small requests wait
+/// for the reply too, or they would bypass the order.
+const SHORT_TTL: Duration = Duration::from_millis(1000);
+
 /// The state that an entry keeps about the quotas of workspaces.
 #[derive(Default)]
 pub struct Quotas {
     /// The time until which each workspace is overdrawn, sorted by workspace.
     overdrawn: Vec<(Box<str>, Duration)>,
-    /// This entry's own shares, sorted by workspace.
-    shares: Vec<(Box<str>, Bucket)>,
+    /// This entry's own shares.
+    shares: Ledger,
     /// Requests that wait for a reply.
     pending: Vec<PendingRequest>,
 }
 
 struct PendingRequest {
     seq: u64,
+    sent_at: Duration,
     engine: SocketAddr,
     workspace: Box<str>,
     cost: f64,
     /// `None` for a request that did not wait.
-    tx: Option<oneshot::Sender<Reply>>,
+    tx: Option<oneshot::Sender<OrderedReply>>,
 }
 
 /// Where a request was charged.
@@ -121,26 +129,12 @@
             CountedBy::Agent(engine) => state.refund(engine, &self.workspace, self.cost),
             CountedBy::Entry => {
                 let shares = &mut state.quotas.shares;
-                if let Ok(i) = position(shares, &self.workspace) {
-                    shares[i].1.refund(self.cost, now);
-                }
+                shares.refund(&self.workspace, self.cost, now);
             }
         }
     }
 }
 
-/// The request that is charged.
-pub(crate) struct Options<'a> {
-    /// The id of the request, for logs.
-    pub(crate) id: &'a str,
-    /// The version of the catalogue that declares the quota.
-    pub(crate) version: u64,
-    /// The tokens of its prompt and the upper bound of those of its response.
-    pub(crate) tokens: u64,
-    /// The time within which its client is promised a response.
-    pub(crate) objective: Duration,
-}
-
 /// Charges a workspace for a request, and waits until the quota allows the request. Returns `None` where the
 /// workspace has no quota.
 ///
@@ -150,38 +144,67 @@
 pub(crate) async fn charge(
     cx: &Arc<Context>,
     workspace: &Workspace,
-    opts: &Options<'_>,
+    job: &Job,
 ) -> Result<Option<Grant>, Refusal> {
     let Some(quota) = workspace.quota else {
         return Ok(None);
     };
-    let cost = quota.unit.cost(opts.tokens);
-    let mut request = Request {
-        workspace: workspace.name.clone(),
-        version: opts.version,
-        quota,
-        cost,
-        max_wait: opts.objective / WAIT_DIVISOR,
-        admitted: false,
-        stand_in: false,
-    };
+    let (meta, route) = (&job.meta, &job.route);
+    let tokens = meta.prompt_tokens.saturating_add(meta.response_tokens);
+    let cost = quota.bounded(quota.unit.cost(tokens));
     let small = cost <= quota.burst * SMALL_FRACTION;
-    request.admitted = small && !cx.state().quotas.is_overdrawn(&request.workspace, cx.now());
+    let admitted = small && cx.state().may_admit(&workspace.name, cx.now());
+    let mut request = OrderedRequest {
+        request: Request {
+            workspace: workspace.name.clone(),
+            version: job.catalogue.version,
+            quota,
+            cost,
+            max_wait: route.objective / WAIT_DIVISOR,
+            admitted,
+            stand_in: false,
+        },
+        rank: job.rank(),
+        route: route.name.clone(),
+        fingerprint: (!admitted).then(|| job.fingerprint()),
+        objective: route.objective,
+        time_left: job.deadline.saturating_duration_since(Instant::now()),
+    };
     let (reply, by) = match request_from_agents(cx, &mut request).await {
         Some(both) => both,
-        None => (charge_share(cx, &request), CountedBy::Entry),
+        None => (charge_share(cx, &mut request), CountedBy::Entry),
     };
-    count_outcome(cx, &reply, by);
-    if !reply.granted {
+    let OrderedRequest { request, .. } = request;
+    let Reply { granted, wait } = reply.reply;
+    count_outcome(cx, &reply.reply, by);
+    if !granted {
+        let rule = match (reply.refused, by) {
+            (Some(refused), _) => refused.rule.as_str(),
+            (None, CountedBy::Agent(_)) => "bucket",
+            (None, CountedBy::Entry) => "share",
+        };
+        let lacking = wait.as_secs_f64() * quota.per_s;
+        let is = |of: fn(&Refused) -> bool| reply.refused.as_ref().is_some_and(of);
         Line::failure("allowance.refused")
-            .text("id", opts.id)
+            .text("id", &meta.id)
             .text("workspace", &request.workspace)
             .num("cost", cost as i64)
             .show("by", format_args!("{by:?}"))
-            .ms("come_back_ms", reply.wait)
+            .ms("come_back_ms", wait)
+            .num("rank", job.rank())
+            .text("route", &route.name)
+            .text("rule", rule)
+            .num(
+                "short_by",
+                reply.refused.map_or(lacking, |r| r.short_by) as i64,
+            )
+            .flag("reserved", is(|r| r.reserved))
+            .flag("again", is(|r| r.again))
             .write();
-        let retry_after = Some(reply.wait);
-        return Err(Refusal::not_run(Reason::OverQuota, retry_after));
+        let rank = job.rank().to_string();
+        let labels = [("rank", &*rank), ("rule", rule)];
+        cx.page.count("quota_refusals_total", &labels, 1);
+        return Err(Refusal::not_run(Reason::OverQuota, Some(wait)));
     }
     let grant = Grant {
         cx: cx.clone(),
@@ -191,8 +214,8 @@
         may_have_run: AtomicBool::new(false),
     };
     // An admitted request does not wait, even if its workspace is overdrawn.
-    if !request.admitted && !reply.wait.is_zero() {
-        sleep(reply.wait).await;
+    if !request.admitted && !wait.is_zero() {
+        sleep(wait).await;
     }
     Ok(Some(grant))
 }
@@ -207,26 +230,35 @@
     cx.page.count("allowances_total", &labels, 1);
 }
 
+/// The reply of a process without an order.
+pub(crate) fn unordered(reply: Reply) -> OrderedReply {
+    OrderedReply {
+        reply,
+        short: false,
+        refused: None,
+    }
+}
+
 async fn request_from_agents(
     cx: &Arc<Context>,
-    request: &mut Request,
-) -> Option<(Reply, CountedBy)> {
+    request: &mut OrderedRequest,
+) -> Option<(OrderedReply, CountedBy)> {
     for _ in 0..MAX_AGENTS {
         let now = cx.now();
         let (engine, rx) = cx.state().request_quota(request, now)?;
         let by = CountedBy::Agent(engine);
         let Some(rx) = rx else {
-            let reply = Reply {
+            let reply = unordered(Reply {
                 granted: true,
                 wait: Duration::ZERO,
-            };
+            });
             return Some((reply, by));
         };
         if let Ok(Ok(reply)) = timeout(REPLY_TIMEOUT, rx).await {
             return Some((reply, by));
         }
         Line::failure("allowance.unanswered")
-            .text("workspace", &request.workspace)
+            .text("workspace", &request.request.workspace)
             .show("engine", engine)
             .write();
         cx.state().skip_agent(engine, cx.now() + SKIP_DURATION);
@@ -235,23 +267,27 @@
 }
 
 /// Charges this entry's own share.
-fn charge_share(cx: &Context, request: &Request) -> Reply {
+fn charge_share(cx: &Context, request: &mut OrderedRequest) -> OrderedReply {
     let now = cx.now();
     let entries = cx.entries();
-    let own_share: Quota = share(request.quota, entries);
+    let slack = cx.quota_slack() / f64::from(entries.max(1));
+    let mut own = request.clone();
+    own.request.quota = share(request.request.quota, entries);
+    own.request.admitted = false;
+    // The share was not used before the agents were lost, and its credit must not add to theirs.
+    own.request.stand_in = slack > 0.0;
     let mut state = cx.state();
     let shares = &mut state.quotas.shares;
-    let i = position(shares, &request.workspace).unwrap_or_else(|i| {
-        shares.insert(i, (request.workspace.clone(), Bucket::new(own_share, now)));
-        i
-    });
-    let bucket = &mut shares[i].1;
-    bucket.set(own_share, now);
-    bucket.spend(request.cost, request.max_wait, now)
+    shares.set_slack(slack);
+    if slack > 0.0 {
+        request.request.admitted = false;
+        return shares.handle_ordered(&own, now).0;
+    }
+    unordered(shares.handle(&own.request, now).0)
 }
 
 /// Handles an agent's reply.
-pub(crate) fn receive_reply(cx: &Context, engine: SocketAddr, seq: u64, reply: Reply) {
+pub(crate) fn receive_reply(cx: &Context, engine: SocketAddr, seq: u64, reply: OrderedReply) {
     let now = cx.now();
     let mut state = cx.state();
     let pending = &mut state.quotas.pending;
@@ -262,9 +298,15 @@
         return;
     };
     let one = pending.swap_remove(i);
-    state.quotas.record_wait(&one.workspace, now + reply.wait);
+    let until = now
+        + if reply.short {
+            SHORT_TTL
+        } else {
+            reply.reply.wait
+        };
+    state.quotas.record_wait(&one.workspace, until);
     let unused = one.tx.is_some_and(|tx| tx.send(reply).is_err());
-    if unused && reply.granted {
+    if unused && reply.reply.granted {
         state.refund(engine, &one.workspace, one.cost);
     }
 }
@@ -285,6 +327,13 @@
         position(&self.overdrawn, workspace).is_ok_and(|i| now < self.overdrawn[i].1)
     }
 
+    /// Whether an agent has not replied in time to a request of this workspace.
+    fn is_unanswered(&self, workspace: &str, engine: SocketAddr, now: Duration) -> bool {
+        let old = |o: &&PendingRequest| o.sent_at + REPLY_TIMEOUT < now;
+        let mut old = self.pending.iter().filter(old);
+        old.any(|o| o.engine == engine && *o.workspace == *workspace)
+    }
+
     fn record_wait(&mut self, workspace: &str, until: Duration) {
         match position(&self.overdrawn, workspace) {
             Ok(i) => self.overdrawn[i].1 = until,
@@ -294,20 +343,41 @@
 }
 
 impl State {
+    /// Whether a small request of a workspace may be sent before the reply to its charge.
+    fn may_admit(&mut self, workspace: &str, now: Duration) -> bool {
+        if self.quotas.is_overdrawn(workspace, now) {
+            return false;
+        }
+        let owner = self.owner(workspace, now).map(|o| o.engine);
+        let Some((engine, i)) = owner.and_then(|e| Some((e, self.agent(e)?))) else {
+            return true;
+        };
+        let is_ordered = self.agents[i].features.quota_order;
+        !is_ordered || !self.quotas.is_unanswered(workspace, engine, now)
+    }
+
     /// Sends a request to the owner of a workspace. The receiver is missing for a request that does not wait.
     fn request_quota(
         &mut self,
-        request: &mut Request,
+        ordered: &mut OrderedRequest,
         now: Duration,
-    ) -> Option<(SocketAddr, Option<oneshot::Receiver<Reply>>)> {
+    ) -> Option<(SocketAddr, Option<oneshot::Receiver<OrderedReply>>)> {
+        let request = &mut ordered.request;
         let owner = self.owner(&request.workspace, now)?;
         request.stand_in = owner.stand_in;
         let seq = self.next_seq();
         let i = self.agent(owner.engine)?;
-        let msg = ToAgent::QuotaRequest {
-            seq,
-            request: request.clone(),
+        let msg = match self.agents[i].features.quota_order {
+            true => ToAgent::OrderedQuota {
+                seq,
+                request: Box::new(ordered.clone()),
+            },
+            false => ToAgent::QuotaRequest {
+                seq,
+                request: request.clone(),
+            },
         };
+        let request = &ordered.request;
         self.agents[i].tx.try_send(msg).ok()?;
         let (tx, rx) = match request.admitted {
             true => (None, None),
@@ -318,6 +388,7 @@
         };
         self.quotas.pending.push(PendingRequest {
             seq,
+            sent_at: now,
             engine: owner.engine,
             workspace: request.workspace.clone(),
             cost: request.cost,
--- a/crates/stair-sidecar/src/links.rs
+++ b/crates/stair-sidecar/src/links.rs
@@ -107,7 +107,7 @@
     ledgers.availability.opened(key, tx.clone());
     tokio::select! {
         () = read(r, key, &events, &ledgers, &tx) => {}
-        () = write(w, rx) => {}
+        () = write(w, rx, ledgers.quotas.features()) => {}
     }
     ledgers.quarantine.closed(key);
     ledgers.limits.closed(key);
@@ -132,6 +132,11 @@
                 let _ = tx.try_send(ToEntry::QuotaReply { seq, reply });
                 continue;
             }
+            ToAgent::OrderedQuota { seq, request } => {
+                let reply = ledgers.quotas.request_ordered(&request);
+                let _ = tx.try_send(ToEntry::OrderedQuotaReply { seq, reply });
+                continue;
+            }
             ToAgent::QuotaRefund { workspace, cost } => {
                 ledgers.quotas.refund(&workspace, cost);
                 continue;
@@ -160,12 +165,12 @@
     }
 }
 
-async fn write(mut w: OwnedWriteHalf, mut rx: mpsc::Receiver<ToEntry>) {
+async fn write(mut w: OwnedWriteHalf, mut rx: mpsc::Receiver<ToEntry>, features: Features) {
     let mut is_first = true;
     while let Some(msg) = rx.recv().await {
         let written = async {
             match std::mem::take(&mut is_first) {
-                true => frame::write_extended(&mut w, &msg, &Features::CURRENT).await,
+                true => frame::write_extended(&mut w, &msg, &features).await,
                 false => frame::write_message(&mut w, &msg).await,
             }
         };
--- a/crates/stair-sidecar/src/process.rs
+++ b/crates/stair-sidecar/src/process.rs
@@ -153,19 +153,23 @@
         let page = Arc::new(Page::default());
         let (_end, never) = watch::channel(false);
         let (tx, rx) = mpsc::channel(QUEUE_CAPACITY);
-        let (counted, events) = (page.clone(), tx.clone());
-        let opts = observe::Options {
-            page: move || counted.text(),
-            dump: move || request_dump(events.clone()),
-        };
-        tasks.spawn(observe::serve(self.metrics, never, opts));
         let ledgers = Ledgers {
-            quotas: Arc::new(Quotas::new(page.clone())),
+            quotas: Arc::new(Quotas::new(page.clone(), self.settings.quota_slack)),
             quarantine: Arc::new(Quarantine::new(page.clone())),
             limits: Arc::new(Limits::new(page.clone())),
             availability: Arc::new(Availabilities::new(page.clone())),
             origins: Arc::default(),
         };
+        let (counted, events) = (page.clone(), tx.clone());
+        let quotas = ledgers.quotas.clone();
+        let opts = observe::Options {
+            page: move || {
+                quotas.gauges();
+                counted.text()
+            },
+            dump: move || request_dump(events.clone()),
+        };
+        tasks.spawn(observe::serve(self.metrics, never, opts));
         let limits = ledgers.limits.clone();
         tasks.spawn(async move { limits.run().await });
         tasks.spawn(links::accept(self.inner, tx, ledgers.clone()));
@@ -313,6 +317,7 @@
                     // The other settings take effect at the next start.
                     let new = reloads.borrow_and_update().clone();
                     self.store = Store::new(new.store, self.eras.clone());
+                    self.ledgers.quotas.set_slack(new.quota_slack);
                     Line::new("settings").show("store", new.store).write();
                 }
                 () = sleep_until(read_at) => self.read().await,
--- a/crates/stair-sidecar/src/process/receive.rs
+++ b/crates/stair-sidecar/src/process/receive.rs
@@ -117,6 +117,7 @@
             // Handled by the link.
             ToAgent::QuotaRequest { .. }
             | ToAgent::QuotaRefund { .. }
+            | ToAgent::OrderedQuota { .. }
             | ToAgent::Quarantine(_)
             | ToAgent::Limit(_)
             | ToAgent::Availability(_)
