quota: agents that count one workspace at once divide its rate

Entries that cannot reach the agent that counts use the next one while others still use the first; each had the whole rate, which is twice the quota for as long as the cut lasts. Entries now state which agents they pass over, on changes and with requests, and an agent counts with the fraction of the rate that its entries are of all.

--- a/crates/stair-fleet/src/msg.rs
+++ b/crates/stair-fleet/src/msg.rs
@@ -110,6 +110,9 @@
         /// The request.
         request: Box<quota::OrderedRequest>,
     },
+    /// The agents that the entry does not use for counts; sent on changes, only to agents with an order among
+    /// requests, see [`Features`].
+    PassedOver(quota::PassedOver),
 }
 
 /// What an agent can do beyond what agents of earlier releases can. The extension of its first message.
--- a/crates/stair-fleet/src/quota.rs
+++ b/crates/stair-fleet/src/quota.rs
@@ -13,14 +13,19 @@
 //! - An [`Order`] overdraws its bucket by at most [`order::OVERDRAFT`], and admits with a wait of at most
 //!   [`order::MAX_FRESH_WAIT`].
 //! - A process that begins to count admits at most half of the slack beyond the rate.
+//! - Agents that count one workspace at once divide its rate by the entries that use them, see [`Coverage`].
 
 pub mod bucket;
 mod class;
+pub mod coverage;
 pub mod ledger;
 pub mod order;
 mod reservation;
 
-use std::time::Duration;
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
 
 use serde::{
     Deserialize,
@@ -32,6 +37,10 @@
 use crate::workspace::Quota;
 
 pub use bucket::Bucket;
+pub use coverage::{
+    Coverage,
+    PassedOver, //
+};
 pub use ledger::{
     Account,
     Crossing,
@@ -54,6 +63,10 @@
     pub objective: Duration,
     /// The time that its client still waits.
     pub time_left: Duration,
+    /// The engines whose agents precede the receiver in the order of the workspace and are passed over.
+    pub passed_over: Vec<SocketAddr>,
+    /// The number of entries that the sender knows.
+    pub entries: u32,
 }
 
 /// The reply to an [`OrderedRequest`].
--- a/crates/stair-fleet/src/quota/ledger.rs
+++ b/crates/stair-fleet/src/quota/ledger.rs
@@ -6,6 +6,7 @@
 
 use super::{
     Bucket,
+    Coverage,
     Order,
     OrderedReply,
     OrderedRequest,
@@ -13,6 +14,22 @@
     Request,
     starting_credit, //
 };
+use crate::workspace::Quota;
+
+/// Time for which the fraction of the entries that use this process is kept.
+const FRACTION_TTL: Duration = Duration::from_millis(100);
+
+/// Time whose rate a stand-in may save beyond its starting credit. The bound allows an excess of 0.8 s.
+const STAND_IN_CREDIT_S: f64 = 0.4;
+
+/// Entries change to another agent with their next requests, most of them within this time of the first one.
+const BEGIN: Duration = Duration::from_millis(1250);
+
+/// After this time without a request, entries have used another agent or none.
+const UNUSED: Duration = Duration::from_secs(8);
+
+/// The time within which the platform bounds what runs.
+const BOUND_WINDOW: Duration = Duration::from_secs(8);
 
 /// A workspace exceeds its quota, or has recovered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,6 +47,8 @@
     slack: f64,
     /// Sorted by workspace.
     accounts: Vec<Account>,
+    /// The entries that use this process.
+    coverage: Coverage,
 }
 
 /// The account of one workspace.
@@ -39,6 +58,18 @@
     pub workspace: Box<str>,
     /// The version of the catalogue that the quota is from.
     pub version: u64,
+    /// The quota in force.
+    pub quota: Quota,
+    /// The fraction of the entries that use this process for the workspace.
+    pub fraction: f64,
+    /// When the process began to count for entries that used another one before.
+    begun_at: Duration,
+    /// The time of the last request.
+    #[serde(skip)]
+    used_at: Duration,
+    /// When the fraction is computed again.
+    #[serde(skip)]
+    fraction_until: Duration,
     /// The remaining units.
     pub bucket: Bucket,
     /// Whether a request was refused and the bucket has not recovered since.
@@ -58,9 +89,15 @@
         Self {
             slack,
             accounts: Vec::new(),
+            coverage: Coverage::default(),
         }
     }
 
+    /// The entries that use this process.
+    pub fn coverage(&mut self) -> &mut Coverage {
+        &mut self.coverage
+    }
+
     /// Units that all processes together may admit beyond the quotas.
     pub fn slack(&self) -> f64 {
         self.slack
@@ -80,7 +117,8 @@
     /// Handles a request of an entry. Also returns whether the workspace has exceeded its quota or
     /// recovered with it.
     pub fn handle(&mut self, req: &Request, now: Duration) -> (Reply, Option<Crossing>) {
-        let account = self.account(req, now);
+        let i = self.account(req, now);
+        let account = &mut self.accounts[i];
         let reply = match req.admitted {
             true => account.bucket.charge(req.cost, now),
             false => account.bucket.spend(req.cost, req.max_wait, now),
@@ -98,7 +136,24 @@
         req: &OrderedRequest,
         now: Duration,
     ) -> (OrderedReply, Option<Crossing>) {
-        let account = self.account(&req.request, now);
+        let i = self.account(&req.request, now);
+        let account = &mut self.accounts[i];
+        if now >= account.used_at + UNUSED {
+            account.begun_at = now;
+        }
+        account.used_at = now;
+        if now >= account.fraction_until {
+            account.fraction_until = now + FRACTION_TTL;
+            let fraction = self.coverage.fraction(&req.passed_over, now);
+            // The slack covers this much of the rate for that time.
+            let time = match now < account.begun_at + BEGIN {
+                true => BEGIN,
+                false => BOUND_WINDOW,
+            };
+            let least = self.slack / 2.0 / (account.quota.per_s * time.as_secs_f64());
+            account.fraction = fraction.max(least).min(1.0);
+            account.set(now);
+        }
         let bucket = &mut account.bucket;
         let order = account
             .order
@@ -131,13 +186,18 @@
             .binary_search_by(|a| (*a.workspace).cmp(workspace))
     }
 
-    /// The account of a workspace under the quota in force.
-    fn account(&mut self, req: &Request, now: Duration) -> &mut Account {
+    /// Index of the account of a workspace, under the quota in force.
+    fn account(&mut self, req: &Request, now: Duration) -> usize {
         let credit = starting_credit(req.quota, self.slack);
         let i = self.find(&req.workspace).unwrap_or_else(|i| {
             let account = Account {
                 workspace: req.workspace.clone(),
                 version: req.version,
+                quota: req.quota,
+                fraction: 1.0,
+                begun_at: now,
+                used_at: now,
+                fraction_until: now,
                 bucket: Bucket::with_credit(req.quota, credit, now),
                 over: false,
                 since: now,
@@ -150,19 +210,32 @@
         let account = &mut self.accounts[i];
         if req.version >= account.version {
             account.version = req.version;
-            account.bucket.set(req.quota, now);
-            if let Some(order) = &mut account.order {
-                order.set(req.quota, now);
+            if account.quota != req.quota {
+                account.quota = req.quota;
+                account.set(now);
             }
         }
         if req.stand_in {
-            account.bucket.limit_credit(credit, now);
+            let more = match self.slack > 0.0 {
+                true => req.quota.per_s * STAND_IN_CREDIT_S,
+                false => 0.0,
+            };
+            account.bucket.limit_credit(credit + more, now);
         }
-        account
+        i
     }
 }
 
 impl Account {
+    /// Applies the quota and the fraction.
+    fn set(&mut self, now: Duration) {
+        let quota = self.quota.for_fraction(self.fraction);
+        self.bucket.set(quota, now);
+        if let Some(order) = &mut self.order {
+            order.set(quota, now);
+        }
+    }
+
     fn note(&mut self, req: &Request, granted: bool) {
         if granted {
             self.refundable += self.bucket.quota().bounded(req.cost);
--- a/crates/stair-fleet/src/workspace.rs
+++ b/crates/stair-fleet/src/workspace.rs
@@ -41,6 +41,15 @@
         let most = (self.per_s * MAX_COST_TIME_S + self.burst).max(1.0);
         if cost > 0.0 { cost.min(most) } else { 0.0 }
     }
+
+    /// Returns the quota of a process that counts for this fraction of the entries. The burst is whole: all
+    /// requests of a moment may come through few entries.
+    pub fn for_fraction(&self, fraction: f64) -> Self {
+        Self {
+            per_s: self.per_s * fraction,
+            ..*self
+        }
+    }
 }
 
 /// The unit of a quota.
--- a/crates/stair-fleet/tests/quota_order.rs
+++ b/crates/stair-fleet/tests/quota_order.rs
@@ -1,6 +1,9 @@
 //! Tests of the order among the requests of a workspace whose quota is short, under load.
 
-use std::time::Duration;
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
 
 use proptest::{
     collection::vec,
@@ -16,6 +19,7 @@
         Ledger,
         OrderedReply,
         OrderedRequest,
+        PassedOver,
         Request,
         Rule, //
     },
@@ -189,6 +193,8 @@
         fingerprint: Some(fingerprint(arrival.client)),
         objective: route.objective,
         time_left: route.client_timeout.saturating_sub(passed),
+        passed_over: Vec::new(),
+        entries: 1,
     }
 }
 
@@ -524,6 +530,79 @@
     }
 }
 
+/// Sends a load through entries to two agents; `agent` selects the agent of an entry at a time. Returns what
+/// runs, and the number of refused requests.
+fn play_two<F>(load: &[Arrival], entries: u64, agent: F) -> (Vec<(Duration, f64)>, usize)
+where
+    F: Fn(u64, Duration) -> usize,
+{
+    let first: SocketAddr = "10.0.0.1:80".parse().expect("an address");
+    let mut agents = [Ledger::new(SLACK), Ledger::new(SLACK)];
+    let mut used = vec![0; entries as usize];
+    let (mut runs, mut refused) = (Vec::new(), 0);
+    for entry in 0..entries {
+        for agent in &mut agents {
+            agent.coverage().state(entry, PassedOver::default());
+        }
+    }
+    for arrival in load {
+        let entry = arrival.client % entries;
+        let own = agent(entry, arrival.at);
+        let mut request = ordered(arrival, QUOTA);
+        request.entries = entries as u32;
+        request.request.stand_in = own == 1;
+        if own == 1 {
+            request.passed_over.push(first);
+        }
+        if std::mem::replace(&mut used[entry as usize], own) != own {
+            let passed = |receiver, other: bool| PassedOver {
+                receiver,
+                engines: if other { vec![first] } else { Vec::new() },
+            };
+            agents[0].coverage().state(entry, passed(own == 1, false));
+            agents[1].coverage().state(entry, passed(false, own == 1));
+        }
+        let coverage = agents[own].coverage();
+        coverage.observe(entry, entries as u32, &request.passed_over, arrival.at);
+        let (reply, _) = agents[own].handle_ordered(&request, arrival.at);
+        match reply.reply.granted {
+            true => runs.push((arrival.at + reply.reply.wait, arrival.cost)),
+            false => refused += 1,
+        }
+    }
+    (runs, refused)
+}
+
+/// A part of the entries cannot reach the agent that counts and use the next one, for long. Each of two agents
+/// with the whole rate would admit twice the quota.
+#[test]
+fn bound_while_two_agents_count() {
+    for cut in [1, 7, 14, 21, 27] {
+        for seed in 0..3 {
+            let load = arrivals(10.0 * EXCESS, ms(30_000), seed);
+            let (runs, _) = play_two(&load, 28, |entry, at| {
+                usize::from(entry < cut && at > ms(8_000) && at < ms(24_000))
+            });
+            let most = most_of_bound(&runs, QUOTA, SLACK);
+            assert!(most <= 1.0, "{cut} entries cut off, seed {seed}: {most}");
+        }
+    }
+}
+
+/// All entries pass over the agent that counts, each when its next request is not answered. The agent that counts
+/// instead does not know how many of them will, so it has a part of the rate for a second. It must not refuse 1.5
+/// times the usual load of the workspace, four tenths of its quota, nor may the first one after its return.
+#[test]
+fn next_agent_refuses_nothing() {
+    for seed in 0..20 {
+        let load = arrivals(1.5, ms(20_000), seed);
+        let (_, refused) = play_two(&load, 28, |_, at| {
+            usize::from(at > ms(8_000) && at < ms(14_000))
+        });
+        assert_eq!(refused, 0, "seed {seed}");
+    }
+}
+
 /// A token count may be anything that a client writes.
 #[test]
 fn absurd_costs() {
--- a/crates/stair-relay/src/links.rs
+++ b/crates/stair-relay/src/links.rs
@@ -17,6 +17,7 @@
         ToAgent,
         ToEntry, //
     },
+    quota::PassedOver,
     target::State,
     target_state::UNRESPONSIVE_TIMEOUT,
 };
@@ -354,6 +355,7 @@
     /// The id of the target and the start of its incarnation.
     incarnation: Option<(Box<str>, Option<u64>)>,
     hello_at: Option<Instant>,
+    passed_over: PassedOver,
 }
 
 async fn transmit(
@@ -420,6 +422,12 @@
             sent.incarnation = incarnation;
         }
     }
+    if let Some(passed_over) = state.passed_over(engine, cx.now())
+        && passed_over != sent.passed_over
+    {
+        sent.passed_over = passed_over.clone();
+        out.push(ToAgent::PassedOver(passed_over));
+    }
     let used = state.take_used(engine, false);
     if !used.is_empty() {
         out.push(ToAgent::Used(used));
--- a/crates/stair-relay/src/owner.rs
+++ b/crates/stair-relay/src/owner.rs
@@ -9,7 +9,10 @@
     time::Duration, //
 };
 
-use stair_fleet::msg::ToAgent;
+use stair_fleet::{
+    msg::ToAgent,
+    quota::PassedOver, //
+};
 use stair_types::rendezvous;
 
 use crate::context::State;
@@ -25,12 +28,14 @@
 }
 
 /// The agent that owns a name.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub(crate) struct Owner {
     /// The engine beside the agent.
     pub(crate) engine: SocketAddr,
     /// Whether an agent that comes before it in the order was passed over because it does not reply.
     pub(crate) stand_in: bool,
+    /// The engines of the agents that come before it.
+    pub(crate) passed_over: Vec<SocketAddr>,
     until: Duration,
 }
 
@@ -52,12 +57,12 @@
         if let Ok(i) = found
             && now < self.owners.list[i].1.until
         {
-            return Some(self.owners.list[i].1);
+            return Some(self.owners.list[i].1.clone());
         }
         let owner = self.choose_owner(name, now)?;
         match found {
-            Ok(i) => self.owners.list[i].1 = owner,
-            Err(i) => self.owners.list.insert(i, (name.into(), owner)),
+            Ok(i) => self.owners.list[i].1 = owner.clone(),
+            Err(i) => self.owners.list.insert(i, (name.into(), owner.clone())),
         }
         Some(owner)
     }
@@ -65,19 +70,42 @@
     fn choose_owner(&self, name: &str, now: Duration) -> Option<Owner> {
         let weight = |i: &usize| rendezvous::weight(name, &self.agents[*i].name);
         let all = 0..self.agents.len();
-        let first = all.clone().max_by_key(weight)?;
-        let is_available = |i: &usize| {
-            let link = &self.agents[*i];
-            link.linked && link.skipped_until <= now
-        };
-        let chosen = all.filter(is_available).max_by_key(weight)?;
+        let is_available = |i: &usize| self.is_available(*i, now);
+        let chosen = all.clone().filter(is_available).max_by_key(weight)?;
+        let chosen_weight = weight(&chosen);
+        // Of equal weights the last one is chosen.
+        let is_before = |i: &usize| (weight(i), *i) > (chosen_weight, chosen);
+        let passed_over: Vec<SocketAddr> = all
+            .filter(is_before)
+            .map(|i| self.agents[i].engine)
+            .collect();
         Some(Owner {
             engine: self.agents[chosen].engine,
-            stand_in: chosen != first,
+            stand_in: !passed_over.is_empty(),
+            passed_over,
             until: now + CHOICE_TTL,
         })
     }
 
+    fn is_available(&self, agent: usize, now: Duration) -> bool {
+        let link = &self.agents[agent];
+        link.linked && link.skipped_until <= now
+    }
+
+    /// The agents that are not used, for the agent of an engine; `None` if it need not know them.
+    pub(crate) fn passed_over(&self, receiver: SocketAddr, now: Duration) -> Option<PassedOver> {
+        let own = self.agent(receiver)?;
+        if !self.agents[own].features.quota_order {
+            return None;
+        }
+        let unused = (0..self.agents.len()).filter(|i| !self.is_available(*i, now));
+        let engines = unused.filter(|i| *i != own);
+        Some(PassedOver {
+            receiver: !self.is_available(own, now),
+            engines: engines.map(|i| self.agents[i].engine).collect(),
+        })
+    }
+
     /// Passes over an agent that has not replied, until `until`.
     pub(crate) fn skip_agent(&mut self, engine: SocketAddr, until: Duration) {
         if let Some(i) = self.agent(engine) {
--- a/crates/stair-relay/src/quota.rs
+++ b/crates/stair-relay/src/quota.rs
@@ -169,6 +169,8 @@
         fingerprint: (!admitted).then(|| job.fingerprint()),
         objective: route.objective,
         time_left: job.deadline.saturating_duration_since(Instant::now()),
+        passed_over: Vec::new(),
+        entries: 0,
     };
     let (reply, by) = match request_from_agents(cx, &mut request).await {
         Some(both) => both,
@@ -365,6 +367,8 @@
         let request = &mut ordered.request;
         let owner = self.owner(&request.workspace, now)?;
         request.stand_in = owner.stand_in;
+        ordered.passed_over = owner.passed_over;
+        ordered.entries = self.linked_entries();
         let seq = self.next_seq();
         let i = self.agent(owner.engine)?;
         let msg = match self.agents[i].features.quota_order {
@@ -397,6 +401,12 @@
         Some((owner.engine, rx))
     }
 
+    /// The number of entries that are linked to the agent with the most.
+    fn linked_entries(&self) -> u32 {
+        let linked = self.agents.iter().filter(|a| a.linked);
+        linked.map(|a| a.entries).max().unwrap_or(0)
+    }
+
     fn refund(&self, engine: SocketAddr, workspace: &str, cost: f64) {
         if let Some(i) = self.agent(engine) {
             let msg = ToAgent::QuotaRefund {
--- a/crates/stair-sidecar/src/links.rs
+++ b/crates/stair-sidecar/src/links.rs
@@ -109,6 +109,7 @@
         () = read(r, key, &events, &ledgers, &tx) => {}
         () = write(w, rx, ledgers.quotas.features()) => {}
     }
+    ledgers.quotas.closed(key);
     ledgers.quarantine.closed(key);
     ledgers.limits.closed(key);
     ledgers.availability.closed(key);
@@ -133,10 +134,14 @@
                 continue;
             }
             ToAgent::OrderedQuota { seq, request } => {
-                let reply = ledgers.quotas.request_ordered(&request);
+                let reply = ledgers.quotas.request_ordered(key, &request);
                 let _ = tx.try_send(ToEntry::OrderedQuotaReply { seq, reply });
                 continue;
             }
+            ToAgent::PassedOver(passed_over) => {
+                ledgers.quotas.passed_over(key, passed_over);
+                continue;
+            }
             ToAgent::QuotaRefund { workspace, cost } => {
                 ledgers.quotas.refund(&workspace, cost);
                 continue;
--- a/crates/stair-sidecar/src/process/receive.rs
+++ b/crates/stair-sidecar/src/process/receive.rs
@@ -118,6 +118,7 @@
             ToAgent::QuotaRequest { .. }
             | ToAgent::QuotaRefund { .. }
             | ToAgent::OrderedQuota { .. }
+            | ToAgent::PassedOver(_)
             | ToAgent::Quarantine(_)
             | ToAgent::Limit(_)
             | ToAgent::Availability(_)
--- a/crates/stair-sidecar/src/quotas.rs
+++ b/crates/stair-sidecar/src/quotas.rs
@@ -20,6 +20,7 @@
         Ledger,
         OrderedReply,
         OrderedRequest,
+        PassedOver,
         Reply,
         Request,
         order::Counts, //
@@ -31,6 +32,8 @@
 };
 use tokio::time::Instant;
 
+use crate::usage::LinkKey;
+
 /// Workspaces whose gauges are shown. The dump shows all.
 const MAX_SHOWN: usize = 64;
 
@@ -74,13 +77,28 @@
     }
 
     /// As [`Quotas::request`], by the order of the workspace.
-    pub fn request_ordered(&self, request: &OrderedRequest) -> OrderedReply {
+    pub fn request_ordered(&self, link: LinkKey, request: &OrderedRequest) -> OrderedReply {
         let now = self.now();
-        let (reply, crossing) = self.lock().handle_ordered(request, now);
+        let (reply, crossing) = {
+            let mut ledger = self.lock();
+            let coverage = ledger.coverage();
+            coverage.observe(link.0, request.entries, &request.passed_over, now);
+            ledger.handle_ordered(request, now)
+        };
         self.report(&request.request, &reply.reply, crossing);
         reply
     }
 
+    /// Records which agents an entry passes over.
+    pub fn passed_over(&self, link: LinkKey, passed_over: PassedOver) {
+        self.lock().coverage().state(link.0, passed_over);
+    }
+
+    /// Forgets an entry whose link has ended.
+    pub fn closed(&self, link: LinkKey) {
+        self.lock().coverage().closed(link.0);
+    }
+
     fn report(&self, request: &Request, reply: &Reply, crossing: Option<Crossing>) {
         if let Some(crossing) = crossing {
             let event = match crossing {
