quota: entries that send nothing count as entries of their agent

An agent took only entries that had sent a request into the fraction of the rate that it counts with, so a workspace whose requests came through one of several entries had less than its quota. Every open link counts now, unless its entry passes the agent over.

--- a/crates/stair-sidecar/src/links.rs
+++ b/crates/stair-sidecar/src/links.rs
@@ -102,6 +102,7 @@
     if events.send(Event::Opened(key, tx.clone())).await.is_err() {
         return;
     }
+    ledgers.quotas.opened(key);
     ledgers.quarantine.opened(key, tx.clone());
     ledgers.limits.opened(key, tx.clone());
     ledgers.availability.opened(key, tx.clone());
--- a/crates/stair-sidecar/src/quotas.rs
+++ b/crates/stair-sidecar/src/quotas.rs
@@ -89,6 +89,11 @@
         reply
     }
 
+    /// Counts an entry, which uses this agent unless it states otherwise.
+    pub fn opened(&self, link: LinkKey) {
+        self.passed_over(link, PassedOver::default());
+    }
+
     /// Records which agents an entry passes over.
     pub fn passed_over(&self, link: LinkKey, passed_over: PassedOver) {
         self.lock().coverage().state(link.0, passed_over);
