quota: small requests wait while an agent's link is new and silent

A link to a frozen agent opens again after its silence, and what the agent can do is not known then; small requests were sent without a reply until it closed. With a slack they now wait for the reply whenever an earlier one is missing.

--- a/crates/stair-fleet/tests/quota.rs
+++ b/crates/stair-fleet/tests/quota.rs
@@ -7,10 +7,17 @@
     prelude::*, //
 };
 use stair_fleet::{
+    msg::{
+        Features,
+        ToAgent,
+        ToEntry, //
+    },
     quota::{
         Bucket,
         Crossing,
         Ledger,
+        PassedOver,
+        Reply,
         Request,
         share, //
     },
@@ -141,6 +148,45 @@
     ledger.refund("nobody", DRAFT, ms(0));
 }
 
+/// Processes of the release before read the messages by the number of the variant and the order of the fields. The
+/// numbers, and a whole frame, are those of that release; the new variants come after its last ones.
+#[test]
+fn messages_of_the_release_before() {
+    let encode = |msg: &ToAgent| postcard::to_stdvec(msg).expect("encoded");
+    let charge = ToAgent::QuotaRequest {
+        seq: 3,
+        request: request(1, TOKENS, 2.0),
+    };
+    let mut expected = vec![10, 3, 4];
+    expected.extend(b"acme");
+    expected.push(1);
+    expected.extend(29_000.0_f64.to_le_bytes());
+    expected.extend(29_000.0_f64.to_le_bytes());
+    expected.push(1);
+    expected.extend(200.0_f64.to_le_bytes());
+    expected.extend(2.0_f64.to_le_bytes());
+    expected.extend([0, 0, 0, 0]);
+    assert_eq!(encode(&charge), expected);
+    let refund = ToAgent::QuotaRefund {
+        workspace: "acme".into(),
+        cost: 1.0,
+    };
+    assert_eq!(encode(&refund)[0], 11);
+    assert_eq!(encode(&ToAgent::PassedOver(PassedOver::default()))[0], 17);
+    let reply = ToEntry::QuotaReply {
+        seq: 3,
+        reply: Reply {
+            granted: true,
+            wait: ms(0),
+        },
+    };
+    let reply = postcard::to_stdvec(&reply).expect("encoded");
+    assert_eq!(reply, [4, 3, 1, 0, 0]);
+    // The fields that such an agent does not send are read as zeros.
+    let before: Features = postcard::from_bytes(&[1, 1, 0]).expect("decoded");
+    assert!(before.origins && before.causes && !before.quota_order);
+}
+
 /// Distributes requests unevenly over entries: two of three go to the first one.
 fn uneven(entries: u64, n: u64) -> u64 {
     match n % 3 {
--- a/crates/stair-relay/src/quota.rs
+++ b/crates/stair-relay/src/quota.rs
@@ -153,7 +153,8 @@
     let tokens = meta.prompt_tokens.saturating_add(meta.response_tokens);
     let cost = quota.bounded(quota.unit.cost(tokens));
     let small = cost <= quota.burst * SMALL_FRACTION;
-    let admitted = small && cx.state().may_admit(&workspace.name, cx.now());
+    let is_bounded = cx.quota_slack() > 0.0;
+    let admitted = small && cx.state().may_admit(&workspace.name, is_bounded, cx.now());
     let mut request = OrderedRequest {
         request: Request {
             workspace: workspace.name.clone(),
@@ -346,7 +347,10 @@
 
 impl State {
     /// Whether a small request of a workspace may be sent before the reply to its charge.
-    fn may_admit(&mut self, workspace: &str, now: Duration) -> bool {
+    ///
+    /// Where a slack bounds what runs, not while the agent does not reply. A new link to a frozen agent opens too, so
+    /// that does not depend on what the agent can do.
+    fn may_admit(&mut self, workspace: &str, is_bounded: bool, now: Duration) -> bool {
         if self.quotas.is_overdrawn(workspace, now) {
             return false;
         }
@@ -354,8 +358,8 @@
         let Some((engine, i)) = owner.and_then(|e| Some((e, self.agent(e)?))) else {
             return true;
         };
-        let is_ordered = self.agents[i].features.quota_order;
-        !is_ordered || !self.quotas.is_unanswered(workspace, engine, now)
+        let is_bounded = is_bounded || self.agents[i].features.quota_order;
+        !is_bounded || !self.quotas.is_unanswered(workspace, engine, now)
     }
 
     /// Sends a request to the owner of a workspace. The receiver is missing for a request that does not wait.
