--- a/crates/stair-fleet/src/workspace.rs
+++ b/crates/stair-fleet/src/workspace.rs
@@ -31,6 +31,27 @@
     pub unit: Unit,
 }
 
+/// The longest time for which one request may use up a quota. Clients state the tokens of their requests, and
+/// an absurd number must not block a workspace for longer.
+const MAX_COST_TIME_S: f64 = 30.0;
+
+impl Quota {
+    /// Returns the cost that is charged for a request with this cost.
+    pub fn bounded(&self, cost: f64) -> f64 {
+        let most = (self.per_s * MAX_COST_TIME_S + self.burst).max(1.0);
+        if cost > 0.0 { cost.min(most) } else { 0.0 }
+    }
+
+    /// Returns the quota of a process that counts for this fraction of the entries. The burst is whole: all
+    /// requests of a moment may come through few entries.
+    pub fn for_fraction(&self, fraction: f64) -> Self {
+        Self {
+            per_s: self.per_s * fraction,
+            ..*self
+        }
+    }
+}
+
 /// The unit of a quota.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub enum Unit {
--- a/crates/stair-relay/src/context.rs
+++ b/crates/stair-relay/src/context.rs
@@ -117,6 +117,7 @@
     store: Store,
     address: SocketAddr,
     retries: RetrySettings,
+    quota_slack: f64,
 }
 
 /// The replicated state of an entry and its work in progress.
@@ -183,6 +184,7 @@
             store: Store::new(settings.store, eras.clone()),
             address: settings.store,
             retries: settings.retries,
+            quota_slack: settings.quota_slack,
         };
         Self {
             reloadable: Mutex::new(reloadable),
@@ -205,6 +207,7 @@
     pub fn reload(&self, new: &GatewaySettings) {
         let mut reloadable = self.reloadable();
         reloadable.retries = new.retries;
+        reloadable.quota_slack = new.quota_slack;
         if reloadable.address != new.store {
             reloadable.store = Store::new(new.store, self.eras.clone());
             reloadable.address = new.store;
@@ -216,6 +219,11 @@
         self.reloadable().store.clone()
     }
 
+    /// Units that all processes together may admit beyond the quota of a workspace.
+    pub fn quota_slack(&self) -> f64 {
+        self.reloadable().quota_slack
+    }
+
     fn reloadable(&self) -> MutexGuard<'_, ReloadableSettings> {
         self.reloadable
             .lock()
--- a/crates/stair-sidecar/src/process.rs
+++ b/crates/stair-sidecar/src/process.rs
@@ -153,20 +153,20 @@
         let page = Arc::new(Page::default());
         let (_end, never) = watch::channel(false);
         let (tx, rx) = mpsc::channel(QUEUE_CAPACITY);
-        let (counted, events) = (page.clone(), tx.clone());
-        let opts = observe::Options {
-            page: move || counted.text(),
-            dump: move || request_dump(events.clone()),
-        };
-        tasks.spawn(observe::serve(self.metrics, never, opts));
         let ledgers = Ledgers {
-            quotas: Arc::new(Quotas::new(page.clone())),
+            quotas: Arc::new(Quotas::new(page.clone(), self.settings.quota_slack)),
             quarantine: Arc::new(Quarantine::new(page.clone())),
             limits: Arc::new(Limits::new(page.clone())),
             availability: Arc::new(Availabilities::new(page.clone())),
             origins: Arc::default(),
         };
-        let limits = ledgers.limits.clone();
+        let events = tx.clone();
+        let (quotas, limits) = (ledgers.quotas.clone(), ledgers.limits.clone());
+        let opts = observe::Options {
+            page: move || quotas.page(),
+            dump: move || request_dump(events.clone()),
+        };
+        tasks.spawn(observe::serve(self.metrics, never, opts));
         tasks.spawn(async move { limits.run().await });
         tasks.spawn(links::accept(self.inner, tx, ledgers.clone()));
         let (fence_tx, fence_rx) = mpsc::channel(1);
@@ -310,10 +310,8 @@
                     self.fence = Some(token);
                 }
                 Ok(()) = reloads.changed() => {
-                    // The other settings take effect at the next start.
                     let new = reloads.borrow_and_update().clone();
-                    self.store = Store::new(new.store, self.eras.clone());
-                    Line::new("settings").show("store", new.store).write();
+                    self.reload(&new);
                 }
                 () = sleep_until(read_at) => self.read().await,
                 () = stopped(&mut stop) => return,
