fleet: share an engine's prefill slots among callers of equal rank

While slots are short, whoever asks at the right moment gets the slot: prompts that are refused ask again every 300 ms, and nothing says who they are from. A caller that sends six times its usual load asks most often and has the slots.

The agent now remembers the prefill time granted to each caller within 8 s and the prompts that wait. A prompt that waits gets a turn: a place in the order and the time at which it asks again. Entries name the caller in a message of its own, to agents whose features say so.

--- a/crates/stair-fleet/src/lib.rs
+++ b/crates/stair-fleet/src/lib.rs
@@ -19,6 +19,7 @@
 //! - [`balance`]: chooses a model that gets a further replica, and the replicas evicted for it.
 //! - [`fetch`]: limits concurrent loads from the weight store.
 //! - [`prefill`]: schedules the prefill of prompts on one engine.
+//! - [`fair_share`]: shares the prefill slots of one engine among callers of equal rank.
 //! - [`origin`]: what a stream is a continuation of.
 //! - [`outlier`]: decides which targets a failure counts against.
 //! - [`quarantine`]: finds requests that crash the targets that run them.
@@ -36,6 +37,7 @@
 pub mod choose;
 pub mod cold_start;
 pub mod events;
+pub mod fair_share;
 pub mod fetch;
 pub mod lag;
 pub mod msg;
--- a/crates/stair-fleet/src/msg.rs
+++ b/crates/stair-fleet/src/msg.rs
@@ -17,6 +17,7 @@
 use crate::{
     availability::Shared,
     catalogue::Engine,
+    fair_share,
     origin::{
         FromKeeper,
         ToKeeper, //
@@ -102,6 +103,16 @@
     Availability(Vec<Shared>),
     /// About the origins of streams; only to agents that keep them, see [`Features`].
     Origin(ToKeeper),
+    /// As [`ToAgent::Prefill`], with the caller that the prompt is from; only to agents that share
+    /// prefill slots among callers, see [`Features`].
+    CallerPrefill {
+        /// Identifies the request on this connection.
+        seq: u64,
+        /// The prompt.
+        request: prefill::Request,
+        /// The caller.
+        from: fair_share::Caller,
+    },
 }
 
 /// What an agent can do beyond what agents of earlier releases can. The extension of its first message.
@@ -111,6 +122,8 @@
     pub origins: bool,
     /// Whether its ledger knows the parts of prompts as causes of crashes.
     pub causes: bool,
+    /// Whether it shares prefill slots among callers.
+    pub callers: bool,
 }
 
 impl Features {
@@ -118,6 +131,7 @@
     pub const CURRENT: Self = Self {
         origins: true,
         causes: true,
+        callers: true,
     };
 }
 
@@ -222,6 +236,15 @@
     Availability(Vec<Shared>),
     /// About the origins of streams.
     Origin(FromKeeper),
+    /// The reply to [`ToAgent::CallerPrefill`].
+    CallerPrefill {
+        /// The `seq` of the request.
+        seq: u64,
+        /// The result.
+        reply: prefill::Reply,
+        /// The prompt's turn, if it has to wait.
+        turn: Option<fair_share::Turn>,
+    },
 }
 
 /// What one entry, the receiver, needs to know of the other entries. Their whole list would be too
--- a/crates/stair-fleet/src/prefill.rs
+++ b/crates/stair-fleet/src/prefill.rs
@@ -112,6 +112,22 @@
     pub prefill_time: Duration,
 }
 
+/// What [`Schedule::reserve`] would reply to a request, and when that changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Probe {
+    /// The reply, with the backlog before the reservation.
+    pub reply: Reply,
+    /// Time until the slot can be reserved if no other prompt reserves one; zero if it can be now.
+    pub opens_in: Duration,
+    /// Time until the next burst may begin; zero if the engine has no prompts to prefill.
+    pub next_burst: Duration,
+    /// Prefill time of the prompt alone.
+    pub cost: Duration,
+    /// Whether the slot extends a burst so short that the least break follows it. Without the prompt
+    /// the engine would use less of its time for prefill.
+    pub extends_short: bool,
+}
+
 impl Reply {
     /// Refuses a slot because the prompt's model is being evicted. The wait exceeds `max_wait`, so
     /// that the prompt goes to another engine, and is short enough for a client to return by:
@@ -244,6 +260,23 @@
     /// Reserves the slot of a prompt unless the wait is too long. `memory` is the engine's capacity
     /// in tokens.
     pub fn reserve(&mut self, req: &Request, memory: u64, now: Duration) -> Reply {
+        let (burst, probe) = self.plan(req, now);
+        if probe.reply.reserved {
+            self.last = burst;
+            self.cache(req, memory, now);
+        }
+        Reply {
+            backlog: self.backlog(now),
+            ..probe.reply
+        }
+    }
+
+    /// What [`Schedule::reserve`] would reply now, without a reservation.
+    pub fn probe(&self, req: &Request, now: Duration) -> Probe {
+        self.plan(req, now).1
+    }
+
+    fn plan(&self, req: &Request, now: Duration) -> (Burst, Probe) {
         let cached = self.cached_prefix(req);
         let cost = ms(self.prefill_time(req, cached));
         let burst = self.burst_for(cost, req.pause.unwrap_or(DEFAULT_PAUSE), now);
@@ -254,18 +287,25 @@
         let next = duration(burst.until + burst.rest() - ms(now));
         let delays_urgent =
             req.urgent_max_wait.is_some_and(|limit| next > limit) && !wait.is_zero();
-        let reserved = wait <= req.max_wait && !delays_urgent;
-        if reserved {
-            self.last = burst;
-            self.cache(req, memory, now);
-        }
-        Reply {
-            reserved,
+        let excess = req.urgent_max_wait.map(|limit| next.saturating_sub(limit));
+        let opens_in = wait
+            .saturating_sub(req.max_wait)
+            .max(excess.unwrap_or_default().min(wait));
+        let reply = Reply {
+            reserved: wait <= req.max_wait && !delays_urgent,
             wait,
             backlog: self.backlog(now),
             cached,
             prefill_time: duration(burst.until - sent),
-        }
+        };
+        let probe = Probe {
+            reply,
+            opens_in,
+            next_burst: duration(self.last.until + self.last.rest() - ms(now)),
+            cost: duration(cost),
+            extends_short: burst.from == self.last.from && self.last.rest() <= MIN_BREAK_MS,
+        };
+        (burst, probe)
     }
 
     /// The burst that a prompt of this cost belongs to, with the prompt: the last one if it is over
@@ -351,6 +391,11 @@
     }
 }
 
+/// The longest burst beside the streams that the request names.
+pub(crate) fn burst_duration(req: &Request) -> Duration {
+    req.pause.unwrap_or(DEFAULT_PAUSE).mul_f64(BURST_FRACTION)
+}
+
 fn ms(t: Duration) -> f64 {
     t.as_secs_f64() * 1000.0
 }
--- a/crates/stair-relay/src/context.rs
+++ b/crates/stair-relay/src/context.rs
@@ -38,10 +38,7 @@
         ReplicationState,
         ToAgent, //
     },
-    prefill::{
-        Measurement,
-        Reply, //
-    },
+    prefill::Measurement,
     target_state::HEARTBEAT_TIMEOUT,
     view::TargetKey, //
 };
@@ -78,6 +75,7 @@
     serve::max_connections,
 };
 
+pub use agents::SlotReply;
 pub use in_flight::{
     InFlight,
     Serving, //
@@ -169,7 +167,7 @@
     /// Load requests that wait for a reply, by sequence number.
     pub pending_loads: Vec<(u64, oneshot::Sender<Outcome>)>,
     /// Requests for a prefill slot that wait for a reply, by sequence number.
-    pub pending_slots: Vec<(u64, oneshot::Sender<Reply>)>,
+    pub pending_slots: Vec<(u64, oneshot::Sender<SlotReply>)>,
 }
 
 impl Context {
--- a/crates/stair-relay/src/context/agents.rs
+++ b/crates/stair-relay/src/context/agents.rs
@@ -7,6 +7,10 @@
 };
 
 use stair_fleet::{
+    fair_share::{
+        Caller,
+        Turn, //
+    },
     msg::{
         LoadRequest,
         ToAgent, //
@@ -26,6 +30,15 @@
 };
 use crate::job::Job;
 
+/// An agent's reply to a request for a prefill slot.
+#[derive(Debug, Clone, Copy)]
+pub struct SlotReply {
+    /// The slot.
+    pub reply: Reply,
+    /// The prompt's turn if it has to wait, from agents that share slots among callers.
+    pub turn: Option<Turn>,
+}
+
 impl Context {
     /// Reports to the agent of an engine that the engine has disowned the incarnation `id`.
     pub fn report_stale_incarnation(&self, engine: SocketAddr, id: Box<str>) {
@@ -92,19 +105,41 @@
         }
     }
 
-    /// Requests a prefill slot from the agent of an engine. Returns `None` when there is no link.
+    /// Requests a prefill slot from the agent of an engine. Returns `None` when there is no link. Agents of
+    /// earlier releases do not learn the caller.
     pub fn reserve(
         &self,
         engine: SocketAddr,
         request: Request,
-    ) -> Option<oneshot::Receiver<Reply>> {
+        from: Caller,
+    ) -> Option<oneshot::Receiver<SlotReply>> {
         let mut state = self.state();
         let seq = state.next_seq();
         let i = state.agent(engine)?;
         let link = &mut state.agents[i];
-        link.tx.try_send(ToAgent::Prefill { seq, request }).ok()?;
+        let msg = match link.features.callers {
+            true => ToAgent::CallerPrefill { seq, request, from },
+            false => ToAgent::Prefill { seq, request },
+        };
+        link.tx.try_send(msg).ok()?;
         let (tx, rx) = oneshot::channel();
         link.pending_slots.push((seq, tx));
         Some(rx)
     }
+
+    /// Handles an agent's reply to a request for a prefill slot.
+    pub(crate) fn receive_slot(&self, engine: SocketAddr, seq: u64, slot: SlotReply) {
+        let now = self.now();
+        let mut state = self.state();
+        let Some(i) = state.agent(engine) else { return };
+        let list = &mut state.agents[i].pending_slots;
+        let found = list.iter().position(|(s, _)| *s == seq);
+        let waiter = found.map(|i| list.swap_remove(i).1);
+        state
+            .view
+            .set_prefill_until(engine, now + slot.reply.backlog);
+        drop(state);
+        // The request that waited may have been dropped.
+        waiter.map(|tx| tx.send(slot));
+    }
 }
--- a/crates/stair-relay/src/job.rs
+++ b/crates/stair-relay/src/job.rs
@@ -34,6 +34,7 @@
         Route, //
     },
     cold_start,
+    fair_share::Caller,
     prefill::PrefixBlock,
     quarantine::Parts,
     view::TargetKey,
@@ -134,6 +135,20 @@
         rank(&self.route, self.workspace.as_ref())
     }
 
+    /// Names its caller, which competes with others of its rank: its workspace, or else what its prompt is about.
+    pub(crate) fn caller(&self) -> Box<str> {
+        let meta = &self.meta;
+        if let Some(workspace) = &self.workspace {
+            return format!("workspace/{}", workspace.name).into();
+        }
+        let model = meta.model.as_deref().unwrap_or("");
+        match (meta.shared_parts.last(), &meta.adapter) {
+            (Some(part), _) => format!("part-{part:x}").into(),
+            (None, Some(adapter)) => format!("adapter/{model}/{adapter}").into(),
+            (None, None) => Caller::name_of_model(model),
+        }
+    }
+
     /// Identifies the request by its content; a repetition has the same fingerprint.
     pub(crate) fn fingerprint(&self) -> Fingerprint {
         *self
--- a/crates/stair-relay/src/links.rs
+++ b/crates/stair-relay/src/links.rs
@@ -43,7 +43,8 @@
     availability,
     context::{
         AgentLink,
-        Context, //
+        Context,
+        SlotReply, //
     },
     limit,
     origin,
@@ -281,18 +282,10 @@
                 waiter.map(|tx| tx.send(outcome));
             }
             ToEntry::Prefill { seq, reply } => {
-                let mut state = cx.state();
-                let Some(i) = state.agent(engine) else {
-                    return Ended::Closed;
-                };
-                let list = &mut state.agents[i].pending_slots;
-                let found = list.iter().position(|(s, _)| *s == seq);
-                let waiter = found.map(|i| list.swap_remove(i).1);
-                let until = now + reply.backlog;
-                state.view.set_prefill_until(engine, until);
-                drop(state);
-                // The request that waited may have been dropped.
-                waiter.map(|tx| tx.send(reply));
+                cx.receive_slot(engine, seq, SlotReply { reply, turn: None });
+            }
+            ToEntry::CallerPrefill { seq, reply, turn } => {
+                cx.receive_slot(engine, seq, SlotReply { reply, turn });
             }
             ToEntry::QuotaReply { seq, reply } => quota::receive_reply(cx, engine, seq, reply),
             ToEntry::StaleIncarnation(id) => receive_stale_incarnation(cx, engine, id),
--- a/crates/stair-sidecar/src/process.rs
+++ b/crates/stair-sidecar/src/process.rs
@@ -16,13 +16,13 @@
     store::Store, //
 };
 use serde::Serialize;
-use serde_json::{
-    Value,
-    json, //
-};
 use stair_config::fleet_settings::SidecarSettings;
 use stair_fleet::{
     availability::Withheld,
+    fair_share::{
+        FairShares,
+        Labels, //
+    },
     lag::Lag,
     msg::{
         Outcome,
@@ -49,7 +49,6 @@
     net::TcpListener,
     sync::{
         mpsc,
-        oneshot,
         watch, //
     },
     task::JoinSet,
@@ -156,7 +155,7 @@
         let (counted, events) = (page.clone(), tx.clone());
         let opts = observe::Options {
             page: move || counted.text(),
-            dump: move || request_dump(events.clone()),
+            dump: move || dump::request(events.clone()),
         };
         tasks.spawn(observe::serve(self.metrics, never, opts));
         let ledgers = Ledgers {
@@ -195,17 +194,6 @@
     Ok(())
 }
 
-/// Requests the state of the main loop.
-async fn request_dump(events: mpsc::Sender<Event>) -> Value {
-    let (tx, rx) = oneshot::channel();
-    // Both fail only while the process is stopping.
-    let sent = events.send(Event::Dump(tx)).await.is_ok();
-    match rx.await {
-        Ok(dump) if sent => json!(dump),
-        _ => json!({ "stopping": true }),
-    }
-}
-
 /// The connection of an entry.
 struct Link {
     key: LinkKey,
@@ -233,6 +221,9 @@
     eras: Eras,
     controller: Controller,
     prefills: Schedule,
+    /// The shares of callers in the prefill slots.
+    shares: FairShares,
+    share_labels: Labels,
     links: Vec<Link>,
     lag: Lag,
     fence: Option<u64>,
@@ -272,6 +263,8 @@
             }),
             settings,
             prefills: Schedule::default(),
+            shares: FairShares::default(),
+            share_labels: Labels::default(),
             links: Vec::new(),
             lag: Lag::default(),
             fence: None,
--- a/crates/stair-sidecar/src/process/dump.rs
+++ b/crates/stair-sidecar/src/process/dump.rs
@@ -3,8 +3,13 @@
 use std::net::SocketAddr;
 
 use serde::Serialize;
+use serde_json::{
+    Value,
+    json, //
+};
 use stair_fleet::{
     availability,
+    fair_share::CallerState,
     msg::ReplicationState,
     prefill::Rate,
     quarantine,
@@ -16,11 +21,19 @@
     },
 };
 
+use tokio::sync::{
+    mpsc,
+    oneshot, //
+};
+
 use super::{
     Agent,
     IncarnationSource, //
 };
-use crate::origins;
+use crate::{
+    links::Event,
+    origins, //
+};
 
 /// The state of an agent. Times are in milliseconds.
 #[derive(Debug, Clone, Serialize)]
@@ -48,6 +61,12 @@
     load: Load,
     /// Prefill rates of the engine, as estimated from the entries' reports.
     rates: Vec<Rate>,
+    /// The callers that were granted most prefill time.
+    callers: Vec<CallerState>,
+    /// The number of callers that are remembered.
+    callers_known: usize,
+    /// Prompts that wait for a prefill slot.
+    prompts_waiting: usize,
     /// Open load requests, including prefetches.
     load_requests: usize,
     /// Models that are not loaded since their loads have ended the engine, and the remaining times.
@@ -67,6 +86,17 @@
     entries: Vec<Option<ReplicationState>>,
 }
 
+/// Requests the state of the main loop.
+pub(super) async fn request(events: mpsc::Sender<Event>) -> Value {
+    let (tx, rx) = oneshot::channel();
+    // Both fail only while the process is stopping.
+    let sent = events.send(Event::Dump(tx)).await.is_ok();
+    match rx.await {
+        Ok(dump) if sent => json!(dump),
+        _ => json!({ "stopping": true }),
+    }
+}
+
 impl Agent {
     pub(super) fn dump(&self) -> Dump {
         let now = self.now();
@@ -83,6 +113,9 @@
             inventory: self.controller.inventory(),
             load: self.load(),
             rates: self.prefills.rates().to_vec(),
+            callers: self.shares.states(),
+            callers_known: self.shares.callers(),
+            prompts_waiting: self.shares.waiting(),
             load_requests: self.controller.load_requests(),
             quarantined_loads: self
                 .controller
--- a/crates/stair-sidecar/src/process/receive.rs
+++ b/crates/stair-sidecar/src/process/receive.rs
@@ -1,11 +1,22 @@
 //! Handles the messages of entries, and tracks the engine's present incarnation.
 
+use std::time::Duration;
+
 use stair_fleet::{
+    fair_share::{
+        Ask,
+        Caller,
+        Decision,
+        Turn, //
+    },
     msg::{
         ToAgent,
         ToEntry, //
     },
-    prefill::Reply,
+    prefill::{
+        Reply,
+        Request, //
+    },
 };
 use stair_telemetry::event::Line;
 use stair_types::Era;
@@ -38,6 +49,7 @@
             Event::Closed(key) => {
                 self.links.retain(|l| l.key != key);
                 self.controller.disconnected(key);
+                self.shares.link_closed(key.0);
             }
             Event::Message(key, msg) => self.receive(key, msg),
             // Fails when the operator's connection has ended.
@@ -95,22 +107,17 @@
                 self.controller.cancel(LoadRequestId { link: key, seq });
             }
             ToAgent::Prefill { seq, request } => {
-                let reply = if self.controller.is_draining(&request.model) {
-                    Reply::model_draining(&request)
-                } else {
-                    self.prefills
-                        .reserve(&request, self.controller.memory_tokens(), now)
-                };
-                // A repeated request has been counted already.
-                if reply.reserved || request.first {
-                    let work = self.prefills.prefill_time(&request, reply.cached);
-                    self.controller
-                        .record_prompt(&request.model, reply.reserved, work, now);
-                }
+                let (reply, _) = self.reserve(key, &request, None, now);
                 let link = self.links.iter().find(|l| l.key == key);
                 // An entry that does not read gets no slot.
                 link.map(|l| l.tx.try_send(ToEntry::Prefill { seq, reply }));
             }
+            ToAgent::CallerPrefill { seq, request, from } => {
+                let (reply, turn) = self.reserve(key, &request, Some(&from), now);
+                let link = self.links.iter().find(|l| l.key == key);
+                // An entry that does not read gets no slot.
+                link.map(|l| l.tx.try_send(ToEntry::CallerPrefill { seq, reply, turn }));
+            }
             ToAgent::Unserved(model) => self.controller.record_unserved(&model, now),
             ToAgent::Used(list) => self.controller.record_use(key, &list, now),
             ToAgent::PrefillTimes(list) => list.iter().for_each(|r| self.prefills.record(r)),
@@ -124,6 +131,50 @@
         }
     }
 
+    /// Reserves the prefill slot of a prompt, or has it wait.
+    fn reserve(
+        &mut self,
+        key: LinkKey,
+        request: &Request,
+        caller: Option<&Caller>,
+        now: Duration,
+    ) -> (Reply, Option<Turn>) {
+        let (reply, turn) = if self.controller.is_draining(&request.model) {
+            (Reply::model_draining(request), None)
+        } else {
+            let ask = Ask {
+                link: key.0,
+                caller,
+                request,
+            };
+            let memory = self.controller.memory_tokens();
+            let decision = self.shares.reserve(&mut self.prefills, &ask, memory, now);
+            if decision.is_short {
+                self.count_share(&ask, &decision);
+            }
+            (decision.reply, decision.turn)
+        };
+        // A repeated request has been counted already.
+        if reply.reserved || request.first {
+            let work = self.prefills.prefill_time(request, reply.cached);
+            self.controller
+                .record_prompt(&request.model, reply.reserved, work, now);
+        }
+        (reply, turn)
+    }
+
+    /// Counts a decision made while slots are short.
+    fn count_share(&mut self, ask: &Ask<'_>, decision: &Decision) {
+        let caller = self.share_labels.of(ask);
+        let outcome = match (decision.reply.reserved, decision.turn) {
+            (true, _) => "granted",
+            (false, Some(_)) => "waits",
+            (false, None) => "refused",
+        };
+        let labels = [("caller", caller), ("outcome", outcome)];
+        self.page.count("shared_slots_total", &labels, 1);
+    }
+
     /// Records that the engine has rejected `id` as stale, to an entry or to this agent.
     ///
     /// The rejection need not state the present incarnation. Until that is known, load requests end
