sidecar: share prefill slots where the settings say so

`fair_shares` in the settings of an agent, false when left out: then slots are granted as before.

The test of a hot caller compares the order in which prompts run.

--- a/crates/stair-config/src/fleet_settings.rs
+++ b/crates/stair-config/src/fleet_settings.rs
@@ -31,7 +31,7 @@
     "retries",
 ];
 const RETRY_FIELDS: [&str; 4] = ["ratio", "extra", "window_ms", "entries"];
-const SIDECAR_FIELDS: [&str; 8] = [
+const SIDECAR_FIELDS: [&str; 9] = [
     "name",
     "data_centre",
     "engine",
@@ -40,6 +40,7 @@
     "store",
     "stop_within_ms",
     "fetch_window_ms",
+    "fair_shares",
 ];
 
 const MAX_MS: u32 = 3_600_000;
@@ -112,6 +113,8 @@
     pub stop_within_ms: u32,
     /// Minimum time between the starts of two loads from the weight store, in milliseconds.
     pub fetch_window_ms: u32,
+    /// Whether callers of equal rank share the engine's prefill slots while these are short.
+    pub fair_shares: bool,
 }
 
 /// Reads and checks the settings of `dandelionstair relay`.
@@ -209,6 +212,7 @@
         0..=MAX_MS,
         Some(DEFAULT_FETCH_WINDOW_MS),
     );
+    let fair_shares = fields.boolean(problems, "fair_shares", Some(false));
     Some(SidecarSettings {
         name: name?,
         data_centre: data_centre?,
@@ -218,5 +222,6 @@
         store: store?,
         stop_within_ms: stop_within_ms?,
         fetch_window_ms: fetch_window_ms?,
+        fair_shares: fair_shares?,
     })
 }
--- a/crates/stair-sidecar/src/process/receive.rs
+++ b/crates/stair-sidecar/src/process/receive.rs
@@ -141,6 +141,9 @@
     ) -> (Reply, Option<Turn>) {
         let (reply, turn) = if self.controller.is_draining(&request.model) {
             (Reply::model_draining(request), None)
+        } else if !self.settings.fair_shares {
+            let memory = self.controller.memory_tokens();
+            (self.prefills.reserve(request, memory, now), None)
         } else {
             let ask = Ask {
                 link: key.0,
