sidecar: count demand once for a prompt that gives way

A prompt that is not admitted at its first request counts as demand that the engine could not meet, and again when it is admitted. A prompt that gives way to others would count twice as well, although the engine has a slot for it, and its model would get replicas for it. It now counts as unmet only if it is refused in the end.

--- a/crates/stair-fleet/src/fair_share.rs
+++ b/crates/stair-fleet/src/fair_share.rs
@@ -140,6 +140,9 @@
     pub reply: Reply,
     /// The prompt's turn, if it has to wait.
     pub turn: Option<Turn>,
+    /// Whether the prompt counts as demand that the engine could not meet: the schedule has no slot
+    /// for it, or it is refused. Counted once for each prompt.
+    pub is_unmet: bool,
     /// Whether slots are short: a prompt of its rank had no slot within [`WINDOW`], or one waits.
     pub is_short: bool,
 }
@@ -157,6 +160,8 @@
     /// The time at which it asks again.
     due: Duration,
     cost: Duration,
+    /// Whether it was counted as demand that the engine could not meet.
+    is_counted: bool,
     /// What counts as demand of its caller for it, in milliseconds, and in which bucket.
     unmet: Option<(f32, u64)>,
 }
@@ -218,10 +223,12 @@
             return Decision {
                 reply,
                 turn: None,
+                is_unmet: false,
                 is_short,
             };
         };
         let is_known = before.is_some();
+        let was_counted = before.as_ref().map_or(!ask.request.first, |w| w.is_counted);
         let unmet = match before {
             Some(before) => before.unmet,
             None if ask.request.first => {
@@ -237,9 +244,11 @@
             return Decision {
                 reply,
                 turn: None,
+                is_unmet: !was_counted,
                 is_short: true,
             };
         }
+        let is_unmet = !was_counted && !probe.reply.reserved;
         if !is_known {
             self.callers.count_waited(caller);
         }
@@ -252,6 +261,7 @@
                 latest,
                 due: now + retry_in,
                 cost: probe.cost,
+                is_counted: was_counted || is_unmet,
                 unmet,
             },
             now,
@@ -263,6 +273,7 @@
                 ahead: ahead.prompts,
                 standing: place.standing,
             }),
+            is_unmet,
             is_short: true,
         }
     }
--- a/crates/stair-fleet/tests/fair_share.rs
+++ b/crates/stair-fleet/tests/fair_share.rs
@@ -156,6 +156,44 @@
     assert!(served_at <= UNSERVED_TIMEOUT + ms(1000), "{served_at:?}");
 }
 
+/// The demand for a model decides about its replicas. A prompt that gives way to others counts only
+/// if it is refused in the end, and once.
+#[test]
+fn demand_is_counted_once() {
+    let (mut shares, mut prefills) = (FairShares::default(), Schedule::default());
+    fill(&mut shares, &mut prefills);
+    let waits = impatient(1, 100);
+    let given = ask_at(&mut shares, &mut prefills, &waits, ms(0), ms(0));
+    assert!(given.turn.is_some() && given.is_unmet, "{given:?}");
+    let again = Request {
+        first: false,
+        ..waits
+    };
+    let given = ask_at(&mut shares, &mut prefills, &again, ms(0), ms(20));
+    assert!(given.turn.is_some() && !given.is_unmet, "{given:?}");
+    // The schedule alone would admit it.
+    let gives_way = request(50, 101);
+    let asked = ms(40);
+    let given = ask_at(&mut shares, &mut prefills, &gives_way, asked, asked);
+    assert!(given.turn.is_some() && !given.is_unmet, "{given:?}");
+    let late = Request {
+        first: false,
+        max_wait: ms(0),
+        ..gives_way
+    };
+    let from = Caller {
+        time_left: ms(0),
+        ..from(50, 1101)
+    };
+    let ask = Ask {
+        link: 1,
+        caller: Some(&from),
+        request: &late,
+    };
+    let given = shares.reserve(&mut prefills, &ask, MEMORY, ms(60));
+    assert!(!given.reply.reserved && given.is_unmet, "{given:?}");
+}
+
 /// A prompt of which it is known that it cannot have a slot in its time is refused at once, and the
 /// wait that it is told covers the prompts before it.
 #[test]
--- a/crates/stair-sidecar/src/process/receive.rs
+++ b/crates/stair-sidecar/src/process/receive.rs
@@ -139,11 +139,12 @@
         caller: Option<&Caller>,
         now: Duration,
     ) -> (Reply, Option<Turn>) {
-        let (reply, turn) = if self.controller.is_draining(&request.model) {
-            (Reply::model_draining(request), None)
+        let (reply, turn, is_unmet) = if self.controller.is_draining(&request.model) {
+            (Reply::model_draining(request), None, request.first)
         } else if !self.settings.fair_shares {
             let memory = self.controller.memory_tokens();
-            (self.prefills.reserve(request, memory, now), None)
+            let reply = self.prefills.reserve(request, memory, now);
+            (reply, None, request.first)
         } else {
             let ask = Ask {
                 link: key.0,
@@ -155,10 +156,10 @@
             if decision.is_short {
                 self.count_share(&ask, &decision);
             }
-            (decision.reply, decision.turn)
+            (decision.reply, decision.turn, decision.is_unmet)
         };
         // A repeated request has been counted already.
-        if reply.reserved || request.first {
+        if reply.reserved || is_unmet {
             let work = self.prefills.prefill_time(request, reply.cached);
             self.controller
                 .record_prompt(&request.model, reply.reserved, work, now);
