fleet: no caller is shut out whose prompts have little time

A prompt that waits for 400 ms at most is refused at once when the next slot is later, and has no turn. A caller of such prompts was without a slot for 10.6 s among sixteen. While a caller of the rank has had none for 4 s, the others reserve slots only shortly before, so that a prompt of it finds one. The longest time is now below 8 s.

Prompts that give way ask again at most 10 ms after the next burst may begin: those before them may have left, and the engine would be idle.

--- a/crates/stair-fleet/src/fair_share.rs
+++ b/crates/stair-fleet/src/fair_share.rs
@@ -208,7 +208,11 @@
         let place = self.place(caller, asked, latest, now);
         let ahead = self.ahead(place, &probe, now);
         // A prompt that comes later may have a better right to the slot.
-        let is_late = place.standing == Standing::Above || self.callers.is_short_before(place.rank);
+        let is_late = match place.standing {
+            Standing::Unserved => false,
+            Standing::Below => self.callers.has_unserved(place.rank),
+            Standing::Above => true,
+        } || self.callers.is_short_before(place.rank);
         let is_short = self.callers.is_short(caller) || !self.waiting.is_empty();
         let retry_in = match probe.reply.reserved {
             true => prompt.hold(&probe, is_late, &ahead),
@@ -324,9 +328,7 @@
     }
 
     fn place(&self, caller: Slot, asked: Duration, latest: Duration, now: Duration) -> Place {
-        let unserved = self.callers.unserved_since(caller);
-        let unserved = unserved.filter(|t| now.saturating_sub(*t) >= UNSERVED_TIMEOUT);
-        let (standing, by) = match unserved {
+        let (standing, by) = match self.callers.unserved_since(caller, now) {
             Some(since) => (Standing::Unserved, since),
             None if self.callers.is_below(caller) => (Standing::Below, latest),
             None => (Standing::Above, asked),
--- a/crates/stair-fleet/src/fair_share/callers.rs
+++ b/crates/stair-fleet/src/fair_share/callers.rs
@@ -5,6 +5,8 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::UNSERVED_TIMEOUT;
+
 /// Time for which granted prefill time counts: long enough for several prompts of 0.3 s of each of
 /// a dozen callers, and half of the time within which each caller has to be served.
 pub const WINDOW: Duration = Duration::from_millis(1000 * BUCKETS as u64);
@@ -91,6 +93,13 @@
     counts: Counts,
 }
 
+impl Entry {
+    fn is_unserved(&self, now: Duration) -> bool {
+        let is_long = |t: Duration| now.saturating_sub(t) >= UNSERVED_TIMEOUT;
+        self.unserved_since.is_some_and(is_long)
+    }
+}
+
 /// Prompts of a caller since it was last added to the table.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
 pub struct Counts {
@@ -135,6 +144,8 @@
     /// The max-min share by rank, infinite while there is enough for all.
     shares: [f32; RANKS],
     shares_at: Option<Duration>,
+    /// Whether a caller of the rank has been without a slot for [`UNSERVED_TIMEOUT`].
+    has_unserved: [bool; RANKS],
 }
 
 impl Default for Callers {
@@ -147,6 +158,7 @@
             bucket: 0,
             shares: [f32::INFINITY; RANKS],
             shares_at: None,
+            has_unserved: [false; RANKS],
         }
     }
 }
@@ -172,6 +184,7 @@
         if self.shares_at.is_none_or(due) {
             self.shares_at = Some(now);
             let queued = Some(backlog).filter(|b| *b > MAX_BACKLOG);
+            self.find_unserved(now);
             self.compute_shares(queued.map_or(0.0, |b| b.as_secs_f32() * 1000.0));
         }
     }
@@ -197,6 +210,14 @@
         }
     }
 
+    fn find_unserved(&mut self, now: Duration) {
+        self.has_unserved = [false; RANKS];
+        for (_, slot) in &self.index {
+            let entry = &self.entries[slot.0 as usize];
+            self.has_unserved[usize::from(entry.rank)] |= entry.is_unserved(now);
+        }
+    }
+
     /// Computes the max-min share of each rank: the demand of each caller up to the share adds up to
     /// what the engine has read for the rank, all but the `queued_ms` that it was granted in advance.
     fn compute_shares(&mut self, queued_ms: f32) {
@@ -289,6 +310,11 @@
         self.shares[usize::from(self.get(slot).rank)].is_finite()
     }
 
+    /// Whether some caller of the rank has been without a slot for [`UNSERVED_TIMEOUT`].
+    pub(super) fn has_unserved(&self, rank: u8) -> bool {
+        self.has_unserved[usize::from(rank)]
+    }
+
     /// Whether a prompt of a higher rank had no slot within the window.
     pub(super) fn is_short_before(&self, rank: u8) -> bool {
         let higher = &self.shares[..usize::from(rank)];
@@ -301,9 +327,11 @@
         entry.granted.sum < self.shares[usize::from(entry.rank)] * BELOW_FRACTION
     }
 
-    /// Since when the caller has had prompts without a slot and none with one.
-    pub(super) fn unserved_since(&self, slot: Slot) -> Option<Duration> {
-        self.get(slot).unserved_since
+    /// Since when the caller has had prompts without a slot and none with one, if that is longer than
+    /// [`UNSERVED_TIMEOUT`].
+    pub(super) fn unserved_since(&self, slot: Slot, now: Duration) -> Option<Duration> {
+        let entry = self.get(slot);
+        entry.unserved_since.filter(|_| entry.is_unserved(now))
     }
 
     /// Counts a prompt with a slot.
--- a/crates/stair-fleet/src/fair_share/prompt.rs
+++ b/crates/stair-fleet/src/fair_share/prompt.rs
@@ -94,8 +94,10 @@
             longest - MIN_RETRY
         } else if longest > RESERVE_AHEAD + MIN_RETRY {
             longest - RESERVE_AHEAD + spacing(ahead.prompts)
+        } else if longest > 2 * MIN_RETRY {
+            longest - MIN_RETRY
         } else {
-            longest + spacing(ahead.prompts)
+            longest + MIN_RETRY
         };
         let retry_in = match ahead.due_in {
             Some(_) if is_late => last,
@@ -115,7 +117,10 @@
             true => probe.reply.wait.saturating_sub(RESERVE_AHEAD),
             false => Duration::ZERO,
         };
-        self.bounded(probe.opens_in.max(reserves_in) + spacing(ahead.prompts))
+        let after_others = probe.opens_in.max(reserves_in) + spacing(ahead.prompts);
+        // Those before it may not ask again. The slot is then free at most for this time.
+        let latest = probe.opens_in.max(probe.reply.wait + MIN_RETRY);
+        self.bounded(after_others.min(latest))
     }
 
     fn bounded(&self, retry_in: Duration) -> Duration {
--- a/crates/stair-fleet/tests/fair_share_load.rs
+++ b/crates/stair-fleet/tests/fair_share_load.rs
@@ -154,6 +154,18 @@
     assert!(unshared > ms(20_000), "{unshared:?}");
 }
 
+/// As above, with prompts that wait for 400 ms at most: most of them are refused at once and have no
+/// turn.
+#[test]
+fn nobody_is_shut_out_with_little_time() {
+    let kind = Kind {
+        objective_ms: 800,
+        ..QUOTE
+    };
+    let longest = longest_without(&outcomes(Policy::Fair, &equal(16, kind, 3.0)));
+    assert!(longest <= ms(8000), "{longest:?}");
+}
+
 /// A caller appears while eight others fill the engine. It has no share yet, and its prompts go
 /// before theirs.
 #[test]
