--- a/crates/stair-config/src/fleet_settings.rs
+++ b/crates/stair-config/src/fleet_settings.rs
@@ -32,7 +32,7 @@
     "quota_slack",
 ];
 const RETRY_FIELDS: [&str; 4] = ["ratio", "extra", "window_ms", "entries"];
-const SIDECAR_FIELDS: [&str; 9] = [
+const SIDECAR_FIELDS: [&str; 10] = [
     "name",
     "data_centre",
     "engine",
@@ -42,6 +42,7 @@
     "stop_within_ms",
     "fetch_window_ms",
     "quota_slack",
+    "fair_shares",
 ];
 
 const MAX_MS: u32 = 3_600_000;
@@ -120,6 +121,8 @@
     /// Units that all processes together may admit beyond the quota of a workspace; 0 for none. Without any, the
     /// agent has no order among the requests of a workspace whose quota is short.
     pub quota_slack: f64,
+    /// Whether callers of equal rank share the engine's prefill slots while these are short.
+    pub fair_shares: bool,
 }
 
 /// Reads and checks the settings of `dandelionstair relay`.
@@ -220,6 +223,7 @@
         Some(DEFAULT_FETCH_WINDOW_MS),
     );
     let quota_slack = fields.number_or_empty(problems, "quota_slack", 0.0..=MAX_SLACK, 0.0);
+    let fair_shares = fields.boolean(problems, "fair_shares", Some(false));
     Some(SidecarSettings {
         name: name?,
         data_centre: data_centre?,
@@ -230,5 +234,6 @@
         stop_within_ms: stop_within_ms?,
         fetch_window_ms: fetch_window_ms?,
         quota_slack: quota_slack?,
+        fair_shares: fair_shares?,
     })
 }
--- a/crates/stair-fleet/src/msg.rs
+++ b/crates/stair-fleet/src/msg.rs
@@ -17,6 +17,7 @@
 use crate::{
     availability::Shared,
     catalogue::Engine,
+    fair_share,
     origin::{
         FromKeeper,
         ToKeeper, //
@@ -113,6 +114,16 @@
     /// The agents that the entry does not use for counts; sent on changes, only to agents with an order among
     /// requests, see [`Features`].
     PassedOver(quota::PassedOver),
+    /// As [`ToAgent::Prefill`], with the caller that the prompt is from; only to agents that share
+    /// prefill slots among callers, see [`Features`].
+    CallerPrefill {
+        /// Identifies the request on this connection.
+        seq: u64,
+        /// The prompt.
+        request: prefill::Request,
+        /// The caller.
+        from: fair_share::Caller,
+    },
 }
 
 /// What an agent can do beyond what agents of earlier releases can. The extension of its first message.
@@ -124,6 +135,8 @@
     pub causes: bool,
     /// Whether it has an order among the requests of a workspace whose quota is short. It depends on its settings.
     pub quota_order: bool,
+    /// Whether it shares prefill slots among callers.
+    pub callers: bool,
 }
 
 impl Features {
@@ -132,6 +145,7 @@
         origins: true,
         causes: true,
         quota_order: true,
+        callers: true,
     };
 }
 
@@ -243,6 +257,15 @@
         /// The result.
         reply: quota::OrderedReply,
     },
+    /// The reply to [`ToAgent::CallerPrefill`].
+    CallerPrefill {
+        /// The `seq` of the request.
+        seq: u64,
+        /// The result.
+        reply: prefill::Reply,
+        /// The prompt's turn, if it has to wait.
+        turn: Option<fair_share::Turn>,
+    },
 }
 
 /// What one entry, the receiver, needs to know of the other entries. Their whole list would be too
