A request that lost its granted turn keeps its grace

A request that has waited now keeps the grace of 500 ms when it enters the queue again. keeps_its_grace tests it.

--- a/crates/stair-fleet/src/backoff_queue.rs
+++ b/crates/stair-fleet/src/backoff_queue.rs
@@ -69,6 +69,16 @@
     pub send_by: Duration,
     /// The objective of its route, within which the target is expected to respond.
     pub objective: Duration,
+    /// Whether it has waited before. A request that was granted its turn and could not be sent keeps its grace.
+    pub waited: bool,
+}
+
+impl Times {
+    /// The time by which the turn of a request that waits has to come.
+    fn keep_until(&self) -> Duration {
+        let grace = self.send_by.saturating_add(GRACE);
+        grace.min(self.until).max(self.send_by)
+    }
 }
 
 /// The state of the target that a request waits for.
@@ -185,7 +195,11 @@
     /// that waits for another target waits for this one from now on.
     pub fn enter(&mut self, target: Target<'_>, place: Place, times: Times, now: Duration) -> bool {
         let known = self.find(place);
-        let limit = known.map_or(times.send_by, |i| self.waiting[i].keep_until());
+        let limit = match known {
+            Some(i) => self.waiting[i].times.keep_until(),
+            None if times.waited => times.keep_until(),
+            None => times.send_by,
+        };
         let turn = self.turn(target, place, times.objective, now);
         let in_time = turn.is_some_and(|t| now.saturating_add(t) <= limit);
         match known {
@@ -227,7 +241,7 @@
             return Check::Go;
         }
         self.waiting[i].granted = None;
-        match now.saturating_add(turn.wait) <= waiting.keep_until() {
+        match now.saturating_add(turn.wait) <= waiting.times.keep_until() {
             true => Check::Wait(turn.wait),
             false => Check::TooLate(turn.wait),
         }
@@ -303,12 +317,6 @@
             Some(at) => backs_off && now < at.saturating_add(PROBE_INTERVAL),
         }
     }
-
-    /// The time by which its turn has to come.
-    fn keep_until(&self) -> Duration {
-        let grace = self.times.send_by.saturating_add(GRACE);
-        grace.min(self.times.until).max(self.times.send_by)
-    }
 }
 
 /// An expected turn.
--- a/crates/stair-fleet/tests/backoff_queue.rs
+++ b/crates/stair-fleet/tests/backoff_queue.rs
@@ -68,6 +68,7 @@
             until: now + ms(client_ms),
             send_by: now + ms(useful_ms),
             objective: OBJECTIVE,
+            waited: false,
         };
         let place = self.queue.place(rank, times.until);
         let target = Target {
@@ -259,3 +260,24 @@
     assert_eq!(waits, MAX_WAITING);
     assert_eq!(case.queue.count(None), MAX_WAITING);
 }
+
+// A request that was granted its turn and could not be sent is refused, as its useful time is over by then.
+#[test]
+fn keeps_its_grace() {
+    let mut case = Case::new(1000);
+    let times = |waited| Times {
+        until: NOW + ms(4000),
+        send_by: NOW + ms(1000),
+        objective: OBJECTIVE,
+        waited,
+    };
+    let place = case.queue.place(0, NOW + ms(4000));
+    let now = NOW + ms(1005);
+    case.availability.record_send(now);
+    let target = Target {
+        key: case.key,
+        availability: &case.availability,
+    };
+    assert!(!case.queue.enter(target, place, times(false), now));
+    assert!(case.queue.enter(target, place, times(true), now));
+}
--- a/crates/stair-relay/src/select.rs
+++ b/crates/stair-relay/src/select.rs
@@ -293,6 +293,8 @@
     place: Option<Place>,
     /// Set while it waits for a target in backoff, until it is sent or does something else.
     ticket: Option<Ticket>,
+    /// Whether it has waited for a target in backoff.
+    waited: bool,
 }
 
 impl Search {
@@ -309,6 +311,7 @@
             replica_requested: false,
             place: None,
             ticket: None,
+            waited: false,
         }
     }
 }
--- a/crates/stair-relay/src/select/backoff.rs
+++ b/crates/stair-relay/src/select/backoff.rs
@@ -228,6 +228,7 @@
     wakers.insert(i, (place.arrival(), notify.clone()));
     let id = state.view.get(key).target.id.clone();
     drop(guard);
+    search.waited = true;
     search.ticket = Some(Ticket {
         cx: cx.clone(),
         place,
@@ -273,6 +274,7 @@
         until: now + left,
         send_by: now + Waits::of(job, &search.reservation).longest,
         objective: job.route.objective,
+        waited: search.waited,
     }
 }
 
