choose: by each engine's own speed

The choice of a target used one prefill rate and a fixed cost for each running request, while engines run at 0.55 to 1.2 of their nominal rate.

An entry now measures the time of an event of its streams and sends it to the engine's agent, if that agent estimates from it. The agent estimates the engine's speed, applies it to its prefill rates, and sends the estimate as an extension of its reports, which the previous release reads without it. The choice uses it for the time to the first event, and adds the cost of a request to others: the delay of later prompts, and streams that would pause for longer than promised. Refusals and loads are still decided by the constants, so that an estimate causes none.

Bursts of prefill leave time for the event after them, and the break after a burst is long enough for an event at a slow engine.

--- a/crates/stair-fleet/src/choose.rs
+++ b/crates/stair-fleet/src/choose.rs
@@ -3,6 +3,10 @@
 //! The target with the shortest estimated time to the first event wins. A busy model has several
 //! replicas, each with its own prefix cache: requests with a common prefix prefer one replica,
 //! chosen by rendezvous hashing, unless its queue costs more time than the cached prefix saves.
+//!
+//! An engine's own speed is used where it is known. What the request costs others is added for the
+//! comparison of targets ([`Placement`]); it is no part of the wait by which requests are refused or
+//! replicas loaded.
 
 use std::time::Duration;
 
@@ -43,6 +47,56 @@
 /// chosen as well.
 const TIE_BREAK_MS: f64 = 6.0;
 
+/// Cost of a target whose prefill takes all of its time, in milliseconds. Half of what a usual cached
+/// prefix saves, so that requests leave their prefix's replica only for a much less loaded one.
+const FULL_LOAD_MS: f64 = 200.0;
+
+/// Bound of the load in the delay of requests that come later, which is infinite at 1.
+const MAX_LOAD: f64 = 0.85;
+
+/// Tokens that each prompt costs beside its own.
+const PROMPT_OVERHEAD_TOKENS: f64 = 150.0;
+
+/// Expected pause beside a prompt, as a fraction of the promised one, up to which no stream is late, and
+/// from which on all are. The rates are right within some 20%.
+const PAUSE_RAMP: (f64, f64) = (0.8, 1.1);
+
+/// Cost of a stream that pauses for longer than promised, in milliseconds.
+const LATE_STREAM_MS: f64 = 60.0;
+
+/// Largest cost of late streams, in milliseconds.
+const MAX_LATE_STREAMS_MS: f64 = 1200.0;
+
+/// Events that a running stream still has, for the cost of steps that take longer beside more streams.
+const EVENTS_LEFT: f64 = 10.0;
+
+/// Uncached tokens from which on a prompt is long, where long prompts are kept from streams.
+const LONG_PROMPT_TOKENS: f64 = 2000.0;
+
+/// Cost of each stream beside a long prompt, where they are separated, in milliseconds.
+const SEPARATE_STREAM_MS: f64 = 30.0;
+
+/// Cost of an engine that only reads long prompts to a short one, where they are separated, in
+/// milliseconds.
+const SEPARATE_LOAD_MS: f64 = 800.0;
+
+/// How the cost to other requests enters the choice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Placement {
+    /// Not at all, and without the engines' own speeds: by the constants.
+    Fixed,
+    /// All engines share all work by their load.
+    Share,
+    /// As `Share`, and long prompts avoid engines with many streams, and short ones those that read
+    /// much.
+    Separate,
+}
+
+impl Placement {
+    /// The one in use. Trials that compare them change it here.
+    pub const CURRENT: Self = Self::Share;
+}
+
 /// The request that needs a target.
 #[derive(Debug, Clone, Copy)]
 pub struct Options<'a> {
@@ -69,6 +123,10 @@
     pub version: Option<&'a str>,
     /// Connections that this entry may have open to one target.
     pub connections: Connections,
+    /// The shortest pause between events that a route of the service promises.
+    pub pause: Option<Duration>,
+    /// How the cost to other requests enters the choice.
+    pub placement: Placement,
 }
 
 /// How many connections an entry may have open to one target.
@@ -109,8 +167,21 @@
 pub struct Outcome {
     /// The target.
     pub key: TargetKey,
-    /// Estimated time to the first event, in milliseconds.
+    /// Time to the first event by the constants, in milliseconds. Refusals and loads are decided by it, so
+    /// that an estimate causes none.
     pub wait_ms: f64,
+    /// Time to the first event by the engine's own speed, in milliseconds.
+    pub expected_ms: f64,
+    /// The pause that the prompt causes to streams at the target, in milliseconds; 0 if unknown.
+    pub pause_ms: f64,
+    /// What the request costs others, in milliseconds.
+    pub cost_ms: f64,
+}
+
+impl Outcome {
+    fn score(&self) -> f64 {
+        self.expected_ms + self.cost_ms
+    }
 }
 
 /// Chooses among the targets that accept requests and have the model, if one is requested.
@@ -123,11 +194,8 @@
     let preferred = affinity_target(&candidates, opts);
     candidates
         .iter()
-        .map(|(key, s)| Outcome {
-            key: *key,
-            wait_ms: wait_ms(s, opts, preferred == Some(*key), now),
-        })
-        .min_by(|a, b| a.wait_ms.total_cmp(&b.wait_ms))
+        .map(|(key, s)| estimate(*key, s, opts, preferred == Some(*key), now))
+        .min_by(|a, b| a.score().total_cmp(&b.score()))
 }
 
 /// Whether a target could run the request if this entry had a connection to it left.
@@ -184,7 +252,14 @@
         .map(|(key, _)| *key)
 }
 
-fn wait_ms(s: &TargetState, opts: &Options<'_>, is_affinity_target: bool, now: Duration) -> f64 {
+/// Estimates the time to the first event at a target, and the cost to others.
+fn estimate(
+    key: TargetKey,
+    s: &TargetState,
+    opts: &Options<'_>,
+    is_affinity_target: bool,
+    now: Duration,
+) -> Outcome {
     let tie_break = xxh3_64_with_seed(s.target.id.as_bytes(), opts.salt) as f64 / u64::MAX as f64;
     let mut ms = tie_break * TIE_BREAK_MS + s.delay_ms.max(0.0) + s.failing * FAILURE_MS;
     if *s.target.data_centre != *opts.data_centre {
@@ -194,37 +269,123 @@
     let Some(model) = opts.model else {
         // A plain service: the estimate depends on how many slots this entry's own requests use.
         let slots = f64::from(s.target.slots.max(1));
-        return ms
-            + 20.0 * f64::from(s.in_flight) / slots
-            + s.target.cold.as_millis() as f64 / 50.0;
+        ms += 20.0 * f64::from(s.in_flight) / slots + s.target.cold.as_millis() as f64 / 50.0;
+        return Outcome {
+            key,
+            wait_ms: ms,
+            expected_ms: ms,
+            pause_ms: 0.0,
+            cost_ms: 0.0,
+        };
     };
     let cached = match opts.shared {
         Some((tokens, _)) if is_affinity_target => tokens,
         _ => 0,
     };
-    ms += opts.tokens.saturating_sub(cached) as f64 / PREFILL_TOKENS_PER_MS;
-    if let Some(report) = s.fresh_report(now) {
-        ms += s.prefill_until.saturating_sub(now).as_secs_f64() * 1000.0;
-        // A limited engine is read seldom, so that its counts are old, and gets few requests.
-        if s.limit.is_none() {
-            ms += f64::from(report.load.running) * RUNNING_MS
-                + f64::from(report.load.queued) * QUEUED_MS;
-        }
-    } else {
-        // The agent is silent: only this entry's own requests are known.
-        ms += s.unread_tokens as f64 / PREFILL_TOKENS_PER_MS;
-        ms += f64::from(s.in_flight) * RUNNING_MS;
-    }
+    let report = s.fresh_report(now);
     if opts.adapter.is_some_and(|a| !s.has_adapter(model, a, now)) {
         ms += ADAPTER_MS;
         // An engine takes no orders for adapters while it loads or unloads a model.
-        let loading = s.fresh_report(now).and_then(|r| r.load.loading.as_ref());
+        let loading = report.and_then(|r| r.load.loading.as_ref());
         ms += loading.map_or(0.0, |l| l.remaining.as_secs_f64() * 1000.0);
-        if s.fresh_report(now)
-            .is_some_and(|r| r.load.free_adapters == 0)
-        {
+        if report.is_some_and(|r| r.load.free_adapters == 0) {
             ms += NO_ADAPTER_SLOT_MS;
         }
     }
-    ms
+    let queue = queue_of(s, now);
+    ms += queue.backlog_ms;
+    let tokens = opts.tokens.saturating_sub(cached) as f64;
+    let usual_ms = tokens / PREFILL_TOKENS_PER_MS
+        + queue.unread_tokens / PREFILL_TOKENS_PER_MS
+        + f64::from(queue.running) * RUNNING_MS;
+    let mut out = Outcome {
+        key,
+        wait_ms: ms + usual_ms,
+        expected_ms: ms + usual_ms,
+        pause_ms: 0.0,
+        cost_ms: 0.0,
+    };
+    if opts.placement == Placement::Fixed {
+        return out;
+    }
+    let load = report.map_or(0.0, |r| r.load.prefill_fraction());
+    let (mut rate, mut crowding_ms) = (PREFILL_TOKENS_PER_MS, 0.0);
+    if let Some(pace) = s.pace(model, queue.running, now) {
+        rate = pace
+            .tokens_per_ms
+            .unwrap_or(PREFILL_TOKENS_PER_MS * pace.speed);
+        out.expected_ms = ms + (tokens + queue.unread_tokens) / rate + pace.event_ms;
+        crowding_ms = EVENTS_LEFT * (pace.event_ms - pace.least_event_ms);
+        out.pause_ms = (tokens + PROMPT_OVERHEAD_TOKENS) / rate + pace.event_ms;
+    }
+    let cost = Cost {
+        tokens,
+        prefill_ms: tokens / rate,
+        pause_ms: out.pause_ms,
+        streams: queue.running,
+        load,
+    };
+    out.cost_ms = crowding_ms + cost.ms(opts);
+    out
+}
+
+/// What delays a request at an engine, beside its own prompt.
+struct Queue {
+    running: u32,
+    backlog_ms: f64,
+    unread_tokens: f64,
+}
+
+fn queue_of(s: &TargetState, now: Duration) -> Queue {
+    let Some(report) = s.fresh_report(now) else {
+        // The agent is silent: only this entry's own requests are known.
+        return Queue {
+            running: s.in_flight,
+            backlog_ms: 0.0,
+            unread_tokens: s.unread_tokens as f64,
+        };
+    };
+    // A limited engine is read seldom, so that its counts are old, and gets few requests.
+    let (running, queued) = match s.limit {
+        None => (report.load.running, report.load.queued),
+        Some(_) => (0, 0),
+    };
+    let backlog = s.prefill_until.saturating_sub(now);
+    Queue {
+        running,
+        backlog_ms: backlog.as_secs_f64() * 1000.0 + f64::from(queued) * QUEUED_MS,
+        unread_tokens: 0.0,
+    }
+}
+
+/// What determines the cost of a prompt to other requests at an engine.
+struct Cost {
+    /// Tokens to read.
+    tokens: f64,
+    prefill_ms: f64,
+    pause_ms: f64,
+    streams: u32,
+    /// Fraction of the engine's time that prefill takes.
+    load: f64,
+}
+
+impl Cost {
+    fn ms(&self, opts: &Options<'_>) -> f64 {
+        let streams = f64::from(self.streams);
+        // The busier the engine, the more requests wait for the prompt.
+        let load = self.load.min(MAX_LOAD);
+        let mut ms = self.prefill_ms * load / (1.0 - load) + FULL_LOAD_MS * self.load.min(1.0);
+        if let Some(pause) = opts.pause.filter(|p| !p.is_zero()) {
+            let fraction = self.pause_ms / (pause.as_secs_f64() * 1000.0);
+            let late = (fraction - PAUSE_RAMP.0) / (PAUSE_RAMP.1 - PAUSE_RAMP.0);
+            ms += (late.clamp(0.0, 1.0) * streams * LATE_STREAM_MS).min(MAX_LATE_STREAMS_MS);
+        }
+        if opts.placement == Placement::Separate {
+            ms += match self.tokens >= LONG_PROMPT_TOKENS {
+                true => streams * SEPARATE_STREAM_MS,
+                false => load * SEPARATE_LOAD_MS,
+            };
+        }
+        ms
+    }
 }
--- a/crates/stair-fleet/src/lib.rs
+++ b/crates/stair-fleet/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`view`]: what an entry knows of all targets.
 //! - [`choose`]: chooses a target among those that can run a request now.
 //! - [`cold_start`]: chooses the target that loads a model, and the models evicted there.
+//! - [`engine_estimate`]: estimates the speed of one engine.
 //! - [`overload`]: decides whether a request for a slow target is sent, waits for a load or is
 //!   refused.
 //! - [`prefetch`]: chooses loads before requests wait for them.
@@ -35,6 +36,7 @@
 pub mod catalogue;
 pub mod choose;
 pub mod cold_start;
+pub mod engine_estimate;
 pub mod events;
 pub mod fetch;
 pub mod lag;
--- a/crates/stair-fleet/src/msg.rs
+++ b/crates/stair-fleet/src/msg.rs
@@ -17,6 +17,10 @@
 use crate::{
     availability::Shared,
     catalogue::Engine,
+    engine_estimate::{
+        Estimate,
+        EventTime, //
+    },
     origin::{
         FromKeeper,
         ToKeeper, //
@@ -102,6 +106,8 @@
     Availability(Vec<Shared>),
     /// About the origins of streams; only to agents that keep them, see [`Features`].
     Origin(ToKeeper),
+    /// Measured times of events; only to agents that estimate from them, see [`Features`].
+    EventTimes(Vec<EventTime>),
 }
 
 /// What an agent can do beyond what agents of earlier releases can. The extension of its first message.
@@ -111,6 +117,8 @@
     pub origins: bool,
     /// Whether its ledger knows the parts of prompts as causes of crashes.
     pub causes: bool,
+    /// Whether it estimates the engine's speed from the times of events.
+    pub event_times: bool,
 }
 
 impl Features {
@@ -118,9 +126,20 @@
     pub const CURRENT: Self = Self {
         origins: true,
         causes: true,
+        event_times: true,
     };
 }
 
+/// What an agent sends beside a message, as the extension of its frame. Processes of earlier releases read
+/// the features and ignore the rest.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Extension {
+    /// With the first message, what the agent can do; the default afterwards.
+    pub features: Features,
+    /// With a [`ToEntry::Load`], the engine's estimated speed.
+    pub estimate: Option<Estimate>,
+}
+
 /// The versions that an entry has of replicated data.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ReplicationState {
--- a/crates/stair-fleet/src/prefill.rs
+++ b/crates/stair-fleet/src/prefill.rs
@@ -18,6 +18,13 @@
     Serialize, //
 };
 
+use crate::engine_estimate::{
+    Estimate,
+    Estimator,
+    EventTime,
+    ModelRate, //
+};
+
 /// Prefill rate until there are samples, in prompt tokens per millisecond.
 const INITIAL_RATE: f64 = 33.0;
 
@@ -52,6 +59,23 @@
 /// The least time between two bursts, in milliseconds.
 const MIN_BREAK_MS: f64 = 60.0;
 
+/// Part of the promised pause that is left for the network, where the time of an event is known, in
+/// milliseconds.
+const PAUSE_MARGIN_MS: f64 = 60.0;
+
+/// Least part of the promised pause that a burst may take, however slow the engine is.
+const MIN_BURST_FRACTION: f64 = 0.25;
+
+/// Multiple of the time of an event that the break between two bursts has to last, so that each stream
+/// has an event in it. A break may begin late, since the rates are estimates.
+const BREAK_EVENTS: f64 = 1.5;
+
+/// Largest break by the time of an event, in milliseconds.
+const MAX_BREAK_MS: f64 = 200.0;
+
+/// Models whose rates are reported.
+const MAX_REPORTED_RATES: usize = 8;
+
 /// Time to load a model from a copy at another engine, evictions included.
 const SWAP_DURATION: Duration = Duration::from_millis(1000);
 
@@ -167,6 +191,9 @@
     /// Sorted by chain.
     cached_blocks: Vec<CachedBlock>,
     cached_tokens: u64,
+    estimator: Estimator,
+    /// The engine's speed and its time of an event as of the last sample.
+    pace: Pace,
 }
 
 impl Schedule {
@@ -175,10 +202,64 @@
     pub fn clear(&mut self) {
         *self = Self {
             rates: std::mem::take(&mut self.rates),
+            estimator: std::mem::take(&mut self.estimator),
+            pace: self.pace,
             ..Self::default()
         };
     }
 
+    /// Updates the engine's speed by measured times of events while it ran this number of streams.
+    pub fn record_events(&mut self, times: &[EventTime], streams: u32, now: Duration) {
+        for time in times {
+            self.estimator.record(time, streams, now);
+        }
+        self.update_pace(streams, now);
+    }
+
+    /// Updates the speed without a sample: it returns to the usual one with time.
+    pub fn update_pace(&mut self, streams: u32, now: Duration) {
+        if self.estimator.age(now).is_some() {
+            self.pace = Pace {
+                speed: self.estimator.speed(now),
+                event_ms: self.estimator.event_ms(streams, now),
+            };
+        }
+    }
+
+    /// The estimated speed of the engine, once events have been measured. `loaded` has the models that
+    /// it has loaded.
+    pub fn estimate<'a, I>(&self, loaded: I, now: Duration) -> Option<Estimate>
+    where
+        I: Iterator<Item = &'a str>,
+    {
+        let measured = |model: &&str| self.rates.iter().any(|r| *r.model == **model);
+        let mut rates: Vec<ModelRate> = loaded
+            .filter(measured)
+            .take(MAX_REPORTED_RATES)
+            .map(|model| ModelRate {
+                model: model.into(),
+                tokens_per_ms: self.rate(model) as f32,
+            })
+            .collect();
+        rates.sort_by(|a, b| a.model.cmp(&b.model));
+        let usual =
+            (INITIAL_RATE * self.pace.speed).clamp(*RATE_BOUNDS.start(), *RATE_BOUNDS.end());
+        let mean = match rates.len() {
+            0 => usual as f32,
+            n => rates.iter().map(|r| r.tokens_per_ms).sum::<f32>() / n as f32,
+        };
+        Some(Estimate {
+            tokens_per_ms: mean,
+            rates,
+            ..self.estimator.estimate(now)?
+        })
+    }
+
+    /// The estimator of the engine's speed.
+    pub fn estimator(&self) -> &Estimator {
+        &self.estimator
+    }
+
     /// Updates the rate by a measured prefill.
     pub fn record(&mut self, measured: &Measurement) {
         let took = ms(measured.took);
@@ -206,7 +287,9 @@
     /// The estimated prefill rate of a model, in tokens per millisecond.
     pub fn rate(&self, model: &str) -> f64 {
         let found = self.rates.binary_search_by(|r| (*r.model).cmp(model));
-        found.map_or(INITIAL_RATE, |i| self.rates[i].tokens_per_ms)
+        let usual = found.map_or(INITIAL_RATE, |i| self.rates[i].tokens_per_ms);
+        let lowest = RATE_BOUNDS.start().min(usual);
+        (usual * self.pace.speed).clamp(lowest, *RATE_BOUNDS.end())
     }
 
     /// The estimated rates, sorted by model.
@@ -251,7 +334,7 @@
         let wait = duration(sent - ms(now));
         // A less urgent prompt that would delay an urgent one too long waits until the engine has
         // no backlog.
-        let next = duration(burst.until + burst.rest() - ms(now));
+        let next = duration(burst.until + burst.rest(self.pace) - ms(now));
         let delays_urgent =
             req.urgent_max_wait.is_some_and(|limit| next > limit) && !wait.is_zero();
         let reserved = wait <= req.max_wait && !delays_urgent;
@@ -273,11 +356,11 @@
     fn burst_for(&self, cost: f64, pause: Duration, now: Duration) -> Burst {
         let now = ms(now);
         let until = self.last.until.max(now) + cost;
-        if until - self.last.from <= BURST_FRACTION * ms(pause) {
+        if until - self.last.from <= self.pace.longest_burst(pause) {
             return Burst { until, ..self.last };
         }
         // A prompt longer than a burst forms a burst of its own.
-        let from = (self.last.until + self.last.rest()).max(now);
+        let from = (self.last.until + self.last.rest(self.pace)).max(now);
         Burst {
             from,
             until: from + cost,
@@ -333,6 +416,43 @@
     }
 }
 
+/// How fast the engine runs.
+#[derive(Debug, Clone, Copy)]
+struct Pace {
+    /// A multiple of the usual speed.
+    speed: f64,
+    /// Time of an event beside the running streams, in milliseconds; 0 if unknown.
+    event_ms: f64,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Self {
+            speed: 1.0,
+            event_ms: 0.0,
+        }
+    }
+}
+
+impl Pace {
+    /// The longest burst, in milliseconds. The event that it stalls comes after it, and takes longer at a
+    /// slow engine.
+    fn longest_burst(self, pause: Duration) -> f64 {
+        let pause = ms(pause);
+        let usual = BURST_FRACTION * pause;
+        if self.event_ms <= 0.0 {
+            return usual;
+        }
+        let left = pause - self.event_ms - PAUSE_MARGIN_MS;
+        usual.min(left).max(MIN_BURST_FRACTION * pause)
+    }
+
+    /// The shortest break after a burst, in milliseconds.
+    fn shortest_break(self) -> f64 {
+        MIN_BREAK_MS.max((BREAK_EVENTS * self.event_ms).min(MAX_BREAK_MS))
+    }
+}
+
 /// Consecutive prompts without a break. Times are in milliseconds since the start of the process.
 #[derive(Clone, Copy, Default)]
 struct Burst {
@@ -342,12 +462,12 @@
 
 impl Burst {
     /// The break after the burst, in which streams get their fraction of the engine's time.
-    fn rest(&self) -> f64 {
+    fn rest(&self, pace: Pace) -> f64 {
         let read = self.until - self.from;
         if read <= 0.0 {
             return 0.0;
         }
-        (read * (1.0 - PREFILL_FRACTION) / PREFILL_FRACTION).max(MIN_BREAK_MS)
+        (read * (1.0 - PREFILL_FRACTION) / PREFILL_FRACTION).max(pace.shortest_break())
     }
 }
 
--- a/crates/stair-fleet/src/target.rs
+++ b/crates/stair-fleet/src/target.rs
@@ -10,7 +10,10 @@
     Serialize, //
 };
 
-use crate::origin;
+use crate::{
+    engine_estimate::Estimate,
+    origin, //
+};
 
 /// A target as it announces itself.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -212,6 +215,10 @@
     pub usage: Vec<Usage>,
     /// Demand for models that no engine could load in time, counted by this agent.
     pub unserved: Vec<Demand>,
+    /// The engine's estimated speed. Messages carry it beside the report, which processes of earlier
+    /// releases decode too.
+    #[serde(skip)]
+    pub estimate: Option<Estimate>,
 }
 
 /// Rate of requests for a model.
@@ -272,4 +279,10 @@
             .ok()?;
         Some(&self.usage[i])
     }
+
+    /// Fraction of the engine's time that prefill took recently.
+    pub fn prefill_fraction(&self) -> f64 {
+        let all = self.usage.iter().map(|u| f64::from(u.prefill_fraction));
+        all.sum()
+    }
 }
--- a/crates/stair-fleet/src/target_state.rs
+++ b/crates/stair-fleet/src/target_state.rs
@@ -10,6 +10,10 @@
         Availability,
         Statement, //
     },
+    engine_estimate::{
+        ESTIMATE_TTL,
+        Estimator, //
+    },
     rate_limit::{
         Rate,
         Source, //
@@ -64,6 +68,19 @@
     pub free_at: Duration,
 }
 
+/// How fast an engine runs a model.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Pace {
+    /// Prefill rate, if it is known.
+    pub tokens_per_ms: Option<f64>,
+    /// Speed as a multiple of the engine's usual one.
+    pub speed: f64,
+    /// Time of an event beside the running streams, in milliseconds; 0 if unknown.
+    pub event_ms: f64,
+    /// Time of an event of a stream that runs alone, in milliseconds.
+    pub least_event_ms: f64,
+}
+
 /// What an entry knows of one incarnation of a target.
 #[derive(Debug, Clone)]
 pub struct TargetState {
@@ -99,6 +116,8 @@
     pub delay_ms: f64,
     /// The limit that the target has named.
     pub limit: Option<TargetLimit>,
+    /// The engine's speed by this entry's own streams, for the time without reports.
+    pub own_estimator: Estimator,
     /// What the target's responses state about the requests that it takes.
     pub availability: Availability,
     /// The inventory of a target that was removed without draining, and the time of its last
@@ -135,6 +154,7 @@
             failing: 0.0,
             delay_ms: 0.0,
             limit: None,
+            own_estimator: Estimator::default(),
             availability: Availability::default(),
         }
     }
@@ -228,6 +248,35 @@
         }
     }
 
+    /// How fast the engine runs a model beside a number of other streams: by a fresh report, or by this
+    /// entry's own streams without one. `None` if no events were measured recently.
+    pub fn pace(&self, model: &str, streams: u32, now: Duration) -> Option<Pace> {
+        let Some((report, at)) = self
+            .report
+            .as_ref()
+            .filter(|_| self.fresh_report(now).is_some())
+        else {
+            let estimator = &self.own_estimator;
+            return estimator
+                .age(now)
+                .filter(|a| *a < ESTIMATE_TTL)
+                .map(|_| Pace {
+                    tokens_per_ms: None,
+                    speed: estimator.speed(now),
+                    event_ms: estimator.event_ms(streams + 1, now),
+                    least_event_ms: estimator.event_ms(0, now),
+                });
+        };
+        let estimate = report.load.estimate.as_ref()?;
+        let age = estimate.age + now.saturating_sub(*at);
+        (age < ESTIMATE_TTL).then(|| Pace {
+            tokens_per_ms: estimate.rate(model),
+            speed: f64::from(estimate.speed),
+            event_ms: estimate.event_ms(streams + 1),
+            least_event_ms: estimate.event_ms(0),
+        })
+    }
+
     /// Time until the target may get another request under its limit.
     pub fn limit_wait(&self, now: Duration) -> Duration {
         let limit = self.limit.as_ref();
--- a/crates/stair-fleet/tests/availability.rs
+++ b/crates/stair-fleet/tests/availability.rs
@@ -274,6 +274,8 @@
         suspects: true,
         version: None,
         connections: choose::Connections::UNBOUNDED,
+        pause: None,
+        placement: choose::Placement::CURRENT,
     }
 }
 
--- a/crates/stair-fleet/tests/availability_load.rs
+++ b/crates/stair-fleet/tests/availability_load.rs
@@ -157,6 +157,8 @@
                 suspects: false,
                 version: None,
                 connections: choose::Connections::UNBOUNDED,
+                pause: None,
+                placement: choose::Placement::CURRENT,
             };
             let Some(chosen) = choose::choose(&self.views[entry], &opts, now) else {
                 return;
--- a/crates/stair-fleet/tests/support/mod.rs
+++ b/crates/stair-fleet/tests/support/mod.rs
@@ -168,6 +168,8 @@
         suspects: false,
         version: None,
         connections: choose::Connections::UNBOUNDED,
+        pause: None,
+        placement: choose::Placement::CURRENT,
     }
 }
 
--- a/crates/stair-relay/src/context.rs
+++ b/crates/stair-relay/src/context.rs
@@ -31,6 +31,10 @@
     View,
     availability::Withheld,
     budget::Budget,
+    engine_estimate::{
+        self,
+        EventTime, //
+    },
     msg::{
         Features,
         Outcome,
@@ -166,6 +170,8 @@
     pub stale_incarnation: Option<Box<str>>,
     /// Prefill durations that have not been reported to the agent.
     pub prefill_times: Vec<Measurement>,
+    /// Times of events that have not been reported to the agent.
+    pub event_times: Vec<EventTime>,
     /// Load requests that wait for a reply, by sequence number.
     pub pending_loads: Vec<(u64, oneshot::Sender<Outcome>)>,
     /// Requests for a prefill slot that wait for a reply, by sequence number.
@@ -345,6 +351,7 @@
             .all()
             .filter(|(_, s)| s.availability.withheld(now) == Some(Withheld::Backoff))
             .count();
+        self.load_spread_gauges(&state, now);
         drop(state);
         let set = |name, n: usize| {
             self.page
@@ -370,6 +377,18 @@
         }
     }
 
+    /// Sets the gauges of the spread of load over the engines of each service.
+    fn load_spread_gauges(&self, state: &State, now: Duration) {
+        let services = state.catalogue.iter().flat_map(|c| &c.services);
+        for service in services.filter(|s| s.engine.is_some()) {
+            let spread = engine_estimate::load_spread(&state.view, &service.name, now);
+            let percent = spread.map_or(0, |s| (s * 100.0) as i64);
+            let labels = [("service", &*service.name)];
+            self.page
+                .gauge("engine_load_spread_percent", &labels, percent);
+        }
+    }
+
     /// The versions of this entry's replicated state, for agents and peers.
     pub fn replication_state(&self) -> ReplicationState {
         let state = self.state();
--- a/crates/stair-relay/src/context/agents.rs
+++ b/crates/stair-relay/src/context/agents.rs
@@ -7,6 +7,7 @@
 };
 
 use stair_fleet::{
+    engine_estimate::EventTime,
     msg::{
         LoadRequest,
         ToAgent, //
@@ -26,6 +27,9 @@
 };
 use crate::job::Job;
 
+/// Times of events that wait to be reported to one agent. With more, the oldest are dropped.
+const MAX_EVENT_TIMES: usize = 32;
+
 impl Context {
     /// Reports to the agent of an engine that the engine has disowned the incarnation `id`.
     pub fn report_stale_incarnation(&self, engine: SocketAddr, id: Box<str>) {
@@ -92,6 +96,35 @@
         }
     }
 
+    /// Records the time of an event of a stream, for this entry's own estimate and to be reported to the
+    /// engine's agent.
+    pub fn record_event_time(&self, key: TargetKey, job: &Job, event_ms: f32) {
+        let Some((model, _)) = job.model_of_engine() else {
+            return;
+        };
+        let time = EventTime {
+            model: model.into(),
+            event_ms,
+        };
+        let now = self.now();
+        let mut state = self.state();
+        let target_state = state.view.get_mut(key);
+        let reported = target_state.fresh_report(now).map(|r| r.load.running);
+        let streams = reported.unwrap_or(target_state.in_flight);
+        target_state.own_estimator.record(&time, streams, now);
+        let engine = target_state.target.addr;
+        if let Some(i) = state
+            .agent(engine)
+            .filter(|i| state.agents[*i].features.event_times)
+        {
+            let list = &mut state.agents[i].event_times;
+            if list.len() >= MAX_EVENT_TIMES {
+                list.remove(0);
+            }
+            list.push(time);
+        }
+    }
+
     /// Requests a prefill slot from the agent of an engine. Returns `None` when there is no link.
     pub fn reserve(
         &self,
--- a/crates/stair-relay/src/context/usage.rs
+++ b/crates/stair-relay/src/context/usage.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use stair_fleet::{
+    engine_estimate::EventTime,
     msg::Used,
     prefill::Measurement, //
 };
@@ -57,6 +58,14 @@
         })
     }
 
+    /// Takes the times of events at an engine that have not been reported to its agent.
+    pub fn take_event_times(&mut self, engine: SocketAddr) -> Vec<EventTime> {
+        let i = self.agent(engine);
+        i.map_or_else(Vec::new, |i| {
+            std::mem::take(&mut self.agents[i].event_times)
+        })
+    }
+
     /// Takes the use that has not been reported to an engine's agent; with `whole`, all of it, for a new
     /// link.
     pub fn take_used(&mut self, engine: SocketAddr, whole: bool) -> Vec<Used> {
--- a/crates/stair-relay/src/dump.rs
+++ b/crates/stair-relay/src/dump.rs
@@ -6,6 +6,7 @@
 use stair_fleet::{
     Target,
     budget,
+    engine_estimate::Estimate,
     msg::Peers,
     origin::{
         Origin,
@@ -93,6 +94,9 @@
     delay_ms: f64,
     report: Option<target::Report>,
     report_age_ms: Option<u64>,
+    /// The engine's speed as its agent reports it, and by this entry's own streams.
+    estimate: Option<Estimate>,
+    own_estimate: Option<Estimate>,
     /// The limit that the target has named.
     limit: Option<LimitDump>,
     /// The statement of the target's responses that it shuts down.
@@ -239,6 +243,8 @@
         delay_ms: target_state.delay_ms,
         report: report.map(|(r, _)| r.clone()),
         report_age_ms: report.map(|(_, at)| ms(now.saturating_sub(*at))),
+        estimate: report.and_then(|(r, _)| r.load.estimate.clone()),
+        own_estimate: target_state.own_estimator.estimate(now),
         limit: target_state.limit.map(|l| LimitDump {
             per_s: l.rate.per_s(),
             source: l.source.as_str(),
--- a/crates/stair-relay/src/links.rs
+++ b/crates/stair-relay/src/links.rs
@@ -11,7 +11,9 @@
 };
 
 use stair_fleet::{
+    engine_estimate::Estimate,
     msg::{
+        Extension,
         Features,
         ReplicationState,
         ToAgent,
@@ -98,6 +100,7 @@
                 entries: 0,
                 stale_incarnation: None,
                 prefill_times: Vec::new(),
+                event_times: Vec::new(),
                 pending_loads: Vec::new(),
                 pending_slots: Vec::new(),
             };
@@ -214,6 +217,7 @@
         state.agents[i].pending_loads.clear();
         state.agents[i].pending_slots.clear();
         state.agents[i].prefill_times.clear();
+        state.agents[i].event_times.clear();
     }
     state.owners.clear();
     state.quotas.link_ended(engine);
@@ -250,13 +254,13 @@
 async fn receive(cx: &Arc<Context>, engine: SocketAddr, mut r: OwnedReadHalf) -> Ended {
     loop {
         let read = timeout(SILENCE_TIMEOUT, frame::read_extended(&mut r)).await;
-        let (msg, features): (ToEntry, Features) = match read {
+        let (msg, ext): (ToEntry, Extension) = match read {
             Ok(Ok(both)) => both,
             Ok(Err(_)) => return Ended::Closed,
             Err(_) => return Ended::Silent,
         };
-        if features != Features::default() {
-            origin::keeper_found(cx, engine, features);
+        if ext.features != Features::default() {
+            origin::keeper_found(cx, engine, ext.features);
         }
         let now = cx.now();
         cx.state().view.record_message_at(engine, now);
@@ -264,7 +268,8 @@
             ToEntry::Inventory(inventory) => {
                 cx.state().view.set_inventory_at(engine, *inventory, now);
             }
-            ToEntry::Load(load) => {
+            ToEntry::Load(mut load) => {
+                load.estimate = ext.estimate.filter(Estimate::is_sound);
                 cx.state().view.set_load_at(engine, *load, now);
             }
             ToEntry::LoadReply { seq, outcome } => {
@@ -423,6 +428,10 @@
     if !read.is_empty() {
         out.push(ToAgent::PrefillTimes(read));
     }
+    let times = state.take_event_times(engine);
+    if !times.is_empty() {
+        out.push(ToAgent::EventTimes(times));
+    }
     out
 }
 
--- a/crates/stair-relay/src/select.rs
+++ b/crates/stair-relay/src/select.rs
@@ -513,6 +513,8 @@
         suspects,
         version: job.version(),
         connections: cx.connections(job),
+        pause: job.shortest_pause,
+        placement: choose::Placement::CURRENT,
     }
 }
 
@@ -561,6 +563,9 @@
         .text("version", version.as_deref().unwrap_or(""))
         .show("addr", addr)
         .num("wait_ms", at.wait_ms as i64)
+        .num("expected_ms", at.expected_ms as i64)
+        .num("stalls_ms", at.pause_ms as i64)
+        .num("cost_ms", at.cost_ms as i64)
         .num("kept", prompt.cached)
         .ms("reads_ms", prompt.reads)
         .ms(
@@ -573,7 +578,7 @@
         addr,
         id,
         version,
-        wait_ms: at.wait_ms,
+        wait_ms: at.expected_ms,
         reads: prompt.reads,
         permit,
         selected_at: Instant::now(),
--- a/crates/stair-relay/src/stream.rs
+++ b/crates/stair-relay/src/stream.rs
@@ -13,6 +13,7 @@
 use hyper::Response;
 use stair_fleet::catalogue::Repeat;
 use stair_fleet::{
+    engine_estimate::Sampler,
     events::{
         Event,
         Splitter, //
@@ -83,6 +84,8 @@
     in_flight: InFlight,
     split: Splitter,
     has_events: bool,
+    /// Measures the time of an event at the target.
+    sampler: Sampler,
 }
 
 /// Waits for the first event, then forwards the stream in a task of its own.
@@ -106,6 +109,7 @@
         in_flight: selected.in_flight,
         split: Splitter::default(),
         has_events: false,
+        sampler: Sampler::default(),
     };
     let until = first_event_deadline(job, attempts);
     let client_leaves = assign::selection_deadline(job, None);
@@ -275,8 +279,11 @@
             return ended;
         }
         let mut source = source;
+        let _ = source.sampler.arrived(self.cx.now());
         loop {
-            let (why, target) = match self.receive(&mut source).await {
+            let received = self.receive(&mut source).await;
+            self.sample(&mut source, &received);
+            let (why, target) = match received {
                 Received::Next(Next::Event(event)) => match self.forward(event).await {
                     None => continue,
                     Some(ended) => return ended,
@@ -305,6 +312,19 @@
         }
     }
 
+    /// Records the time of an event at the target whenever enough events of the stream are known.
+    fn sample(&self, source: &mut Source, received: &Received) {
+        let event_ms = match received {
+            Received::Next(Next::Event(_)) => source.sampler.arrived(self.cx.now()),
+            Received::Next(Next::End) => source.sampler.take(),
+            _ => None,
+        };
+        if let Some(event_ms) = event_ms {
+            let key = source.in_flight.key();
+            self.cx.record_event_time(key, &self.job, event_ms);
+        }
+    }
+
     /// Records that the target has completed the stream.
     fn record_end(&self, source: &Source) {
         let key = source.in_flight.key();
@@ -416,6 +436,7 @@
                         in_flight: selected.in_flight,
                         split: Splitter::default(),
                         has_events: false,
+                        sampler: Sampler::default(),
                     });
                 }
                 attempt::Outcome::Head(_) => self.attempts.keys.push(selected.in_flight.key()),
--- a/crates/stair-sidecar/src/controller/report.rs
+++ b/crates/stair-sidecar/src/controller/report.rs
@@ -27,6 +27,11 @@
         self.reading.as_ref().map_or(0, |r| r.total_tokens)
     }
 
+    /// Requests that the engine runs, by its last reading.
+    pub fn running(&self) -> u32 {
+        self.reading.as_ref().map_or(0, |r| r.running)
+    }
+
     /// Returns the models and adapters that the engine has loaded, and its copies of others.
     pub fn inventory(&self) -> Inventory {
         let reading = self.reading.as_ref();
@@ -85,6 +90,7 @@
             free_adapters: self.free_adapters(),
             usage,
             unserved: self.unserved(now),
+            estimate: None,
         }
     }
 
--- a/crates/stair-sidecar/src/links.rs
+++ b/crates/stair-sidecar/src/links.rs
@@ -11,6 +11,7 @@
 };
 
 use stair_fleet::msg::{
+    Extension,
     Features,
     ToAgent,
     ToEntry, //
@@ -163,10 +164,19 @@
 async fn write(mut w: OwnedWriteHalf, mut rx: mpsc::Receiver<ToEntry>) {
     let mut is_first = true;
     while let Some(msg) = rx.recv().await {
+        let features = match std::mem::take(&mut is_first) {
+            true => Features::CURRENT,
+            false => Features::default(),
+        };
+        let estimate = match &msg {
+            ToEntry::Load(load) => load.estimate.clone(),
+            _ => None,
+        };
+        let ext = Extension { features, estimate };
         let written = async {
-            match std::mem::take(&mut is_first) {
-                true => frame::write_extended(&mut w, &msg, &Features::CURRENT).await,
-                false => frame::write_message(&mut w, &msg).await,
+            match ext == Extension::default() {
+                true => frame::write_message(&mut w, &msg).await,
+                false => frame::write_extended(&mut w, &msg, &ext).await,
             }
         };
         let written = timeout(WRITE_TIMEOUT, written).await;
--- a/crates/stair-sidecar/src/process.rs
+++ b/crates/stair-sidecar/src/process.rs
@@ -390,6 +390,7 @@
                     self.update_incarnation(id, IncarnationSource::Engine);
                 }
                 let started = reading.started.unwrap_or(0);
+                self.prefills.update_pace(reading.running, self.now());
                 if self.controller.read(Some(reading), self.now()) {
                     Line::failure("engine.restarted")
                         .num("started_ms", started)
--- a/crates/stair-sidecar/src/process/dump.rs
+++ b/crates/stair-sidecar/src/process/dump.rs
@@ -5,6 +5,10 @@
 use serde::Serialize;
 use stair_fleet::{
     availability,
+    engine_estimate::{
+        Estimate,
+        Estimator, //
+    },
     msg::ReplicationState,
     prefill::Rate,
     quarantine,
@@ -48,6 +52,9 @@
     load: Load,
     /// Prefill rates of the engine, as estimated from the entries' reports.
     rates: Vec<Rate>,
+    /// The engine's estimated speed as it is reported to entries, and what it is made from.
+    estimate: Option<Estimate>,
+    estimator: Estimator,
     /// Open load requests, including prefetches.
     load_requests: usize,
     /// Models that are not loaded since their loads have ended the engine, and the remaining times.
@@ -70,6 +77,7 @@
 impl Agent {
     pub(super) fn dump(&self) -> Dump {
         let now = self.now();
+        let load = self.load();
         Dump {
             name: self.settings.name.clone(),
             up_ms: u64::try_from(now.as_millis()).unwrap_or(u64::MAX),
@@ -81,7 +89,9 @@
             declared: self.declared,
             failed_reads: self.failed_reads,
             inventory: self.controller.inventory(),
-            load: self.load(),
+            estimate: load.estimate.clone(),
+            estimator: self.prefills.estimator().clone(),
+            load,
             rates: self.prefills.rates().to_vec(),
             load_requests: self.controller.load_requests(),
             quarantined_loads: self
--- a/crates/stair-sidecar/src/process/publish.rs
+++ b/crates/stair-sidecar/src/process/publish.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use stair_fleet::{
+    engine_estimate::EventTime,
     msg::{
         EntrySet,
         Peers,
@@ -111,9 +112,33 @@
 
     pub(super) fn load(&self) -> Load {
         let now = self.now();
+        let load = self.controller.load(now);
+        let loaded = load.usage.iter().map(|u| &*u.model);
         Load {
             backlog: self.prefills.backlog(now),
-            ..self.controller.load(now)
+            estimate: self.prefills.estimate(loaded, now),
+            ..load
+        }
+    }
+
+    /// Updates the engine's speed by measured times of events.
+    pub(super) fn record_events(&mut self, times: &[EventTime], now: Duration) {
+        let streams = self.controller.running();
+        let before = speed_step(self.prefills.estimator().speed(now));
+        self.prefills.record_events(times, streams, now);
+        let speed = self.prefills.estimator().speed(now);
+        let event_ms = self.prefills.estimator().event_ms(streams, now);
+        self.page
+            .gauge("engine_speed_percent", &[], (speed * 100.0) as i64);
+        self.page
+            .gauge("engine_event_us", &[], (event_ms * 1000.0) as i64);
+        if speed_step(speed) != before {
+            Line::new("engine.speed")
+                .num("percent", (speed * 100.0) as i64)
+                .num("event_us", (event_ms * 1000.0) as i64)
+                .num("streams", streams)
+                .num("samples", times.len() as i64)
+                .write();
         }
     }
 
@@ -131,6 +156,7 @@
                 l.backlog.as_millis() / 100,
                 l.running / 3,
                 l.free_adapters == 0,
+                l.estimate.as_ref().map(|e| speed_step(e.speed.into())),
             )
         };
         let links = u32::try_from(self.links.len()).unwrap_or(u32::MAX);
@@ -169,6 +195,11 @@
     }
 }
 
+/// The step that a speed is in. A step of a seventh is more than the noise of the estimate.
+fn speed_step(speed: f64) -> i32 {
+    (speed.log2() * 5.0).round() as i32
+}
+
 /// Logs the new inventory of the engine.
 fn log_inventory(inventory: &Inventory) {
     let models = inventory.models.iter().map(|h| match h.adapters.len() {
--- a/crates/stair-sidecar/src/process/receive.rs
+++ b/crates/stair-sidecar/src/process/receive.rs
@@ -114,6 +114,7 @@
             ToAgent::Unserved(model) => self.controller.record_unserved(&model, now),
             ToAgent::Used(list) => self.controller.record_use(key, &list, now),
             ToAgent::PrefillTimes(list) => list.iter().for_each(|r| self.prefills.record(r)),
+            ToAgent::EventTimes(list) => self.record_events(&list, now),
             // Handled by the link.
             ToAgent::QuotaRequest { .. }
             | ToAgent::QuotaRefund { .. }
