choose: plays of engines of uneven speed, and what they found

Plays of nine engines at 0.55 and 1.2 of the nominal speed, with prompts of 9,190 tokens beside short streams, showed that

- a first estimate contaminated by prefill made engines look up to twice as fast as they are.
The speed is now a fraction of the full one, and the time of an event at full speed falls at once and rises slowly;
- a break of one and a half events between bursts was too short where the burst overran; now two and a half;
- the prefill rates of a slow engine took tens of samples, and those of models without samples started at the constant;
- an engine in which no stream has events sends no samples, and kept its share.
Silence of eight streams now lowers the speed;
- a few overloaded seconds left a rate of 10 tokens a ms for a minute.

--- a/crates/stair-fleet/src/choose.rs
+++ b/crates/stair-fleet/src/choose.rs
@@ -59,10 +59,10 @@
 
 /// Expected pause beside a prompt, as a fraction of the promised one, up to which no stream is late, and
 /// from which on all are. The rates are right within some 20%.
-const PAUSE_RAMP: (f64, f64) = (0.8, 1.1);
+const PAUSE_RAMP: (f64, f64) = (0.7, 1.0);
 
 /// Cost of a stream that pauses for longer than promised, in milliseconds.
-const LATE_STREAM_MS: f64 = 60.0;
+const LATE_STREAM_MS: f64 = 200.0;
 
 /// Largest cost of late streams, in milliseconds.
 const MAX_LATE_STREAMS_MS: f64 = 1200.0;
--- a/crates/stair-fleet/src/engine_estimate.rs
+++ b/crates/stair-fleet/src/engine_estimate.rs
@@ -7,9 +7,10 @@
 //! ([`Estimate`]) to all entries. An entry also keeps an estimator of its own measurements, for the
 //! time without reports.
 //!
-//! The time of an event is modelled as the model's time at usual speed, times the slowdown at the
-//! number of streams, divided by the engine's speed. The speed follows within a second; the other
-//! two are properties of the model and of the hardware and follow slowly.
+//! The time of an event is modelled as the model's shortest time, times the slowdown at the number of
+//! streams, divided by the engine's speed. The speed is a fraction of the engine's full one and follows
+//! within a second. The other two are properties of the model and of the hardware. Prefill only ever
+//! makes a time longer, so they fall at once and rise slowly.
 
 use std::{
     ops::RangeInclusive,
@@ -23,9 +24,9 @@
 
 use crate::view::View;
 
-/// Bounds of the estimated speed. The slowest engines seen ran at 0.55 of the usual speed, and at 0.4
-/// of it for some 0.6 s.
-const SPEED_BOUNDS: RangeInclusive<f64> = 0.3..=2.0;
+/// Bounds of the estimated speed, as a fraction of the engine's full one. Engines have been seen at 0.4 of
+/// it for some 0.6 s.
+const SPEED_BOUNDS: RangeInclusive<f64> = 0.3..=1.0;
 
 /// Bounds of one sample of the speed, as multiples of the present estimate.
 const SAMPLE_BOUNDS: RangeInclusive<f64> = 0.4..=2.5;
@@ -38,17 +39,21 @@
 
 /// Bounds of the time that one sample stands for, in seconds: samples that arrive together share
 /// one interval, and the first sample after a gap must not replace the estimate.
-const SAMPLE_TIME_BOUNDS_S: RangeInclusive<f64> = 0.05..=0.8;
+const SAMPLE_TIME_BOUNDS_S: RangeInclusive<f64> = 0.05..=0.5;
 
-/// Time constant with which the speed returns to the usual one without samples. An engine without
+/// Time constant with which the speed returns to the full one without samples. An engine without
 /// requests could not show that it has become fast again.
 const IDLE_TIME_CONSTANT_S: f64 = 10.0;
 
-/// Weight of a sample in a model's time of an event.
-const MODEL_WEIGHT: f64 = 0.03;
+/// Weight of a second's longer samples in a model's time of an event.
+const MODEL_PER_S: f64 = 0.02;
 
-/// Weight of a sample in the slowdown at a number of streams.
-const CROWDING_WEIGHT: f64 = 0.1;
+/// Weight of a second's longer samples in the slowdown at a number of streams.
+const CROWDING_PER_S: f64 = 0.12;
+
+/// The first range with a slowdown of its own: half of an engine's usual 64 slots. Below it, the time of a
+/// step hardly depends on the number of streams, and prefill would be taken for a slowdown.
+const MIN_CROWDED_BAND: usize = 4;
 
 /// Largest slowdown at a number of streams.
 const MAX_CROWDING: f64 = 4.0;
@@ -76,6 +81,25 @@
 /// Least number of pauses of a sample.
 const MIN_PAUSES: usize = 4;
 
+/// Least number of pauses of a sample that took longer than [`LONG_SAMPLE`].
+const MIN_LONG_PAUSES: usize = 2;
+
+/// Time after which fewer pauses are a sample: events that are so rare are late themselves.
+const LONG_SAMPLE: Duration = Duration::from_millis(800);
+
+/// Streams that do not all pause for [`SILENCE`] unless the engine is stalled.
+const MIN_SILENT_STREAMS: u32 = 8;
+
+/// Time without samples from which on an engine with streams counts as stalled: the longest interval in
+/// which entries send them, and a promised pause.
+const SILENCE: Duration = Duration::from_millis(1500);
+
+/// Time without samples from which on entries may not measure any, as those of earlier releases.
+const SILENCE_END: Duration = Duration::from_secs(4);
+
+/// Speed of a stalled engine after a second, as a fraction of that before.
+const STALLED_PER_S: f64 = 0.4;
+
 /// Time over which one sample is measured.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -114,12 +138,17 @@
             _ if pause < TOGETHER_MS => {}
             _ => self.pauses.push((pause, 1)),
         }
-        let is_due = now.saturating_sub(self.began) >= SAMPLE_INTERVAL;
-        if self.pauses.len() >= MAX_PAUSES || (is_due && self.pauses.len() >= MIN_PAUSES) {
-            self.began = now;
-            return self.take();
+        let passed = now.saturating_sub(self.began);
+        let enough = match passed {
+            _ if passed < SAMPLE_INTERVAL => MAX_PAUSES,
+            _ if passed < LONG_SAMPLE => MIN_PAUSES,
+            _ => MIN_LONG_PAUSES,
+        };
+        if self.pauses.len() < enough {
+            return None;
         }
-        None
+        self.began = now;
+        self.sample()
     }
 
     /// Returns the time of an event by the pauses since the last sample, if they are enough.
@@ -127,11 +156,15 @@
         if self.pauses.len() < MIN_PAUSES {
             return None;
         }
+        self.sample()
+    }
+
+    fn sample(&mut self) -> Option<f32> {
         let pauses = std::mem::take(&mut self.pauses);
         let mut times: Vec<f64> = pauses.iter().map(|(t, n)| t / f64::from(*n)).collect();
         times.sort_by(f64::total_cmp);
-        let i = ((times.len() - 1) as f64 * QUANTILE) as usize;
-        Some(times[i] as f32)
+        let i = (times.len().saturating_sub(1) as f64 * QUANTILE) as usize;
+        times.get(i).map(|t| *t as f32)
     }
 }
 
@@ -142,7 +175,7 @@
     pub tokens_per_ms: f32,
     /// Prefill rates of single models, sorted by model.
     pub rates: Vec<ModelRate>,
-    /// Speed as a multiple of the engine's usual one.
+    /// Speed as a fraction of the engine's full one.
     pub speed: f32,
     /// Time of an event with up to 8, 16, ... streams, in milliseconds; 0 if unknown.
     pub event_ms: [f32; BANDS],
@@ -183,7 +216,7 @@
     }
 }
 
-/// The time of an event of a model at usual speed.
+/// The time of an event of a model at full speed.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 struct ModelTime {
     model: Box<str>,
@@ -200,6 +233,8 @@
     /// Slowdown by the number of streams, relative to few.
     crowding: [f64; BANDS],
     sampled: Option<Duration>,
+    /// When silence was last observed.
+    silent: Option<Duration>,
 }
 
 impl Default for Estimator {
@@ -209,6 +244,7 @@
             speed: 1.0,
             crowding: [1.0; BANDS],
             sampled: None,
+            silent: None,
         }
     }
 }
@@ -241,17 +277,39 @@
         let ratio = (expected / observed).clamp(*SAMPLE_BOUNDS.start(), *SAMPLE_BOUNDS.end());
         let time = passed.clamp(*SAMPLE_TIME_BOUNDS_S.start(), *SAMPLE_TIME_BOUNDS_S.end());
         let weight = 1.0 - (-time / SPEED_TIME_CONSTANT_S).exp();
-        self.speed =
-            (self.speed * ratio.powf(weight)).clamp(*SPEED_BOUNDS.start(), *SPEED_BOUNDS.end());
+        let speed = self.speed * ratio.powf(weight);
+        self.speed = speed.clamp(*SPEED_BOUNDS.start(), *SPEED_BOUNDS.end());
         let band = band(streams);
-        if band > 0 {
-            let slowdown = self.crowding[band] * ratio.powf(-CROWDING_WEIGHT);
-            self.crowding[band] = slowdown.clamp(1.0, MAX_CROWDING);
-        }
         let model = &mut self.models[i];
         model.sampled = now;
-        model.event_ms = (model.event_ms * ratio.powf(-MODEL_WEIGHT))
-            .clamp(*EVENT_MS_BOUNDS.start(), *EVENT_MS_BOUNDS.end());
+        if speed > 1.0 {
+            // Faster than its full speed: what was taken for that was slowed down by prefill.
+            let crowded = self.crowding[..=band].iter_mut().filter(|c| **c > 1.0);
+            let lowered = crowded.map(|c| *c = (*c / speed).max(1.0)).count();
+            if lowered == 0 {
+                model.event_ms = (model.event_ms / speed).max(*EVENT_MS_BOUNDS.start());
+            }
+        } else if ratio < 1.0 {
+            if band >= MIN_CROWDED_BAND {
+                let slowdown = self.crowding[band] * ratio.powf(-CROWDING_PER_S * time);
+                self.crowding[band] = slowdown.min(MAX_CROWDING);
+            }
+            let event_ms = model.event_ms * ratio.powf(-MODEL_PER_S * time);
+            model.event_ms = event_ms.min(*EVENT_MS_BOUNDS.end());
+        }
+    }
+
+    /// Lowers the speed while the engine runs this number of streams and none has had events: it reads more
+    /// prompts than it can. Without it the fewest samples would come from the slowest engine.
+    pub fn observe_silence(&mut self, streams: u32, now: Duration) {
+        let is_silent = |age: Duration| (SILENCE..SILENCE_END).contains(&age);
+        if streams < MIN_SILENT_STREAMS || !self.age(now).is_some_and(is_silent) {
+            self.silent = None;
+            return;
+        }
+        let since = self.silent.replace(now).unwrap_or(now);
+        let passed = now.saturating_sub(since).as_secs_f64();
+        self.speed = (self.speed * STALLED_PER_S.powf(passed)).max(*SPEED_BOUNDS.start());
     }
 
     /// The engine's speed as a multiple of its usual one.
--- a/crates/stair-fleet/src/prefill.rs
+++ b/crates/stair-fleet/src/prefill.rs
@@ -39,6 +39,17 @@
 /// Weight of the newest sample in the rate.
 const SAMPLE_WEIGHT: f64 = 0.15;
 
+/// Bounds of a sample while the engine's speed follows the times of events. A lasting change of speed
+/// shows there at once, and the samples of a few overloaded seconds must not outlast them.
+const PACED_SAMPLE_BOUNDS: RangeInclusive<f64> = 0.8..=1.2;
+
+/// Samples of a model after which these bounds apply.
+const FIRST_SAMPLES: u32 = 6;
+
+/// Weight of a model's first sample. That of the following ones is this, divided by their number, until
+/// it is [`SAMPLE_WEIGHT`].
+const FIRST_SAMPLE_WEIGHT: f64 = 0.6;
+
 /// Least prefill time of a sample. Below it, other causes dominate the time to the first event.
 const MIN_SAMPLE_TIME: Duration = Duration::from_millis(75);
 
@@ -67,8 +78,9 @@
 const MIN_BURST_FRACTION: f64 = 0.25;
 
 /// Multiple of the time of an event that the break between two bursts has to last, so that each stream
-/// has an event in it. A break may begin late, since the rates are estimates.
-const BREAK_EVENTS: f64 = 1.5;
+/// has an event in it. A break may begin late, since the rates are estimates: with 1.5 twice as many streams
+/// paused for too long, and with 3.5 prompts were refused (tests of `placement_load`).
+const BREAK_EVENTS: f64 = 2.5;
 
 /// Largest break by the time of an event, in milliseconds.
 const MAX_BREAK_MS: f64 = 200.0;
@@ -180,6 +192,8 @@
     pub tokens_per_ms: f64,
     /// Base latency: the least time to the first event beside prefill, in milliseconds.
     first_ms: f64,
+    /// Samples that the rate is made from.
+    samples: u32,
 }
 
 /// The prefill slots of one engine.
@@ -213,16 +227,27 @@
         for time in times {
             self.estimator.record(time, streams, now);
         }
-        self.update_pace(streams, now);
+        if !times.is_empty() {
+            self.update_pace(streams, now);
+        }
     }
 
-    /// Updates the speed without a sample: it returns to the usual one with time.
+    /// Updates the speed without a sample: it falls while streams run and none has an event, and returns
+    /// to the usual one with time.
     pub fn update_pace(&mut self, streams: u32, now: Duration) {
-        if self.estimator.age(now).is_some() {
-            self.pace = Pace {
-                speed: self.estimator.speed(now),
-                event_ms: self.estimator.event_ms(streams, now),
-            };
+        self.estimator.observe_silence(streams, now);
+        if self.estimator.age(now).is_none() {
+            return;
+        }
+        let before = self.pace.speed;
+        self.pace = Pace {
+            speed: self.estimator.speed(now),
+            event_ms: self.estimator.event_ms(streams, now),
+        };
+        // What the engine still has to read takes longer, or less long, than was expected.
+        let left = self.last.until - ms(now);
+        if left > 0.0 {
+            self.last.until = ms(now) + left * before / self.pace.speed;
         }
     }
 
@@ -232,7 +257,10 @@
     where
         I: Iterator<Item = &'a str>,
     {
-        let measured = |model: &&str| self.rates.iter().any(|r| *r.model == **model);
+        let measured = |model: &&str| {
+            let mut rates = self.rates.iter();
+            rates.any(|r| *r.model == **model && r.samples > 0)
+        };
         let mut rates: Vec<ModelRate> = loaded
             .filter(measured)
             .take(MAX_REPORTED_RATES)
@@ -242,10 +270,8 @@
             })
             .collect();
         rates.sort_by(|a, b| a.model.cmp(&b.model));
-        let usual =
-            (INITIAL_RATE * self.pace.speed).clamp(*RATE_BOUNDS.start(), *RATE_BOUNDS.end());
         let mean = match rates.len() {
-            0 => usual as f32,
+            0 => 0.0,
             n => rates.iter().map(|r| r.tokens_per_ms).sum::<f32>() / n as f32,
         };
         Some(Estimate {
@@ -263,6 +289,7 @@
     /// Updates the rate by a measured prefill.
     pub fn record(&mut self, measured: &Measurement) {
         let took = ms(measured.took);
+        let is_paced = self.pace.event_ms > 0.0;
         let rate = self.rate_of(&measured.model);
         rate.first_ms = took.min(rate.first_ms * (1.0 + BASE_LATENCY_DRIFT));
         if measured.prefill_time < MIN_SAMPLE_TIME {
@@ -279,19 +306,37 @@
         } else {
             return;
         };
-        let sample = sample.clamp(*SAMPLE_BOUNDS.start(), *SAMPLE_BOUNDS.end());
-        let updated = rate.tokens_per_ms * (1.0 + SAMPLE_WEIGHT * (sample - 1.0));
+        let bounds = match is_paced && rate.samples >= FIRST_SAMPLES {
+            true => PACED_SAMPLE_BOUNDS,
+            false => SAMPLE_BOUNDS,
+        };
+        let sample = sample.clamp(*bounds.start(), *bounds.end());
+        // The first samples count more, so that a slow engine is not overloaded until it has read many.
+        let weight = SAMPLE_WEIGHT.max(FIRST_SAMPLE_WEIGHT / f64::from(rate.samples + 1));
+        rate.samples = rate.samples.saturating_add(1);
+        let updated = rate.tokens_per_ms * (1.0 + weight * (sample - 1.0));
         rate.tokens_per_ms = updated.clamp(*RATE_BOUNDS.start(), *RATE_BOUNDS.end());
     }
 
     /// The estimated prefill rate of a model, in tokens per millisecond.
     pub fn rate(&self, model: &str) -> f64 {
         let found = self.rates.binary_search_by(|r| (*r.model).cmp(model));
-        let usual = found.map_or(INITIAL_RATE, |i| self.rates[i].tokens_per_ms);
+        let usual = found.map_or_else(|_| self.initial_rate(), |i| self.rates[i].tokens_per_ms);
         let lowest = RATE_BOUNDS.start().min(usual);
         (usual * self.pace.speed).clamp(lowest, *RATE_BOUNDS.end())
     }
 
+    /// The rate of a model without samples: the mean of the other models at this engine. Models of one
+    /// deployment differ less than engines do.
+    fn initial_rate(&self) -> f64 {
+        let measured = self.rates.iter().filter(|r| r.samples > 0);
+        let (sum, n) = measured.fold((0.0, 0), |(sum, n), r| (sum + r.tokens_per_ms, n + 1));
+        match n {
+            0 => INITIAL_RATE,
+            n => sum / f64::from(n),
+        }
+    }
+
     /// The estimated rates, sorted by model.
     pub fn rates(&self) -> &[Rate] {
         &self.rates
@@ -303,8 +348,9 @@
             Err(i) => {
                 let new = Rate {
                     model: model.into(),
-                    tokens_per_ms: INITIAL_RATE,
+                    tokens_per_ms: self.initial_rate(),
                     first_ms: f64::INFINITY,
+                    samples: 0,
                 };
                 self.rates.insert(i, new);
                 i
@@ -419,7 +465,7 @@
 /// How fast the engine runs.
 #[derive(Debug, Clone, Copy)]
 struct Pace {
-    /// A multiple of the usual speed.
+    /// A fraction of the full speed.
     speed: f64,
     /// Time of an event beside the running streams, in milliseconds; 0 if unknown.
     event_ms: f64,
--- a/crates/stair-fleet/src/target_state.rs
+++ b/crates/stair-fleet/src/target_state.rs
@@ -73,7 +73,7 @@
 pub struct Pace {
     /// Prefill rate, if it is known.
     pub tokens_per_ms: Option<f64>,
-    /// Speed as a multiple of the engine's usual one.
+    /// Speed as a fraction of the engine's full one.
     pub speed: f64,
     /// Time of an event beside the running streams, in milliseconds; 0 if unknown.
     pub event_ms: f64,
--- a/crates/stair-fleet/tests/engine_estimate.rs
+++ b/crates/stair-fleet/tests/engine_estimate.rs
@@ -196,6 +196,15 @@
     let before = prefills.rate("a");
     prefills.clear();
     assert_eq!(prefills.rate("a"), before);
+    let unread = prefills.estimate(["a"].into_iter(), now).expect("measured");
+    assert!(unread.is_sound() && unread.rate("a").is_none());
+    for (prefill_time, took) in [(10, 60), (100, 160)] {
+        prefills.record(&stair_fleet::prefill::Measurement {
+            model: "a".into(),
+            prefill_time: ms(prefill_time),
+            took: ms(took),
+        });
+    }
     let estimate = prefills.estimate(["a"].into_iter(), now).expect("measured");
     assert!(estimate.is_sound() && estimate.rate("a").is_some());
 }
