prefill: short bursts behind the switch of the placement

A burst of 0.7 of the promised pause takes far longer than that pause while an engine is 2.5 times as slow. With Placement::Separate agents now use bursts of 0.35 of it while a prompt has half of its longest wait left.

--- a/crates/stair-fleet/src/choose.rs
+++ b/crates/stair-fleet/src/choose.rs
@@ -91,7 +91,7 @@
     /// All engines share all work by their load.
     Share,
     /// As `Share`, and long prompts avoid engines with many streams, and short ones those that read
-    /// much.
+    /// much. Agents use short bursts while prompts have time.
     Separate,
 }
 
--- a/crates/stair-fleet/src/prefill.rs
+++ b/crates/stair-fleet/src/prefill.rs
@@ -18,11 +18,14 @@
     Serialize, //
 };
 
-use crate::engine_estimate::{
-    Estimate,
-    Estimator,
-    EventTime,
-    ModelRate, //
+use crate::{
+    choose::Placement,
+    engine_estimate::{
+        Estimate,
+        Estimator,
+        EventTime,
+        ModelRate, //
+    }, //
 };
 
 /// Prefill rate until there are samples, in prompt tokens per millisecond.
@@ -74,6 +77,13 @@
 /// milliseconds.
 const PAUSE_MARGIN_MS: f64 = 60.0;
 
+/// Fraction of the promised pause for a burst while the engine's prompts have time: engines are 2.5 times as
+/// slow for 0.6 s at times, which no estimate can follow.
+const NOISE_BURST_FRACTION: f64 = 0.35;
+
+/// Fraction of its longest wait that a prompt waits for a short burst; a longer one is used otherwise.
+const NOISE_WAIT_FRACTION: f64 = 0.5;
+
 /// Least part of the promised pause that a burst may take, however slow the engine is.
 const MIN_BURST_FRACTION: f64 = 0.25;
 
@@ -375,15 +385,18 @@
     pub fn reserve(&mut self, req: &Request, memory: u64, now: Duration) -> Reply {
         let cached = self.cached_prefix(req);
         let cost = ms(self.prefill_time(req, cached));
-        let burst = self.burst_for(cost, req.pause.unwrap_or(DEFAULT_PAUSE), now);
+        let pause = req.pause.unwrap_or(DEFAULT_PAUSE);
+        let mut slot = self.slot(cost, self.pace.longest_burst(pause), req, now);
+        if let Some(longest) = self.pace.noise_burst(pause) {
+            let short = self.slot(cost, longest, req, now);
+            let has_time = short.wait <= req.max_wait.mul_f64(NOISE_WAIT_FRACTION);
+            if has_time && !short.delays_urgent {
+                slot = short;
+            }
+        }
+        let Slot { burst, wait, .. } = slot;
         let sent = burst.from.max(ms(now));
-        let wait = duration(sent - ms(now));
-        // A less urgent prompt that would delay an urgent one too long waits until the engine has
-        // no backlog.
-        let next = duration(burst.until + burst.rest(self.pace) - ms(now));
-        let delays_urgent =
-            req.urgent_max_wait.is_some_and(|limit| next > limit) && !wait.is_zero();
-        let reserved = wait <= req.max_wait && !delays_urgent;
+        let reserved = wait <= req.max_wait && !slot.delays_urgent;
         if reserved {
             self.last = burst;
             self.cache(req, memory, now);
@@ -397,12 +410,28 @@
         }
     }
 
+    /// The slot of a prompt of this cost, if bursts take no longer than `longest`.
+    fn slot(&self, cost: f64, longest: f64, req: &Request, now: Duration) -> Slot {
+        let burst = self.burst_for(cost, longest, now);
+        let wait = duration(burst.from - ms(now));
+        // A less urgent prompt that would delay an urgent one too long waits until the engine has
+        // no backlog.
+        let next = duration(burst.until + burst.rest(self.pace) - ms(now));
+        let delays_urgent =
+            req.urgent_max_wait.is_some_and(|limit| next > limit) && !wait.is_zero();
+        Slot {
+            burst,
+            wait,
+            delays_urgent,
+        }
+    }
+
     /// The burst that a prompt of this cost belongs to, with the prompt: the last one if it is over
     /// or has time left, else the next one.
-    fn burst_for(&self, cost: f64, pause: Duration, now: Duration) -> Burst {
+    fn burst_for(&self, cost: f64, longest: f64, now: Duration) -> Burst {
         let now = ms(now);
         let until = self.last.until.max(now) + cost;
-        if until - self.last.from <= self.pace.longest_burst(pause) {
+        if until - self.last.from <= longest {
             return Burst { until, ..self.last };
         }
         // A prompt longer than a burst forms a burst of its own.
@@ -493,12 +522,27 @@
         usual.min(left).max(MIN_BURST_FRACTION * pause)
     }
 
+    /// The longest burst that ends within the promised pause if the engine becomes slow during it, while its
+    /// prompts have time; `None` if that does not apply.
+    fn noise_burst(self, pause: Duration) -> Option<f64> {
+        let applies = self.event_ms > 0.0 && Placement::CURRENT == Placement::Separate;
+        applies.then(|| NOISE_BURST_FRACTION * ms(pause))
+    }
+
     /// The shortest break after a burst, in milliseconds.
     fn shortest_break(self) -> f64 {
         MIN_BREAK_MS.max((BREAK_EVENTS * self.event_ms).min(MAX_BREAK_MS))
     }
 }
 
+/// A slot of a prompt.
+struct Slot {
+    burst: Burst,
+    wait: Duration,
+    /// Whether a more urgent prompt would wait too long after it.
+    delays_urgent: bool,
+}
+
 /// Consecutive prompts without a break. Times are in milliseconds since the start of the process.
 #[derive(Clone, Copy, Default)]
 struct Burst {
--- a/crates/stair-fleet/tests/placement_load.rs
+++ b/crates/stair-fleet/tests/placement_load.rs
@@ -228,6 +228,8 @@
     placement: Placement,
     /// Whether the engines' speeds are estimated; not with entries of the previous release.
     paced: bool,
+    /// Whether each engine is very slow for some time.
+    noise: bool,
     engines: Vec<Engine>,
     view: View,
     keys: Vec<TargetKey>,
@@ -248,6 +250,7 @@
         Self {
             placement,
             paced: true,
+            noise: false,
             engines,
             view,
             keys,
@@ -278,6 +281,9 @@
             }
             self.now += TICK_MS;
             let now = self.time();
+            if self.noise {
+                self.make_noise();
+            }
             let mut ended = Vec::new();
             for (n, engine) in self.engines.iter_mut().enumerate() {
                 engine.run_until(now.as_secs_f64() * 1000.0, &mut ended);
@@ -319,6 +325,14 @@
         }
     }
 
+    /// Makes each engine 2.5 times as slow for 0.6 s in every 8 s.
+    fn make_noise(&mut self) {
+        for (n, engine) in self.engines.iter_mut().enumerate() {
+            let is_slow = (self.now + 977 * n as u64) % 8000 < 600;
+            engine.speed = SPEEDS[n] / if is_slow { 2.5 } else { 1.0 };
+        }
+    }
+
     fn send(&mut self, kind: Kind) {
         let model = self.rng.random_range(0..MODELS.len());
         let prefix =
@@ -421,10 +435,11 @@
 }
 
 /// Three plays of 40 s.
-fn plays(placement: Placement, long_per_s: f64) -> Counts {
+fn plays(placement: Placement, long_per_s: f64, noise: bool) -> Counts {
     let mut sum = Counts::default();
     for seed in 0..3 {
         let mut play = play(placement, long_per_s, seed);
+        play.noise = noise;
         play.run(40);
         sum.short += play.counts.short;
         sum.paused += play.counts.paused;
@@ -477,8 +492,8 @@
 #[test]
 fn pauses_of_short_streams() {
     for long_per_s in [12.0, 24.0, HIGH_LOAD] {
-        let fixed = plays(Placement::Fixed, long_per_s);
-        let share = plays(Placement::Share, long_per_s);
+        let fixed = plays(Placement::Fixed, long_per_s, false);
+        let share = plays(Placement::Share, long_per_s, false);
         assert!(share.paused * 50 <= share.short, "{share:?}");
         assert!(share.paused <= fixed.paused, "{share:?} {fixed:?}");
         assert!(share.refused <= fixed.refused, "{share:?} {fixed:?}");
@@ -489,8 +504,20 @@
 /// fast ones, and both more prompts are refused and more streams pause.
 #[test]
 fn overload() {
-    let fixed = plays(Placement::Fixed, OVERLOAD);
-    let share = plays(Placement::Share, OVERLOAD);
+    let fixed = plays(Placement::Fixed, OVERLOAD, false);
+    let share = plays(Placement::Share, OVERLOAD, false);
     assert!(share.refused < fixed.refused, "{share:?} {fixed:?}");
     assert!(share.paused * 2 < fixed.paused, "{share:?} {fixed:?}");
 }
+
+/// Each engine is 2.5 times as slow for 0.6 s in every 8 s, which no estimate can follow. What the estimates
+/// make of it must not be worse than the constants.
+#[test]
+fn noise_of_engines() {
+    for long_per_s in [12.0, 24.0, HIGH_LOAD] {
+        let fixed = plays(Placement::Fixed, long_per_s, true);
+        let share = plays(Placement::Share, long_per_s, true);
+        assert!(share.paused <= fixed.paused, "{share:?} {fixed:?}");
+        assert!(share.refused <= fixed.refused, "{share:?} {fixed:?}");
+    }
+}
