--- a/crates/stair-fleet/tests/engine_speed.rs
+++ b/crates/stair-fleet/tests/engine_speed.rs
@@ -265,3 +265,26 @@
     let mean = counts.iter().sum::<i32>() / 4;
     assert!(counts[0] * 10 >= mean * 8, "{counts:?}");
 }
+
+/// A model is chosen by a bit for each model of an engine, before its inventory is compared. A bit that is
+/// missing would hide a replica: one that was loaded before the agent's next report, or announced anew.
+#[test]
+fn every_loaded_model_is_found() {
+    let names: Vec<String> = (0..200).map(|n| format!("model-{n}")).collect();
+    for name in &names {
+        let (mut view, keys) = fleet(vec![report(&["a"], &[])]);
+        assert_eq!(choose(&view, &options(name), NOW), None);
+        view.get_mut(keys[0]).mark_loaded(name);
+        assert_eq!(key(&view, &options(name)), keys[0]);
+        assert_eq!(key(&view, &options("a")), keys[0]);
+        let reported = support::inventory(&[name], &[]);
+        view.set_inventory_at(support::addr(0), reported, NOW);
+        assert_eq!(key(&view, &options(name)), keys[0]);
+        assert_eq!(choose(&view, &options("a"), NOW), None);
+        let mut announced = view.get(keys[0]).target.clone();
+        announced.inventory = support::inventory(&["b"], &[]);
+        view.put(announced, NOW);
+        view.drop_report_at(support::addr(0));
+        assert_eq!(key(&view, &options("b")), keys[0]);
+    }
+}
