--- a/crates/stair-fleet/src/msg.rs
+++ b/crates/stair-fleet/src/msg.rs
@@ -17,6 +17,10 @@
 use crate::{
     availability::Shared,
     catalogue::Engine,
+    engine_estimate::{
+        Estimate,
+        EventTime, //
+    },
     fair_share,
     origin::{
         FromKeeper,
@@ -124,6 +128,8 @@
         /// The caller.
         from: fair_share::Caller,
     },
+    /// Measured times of events; only to agents that estimate from them, see [`Features`].
+    EventTimes(Vec<EventTime>),
 }
 
 /// What an agent can do beyond what agents of earlier releases can. The extension of its first message.
@@ -137,6 +143,8 @@
     pub quota_order: bool,
     /// Whether it shares prefill slots among callers.
     pub callers: bool,
+    /// Whether it estimates the engine's speed from the times of events.
+    pub event_times: bool,
 }
 
 impl Features {
@@ -146,9 +154,20 @@
         causes: true,
         quota_order: true,
         callers: true,
+        event_times: true,
     };
 }
 
+/// What an agent sends beside a message, as the extension of its frame. Processes of earlier releases read
+/// the features and ignore the rest.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Extension {
+    /// With the first message, what the agent can do; the default afterwards.
+    pub features: Features,
+    /// With a [`ToEntry::Load`], the engine's estimated speed.
+    pub estimate: Option<Estimate>,
+}
+
 /// The versions that an entry has of replicated data.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ReplicationState {
--- a/crates/stair-fleet/src/prefill.rs
+++ b/crates/stair-fleet/src/prefill.rs
@@ -8,6 +8,8 @@
 //! bursts each stream produces an event. A reservation is never returned, so a lost message cannot
 //! block a slot. The prefill rate is estimated for each model at each engine.
 
+mod burst;
+
 use std::{
     ops::RangeInclusive,
     time::Duration, //
@@ -18,6 +20,19 @@
     Serialize, //
 };
 
+pub(crate) use self::burst::burst_duration;
+use self::burst::{
+    Burst,
+    Pace,
+    Slot, //
+};
+use crate::engine_estimate::{
+    Estimate,
+    Estimator,
+    EventTime,
+    ModelRate, //
+};
+
 /// Prefill rate until there are samples, in prompt tokens per millisecond.
 const INITIAL_RATE: f64 = 33.0;
 
@@ -32,25 +47,31 @@
 /// Weight of the newest sample in the rate.
 const SAMPLE_WEIGHT: f64 = 0.15;
 
+/// Bounds of a sample while the engine's speed follows the times of events. A lasting change of speed
+/// shows there at once, and the samples of a few overloaded seconds must not outlast them.
+const PACED_SAMPLE_BOUNDS: RangeInclusive<f64> = 0.8..=1.2;
+
+/// Samples of a model after which these bounds apply.
+const FIRST_SAMPLES: u32 = 6;
+
+/// Weight of a model's first sample. That of the following ones is this, divided by their number, until
+/// it is [`SAMPLE_WEIGHT`].
+const FIRST_SAMPLE_WEIGHT: f64 = 0.6;
+
 /// Least prefill time of a sample. Below it, other causes dominate the time to the first event.
 const MIN_SAMPLE_TIME: Duration = Duration::from_millis(75);
 
 /// Fraction by which the base latency grows with each prompt, so that it follows lasting load.
 const BASE_LATENCY_DRIFT: f64 = 0.001;
 
-/// Fraction of an engine's time for prefill in the long run. The rest is for the tokens of streams,
-/// so that streams end.
-const PREFILL_FRACTION: f64 = 0.82;
-
-/// Fraction of the promised pause between events that one burst may take. The rest is for the event
-/// after it.
-const BURST_FRACTION: f64 = 0.7;
-
 /// The promised pause between events where no route declares one.
 const DEFAULT_PAUSE: Duration = Duration::from_millis(600);
 
-/// The least time between two bursts, in milliseconds.
-const MIN_BREAK_MS: f64 = 60.0;
+/// Fraction of its longest wait that a prompt waits for a short burst; a longer one is used otherwise.
+const NOISE_WAIT_FRACTION: f64 = 0.5;
+
+/// Models whose rates are reported.
+const MAX_REPORTED_RATES: usize = 8;
 
 /// Time to load a model from a copy at another engine, evictions included.
 const SWAP_DURATION: Duration = Duration::from_millis(1000);
@@ -172,6 +193,8 @@
     pub tokens_per_ms: f64,
     /// Base latency: the least time to the first event beside prefill, in milliseconds.
     first_ms: f64,
+    /// Samples that the rate is made from.
+    samples: u32,
 }
 
 /// The prefill slots of one engine.
@@ -183,6 +206,9 @@
     /// Sorted by chain.
     cached_blocks: Vec<CachedBlock>,
     cached_tokens: u64,
+    estimator: Estimator,
+    /// The engine's speed and its time of an event as of the last sample.
+    pace: Pace,
 }
 
 impl Schedule {
@@ -191,13 +217,80 @@
     pub fn clear(&mut self) {
         *self = Self {
             rates: std::mem::take(&mut self.rates),
+            estimator: std::mem::take(&mut self.estimator),
+            pace: self.pace,
             ..Self::default()
         };
     }
 
+    /// Updates the engine's speed by measured times of events while it ran this number of streams.
+    pub fn record_events(&mut self, times: &[EventTime], streams: u32, now: Duration) {
+        for time in times {
+            self.estimator.record(time, streams, now);
+        }
+        if !times.is_empty() {
+            self.update_pace(streams, now);
+        }
+    }
+
+    /// Updates the speed without a sample: it falls while streams run and none has an event, and returns
+    /// to the usual one with time.
+    pub fn update_pace(&mut self, streams: u32, now: Duration) {
+        self.estimator.observe_silence(streams, now);
+        if self.estimator.age(now).is_none() {
+            return;
+        }
+        let before = self.pace.speed;
+        self.pace = Pace {
+            speed: self.estimator.speed(now),
+            event_ms: self.estimator.event_ms(streams, now),
+        };
+        // What the engine still has to read takes longer, or less long, than was expected.
+        let left = self.last.until - ms(now);
+        if left > 0.0 {
+            self.last.until = ms(now) + left * before / self.pace.speed;
+        }
+    }
+
+    /// The estimated speed of the engine, once events have been measured. `loaded` has the models that
+    /// it has loaded.
+    pub fn estimate<'a, I>(&self, loaded: I, now: Duration) -> Option<Estimate>
+    where
+        I: Iterator<Item = &'a str>,
+    {
+        let measured = |model: &&str| {
+            let mut rates = self.rates.iter();
+            rates.any(|r| *r.model == **model && r.samples > 0)
+        };
+        let mut rates: Vec<ModelRate> = loaded
+            .filter(measured)
+            .take(MAX_REPORTED_RATES)
+            .map(|model| ModelRate {
+                model: model.into(),
+                tokens_per_ms: self.rate(model) as f32,
+            })
+            .collect();
+        rates.sort_by(|a, b| a.model.cmp(&b.model));
+        let mean = match rates.len() {
+            0 => 0.0,
+            n => rates.iter().map(|r| r.tokens_per_ms).sum::<f32>() / n as f32,
+        };
+        Some(Estimate {
+            tokens_per_ms: mean,
+            rates,
+            ..self.estimator.estimate(now)?
+        })
+    }
+
+    /// The estimator of the engine's speed.
+    pub fn estimator(&self) -> &Estimator {
+        &self.estimator
+    }
+
     /// Updates the rate by a measured prefill.
     pub fn record(&mut self, measured: &Measurement) {
         let took = ms(measured.took);
+        let is_paced = self.pace.event_ms > 0.0;
         let rate = self.rate_of(&measured.model);
         rate.first_ms = took.min(rate.first_ms * (1.0 + BASE_LATENCY_DRIFT));
         if measured.prefill_time < MIN_SAMPLE_TIME {
@@ -214,15 +307,35 @@
         } else {
             return;
         };
-        let sample = sample.clamp(*SAMPLE_BOUNDS.start(), *SAMPLE_BOUNDS.end());
-        let updated = rate.tokens_per_ms * (1.0 + SAMPLE_WEIGHT * (sample - 1.0));
+        let bounds = match is_paced && rate.samples >= FIRST_SAMPLES {
+            true => PACED_SAMPLE_BOUNDS,
+            false => SAMPLE_BOUNDS,
+        };
+        let sample = sample.clamp(*bounds.start(), *bounds.end());
+        // The first samples count more, so that a slow engine is not overloaded until it has read many.
+        let weight = SAMPLE_WEIGHT.max(FIRST_SAMPLE_WEIGHT / f64::from(rate.samples + 1));
+        rate.samples = rate.samples.saturating_add(1);
+        let updated = rate.tokens_per_ms * (1.0 + weight * (sample - 1.0));
         rate.tokens_per_ms = updated.clamp(*RATE_BOUNDS.start(), *RATE_BOUNDS.end());
     }
 
     /// The estimated prefill rate of a model, in tokens per millisecond.
     pub fn rate(&self, model: &str) -> f64 {
         let found = self.rates.binary_search_by(|r| (*r.model).cmp(model));
-        found.map_or(INITIAL_RATE, |i| self.rates[i].tokens_per_ms)
+        let usual = found.map_or_else(|_| self.initial_rate(), |i| self.rates[i].tokens_per_ms);
+        let lowest = RATE_BOUNDS.start().min(usual);
+        (usual * self.pace.speed).clamp(lowest, *RATE_BOUNDS.end())
+    }
+
+    /// The rate of a model without samples: the mean of the other models at this engine. Models of one
+    /// deployment differ less than engines do.
+    fn initial_rate(&self) -> f64 {
+        let measured = self.rates.iter().filter(|r| r.samples > 0);
+        let (sum, n) = measured.fold((0.0, 0), |(sum, n), r| (sum + r.tokens_per_ms, n + 1));
+        match n {
+            0 => INITIAL_RATE,
+            n => sum / f64::from(n),
+        }
     }
 
     /// The estimated rates, sorted by model.
@@ -236,8 +349,9 @@
             Err(i) => {
                 let new = Rate {
                     model: model.into(),
-                    tokens_per_ms: INITIAL_RATE,
+                    tokens_per_ms: self.initial_rate(),
                     first_ms: f64::INFINITY,
+                    samples: 0,
                 };
                 self.rates.insert(i, new);
                 i
@@ -279,20 +393,24 @@
     fn plan(&self, req: &Request, now: Duration) -> (Burst, Probe) {
         let cached = self.cached_prefix(req);
         let cost = ms(self.prefill_time(req, cached));
-        let burst = self.burst_for(cost, req.pause.unwrap_or(DEFAULT_PAUSE), now);
+        let pause = req.pause.unwrap_or(DEFAULT_PAUSE);
+        let mut slot = self.slot(cost, self.pace.longest_burst(pause), req, now);
+        if let Some(longest) = self.pace.noise_burst(pause) {
+            let short = self.slot(cost, longest, req, now);
+            let has_time = short.wait <= req.max_wait.mul_f64(NOISE_WAIT_FRACTION);
+            if has_time && !short.delays_urgent {
+                slot = short;
+            }
+        }
+        let Slot { burst, wait, .. } = slot;
         let sent = burst.from.max(ms(now));
-        let wait = duration(sent - ms(now));
-        // A less urgent prompt that would delay an urgent one too long waits until the engine has
-        // no backlog.
-        let next = duration(burst.until + burst.rest() - ms(now));
-        let delays_urgent =
-            req.urgent_max_wait.is_some_and(|limit| next > limit) && !wait.is_zero();
+        let next = duration(burst.until + burst.rest(self.pace) - ms(now));
         let excess = req.urgent_max_wait.map(|limit| next.saturating_sub(limit));
         let opens_in = wait
             .saturating_sub(req.max_wait)
             .max(excess.unwrap_or_default().min(wait));
         let reply = Reply {
-            reserved: wait <= req.max_wait && !delays_urgent,
+            reserved: wait <= req.max_wait && !slot.delays_urgent,
             wait,
             backlog: self.backlog(now),
             cached,
@@ -301,23 +419,39 @@
         let probe = Probe {
             reply,
             opens_in,
-            next_burst: duration(self.last.until + self.last.rest() - ms(now)),
+            next_burst: duration(self.last.until + self.last.rest(self.pace) - ms(now)),
             cost: duration(cost),
-            extends_short: burst.from == self.last.from && self.last.rest() <= MIN_BREAK_MS,
+            extends_short: burst.from == self.last.from && self.last.has_shortest_break(self.pace),
         };
         (burst, probe)
     }
 
+    /// The slot of a prompt of this cost, if bursts take no longer than `longest`.
+    fn slot(&self, cost: f64, longest: f64, req: &Request, now: Duration) -> Slot {
+        let burst = self.burst_for(cost, longest, now);
+        let wait = duration(burst.from - ms(now));
+        // A less urgent prompt that would delay an urgent one too long waits until the engine has
+        // no backlog.
+        let next = duration(burst.until + burst.rest(self.pace) - ms(now));
+        let delays_urgent =
+            req.urgent_max_wait.is_some_and(|limit| next > limit) && !wait.is_zero();
+        Slot {
+            burst,
+            wait,
+            delays_urgent,
+        }
+    }
+
     /// The burst that a prompt of this cost belongs to, with the prompt: the last one if it is over
     /// or has time left, else the next one.
-    fn burst_for(&self, cost: f64, pause: Duration, now: Duration) -> Burst {
+    fn burst_for(&self, cost: f64, longest: f64, now: Duration) -> Burst {
         let now = ms(now);
         let until = self.last.until.max(now) + cost;
-        if until - self.last.from <= BURST_FRACTION * ms(pause) {
+        if until - self.last.from <= longest {
             return Burst { until, ..self.last };
         }
         // A prompt longer than a burst forms a burst of its own.
-        let from = (self.last.until + self.last.rest()).max(now);
+        let from = (self.last.until + self.last.rest(self.pace)).max(now);
         Burst {
             from,
             until: from + cost,
@@ -373,29 +507,6 @@
     }
 }
 
-/// Consecutive prompts without a break. Times are in milliseconds since the start of the process.
-#[derive(Clone, Copy, Default)]
-struct Burst {
-    from: f64,
-    until: f64,
-}
-
-impl Burst {
-    /// The break after the burst, in which streams get their fraction of the engine's time.
-    fn rest(&self) -> f64 {
-        let read = self.until - self.from;
-        if read <= 0.0 {
-            return 0.0;
-        }
-        (read * (1.0 - PREFILL_FRACTION) / PREFILL_FRACTION).max(MIN_BREAK_MS)
-    }
-}
-
-/// The longest burst beside the streams that the request names.
-pub(crate) fn burst_duration(req: &Request) -> Duration {
-    req.pause.unwrap_or(DEFAULT_PAUSE).mul_f64(BURST_FRACTION)
-}
-
 fn ms(t: Duration) -> f64 {
     t.as_secs_f64() * 1000.0
 }
--- a/crates/stair-relay/src/select/candidates.rs
+++ b/crates/stair-relay/src/select/candidates.rs
@@ -96,6 +96,8 @@
         suspects,
         version: job.version(),
         connections: cx.connections(job),
+        pause: job.shortest_pause,
+        placement: choose::Placement::CURRENT,
     }
 }
 
--- a/crates/stair-relay/src/select/prepare.rs
+++ b/crates/stair-relay/src/select/prepare.rs
@@ -221,6 +221,9 @@
         .text("version", version.as_deref().unwrap_or(""))
         .show("addr", addr)
         .num("wait_ms", at.wait_ms as i64)
+        .num("expected_ms", at.expected_ms as i64)
+        .num("stalls_ms", at.pause_ms as i64)
+        .num("cost_ms", at.cost_ms as i64)
         .num("kept", prompt.cached)
         .ms("reads_ms", prompt.reads)
         .ms(
@@ -233,7 +236,7 @@
         addr,
         id,
         version,
-        wait_ms: at.wait_ms,
+        wait_ms: at.expected_ms,
         reads: prompt.reads,
         permit,
         selected_at: Instant::now(),
--- a/crates/stair-sidecar/src/process/dump.rs
+++ b/crates/stair-sidecar/src/process/dump.rs
@@ -9,6 +9,10 @@
 };
 use stair_fleet::{
     availability,
+    engine_estimate::{
+        Estimate,
+        Estimator, //
+    },
     fair_share::CallerState,
     msg::ReplicationState,
     prefill::Rate,
@@ -67,6 +71,9 @@
     callers_known: usize,
     /// Prompts that wait for a prefill slot.
     prompts_waiting: usize,
+    /// The engine's estimated speed as it is reported to entries, and what it is made from.
+    estimate: Option<Estimate>,
+    estimator: Estimator,
     /// Open load requests, including prefetches.
     load_requests: usize,
     /// Models that are not loaded since their loads have ended the engine, and the remaining times.
@@ -100,6 +107,7 @@
 impl Agent {
     pub(super) fn dump(&self) -> Dump {
         let now = self.now();
+        let load = self.load();
         Dump {
             name: self.settings.name.clone(),
             up_ms: u64::try_from(now.as_millis()).unwrap_or(u64::MAX),
@@ -111,7 +119,9 @@
             declared: self.declared,
             failed_reads: self.failed_reads,
             inventory: self.controller.inventory(),
-            load: self.load(),
+            estimate: load.estimate.clone(),
+            estimator: self.prefills.estimator().clone(),
+            load,
             rates: self.prefills.rates().to_vec(),
             callers: self.shares.states(),
             callers_known: self.shares.callers(),
