Engine estimates only where the settings call for them

Without it rates, bursts and the choice of a target are as before: agents do not announce event times, entries record none and choose by the constants.

--- a/crates/stair-config/src/fleet_settings.rs
+++ b/crates/stair-config/src/fleet_settings.rs
@@ -32,7 +32,7 @@
     "quota_slack",
 ];
 const RETRY_FIELDS: [&str; 4] = ["ratio", "extra", "window_ms", "entries"];
-const SIDECAR_FIELDS: [&str; 10] = [
+const SIDECAR_FIELDS: [&str; 11] = [
     "name",
     "data_centre",
     "engine",
@@ -43,6 +43,7 @@
     "fetch_window_ms",
     "quota_slack",
     "fair_shares",
+    "engine_estimates",
 ];
 
 const MAX_MS: u32 = 3_600_000;
@@ -123,6 +124,9 @@
     pub quota_slack: f64,
     /// Whether callers of equal rank share the engine's prefill slots while these are short.
     pub fair_shares: bool,
+    /// Whether the agent estimates its engine's own speed from the events of streams, and entries choose targets
+    /// by it.
+    pub engine_estimates: bool,
 }
 
 /// Reads and checks the settings of `dandelionstair relay`.
@@ -224,6 +228,7 @@
     );
     let quota_slack = fields.number_or_empty(problems, "quota_slack", 0.0..=MAX_SLACK, 0.0);
     let fair_shares = fields.boolean(problems, "fair_shares", Some(false));
+    let engine_estimates = fields.boolean(problems, "engine_estimates", Some(false));
     Some(SidecarSettings {
         name: name?,
         data_centre: data_centre?,
@@ -235,5 +240,6 @@
         fetch_window_ms: fetch_window_ms?,
         quota_slack: quota_slack?,
         fair_shares: fair_shares?,
+        engine_estimates: engine_estimates?,
     })
 }
--- a/crates/stair-fleet/src/prefill.rs
+++ b/crates/stair-fleet/src/prefill.rs
@@ -313,7 +313,10 @@
         };
         let sample = sample.clamp(*bounds.start(), *bounds.end());
         // The first samples count more, so that a slow engine is not overloaded until it has read many.
-        let weight = SAMPLE_WEIGHT.max(FIRST_SAMPLE_WEIGHT / f64::from(rate.samples + 1));
+        let weight = match is_paced {
+            true => SAMPLE_WEIGHT.max(FIRST_SAMPLE_WEIGHT / f64::from(rate.samples + 1)),
+            false => SAMPLE_WEIGHT,
+        };
         rate.samples = rate.samples.saturating_add(1);
         let updated = rate.tokens_per_ms * (1.0 + weight * (sample - 1.0));
         rate.tokens_per_ms = updated.clamp(*RATE_BOUNDS.start(), *RATE_BOUNDS.end());
@@ -327,9 +330,12 @@
         (usual * self.pace.speed).clamp(lowest, *RATE_BOUNDS.end())
     }
 
-    /// The rate of a model without samples: the mean of the other models at this engine. Models of one
-    /// deployment differ less than engines do.
+    /// The rate of a model without samples: the mean of the other models at this engine, if its speed is
+    /// estimated. Models of one deployment differ less than engines do.
     fn initial_rate(&self) -> f64 {
+        if self.pace.event_ms <= 0.0 {
+            return INITIAL_RATE;
+        }
         let measured = self.rates.iter().filter(|r| r.samples > 0);
         let (sum, n) = measured.fold((0.0, 0), |(sum, n), r| (sum + r.tokens_per_ms, n + 1));
         match n {
--- a/crates/stair-relay/src/context/agents.rs
+++ b/crates/stair-relay/src/context/agents.rs
@@ -7,6 +7,7 @@
 };
 
 use stair_fleet::{
+    choose::Placement,
     engine_estimate::EventTime,
     fair_share::{
         Caller,
@@ -110,7 +111,7 @@
     }
 
     /// Records the time of an event of a stream, for this entry's own estimate and to be reported to the
-    /// engine's agent.
+    /// engine's agent. Nothing is recorded for agents that do not estimate from it.
     pub fn record_event_time(&self, key: TargetKey, job: &Job, event_ms: f32) {
         let Some((model, _)) = job.model_of_engine() else {
             return;
@@ -121,20 +122,28 @@
         };
         let now = self.now();
         let mut state = self.state();
+        let engine = state.view.get(key).target.addr;
+        let estimates = |i: &usize| state.agents[*i].features.event_times;
+        let Some(i) = state.agent(engine).filter(estimates) else {
+            return;
+        };
         let target_state = state.view.get_mut(key);
         let reported = target_state.fresh_report(now).map(|r| r.load.running);
         let streams = reported.unwrap_or(target_state.in_flight);
         target_state.own_estimator.record(&time, streams, now);
-        let engine = target_state.target.addr;
-        if let Some(i) = state
-            .agent(engine)
-            .filter(|i| state.agents[*i].features.event_times)
-        {
-            let list = &mut state.agents[i].event_times;
-            if list.len() >= MAX_EVENT_TIMES {
-                list.remove(0);
-            }
-            list.push(time);
+        let list = &mut state.agents[i].event_times;
+        if list.len() >= MAX_EVENT_TIMES {
+            list.remove(0);
+        }
+        list.push(time);
+    }
+
+    /// How targets are chosen: by the engines' own speeds if agents estimate these.
+    pub(crate) fn placement(&self) -> Placement {
+        let state = self.state();
+        match state.agents.iter().any(|a| a.features.event_times) {
+            true => Placement::CURRENT,
+            false => Placement::Fixed,
         }
     }
 
--- a/crates/stair-relay/src/select/candidates.rs
+++ b/crates/stair-relay/src/select/candidates.rs
@@ -97,7 +97,7 @@
         version: job.version(),
         connections: cx.connections(job),
         pause: job.shortest_pause,
-        placement: choose::Placement::CURRENT,
+        placement: cx.placement(),
     }
 }
 
--- a/crates/stair-sidecar/src/links.rs
+++ b/crates/stair-sidecar/src/links.rs
@@ -77,6 +77,18 @@
     pub availability: Arc<Availabilities>,
     /// Origins of streams.
     pub origins: Arc<Origins>,
+    /// Whether the agent estimates its engine's speed from the times of events.
+    pub engine_estimates: bool,
+}
+
+impl Ledgers {
+    /// What this agent can do, by its settings.
+    fn features(&self) -> Features {
+        Features {
+            event_times: self.engine_estimates,
+            ..self.quotas.features()
+        }
+    }
 }
 
 /// Accepts links until the receiver of events is closed.
@@ -109,7 +121,7 @@
     ledgers.availability.opened(key, tx.clone());
     tokio::select! {
         () = read(r, key, &events, &ledgers, &tx) => {}
-        () = write(w, rx, ledgers.quotas.features()) => {}
+        () = write(w, rx, ledgers.features()) => {}
     }
     ledgers.quotas.closed(key);
     ledgers.quarantine.closed(key);
--- a/crates/stair-sidecar/src/process.rs
+++ b/crates/stair-sidecar/src/process.rs
@@ -158,6 +158,7 @@
             limits: Arc::new(Limits::new(page.clone())),
             availability: Arc::new(Availabilities::new(page.clone())),
             origins: Arc::default(),
+            engine_estimates: self.settings.engine_estimates,
         };
         let events = tx.clone();
         let (quotas, limits) = (ledgers.quotas.clone(), ledgers.limits.clone());
