relay: a stopping entry begins nothing that its end would cut

Cause: on arrival the time left was compared with a constant, 1.2 s for plain requests and 4.6 s for streams, whatever the request may take. It was not compared again when a request had waited, and a response counted as served once the HTTP library had it.

Change: once the stop has begun, a request is sent to a target only if its deadline is before the end of the process, also after a wait; others are refused at once as not run. A request without a response 0.3 s before the end is answered 503 or, if it may have run, 502. A connection counts as idle only when its response has been handed to the kernel; the stop waits for that, and only idle connections give way to new ones, in both ways of serving.

--- a/crates/stair-http/src/connections.rs
+++ b/crates/stair-http/src/connections.rs
@@ -6,15 +6,19 @@
 //!
 //! # Invariants
 //!
-//! A connection is closed here only while it has no request, so that the client may send its next
-//! request to another process.
+//! A connection is closed here only while it is idle: it has no request, and its last response has been
+//! handed to the kernel as a whole. The client may then send its next request to another process.
 
 use std::{
-    io,
+    io::{
+        self,
+        IoSlice, //
+    },
     pin::Pin,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{
+            AtomicBool,
             AtomicU64,
             Ordering, //
         },
@@ -36,6 +40,11 @@
     },
 };
 use tokio::{
+    io::{
+        AsyncRead,
+        AsyncWrite,
+        ReadBuf, //
+    },
     net::{
         TcpListener,
         TcpStream, //
@@ -82,7 +91,7 @@
 #[derive(Debug)]
 struct Open {
     key: u64,
-    /// None while it has a request.
+    /// None while it has a request, or a response that has not been sent as a whole.
     idle_since: Option<Instant>,
     evicted: bool,
     evict: Arc<Notify>,
@@ -114,13 +123,31 @@
     all: Arc<Connections>,
     key: u64,
     evict: Arc<Notify>,
+    progress: Arc<Progress>,
+}
+
+/// What a connection still has to do before it is idle.
+#[derive(Debug, Default)]
+struct Progress {
+    /// Requests whose responses have not been handed to the HTTP library.
+    requests: AtomicU64,
+    /// Whether a request has begun since all responses were last handed to the kernel.
+    unsent: AtomicBool,
 }
 
-/// A request of a connection, which is not idle until this is dropped.
+/// The stream of a connection, which becomes idle when its responses have been handed to the kernel.
 #[derive(Debug)]
-pub struct RequestGuard {
+pub struct Stream {
+    inner: TcpStream,
     all: Arc<Connections>,
     key: u64,
+    progress: Arc<Progress>,
+}
+
+/// A request of a connection, until its response has been handed to the HTTP library.
+#[derive(Debug)]
+pub struct RequestGuard {
+    progress: Arc<Progress>,
 }
 
 impl Connections {
@@ -135,12 +162,20 @@
     }
 
     /// Waits for a new connection that can be read. Others are closed unread.
-    pub async fn accept(self: &Arc<Self>, listener: &TcpListener) -> (TcpStream, Connection) {
+    pub async fn accept(self: &Arc<Self>, listener: &TcpListener) -> (Stream, Connection) {
         loop {
             match listener.accept().await {
                 // Dropping the stream closes the connection.
-                Ok((stream, _)) => {
+                Ok((inner, _)) => {
                     if let Some(connection) = self.admit() {
+                        // Only a latency option: a small response may wait some milliseconds without it.
+                        let _ = inner.set_nodelay(true);
+                        let stream = Stream {
+                            inner,
+                            all: self.clone(),
+                            key: connection.key,
+                            progress: connection.progress.clone(),
+                        };
                         return (stream, connection);
                     }
                 }
@@ -165,6 +200,12 @@
         self.lock().throttle.is_limiting()
     }
 
+    /// Returns the number of connections that are not idle.
+    pub fn in_use(&self) -> usize {
+        let inner = self.lock();
+        inner.open.iter().filter(|o| o.idle_since.is_none()).count()
+    }
+
     /// Returns the numbers of connections so far.
     pub fn counts(&self) -> Counts {
         let count = |n: &AtomicU64| n.load(Ordering::Relaxed);
@@ -205,6 +246,7 @@
             all: self.clone(),
             key,
             evict,
+            progress: Arc::default(),
         })
     }
 
@@ -278,17 +320,74 @@
 
     /// Begins a request.
     pub fn begin_request(&self) -> RequestGuard {
+        self.progress.requests.fetch_add(1, Ordering::Relaxed);
+        self.progress.unsent.store(true, Ordering::Relaxed);
         self.all.set_idle(self.key, None);
         RequestGuard {
-            all: self.all.clone(),
-            key: self.key,
+            progress: self.progress.clone(),
         }
     }
 }
 
+impl Stream {
+    /// Records that all bytes written so far have been handed to the kernel.
+    fn record_flush(&self) {
+        if self.progress.requests.load(Ordering::Relaxed) == 0
+            && self.progress.unsent.swap(false, Ordering::Relaxed)
+        {
+            self.all.set_idle(self.key, Some(Instant::now()));
+        }
+    }
+}
+
+impl AsyncRead for Stream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Stream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    // The HTTP library flushes the stream only once its own buffers are empty.
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let flushed = Pin::new(&mut self.inner).poll_flush(cx);
+        if matches!(flushed, Poll::Ready(Ok(()))) {
+            self.record_flush();
+        }
+        flushed
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
+
 impl RequestGuard {
-    /// Keeps the guard until the whole response has been sent.
-    pub fn until_sent(self, resp: Response<Body>) -> Response<Body> {
+    /// Keeps the guard until the HTTP library has taken the whole response.
+    pub fn until_taken(self, resp: Response<Body>) -> Response<Body> {
         resp.map(|inner| {
             let guarded = Guarded {
                 inner,
@@ -335,6 +434,6 @@
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.all.set_idle(self.key, Some(Instant::now()));
+        self.progress.requests.fetch_sub(1, Ordering::Relaxed);
     }
 }
--- a/crates/stair-http/src/server.rs
+++ b/crates/stair-http/src/server.rs
@@ -17,20 +17,14 @@
     TokioIo,
     TokioTimer, //
 };
-use tokio::{
-    net::{
-        TcpListener,
-        TcpStream, //
-    },
-    sync::watch,
-    task::JoinSet,
-};
+use tokio::{net::TcpListener, sync::watch, task::JoinSet};
 
 use crate::{
     body::Body,
     connections::{
         Connection,
-        Connections, //
+        Connections,
+        Stream, //
     },
 };
 
@@ -93,7 +87,7 @@
 }
 
 async fn serve_one<H, F>(
-    stream: TcpStream,
+    stream: Stream,
     connection: Connection,
     opts: Options,
     mut stop: watch::Receiver<bool>,
@@ -102,13 +96,12 @@
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
-    let _ = stream.set_nodelay(true);
     let connection = Arc::new(connection);
     let own = connection.clone();
     let service = service_fn(move |req| {
         let guard = own.begin_request();
         let response = handler(req);
-        async move { Ok::<_, Infallible>(guard.until_sent(response.await)) }
+        async move { Ok::<_, Infallible>(guard.until_taken(response.await)) }
     });
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/stair-relay/src/admit.rs
+++ b/crates/stair-relay/src/admit.rs
@@ -4,7 +4,8 @@
     sync::{
         Arc,
         Mutex,
-        OnceLock, //
+        OnceLock,
+        atomic::AtomicBool, //
     },
     time::Duration, //
 };
@@ -74,20 +75,12 @@
 /// Retry-After of an entry without a catalogue; another entry may serve the request at once.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// Time that a stream may need. A stopping entry with less time left rejects it, since the end of the process
-/// would truncate the response.
-const MIN_STREAM_DURATION: Duration = Duration::from_millis(4600);
-
-/// Time that a request without a stream may need. A stopping entry with less time left rejects it, since the
-/// end of the process would truncate the response.
-const MIN_REQUEST_DURATION: Duration = Duration::from_millis(1200);
-
 /// Reads the request, finds its route and charges its workspace.
 ///
 /// # Errors
 ///
 /// The refusal of a request that is malformed, has no route, carries no key in force, is quarantined, exceeds
-/// the quota of its workspace, or comes too late to be served by this process.
+/// the quota of its workspace, or whose deadline is after the end of this process.
 pub async fn admit(
     cx: &Arc<Context>,
     req: Request<Incoming>,
@@ -105,23 +98,16 @@
         .ok_or(Refusal::not_run(Reason::NoRoute, None))?
         .clone();
     let workspace = authorize::authorize(cx, &catalogue, &route, &head.headers)?.cloned();
-    if let Some(left) = cx.ends_in() {
-        let needed = if route.stream {
-            MIN_STREAM_DURATION
-        } else {
-            MIN_REQUEST_DURATION
-        };
-        if left < needed.min(route.timeout) {
-            let retry_after = Some(STOPPING_RETRY_AFTER);
-            return Err(Refusal::not_run(Reason::Stopping, retry_after));
-        }
-    }
     let meta = Meta::decode(&head.headers);
     let wait = meta
         .client_timeout
         .unwrap_or(route.timeout)
         .min(route.timeout);
     let deadline = received + wait;
+    if cx.ends_before(deadline) {
+        let retry_after = Some(STOPPING_RETRY_AFTER);
+        return Err(Refusal::not_run(Reason::Stopping, retry_after));
+    }
     let body = read_body(body, &head.headers, catalogue.limits.body_bytes, deadline).await?;
     let point = xxh3_64(meta.id.as_bytes()) as f64 / u64::MAX as f64;
     let service: Box<str> = route.pick(point).into();
@@ -149,6 +135,7 @@
         catalogue,
         received,
         deadline,
+        may_have_run: AtomicBool::new(false),
         fingerprint: OnceLock::new(),
         parts: OnceLock::new(),
         on_trial: Mutex::default(),
--- a/crates/stair-relay/src/assign.rs
+++ b/crates/stair-relay/src/assign.rs
@@ -37,8 +37,9 @@
     },
 };
 
-/// Waiting requests are rejected this long before the process ends, so that the rejections arrive.
-const STOP_REFUSAL_MARGIN: Duration = Duration::from_millis(500);
+/// Requests that have not been sent to a target are rejected this long before the process ends, so that the
+/// rejections arrive.
+pub(crate) const STOP_REFUSAL_MARGIN: Duration = Duration::from_millis(500);
 
 /// A waiting request is rejected this long before its client disconnects: a round trip and the longest pause
 /// of a busy entry. With a later rejection the client would not learn that the request has not run.
@@ -61,6 +62,13 @@
         }
     }
 
+    fn stopping() -> Self {
+        Self {
+            reason: Reason::Stopping,
+            retry_after: STOPPING_RETRY_AFTER,
+        }
+    }
+
     fn quarantined(retry_after: Duration) -> Self {
         Self {
             reason: Reason::Quarantined,
@@ -92,9 +100,12 @@
     let since = after_event.map_or(job.received, |_| Instant::now());
     let until = selection_deadline(job, after_event);
     tokio::select! {
-        selected = select_permitted(cx, job, excluded, since, until) => selected,
+        biased;
+        // A request that has not run may be retried at another process, where no stop cuts it.
+        () = cx.until_ends_before(job.deadline), if !job.may_have_run() => Err(NotAssigned::stopping()),
         // A request that still waits when the process ends would get no response at all.
-        () = cx.until_ending(STOP_REFUSAL_MARGIN) => Err(NotAssigned::no_target(STOPPING_RETRY_AFTER)),
+        () = cx.until_ending(STOP_REFUSAL_MARGIN) => Err(NotAssigned::stopping()),
+        selected = select_permitted(cx, job, excluded, since, until) => selected,
     }
 }
 
--- a/crates/stair-relay/src/context.rs
+++ b/crates/stair-relay/src/context.rs
@@ -88,6 +88,9 @@
 pub use pending_load::PendingLoad;
 use usage::EngineUsage;
 
+/// Time for sending a response that is complete.
+const SEND_MARGIN: Duration = Duration::from_millis(200);
+
 /// The shared context of one entry.
 pub struct Context {
     /// The settings at the start; [`Context::reload`] does not change these.
@@ -254,10 +257,19 @@
         self.ends_at.send_replace(Some(ends_at));
     }
 
-    /// Time until the process ends, once the stop has begun.
-    pub fn ends_in(&self) -> Option<Duration> {
-        let ends_at = *self.ends_at.borrow();
-        Some(ends_at?.saturating_duration_since(Instant::now()))
+    /// Whether the process ends before a response that is complete at `deadline` would be sent.
+    pub fn ends_before(&self, deadline: Instant) -> bool {
+        self.ends_at
+            .borrow()
+            .is_some_and(|at| deadline + SEND_MARGIN > at)
+    }
+
+    /// Waits until a stop has begun, at whose end a response that is complete at `deadline` would be cut.
+    pub async fn until_ends_before(&self, deadline: Instant) {
+        let mut rx = self.ends_at.subscribe();
+        let ends_before = |at: &Option<Instant>| at.is_some_and(|at| deadline + SEND_MARGIN > at);
+        // The sender lives as long as the context.
+        let _ = rx.wait_for(ends_before).await;
     }
 
     /// Waits until `left` remains before the process ends.
--- a/crates/stair-relay/src/job.rs
+++ b/crates/stair-relay/src/job.rs
@@ -2,10 +2,11 @@
 
 use std::{
     sync::{
-        Arc,
-        Mutex,
-        OnceLock,
-        PoisonError, //
+        Arc, Mutex, OnceLock, PoisonError,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
     },
     time::Duration,
 };
@@ -86,6 +87,8 @@
     pub received: Instant,
     /// Time by which the response has to be complete.
     pub deadline: Instant,
+    /// Whether a target may have run it, or may be running it.
+    pub(crate) may_have_run: AtomicBool,
     /// Computed on first use.
     pub(crate) fingerprint: OnceLock<Fingerprint>,
     /// Computed on first use.
@@ -198,8 +201,14 @@
         }
     }
 
+    /// Whether a target may have run it, or may be running it.
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run.load(Ordering::Relaxed)
+    }
+
     /// Sets whether a target may have run it, in which case its charge is not refunded.
     pub fn set_may_have_run(&self, may_have_run: bool) {
+        self.may_have_run.store(may_have_run, Ordering::Relaxed);
         if let Some(grant) = &self.grant {
             grant.set_may_have_run(may_have_run);
         }
--- a/crates/stair-relay/src/process.rs
+++ b/crates/stair-relay/src/process.rs
@@ -44,7 +44,7 @@
 /// and sent again only after a second.
 const BACKLOG: u32 = 1024;
 
-/// Interval of the checks whether all requests have got their response.
+/// Interval of the checks whether all responses have been sent.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// An entry whose addresses are bound.
@@ -165,11 +165,11 @@
     Ok(listener)
 }
 
-/// Waits until no request is being served, at most until `last`.
+/// Waits until all responses have been sent, at most until `last`.
 async fn finish(cx: &Context, last: Instant) {
     let begun = Instant::now();
     while Instant::now() < last {
-        let idle = cx.serving() == 0;
+        let idle = cx.connections.in_use() == 0;
         if idle && begun.elapsed() >= LISTEN_AFTER_STOP {
             return;
         }
--- a/crates/stair-relay/src/refuse.rs
+++ b/crates/stair-relay/src/refuse.rs
@@ -106,6 +106,7 @@
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::TooSlow => StatusCode::REQUEST_TIMEOUT,
+            Self::Stopping if verdict == Verdict::MayHaveRun => StatusCode::BAD_GATEWAY,
             Self::Starting
             | Self::Stopping
             | Self::Lagging
--- a/crates/stair-relay/src/relay.rs
+++ b/crates/stair-relay/src/relay.rs
@@ -39,8 +39,9 @@
     },
     assign::{
         NotAssigned,
-        assign, //
-        selection_deadline,
+        STOP_REFUSAL_MARGIN,
+        assign,
+        selection_deadline, //
     },
     attempt::{
         self,
@@ -55,7 +56,8 @@
     refuse::{
         self,
         Reason,
-        Refusal, //
+        Refusal,
+        STOPPING_RETRY_AFTER, //
     },
     select::Selected,
     stream,
@@ -66,6 +68,10 @@
 /// Retry-After when all targets were full and stated no time.
 pub(crate) const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// A request without a response is answered this long before the process ends, since a client can't tell from a
+/// closed connection whether its request has run.
+const STOP_RESPONSE_MARGIN: Duration = Duration::from_millis(300);
+
 /// Upper bound on the targets that one request is sent to, as long as each of them states that it has not run
 /// it.
 const MAX_SENDS: usize = 4;
@@ -79,7 +85,13 @@
     let received = Instant::now();
     let id = Meta::decode(req.headers()).id;
     let mut pending = PendingResponse::begin(&cx, &id, received);
-    let result = match admit(&cx, req, received).await {
+    let admitted = tokio::select! {
+        admitted = admit(&cx, req, received) => admitted,
+        () = cx.until_ending(STOP_REFUSAL_MARGIN) => {
+            Err(Refusal::not_run(Reason::Stopping, Some(STOPPING_RETRY_AFTER)))
+        }
+    };
+    let result = match admitted {
         Ok(job) => run(&cx, Arc::new(job)).await,
         Err(refusal) => Err(refusal),
     };
@@ -157,7 +169,13 @@
 
 async fn run(cx: &Arc<Context>, job: Arc<Job>) -> Result<Response<Body>, Refusal> {
     let mut attempts = Attempts::new(cx, &job);
-    let result = run_attempts(cx, job, &mut attempts).await;
+    let result = tokio::select! {
+        result = run_attempts(cx, job.clone(), &mut attempts) => result,
+        () = cx.until_ending(STOP_RESPONSE_MARGIN) => Err(match job.may_have_run() {
+            true => Refusal::may_have_run(Reason::Stopping),
+            false => Refusal::not_run(Reason::Stopping, Some(STOPPING_RETRY_AFTER)),
+        }),
+    };
     // The failure response of a target tells the client more than a failure of the entry.
     match (result, attempts.failure.take()) {
         (Err(_), Some(failure)) => Ok(failure),
--- a/crates/stair-relay/src/serve.rs
+++ b/crates/stair-relay/src/serve.rs
@@ -32,17 +32,14 @@
         Body,
         full, //
     },
-    connections::Connection,
+    connections::{
+        Connection,
+        Stream, //
+    },
     server,
 };
 use stair_telemetry::observe;
-use tokio::{
-    net::{
-        TcpListener,
-        TcpStream, //
-    },
-    sync::watch,
-};
+use tokio::{net::TcpListener, sync::watch};
 
 use crate::{
     context::Context,
@@ -87,9 +84,7 @@
     }
 }
 
-async fn connection(cx: Arc<Context>, stream: TcpStream, open: Connection) {
-    // Only a latency option: a small response may wait some milliseconds without it.
-    let _ = stream.set_nodelay(true);
+async fn connection(cx: Arc<Context>, stream: Stream, open: Connection) {
     let limits = cx
         .state()
         .catalogue
@@ -99,7 +94,7 @@
     let head_time = limits.idle_time.max(limits.head_time) + IDLE_SLACK;
     let service = service_fn(|req| {
         let (cx, guard) = (cx.clone(), open.begin_request());
-        async move { Ok::<_, Infallible>(guard.until_sent(respond(cx, req).await)) }
+        async move { Ok::<_, Infallible>(guard.until_taken(respond(cx, req).await)) }
     });
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
