relay: targets whose responses do not end are given up, avoided and bounded in memory

What callers see, by tests on the code before: interim responses without end hold a request for its whole time. A target whose bodies do not end keeps getting requests, 25 of 60 with three targets, 38 of 60 streams with two. 100 requests before eight such targets and two sound ones bring an entry to 617 MiB.

Cause: no limit counted the bytes of interim responses; an attempt succeeded with its head; plain responses of up to 16 MiB were buffered with no bound on all together; and collecting a body was bounded by the time between two pieces only.

An attempt succeeds with its whole body or its first event, and one that is given up counts against its target. Four bodies over 1 MiB are held at once. Collecting has one time limit.

--- a/crates/stair-http/src/body.rs
+++ b/crates/stair-http/src/body.rs
@@ -21,7 +21,8 @@
 };
 use hyper::body::{
     Frame,
-    Incoming, //
+    Incoming,
+    SizeHint, //
 };
 use tokio::sync::mpsc;
 
@@ -40,6 +41,42 @@
     body.map_frame(|frame| frame).boxed_unsync()
 }
 
+/// Returns the same body, with a value that is dropped together with it.
+pub fn holding<T>(body: Body, held: T) -> Body
+where
+    T: Send + Unpin + 'static,
+{
+    Holding { body, _held: held }.boxed_unsync()
+}
+
+struct Holding<T> {
+    body: Body,
+    _held: T,
+}
+
+impl<T> hyper::body::Body for Holding<T>
+where
+    T: Unpin,
+{
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Returns a body and the sender that feeds it; `depth` is the channel's capacity in chunks.
 ///
 /// The body is complete when the sender sends `None`. When the sender is dropped before, the body
--- a/crates/stair-http/src/client.rs
+++ b/crates/stair-http/src/client.rs
@@ -33,9 +33,12 @@
 use hyper::{
     Request,
     body::Incoming,
-    client::conn::http1::{
-        SendRequest,
-        handshake, //
+    client::conn::{
+        TrySendError,
+        http1::{
+            SendRequest,
+            handshake, //
+        },
     },
     http::response::Parts,
 };
@@ -49,6 +52,11 @@
     },
 };
 
+use crate::counted::{
+    Counted,
+    Passed, //
+};
+
 /// Limits of a client.
 #[derive(Debug, Clone, Copy)]
 pub struct Options {
@@ -114,7 +122,22 @@
     since: Instant,
 }
 
-type Connection = SendRequest<Full<Bytes>>;
+struct Connection {
+    tx: SendRequest<Full<Bytes>>,
+    passed: Passed,
+}
+
+impl Connection {
+    async fn try_send(
+        &mut self,
+        req: Request<Full<Bytes>>,
+    ) -> Result<hyper::Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.passed.await_head();
+        let sent = self.tx.try_send_request(req).await;
+        self.passed.head_arrived();
+        sent
+    }
+}
 
 impl Client {
     /// Returns a client without opening a connection.
@@ -184,7 +207,7 @@
         // The server may have closed an idle connection in the meantime. Hyper returns the request
         // only if it was not sent, so sending it on another connection is safe.
         while let Some(mut conn) = self.take_idle() {
-            match conn.try_send_request(req).await {
+            match conn.try_send(req).await {
                 Ok(resp) => return Ok(self.response(conn, resp)),
                 Err(mut e) => match e.take_message() {
                     Some(unsent) => req = unsent,
@@ -193,7 +216,7 @@
             }
         }
         let mut conn = self.connect().await?;
-        match conn.try_send_request(req).await {
+        match conn.try_send(req).await {
             Ok(resp) => Ok(self.response(conn, resp)),
             Err(mut e) => match e.take_message() {
                 Some(_) => Err(Error::NotSent(e.into_error().to_string().into())),
@@ -211,11 +234,12 @@
             Err(_) => return Err(not_sent(&"no connection in time")),
         };
         stream.set_nodelay(true).map_err(|e| not_sent(&e))?;
-        let (conn, driver) = handshake(TokioIo::new(stream))
+        let (stream, passed) = Counted::new(stream);
+        let (tx, driver) = handshake(TokioIo::new(stream))
             .await
             .map_err(|e| not_sent(&e))?;
         tokio::spawn(driver);
-        Ok(conn)
+        Ok(Connection { tx, passed })
     }
 
     fn take_idle(&self) -> Option<Connection> {
@@ -227,7 +251,7 @@
                 idle.clear();
                 return None;
             }
-            if conn.is_ready() {
+            if conn.tx.is_ready() {
                 return Some(conn);
             }
         }
@@ -299,14 +323,19 @@
         }
     }
 
-    /// Reads the rest of the body, at most `limit` bytes, and waits at most `time` for each chunk.
+    /// Reads the rest of the body, at most `limit` bytes, within `time`.
     ///
     /// # Errors
     ///
     /// As [`Answer::chunk`], and [`Error::TooLarge`].
     pub async fn collect(mut self, limit: usize, time: Duration) -> Result<Bytes, Error> {
+        let end = Instant::now() + time;
         let mut all = BytesMut::new();
-        while let Some(data) = self.chunk(time).await? {
+        // A server that sends a byte at a time would otherwise never be given up.
+        while let Some(data) = self
+            .chunk(end.saturating_duration_since(Instant::now()))
+            .await?
+        {
             if all.len() + data.len() > limit {
                 return Err(Error::TooLarge(limit));
             }
--- a/crates/stair-http/src/connections.rs
+++ b/crates/stair-http/src/connections.rs
@@ -30,15 +30,7 @@
     time::Duration,
 };
 
-use bytes::Bytes;
-use http_body_util::BodyExt;
-use hyper::{
-    Response,
-    body::{
-        Frame,
-        SizeHint, //
-    },
-};
+use hyper::Response;
 use tokio::{
     io::{
         AsyncRead,
@@ -58,7 +50,10 @@
 };
 
 use crate::{
-    body::Body,
+    body::{
+        Body,
+        holding, //
+    },
     throttle::{
         SAMPLE_INTERVAL,
         Throttle, //
@@ -388,38 +383,7 @@
 impl RequestGuard {
     /// Keeps the guard until the HTTP library has taken the whole response.
     pub fn until_taken(self, resp: Response<Body>) -> Response<Body> {
-        resp.map(|inner| {
-            let guarded = Guarded {
-                inner,
-                _guard: self,
-            };
-            guarded.boxed_unsync()
-        })
-    }
-}
-
-struct Guarded {
-    inner: Body,
-    _guard: RequestGuard,
-}
-
-impl hyper::body::Body for Guarded {
-    type Data = Bytes;
-    type Error = io::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        Pin::new(&mut self.inner).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.inner.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.inner.size_hint()
+        resp.map(|body| holding(body, self))
     }
 }
 
--- a/crates/stair-relay/src/attempt.rs
+++ b/crates/stair-relay/src/attempt.rs
@@ -3,10 +3,9 @@
 //! Each attempt has a connection of its own. On a reused one, a lost response or the response to another
 //! request would leave open whether the request has run.
 
-mod counted;
-
 use std::{
     net::SocketAddr,
+    sync::Arc,
     time::Duration, //
 };
 
@@ -34,8 +33,20 @@
     ResponseKind,
     Stated, //
 };
+use stair_http::{
+    body::{
+        Body,
+        full,
+        holding, //
+    },
+    counted::Counted, //
+};
 use tokio::{
     net::TcpStream,
+    sync::{
+        OwnedSemaphorePermit,
+        Semaphore, //
+    },
     task::JoinHandle,
     time::{
         Instant,
@@ -44,8 +55,6 @@
     },
 };
 
-use counted::Counted;
-
 /// Limit for opening a connection. A lost packet is sent again only after a second; another target is faster.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -55,6 +64,12 @@
 /// Largest response body that is buffered as a whole, in bytes.
 const MAX_BODY_BYTES: usize = 16 << 20;
 
+/// Largest response body that any request may buffer beside all others, in bytes.
+const SMALL_BODY_BYTES: usize = 1 << 20;
+
+/// Larger bodies that are buffered at once, so that targets whose bodies do not end can't use up the memory.
+pub(crate) const MAX_LARGE_BODIES: usize = 4;
+
 /// The outcome of an attempt, and what the response states about its target.
 pub struct Sent {
     /// The outcome.
@@ -151,7 +166,7 @@
     };
     // Only a latency option: a small request may wait some milliseconds without it.
     let _ = stream.set_nodelay(true);
-    let (stream, written) = Counted::new(stream);
+    let (stream, passed) = Counted::new(stream);
     let handshake = Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .handshake(TokioIo::new(stream))
@@ -167,7 +182,10 @@
     if !takes() {
         return Outcome::Withheld.into();
     }
-    match timeout_at(until, tx.try_send_request(req)).await {
+    passed.await_head();
+    let sent = timeout_at(until, tx.try_send_request(req)).await;
+    passed.head_arrived();
+    match sent {
         Err(_) => Outcome::Late.into(),
         Ok(Ok(resp)) => {
             let stated = Stated::decode(resp.status(), resp.headers());
@@ -180,7 +198,7 @@
         }
         Ok(Err(mut e)) => {
             // A target that ends right after it has accepted a connection resets it before the first write.
-            let is_unsent = e.take_message().is_some() || !written.any();
+            let is_unsent = e.take_message().is_some() || !passed.any_written();
             let text = e.into_error().to_string().into();
             match is_unsent {
                 true => Outcome::NotSent(text).into(),
@@ -243,23 +261,67 @@
         }
     }
 
-    /// Reads the whole body.
+    /// Reads the whole body. A large one takes a permit of `large`, which is held as long as the body.
     ///
     /// # Errors
     ///
     /// When the body was truncated, is too large, or was not complete in time.
-    pub async fn collect(&mut self, until: Instant) -> Result<Bytes, Box<str>> {
+    pub async fn collect(
+        &mut self,
+        large: &Arc<Semaphore>,
+        until: Instant,
+    ) -> Result<WholeBody, Box<str>> {
+        if self.body.size_hint().lower() > MAX_BODY_BYTES as u64 {
+            return Err("the response body is too large".into());
+        }
         let mut all = Vec::new();
+        let mut permit = None;
         loop {
-            match timeout_at(until, self.chunk()).await {
+            let data = match timeout_at(until, self.chunk()).await {
                 Err(_) => return Err("the response was not complete in time".into()),
                 Ok(Err(e)) => return Err(e.to_string().into()),
-                Ok(Ok(None)) => return Ok(all.into()),
-                Ok(Ok(Some(data))) if all.len() + data.len() <= MAX_BODY_BYTES => {
-                    all.extend_from_slice(&data);
+                Ok(Ok(None)) => {
+                    return Ok(WholeBody {
+                        bytes: all.into(),
+                        permit,
+                    });
                 }
-                Ok(Ok(Some(_))) => return Err("the response body is too large".into()),
+                Ok(Ok(Some(data))) => data,
+            };
+            let len = all.len() + data.len();
+            if len > MAX_BODY_BYTES {
+                return Err("the response body is too large".into());
             }
+            if len > SMALL_BODY_BYTES && permit.is_none() {
+                let acquired = timeout_at(until, large.clone().acquire_owned()).await;
+                // The semaphore is never closed.
+                permit = acquired.ok().and_then(Result::ok);
+                if permit.is_none() {
+                    return Err("other large responses were not sent in time".into());
+                }
+            }
+            all.extend_from_slice(&data);
+        }
+    }
+}
+
+/// A response body that was read as a whole.
+pub struct WholeBody {
+    bytes: Bytes,
+    permit: Option<OwnedSemaphorePermit>,
+}
+
+impl WholeBody {
+    /// Its length in bytes.
+    pub fn size(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// The body for the client. The permit of a large one is released when it has been sent.
+    pub fn into_body(self) -> Body {
+        match self.permit {
+            None => full(self.bytes),
+            Some(permit) => holding(full(self.bytes), permit),
         }
     }
 }
--- a/crates/stair-relay/src/context.rs
+++ b/crates/stair-relay/src/context.rs
@@ -55,6 +55,7 @@
 use tokio::{
     sync::{
         Notify,
+        Semaphore,
         mpsc,
         oneshot,
         watch, //
@@ -66,6 +67,7 @@
 };
 
 use crate::{
+    attempt::MAX_LARGE_BODIES,
     crash::Crashes,
     follow::Follow,
     limit::Limits,
@@ -105,6 +107,8 @@
     pub unresponsive: Notify,
     /// The open connections of clients.
     pub(crate) connections: Arc<Connections>,
+    /// Permits for response bodies that are large.
+    pub(crate) large_bodies: Arc<Semaphore>,
     /// Whether this entry watches the store or follows an entry that does.
     pub follow: Follow,
     /// The newest era of the store that is known.
@@ -204,6 +208,7 @@
             store_returned: Notify::new(),
             unresponsive: Notify::new(),
             connections: Connections::new(max_connections()),
+            large_bodies: Arc::new(Semaphore::new(MAX_LARGE_BODIES)),
             follow: Follow::default(),
             store_check: StoreCheck::default(),
             started: Instant::now(),
--- a/crates/stair-relay/src/relay.rs
+++ b/crates/stair-relay/src/relay.rs
@@ -22,10 +22,7 @@
     target_state::SUSPECT_DURATION,
     view::TargetKey, //
 };
-use stair_http::body::{
-    Body,
-    full, //
-};
+use stair_http::body::Body;
 use stair_telemetry::event::Line;
 use tokio::time::{
     Instant,
@@ -421,7 +418,8 @@
             match live.head.status.is_server_error() {
                 true if backs_off => {}
                 true => attempts.failures.add(key),
-                false => target_state.record_attempt(true),
+                // The head alone does not show that the target can respond.
+                false => {}
             }
         }
     }
@@ -429,9 +427,6 @@
     if matches!(outcome, Outcome::Lost(_) | Outcome::Late) {
         crash::record_interrupted(cx, job, key, None);
     }
-    if matches!(outcome, Outcome::Head(live) if !live.head.status.is_server_error()) {
-        attempts.failures.served();
-    }
     if let Some(engine) = stale_engine {
         cx.report_stale_incarnation(engine, selected.id.clone());
     }
@@ -449,6 +444,12 @@
     cx.page.count("attempts_total", &[("outcome", kind)], 1);
 }
 
+/// Records that a target has served the request, or begun to stream its response.
+pub(crate) fn record_served(cx: &Context, attempts: &mut Attempts, key: TargetKey) {
+    cx.state().view.get_mut(key).record_attempt(true);
+    attempts.failures.served();
+}
+
 enum Forwarded {
     Done(Response<Body>),
     Failed(Reason),
@@ -471,9 +472,10 @@
         };
     }
     let until = attempt_deadline(job, attempts);
-    let body = match live.collect(until).await {
+    let body = match live.collect(&cx.large_bodies, until).await {
         Ok(body) => body,
         Err(e) => {
+            cx.state().view.get_mut(key).record_attempt(false);
             attempts.keys.push(key);
             crash::record_interrupted(cx, job, key, Some(begun));
             Line::failure("cut")
@@ -488,9 +490,12 @@
     if failed && in_time && attempts.may_run_again(job) && cx.may_retry(&job.service) {
         attempts.keys.push(key);
         attempts.paid = true;
-        attempts.failure = Some(client_response(&live.head, full(body)));
+        attempts.failure = Some(client_response(&live.head, body.into_body()));
         return Forwarded::Failed(Reason::Lost);
     }
+    if !failed {
+        record_served(cx, attempts, key);
+    }
     match live.unframed {
         true => crash::record_unframed(cx, job, key, begun),
         false => quarantine::survived(cx, job),
@@ -498,10 +503,10 @@
     Line::new("answered")
         .text("id", &job.meta.id)
         .num("status", live.head.status.as_u16())
-        .num("bytes", body.len() as i64)
+        .num("bytes", body.size() as i64)
         .ms("took_ms", job.received.elapsed())
         .write();
-    Forwarded::Done(client_response(&live.head, full(body)))
+    Forwarded::Done(client_response(&live.head, body.into_body()))
 }
 
 /// Builds the response to the client from the head of a target's response.
--- a/crates/stair-relay/src/stream.rs
+++ b/crates/stair-relay/src/stream.rs
@@ -130,6 +130,7 @@
         Next::Event(e) => Some(e),
         Next::End => None,
         Next::Broken(e) => {
+            cx.state().view.get_mut(key).record_attempt(false);
             attempts.keys.push(key);
             crash::record_interrupted(cx, job, key, Some(begun));
             log_break(job, &selected.id, None, &e);
@@ -143,6 +144,7 @@
         }
     };
     source.in_flight.mark_read();
+    relay::record_served(cx, attempts, key);
     if first.is_some() {
         origin::begun(cx, job, selected.version.as_deref());
         cx.record_prefill(key, job, selected.reads, selected.selected_at.elapsed());
@@ -292,7 +294,11 @@
                     self.record_end(&source);
                     return Ended::Complete;
                 }
-                Received::Next(Next::Broken(e)) => (e, None),
+                Received::Next(Next::Broken(e)) => {
+                    let key = source.in_flight.key();
+                    self.cx.state().view.get_mut(key).record_attempt(false);
+                    (e, None)
+                }
                 Received::Next(Next::Late) => ("no event in time".into(), None),
                 // The stream stays at its target, which may only be busy.
                 Received::Silent => continue,
