relay: a stream that may not be resumed gets no status that promises that it has not run

Cause: Route::runs_once left out all streams, so that a 408, 429 or 503 of a target was passed on on every route with a stream, also those that may not be resumed.

Change: the check is by whether the route's requests may be repeated; runs_once is gone.

--- a/crates/stair-fleet/src/catalogue.rs
+++ b/crates/stair-fleet/src/catalogue.rs
@@ -250,12 +250,6 @@
     pub fn repeatable(&self) -> bool {
         self.repeat != Repeat::Never
     }
-
-    /// Whether its requests must not run twice because of what they do. A stream that cannot be resumed only
-    /// ends where it breaks.
-    pub fn runs_once(&self) -> bool {
-        self.repeat == Repeat::Never && !self.stream
-    }
 }
 
 impl Model {
--- a/crates/stair-relay/src/relay.rs
+++ b/crates/stair-relay/src/relay.rs
@@ -201,7 +201,7 @@
         let retry = match outcome {
             // Passed on, the status would promise the client what the target has not stated.
             attempt::Outcome::Head(live)
-                if job.route.runs_once() && refuse::promises_not_run(live.head.status) =>
+                if !job.route.repeatable() && refuse::promises_not_run(live.head.status) =>
             {
                 return Err(Refusal::may_have_run(Reason::Lost));
             }
