review: case 6, a late load finds a full runner after a power loss

A sidecar keeps the places of unconfirmed loads in its process. After the loss of its machine the new one fills a runner that came back under its id, and a load of the one before it is carried out on top.

--- a/review/standins-2.rs
+++ b/review/standins-2.rs
@@ -501,12 +501,12 @@
 }
 
 impl Front {
-    fn start(dir: &Path, name: &str, store: SocketAddr) -> Self {
+    fn start(dir: &Path, name: &str, store: SocketAddr, agent_port: u16) -> Self {
         let [listen, ready, inner, metrics] = [(); 4].map(|()| free_port());
         // The template platform/entry.yaml with the bounds of the sheet of ordbrygga-prod.
         let text = format!(
             "name: {name}\ndata_centre: sto-a\nlisten: \"{listen}\"\nready: \"{ready}\"\ninner: \"{inner}\"\n\
-             agent_port: 7380\nmetrics: \"{metrics}\"\nstore: \"{store}\"\nstop_within_ms: 8000\n\
+             agent_port: {agent_port}\nmetrics: \"{metrics}\"\nstore: \"{store}\"\nstop_within_ms: 8000\n\
              drain_within_ms: 2000\nretries:\n  ratio: 0.2\n  extra: 56\n  window_ms: 10000\nquota_slack:\n"
         );
         fs::write(dir.join(format!("{name}.yaml")), text).unwrap_or_else(|e| unable(e));
@@ -686,7 +686,7 @@
         (process, id)
     };
     let mut runners: Vec<(Process, String)> = (0..RUNNERS).map(start).collect();
-    let front = Front::start(&folder.0, "front-sto-a-1", store.addr);
+    let front = Front::start(&folder.0, "front-sto-a-1", store.addr, 7380);
     thread::sleep(ms(2000));
     let stop = Arc::new(AtomicBool::new(false));
     let wrong = Arc::new(Mutex::new(Vec::new()));
@@ -868,7 +868,7 @@
         store.put("servers", &format!("i-{i}"), &announcement("lexmodel", addr, 64, 1));
     }
     let fronts: Vec<Front> = (0..FRONTS)
-        .map(|i| Front::start(&folder.0, &format!("front-sto-a-{i}"), store.addr))
+        .map(|i| Front::start(&folder.0, &format!("front-sto-a-{i}"), store.addr, 7380))
         .collect();
     let body: Arc<Vec<u8>> = Arc::new((0..BODY_BYTES).map(|i| (i % 251) as u8).collect());
     thread::sleep(ms(1500));
@@ -952,6 +952,376 @@
     *outcomes.lock().unwrap().entry(outcome).or_default() += 1;
 }
 
+// ---------------------------------------------------------------------------------------------------------
+// Case "orders": a side machine loses power while an order without an answer is on its way
+
+/// The runner's memory for weights and the size of each model, by the sheet of hollings-wa-grown.
+const WEIGHTS_MB: u64 = 230_000;
+const MODEL_MB: u64 = 72_700;
+const DISK_LOAD: Duration = ms(850);
+/// An order without an answer is carried out this much later; the pages say 2 to 12 s.
+const LATE: Duration = ms(10_500);
+
+#[derive(Default)]
+struct EngineState {
+    down: bool,
+    boot: u64,
+    born: u128,
+    models: Vec<String>,
+    loading: Option<String>,
+    unloading: bool,
+    sequence: u64,
+    orders: u64,
+    /// Orders that get no answer from now on.
+    unanswered: u64,
+    /// When the first of them came.
+    first_unanswered: Option<Instant>,
+    over: bool,
+}
+
+/// A model runner that starts again under its id, and doesn't check fences.
+#[derive(Clone)]
+struct Engine {
+    name: String,
+    addr: SocketAddr,
+    /// The models with copies on its disk.
+    disk: Vec<String>,
+    state: Arc<Mutex<EngineState>>,
+    record: Record,
+}
+
+impl Engine {
+    /// Starts the runner of side machine `n`, which holds three of its six models.
+    fn start(record: &Record, n: usize) -> Self {
+        let listener = TcpListener::bind((format!("127.0.0.{}", n + 1), 0)).unwrap_or_else(|e| unable(e));
+        let disk: Vec<String> = (n * 6 - 5..=n * 6).map(|m| format!("daka{m}")).collect();
+        let engine = Self {
+            name: format!("i-7f3a-{n}"),
+            addr: listener.local_addr().unwrap(),
+            disk: disk.clone(),
+            state: Arc::default(),
+            record: record.clone(),
+        };
+        {
+            let mut state = engine.state.lock().unwrap();
+            state.born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
+            state.models = disk[..3].to_vec();
+        }
+        let own = engine.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let own = own.clone();
+                thread::spawn(move || own.serve(stream));
+            }
+        });
+        engine
+    }
+
+    fn announcement(&self) -> String {
+        let state = self.state.lock().unwrap();
+        let models: Vec<String> = state.models.iter().map(|m| model_json(m)).collect();
+        format!(
+            "{{\"service\":\"quote-writer\",\"address\":\"{}\",\"zone\":\"sto-a\",\"version\":\"v1\",\
+             \"slots\":64,\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":{},\"born\":{},\
+             \"stage\":\"colocated\",\"models\":[{}]}}",
+            self.addr,
+            state.sequence,
+            state.born,
+            models.join(",")
+        )
+    }
+
+    fn lose_power(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.down = true;
+        state.boot += 1;
+        state.models.clear();
+        state.loading = None;
+        state.unloading = false;
+        state.sequence = 0;
+        state.unanswered = 0;
+    }
+
+    /// Starts again under its id, empty; its disk keeps its copies.
+    fn restart(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
+        state.down = false;
+    }
+
+    fn serve(&self, stream: TcpStream) -> Option<()> {
+        let _ = stream.set_nodelay(true);
+        let mut w = stream.try_clone().ok()?;
+        let mut r = BufReader::new(stream);
+        loop {
+            let head = read_head(&mut r).ok()??;
+            let mut body = vec![0; head.length().unwrap_or(0)];
+            if read_up_to(&mut r, &mut body) < body.len() || self.state.lock().unwrap().down {
+                return None;
+            }
+            let body = String::from_utf8_lossy(&body).into_owned();
+            let id = head.get("dandelionstair-request-id").unwrap_or_default();
+            let (status, text) = match head.first.split(' ').nth(1).unwrap_or("") {
+                "/report" => (200, self.report()),
+                "/order" => match self.order(&body) {
+                    Some(status) => (status, String::new()),
+                    // The order has no answer: the connection returns nothing further.
+                    None => {
+                        thread::sleep(ms(30_000));
+                        return None;
+                    }
+                },
+                _ => {
+                    let model = head.get("dandelionstair-model").unwrap_or_default();
+                    let holds = self.state.lock().unwrap().models.contains(&model);
+                    self.record.line(format!("{id}: {}", if holds { "runs" } else { "its model isn't here" }));
+                    if !holds {
+                        (421, String::new())
+                    } else if head.first.contains("/quote/long") {
+                        return self.stream(&id, &mut w);
+                    } else {
+                        let events: String = (1..=3).map(|n| format!("id: {n}\ndata: {id}\n\n")).collect();
+                        let text = format!(
+                            "HTTP/1.1 200 OK\r\nDandelionstair-Request-Id: {id}\r\n\
+                             Dandelionstair-Server-Seal: s.{id}\r\nContent-Type: text/event-stream\r\n\
+                             Content-Length: {}\r\n\r\n{events}",
+                            events.len()
+                        );
+                        w.write_all(text.as_bytes()).ok()?;
+                        continue;
+                    }
+                }
+            };
+            let text = format!(
+                "HTTP/1.1 {status} X\r\nDandelionstair-Request-Id: {id}\r\nContent-Type: application/json\r\n\
+                 Content-Length: {}\r\n\r\n{text}",
+                text.len()
+            );
+            w.write_all(text.as_bytes()).ok()?;
+        }
+    }
+
+    /// A stream of 4 s, which ends with the runner.
+    fn stream(&self, id: &str, w: &mut TcpStream) -> Option<()> {
+        let text = format!(
+            "HTTP/1.1 200 OK\r\nDandelionstair-Request-Id: {id}\r\nDandelionstair-Server-Seal: s.{id}\r\n\
+             Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        );
+        w.write_all(text.as_bytes()).ok()?;
+        let boot = self.state.lock().unwrap().boot;
+        for n in 1..=10 {
+            let event = format!("id: {n}\ndata: {id}\n\n");
+            w.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).ok()?;
+            thread::sleep(ms(400));
+            if self.state.lock().unwrap().boot != boot {
+                return None;
+            }
+        }
+        w.write_all(b"0\r\n\r\n").ok()
+    }
+
+    fn report(&self) -> String {
+        let state = self.state.lock().unwrap();
+        let models: Vec<String> = state.models.iter().map(|m| model_json(m)).collect();
+        let disk: Vec<String> = self.disk.iter().map(|m| format!("\"{m}\"")).collect();
+        format!(
+            "{{\"stage\":\"colocated\",\"models\":[{}],\"busy\":{},\"sequence\":{},\"queuedCount\":0,\
+             \"runningCount\":0,\"kvUsed\":0,\"kvTotal\":262315,\"handles\":0,\"born\":{},\
+             \"atHand\":{{\"inMemory\":[],\"onDisk\":[{}]}}}}",
+            models.join(","),
+            state.loading.is_some() || state.unloading,
+            state.sequence,
+            state.born,
+            disk.join(",")
+        )
+    }
+
+    /// Takes an order; `None` if it gets no answer.
+    fn order(&self, body: &str) -> Option<u16> {
+        let mut state = self.state.lock().unwrap();
+        state.orders += 1;
+        let late = state.unanswered > 0 && body.contains("\"load\"");
+        if !late {
+            drop(state);
+            return Some(self.carry_out(body, ""));
+        }
+        state.unanswered -= 1;
+        let first = *state.first_unanswered.get_or_insert_with(Instant::now);
+        drop(state);
+        self.record.line(format!("{} order {body}: no answer", self.name));
+        let (own, body) = (self.clone(), body.to_owned());
+        thread::spawn(move || {
+            thread::sleep((first + LATE).saturating_duration_since(Instant::now()));
+            own.carry_out(&body, ", carried out late");
+        });
+        None
+    }
+
+    fn carry_out(&self, body: &str, late: &str) -> u16 {
+        let mut state = self.state.lock().unwrap();
+        let field = |name: &str| {
+            let at = body.find(&format!("\"{name}\":"))? + name.len() + 3;
+            let end = body[at..].find([',', '}'])? + at;
+            Some(body[at..end].trim_matches('"').to_owned())
+        };
+        let model = field("model").unwrap_or_default();
+        let loads = field("operation").as_deref() == Some("load");
+        let expected = field("expect").is_none_or(|e| e == state.sequence.to_string());
+        let status = match state.models.contains(&model) {
+            _ if state.down || state.loading.is_some() || state.unloading || !expected => 409,
+            here if here == loads => 200,
+            _ => 202,
+        };
+        let held: Vec<&str> = state.models.iter().map(String::as_str).collect();
+        let at = format!("holds {}, sequence {}", held.join(" "), state.sequence);
+        self.record.line(format!("{} order {body}{late}: {status} ({at})", self.name));
+        if status != 202 {
+            return status;
+        }
+        state.sequence += 1;
+        let boot = state.boot;
+        if loads {
+            let needed = (state.models.len() as u64 + 1) * MODEL_MB;
+            if needed > WEIGHTS_MB {
+                state.over = true;
+                state.boot += 1;
+                state.down = true;
+                self.record.say(format!("ordered to load {needed} MB of {WEIGHTS_MB}{late}: the runner crashes"));
+            }
+            state.loading = Some(model.clone());
+        } else {
+            state.models.retain(|m| *m != model);
+            state.unloading = true;
+        }
+        let own = self.clone();
+        thread::spawn(move || {
+            thread::sleep(match loads {
+                true if own.disk.contains(&model) => DISK_LOAD,
+                true => ms(10_200),
+                false => ms(100),
+            });
+            let mut state = own.state.lock().unwrap();
+            if state.boot == boot {
+                state.unloading = false;
+                if let Some(loaded) = state.loading.take() {
+                    state.models.push(loaded);
+                }
+            }
+        });
+        202
+    }
+}
+
+fn model_json(name: &str) -> String {
+    format!("{{\"name\":\"{name}\",\"version\":1,\"adapters\":[]}}")
+}
+
+fn orders(record: &Record) -> bool {
+    /// Of the service; one of them crashes, 0.25 of it.
+    const RUNNERS: usize = 4;
+    const DARK: Duration = ms(2000);
+    let folder = Folder::create();
+    let store = Store::start();
+    let routes = [route("quote", "stream", "quote-writer", 13_000, 4000, 1)];
+    let models: Vec<String> = (1..=6 * RUNNERS)
+        .map(|n| {
+            format!(
+                "{{\"name\":\"daka{n}\",\"weightsMb\":{MODEL_MB},\"loadS\":10.2,\"warmS\":0.63,\"diskS\":0.85,\
+                 \"adapters\":0,\"adapterMb\":12}}"
+            )
+        })
+        .collect();
+    let config = format!(
+        "{{\"version\":7,\"routes\":[{}],\"services\":[{{\"name\":\"quote-writer\",\"maxConnections\":490,\
+         \"engine\":{{\"slots\":64,\"weightsMb\":{WEIGHTS_MB},\"adapterSlots\":8,\"loadsPerS\":11,\
+         \"models\":[{}]}}}}],\"limits\":{LIMITS}}}",
+        routes.join(","),
+        models.join(",")
+    );
+    store.put("config", "main", &config);
+    let engines: Vec<Engine> = (1..=RUNNERS).map(|n| Engine::start(record, n)).collect();
+    for engine in &engines {
+        store.put("servers", &engine.name, &engine.announcement());
+    }
+    let agent_port = free_port().port();
+    let side = |i: usize| {
+        let (engine, n) = (&engines[i], i + 1);
+        let ip = engine.addr.ip();
+        let settings = folder.0.join(format!("side-{n}.yaml"));
+        // The template platform/agent.yaml.
+        let text = format!(
+            "name: side-sto-a-{n}\ndata_centre: sto-a\nengine: \"{}\"\ninner: \"{ip}:{agent_port}\"\n\
+             metrics: \"{ip}:{}\"\nstore: \"{}\"\nstop_within_ms: 8000\nfetch_window_ms: 5000\n\
+             quota_slack:\nfair_shares: true\n",
+            engine.addr,
+            agent_port - 1,
+            store.addr
+        );
+        fs::write(&settings, text).unwrap_or_else(|e| unable(e));
+        let log = OpenOptions::new().append(true).create(true).open(folder.0.join("side.log"));
+        let mut command = Command::new(PROGRAM);
+        command.args(["sidecar", "--settings"]).arg(&settings);
+        command.stdout(log.unwrap_or_else(|e| unable(e)));
+        Process::start(command)
+    };
+    let mut agents: Vec<Process> = (0..RUNNERS).map(side).collect();
+    let engine = &engines[0];
+    let front = Front::start(&folder.0, "front-sto-a-1", store.addr, agent_port);
+    thread::sleep(ms(3000));
+    let ask = |id: &str, path: &str, model: &str, budget: Duration| {
+        let fields = format!(
+            "Dandelionstair-Model: {model}\r\nDandelionstair-Token-Count: 800,40\r\n\
+             Dandelionstair-Prompt-Prefix: 5c1e07a2:600,91bd3f06:200\r\n"
+        );
+        let head = request("POST", path, id, &fields, 1, budget);
+        let outcome = match call(front.listen, &head, b"x", budget + ms(500)) {
+            Ok(a) => format!("{}{}", a.status, if a.complete { "" } else { " broken off" }),
+            Err(e) => format!("no answer ({e})"),
+        };
+        record.say(format!("{id} for {model}: {outcome}"));
+    };
+    ask("quote-1", "/quote/x", "daka1", ms(13_000));
+    thread::sleep(ms(1000));
+    ask("quote-2", "/quote/x", "daka4", ms(13_000));
+    thread::sleep(ms(1000));
+    if trouble() {
+        // Two of five orders so far.
+        engine.state.lock().unwrap().unanswered = 2;
+    }
+    ask("quote-3", "/quote/x", "daka5", if trouble() { ms(1500) } else { ms(13_000) });
+    if trouble() {
+        let orders = engine.state.lock().unwrap().orders;
+        record.line(format!("side-sto-a-1 and its runner lose power for 2 s, after {orders} orders"));
+        agents[0].kill();
+        engine.lose_power();
+        thread::sleep(DARK);
+        engine.restart();
+        store.put("servers", &engine.name, &engine.announcement());
+        agents[0] = side(0);
+        record.line("side-sto-a-1 and its runner are back");
+        thread::sleep(ms(1500));
+    }
+    for (id, model) in [("quote-4", "daka1"), ("quote-5", "daka2"), ("quote-6", "daka3")] {
+        ask(id, "/quote/x", model, ms(13_000));
+    }
+    // Streams are on their way when the late order is carried out.
+    let first = engine.state.lock().unwrap().first_unanswered;
+    let late_at = first.map_or(Instant::now(), |at| at + LATE);
+    thread::sleep((late_at - ms(1500)).saturating_duration_since(Instant::now()));
+    thread::scope(|scope| {
+        for (id, model) in [("quote-7", "daka1"), ("quote-8", "daka2"), ("quote-9", "daka3")] {
+            let ask = &ask;
+            scope.spawn(move || ask(id, "/quote/long", model, ms(13_000)));
+        }
+    });
+    drop(agents);
+    for engine in &engines {
+        let state = engine.state.lock().unwrap();
+        record.say(format!("orders that reached {}: {}", engine.name, state.orders));
+    }
+    engines.iter().any(|e| e.state.lock().unwrap().over)
+}
+
 // ---------------------------------------------------------------------------------------------------------
 
 fn main() {
@@ -961,6 +1331,7 @@
         Some("runner") if args_after.len() == 4 => runner(args_after),
         Some("unframed") => unframed,
         Some("memory") => memory,
+        Some("orders") => orders,
         _ => unable("usage: standins CASE RECORD"),
     };
     if !Path::new(PROGRAM).exists() {
